--- /dev/null
+++ b/packages/cli/greengagepoint_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The greengagepoint client for operators."""
--- /dev/null
+++ b/packages/conftest.py
@@ -0,0 +1,14 @@
+"""Settings shared by the tests of all packages."""
+
+from hypothesis import HealthCheck, settings
+
+# The same examples on each run, so that the verdict never changes by itself.
+settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.load_profile("repeatable")
--- /dev/null
+++ b/packages/core/greengagepoint/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a global traffic steering system, without I/O."""
--- /dev/null
+++ b/packages/core/greengagepoint/events.py
@@ -0,0 +1,235 @@
+"""The catalogue of numbered events that daemons log and keep on the time line."""
+
+from enum import IntEnum, StrEnum
+from typing import Any, Final, NamedTuple
+
+
+class Level(StrEnum):
+    """How urgent an event is for an operator."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Event(IntEnum):
+    """Numbers of all events; a number is never given to another event."""
+
+    # 1000: the process
+    DAEMON_STARTED = 1001
+    DAEMON_READY = 1002
+    DAEMON_STOPPING = 1003
+    DAEMON_STOPPED = 1004
+    TICK_LATE = 1005
+    FENCED = 1006
+    INTERNAL_ERROR = 1007
+    # 2000: requests
+    REQUEST_ADMITTED = 2001
+    REQUEST_REFUSED = 2002
+    REQUEST_SENT = 2003
+    REQUEST_ANSWERED = 2004
+    REQUEST_FAILED = 2005
+    REQUEST_RETRIED = 2006
+    REQUEST_HEDGED = 2007
+    REQUEST_CANCELLED = 2008
+    REQUEST_MALFORMED = 2009
+    DOWNLOAD_RESUMED = 2010
+    KEY_CLAIMED = 2011
+    KEY_REFUSED = 2012
+    KEY_RELEASED = 2013
+    # 3000: configuration
+    RECORD_REFUSED = 3001
+    CONFIGURATION_IN_FORCE = 3002
+    CONFIGURATION_CONFLICT = 3003
+    STORE_REVERTED = 3004
+    RECORD_TOO_NEW = 3005
+    CONFIGURATION_FROM_PEER = 3006
+    # 4000: membership
+    HOST_ALIVE = 4001
+    HOST_SUSPECTED = 4002
+    HOST_GONE = 4003
+    HOST_LEAVING = 4004
+    REGION_UNREACHABLE = 4005
+    REGION_REACHABLE = 4006
+    # 5000: caps, region budgets and shifts
+    LEDGER_CHANGED = 5001
+    SHARE_RECLAIMED = 5002
+    LOAN_GRANTED = 5003
+    LOAN_EXPIRED = 5004
+    RIGHTS_GIVEN_UP = 5005
+    SHIFT_STARTED = 5006
+    SHIFT_HELD_BACK = 5007
+    SHIFT_FINISHED = 5008
+    SHIFT_REVERSED = 5009
+    # 6000: backend servers
+    BACKEND_SERVER_EJECTED = 6001
+    BACKEND_SERVER_READMITTED = 6002
+    BACKEND_SERVER_LEAVING = 6003
+    BACKEND_SERVER_DRAINED = 6004
+    LOAD_REPORT_DISTRUSTED = 6005
+    LOAD_REPORT_INVALID = 6006
+    # 7000: the platform
+    STORE_UNAVAILABLE = 7001
+    STORE_AVAILABLE = 7002
+    STORE_ANSWER_INVALID = 7003
+    STORE_WRITE_SETTLED = 7004
+    HOST_LIST_UNAVAILABLE = 7005
+    HOST_LIST_INVALID = 7006
+    # 8000: usage
+    USAGE_WRITTEN = 8001
+    USAGE_WRITE_FAILED = 8002
+    # 9000: peers
+    PEER_MESSAGE_REJECTED = 9001
+    PEER_MESSAGE_DROPPED = 9002
+    PEER_UNKNOWN = 9003
+
+
+class EventType(NamedTuple):
+    """One row of the catalogue."""
+
+    level: Level
+    meaning: str
+
+
+CATALOGUE: Final[dict[Event, EventType]] = {
+    Event.DAEMON_STARTED: EventType(Level.INFO, "The daemon has started."),
+    Event.DAEMON_READY: EventType(Level.INFO, "The daemon serves callers."),
+    Event.DAEMON_STOPPING: EventType(
+        Level.INFO, "The daemon has left look-ups and waits for requests to end."
+    ),
+    Event.DAEMON_STOPPED: EventType(Level.INFO, "The daemon has stopped."),
+    Event.TICK_LATE: EventType(Level.WARNING, "A tick ran much later than planned."),
+    Event.FENCED: EventType(
+        Level.WARNING, "The process was paused and has given up its rights."
+    ),
+    Event.INTERNAL_ERROR: EventType(Level.ERROR, "An unexpected error was caught."),
+    Event.REQUEST_ADMITTED: EventType(Level.DEBUG, "A request was admitted."),
+    Event.REQUEST_REFUSED: EventType(
+        Level.INFO, "A request was refused and has not run."
+    ),
+    Event.REQUEST_SENT: EventType(
+        Level.DEBUG, "A request was sent to a backend server."
+    ),
+    Event.REQUEST_ANSWERED: EventType(Level.DEBUG, "A caller got a whole answer."),
+    Event.REQUEST_FAILED: EventType(Level.WARNING, "A request failed after admission."),
+    Event.REQUEST_RETRIED: EventType(Level.INFO, "A request was sent again."),
+    Event.REQUEST_HEDGED: EventType(
+        Level.INFO, "A repeatable read was sent to a second backend server."
+    ),
+    Event.REQUEST_CANCELLED: EventType(Level.INFO, "The caller went away."),
+    Event.REQUEST_MALFORMED: EventType(Level.INFO, "A malformed request was refused."),
+    Event.DOWNLOAD_RESUMED: EventType(
+        Level.INFO, "A broken download went on from where it had stopped."
+    ),
+    Event.KEY_CLAIMED: EventType(Level.DEBUG, "An idempotency key was claimed."),
+    Event.KEY_REFUSED: EventType(
+        Level.INFO, "An idempotency key was already claimed by another request."
+    ),
+    Event.KEY_RELEASED: EventType(
+        Level.DEBUG, "A claim was released because the request has not run."
+    ),
+    Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
+    Event.CONFIGURATION_IN_FORCE: EventType(
+        Level.INFO, "A configuration generation is in force on this host."
+    ),
+    Event.CONFIGURATION_CONFLICT: EventType(
+        Level.INFO, "Two operators changed the same record."
+    ),
+    Event.STORE_REVERTED: EventType(
+        Level.ERROR, "The store holds an older configuration than is in force."
+    ),
+    Event.RECORD_TOO_NEW: EventType(
+        Level.WARNING, "A record has a newer schema version than this daemon knows."
+    ),
+    Event.CONFIGURATION_FROM_PEER: EventType(
+        Level.INFO, "Configuration was taken from a peer."
+    ),
+    Event.HOST_ALIVE: EventType(Level.INFO, "A host is alive."),
+    Event.HOST_SUSPECTED: EventType(Level.INFO, "A host is suspected of being gone."),
+    Event.HOST_GONE: EventType(Level.WARNING, "A host is considered gone."),
+    Event.HOST_LEAVING: EventType(Level.INFO, "A host is leaving."),
+    Event.REGION_UNREACHABLE: EventType(
+        Level.ERROR, "No host of a region can be reached."
+    ),
+    Event.REGION_REACHABLE: EventType(Level.INFO, "A region can be reached again."),
+    Event.LEDGER_CHANGED: EventType(
+        Level.INFO, "This host's share in the ledger changed."
+    ),
+    Event.SHARE_RECLAIMED: EventType(
+        Level.WARNING, "The share of a host that is gone was reclaimed."
+    ),
+    Event.LOAN_GRANTED: EventType(Level.DEBUG, "Units were lent to another host."),
+    Event.LOAN_EXPIRED: EventType(Level.DEBUG, "Borrowed units expired."),
+    Event.RIGHTS_GIVEN_UP: EventType(
+        Level.WARNING, "This host gave up its share until it reads the ledger again."
+    ),
+    Event.SHIFT_STARTED: EventType(Level.INFO, "A shift began to move traffic."),
+    Event.SHIFT_HELD_BACK: EventType(
+        Level.INFO, "A shift waits because the destination has slowed down."
+    ),
+    Event.SHIFT_FINISHED: EventType(Level.INFO, "A shift reached its target."),
+    Event.SHIFT_REVERSED: EventType(Level.INFO, "A shift was reversed."),
+    Event.BACKEND_SERVER_EJECTED: EventType(
+        Level.WARNING, "A backend server was ejected for its failures."
+    ),
+    Event.BACKEND_SERVER_READMITTED: EventType(
+        Level.INFO, "An ejected backend server gets requests again."
+    ),
+    Event.BACKEND_SERVER_LEAVING: EventType(
+        Level.INFO, "A backend server is leaving and gets nothing new."
+    ),
+    Event.BACKEND_SERVER_DRAINED: EventType(
+        Level.INFO, "No request is in flight to a leaving backend server."
+    ),
+    Event.LOAD_REPORT_DISTRUSTED: EventType(
+        Level.INFO, "A load report contradicts what this host sees."
+    ),
+    Event.LOAD_REPORT_INVALID: EventType(
+        Level.WARNING, "A load report could not be decoded."
+    ),
+    Event.STORE_UNAVAILABLE: EventType(
+        Level.WARNING, "The key-value service cannot be reached."
+    ),
+    Event.STORE_AVAILABLE: EventType(
+        Level.INFO, "The key-value service answers again."
+    ),
+    Event.STORE_ANSWER_INVALID: EventType(
+        Level.ERROR, "The key-value service sent an answer that cannot be decoded."
+    ),
+    Event.STORE_WRITE_SETTLED: EventType(
+        Level.INFO, "A write whose reply was lost has been settled by reading it back."
+    ),
+    Event.HOST_LIST_UNAVAILABLE: EventType(
+        Level.WARNING, "The host list cannot be reached."
+    ),
+    Event.HOST_LIST_INVALID: EventType(
+        Level.WARNING, "The host list could not be decoded."
+    ),
+    Event.USAGE_WRITTEN: EventType(Level.DEBUG, "Usage counters were written."),
+    Event.USAGE_WRITE_FAILED: EventType(
+        Level.WARNING, "Usage counters could not be written; they are kept."
+    ),
+    Event.PEER_MESSAGE_REJECTED: EventType(
+        Level.WARNING, "A peer message failed authentication or decoding."
+    ),
+    Event.PEER_MESSAGE_DROPPED: EventType(
+        Level.DEBUG, "A peer message could not be sent and was dropped."
+    ),
+    Event.PEER_UNKNOWN: EventType(
+        Level.WARNING, "A peer message came from an unknown host."
+    ),
+}
+
+
+class Occurrence(NamedTuple):
+    """One event that happened on one host.
+
+    ``clock`` is the hybrid logical time (milliseconds, counter); ``fields`` hold
+    the request id, team, site and whatever else the event tells.
+    """
+
+    clock: tuple[int, int]
+    host: str
+    event: Event
+    fields: dict[str, Any]
--- /dev/null
+++ b/packages/core/greengagepoint/records/__init__.py
@@ -0,0 +1,1 @@
+"""Steering records: what operators write."""
--- /dev/null
+++ b/packages/node/greengagepoint_node/__init__.py
@@ -0,0 +1,1 @@
+"""The greengagepoint daemon."""
