--- /dev/null
+++ b/packages/node/greengagepoint_node/coordinators/__init__.py
@@ -0,0 +1,1 @@
+"""Coordinators: each joins one matter of core to sockets, store and peers."""
