Choose sites and backend servers and answer look-ups

Cause: a request needs a site, a backend server and, before that, an entry host.

Change: tables and functions in core for look-up answers (bytes prepared for each view of the hosts), the order of sites for a request (nearest first, shifts, headroom) and the choice of a backend server (own requests in flight, aged and distrusted reports, slow start, bounded ejection, warm connections, leaving by four sources).

Conclusion: usable; the policies are not yet compared with one another.

--- /dev/null
+++ b/packages/core/greengagepoint/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which backend server of a site takes a request."""
--- /dev/null
+++ b/packages/core/greengagepoint/balancing/estimate.py
@@ -0,0 +1,58 @@
+"""Estimate how busy a backend server is from own counts and aged reports."""
+
+from typing import Final
+
+from greengagepoint.balancing.tables import BackendRow
+
+REPORT_HALF_LIFE_SECONDS: Final = 1.0
+REPORT_AGE_MAX_SECONDS: Final = 8.0
+SLOW_START_SECONDS: Final = 10.0
+SLOW_START_FLOOR: Final = 0.1
+CONNECTION_SECONDS: Final = 0.001
+LATENCY_FLOOR_SECONDS: Final = 0.001
+LATENCY_ASSUMED_SECONDS: Final = 0.01
+EJECTION_WANTED_FACTOR: Final = 10.0
+
+
+def load_of_others(row: BackendRow, now: float) -> float:
+    """Return requests in flight from other hosts, as far as reports are believed.
+
+    A report loses half its weight each ``REPORT_HALF_LIFE_SECONDS`` and all of it
+    after ``REPORT_AGE_MAX_SECONDS``: an old report of an idle server would draw
+    all hosts to it at once.
+    """
+    reported = row.reported
+    if reported is None:
+        return 0.0
+    age = now - row.reported_at
+    if age > REPORT_AGE_MAX_SECONDS:
+        return 0.0
+    others = reported.in_flight + reported.queued - row.own_at_report
+    if others <= 0:
+        return 0.0
+    return others * row.trust * 0.5 ** (max(0.0, age) / REPORT_HALF_LIFE_SECONDS)
+
+
+def slow_start_share(row: BackendRow, now: float) -> float:
+    """Return the part of its slots that a new or readmitted server is given."""
+    if row.slow_start_from is None:
+        return 1.0
+    progress = (now - row.slow_start_from) / SLOW_START_SECONDS
+    if progress >= 1.0:
+        row.slow_start_from = None
+        return 1.0
+    return max(SLOW_START_FLOOR, progress)
+
+
+def score(row: BackendRow, now: float) -> float:
+    """Return the expected load by slot after one more request; lower is better.
+
+    A new connection counts as the share of a service time that it costs.
+    """
+    load = row.in_flight + load_of_others(row, now) + 1.0
+    value = load / (max(1, row.slots) * slow_start_share(row, now))
+    if row.in_flight >= row.warm:
+        latency = row.latency_seconds or LATENCY_ASSUMED_SECONDS
+        value += CONNECTION_SECONDS / max(latency, LATENCY_FLOOR_SECONDS)
+    value /= 1.0 - min(0.9, row.failure_rate)
+    return value * EJECTION_WANTED_FACTOR if row.ejection_wanted else value
--- /dev/null
+++ b/packages/core/greengagepoint/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which hosts callers use and which sites requests go to."""
--- /dev/null
+++ b/packages/core/tests/test_steering_lookup.py
@@ -0,0 +1,113 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagepoint.configuration import EMPTY
+from greengagepoint.hosts import HostIdentity
+from greengagepoint.records.schemas import Service
+from greengagepoint.steering.lookup import EntryHost, answer, prepare
+
+CONFIGURATION = EMPTY._replace(
+    generation=7, services={"booking": Service(name="booking", sites=())}
+)
+
+
+def entry(name, region, zone, leaving=False, weight=1):
+    identity = HostIdentity(name, 1, region, zone, f"{name}:80", f"{name}:81")
+    return EntryHost(identity, leaving, weight)
+
+
+HOSTS = [
+    entry(f"{region}-{zone}{number}", region, zone)
+    for region in ("attiki", "dytiki", "kentriki")
+    for zone in "ab"
+    for number in (1, 2)
+]
+HOME = HOSTS[0].identity
+
+
+def ask(hosts, regions=None, sequence=0, service="booking", **kwargs):
+    table = prepare(CONFIGURATION, hosts, HOME, **kwargs)
+    return json.loads(answer(table, service, regions, sequence))
+
+
+def names(found):
+    return [host["name"] for host in found["hosts"]]
+
+
+def test_answer(snapshot):
+    assert ask(HOSTS, sequence=1) == snapshot
+
+
+@pytest.mark.parametrize(
+    ("regions", "first"),
+    [
+        (None, "attiki"),
+        (("dytiki", "attiki"), "dytiki"),
+        (("nowhere", "kentriki"), "kentriki"),
+        (("nowhere",), "attiki"),
+    ],
+)
+def test_regions_come_in_the_callers_order(regions, first):
+    found = ask(HOSTS, regions)["hosts"]
+    assert [host["region"] for host in found][0] == first
+    priorities = [host["priority"] for host in found]
+    assert priorities == sorted(priorities)
+
+
+def test_leaving_host_vanishes_and_time_to_live_is_short():
+    """A host says that it leaves while callers keep looking up.
+
+    The next answer doesn't name it, and answers are cached for a second only, so
+    that callers who have it in hand come back soon.
+    """
+    hosts = [HOSTS[0]._replace(leaving=True), *HOSTS[1:]]
+    for sequence in range(20):
+        found = ask(hosts, sequence=sequence)
+        assert HOSTS[0].identity.name not in names(found)
+        assert found["ttl_seconds"] == 1
+    assert ask(HOSTS)["ttl_seconds"] == 5
+    assert ask(HOSTS, changing=True)["ttl_seconds"] == 1
+
+
+def test_unknown_service_has_no_answer():
+    assert answer(prepare(CONFIGURATION, HOSTS, HOME), "none", None, 0) is None
+
+
+@pytest.mark.parametrize(
+    ("weights", "expected"),
+    [((1, 1), (2, 2)), ((3, 1), (3, 1))],
+)
+def test_rotation_follows_weights(weights, expected):
+    hosts = [
+        entry(f"h{number}", "attiki", "a", weight=weight)
+        for number, weight in enumerate(weights)
+    ]
+    first = [names(ask(hosts, sequence=turn))[0] for turn in range(4)]
+    assert (first.count("h0"), first.count("h1")) == expected
+
+
+def test_far_regions_zones_take_turns():
+    first = [
+        ask(HOSTS, ("dytiki",), sequence)["hosts"][0]["name"] for sequence in range(4)
+    ]
+    assert len(set(first)) == 4
+
+
+@given(
+    st.lists(st.sampled_from(HOSTS), min_size=1, unique=True),
+    st.sets(st.integers(0, 11)),
+    st.integers(0, 200),
+)
+def test_never_empty_and_never_twice(hosts, leaving, sequence):
+    hosts = [
+        host._replace(leaving=number in leaving) for number, host in enumerate(hosts)
+    ]
+    found = names(ask(hosts, sequence=sequence))
+    assert found
+    assert len(set(found)) == len(found)
+    staying = {host.identity.name for host in hosts if not host.leaving}
+    if staying:
+        assert set(found) <= staying
