--- /dev/null
+++ b/packages/core/greengagepoint/membership/systems.py
@@ -0,0 +1,105 @@
+"""Run all systems of membership over the tables, and read views from them."""
+
+from typing import Final
+
+from greengagepoint.hosts import HostIdentity
+from greengagepoint.membership import overview, probing, regions
+from greengagepoint.membership.messages import Claim, Contact, HostState
+from greengagepoint.membership.tables import MembershipTables, Send
+from greengagepoint.protocols import Random
+
+GONE_FORGET_SECONDS: Final = 3600.0
+
+
+def run(tables: MembershipTables, now: float, random: Random) -> list[Send]:
+    """Run one tick and return what to send."""
+    gap = now - tables.ran_at
+    tables.ran_at = now
+    if gap > probing.PAUSE_SECONDS:
+        probing.forgive(tables, gap)
+    regions.run_mode(tables, now)
+    sends = list(probing.run_probes(tables, now, random))
+    sends += overview.run_overview(tables, now, random)
+    regions.run_regions(tables, now)
+    _forget_gone(tables, now)
+    return sends
+
+
+def identity(claim: Claim) -> HostIdentity:
+    """Return the identity of the host that a claim is about."""
+    return HostIdentity(
+        claim.name,
+        claim.incarnation,
+        claim.region,
+        claim.zone,
+        claim.address,
+        claim.peer_address,
+    )
+
+
+def live_hosts(tables: MembershipTables, now: float) -> tuple[HostIdentity, ...]:
+    """Return hosts held alive or only suspected, and not leaving, this one included.
+
+    In a large system these are the hosts of this zone and contacts of all others.
+    """
+    claims = [row.claim for row in tables.detailed()]
+    hosts = {
+        claim.name: identity(claim)
+        for claim in (tables.me, *claims)
+        if claim.state is not HostState.GONE and not claim.leaving
+    }
+    for host in _contacts(tables, now):
+        hosts.setdefault(host.name, host)
+    return tuple(hosts[name] for name in sorted(hosts))
+
+
+def serving_hosts(tables: MembershipTables, now: float) -> tuple[HostIdentity, ...]:
+    """Return live hosts that look-ups may name: not suspected, not leaving."""
+    doubtful = {
+        name
+        for name, row in tables.members.items()
+        if row.listed_leaving or row.claim.state is not HostState.ALIVE
+    }
+    return tuple(host for host in live_hosts(tables, now) if host.name not in doubtful)
+
+
+def known_hosts(tables: MembershipTables) -> tuple[Claim, ...]:
+    """Return the claims held about all hosts, those gone and leaving included."""
+    claims = [tables.me, *(row.claim for row in tables.members.values())]
+    return tuple(sorted(claims, key=lambda claim: claim.name))
+
+
+def _contacts(tables: MembershipTables, now: float) -> list[HostIdentity]:
+    """Return the contacts of zones and regions that are not tracked in detail."""
+    if tables.detail_everywhere:
+        return []
+    me = tables.me
+    found = []
+    for (region, zone), heard in tables.zones.items():
+        if overview.fresh(heard, now) and zone != me.zone:
+            found += [_remote(contact, region) for contact in heard.item.contacts]
+    for region, heard in tables.regions.items():
+        if overview.fresh(heard, now) and region != me.region:
+            found += [_remote(contact, region) for contact in heard.item.contacts]
+    return found
+
+
+def _remote(contact: Contact, region: str) -> HostIdentity:
+    """Return a contact's identity."""
+    return HostIdentity(
+        contact.name,
+        contact.incarnation,
+        region,
+        contact.zone,
+        contact.address,
+        contact.peer_address,
+    )
+
+
+def _forget_gone(tables: MembershipTables, now: float) -> None:
+    """Drop hosts long gone that the host list does not name any more."""
+    for name, row in list(tables.members.items()):
+        old = now - row.claimed_at > GONE_FORGET_SECONDS
+        gone = row.claim.state is HostState.GONE
+        if gone and old and name not in tables.listed:
+            del tables.members[name]
--- /dev/null
+++ b/packages/core/greengagepoint/usage/__init__.py
@@ -0,0 +1,1 @@
+"""What each team sent, counted once."""
