--- a/packages/core/greengagepoint/steering/tables.py
+++ b/packages/core/greengagepoint/steering/tables.py
@@ -14,15 +14,32 @@
     REGION_FAILED = "region_failed"
 
 
+@dataclass(slots=True)
+class Hold:
+    """Whether a shift waits for the receiving site, in seconds of service time.
+
+    ``baseline`` is the median that the site is held to, ``first_baseline`` the one
+    before anything was moved, ``best`` the lowest since the hold began at
+    ``since``.
+    """
+
+    held: bool = False
+    since: float = 0.0
+    baseline: float | None = None
+    first_baseline: float | None = None
+    best: float = 0.0
+
+
 @dataclass(slots=True)
 class ShiftRow:
     """One movement of traffic away from a site.
 
     ``service`` None means all services, ``to_site`` None the other permitted sites.
     ``fraction`` is what is moved now and ``target`` what it goes to, both 0 to 1;
-    ``identity`` changes when the record that asks for it is replaced.
-    ``baseline_seconds`` is the median service time that the receiving site is held
-    to, ``best_seconds`` the lowest since the hold began.
+    ``rate`` is their change a second. ``identity`` tells one version of the record
+    from the next and is empty once nothing asks for the shift. ``resuming`` is set
+    from a restart of this host until it knows how far the shift has come.
+    ``peer_fractions`` maps a host to (fraction, when heard).
     """
 
     name: str
@@ -32,18 +49,15 @@
     to_site: str | None
     identity: str
     target: float
+    rate: float
     ramp_seconds: float
     start_wall_ms: int
     first_seen: float
     last_run: float
     fraction: float = 0.0
-    resumed: bool = False
-    started: bool = False
-    held: bool = False
-    held_since: float = 0.0
-    baseline_seconds: float | None = None
-    first_baseline_seconds: float | None = None
-    best_seconds: float | None = None
+    resuming: bool = False
+    moving: bool = False
+    hold: Hold = field(default_factory=Hold)
     peer_fractions: dict[str, tuple[float, float]] = field(default_factory=dict)
 
 
@@ -55,11 +69,13 @@
     """All shifts known to one host and the orders of sites derived from them.
 
     ``away`` maps a site to the shifts that move traffic off it; ``plans`` keeps
-    the tiers of sites by (service, region, zone) for ``planned``.
+    the tiers of sites by (service, region, zone) for ``planned``. ``primed`` is
+    set once the first configuration has been seen.
     """
 
     shifts: dict[str, ShiftRow] = field(default_factory=dict)
     away: dict[str, tuple[ShiftRow, ...]] = field(default_factory=dict)
+    primed: bool = False
     planned: Configuration = EMPTY
     plans: dict[tuple[str, str, str], SitePlan] = field(default_factory=dict)
 
--- a/packages/core/tests/test_steering_site_choice.py
+++ b/packages/core/tests/test_steering_site_choice.py
@@ -48,6 +48,7 @@
             to_site=to if cause is ShiftCause.SCHEDULED else None,
             identity="",
             target=fraction,
+            rate=0.1,
             ramp_seconds=10,
             start_wall_ms=0,
             first_seen=0.0,
