--- /dev/null
+++ b/packages/node/tests/test_peers_links.py
@@ -0,0 +1,188 @@
+"""Peer links over real sockets on loopback."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pynng
+import pytest
+
+from greengagepoint.events import Event
+from greengagepoint_node.peer_codec import PeerCodec, Rejection
+from greengagepoint_node.peers import MAX_QUEUED_MESSAGES, PeerLinks
+
+KEY = b"a key shared by all hosts"
+
+
+class Beat(msgspec.Struct, tag="membership.test", array_like=True, frozen=True):
+    number: int
+
+
+class Grant(msgspec.Struct, tag="caps.test", array_like=True, frozen=True):
+    units: int
+
+
+class Events:
+    def __init__(self):
+        self.rows = []
+        self.changed = asyncio.Event()
+
+    def record(self, event, **fields):
+        self.rows.append((event, fields))
+        self.changed.set()
+
+    async def async_wait_for(self, event):
+        while event not in [row[0] for row in self.rows]:
+            self.changed.clear()
+            await self.changed.wait()
+
+
+class Inbox(asyncio.Queue):
+    def take(self, sender, message):
+        self.put_nowait((sender, message))
+
+
+class Cluster:
+    def __init__(self):
+        self.addresses = {}
+        self.links = {}
+        self.seen = []
+
+    async def async_add(self, name, *, incarnation=1, known=None):
+        links = PeerLinks(
+            host=name,
+            incarnation=incarnation,
+            listen_address="127.0.0.1:0",
+            key=KEY,
+            address_of=self.addresses.get,
+            events=Events(),
+            clock_now=lambda: (5, 1),
+            clock_seen=self.seen.append,
+            known=known,
+            types=(Beat, Grant),
+        )
+        await links.async_start()
+        self.addresses[name] = links.bound_address
+        self.links[name] = links
+        return links
+
+
+@pytest.fixture
+async def cluster():
+    made = Cluster()
+    yield made
+    for links in made.links.values():
+        await links.async_stop()
+
+
+def inbox_of(links, message_type):
+    inbox = Inbox()
+    links.subscribe(message_type, inbox.take)
+    return inbox
+
+
+async def test_messages_of_one_turn_travel_in_one_envelope(cluster):
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    inbox = inbox_of(two, Grant)
+    assert all(one.send("two", Grant(units)) for units in range(5))
+    received = [await inbox.get() for _ in range(5)]
+    assert received == [("one", Grant(units)) for units in range(5)]
+    assert (one.counters.envelopes_out, one.counters.messages_out) == (1, 5)
+    assert (two.counters.envelopes_in, two.counters.messages_in) == (1, 5)
+    assert two.counters.bytes_in == one.counters.bytes_out > 0
+    assert cluster.seen == [(5, 1)]
+
+
+async def test_garbage_and_a_wrong_key_disturb_nothing(cluster):
+    """Someone sends garbage, then an envelope under another key, to the peer port.
+    Each gives one event, and the true peer's message still arrives.
+    """
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    inbox = inbox_of(two, Grant)
+    forged = PeerCodec("one", 1, b"another key", (Grant,))
+    with pynng.Push0(dial=f"tcp://{two.bound_address}") as stranger:
+        for data in (b"", b"\x00" * 100, forged.encode("two", (1, 1), [Grant(9)])):
+            await stranger.asend(data)
+        while two.counters.rejected < 3:
+            two.events.changed.clear()
+            await two.events.changed.wait()
+    one.send("two", Grant(1))
+    assert await inbox.get() == ("one", Grant(1))
+    assert [(event, fields["reason"]) for event, fields in two.events.rows] == [
+        (Event.PEER_MESSAGE_REJECTED, Rejection.TOO_SHORT),
+        (Event.PEER_MESSAGE_REJECTED, Rejection.WRONG_MAC),
+        (Event.PEER_MESSAGE_REJECTED, Rejection.WRONG_MAC),
+    ]
+
+
+async def test_an_unknown_host_may_only_announce_itself(cluster):
+    """A new host sends its heartbeat and a grant before the receiver knows it. The
+    heartbeat is taken, since that is how it becomes known; the grant is refused with
+    one event.
+    """
+    two = await cluster.async_add("two", known=lambda name: False)
+    one = await cluster.async_add("one")
+    beats, grants = inbox_of(two, Beat), inbox_of(two, Grant)
+    one.send("two", Grant(1))
+    one.send("two", Beat(1))
+    assert await beats.get() == ("one", Beat(1))
+    assert grants.empty()
+    assert two.events.rows == [(Event.PEER_UNKNOWN, {"peer": "one", "count": 1})]
+
+
+async def test_a_peer_that_is_gone_costs_its_queue_and_no_more(cluster):
+    """A peer's address refuses connections. Its messages wait, then there is no more
+    room and the sender is told; messages to other peers still arrive.
+    """
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    with contextlib.closing(pynng.Pull0()) as closed:
+        address = str(closed.listen("tcp://127.0.0.1:0").local_address)
+    cluster.addresses["gone"] = address
+    inbox = inbox_of(two, Grant)
+    sent = [one.send("gone", Grant(n)) for n in range(MAX_QUEUED_MESSAGES + 2)]
+    assert sent == [True] * MAX_QUEUED_MESSAGES + [False] * 2
+    one.send("two", Grant(1))
+    assert await inbox.get() == ("one", Grant(1))
+    assert one.counters.dropped == 2
+    assert one.events.rows[0] == (
+        Event.PEER_MESSAGE_DROPPED,
+        {"peer": "gone", "count": 1, "reason": "queue_full"},
+    )
+
+
+async def test_a_host_without_an_address_is_refused_at_once(cluster):
+    one = await cluster.async_add("one")
+    assert not one.send("nobody", Grant(1))
+    assert one.events.rows[0][1]["reason"] == "no_address"
+
+
+async def test_a_restarted_peer_is_reached_at_its_new_port(cluster):
+    """A peer stops and comes back on another port with a new incarnation. The next
+    message is dialled there; messages of the earlier run are refused.
+    """
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    inbox = inbox_of(two, Grant)
+    one.send("two", Grant(1))
+    await inbox.get()
+    await two.async_stop()
+    two = await cluster.async_add("two", incarnation=2)
+    inbox = inbox_of(two, Grant)
+    one.send("two", Grant(2))
+    assert await inbox.get() == ("one", Grant(2))
+
+
+async def test_a_failing_subscriber_keeps_nothing_from_the_others(cluster):
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+
+    def fail(sender, message):
+        raise RuntimeError("broken")
+
+    unsubscribe = two.subscribe(Grant, fail)
+    inbox = inbox_of(two, Grant)
+    one.send("two", Grant(1))
+    await inbox.get()
+    assert [row[0] for row in two.events.rows] == [Event.INTERNAL_ERROR]
+    unsubscribe()
+    one.send("two", Grant(2))
+    await inbox.get()
+    assert len(two.events.rows) == 1
