Read steering records and share their ordered log between hosts

Cause: operators had no way to put records in force, and hosts none to agree on which generation is in force. Change: records of any known schema version are read, up-converted and checked with file, line, field and what is accepted; changes form a hash chain in the store that only grows; two hosts a region watch it and pass entries on by trees, with anti-entropy behind them; lost replies are settled by write id and a store that went back is recognised, refused and repaired.

--- /dev/null
+++ b/packages/core/greengagepoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""The ordered log of configuration changes and how hosts share it."""
--- /dev/null
+++ b/packages/core/greengagepoint/config/exchange.py
@@ -0,0 +1,315 @@
+"""Pass configuration between hosts: push by trees, anti-entropy, snapshots."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from greengagepoint.config.entries import Entry, decode_entry
+from greengagepoint.config.log import Applied, ConfigLog, apply_entry
+from greengagepoint.config.messages import (
+    ConfigDigest,
+    ConfigEntries,
+    ConfigPartRequest,
+    ConfigRequest,
+    ConfigSnapshotPart,
+)
+from greengagepoint.config.snapshot import Snapshot, load_snapshot, take_snapshot
+from greengagepoint.config.tree import children_of
+from greengagepoint.config.watchers import is_watcher, watchers_of
+from greengagepoint.errors import StoreError
+from greengagepoint.hosts import HostIdentity
+from greengagepoint.protocols import Random
+
+GOSSIP_SECONDS: Final = 1.0
+MESSAGE_BYTES_MAX: Final = 256 * 1024
+FORWARDED_MAX: Final = 256
+PUSHED_ENTRIES_MAX: Final = 8
+PARTS_MAX: Final = 4096
+
+
+class Send(NamedTuple):
+    """A message for another host."""
+
+    host: str
+    message: object
+
+
+class Fork(NamedTuple):
+    """A generation at which another history was met, and who holds it."""
+
+    generation: int
+    source: str
+
+
+class Assembly(NamedTuple):
+    """A snapshot that is being fetched from a peer."""
+
+    sender: str
+    generation: int
+    digest: str
+    parts: list[bytes]
+
+
+class Exchange:
+    """Hold one host's log and what it knows of the exchange with its peers.
+
+    ``answered`` tells whether a peer has told its head since the start; ``fork``
+    is the last other history that was met.
+    """
+
+    def __init__(self, host: HostIdentity, log: ConfigLog) -> None:
+        self.host = host
+        self.log = log
+        self.answered = False
+        self.fork: Fork | None = None
+        self.next_gossip_at = 0.0
+        self.forwarded: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self.assembly: Assembly | None = None
+        self.snapshot: Snapshot | None = None
+
+
+def run(
+    exchange: Exchange, live: Sequence[HostIdentity], now: float, random: Random
+) -> list[Send]:
+    """Tell one random host of the region, and a watcher one of another, the head."""
+    if now < exchange.next_gossip_at:
+        return []
+    exchange.next_gossip_at = now + GOSSIP_SECONDS
+    me = exchange.host
+    near, far = [], []
+    for host in live:
+        if host.name != me.name:
+            (near if host.region == me.region else far).append(host.name)
+    targets = _one_of(near, random)
+    # A region with no second host, or whose watchers are cut off from the store,
+    # learns from other regions only through this.
+    if not near or is_watcher(me, live):
+        targets += _one_of(far, random)
+    asking = not exchange.answered
+    return [Send(name, _digest(exchange.log, ask=asking)) for name in targets]
+
+
+def take_entries(
+    exchange: Exchange, entries: Sequence[Entry], source: str
+) -> tuple[Applied, list[Entry]]:
+    """Apply entries in order; return the last outcome and those that were new."""
+    outcome, new = Applied.KNOWN, []
+    for entry in entries:
+        outcome = apply_entry(exchange.log, entry)
+        if outcome is Applied.FORKED:
+            exchange.fork = Fork(entry.generation, source)
+        if outcome in (Applied.FORKED, Applied.GAP):
+            break
+        if outcome is Applied.APPLIED:
+            new.append(entry)
+    return outcome, new
+
+
+def push(
+    exchange: Exchange, entries: Sequence[Entry], live: Sequence[HostIdentity]
+) -> list[Send]:
+    """Start a tree for new entries in this region; tell the other regions' watchers.
+
+    Every watcher that learns a generation starts a tree, so each host hears of it
+    by about two ways.
+    """
+    if not entries:
+        return []
+    me = exchange.host
+    sends = _forward(exchange, entries, me.name, live)
+    message = ConfigEntries(tuple(entry.encoded for entry in entries))
+    regions = sorted({host.region for host in live} - {me.region})
+    return sends + [
+        Send(name, message) for region in regions for name in watchers_of(region, live)
+    ]
+
+
+def on_entries(
+    exchange: Exchange,
+    sender: str,
+    message: ConfigEntries,
+    live: Sequence[HostIdentity],
+) -> list[Send]:
+    """Apply entries from a peer and pass them on where this host is in the tree."""
+    entries = _decoded(message.entries)
+    if not entries:
+        return []
+    exchange.answered = True
+    outcome, new = take_entries(exchange, entries, sender)
+    sends: list[Send] = []
+    if outcome is Applied.GAP:
+        sends.append(Send(sender, ConfigRequest(exchange.log.generation)))
+    if outcome is Applied.FORKED:
+        return sends
+    # Many entries are a host's catching up: its region has them already.
+    if 0 < len(new) <= PUSHED_ENTRIES_MAX and is_watcher(exchange.host, live):
+        sends += _forward(exchange, entries, exchange.host.name, live)
+    if message.root:
+        sends += _forward(exchange, entries, message.root, live)
+    return sends
+
+
+def on_digest(exchange: Exchange, sender: str, message: ConfigDigest) -> list[Send]:
+    """Compare heads with a peer; whoever is behind gets what it lacks."""
+    exchange.answered = True
+    log = exchange.log
+    known = log.digest_at(message.generation)
+    if known is not None and known != message.digest:
+        exchange.fork = Fork(message.generation, sender)
+        return []
+    if message.generation > log.generation:
+        return [Send(sender, ConfigRequest(log.generation))]
+    if message.generation < log.generation:
+        return _missing(exchange, sender, message.generation)
+    return [Send(sender, _digest(log))] if message.ask else []
+
+
+def on_request(exchange: Exchange, sender: str, message: ConfigRequest) -> list[Send]:
+    """Send a peer what it lacks."""
+    return _missing(exchange, sender, message.after)
+
+
+def on_part_request(
+    exchange: Exchange, sender: str, message: ConfigPartRequest
+) -> list[Send]:
+    """Send one part of the snapshot that the peer has begun to fetch."""
+    snapshot = exchange.snapshot
+    wanted = (message.generation, message.digest)
+    if snapshot is None or wanted != _identity(snapshot):
+        return _missing(exchange, sender, 0)
+    return _part(snapshot, sender, message.index)
+
+
+def on_snapshot_part(
+    exchange: Exchange, sender: str, message: ConfigSnapshotPart
+) -> list[Send]:
+    """Collect a snapshot; put it in force when whole and ahead of this log."""
+    exchange.answered = True
+    manifest = message.manifest
+    if manifest.generation <= exchange.log.generation:
+        exchange.assembly = None
+        return []
+    count = len(manifest.checksums)
+    if count > PARTS_MAX:
+        return []
+    if message.index == 0:
+        exchange.assembly = Assembly(sender, manifest.generation, manifest.digest, [])
+    assembly = exchange.assembly
+    if assembly is None or assembly[:3] != (
+        sender,
+        manifest.generation,
+        manifest.digest,
+    ):
+        return []
+    if count and message.index != len(assembly.parts):
+        return []
+    if count:
+        assembly.parts.append(message.part)
+    if len(assembly.parts) < count:
+        request = ConfigPartRequest(
+            manifest.generation, manifest.digest, len(assembly.parts)
+        )
+        return [Send(sender, request)]
+    exchange.assembly = None
+    try:
+        loaded = load_snapshot(manifest, assembly.parts, exchange.log.newest)
+    except StoreError:
+        return []
+    adopt(exchange, loaded, sender)
+    return []
+
+
+def adopt(exchange: Exchange, loaded: ConfigLog, source: str) -> bool:
+    """Replace the log by a snapshot's that is ahead and doesn't contradict it."""
+    log = exchange.log
+    if loaded.generation <= log.generation:
+        return False
+    met = loaded.digest_at(log.generation)
+    if met is not None and met != log.digest:
+        exchange.fork = Fork(log.generation, source)
+        return False
+    exchange.log = loaded
+    return True
+
+
+def _missing(exchange: Exchange, peer: str, after: int) -> list[Send]:
+    """Return entries after a generation, or a snapshot where they are cut off."""
+    entries = exchange.log.entries_after(after)
+    if entries is None:
+        exchange.snapshot = current_snapshot(exchange)
+        return _part(exchange.snapshot, peer, 0)
+    message = ConfigEntries(_bounded(entries))
+    return [Send(peer, message)] if message.entries else []
+
+
+def current_snapshot(exchange: Exchange) -> Snapshot:
+    """Return a snapshot of the log, made once for each generation asked for."""
+    snapshot = exchange.snapshot
+    head = (exchange.log.generation, exchange.log.digest)
+    if snapshot is None or _identity(snapshot) != head:
+        snapshot = take_snapshot(exchange.log)
+    return snapshot
+
+
+def _part(snapshot: Snapshot, peer: str, index: int) -> list[Send]:
+    """Return one part of a snapshot for a peer."""
+    parts = snapshot.parts or (b"",)
+    if not 0 <= index < len(parts):
+        return []
+    return [Send(peer, ConfigSnapshotPart(snapshot.manifest, index, parts[index]))]
+
+
+def _identity(snapshot: Snapshot) -> tuple[int, str]:
+    """Return the generation and digest of a snapshot."""
+    return snapshot.manifest.generation, snapshot.manifest.digest
+
+
+def _forward(
+    exchange: Exchange,
+    entries: Sequence[Entry],
+    root: str,
+    live: Sequence[HostIdentity],
+) -> list[Send]:
+    """Pass entries on along the tree of a root, once for each root and head."""
+    key = (root, entries[-1].generation)
+    if key in exchange.forwarded:
+        return []
+    exchange.forwarded[key] = None
+    if len(exchange.forwarded) > FORWARDED_MAX:
+        exchange.forwarded.popitem(last=False)
+    message = ConfigEntries(tuple(entry.encoded for entry in entries), root)
+    me = exchange.host
+    return [Send(name, message) for name in children_of(me.name, root, me.region, live)]
+
+
+def _bounded(entries: Sequence[Entry]) -> tuple[bytes, ...]:
+    """Return the first entries that fit a message, at least one."""
+    taken: list[bytes] = []
+    size = 0
+    for entry in entries:
+        size += len(entry.encoded)
+        if taken and size > MESSAGE_BYTES_MAX:
+            break
+        taken.append(entry.encoded)
+    return tuple(taken)
+
+
+def _decoded(values: Sequence[bytes]) -> list[Entry]:
+    """Return the entries of a message up to the first that cannot be decoded."""
+    entries = []
+    for value in values:
+        try:
+            entries.append(decode_entry(value))
+        except StoreError:
+            break
+    return entries
+
+
+def _digest(log: ConfigLog, *, ask: bool = False) -> ConfigDigest:
+    """Return the head of a log as a message."""
+    return ConfigDigest(log.generation, log.digest, ask)
+
+
+def _one_of(names: Sequence[str], random: Random) -> list[str]:
+    """Return one random name, or none where there is none."""
+    return [names[random.randrange(len(names))]] if names else []
--- a/packages/core/greengagepoint/errors.py
+++ b/packages/core/greengagepoint/errors.py
@@ -201,8 +201,9 @@
 class RecordError(GreengagepointError):
     """Refuse a steering record.
 
-    ``field`` is the dotted path of the field at fault, ``line`` its line in the
-    source, ``accepted`` what would be accepted there.
+    ``field`` is the dotted path of the field at fault, ``line`` its line in
+    ``source``, ``accepted`` what would be accepted there, ``record`` the record as
+    kind/name.
     """
 
     default_kind = ErrorKind.RECORD_INVALID
@@ -215,11 +216,15 @@
         field: str | None = None,
         line: int | None = None,
         accepted: str | None = None,
+        record: str | None = None,
+        source: str | None = None,
     ) -> None:
         super().__init__(detail, kind)
         self.field = field
         self.line = line
         self.accepted = accepted
+        self.record = record
+        self.source = source
 
 
 class StoreError(GreengagepointError):
--- /dev/null
+++ b/packages/node/tests/test_config_coordinator.py
@@ -0,0 +1,274 @@
+"""Test the configuration's way through the store and between hosts."""
+
+import asyncio
+import random
+
+import pytest
+
+from greengagepoint.config.entries import Change
+from greengagepoint.errors import (
+    ErrorKind,
+    GreengagepointError,
+    StoreOutcomeUnknownError,
+)
+from greengagepoint.events import Event
+from greengagepoint.records.loading import RecordDocument
+from greengagepoint_node.context import Context
+from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_standins.memory_fleet import (
+    FleetStore,
+    ManualClock,
+    MemoryBus,
+    MemoryEvents,
+    make_host,
+)
+from greengagepoint_standins.memory_store import StoreFault
+
+IDLE_TURNS = 30
+
+
+class Fleet:
+    """Coordinators of several hosts over one store and one bus."""
+
+    def __init__(self) -> None:
+        self.store = FleetStore()
+        self.bus = MemoryBus()
+        self.clock = ManualClock()
+        self.nodes: dict[str, ConfigCoordinator] = {}
+
+    async def async_add(self, name: str, region: str = "attiki") -> ConfigCoordinator:
+        context = Context(
+            make_host(name, region),
+            self.clock,
+            random.Random(name),
+            self.store,
+            self.bus.port(name),
+            MemoryEvents(),
+        )
+        node = ConfigCoordinator(context, self.live)
+        node.stored.settle_pause_seconds = 0
+        self.nodes[name] = node
+        await node.async_start()
+        return node
+
+    def live(self):
+        return [node.context.host for node in self.nodes.values()]
+
+    async def async_settle(self, ticks: int = 3) -> None:
+        """Let tasks, ticks and messages run until nothing is left to do."""
+        for _ in range(ticks):
+            self.clock.now += 1
+            for node in self.nodes.values():
+                node.tick(self.clock.now)
+            await self.async_drain()
+
+    async def async_drain(self) -> None:
+        for _ in range(IDLE_TURNS):
+            await asyncio.sleep(0)
+            self.bus.deliver_round()
+
+    def generations(self) -> set[int]:
+        return {node.configuration.generation for node in self.nodes.values()}
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    yield fleet
+    for node in fleet.nodes.values():
+        await node.async_stop()
+
+
+def team(name: str, burst: int = 5, expected: int | None = None) -> Change:
+    fields = {"requests_per_second": 10, "burst": burst}
+    document = RecordDocument(kind="team", name=name, schema_version=1, fields=fields)
+    return Change(
+        kind="team", name=name, document=document, expected_generation=expected
+    )
+
+
+async def start(fleet: Fleet, count: int = 4) -> list[ConfigCoordinator]:
+    regions = ("attiki", "attiki", "makedonia", "makedonia")
+    for index in range(count):
+        await fleet.async_add(f"host-{index}", regions[index % 4])
+    await fleet.async_settle()
+    return list(fleet.nodes.values())
+
+
+async def test_change_is_in_force_everywhere(fleet):
+    nodes = await start(fleet, 8)
+    seen = []
+    unsubscribe = nodes[5].on_change(lambda configuration: seen.append(configuration))
+    entry = await nodes[0].async_apply([team("booking"), team("records")], "maria")
+    await fleet.async_drain()
+    assert fleet.generations() == {entry.generation} == {1}
+    assert [set(configuration.teams) for configuration in seen] == [
+        {"booking", "records"}
+    ]
+    assert nodes[7].history(5)[0].author == "maria"
+    assert [stored.generation for stored in nodes[7].documents()] == [1, 1]
+    unsubscribe()
+
+
+async def test_lost_reply_is_settled_by_reading_back(fleet):
+    """The write takes effect, its reply is lost.
+
+    The operator sees one success: the coordinator reads the generation back and
+    finds its own write id. Nothing is written twice.
+    """
+    nodes = await start(fleet)
+    fleet.store.write_faults.append(StoreFault.LOST_REPLY)
+    entry = await nodes[0].async_apply([team("booking")], "maria")
+    assert entry.generation == 1
+    assert nodes[0].context.events.count(Event.STORE_WRITE_SETTLED) == 1
+    assert fleet.store.writes == 1
+
+
+async def test_write_that_did_not_take_effect_is_offered_again(fleet):
+    """The write is lost on its way, as is word of it.
+
+    The key is absent, so the same bytes are offered again; the operator sees one
+    success and the log holds one entry.
+    """
+    nodes = await start(fleet)
+    fleet.store.write_faults.extend([StoreFault.LATE_WRITE] * 2)
+    entry = await nodes[0].async_apply([team("booking")], "maria")
+    assert (entry.generation, nodes[0].configuration.generation) == (1, 1)
+
+
+async def test_unsettled_write_is_told_and_can_be_repeated(fleet):
+    """The write takes effect, then the store goes down before it can be read.
+
+    The operator is told that the outcome is unknown, with the write id. Repeating
+    with that id once the store is back returns the entry and writes nothing more.
+    """
+    nodes = await start(fleet)
+    fleet.store.write_faults.append(StoreFault.LOST_REPLY)
+
+    def lose_the_store():
+        asyncio.get_running_loop().call_soon(setattr, fleet.store, "down", True)
+
+    fleet.store.before_write = lose_the_store
+    with pytest.raises(StoreOutcomeUnknownError, match="write-1"):
+        await nodes[0].async_apply([team("booking")], "maria", "write-1")
+    fleet.store.before_write = lambda: None
+    fleet.store.down = False
+    writes = fleet.store.writes
+    entry = await nodes[0].async_apply([team("booking")], "maria", "write-1")
+    assert (entry.generation, entry.write_id) == (1, "write-1")
+    assert fleet.store.writes == writes
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "generations", "kind"),
+    [
+        ("booking", "records", {2}, None),
+        ("booking", "booking", {1}, ErrorKind.RECORD_CONFLICT),
+    ],
+)
+async def test_racing_operators(fleet, first, second, generations, kind):
+    """Two operators write at the same moment through two hosts.
+
+    One takes generation 1; the other reads it and builds on it. On different
+    records both land; on the same one the later is told who, when and what.
+    """
+    nodes = await start(fleet)
+    results = await asyncio.gather(
+        nodes[0].async_apply([team(first, 5)], "maria"),
+        nodes[3].async_apply([team(second, 6)], "nikos"),
+        return_exceptions=True,
+    )
+    errors = [result for result in results if isinstance(result, Exception)]
+    await fleet.async_drain()
+    assert fleet.generations() == generations
+    assert [error.kind for error in errors] == ([kind] if kind else [])
+    for error in errors:
+        assert "by maria at 2027-01-15" in error.detail
+        assert "generation 1" in error.detail
+        assert error.field == "burst"
+
+
+async def test_start_from_peers_while_the_store_is_down(fleet):
+    """The store is down and a host is replaced.
+
+    The new host asks a peer within a tick and has the configuration without the
+    store; an operator's write is refused as not run.
+    """
+    nodes = await start(fleet)
+    await nodes[0].async_apply([team("booking")], "maria")
+    fleet.store.down = True
+    new = await fleet.async_add("host-new", "makedonia")
+    await fleet.async_settle()
+    assert new.is_loaded
+    assert new.configuration.teams["booking"].burst == 5
+    with pytest.raises(GreengagepointError) as caught:
+        await new.async_apply([team("records")], "maria")
+    assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+async def test_old_read_never_takes_the_configuration_back(fleet):
+    """A lagging replica of the store answers with an old read.
+
+    The hosts keep what is in force and say so; writes are refused until the store
+    holds the known head again, and then work.
+    """
+    nodes = await start(fleet)
+    await nodes[0].async_apply([team("booking")], "maria")
+    old = fleet.store.backup()
+    await nodes[0].async_apply([team("booking", 9)], "maria")
+    await fleet.async_drain()
+    fleet.store.old_view = old
+    with pytest.raises(GreengagepointError) as caught:
+        await nodes[1].async_apply([team("records")], "nikos")
+    assert caught.value.kind is ErrorKind.STORE_REVERTED
+    assert nodes[1].context.events.count(Event.STORE_REVERTED) == 1
+    assert fleet.generations() == {2}
+    fleet.store.old_view = None
+    await nodes[1].async_apply([team("records")], "nikos")
+    await fleet.async_drain()
+    assert fleet.generations() == {3}
+    assert nodes[2].configuration.teams["booking"].burst == 9
+
+
+@pytest.mark.parametrize("kept", [0, 1, 2])
+async def test_restored_store_is_repaired_from_the_hosts(fleet, kept):
+    """The store is restored from a backup that lacks the last generations.
+
+    No host goes back. The watchers see it at their next check and append what is
+    missing from their tails, after which operators can write again.
+    """
+    nodes = await start(fleet)
+    backups = [fleet.store.backup()]
+    for burst in (5, 6, 7):
+        await nodes[0].async_apply([team("booking", burst)], "maria")
+        backups.append(fleet.store.backup())
+    await fleet.async_drain()
+    fleet.store.restore(backups[kept])
+    await fleet.async_settle(40)
+    assert fleet.generations() == {3}
+    entry = await nodes[3].async_apply([team("records")], "nikos")
+    assert entry.generation == 4
+
+
+async def test_store_with_another_history_is_refused(fleet):
+    """The store is wiped and someone begins a second history in it.
+
+    The hosts keep theirs, report it, and refuse to write or to repair: joining
+    two histories would undo accepted changes of one.
+    """
+    nodes = await start(fleet)
+    await nodes[0].async_apply([team("booking")], "maria")
+    await nodes[0].async_apply([team("booking", 6)], "maria")
+    await fleet.async_drain()
+    other = Fleet()
+    stranger = await other.async_add("stranger")
+    for name in ("one", "two", "three"):
+        await stranger.async_apply([team(name)], "eve")
+    await stranger.async_stop()
+    fleet.store.restore(other.store.rows)
+    await fleet.async_settle(40)
+    assert fleet.generations() == {2}
+    assert nodes[1].configuration.teams["booking"].burst == 6
+    with pytest.raises(GreengagepointError) as caught:
+        await nodes[1].async_apply([team("records")], "nikos")
+    assert caught.value.kind is ErrorKind.STORE_REVERTED
