--- a/packages/core/greengagepoint/membership/overview.py
+++ b/packages/core/greengagepoint/membership/overview.py
@@ -1,10 +1,9 @@
 """Sum up zones and regions, and swap the sums between delegates of zones."""
 
 from collections.abc import Iterable, Iterator
+from operator import attrgetter
 from typing import Final
 
-import xxhash
-
 from greengagepoint.membership.messages import (
     Claim,
     Contact,
@@ -13,6 +12,7 @@
     RegionSum,
     ZoneDigest,
 )
+from greengagepoint.membership.rendezvous import ranked
 from greengagepoint.membership.tables import Heard, MembershipTables, Send
 from greengagepoint.protocols import Random
 
@@ -36,8 +36,7 @@
         if claim.state is HostState.ALIVE
         and (claim.region, claim.zone) == (me.region, me.zone)
     ]
-    able.sort(key=lambda claim: xxhash.xxh32_intdigest(f"{claim.zone}/{claim.name}"))
-    return able[:DELEGATES]
+    return ranked(me.zone, able, attrgetter("name"))[:DELEGATES]
 
 
 def run_overview(
--- a/packages/core/greengagepoint/membership/probing.py
+++ b/packages/core/greengagepoint/membership/probing.py
@@ -6,6 +6,7 @@
 from greengagepoint.membership import messaging
 from greengagepoint.membership.claims import doubt
 from greengagepoint.membership.messages import HostState, ProbeRequest
+from greengagepoint.membership.rendezvous import ranked
 from greengagepoint.membership.tables import Member, MembershipTables, Probe, Send
 from greengagepoint.protocols import Random
 
@@ -13,6 +14,7 @@
 ACK_SECONDS: Final = 1.0
 FAIL_SECONDS: Final = 2.5
 HELPERS: Final = 3
+NEIGHBOURS_MAX: Final = 24
 SUSPICION_SECONDS: Final = 4.0
 SUSPECTS_PROBED: Final = 4
 # A rumour of suspicion that nobody settled for so long is looked into here.
@@ -97,7 +99,7 @@
     yield messaging.ping(tables, target.name, sequence)
     able = [
         other.claim.name
-        for other in tables.present()
+        for other in neighbours(tables)
         if other.claim.state is HostState.ALIVE and other is not row
     ]
     for _ in range(min(HELPERS, len(able))):
@@ -159,17 +161,30 @@
     return suspected and now - row.claimed_at > RUMOUR_SECONDS
 
 
+def neighbours(tables: MembershipTables) -> list[Member]:
+    """Return the hosts that this host probes itself and asks for help.
+
+    In a large zone they are a fixed number, so that the links a host keeps open don't
+    grow with the zone; each host is then a neighbour of about as many others.
+    """
+    present = tables.present()
+    if len(present) <= NEIGHBOURS_MAX:
+        return present
+    ordered = ranked(tables.me.name, present, lambda row: row.claim.name)
+    return ordered[:NEIGHBOURS_MAX]
+
+
 def _next_target(tables: MembershipTables, random: Random) -> str | None:
     """Return the next host in turn; each round is a new random order of all."""
-    while True:
-        if not tables.order:
-            tables.order = [row.claim.name for row in tables.present()]
-            if not tables.order:
-                return None
-        chosen = tables.order.pop(random.randrange(len(tables.order)))
-        row = tables.members.get(chosen)
-        if row is not None and row.claim.state is not HostState.GONE:
-            return chosen
+    for _ in range(2):
+        while tables.order:
+            index = random.randrange(len(tables.order))
+            chosen = tables.order.pop(index)
+            row = tables.members.get(chosen)
+            if row is not None and row.claim.state is not HostState.GONE:
+                return chosen
+        tables.order = [row.claim.name for row in neighbours(tables)]
+    return None
 
 
 def _revive(tables: MembershipTables, now: float, random: Random) -> Iterator[Send]:
--- a/packages/core/greengagepoint/membership/systems.py
+++ b/packages/core/greengagepoint/membership/systems.py
@@ -63,6 +63,23 @@
     return tuple(host for host in live_hosts(tables, now) if host.name not in doubtful)
 
 
+def candidate_hosts(
+    tables: MembershipTables, live: tuple[HostIdentity, ...]
+) -> tuple[HostIdentity, ...]:
+    """Return live hosts, and listed ones without a row, whose incarnation is 0."""
+    names = {host.name for host in live}
+    listed = tuple(
+        HostIdentity(
+            host.name, 0, host.region, host.zone, host.address, host.peer_address
+        )
+        for host in tables.listed.values()
+        if host.name not in names
+        and host.name not in tables.members
+        and not host.leaving
+    )
+    return live + listed
+
+
 def known_hosts(tables: MembershipTables) -> tuple[Claim, ...]:
     """Return the claims held about all hosts, those gone and leaving included."""
     claims = [tables.me, *(row.claim for row in tables.members.values())]
--- a/packages/node/greengagepoint_node/coordinators/membership.py
+++ b/packages/node/greengagepoint_node/coordinators/membership.py
@@ -7,7 +7,7 @@
 from greengagepoint.errors import GreengagepointError
 from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
-from greengagepoint.membership import messaging, seeds, systems
+from greengagepoint.membership import messaging, regions, seeds, systems
 from greengagepoint.membership.messages import (
     MESSAGES,
     Claim,
@@ -51,6 +51,7 @@
         self.unsubscribes: list[Callable[[], None]] = []
         self.reader: asyncio.Task[None] | None = None
         self.list_failed = False
+        self.candidates: tuple[Any, tuple[HostIdentity, ...]] | None = None
         self.live: tuple[HostIdentity, ...] = (context.host,)
         self.serving: tuple[HostIdentity, ...] = (context.host,)
         self.seen_version = -1
@@ -115,6 +116,21 @@
         """Return all hosts with state, leaving flag, incarnation and addresses."""
         return systems.known_hosts(self.tables)
 
+    def population(self) -> int:
+        """Return about how many hosts there are in all."""
+        now = self.context.clock.monotonic()
+        return regions.population(self.tables, now)
+
+    def candidate_hosts(self) -> tuple[HostIdentity, ...]:
+        """Return live hosts, and listed ones that this host does not track.
+
+        The latter's incarnation is 0: nobody here has heard them, they may be gone.
+        """
+        key = (self.version, self.tables.listed)
+        if self.candidates is None or self.candidates[0] != key:
+            self.candidates = (key, systems.candidate_hosts(self.tables, self.live))
+        return self.candidates[1]
+
     def unreachable_regions(self) -> frozenset[str]:
         """Return regions of which no host can be heard."""
         return frozenset(self.tables.unreachable)
