--- /dev/null
+++ b/packages/node/greengagepoint_node/store.py
@@ -0,0 +1,350 @@
+"""Reach the platform's key-value service over etcd v3's JSON gateway."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
+from contextlib import aclosing
+from typing import Final, TypeVar
+
+import aiohttp
+import msgspec
+
+from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
+from greengagepoint.protocols import StoreSnapshot, StoreValue
+from greengagepoint_node import store_messages as messages
+
+MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
+MAX_LINE_BYTES: Final = 4 * 1024 * 1024
+# The service allows 128 operations a transaction; a nested one takes one of them
+# and needs one for itself.
+MAX_ITEMS_A_CALL: Final = 127
+WATCH_IDLE_SECONDS: Final = 60.0
+# gRPC codes with which the service tells that it refused a call before it acted:
+# invalid argument, not found, permission denied, resource exhausted, failed
+# precondition, out of range, unimplemented, unauthenticated. With any other code
+# (unavailable, deadline exceeded, internal) a write may still take effect.
+REFUSED_CODES: Final = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
+CONNECT_ERRORS: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError)
+MAX_DETAIL_BYTES: Final = 200
+CALL_ERRORS: Final = (aiohttp.ClientError, TimeoutError, OSError)
+
+AnswerT = TypeVar("AnswerT")
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the first key after all keys with a prefix."""
+    kept = prefix.rstrip(b"\xff")
+    if not kept:
+        return b"\0"
+    return kept[:-1] + bytes([kept[-1] + 1])
+
+
+class EtcdStore:
+    """Implement ``ConfigStore`` over the published JSON gateway.
+
+    No call is repeated here: only the caller knows whether a write may be.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        session: aiohttp.ClientSession,
+        timeout_seconds: float,
+        watch_idle_seconds: float,
+    ) -> None:
+        self.base = address if "://" in address else f"http://{address}"
+        self.session = session
+        self.timeout_seconds = timeout_seconds
+        self.watch_idle_seconds = watch_idle_seconds
+        self.timeout = aiohttp.ClientTimeout(
+            total=timeout_seconds, connect=timeout_seconds / 2
+        )
+
+    async def read(self, key: str) -> StoreValue | None:
+        """Return one key, or None when it is absent."""
+        request = messages.RangeRequest(key=key.encode())
+        answer = await self.call(
+            "/v3/kv/range", request, messages.RangeResponse, write=False
+        )
+        return messages.to_store_value(answer.kvs[0]) if answer.kvs else None
+
+    async def read_prefix(
+        self, prefix: str, *, from_key: str | None = None, limit: int = 0
+    ) -> StoreSnapshot:
+        """Return keys under a prefix in order, from ``from_key`` on."""
+        first = max(prefix, from_key or prefix)
+        request = messages.RangeRequest(
+            key=first.encode() or b"\0",
+            range_end=prefix_end(prefix.encode()),
+            limit=limit,
+        )
+        answer = await self.call(
+            "/v3/kv/range", request, messages.RangeResponse, write=False
+        )
+        values = tuple(messages.to_store_value(found) for found in answer.kvs)
+        return StoreSnapshot(values, answer.header.revision)
+
+    async def create(
+        self, items: Sequence[tuple[str, bytes]], *, lease: int = 0
+    ) -> tuple[bool, ...]:
+        """Create each key that is absent; tell for each if it was made.
+
+        A key that stands twice in ``items`` is created by the first of them. More
+        than ``MAX_ITEMS_A_CALL`` items take several calls.
+        """
+        wanted: dict[str, bytes] = {}
+        for key, value in items:
+            wanted.setdefault(key, value)
+        keys = tuple(wanted)
+        operations = [
+            messages.nested(messages.absent(key), messages.put(key, wanted[key], lease))
+            for key in keys
+        ]
+        made = dict(zip(keys, await self.run_each(operations), strict=True))
+        return tuple(made.pop(key, False) for key, _ in items)
+
+    async def create_next(self, key: str, value: bytes, *, after: str | None) -> bool:
+        """Create a key only if it is absent and the key ``after`` is present."""
+        compares = [messages.absent(key)]
+        if after is not None:
+            compares.append(messages.present(after))
+        txn = messages.TxnRequest(compare=compares, success=[messages.put(key, value)])
+        return (await self.run_txn(txn)).succeeded
+
+    async def replace(self, key: str, value: bytes, *, revision: int) -> bool:
+        """Write a key only if its revision is unchanged (0: absent)."""
+        txn = messages.TxnRequest(
+            compare=[messages.unchanged(key, revision)],
+            success=[messages.put(key, value)],
+        )
+        return (await self.run_txn(txn)).succeeded
+
+    async def delete(self, items: Sequence[tuple[str, int]]) -> tuple[bool, ...]:
+        """Delete each key whose revision is unchanged; tell for each if it was."""
+        operations = [
+            messages.nested(messages.unchanged(key, revision), messages.delete(key))
+            for key, revision in items
+        ]
+        return await self.run_each(operations)
+
+    async def run_each(
+        self, operations: Sequence[messages.RequestOperation]
+    ) -> tuple[bool, ...]:
+        """Run nested transactions; tell for each whether it succeeded."""
+        done: list[bool] = []
+        for first in range(0, len(operations), MAX_ITEMS_A_CALL):
+            part = operations[first : first + MAX_ITEMS_A_CALL]
+            try:
+                answer = await self.run_txn(messages.TxnRequest(success=list(part)))
+            except StoreError as error:
+                # Earlier parts are written: "did not happen" would be untrue of
+                # the whole, and the caller would release what it holds.
+                if any(done):
+                    raise StoreOutcomeUnknownError(error.detail) from error
+                raise
+            nested = [found.response_txn for found in answer.responses]
+            if len(nested) != len(part) or None in nested:
+                raise invalid_answer("a transaction's answer lacks parts", write=True)
+            done += [found.succeeded for found in nested]
+        return tuple(done)
+
+    async def run_txn(self, txn: messages.TxnRequest) -> messages.TxnResponse:
+        """Run one transaction."""
+        return await self.call("/v3/kv/txn", txn, messages.TxnResponse, write=True)
+
+    async def grant_lease(self, seconds: int) -> int:
+        """Return the id of a new lease."""
+        request = messages.LeaseGrantRequest(ttl=seconds)
+        answer = await self.call(
+            "/v3/lease/grant", request, messages.LeaseResponse, write=True
+        )
+        return answer.id
+
+    async def keep_lease(self, lease: int) -> bool:
+        """Extend a lease; tell whether it still existed."""
+        request = messages.LeaseRequest(id=lease)
+        answer = await self.call(
+            "/v3/lease/keepalive", request, messages.LeaseStreamed, write=False
+        )
+        return answer.result.ttl > 0
+
+    async def call(
+        self,
+        path: str,
+        request: msgspec.Struct,
+        answer_type: type[AnswerT],
+        *,
+        write: bool,
+    ) -> AnswerT:
+        """Send one call and decode its whole answer."""
+        try:
+            async with self.session.post(
+                self.base + path,
+                data=msgspec.json.encode(request),
+                headers=messages.HEADERS,
+                timeout=self.timeout,
+                allow_redirects=False,
+            ) as response:
+                status = response.status
+                body = await read_bounded(response)
+        except CONNECT_ERRORS as error:
+            raise StoreError(f"no connection to the store: {error}") from error
+        except CALL_ERRORS as error:
+            raise call_failed(f"no answer from the store: {error!r}", write) from error
+        if status != 200:
+            raise refused(status, body, write)
+        if body is None:
+            raise invalid_answer("the answer is too large", write)
+        try:
+            return msgspec.json.decode(body, type=answer_type, strict=False)
+        except DECODE_ERRORS as error:
+            raise invalid_answer(str(error), write) from error
+
+    async def watch(self, prefix: str, *, revision: int) -> AsyncIterator[StoreValue]:
+        """Yield keys written under a prefix from a revision on, until it fails.
+
+        Deletions are not told. Raises ``StoreError`` with kind ``STORE_REVERTED``
+        when the store's revision is lower than the one asked for.
+        """
+        following = revision
+        while True:
+            # A connection whose other end is gone without a word stays silent for
+            # ever, as does a store without changes. Asking again after a quiet
+            # while tells the two apart: a dead store fails the new call.
+            async with aclosing(self.watch_until_idle(prefix, following)) as stream:
+                async for message in stream:
+                    if message.created and following == 0:
+                        following = message.header.revision + 1
+                    for event in message.events:
+                        if event.type == "PUT":
+                            yield messages.to_store_value(event.kv)
+                        following = max(following, event.kv.mod_revision + 1)
+
+    async def watch_until_idle(
+        self, prefix: str, revision: int
+    ) -> AsyncGenerator[messages.WatchResponse, None]:
+        """Yield the messages of one watch call until it has been quiet for long."""
+        try:
+            response = await self.open_watch(prefix, revision)
+            async with response:
+                async with asyncio.timeout(self.timeout_seconds):
+                    created = await read_created(response, revision)
+                yield created
+                while True:
+                    try:
+                        async with asyncio.timeout(self.watch_idle_seconds):
+                            message = await read_message(response)
+                    except TimeoutError:
+                        return
+                    yield message
+        except CALL_ERRORS as error:
+            raise StoreError(f"the watch broke: {error!r}") from error
+
+    async def open_watch(self, prefix: str, revision: int) -> aiohttp.ClientResponse:
+        """Send a watch call and return its answer's head."""
+        key = prefix.encode()
+        create = messages.WatchCreateRequest(
+            key=key or b"\0", range_end=prefix_end(key), start_revision=revision
+        )
+        # The stream itself has no end, so the session's timeouts can't bound it.
+        async with asyncio.timeout(self.timeout_seconds):
+            return await self.session.post(
+                f"{self.base}/v3/watch",
+                data=msgspec.json.encode(messages.WatchRequest(create_request=create)),
+                headers=messages.HEADERS,
+                timeout=aiohttp.ClientTimeout(total=None),
+                allow_redirects=False,
+                read_bufsize=MAX_LINE_BYTES,
+            )
+
+
+async def read_bounded(response: aiohttp.ClientResponse) -> bytes | None:
+    """Read a whole body, or return None when it is over the limit."""
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            response.close()
+            return None
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def read_created(
+    response: aiohttp.ClientResponse, revision: int
+) -> messages.WatchResponse:
+    """Read a watch's first message; refuse a store that lacks what was seen."""
+    if response.status != 200:
+        raise refused(response.status, await read_bounded(response), write=False)
+    created = await read_message(response)
+    # A store restored from a backup waits silently for a revision that it had
+    # before, and meanwhile gives other changes its numbers. Its own revision in
+    # the first message shows it before any of them is taken in.
+    if created.header.revision < revision - 1:
+        raise StoreError(
+            f"the store is at revision {created.header.revision}, before {revision}",
+            ErrorKind.STORE_REVERTED,
+        )
+    return created
+
+
+async def read_message(response: aiohttp.ClientResponse) -> messages.WatchResponse:
+    """Read one message of a watch."""
+    try:
+        line = await response.content.readline()
+    except ValueError as error:
+        raise invalid_answer(str(error), write=False) from error
+    if not line.endswith(b"\n"):
+        raise StoreError("the store ended the watch")
+    try:
+        message = msgspec.json.decode(line, type=messages.WatchStreamed, strict=False)
+    except DECODE_ERRORS as error:
+        raise invalid_answer(str(error), write=False) from error
+    if message.result is None or message.result.canceled:
+        raise StoreError(f"the store ended the watch: {line[:MAX_DETAIL_BYTES]!r}")
+    return message.result
+
+
+def call_failed(detail: str, write: bool) -> StoreError:
+    """Build the error for a call that was sent and not answered."""
+    return StoreOutcomeUnknownError(detail) if write else StoreError(detail)
+
+
+def invalid_answer(detail: str, write: bool) -> StoreError:
+    """Build the error for an answer that does not decode."""
+    if write:
+        return StoreOutcomeUnknownError(
+            detail, ErrorKind.STORE_ANSWER_INVALID, ran=Ran.UNKNOWN
+        )
+    return StoreError(detail, ErrorKind.STORE_ANSWER_INVALID)
+
+
+def refused(status: int, body: bytes | None, write: bool) -> StoreError:
+    """Build the error for an answer other than 200.
+
+    A write has not happened only if the service gives one of the codes with which
+    it refuses before acting; a bare status may come from anything on the way.
+    """
+    try:
+        refusal = msgspec.json.decode(body or b"", type=messages.Refusal)
+    except DECODE_ERRORS:
+        return invalid_answer(f"status {status} without a gRPC code", write)
+    detail = f"status {status}, code {refusal.code}: {refusal.error}"
+    if refusal.code in REFUSED_CODES:
+        return StoreError(detail)
+    return call_failed(detail, write)
+
+
+def create_store(
+    address: str,
+    session: aiohttp.ClientSession,
+    *,
+    timeout_seconds: float,
+    watch_idle_seconds: float = WATCH_IDLE_SECONDS,
+) -> EtcdStore:
+    """Return a store at host:port or at a URL.
+
+    The session is the caller's to close; each watch holds one of its connections.
+    """
+    return EtcdStore(address, session, timeout_seconds, watch_idle_seconds)
--- /dev/null
+++ b/packages/node/greengagepoint_node/store_messages.py
@@ -0,0 +1,209 @@
+"""Messages of etcd v3's JSON gateway as this client sends and reads them.
+
+Bytes travel as base64. An int64 comes as a decimal string; fields with a zero
+value are left out. Comparisons and operations are built by the functions below.
+"""
+
+from typing import Final, Literal
+
+import msgspec
+
+from greengagepoint.protocols import StoreValue
+
+HEADERS: Final = {"Content-Type": "application/json"}
+
+
+class RangeRequest(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Read one key, or all from ``key`` up to ``range_end``."""
+
+    key: bytes
+    range_end: bytes = b""
+    limit: int = 0
+
+
+class PutRequest(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Write one key."""
+
+    key: bytes
+    value: bytes = b""
+    lease: int = 0
+
+
+class DeleteRequest(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Delete one key."""
+
+    key: bytes
+
+
+class Compare(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Compare the revision of creation or of the last change; 0 is absent."""
+
+    key: bytes
+    target: Literal["CREATE", "MOD"]
+    result: Literal["EQUAL", "GREATER"]
+    create_revision: int | None = None
+    mod_revision: int | None = None
+
+
+class RequestOperation(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Hold exactly one operation of a transaction."""
+
+    request_put: PutRequest | None = None
+    request_delete_range: DeleteRequest | None = None
+    request_txn: "TxnRequest | None" = None
+
+
+class TxnRequest(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Run ``success`` only if all comparisons hold."""
+
+    compare: list[Compare] = []
+    success: list[RequestOperation] = []
+
+
+class LeaseGrantRequest(msgspec.Struct, kw_only=True):
+    """Ask for a lease of some seconds."""
+
+    ttl: int = msgspec.field(name="TTL")
+
+
+class LeaseRequest(msgspec.Struct, kw_only=True):
+    """Keep one lease."""
+
+    id: int = msgspec.field(name="ID")
+
+
+class WatchCreateRequest(msgspec.Struct, omit_defaults=True, kw_only=True):
+    """Watch keys from a revision on (0: from now on)."""
+
+    key: bytes
+    range_end: bytes = b""
+    start_revision: int = 0
+
+
+class WatchRequest(msgspec.Struct, kw_only=True):
+    """Open a watch."""
+
+    create_request: WatchCreateRequest
+
+
+class Header(msgspec.Struct, kw_only=True):
+    """Tell the store's revision."""
+
+    revision: int
+
+
+class KeyValue(msgspec.Struct, kw_only=True):
+    """One key as stored."""
+
+    key: bytes
+    mod_revision: int
+    value: bytes = b""
+
+
+class RangeResponse(msgspec.Struct, kw_only=True):
+    """Answer a read."""
+
+    header: Header
+    kvs: list[KeyValue] = []
+
+
+class ResponseOperation(msgspec.Struct, kw_only=True):
+    """Hold one answer inside a transaction; others than nested ones are unread."""
+
+    response_txn: "TxnResponse | None" = None
+
+
+class TxnResponse(msgspec.Struct, kw_only=True):
+    """Answer a transaction."""
+
+    header: Header
+    succeeded: bool = False
+    responses: list[ResponseOperation] = []
+
+
+class LeaseResponse(msgspec.Struct, kw_only=True):
+    """Answer a call about a lease; a ttl of 0 means that it is gone."""
+
+    header: Header
+    id: int = msgspec.field(name="ID")
+    ttl: int = msgspec.field(name="TTL", default=0)
+
+
+class LeaseStreamed(msgspec.Struct, kw_only=True):
+    """Wrap the answer to a kept lease."""
+
+    result: LeaseResponse
+
+
+class WatchEvent(msgspec.Struct, kw_only=True):
+    """One change of one key."""
+
+    kv: KeyValue
+    type: Literal["PUT", "DELETE"] = "PUT"
+
+
+class WatchResponse(msgspec.Struct, kw_only=True):
+    """One message of a watch."""
+
+    header: Header
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    events: list[WatchEvent] = []
+
+
+class WatchStreamed(msgspec.Struct, kw_only=True):
+    """Wrap one message of a watch, or the error that ended it."""
+
+    result: WatchResponse | None = None
+    error: msgspec.Raw | None = None
+
+
+class Refusal(msgspec.Struct, kw_only=True):
+    """Tell why a call failed, with its gRPC code."""
+
+    code: int
+    error: str = ""
+    message: str = ""
+
+
+def to_store_value(found: KeyValue) -> StoreValue:
+    """Build what the caller sees of one key."""
+    key = found.key.decode(errors="surrogateescape")
+    return StoreValue(key, found.value, found.mod_revision)
+
+
+def absent(key: str) -> Compare:
+    """Require that a key does not exist."""
+    return Compare(key=key.encode(), target="CREATE", result="EQUAL", create_revision=0)
+
+
+def present(key: str) -> Compare:
+    """Require that a key exists."""
+    return Compare(
+        key=key.encode(), target="CREATE", result="GREATER", create_revision=0
+    )
+
+
+def unchanged(key: str, revision: int) -> Compare:
+    """Require that a key's last change is the one at a revision (0: absent)."""
+    return Compare(
+        key=key.encode(), target="MOD", result="EQUAL", mod_revision=revision
+    )
+
+
+def put(key: str, value: bytes, lease: int = 0) -> RequestOperation:
+    """Write a key."""
+    request = PutRequest(key=key.encode(), value=value, lease=lease)
+    return RequestOperation(request_put=request)
+
+
+def delete(key: str) -> RequestOperation:
+    """Delete a key."""
+    return RequestOperation(request_delete_range=DeleteRequest(key=key.encode()))
+
+
+def nested(compare: Compare, operation: RequestOperation) -> RequestOperation:
+    """Run one operation inside a transaction if its own comparison holds."""
+    txn = TxnRequest(compare=[compare], success=[operation])
+    return RequestOperation(request_txn=txn)
--- /dev/null
+++ b/packages/standins/greengagepoint_standins/server.py
@@ -0,0 +1,91 @@
+"""Run one stand-in as an HTTP server on loopback."""
+
+import asyncio
+from enum import StrEnum
+from typing import Any, Final, Generic, TypeVar
+
+import msgspec
+from aiohttp import web
+
+LOOPBACK: Final = "127.0.0.1"
+GARBAGE: Final = b'{"header":{"revision":"\xff\xfe not json'
+SHUTDOWN_SECONDS: Final = 0.1
+MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
+HANG_SECONDS: Final = 3600.0
+
+
+class Down(StrEnum):
+    """How a stand-in is out of order."""
+
+    NO = "no"
+    REFUSE = "refuse"
+    HANG = "hang"
+
+
+ControlT = TypeVar("ControlT", bound=msgspec.Struct)
+
+
+class StandIn(Generic[ControlT]):
+    """A running stand-in; ``control`` may be changed while it runs."""
+
+    def __init__(self, control: ControlT, runner: web.AppRunner, address: str) -> None:
+        self.control = control
+        self.runner = runner
+        self.address = address
+
+    async def async_stop(self) -> None:
+        """Close the port and all connections."""
+        await self.runner.cleanup()
+
+
+async def async_serve(app: web.Application, port: int) -> tuple[web.AppRunner, str]:
+    """Listen on a loopback port; return the runner and the bound address."""
+    # Handlers end when their connection closes, so that a watch or a run whose
+    # caller went away does not go on unseen.
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        access_log=None,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    await web.TCPSite(runner, LOOPBACK, port).start()
+    bound = runner.addresses[0][1]
+    return runner, f"{LOOPBACK}:{bound}"
+
+
+def update_control(control: msgspec.Struct, body: bytes) -> None:
+    """Set the fields that a JSON object names; refuse unknown ones."""
+    wanted = msgspec.json.decode(body, type=dict[str, Any])
+    unknown = wanted.keys() - set(control.__struct_fields__)
+    if unknown:
+        raise web.HTTPBadRequest(text=f"unknown fields: {sorted(unknown)}")
+    merged = msgspec.to_builtins(control) | wanted
+    try:
+        checked = msgspec.convert(merged, type(control))
+    except msgspec.ValidationError as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
+    for name in wanted:
+        setattr(control, name, getattr(checked, name))
+
+
+def json_answer(value: Any, status: int = 200) -> web.Response:
+    """Encode an answer."""
+    return web.Response(
+        body=msgspec.json.encode(value), status=status, content_type="application/json"
+    )
+
+
+def cut(request: web.Request) -> None:
+    """Reset the caller's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+async def async_be_down(request: web.Request, down: Down) -> None:
+    """Refuse or hang as told; return at once when in order."""
+    if down is Down.HANG:
+        await asyncio.sleep(HANG_SECONDS)
+    if down is not Down.NO:
+        cut(request)
+        raise web.HTTPServiceUnavailable
