Share caps and region budgets between hosts with loans

Cause: no host may send toward a site without a right that no other holds.

Change: a ledger of parts of each limit in the store, owners that lend units to borrowers for five seconds, witnesses that confirm an owner's share while the store is down or vote it out, and a quarantine before a lost share is used again. A coordinator joins this to peers, the store and requests.

--- /dev/null
+++ b/packages/core/greengagepoint/caps/borrowing.py
@@ -0,0 +1,204 @@
+"""Decide what to borrow from whom, and take grants."""
+
+from collections.abc import Iterable
+from math import ceil
+from typing import Final, NamedTuple
+
+from greengagepoint.caps.const import (
+    ASK_TIMEOUT_SECONDS,
+    DEMAND_WINDOW_SECONDS,
+    LOAN_SECONDS,
+    SHORT_SECONDS,
+    SHORT_SECONDS_MAX,
+)
+from greengagepoint.caps.ledger import owner_key
+from greengagepoint.caps.messages import LoanGrant, LoanRequest, Want
+from greengagepoint.caps.owners import refresh_owners
+from greengagepoint.caps.permits import free_units
+from greengagepoint.caps.tables import CapsTable, Lender, Loan, Site
+
+SPARE_PART: Final = 0.25
+FIRST_UNITS: Final = 4
+
+
+class Outgoing(NamedTuple):
+    """One message to a host by name."""
+
+    host: str
+    message: object
+
+
+def roll_demand(site: Site, now: float) -> None:
+    """Start a new demand window where the last one is over."""
+    if now - site.window_start < DEMAND_WINDOW_SECONDS:
+        return
+    site.recent_peak = site.peak
+    site.peak = site.in_flight + site.borrowed_in_flight
+    site.window_start = now
+
+
+def demand(site: Site) -> int:
+    """Return how many units this host can use toward a site.
+
+    The recent peak and a spare part. Refusals count into the peak, but double what
+    is in flight at most, as many refusals may stand for few requests at once.
+    """
+    if site.refused:
+        in_flight = site.in_flight + site.borrowed_in_flight
+        more = min(site.refused, max(FIRST_UNITS, in_flight))
+        site.peak = max(site.peak, in_flight + more)
+        site.refused = 0
+    peak = max(site.peak, site.recent_peak)
+    return min(peak + ceil(peak * SPARE_PART), site.limit)
+
+
+def ask(table: CapsTable, site_names: Iterable[str], now: float) -> list[Outgoing]:
+    """Return at most one loan request for each lender."""
+    wants: dict[str, list[Want]] = {}
+    for name in site_names:
+        _collect_wants(table, table.sites[name], wants, now)
+    messages = []
+    for key, items in wants.items():
+        lender = table.lenders[key]
+        messages.append(Outgoing(lender.host, _request(table, key, lender, items, now)))
+    return messages
+
+
+def _collect_wants(
+    table: CapsTable, site: Site, wants: dict[str, list[Want]], now: float
+) -> None:
+    """Spread a site's demand over its lenders, and list those to be asked now."""
+    refresh_owners(table, site)
+    wanted = demand(site) - site.in_flight - max(0, free_units(table, site))
+    keys = [owner_key(host.name, host.incarnation) for host in site.lenders]
+    for key, host in zip(keys, site.lenders, strict=True):
+        lender = table.lenders.setdefault(key, Lender(host.name, host.incarnation))
+        loan = site.loans.get(key)
+        if loan is None and wanted <= 0:
+            continue
+        loan = loan or site.loans.setdefault(key, Loan())
+        want = _part_for(loan, max(0, wanted), now)
+        wanted -= want
+        if _may_ask(lender, now) and _is_ask_due(loan, want, now):
+            wants.setdefault(key, []).append(_want(site, loan, want))
+    for key in site.loans.keys() - keys:
+        _return_loan(table, site, key, wants, now)
+
+
+def _part_for(loan: Loan, wanted: int, now: float) -> int:
+    """Return how much of a demand one lender is asked for."""
+    if now < loan.short_until:
+        return min(wanted, loan.units)
+    return wanted
+
+
+def _may_ask(lender: Lender, now: float) -> bool:
+    """Tell whether no request to this lender is outstanding."""
+    return lender.asked is None or now - lender.asked >= ASK_TIMEOUT_SECONDS
+
+
+def _is_ask_due(loan: Loan, want: int, now: float) -> bool:
+    """Tell whether to ask for more, renew, or return what is not needed."""
+    if want > loan.units:
+        return True
+    if want and loan.start_until - now < LOAN_SECONDS / 2:
+        return True
+    return loan.counted > max(want, loan.in_flight)
+
+
+def _want(site: Site, loan: Loan, want: int) -> Want:
+    """Lower the loan to what is kept, before the lender is told so."""
+    holding = max(loan.in_flight, min(loan.units, want))
+    loan.units = min(loan.units, holding)
+    loan.sent_holding = holding
+    loan.sent_want = want
+    return Want(site.name, holding, want)
+
+
+def _return_loan(
+    table: CapsTable,
+    site: Site,
+    key: str,
+    wants: dict[str, list[Want]],
+    now: float,
+) -> None:
+    """Give units back to a host that is no owner any more; forget what has ended."""
+    loan = site.loans[key]
+    if now > loan.end_until and not loan.in_flight:
+        del site.loans[key]
+        return
+    lender = table.lenders.get(key)
+    if lender is None or lender.host not in table.live:
+        return
+    if _may_ask(lender, now) and loan.counted > loan.in_flight:
+        wants.setdefault(key, []).append(_want(site, loan, 0))
+
+
+def _request(
+    table: CapsTable, key: str, lender: Lender, wants: list[Want], now: float
+) -> LoanRequest:
+    """Number a request and note when it was asked."""
+    lender.sequence += 1
+    lender.asked = now
+    lender.sites = tuple(want.site for want in wants)
+    return LoanRequest(
+        table.host.incarnation, lender.incarnation, lender.sequence, tuple(wants)
+    )
+
+
+def take_grant(
+    table: CapsTable, sender: str, grant: LoanGrant, now: float
+) -> list[str]:
+    """Take the units of a grant; return the sites that have more now.
+
+    Only the answer to the newest request counts. The loan runs from the time of
+    asking: the lender counts from when it granted, which is later, so however late
+    the grant comes, this host stops first.
+    """
+    key = owner_key(sender, grant.lender)
+    lender = table.lenders.get(key)
+    if lender is None or grant.borrower != table.host.incarnation:
+        return []
+    if lender.asked is None or grant.sequence != lender.sequence:
+        return []
+    start_until = lender.asked + LOAN_SECONDS
+    lender.asked = None
+    gained = []
+    for granted in grant.granted:
+        site = table.sites.get(granted.site)
+        loan = site.loans.get(key) if site is not None else None
+        if loan is None or granted.site not in lender.sites:
+            continue
+        if granted.units > loan.units:
+            gained.append(granted.site)
+            loan.short_seconds = 0.0
+        if granted.units < loan.sent_want:
+            _back_off(loan, now)
+        loan.counted = max(granted.units, loan.sent_holding)
+        loan.units = granted.units
+        loan.start_until = start_until
+        loan.request_seconds = grant.request_seconds
+        loan.end_until = start_until + grant.request_seconds
+        loan.lendable = granted.lendable
+        loan.answered = now
+    return gained
+
+
+def drop_silent_requests(table: CapsTable, now: float) -> None:
+    """Pass over lenders that did not answer in time."""
+    for key, lender in table.lenders.items():
+        if lender.asked is None or now - lender.asked < ASK_TIMEOUT_SECONDS:
+            continue
+        for name in lender.sites:
+            site = table.sites.get(name)
+            loan = site.loans.get(key) if site is not None else None
+            if loan is not None:
+                _back_off(loan, now)
+                loan.lendable = 0
+
+
+def _back_off(loan: Loan, now: float) -> None:
+    """Ask a lender for no more for a while, twice as long each time."""
+    seconds = max(SHORT_SECONDS, 2 * loan.short_seconds)
+    loan.short_seconds = min(seconds, SHORT_SECONDS_MAX)
+    loan.short_until = now + loan.short_seconds
--- /dev/null
+++ b/packages/core/greengagepoint/caps/const.py
@@ -0,0 +1,59 @@
+"""Times and sizes that bound how rights are held and moved."""
+
+from typing import Final
+
+REGION_KEY: Final = "*"
+"""Key of a region's own capacity beside its sites in the ledger."""
+
+OWNERS_A_SITE: Final = 4
+WITNESSES: Final = 3
+
+LOAN_SECONDS: Final = 5.0
+"""How long after asking a borrower may start requests on a loan."""
+
+CONFIRM_SECONDS: Final = 6.0
+"""How long after its last confirmation an owner may use its share."""
+
+VOUCH_INTERVAL_SECONDS: Final = 2.0
+FENCE_SECONDS: Final = 1.0
+"""A longer gap between two ticks makes a host give up its rights."""
+
+VOTE_AFTER_SECONDS: Final = 2.0
+"""How long a host must be gone before a witness votes it out."""
+
+CLOCK_RATE_ERROR: Final = 0.01
+"""Bound on how much faster one host's clock runs than another's."""
+
+CLOCK_MARGIN_SECONDS: Final = 0.05
+
+ASK_TIMEOUT_SECONDS: Final = 1.0
+SHORT_SECONDS: Final = 0.25
+"""How long a lender that granted too little is not asked for more; then doubled."""
+
+SHORT_SECONDS_MAX: Final = 2.0
+
+DEMAND_WINDOW_SECONDS: Final = 1.0
+LENDABLE_AGE_SECONDS: Final = 5.0
+LEDGER_POLL_SECONDS: Final = 30.0
+PLAN_INTERVAL_SECONDS: Final = 0.5
+RECLAIM_RANK_SECONDS: Final = 0.5
+"""Spaces the hosts that could reclaim the same share, so that one does it."""
+
+DEFAULT_REQUEST_SECONDS: Final = 30
+
+
+def lent_seconds(request_seconds: float) -> float:
+    """Return how long a lender counts a loan that is not renewed."""
+    longest = LOAN_SECONDS + request_seconds
+    return longest * (1 + CLOCK_RATE_ERROR) + CLOCK_MARGIN_SECONDS
+
+
+def quarantine_seconds(request_seconds: float) -> float:
+    """Return how long a lost owner's share stays unused.
+
+    The owner may use its share for ``CONFIRM_SECONDS`` after a witness's last word,
+    be paused for ``FENCE_SECONDS`` between its check and the send, and what it lent
+    last ends a loan and a request later.
+    """
+    longest = CONFIRM_SECONDS + FENCE_SECONDS + LOAN_SECONDS + request_seconds
+    return longest * (1 + CLOCK_RATE_ERROR) + CLOCK_MARGIN_SECONDS
--- /dev/null
+++ b/packages/core/greengagepoint/caps/system.py
@@ -0,0 +1,198 @@
+"""Run caps each tick, and take changes of configuration."""
+
+from typing import Any, NamedTuple
+
+from greengagepoint.caps.borrowing import (
+    Outgoing,
+    ask,
+    drop_silent_requests,
+    roll_demand,
+)
+from greengagepoint.caps.const import (
+    DEFAULT_REQUEST_SECONDS,
+    DEMAND_WINDOW_SECONDS,
+    LEDGER_POLL_SECONDS,
+    PLAN_INTERVAL_SECONDS,
+    REGION_KEY,
+)
+from greengagepoint.caps.ledger import owner_name
+from greengagepoint.caps.lending import expire_loans, note_starved
+from greengagepoint.caps.messages import RegionUnitsWanted
+from greengagepoint.caps.owners import is_live
+from greengagepoint.caps.planning import REGION_STEP, plan
+from greengagepoint.caps.rights import (
+    ask_witnesses,
+    check_fence,
+    refresh_entries,
+    refresh_rights,
+)
+from greengagepoint.caps.tables import CapsTable, Site
+from greengagepoint.configuration import Configuration
+from greengagepoint.events import Event
+
+MILLISECONDS = 1000
+REGION_YIELD_SECONDS = 5.0
+
+
+class Happened(NamedTuple):
+    """One event to record."""
+
+    event: Event
+    fields: dict[str, Any]
+
+
+class Commands(NamedTuple):
+    """What the node carries out after a tick; ``sync`` asks for a ledger exchange."""
+
+    messages: list[Outgoing]
+    events: list[Happened]
+    sync: bool
+
+
+def run(table: CapsTable, now: float) -> Commands:
+    """Keep rights, expire and renew loans, and tell whether the ledger needs work."""
+    events = []
+    if check_fence(table, now):
+        events.append(Happened(Event.FENCED, {}))
+    expired = expire_loans(table, now)
+    if expired:
+        events.append(Happened(Event.LOAN_EXPIRED, {"units": expired}))
+    drop_silent_requests(table, now)
+    _note_shortage(table, now)
+    messages = ask_witnesses(table, now)
+    messages += ask(table, _active_sites(table, now), now)
+    messages += _ask_region_units(table, now)
+    events += _rights_events(table, now)
+    return Commands(messages, events, _needs_ledger(table, now))
+
+
+def yield_region_units(table: CapsTable, units: int, now: float) -> None:
+    """Free units of the region's capacity for a co-owner with the next plan."""
+    table.region_asked_away = max(0, units)
+    table.region_yields_until = now + REGION_YIELD_SECONDS
+    table.next_plan = now
+
+
+def configure(table: CapsTable, configuration: Configuration) -> None:
+    """Take limits from a configuration; a site without record gets nothing new."""
+    limits = site_limits(configuration)
+    for name, record in configuration.sites.items():
+        site = table.sites.get(name)
+        if site is None:
+            table.sites[name] = Site(name, record.region, limits[name])
+        elif site.region == record.region:
+            site.limit = limits[name]
+        else:
+            _move_site(table, site, record.region, limits[name])
+    for name in table.sites.keys() - limits.keys():
+        site = table.sites[name]
+        site.limit = 0
+        if not _is_in_use(site):
+            del table.sites[name]
+    region = configuration.regions.get(table.host.region)
+    table.region_capacity = region.capacity if region is not None else 0
+    # Never smaller within one run: what was started or lent before still counts.
+    table.wanted_request_seconds = max(
+        table.wanted_request_seconds, _request_seconds(configuration)
+    )
+    refresh_entries(table)
+    refresh_rights(table)
+
+
+def site_limits(configuration: Configuration) -> dict[str, int]:
+    """Return the smaller of capacity and caps for each site."""
+    limits = {name: site.capacity for name, site in configuration.sites.items()}
+    for cap in configuration.caps.values():
+        if cap.site in limits:
+            limits[cap.site] = min(limits[cap.site], cap.limit)
+    return limits
+
+
+def _move_site(table: CapsTable, site: Site, region: str, limit: int) -> None:
+    """Move a site to another region's ledger once nothing here uses it."""
+    if _is_in_use(site):
+        site.limit = 0
+        return
+    table.sites[site.name] = Site(site.name, region, limit)
+
+
+def _is_in_use(site: Site) -> bool:
+    """Tell whether units of a site are in flight or on loan."""
+    lent_or_own = site.in_flight + site.lent + site.borrowed_in_flight
+    return bool(lent_or_own or any(loan.counted for loan in site.loans.values()))
+
+
+def _request_seconds(configuration: Configuration) -> int:
+    """Return the longest deadline of any service, in whole seconds."""
+    longest = max(
+        (service.max_deadline_ms for service in configuration.services.values()),
+        default=DEFAULT_REQUEST_SECONDS * MILLISECONDS,
+    )
+    return -(-longest // MILLISECONDS)
+
+
+def _active_sites(table: CapsTable, now: float) -> list[str]:
+    """Return sites with demand or loans, after rolling their demand windows."""
+    names = []
+    for site in table.sites.values():
+        if not (site.refused or site.peak or site.recent_peak or site.loans):
+            continue
+        roll_demand(site, now)
+        names.append(site.name)
+    return names
+
+
+def _note_shortage(table: CapsTable, now: float) -> None:
+    """Note own requests that found no unit, of a site or of the region."""
+    if not table.has_rights:
+        return
+    for site in table.sites.values():
+        if not site.refused or not site.owned:
+            continue
+        note_starved(site, table.me, now)
+        if site.in_flight + site.lent < site.owned:
+            table.region_short_at = now
+
+
+def _ask_region_units(table: CapsTable, now: float) -> list[Outgoing]:
+    """Ask one co-owner a second, in turn, for spare units of the region."""
+    if now - table.region_short_at > DEMAND_WINDOW_SECONDS:
+        return []
+    if now - table.region_wanted_at < DEMAND_WINDOW_SECONDS:
+        return []
+    others = [
+        owner_name(key)
+        for key, entry in sorted(table.ledger.owners.items())
+        if key != table.me and REGION_KEY in entry.shares and is_live(table, key)
+    ]
+    if not others:
+        return []
+    table.region_wanted_at = now
+    table.region_turn += 1
+    units = max(REGION_STEP, table.region_used // REGION_STEP)
+    message = RegionUnitsWanted(table.host.region, units)
+    return [Outgoing(others[table.region_turn % len(others)], message)]
+
+
+def _rights_events(table: CapsTable, now: float) -> list[Happened]:
+    """Record when rights are lost; gaining them shows as a ledger change."""
+    had_rights = table.has_rights
+    table.has_rights = now <= table.rights_until
+    if had_rights and not table.has_rights:
+        return [Happened(Event.RIGHTS_GIVEN_UP, {"region": table.host.region})]
+    return []
+
+
+def _needs_ledger(table: CapsTable, now: float) -> bool:
+    """Tell whether to read the ledger, or to change it."""
+    if now - table.read_at >= LEDGER_POLL_SECONDS:
+        return True
+    if table.pending or table.hinted_revision > table.revision:
+        return True
+    if now < table.next_plan:
+        return False
+    table.next_plan = now + PLAN_INTERVAL_SECONDS
+    if plan(table, now) is not None:
+        return True
+    table.region_asked_away = 0
+    return False
