Give metrics the totals of the peer links as one tuple

Cause: the daemon composes the totals itself. Change: PeerTotals is back in metrics.py. Measured: nothing. Conclusion: none beyond the interface.

--- a/packages/node/greengagepoint_node/metrics.py
+++ b/packages/node/greengagepoint_node/metrics.py
@@ -17,8 +17,6 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import CollectorRegistry, generate_latest
 
-from greengagepoint_node.peers import PeerCounters
-
 METER_NAME: Final = "greengagepoint"
 UNKNOWN_SERVICE: Final = "unknown"
 MAX_SERVICES: Final = 100
@@ -65,6 +63,17 @@
         yield from zip(names, accumulate(self.counts), strict=True)
 
 
+class PeerTotals(NamedTuple):
+    """Totals of the peer links since the start."""
+
+    bytes_in: int
+    bytes_out: int
+    messages_in: int
+    messages_out: int
+    rejected: int
+    dropped: int
+
+
 class Sources(NamedTuple):
     """Where figures come from that the daemon's parts keep themselves.
 
@@ -73,7 +82,7 @@
     """
 
     headroom: Callable[[], Mapping[str, float]]
-    peers: Callable[[], PeerCounters]
+    peers: Callable[[], PeerTotals]
     generation: Callable[[], int]
 
 
--- a/packages/node/tests/test_logs_metrics.py
+++ b/packages/node/tests/test_logs_metrics.py
@@ -3,14 +3,12 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from greengagepoint_node.metrics import MAX_SERVICES, Metrics, Sources
-from greengagepoint_node.peers import PeerCounters
+from greengagepoint_node.metrics import MAX_SERVICES, Metrics, PeerTotals, Sources
 
 
 @pytest.fixture
 def metrics():
-    peers = PeerCounters()
-    peers.bytes_out = 300
+    peers = PeerTotals(0, 300, 0, 0, 0, 0)
     made = Metrics(Sources(lambda: {"attiki": 12}, lambda: peers, lambda: 7))
     yield made
     made.close()
