--- a/packages/node/greengagepoint_node/store.py
+++ b/packages/node/greengagepoint_node/store.py
@@ -11,6 +11,7 @@
 from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
 from greengagepoint.protocols import StoreSnapshot, StoreValue
 from greengagepoint_node import store_messages as messages
+from greengagepoint_node.bodies import BodyTooLargeError, read_bounded
 
 MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 MAX_LINE_BYTES: Final = 4 * 1024 * 1024
@@ -25,6 +26,7 @@
 REFUSED_CODES: Final = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
 CONNECT_ERRORS: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError)
+MAX_REFUSAL_BYTES: Final = 64 * 1024
 MAX_DETAIL_BYTES: Final = 200
 CALL_ERRORS: Final = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -186,15 +188,15 @@
                 allow_redirects=False,
             ) as response:
                 status = response.status
-                body = await read_bounded(response)
+                body = await read_bounded(response, MAX_ANSWER_BYTES)
         except CONNECT_ERRORS as error:
             raise StoreError(f"no connection to the store: {error}") from error
+        except BodyTooLargeError as error:
+            raise invalid_answer(str(error), write) from error
         except CALL_ERRORS as error:
             raise call_failed(f"no answer from the store: {error!r}", write) from error
         if status != 200:
             raise refused(status, body, write)
-        if body is None:
-            raise invalid_answer("the answer is too large", write)
         try:
             return msgspec.json.decode(body, type=answer_type, strict=False)
         except DECODE_ERRORS as error:
@@ -258,25 +260,13 @@
             )
 
 
-async def read_bounded(response: aiohttp.ClientResponse) -> bytes | None:
-    """Read a whole body, or return None when it is over the limit."""
-    parts: list[bytes] = []
-    size = 0
-    async for part in response.content.iter_any():
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            response.close()
-            return None
-        parts.append(part)
-    return b"".join(parts)
-
-
 async def read_created(
     response: aiohttp.ClientResponse, revision: int
 ) -> messages.WatchResponse:
     """Read a watch's first message; refuse a store that lacks what was seen."""
     if response.status != 200:
-        raise refused(response.status, await read_bounded(response), write=False)
+        body = await response.content.read(MAX_REFUSAL_BYTES)
+        raise refused(response.status, body, write=False)
     created = await read_message(response)
     # A store restored from a backup waits silently for a revision that it had
     # before, and meanwhile gives other changes its numbers. Its own revision in
@@ -320,14 +310,14 @@
     return StoreError(detail, ErrorKind.STORE_ANSWER_INVALID)
 
 
-def refused(status: int, body: bytes | None, write: bool) -> StoreError:
+def refused(status: int, body: bytes, write: bool) -> StoreError:
     """Build the error for an answer other than 200.
 
     A write has not happened only if the service gives one of the codes with which
     it refuses before acting; a bare status may come from anything on the way.
     """
     try:
-        refusal = msgspec.json.decode(body or b"", type=messages.Refusal)
+        refusal = msgspec.json.decode(body, type=messages.Refusal)
     except DECODE_ERRORS:
         return invalid_answer(f"status {status} without a gRPC code", write)
     detail = f"status {status}, code {refusal.code}: {refusal.error}"
--- a/packages/standins/greengagepoint_standins/demo/deployments.py
+++ b/packages/standins/greengagepoint_standins/demo/deployments.py
@@ -1,157 +1,110 @@
-"""The two deployments of the first users, in the brief's sizes."""
+"""What the demo asks of each deployment; its records are in ``deployments/``."""
 
+from pathlib import Path
 from typing import Final, NamedTuple
 
+REPOSITORY: Final = Path(__file__).resolve().parents[4]
+RECORDS_DIRECTORY: Final = REPOSITORY / "deployments"
 
-class ServiceShape(NamedTuple):
-    """One service: its backend servers and the demo's requests to it."""
+
+class Ask(NamedTuple):
+    """One kind of request: how often it is sent and what it must be.
+
+    ``share`` is its part of the load; ``download_bytes`` is set for large answers
+    and ``once`` for requests with an idempotency key.
+    """
 
     name: str
-    backend_servers: int
-    slots: int
-    record: str
-    reads: tuple[str, ...]
-    once_path: str | None
-    download_path: str | None
-    download_bytes: int
+    service: str
+    method: str
+    path: str
+    team: str
+    share: float
+    deadline_ms: int
+    once: bool = False
+    download_bytes: int = 0
 
 
 class Deployment(NamedTuple):
-    """Places, services and teams of one user; delays are not reproduced."""
+    """One user's demo: its load in requests a second and what is done to it."""
 
     name: str
-    regions: tuple[str, ...]
-    zones_a_region: int
+    asks: tuple[Ask, ...]
+    requests_per_second: float
     hosts_a_zone: int
-    services: tuple[ServiceShape, ...]
-    teams: tuple[str, ...]
-
-    def zones(self, region: str) -> tuple[str, ...]:
-        """Return the availability zones of a region."""
-        letters = "ab"[: self.zones_a_region]
-        return tuple(f"{region}-{letter}" for letter in letters)
-
-    def all_zones(self) -> tuple[str, ...]:
-        """Return the availability zones of all regions."""
-        return tuple(zone for region in self.regions for zone in self.zones(region))
-
-
-BOOKING_RECORD: Final = """
-[[service]]
-schema_version = 2
-name = "booking"
-sites = [{sites}]
-max_deadline_ms = 5000
-store_outage = "refuse"
-lookup_ttl_seconds = 2
-
-[[service.routes]]
-path = "/bays"
-methods = ["GET"]
-request_class = "lookup"
-repeatable = true
-deadline_ms = 1500
-
-[[service.routes]]
-path = "/reservations"
-methods = ["POST"]
-request_class = "payment"
-needs_key = true
-deadline_ms = 4000
-"""
+    drained_backend_server: str
+    shift_service: str
+    lost_region: str
 
-RECORDS_RECORD: Final = """
-[[service]]
-schema_version = 1
-name = "records"
-sites = [{sites}]
-request_class = "archive"
-repeatable = true
-deadline_ms = 20000
-max_deadline_ms = 20000
-lookup_ttl_seconds = 2
-"""
+    @property
+    def records(self) -> Path:
+        """Return the directory of the steering records."""
+        return RECORDS_DIRECTORY / self.name
 
-INSPECTION_DESK_RECORD: Final = """
-[[service]]
-schema_version = 2
-name = "inspection-desk"
-sites = [{sites}]
-max_deadline_ms = 5000
-store_outage = "refuse"
-lookup_ttl_seconds = 2
-
-[[service.routes]]
-path = "/reports"
-methods = ["GET"]
-request_class = "lookup"
-repeatable = true
-deadline_ms = 2000
-
-[[service.routes]]
-path = "/red-tags"
-methods = ["POST"]
-request_class = "payment"
-needs_key = true
-deadline_ms = 4000
-"""
-
-DRAWING_VAULT_RECORD: Final = """
-[[service]]
-schema_version = 1
-name = "drawing-vault"
-sites = [{sites}]
-request_class = "archive"
-repeatable = true
-deadline_ms = 30000
-max_deadline_ms = 30000
-lookup_ttl_seconds = 2
-"""
 
 ERMIS: Final = Deployment(
     name="ermis",
-    regions=("attiki", "kentriki-makedonia", "dytiki-ellada"),
-    zones_a_region=2,
-    hosts_a_zone=2,
-    services=(
-        ServiceShape(
-            "booking", 35, 10, BOOKING_RECORD, ("/bays",), "/reservations", None, 0
+    asks=(
+        Ask("bay look-up", "booking", "GET", "/bays", "drivers", 0.72, 1500),
+        Ask(
+            "reservation",
+            "booking",
+            "POST",
+            "/reservations",
+            "drivers",
+            0.2,
+            4000,
+            once=True,
         ),
-        ServiceShape(
-            "records", 12, 3, RECORDS_RECORD, ("/permit",), None, "/archive", 2_000_000
+        Ask("permit", "records", "GET", "/permits", "fleet-clients", 0.06, 1500),
+        Ask(
+            "archive",
+            "records",
+            "GET",
+            "/archive/monthly",
+            "municipal-partners",
+            0.02,
+            30_000,
+            download_bytes=2_000_000,
         ),
     ),
-    teams=("drivers", "municipal-partners", "fleet-clients"),
+    requests_per_second=240.0,
+    hosts_a_zone=2,
+    drained_backend_server="booking-attiki-1-1",
+    shift_service="booking",
+    lost_region="dytiki-ellada",
 )
 
 RAYONNAGE: Final = Deployment(
     name="rayonnage",
-    regions=("tunis", "sfax", "gabes"),
-    zones_a_region=2,
-    hosts_a_zone=2,
-    services=(
-        ServiceShape(
+    asks=(
+        Ask("report", "inspection-desk", "GET", "/reports", "inspectors", 0.66, 2000),
+        Ask(
+            "red tag",
             "inspection-desk",
-            30,
-            4,
-            INSPECTION_DESK_RECORD,
-            ("/reports",),
+            "POST",
             "/red-tags",
-            None,
-            0,
+            "inspectors",
+            0.3,
+            4000,
+            once=True,
         ),
-        ServiceShape(
+        Ask(
+            "drawing pack",
             "drawing-vault",
-            12,
-            3,
-            DRAWING_VAULT_RECORD,
-            ("/index",),
-            None,
-            "/pack",
-            6_000_000,
+            "GET",
+            "/pack/rack",
+            "inspectors",
+            0.04,
+            30_000,
+            download_bytes=6_000_000,
         ),
     ),
-    teams=("inspectors", "franchise"),
+    requests_per_second=140.0,
+    hosts_a_zone=2,
+    drained_backend_server="drawing-vault-tunis-1-1",
+    shift_service="inspection-desk",
+    lost_region="gabes",
 )
 
 DEPLOYMENTS: Final[dict[str, Deployment]] = {
--- a/packages/standins/greengagepoint_standins/server.py
+++ b/packages/standins/greengagepoint_standins/server.py
@@ -33,6 +33,19 @@
         self.runner = runner
         self.address = address
 
+    async def async_refuse(self) -> None:
+        """Close the port and reset all connections, as a dead process does."""
+        for site in list(self.runner.sites):
+            await site.stop()
+        for connection in self.runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def async_accept(self) -> None:
+        """Listen again on the same port."""
+        port = int(self.address.rpartition(":")[2])
+        await web.TCPSite(self.runner, LOOPBACK, port).start()
+
     async def async_stop(self) -> None:
         """Close the port and all connections."""
         await self.runner.cleanup()
