--- /dev/null
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -0,0 +1,402 @@
+"""Start the parts of the daemon, tick them, and stop them without cutting anything."""
+
+import asyncio
+import itertools
+import random
+import socket
+from typing import Any, Final
+
+import aiohttp
+from aiohttp import web
+
+from greengagepoint.configuration import Configuration
+from greengagepoint.events import Event
+from greengagepoint.hosts import HostIdentity
+from greengagepoint.protocols import HostList, ListedHost
+from greengagepoint.steering.lookup import EntryHost
+from greengagepoint.timeline.ring import EventRecorder
+from greengagepoint_node.backends import BackendKeeper
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.context import Context, Coordinator
+from greengagepoint_node.coordinators.caps import CapsCoordinator
+from greengagepoint_node.coordinators.claims import ClaimsCoordinator
+from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_node.coordinators.membership import MembershipCoordinator
+from greengagepoint_node.coordinators.usage import UsageCoordinator
+from greengagepoint_node.event_sink import LoggedEvents
+from greengagepoint_node.host_list import create_host_list
+from greengagepoint_node.http.health import HealthSources, create_health_routes
+from greengagepoint_node.http.lookups import create_lookup_handler
+from greengagepoint_node.http.operators import create_operator_routes
+from greengagepoint_node.http.server import (
+    ProblemServer,
+    ProblemServerRunner,
+    Routes,
+    ServerLimits,
+    create_dispatcher,
+)
+from greengagepoint_node.lookup_answers import LookupAnswers
+from greengagepoint_node.metrics import Metrics, PeerTotals, Sources
+from greengagepoint_node.operator_backend import DaemonOperatorBackend
+from greengagepoint_node.peers import PeerLinks
+from greengagepoint_node.proxy.admission import RequestAdmission
+from greengagepoint_node.proxy.body import BodyLimits
+from greengagepoint_node.proxy.parts import Parts
+from greengagepoint_node.proxy.pipeline import RequestPipeline
+from greengagepoint_node.proxy.sessions import create_backend_sessions
+from greengagepoint_node.setting_checks import Address
+from greengagepoint_node.settings import Settings
+from greengagepoint_node.shifting import ShiftKeeper
+from greengagepoint_node.status import StatusSources, read_status
+from greengagepoint_node.store import create_store
+
+TICK_LATE_SECONDS: Final = 1.0
+STORE_TIMEOUT_SECONDS: Final = 2.0
+HOST_LIST_TIMEOUT_SECONDS: Final = 2.0
+STOP_POLL_SECONDS: Final = 0.05
+CLOCK_SKEW_SECONDS: Final = 1.0
+STATE_STARTING: Final = "starting"
+STATE_SERVING: Final = "serving"
+STATE_LEAVING: Final = "leaving"
+STATE_STOPPED: Final = "stopped"
+MAX_HEADERS: Final = 100
+
+
+class EmptyHostList:
+    """The host list of a host that runs alone."""
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        """Return no hosts."""
+        return ()
+
+
+class Daemon:
+    """One run of the daemon on one entry host."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.state = STATE_STARTING
+        self.recorder = EventRecorder(settings.host, self.clock.wall_milliseconds)
+        self.events = LoggedEvents(self.recorder)
+        self.stop_wanted = asyncio.Event()
+        self.tick_task: asyncio.Task[None] | None = None
+        self.prepared: tuple[Configuration, int, bool] | None = None
+
+    async def async_run(self) -> None:
+        """Serve until a stop is wanted, then stop gracefully."""
+        await self.async_start()
+        await self.stop_wanted.wait()
+        await self.async_stop()
+
+    async def async_start(self) -> None:
+        """Open sockets, start all parts and begin to tick."""
+        await self._async_open()
+        self._create_parts()
+        for part in self.coordinators:
+            await part.async_start()
+        await self._async_serve()
+        self.tick_task = asyncio.create_task(self._async_tick())
+        self.events.record(
+            Event.DAEMON_STARTED,
+            address=self.identity.address,
+            peer_address=self.identity.peer_address,
+            incarnation=self.identity.incarnation,
+        )
+
+    async def async_stop(self) -> None:
+        """Leave look-ups, let all in flight end, hand over, and close.
+
+        Callers keep cached answers that name this host until their time to live has
+        run out, so it serves them until then and for what is still in flight.
+        """
+        self.state = STATE_LEAVING
+        self.events.record(Event.DAEMON_STOPPING, in_flight=self.pipeline.in_flight)
+        self.membership.set_leaving()
+        self.caps.leave()
+        self._prepare_lookups()
+        grace = self.settings.stop_grace_seconds
+        await self._async_wait_for_callers(grace)
+        await self._async_close()
+        self.state = STATE_STOPPED
+        self.events.record(Event.DAEMON_STOPPED)
+
+    async def _async_open(self) -> None:
+        """Bind sockets and make what the coordinators stand on."""
+        settings = self.settings
+        self.http_socket = _bind(settings.listen_address)
+        self.membership: MembershipCoordinator | None = None
+        incarnation = self.clock.wall_milliseconds()
+        key = settings.peer_key.data if settings.peer_key else b""
+        self.links = PeerLinks(
+            host=settings.host,
+            incarnation=incarnation,
+            listen_address=str(settings.peer_listen_address),
+            key=key,
+            address_of=self._peer_address,
+            events=self.events,
+            clock_now=self.recorder.stamp,
+            clock_seen=self.recorder.observe,
+        )
+        await self.links.async_start()
+        self.identity = HostIdentity(
+            settings.host,
+            incarnation,
+            settings.region,
+            settings.zone,
+            str(settings.advertised_address or _address_of(self.http_socket)),
+            str(settings.advertised_peer_address or self.links.bound_address),
+        )
+        self.platform_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), trust_env=False
+        )
+        self.context = Context(
+            host=self.identity,
+            clock=self.clock,
+            random=random.Random(),
+            store=create_store(
+                settings.store[0],
+                self.platform_session,
+                timeout_seconds=STORE_TIMEOUT_SECONDS,
+            ),
+            peers=self.links,
+            events=self.events,
+        )
+
+    def _create_parts(self) -> None:
+        """Make coordinators and the request path."""
+        context = self.context
+        self.membership = MembershipCoordinator(context, self._host_list())
+        self.config = ConfigCoordinator(context, self.membership.live_hosts)
+        self.caps = CapsCoordinator(
+            context, self._configuration, self.membership.live_hosts
+        )
+        self.claims = ClaimsCoordinator(context, self.membership.live_hosts)
+        self.usage = UsageCoordinator(context, self.membership.live_hosts)
+        self.coordinators: list[Coordinator] = [
+            self.membership,
+            self.config,
+            self.caps,
+            self.claims,
+            self.usage,
+        ]
+        self.backends = BackendKeeper(context)
+        self.shifts = ShiftKeeper(context, self.backends.table)
+        self.lookups = LookupAnswers(self.identity, self._regions_of)
+        self.metrics = Metrics(
+            Sources(self._headroom, self._peer_totals, self._generation)
+        )
+        self.admission = RequestAdmission(
+            self._configuration, self._serving_count, self.clock, context.random
+        )
+        self.pipeline = RequestPipeline(
+            self._parts(),
+            self.admission,
+            BodyLimits(self.settings.max_body_bytes, self.settings.slow_sender_seconds),
+        )
+        self.config.on_change(self._on_configuration)
+
+    def _host_list(self) -> HostList:
+        """Return the platform's host list, or an empty one where there is none."""
+        if self.settings.host_list is None:
+            return EmptyHostList()
+        return create_host_list(
+            self.settings.host_list,
+            self.platform_session,
+            timeout_seconds=HOST_LIST_TIMEOUT_SECONDS,
+        )
+
+    def _parts(self) -> Parts:
+        """Return what the request path uses."""
+        self.sessions = create_backend_sessions()
+        return Parts(
+            context=self.context,
+            configuration=self._configuration,
+            sessions=self.sessions,
+            caps=self.caps,
+            claims=self.claims,
+            backends=self.backends.table,
+            steering=self.shifts.table,
+            usage=self.usage,
+            metrics=self.metrics,
+            report_load=self.backends.report_load,
+        )
+
+    async def _async_serve(self) -> None:
+        """Answer callers and operators."""
+        settings = self.settings
+        limits = ServerLimits(
+            header_bytes=settings.max_header_bytes,
+            headers=MAX_HEADERS,
+            first_request_seconds=settings.slow_sender_seconds,
+        )
+        server = ProblemServer(create_dispatcher(self._routes()), self.events, limits)
+        self.runner = ProblemServerRunner(server)
+        await self.runner.setup()
+        await web.SockSite(self.runner, self.http_socket).start()
+
+    def _routes(self) -> Routes:
+        """Return all routes of the HTTP server."""
+        key = self.settings.operator_key.text if self.settings.operator_key else None
+        backend = DaemonOperatorBackend(
+            self.config, self.recorder, self._status, self.usage.async_report
+        )
+        health = HealthSources(self._is_ready, self._state, self.metrics.render)
+        routes = [
+            *create_operator_routes(backend, key),
+            *create_health_routes(health),
+        ]
+        exact = {(route.method, route.path): route.handler for route in routes}
+        exact[("GET", "/v1/hosts")] = create_lookup_handler(self.lookups.answer)
+        return Routes(exact, self.pipeline.async_handle)
+
+    async def _async_tick(self) -> None:
+        """Run all periodic systems again and again."""
+        last = self.clock.monotonic()
+        for _number in itertools.count():
+            await asyncio.sleep(self.settings.tick_seconds)
+            now = self.clock.monotonic()
+            if now - last > self.settings.tick_seconds + TICK_LATE_SECONDS:
+                self.events.record(Event.TICK_LATE, seconds=round(now - last, 3))
+            last = now
+            self._tick_all(now)
+            self.metrics.add_tick(self.clock.monotonic() - now)
+
+    def _tick_all(self, now: float) -> None:
+        """Run each part's tick; one that fails does not stop the others."""
+        ticks = [part.tick for part in self.coordinators]
+        for tick in (*ticks, self._tick_request_path):
+            try:
+                tick(now)
+            except Exception as error:  # noqa: BLE001
+                self.events.record(
+                    Event.INTERNAL_ERROR, where=tick.__qualname__, detail=repr(error)
+                )
+
+    def _tick_request_path(self, now: float) -> None:
+        """Run what the request path stands on."""
+        configuration = self._configuration()
+        self.backends.tick(configuration, now)
+        peers = [
+            host.name
+            for host in self.membership.live_hosts()
+            if host.name != self.identity.name
+        ]
+        failed = frozenset(self.membership.unreachable_regions())
+        self.shifts.tick(configuration, failed, peers, now)
+        self.admission.tick(now)
+        self._prepare_lookups()
+        if self.state == STATE_STARTING and self._is_ready():
+            self.state = STATE_SERVING
+            self.events.record(Event.DAEMON_READY, generation=configuration.generation)
+
+    def _prepare_lookups(self) -> None:
+        """Prepare look-up answers again when what they depend on has changed."""
+        configuration = self._configuration()
+        changing = self.shifts.is_moving()
+        current = (configuration, self.membership.version, changing)
+        if self.prepared == current:
+            return
+        hosts = tuple(EntryHost(host) for host in self.membership.serving_hosts())
+        self.lookups.prepare(configuration, hosts, changing=changing)
+        self.prepared = current
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        """Put a new configuration in force on the request path at once."""
+        self.backends.sync(configuration)
+        self._prepare_lookups()
+
+    async def _async_wait_for_callers(self, grace_seconds: float) -> None:
+        """Serve until cached answers have run out and nothing is in flight."""
+        now = self.clock.monotonic()
+        cached_until = now + self.lookups.longest_ttl_seconds + CLOCK_SKEW_SECONDS
+        ends_at = max(cached_until, now + grace_seconds)
+        while (now := self.clock.monotonic()) < ends_at:
+            if now >= cached_until and not self.pipeline.in_flight:
+                return
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
+    async def _async_close(self) -> None:
+        """Stop all parts, newest first."""
+        await self.runner.cleanup()
+        for part in reversed(self.coordinators):
+            await part.async_stop()
+        if self.tick_task is not None:
+            self.tick_task.cancel()
+        await self.links.async_stop()
+        await self.sessions.async_close()
+        await self.platform_session.close()
+
+    def _configuration(self) -> Configuration:
+        """Return the configuration in force."""
+        return self.config.configuration
+
+    def _peer_address(self, host: str) -> str | None:
+        """Return where a peer listens."""
+        return self.membership.peer_address(host) if self.membership else None
+
+    def _serving_count(self) -> int:
+        """Return how many hosts serve."""
+        return len(self.membership.serving_hosts())
+
+    def _regions_of(self, address: str) -> tuple[str, ...] | None:
+        """Return the order of regions for a caller's address."""
+        return None
+
+    def _is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.state in (STATE_STARTING, STATE_SERVING) and bool(
+            self._configuration().generation
+        )
+
+    def _headroom(self) -> dict[str, float]:
+        """Return what this host could still send toward each region."""
+        free: dict[str, float] = {}
+        for site in self._configuration().sites.values():
+            headroom = self.caps.headroom(site.name)
+            free[site.region] = free.get(site.region, 0) + headroom
+        return free
+
+    def _peer_totals(self) -> PeerTotals:
+        """Return the totals of the peer links."""
+        counters = self.links.counters
+        return PeerTotals(
+            counters.bytes_in,
+            counters.bytes_out,
+            counters.messages_in,
+            counters.messages_out,
+            counters.rejected,
+            counters.dropped,
+        )
+
+    def _generation(self) -> int:
+        """Return the generation in force."""
+        return self._configuration().generation
+
+    def _state(self) -> str:
+        """Return the state of the process."""
+        return self.state
+
+    def _status(self) -> dict[str, Any]:
+        """Return the state of this host for operators."""
+        sources = StatusSources(
+            self.context,
+            self.config,
+            self.membership,
+            self.caps,
+            self.backends.table,
+            self.shifts.table,
+        )
+        return read_status(sources, self.state, self.pipeline.in_flight)
+
+
+def _bind(address: Address) -> socket.socket:
+    """Return a listening socket for an address setting."""
+    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
+    return socket.create_server((address.ip, address.port), family=family)
+
+
+def _address_of(bound: socket.socket) -> str:
+    """Return host:port of a bound socket."""
+    host, port = bound.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- /dev/null
+++ b/packages/node/greengagepoint_node/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards callers and operators."""
--- /dev/null
+++ b/packages/node/greengagepoint_node/http/operators.py
@@ -0,0 +1,153 @@
+"""The operators' interface: records, history, status, time line and usage."""
+
+import hmac
+from typing import Any, Final, NamedTuple, Protocol
+
+import msgspec
+from aiohttp import web
+
+from greengagepoint.errors import ErrorKind, RequestError
+from greengagepoint.records.loading import RecordDocument
+from greengagepoint_node.http.problems import json_response
+from greengagepoint_node.http.server import Handler
+
+AUTHORIZATION_SCHEME: Final = "Bearer "
+APPLY_BODY_MAX_BYTES: Final = 1_000_000
+HISTORY_DEFAULT: Final = 50
+HISTORY_MAX: Final = 1000
+
+
+class WantedChange(msgspec.Struct, forbid_unknown_fields=True):
+    """One change that an operator asks for; ``document`` None deletes."""
+
+    kind: str
+    name: str
+    expected_generation: int | None = None
+    document: RecordDocument | None = None
+
+
+class WantedChanges(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of ``POST /v1/records/apply``."""
+
+    author: str
+    changes: list[WantedChange]
+    write_id: str | None = None
+
+
+class OperatorBackend(Protocol):
+    """What the operators' interface needs from the daemon."""
+
+    def records(self) -> dict[str, Any]:
+        """Return the generation and all documents."""
+
+    async def async_apply(self, wanted: WantedChanges) -> dict[str, Any]:
+        """Apply changes; return the generation that holds them."""
+
+    async def async_history(self, limit: int) -> dict[str, Any]:
+        """Return the newest entries of the change log."""
+
+    def status(self) -> dict[str, Any]:
+        """Return the state of this host and what it knows of others."""
+
+    def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
+        """Return this host's events that match the filters."""
+
+    async def async_usage(self) -> dict[str, Any]:
+        """Return usage by team."""
+
+
+class OperatorRoute(NamedTuple):
+    """A method and path with its handler."""
+
+    method: str
+    path: str
+    handler: Handler
+
+
+def create_operator_routes(
+    backend: OperatorBackend, key: str | None
+) -> list[OperatorRoute]:
+    """Return the routes of the operators' interface.
+
+    Every one of them needs the shared key, when there is one.
+    """
+
+    async def async_records(request: web.BaseRequest) -> web.StreamResponse:
+        return json_response(backend.records())
+
+    async def async_apply(request: web.BaseRequest) -> web.StreamResponse:
+        wanted = await async_read_changes(request)
+        return json_response(await backend.async_apply(wanted))
+
+    async def async_history(request: web.BaseRequest) -> web.StreamResponse:
+        limit = parse_limit(request.rel_url.query.get("limit"))
+        return json_response(await backend.async_history(limit))
+
+    async def async_status(request: web.BaseRequest) -> web.StreamResponse:
+        return json_response(backend.status())
+
+    async def async_timeline(request: web.BaseRequest) -> web.StreamResponse:
+        return json_response(backend.timeline(dict(request.rel_url.query)))
+
+    async def async_usage(request: web.BaseRequest) -> web.StreamResponse:
+        return json_response(await backend.async_usage())
+
+    routes = [
+        OperatorRoute("GET", "/v1/records", async_records),
+        OperatorRoute("POST", "/v1/records/apply", async_apply),
+        OperatorRoute("GET", "/v1/history", async_history),
+        OperatorRoute("GET", "/v1/status", async_status),
+        OperatorRoute("GET", "/v1/timeline", async_timeline),
+        OperatorRoute("GET", "/v1/usage", async_usage),
+    ]
+    return [
+        OperatorRoute(route.method, route.path, require_key(route.handler, key))
+        for route in routes
+    ]
+
+
+def require_key(handler: Handler, key: str | None) -> Handler:
+    """Return a handler that answers only those who know the shared key."""
+    if key is None:
+        return handler
+    expected = (AUTHORIZATION_SCHEME + key).encode()
+
+    async def async_checked(request: web.BaseRequest) -> web.StreamResponse:
+        given = request.headers.get("Authorization", "").encode()
+        if not hmac.compare_digest(given, expected):
+            raise RequestError(
+                "The operators' interface needs its shared key",
+                ErrorKind.UNAUTHENTICATED,
+            )
+        return await handler(request)
+
+    return async_checked
+
+
+async def async_read_changes(request: web.BaseRequest) -> WantedChanges:
+    """Read the body of an apply request."""
+    if (request.content_length or 0) > APPLY_BODY_MAX_BYTES:
+        raise RequestError(
+            f"The body is over {APPLY_BODY_MAX_BYTES} bytes", ErrorKind.BODY_TOO_LARGE
+        )
+    try:
+        body = await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise RequestError(
+            f"The body is over {APPLY_BODY_MAX_BYTES} bytes", ErrorKind.BODY_TOO_LARGE
+        ) from None
+    try:
+        return msgspec.json.decode(body, type=WantedChanges)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RequestError(
+            f"The body cannot be read: {error}", ErrorKind.RECORD_MALFORMED
+        ) from error
+
+
+def parse_limit(text: str | None) -> int:
+    """Return how many entries are wanted."""
+    if text is None:
+        return HISTORY_DEFAULT
+    if not text.isascii() or not text.isdigit():
+        raise RequestError("limit must be a whole number")
+    return min(int(text), HISTORY_MAX)
--- /dev/null
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -0,0 +1,174 @@
+"""The HTTP server: connections, dispatch by path, and errors as problem answers."""
+
+import asyncio
+import functools
+from collections.abc import Awaitable, Callable
+from typing import Final, NamedTuple
+
+from aiohttp import web
+
+from greengagepoint.errors import ErrorKind, GreengagepointError, RequestError
+from greengagepoint.events import Event
+from greengagepoint_node.context import EventSink
+from greengagepoint_node.http.problems import problem_response
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+SERVICE_PREFIX: Final = "/s/"
+HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE: Final = 431
+KEEPALIVE_SECONDS: Final = 75.0
+LINGERING_SECONDS: Final = 2.0
+SHUTDOWN_SECONDS: Final = 1.0
+
+
+class ServerLimits(NamedTuple):
+    """Bounds on what a caller may send."""
+
+    header_bytes: int
+    headers: int
+    first_request_seconds: float
+
+
+class Routes(NamedTuple):
+    """Handlers by exact path, and the one for everything under ``/s/``."""
+
+    exact: dict[tuple[str, str], Handler]
+    service: Handler
+
+
+class ProblemRequestHandler(web.RequestHandler):
+    """One connection, which answers unreadable requests with problems."""
+
+    events: EventSink
+    first_request_timer: asyncio.TimerHandle | None = None
+    limits: ServerLimits
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Close the connection unless a request comes soon."""
+        super().connection_made(transport)
+        # A caller that sends its first headers byte by byte would hold a connection
+        # for ever; later requests are bounded by the keep-alive timeout.
+        self.first_request_timer = asyncio.get_running_loop().call_later(
+            self.limits.first_request_seconds, self.close_if_idle
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop waiting for the first request."""
+        if self.first_request_timer is not None:
+            self.first_request_timer.cancel()
+        super().connection_lost(exc)
+
+    def close_if_idle(self) -> None:
+        """Close the connection because no whole request came in time."""
+        if self.transport is None:
+            return
+        self.events.record(
+            Event.REQUEST_MALFORMED, kind=ErrorKind.SLOW_SENDER, phase="headers"
+        )
+        self.transport.abort()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Answer a request that could not be read, or a handler's failure."""
+        if request.writer.output_size > 0:
+            raise ConnectionError("The answer has begun; it can only be broken off")
+        error = _unreadable(status, exc)
+        event = (
+            Event.INTERNAL_ERROR
+            if error.kind is ErrorKind.INTERNAL
+            else Event.REQUEST_MALFORMED
+        )
+        self.events.record(event, kind=error.kind, detail=repr(exc))
+        response = problem_response(error)
+        response.force_close()
+        return response
+
+
+class ProblemServer(web.Server):
+    """Make a ``ProblemRequestHandler`` for each connection."""
+
+    def __init__(
+        self, handler: Handler, events: EventSink, limits: ServerLimits
+    ) -> None:
+        super().__init__(handler, handler_cancellation=True)
+        self.events = events
+        self.limits = limits
+        self.make_connection = functools.partial(
+            ProblemRequestHandler,
+            self,
+            loop=asyncio.get_running_loop(),
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            lingering_time=LINGERING_SECONDS,
+            max_field_size=limits.header_bytes,
+            max_headers=limits.headers,
+            max_line_size=limits.header_bytes,
+        )
+
+    def __call__(self) -> web.RequestHandler:
+        """Return the protocol of a new connection."""
+        connection = self.make_connection()
+        connection.events = self.events
+        connection.limits = self.limits
+        return connection
+
+
+class ProblemServerRunner(web.ServerRunner):
+    """Run a ``ProblemServer`` with the usual start and stop of aiohttp."""
+
+    def __init__(self, server: ProblemServer) -> None:
+        super().__init__(server, shutdown_timeout=SHUTDOWN_SECONDS)
+
+
+def create_dispatcher(routes: Routes) -> Handler:
+    """Return the handler that finds the route of a request."""
+
+    async def async_dispatch(request: web.BaseRequest) -> web.StreamResponse:
+        """Hand the request to its route."""
+        _stop_first_request_timer(request)
+        path = request.rel_url.raw_path
+        if path.startswith(SERVICE_PREFIX):
+            return await routes.service(request)
+        handler = routes.exact.get((request.method, path))
+        if handler is None:
+            return problem_response(_no_route(routes, path))
+        try:
+            return await handler(request)
+        except GreengagepointError as error:
+            return problem_response(error)
+
+    return async_dispatch
+
+
+def _stop_first_request_timer(request: web.BaseRequest) -> None:
+    """Leave the connection to the keep-alive timeout once a request has come."""
+    connection = request.protocol
+    if connection.first_request_timer is not None:
+        connection.first_request_timer.cancel()
+        connection.first_request_timer = None
+
+
+def _no_route(routes: Routes, path: str) -> RequestError:
+    """Return the error for a path or method that nothing serves."""
+    methods = sorted(method for method, known in routes.exact if known == path)
+    if methods:
+        return RequestError(f"{path} accepts only {', '.join(methods)}")
+    return RequestError(f"Nothing is served at {path[:100]}")
+
+
+def _unreadable(status: int, exc: BaseException | None) -> GreengagepointError:
+    """Return the typed error for what the HTTP library could not accept."""
+    if status >= 500:
+        return GreengagepointError("An unexpected error was caught")
+    text = str(exc or "")
+    if "Too many headers" in text or "Got more than" in text:
+        return RequestError(
+            "The request line or a header is too long", ErrorKind.HEADERS_TOO_LARGE
+        )
+    return RequestError("The request is not valid HTTP/1.1")
--- /dev/null
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -0,0 +1,130 @@
+"""What the daemon tells operators and takes from them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from greengagepoint.config.entries import Change
+from greengagepoint.errors import RecordError, RequestError
+from greengagepoint.events import Event, Occurrence
+from greengagepoint.records.schemas import RecordKind
+from greengagepoint.timeline.ring import EventFilter, EventRecorder
+from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_node.http.operators import WantedChange, WantedChanges
+
+
+class DaemonOperatorBackend:
+    """Answer the operators' interface from the daemon's parts."""
+
+    def __init__(
+        self,
+        config: ConfigCoordinator,
+        recorder: EventRecorder,
+        status: Callable[[], dict[str, Any]],
+        async_usage_rows: Callable[[], Any],
+    ) -> None:
+        self.config = config
+        self.recorder = recorder
+        self.status = status
+        self.async_usage_rows = async_usage_rows
+
+    def records(self) -> dict[str, Any]:
+        """Return the generation and all documents."""
+        rows = self.config.documents()
+        return {
+            "generation": self.config.configuration.generation,
+            "documents": [
+                {
+                    "kind": row.document.kind,
+                    "name": row.document.name,
+                    "schema_version": row.document.schema_version,
+                    "fields": row.document.fields,
+                    "generation": row.generation,
+                    "author": row.author,
+                }
+                for row in rows
+            ],
+        }
+
+    async def async_apply(self, wanted: WantedChanges) -> dict[str, Any]:
+        """Apply changes; return the generation that holds them."""
+        changes = [_to_change(change) for change in wanted.changes]
+        entry = await self.config.async_apply(changes, wanted.author, wanted.write_id)
+        return {"generation": entry.generation, "write_id": entry.write_id}
+
+    async def async_history(self, limit: int) -> dict[str, Any]:
+        """Return the newest entries of the change log."""
+        entries = self.config.history(limit)
+        return {
+            "generation": self.config.configuration.generation,
+            "entries": [msgspec.to_builtins(entry) for entry in entries],
+        }
+
+    def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
+        """Return this host's events that match the filters."""
+        wanted = _parse_filters(filters)
+        events = [_as_dict(event) for event in self.recorder.ring.select(wanted)]
+        return {"host": self.recorder.host, "events": events}
+
+    async def async_usage(self) -> dict[str, Any]:
+        """Return usage by team."""
+        return {"rows": await self.async_usage_rows()}
+
+
+def _to_change(wanted: WantedChange) -> Change:
+    """Return the change of the log for one that an operator asks for."""
+    if wanted.kind not in set(RecordKind):
+        raise RecordError(
+            f"{wanted.kind!r} is not a kind of record",
+            field="kind",
+            accepted=", ".join(RecordKind),
+        )
+    return Change(
+        kind=RecordKind(wanted.kind),
+        name=wanted.name,
+        expected_generation=wanted.expected_generation,
+        document=wanted.document,
+    )
+
+
+def _parse_filters(filters: dict[str, str]) -> EventFilter:
+    """Return which events are asked for."""
+    return EventFilter(
+        request_id=filters.get("request_id"),
+        team=filters.get("team"),
+        site=filters.get("site"),
+        kind=_parse_kind(filters.get("kind")),
+        since=_parse_since(filters.get("since")),
+    )
+
+
+def _parse_kind(text: str | None) -> Event | None:
+    """Return an event by number or name."""
+    if text is None:
+        return None
+    try:
+        return Event(int(text)) if text.isdigit() else Event[text.upper()]
+    except (KeyError, ValueError):
+        raise RequestError(f"{text[:50]!r} is not an event") from None
+
+
+def _parse_since(text: str | None) -> tuple[int, int] | None:
+    """Return a stamp written as milliseconds or milliseconds.counter."""
+    if text is None:
+        return None
+    milliseconds, _dot, counter = text.partition(".")
+    if not milliseconds.isdigit() or not (counter or "0").isdigit():
+        raise RequestError("since must be milliseconds or milliseconds.counter")
+    return int(milliseconds), int(counter or 0)
+
+
+def _as_dict(occurrence: Occurrence) -> dict[str, Any]:
+    """Return an event as JSON-able members."""
+    return {
+        "clock": list(occurrence.clock),
+        "host": occurrence.host,
+        "number": int(occurrence.event),
+        "name": occurrence.event.name,
+        "fields": occurrence.fields,
+    }
--- /dev/null
+++ b/packages/node/greengagepoint_node/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The way of one request through this host."""
--- /dev/null
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -0,0 +1,245 @@
+"""Try backend servers until one answers or the request may not be sent again."""
+
+import asyncio
+from collections.abc import Awaitable
+from typing import Final, Protocol, TypeVar
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+
+from greengagepoint.balancing.tables import Outcome
+from greengagepoint.delivery.outcomes import (
+    CONSEQUENCES,
+    UNAVAILABLE_STATUSES,
+    WireOutcome,
+    combine,
+    may_retry,
+)
+from greengagepoint.errors import ErrorKind, Ran, RequestError
+from greengagepoint.events import Event
+from greengagepoint_node.http.const import HEADER_LOAD
+from greengagepoint_node.proxy.body import StreamedBody
+from greengagepoint_node.proxy.call import Call
+from greengagepoint_node.proxy.exchange import (
+    WireError,
+    async_exchange,
+    request_headers,
+)
+from greengagepoint_node.proxy.parts import Parts
+from greengagepoint_node.proxy.placement import Placement, async_place, give_back
+from greengagepoint_node.proxy.relay import is_small
+
+ATTEMPTS_MAX: Final = 3
+
+BALANCING_OUTCOMES: Final[dict[WireOutcome, Outcome]] = {
+    WireOutcome.SHED: Outcome.SHED,
+    WireOutcome.CONNECT_REFUSED: Outcome.REFUSED,
+    WireOutcome.CONNECT_TIMEOUT: Outcome.REFUSED,
+    WireOutcome.DEADLINE_BEFORE_SENDING: Outcome.CANCELLED,
+    WireOutcome.CANCELLED_BEFORE_SENDING: Outcome.CANCELLED,
+    WireOutcome.CANCELLED_AFTER_SENDING: Outcome.CANCELLED,
+}
+
+
+T = TypeVar("T")
+
+
+class RetryAllowance(Protocol):
+    """Allow retries out of a shared budget."""
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; tell whether there was one."""
+
+
+class Reply(msgspec.Struct):
+    """An answer that may be passed on; ``body`` is set when it was read whole."""
+
+    placement: Placement
+    upstream: aiohttp.ClientResponse
+    headers: CIMultiDict[str]
+    latency_seconds: float
+    body: bytes | None = None
+
+
+class Tries(msgspec.Struct):
+    """What earlier tries of one request left behind."""
+
+    tried: frozenset[str] = frozenset()
+    ran: Ran = Ran.NOT_RUN
+    last: WireError | None = None
+    count: int = 0
+
+
+async def async_attempt(
+    parts: Parts,
+    request: web.BaseRequest,
+    call: Call,
+    body: bytes | StreamedBody | None,
+    allowance: RetryAllowance,
+) -> Reply:
+    """Return the first answer that may be passed on, or raise RequestError."""
+    tries = Tries()
+    while True:
+        placement = await _async_place(parts, call, tries)
+        try:
+            return await _async_try(parts, request, call, body, placement, tries)
+        except WireError as error:
+            _note_failure(parts, call, placement, error, tries)
+            if _body_error(body) is not None:
+                raise _body_stopped(body, tries) from error
+            if not _may_send_again(call, error, tries, allowance):
+                raise as_request_error(error, tries.ran) from error
+            parts.context.events.record(
+                Event.REQUEST_RETRIED,
+                request_id=call.request_id,
+                outcome=error.outcome,
+                backend_server=placement.row.name,
+            )
+        except BaseException:
+            give_back(parts, placement, Outcome.CANCELLED, 0.0)
+            raise
+
+
+async def _async_place(parts: Parts, call: Call, tries: Tries) -> Placement:
+    """Find a place; when there is none, an earlier try's failure tells more."""
+    try:
+        return await async_place(parts, call, tries.tried)
+    except RequestError as error:
+        if tries.last is None:
+            raise
+        raise as_request_error(tries.last, tries.ran) from error
+
+
+async def _async_try(
+    parts: Parts,
+    request: web.BaseRequest,
+    call: Call,
+    body: bytes | StreamedBody | None,
+    placement: Placement,
+    tries: Tries,
+) -> Reply:
+    """Send the request once and return its answer, read whole when small."""
+    now = parts.context.clock.monotonic()
+    permit = placement.permit
+    # The process may have been paused since it got the permit, and the lender may
+    # count the unit as free by now: the permit is looked at right before sending.
+    if now > permit.start_by:
+        raise WireError(
+            WireOutcome.DEADLINE_BEFORE_SENDING, "The permit lapsed before sending"
+        )
+    seconds = min(call.ends_at, permit.end_by) - now
+    call.attempts += 1
+    tries.count += 1
+    parts.context.events.record(
+        Event.REQUEST_SENT,
+        request_id=call.request_id,
+        site=permit.site,
+        backend_server=placement.row.name,
+    )
+    upstream = await async_exchange(
+        parts.sessions,
+        call,
+        placement.row.address,
+        request_headers(request, call, now),
+        body,
+        seconds,
+    )
+    latency = parts.context.clock.monotonic() - now
+    parts.report_load(placement.row, upstream.headers.get(HEADER_LOAD), now + latency)
+    reply = Reply(placement, upstream, upstream.headers, latency)
+    _check_unavailable(call, upstream, tries)
+    if is_small(upstream, call.method):
+        reply.body = await _async_read_whole(parts, upstream, call, placement)
+    return reply
+
+
+def _check_unavailable(
+    call: Call, upstream: aiohttp.ClientResponse, tries: Tries
+) -> None:
+    """Turn an "unavailable" answer into a failed try while another may follow."""
+    if upstream.status not in UNAVAILABLE_STATUSES or not call.route.repeatable:
+        return
+    if tries.count >= ATTEMPTS_MAX:
+        return
+    upstream.close()
+    raise WireError(
+        WireOutcome.ANSWERED_UNAVAILABLE, f"Answered with status {upstream.status}"
+    )
+
+
+async def _async_read_whole(
+    parts: Parts, upstream: aiohttp.ClientResponse, call: Call, placement: Placement
+) -> bytes:
+    """Read a small answer; nothing of it has reached the caller if that fails."""
+    if upstream.content.at_eof() and upstream.content_length in (None, 0):
+        upstream.release()
+        return b""
+    ends_at = min(call.ends_at, placement.permit.end_by)
+    try:
+        return await async_within(parts, ends_at, upstream.read())
+    except TimeoutError as error:
+        upstream.close()
+        raise WireError(
+            WireOutcome.HEADERS_TIMEOUT, "The answer did not end before the deadline"
+        ) from error
+    except (aiohttp.ClientError, OSError) as error:
+        upstream.close()
+        raise WireError(
+            WireOutcome.RESET_AFTER_SENDING, f"The answer broke off: {error}"
+        ) from error
+
+
+def _note_failure(
+    parts: Parts, call: Call, placement: Placement, error: WireError, tries: Tries
+) -> None:
+    """Record a failed try in the tables and in what is known of the request."""
+    outcome = BALANCING_OUTCOMES.get(error.outcome, Outcome.FAILED)
+    give_back(parts, placement, outcome, 0.0)
+    tries.ran = combine(tries.ran, CONSEQUENCES[error.outcome].ran)
+    tries.tried |= {placement.row.name}
+    tries.last = error
+
+
+def _may_send_again(
+    call: Call, error: WireError, tries: Tries, allowance: RetryAllowance
+) -> bool:
+    """Tell whether the request may and should be sent again."""
+    if tries.count >= ATTEMPTS_MAX or call.streamed:
+        return False
+    if not may_retry(error.outcome, repeatable=call.route.repeatable):
+        return False
+    return allowance.spend()
+
+
+def as_request_error(error: WireError, ran: Ran) -> RequestError:
+    """Return what the caller is told of the last failed try."""
+    consequence = CONSEQUENCES[error.outcome]
+    kind = consequence.kind or ErrorKind.BACKEND_RESET
+    retry_after = None
+    if error.retry_after is not None and error.retry_after.isdigit():
+        retry_after = int(error.retry_after)
+    return RequestError(error.detail, kind, ran=ran, retry_after_seconds=retry_after)
+
+
+def _body_error(body: bytes | StreamedBody | None) -> RequestError | None:
+    """Return why the caller's body stopped, if it did."""
+    return body.error if isinstance(body, StreamedBody) else None
+
+
+def _body_stopped(body: bytes | StreamedBody | None, tries: Tries) -> RequestError:
+    """Return the caller's own fault, with what is known of the run.
+
+    The backend server got part of the body and may have begun, so the request does
+    not count as not run.
+    """
+    error = _body_error(body)
+    assert error is not None
+    return RequestError(error.detail, error.kind, ran=tries.ran)
+
+
+async def async_within(parts: Parts, ends_at: float, awaitable: Awaitable[T]) -> T:
+    """Await until a monotonic time; raise TimeoutError after it."""
+    async with asyncio.timeout(ends_at - parts.context.clock.monotonic()):
+        return await awaitable
--- /dev/null
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -0,0 +1,339 @@
+"""One request from its first byte to its last."""
+
+import asyncio
+from typing import Final, Protocol
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from greengagepoint.balancing.tables import Outcome
+from greengagepoint.delivery.answers import StoredAnswer
+from greengagepoint.delivery.claims import request_digest
+from greengagepoint.errors import (
+    ErrorKind,
+    GreengagepointError,
+    Ran,
+    RequestError,
+)
+from greengagepoint.events import Event
+from greengagepoint.usage.tables import UsageOutcome
+from greengagepoint_node.coordinators.claims import Claim
+from greengagepoint_node.http.const import (
+    HEADER_HOST,
+    HEADER_KEY_STATE,
+    HEADER_REQUEST_ID,
+    KEY_STATE_MEMORY_ONLY,
+    KEY_STATE_REPLAYED,
+)
+from greengagepoint_node.http.problems import problem_response
+from greengagepoint_node.http.server import SERVICE_PREFIX
+from greengagepoint_node.proxy.attempts import (
+    Reply,
+    RetryAllowance,
+    async_attempt,
+    async_within,
+)
+from greengagepoint_node.proxy.body import BodyLimits, StreamedBody, async_read_body
+from greengagepoint_node.proxy.call import Call, parse_call, parse_request_id
+from greengagepoint_node.proxy.parts import Parts
+from greengagepoint_node.proxy.placement import give_back
+from greengagepoint_node.proxy.relay import (
+    answer_headers,
+    async_begin_stream,
+    async_copy_body,
+    break_off,
+    small_answer,
+)
+
+KIND_OK: Final = "ok"
+BACKEND_FAILURES: Final = frozenset(
+    {
+        ErrorKind.BACKEND_SHED,
+        ErrorKind.BACKEND_RESET,
+        ErrorKind.BACKEND_TIMEOUT,
+        ErrorKind.BACKEND_REFUSED,
+    }
+)
+
+
+class Admission(Protocol):
+    """Decide whether and when a request may go on."""
+
+    async def async_admit(self, call: Call) -> RetryAllowance:
+        """Return when the request may go on, or raise RequestError."""
+
+    def ended(self, call: Call, latency_seconds: float | None, *, failed: bool) -> None:
+        """Let the next one in; the latency is None when no answer came."""
+
+
+class AnswerBrokenError(ConnectionResetError):
+    """Stop an answer of which the caller has seen a part."""
+
+    def __init__(self, kind: ErrorKind, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+
+
+class RequestPipeline:
+    """Take requests through admission, claim, placement, sending and relaying."""
+
+    def __init__(self, parts: Parts, admission: Admission, limits: BodyLimits) -> None:
+        self.parts = parts
+        self.admission = admission
+        self.limits = limits
+        self.in_flight = 0
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request under ``/s/{service}/``."""
+        self.in_flight += 1
+        try:
+            return await self._async_handle(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a request, turning every failure into a typed answer."""
+        request_id = ""
+        call: Call | None = None
+        try:
+            request_id = parse_request_id(request)
+            call = self._parse(request, request_id)
+            self.parts.metrics.start_request(call.service.name)
+            response = await self._async_serve(request, call)
+        except GreengagepointError as error:
+            self._note_error(call, request_id, error)
+            return problem_response(error, request_id)
+        except AnswerBrokenError as error:
+            self._note_failed(call, request_id, error.kind, str(error), Ran.UNKNOWN)
+            raise
+        except (asyncio.CancelledError, ConnectionError):
+            self._note_cancelled(call, request_id)
+            raise
+        self._note_answered(call)
+        return response
+
+    def _parse(self, request: web.BaseRequest, request_id: str) -> Call:
+        """Return the call that a request makes."""
+        raw = request.rel_url.raw_path_qs[len(SERVICE_PREFIX) :]
+        name, slash, rest = raw.partition("/")
+        configuration = self.parts.configuration()
+        if not configuration.generation:
+            raise RequestError("No configuration is in force", ErrorKind.NOT_READY)
+        service = configuration.services.get(name)
+        if service is None or not slash:
+            raise RequestError(
+                f"No record names the service {name[:100]}", ErrorKind.UNKNOWN_SERVICE
+            )
+        now = self.parts.context.clock.monotonic()
+        call = parse_call(request, request_id, service, "/" + rest, now)
+        if call.team not in configuration.teams:
+            raise RequestError(
+                f"No record names the team {call.team[:100]!r}", ErrorKind.UNKNOWN_TEAM
+            )
+        return call
+
+    async def _async_serve(
+        self, request: web.BaseRequest, call: Call
+    ) -> web.StreamResponse:
+        """Admit, claim where needed, and forward."""
+        body = await async_read_body(request, call, self.limits)
+        allowance = await self.admission.async_admit(call)
+        failed = False
+        try:
+            if call.key is not None and not call.route.repeatable:
+                return await self._async_forward_once(request, call, body, allowance)
+            reply = await async_attempt(self.parts, request, call, body, allowance)
+            call.latency_seconds = reply.latency_seconds
+            return await self._async_deliver(request, call, reply)
+        except GreengagepointError as error:
+            failed = error.kind in BACKEND_FAILURES
+            raise
+        finally:
+            self.admission.ended(call, call.latency_seconds, failed=failed)
+
+    async def _async_forward_once(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | StreamedBody | None,
+        allowance: RetryAllowance,
+    ) -> web.StreamResponse:
+        """Forward a request whose key may run at most once."""
+        claims = self.parts.claims
+        known_body = request.content_length if isinstance(body, StreamedBody) else body
+        digest = request_digest(call.method, call.target, known_body)
+        given = claims.replay(call.service.name, call.team, call.key, digest)
+        if given is not None:
+            return self._replayed(call, given)
+        claim = await self._async_claim(call, digest)
+        try:
+            reply = await async_attempt(self.parts, request, call, body, allowance)
+        except GreengagepointError as error:
+            await self._async_settle_claim(claim, error.ran)
+            raise
+        except BaseException:
+            sent = Ran.UNKNOWN if call.attempts else Ran.NOT_RUN
+            await self._async_settle_claim(claim, sent)
+            raise
+        call.latency_seconds = reply.latency_seconds
+        self._remember(claim, call, reply)
+        if claim.memory_only:
+            reply.headers = CIMultiDict(reply.headers)
+            reply.headers[HEADER_KEY_STATE] = KEY_STATE_MEMORY_ONLY
+        return await self._async_deliver(request, call, reply)
+
+    async def _async_claim(self, call: Call, digest: str) -> Claim:
+        """Claim the key, leaving time to run."""
+        now = self.parts.context.clock.monotonic()
+        return await self.parts.claims.async_claim(
+            call.service.name,
+            call.team,
+            call.key,
+            digest,
+            call.service.store_outage,
+            min(2.0, call.remaining(now) / 2),
+        )
+
+    async def _async_settle_claim(self, claim: Claim, ran: Ran) -> None:
+        """Release a claim whose request surely has not run; keep it otherwise."""
+        if ran is Ran.NOT_RUN:
+            await asyncio.shield(self.parts.claims.async_release(claim))
+        else:
+            self.parts.claims.remember(claim, None)
+
+    def _remember(self, claim: Claim, call: Call, reply: Reply) -> None:
+        """Keep a small answer so that a repeat of the key gets the same one."""
+        if reply.body is None:
+            self.parts.claims.remember(claim, None)
+            return
+        headers = self._headers(call, reply)
+        stored = StoredAnswer(reply.upstream.status, tuple(headers.items()), reply.body)
+        self.parts.claims.remember(claim, stored)
+
+    def _replayed(self, call: Call, stored: StoredAnswer) -> web.Response:
+        """Return the answer that an earlier request with the key got."""
+        headers = CIMultiDict(stored.headers)
+        headers[HEADER_REQUEST_ID] = call.request_id
+        headers[HEADER_HOST] = self.parts.context.host.name
+        headers[HEADER_KEY_STATE] = KEY_STATE_REPLAYED
+        return web.Response(status=stored.status, headers=headers, body=stored.body)
+
+    async def _async_deliver(
+        self, request: web.BaseRequest, call: Call, reply: Reply
+    ) -> web.StreamResponse:
+        """Pass an answer on; give its place back when it has ended."""
+        outcome = Outcome.CANCELLED
+        try:
+            if reply.body is not None:
+                call.received_bytes = len(reply.body)
+                outcome = _outcome_of_status(reply.upstream.status)
+                return small_answer(
+                    reply.upstream,
+                    self._headers(call, reply),
+                    reply.body,
+                    call.method,
+                )
+            response = await self._async_stream(request, call, reply)
+            outcome = Outcome.ANSWERED
+            return response
+        except AnswerBrokenError:
+            outcome = Outcome.FAILED
+            raise
+        finally:
+            reply.upstream.close()
+            give_back(self.parts, reply.placement, outcome, reply.latency_seconds)
+
+    async def _async_stream(
+        self, request: web.BaseRequest, call: Call, reply: Reply
+    ) -> web.StreamResponse:
+        """Stream a large answer; break it off visibly if it can't be finished."""
+        headers = self._headers(call, reply)
+        response = await async_begin_stream(request, reply.upstream, headers)
+        ends_at = min(call.ends_at, reply.placement.permit.end_by)
+        copying = async_copy_body(reply.upstream, response)
+        try:
+            call.received_bytes = await async_within(self.parts, ends_at, copying)
+        except TimeoutError as error:
+            break_off(request)
+            raise AnswerBrokenError(
+                ErrorKind.BACKEND_TIMEOUT, "The answer did not end before the deadline"
+            ) from error
+        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
+            break_off(request)
+            raise AnswerBrokenError(ErrorKind.BACKEND_TRUNCATED, str(error)) from error
+        await response.write_eof()
+        return response
+
+    def _headers(self, call: Call, reply: Reply) -> CIMultiDict[str]:
+        """Return the headers for the caller."""
+        host = self.parts.context.host.name
+        headers = answer_headers(reply.upstream, call.request_id, host)
+        state = reply.headers.get(HEADER_KEY_STATE)
+        if state is not None:
+            headers[HEADER_KEY_STATE] = state
+        return headers
+
+    def _note_answered(self, call: Call) -> None:
+        """Count a whole answer."""
+        self._count(call, KIND_OK, UsageOutcome.ANSWERED)
+        self.parts.context.events.record(
+            Event.REQUEST_ANSWERED, request_id=call.request_id, team=call.team
+        )
+
+    def _note_error(
+        self, call: Call | None, request_id: str, error: GreengagepointError
+    ) -> None:
+        """Count a refusal or a failure."""
+        if error.ran is not Ran.NOT_RUN:
+            self._note_failed(call, request_id, error.kind, error.detail, error.ran)
+            return
+        self._count(call, error.kind, UsageOutcome.NOT_RUN)
+        self.parts.context.events.record(
+            Event.REQUEST_REFUSED,
+            request_id=request_id,
+            team=call.team if call else None,
+            kind=error.kind,
+            detail=error.detail,
+        )
+
+    def _note_failed(
+        self,
+        call: Call | None,
+        request_id: str,
+        kind: ErrorKind,
+        detail: str,
+        ran: Ran,
+    ) -> None:
+        """Count a request that failed after it may have run."""
+        self._count(call, kind, UsageOutcome.FAILED)
+        self.parts.context.events.record(
+            Event.REQUEST_FAILED,
+            request_id=request_id,
+            team=call.team if call else None,
+            kind=kind,
+            detail=detail,
+            ran=ran,
+        )
+
+    def _note_cancelled(self, call: Call | None, request_id: str) -> None:
+        """Count a request whose caller went away."""
+        self._count(call, ErrorKind.CALLER_CANCELLED, UsageOutcome.FAILED)
+        self.parts.context.events.record(Event.REQUEST_CANCELLED, request_id=request_id)
+
+    def _count(self, call: Call | None, kind: str, outcome: UsageOutcome) -> None:
+        """Count one ended request for metrics and usage."""
+        if call is None:
+            self.parts.metrics.refuse_request("", kind)
+            return
+        now = self.parts.context.clock.monotonic()
+        service = call.service.name
+        self.parts.metrics.finish_request(service, kind, now - call.received_at)
+        self.parts.usage.count(
+            call.team, service, outcome, call.sent_bytes, call.received_bytes
+        )
+
+
+def _outcome_of_status(status: int) -> Outcome:
+    """Return how a whole answer counts for the backend server's health."""
+    return Outcome.FAILED if status in (500, 502, 503, 504) else Outcome.ANSWERED
--- /dev/null
+++ b/packages/node/greengagepoint_node/proxy/relay.py
@@ -0,0 +1,125 @@
+"""Relay a backend server's answer to the caller, whole or visibly broken."""
+
+from typing import Final
+
+import aiohttp
+from aiohttp import hdrs, web
+from multidict import CIMultiDict
+
+from greengagepoint_node.http.const import (
+    HEADER_HOST,
+    HEADER_LOAD,
+    HEADER_RAN,
+    HEADER_REQUEST_ID,
+    HOP_BY_HOP_HEADERS,
+)
+
+# An answer up to this size is read whole before the caller sees any of it, so that a
+# truncated one still becomes a typed error.
+SMALL_ANSWER_BYTES: Final = 64 * 1024
+
+BODILESS_STATUSES: Final = frozenset({204, 304})
+DROPPED_ANSWER_HEADERS: Final = HOP_BY_HOP_HEADERS | {
+    HEADER_LOAD.lower(),
+    HEADER_RAN.lower(),
+}
+
+
+def has_body(method: str, status: int) -> bool:
+    """Tell whether an answer carries a body."""
+    return method != hdrs.METH_HEAD and status not in BODILESS_STATUSES
+
+
+def is_framed(upstream: aiohttp.ClientResponse, method: str) -> bool:
+    """Tell whether the end of the answer can be told from a broken connection.
+
+    A body that only ends with the connection looks complete when it is cut off, so a
+    caller would take part of a drawing pack for the whole of it.
+    """
+    if not has_body(method, upstream.status):
+        return True
+    if hdrs.CONTENT_LENGTH in upstream.headers:
+        return True
+    return "chunked" in upstream.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+
+
+def answer_headers(
+    upstream: aiohttp.ClientResponse, request_id: str, host: str
+) -> CIMultiDict[str]:
+    """Return the headers for the caller."""
+    named = connection_headers(upstream.headers.get(hdrs.CONNECTION))
+    headers: CIMultiDict[str] = CIMultiDict()
+    for name, value in upstream.headers.items():
+        lowered = name.lower()
+        if lowered in DROPPED_ANSWER_HEADERS or lowered in named:
+            continue
+        headers.add(name, value)
+    headers[HEADER_REQUEST_ID] = request_id
+    headers[HEADER_HOST] = host
+    return headers
+
+
+def connection_headers(value: str | None) -> frozenset[str]:
+    """Return the header names that a Connection header declares hop-by-hop."""
+    if not value:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in value.split(","))
+
+
+def is_small(upstream: aiohttp.ClientResponse, method: str) -> bool:
+    """Tell whether the answer is short enough to be read before it is passed on."""
+    if not has_body(method, upstream.status):
+        return True
+    length = upstream.content_length
+    return length is not None and length <= SMALL_ANSWER_BYTES
+
+
+def small_answer(
+    upstream: aiohttp.ClientResponse,
+    headers: CIMultiDict[str],
+    body: bytes,
+    method: str,
+) -> web.Response:
+    """Return an answer whose body has been read whole."""
+    carried = body if has_body(method, upstream.status) else None
+    return web.Response(
+        status=upstream.status, reason=upstream.reason, headers=headers, body=carried
+    )
+
+
+async def async_begin_stream(
+    request: web.BaseRequest,
+    upstream: aiohttp.ClientResponse,
+    headers: CIMultiDict[str],
+) -> web.StreamResponse:
+    """Send the headers of an answer whose body follows in pieces."""
+    response = web.StreamResponse(
+        status=upstream.status, reason=upstream.reason, headers=headers
+    )
+    if hdrs.CONTENT_LENGTH not in headers:
+        response.enable_chunked_encoding()
+    await response.prepare(request)
+    return response
+
+
+async def async_copy_body(
+    upstream: aiohttp.ClientResponse, response: web.StreamResponse
+) -> int:
+    """Copy the body piece by piece; return its bytes.
+
+    Memory stays bounded: a piece is at most what the client's read buffer holds, and
+    the write waits until the caller has taken enough of the earlier ones.
+    """
+    copied = 0
+    async for piece in upstream.content.iter_any():
+        await response.write(piece)
+        copied += len(piece)
+    return copied
+
+
+def break_off(request: web.BaseRequest) -> None:
+    """Close the caller's connection so that a partial answer looks broken."""
+    # Ending the response normally would finish the chunked body, and the caller
+    # would take what it got for the whole answer.
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/packages/node/greengagepoint_node/status.py
@@ -0,0 +1,93 @@
+"""The state of one host, as operators see it."""
+
+from typing import Any, NamedTuple
+
+from greengagepoint.balancing.tables import BackendTable
+from greengagepoint.steering.tables import SteeringTable
+from greengagepoint_node.context import Context
+from greengagepoint_node.coordinators.caps import CapsCoordinator
+from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_node.coordinators.membership import MembershipCoordinator
+
+
+class StatusSources(NamedTuple):
+    """Where the state is read from."""
+
+    context: Context
+    config: ConfigCoordinator
+    membership: MembershipCoordinator
+    caps: CapsCoordinator
+    backends: BackendTable
+    steering: SteeringTable
+
+
+def read_status(sources: StatusSources, state: str, in_flight: int) -> dict[str, Any]:
+    """Return the members of ``GET /v1/status``."""
+    host = sources.context.host
+    configuration = sources.config.configuration
+    return {
+        "host": host.name,
+        "region": host.region,
+        "zone": host.zone,
+        "incarnation": host.incarnation,
+        "state": state,
+        "in_flight": in_flight,
+        "generation": configuration.generation,
+        "digest": configuration.digest,
+        "store_reverted": sources.config.reverted,
+        "store_available": sources.config.store_available,
+        "hosts": _hosts(sources.membership),
+        "unreachable_regions": sorted(sources.membership.unreachable_regions()),
+        "caps": sources.caps.status(),
+        "shifts": _shifts(sources.steering),
+        "drains": _drains(sources),
+    }
+
+
+def _hosts(membership: MembershipCoordinator) -> list[dict[str, Any]]:
+    """Return the hosts that this one knows."""
+    serving = membership.serving_hosts()
+    live = {host.name: host for host in (*membership.live_hosts(), *serving)}
+    names = {host.name for host in serving}
+    return [
+        {
+            "name": host.name,
+            "region": host.region,
+            "zone": host.zone,
+            "address": host.address,
+            "incarnation": host.incarnation,
+            "serving": host.name in names,
+        }
+        for _name, host in sorted(live.items())
+    ]
+
+
+def _shifts(steering: SteeringTable) -> list[dict[str, Any]]:
+    """Return how far each shift has come."""
+    return [
+        {
+            "name": row.name,
+            "cause": row.cause,
+            "service": row.service,
+            "from_site": row.from_site,
+            "to_site": row.to_site,
+            "fraction": row.fraction,
+            "target": row.target,
+        }
+        for row in steering.shifts.values()
+    ]
+
+
+def _drains(sources: StatusSources) -> list[dict[str, Any]]:
+    """Return what is still in flight to backend servers that are leaving."""
+    return [
+        {
+            "service": row.service,
+            "site": row.site,
+            "backend_server": row.name,
+            "sources": sorted(row.leaving),
+            "in_flight": row.in_flight,
+        }
+        for row in sources.backends.rows.values()
+        if row.leaving
+    ]
