Prove the whole path from a caller to a backend server

Cause: nothing showed that the parts work together; a stop was seen by other hosts' look-ups only at their next tick. Change: tests with two daemons, the stand-ins and real sockets; look-up answers are prepared again the moment a host's state changes.

--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -121,6 +121,16 @@
         self.state = STATE_STOPPED
         self.events.record(Event.DAEMON_STOPPED)
 
+    async def async_abort(self) -> None:
+        """Close at once, as a killed process would, without handing over."""
+        self.state = STATE_STOPPED
+        if self.tick_task is not None:
+            self.tick_task.cancel()
+        await self.runner.cleanup()
+        for part in reversed(self.coordinators):
+            await part.async_stop()
+        await self._async_close_links()
+
     async def _async_open(self) -> None:
         """Bind sockets and make what the coordinators stand on."""
         settings = self.settings
@@ -195,6 +205,7 @@
             BodyLimits(self.settings.max_body_bytes, self.settings.slow_sender_seconds),
         )
         self.config.on_change(self._on_configuration)
+        self.membership.on_change(self._prepare_lookups)
 
     def _host_list(self) -> HostList:
         """Return the platform's host list, or an empty one where there is none."""
@@ -323,6 +334,10 @@
             await part.async_stop()
         if self.tick_task is not None:
             self.tick_task.cancel()
+        await self._async_close_links()
+
+    async def _async_close_links(self) -> None:
+        """Close all connections that this host has opened."""
         await self.links.async_stop()
         await self.sessions.async_close()
         await self.platform_session.close()
--- /dev/null
+++ b/packages/node/tests/test_daemon_path.py
@@ -0,0 +1,142 @@
+"""The whole path: daemons, stand-ins and real sockets in one loop."""
+
+import asyncio
+import hashlib
+
+import pytest
+from deployment import Deployment, async_deployment, async_until
+
+from greengagepoint.usage.tables import UsageOutcome
+from greengagepoint_standins.backend_control import BackendControl
+
+PACK_BYTES = 3_000_000
+
+
+@pytest.fixture
+async def two_hosts():
+    async with async_deployment(
+        control=lambda: BackendControl(pack_bytes=PACK_BYTES)
+    ) as deployment:
+        yield deployment
+
+
+def runs_of_key(deployment: Deployment, key: str) -> int:
+    return sum(one.log.by_key[key] for one in deployment.backends.values())
+
+
+async def test_a_read_is_answered_by_each_host(two_hosts) -> None:
+    for daemon in two_hosts.daemons.values():
+        headers = {"Greengagepoint-Request-Id": f"id-{daemon.identity.name}"}
+        answer = await two_hosts.async_request(
+            daemon, "/s/booking/bays?near=1", headers=headers
+        )
+        assert answer.status == 200
+        assert answer.headers["Greengagepoint-Request-Id"] == headers.popitem()[1]
+        assert answer.headers["Greengagepoint-Host"] == daemon.identity.name
+
+
+async def test_a_lookup_names_all_hosts(two_hosts) -> None:
+    daemon = next(iter(two_hosts.daemons.values()))
+    answer = await two_hosts.async_request(daemon, "/v1/hosts?service=booking")
+    document = await answer.json()
+    assert {host["name"] for host in document["hosts"]} == set(two_hosts.daemons)
+
+
+async def test_a_large_answer_arrives_whole(two_hosts) -> None:
+    daemon = next(iter(two_hosts.daemons.values()))
+    answer = await two_hosts.async_request(daemon, "/s/booking/archive/may")
+    body = await answer.read()
+    assert len(body) == PACK_BYTES
+    digest = hashlib.sha256(body).digest().hex()
+    direct = f"http://{next(iter(two_hosts.backends.values())).address}/archive/may"
+    async with two_hosts.session.get(direct) as whole:
+        assert hashlib.sha256(await whole.read()).digest().hex() == digest
+
+
+async def test_the_same_key_runs_once_and_gets_the_same_answer(two_hosts) -> None:
+    """A driver's phone sends a reservation, loses the answer and sends it again.
+
+    The first goes through one host, is claimed in the store and runs. The second on
+    the same host gets the kept answer; one through another host is told that the key
+    is taken. In no case does the reservation run twice.
+    """
+    first, second = two_hosts.daemons.values()
+    post = {"method": "POST", "data": b"bay 7", "headers": {"Idempotency-Key": "k1"}}
+    answers = [
+        await two_hosts.async_request(daemon, "/s/booking/reservations", **post)
+        for daemon in (first, first, second)
+    ]
+    assert [answer.status for answer in answers] == [200, 200, 409]
+    assert answers[1].headers["Greengagepoint-Key"] == "replayed"
+    assert await answers[0].read() == await answers[1].read()
+    assert (await answers[2].json())["kind"] == "key_in_use"
+    assert runs_of_key(two_hosts, "k1") == 1
+
+
+async def test_a_shed_reservation_runs_elsewhere_once(two_hosts) -> None:
+    """A backend server sheds a payment before running it, and says so.
+
+    The host sends it to another server, because "not run" is certain; the driver
+    sees one answer and the reservation has run once.
+    """
+    for backend in two_hosts.backends.values():
+        if backend.server.name == "attiki-0":
+            backend.control.next_shed = 1
+    daemon = two_hosts.daemons["attiki-host-0"]
+    for number in range(4):
+        key = f"shed-{number}"
+        answer = await two_hosts.async_request(
+            daemon,
+            "/s/booking/reservations",
+            method="POST",
+            headers={"Idempotency-Key": key},
+        )
+        assert answer.status == 200
+        assert runs_of_key(two_hosts, key) == 1
+
+
+async def test_a_reservation_reset_after_its_run_is_not_sent_again(two_hosts) -> None:
+    """A backend server runs a payment and its connection breaks before the answer.
+
+    Nobody can tell whether it ran, so the host does not send it again: the driver is
+    told "unknown", and a repeat with the same key is refused instead of run.
+    """
+    for backend in two_hosts.backends.values():
+        backend.control.next_reset_after_run = 1
+    daemon = two_hosts.daemons["attiki-host-0"]
+    post = {"method": "POST", "headers": {"Idempotency-Key": "k2"}}
+    answer = await two_hosts.async_request(daemon, "/s/booking/reservations", **post)
+    assert (answer.status, (await answer.json())["ran"]) == (502, "unknown")
+    again = await two_hosts.async_request(daemon, "/s/booking/reservations", **post)
+    assert again.status == 409
+    assert runs_of_key(two_hosts, "k2") == 1
+
+
+async def test_usage_is_charged_to_the_team(two_hosts) -> None:
+    daemon = two_hosts.daemons["attiki-host-0"]
+    for _ in range(3):
+        await two_hosts.async_request(daemon, "/s/booking/bays")
+    rows = await daemon.usage.async_report()
+    assert [(row["team"], row["service"]) for row in rows] == [("drivers", "booking")]
+    assert UsageOutcome.ANSWERED in str(rows)
+
+
+async def test_a_planned_stop_cuts_nothing_off(two_hosts) -> None:
+    """An operator stops a host while a driver's look-up is still running on it.
+
+    The host leaves look-ups at once, finishes the request, waits until cached answers
+    that name it have run out, and only then closes. The driver sees a whole answer.
+    """
+    first, second = two_hosts.daemons.values()
+    for backend in two_hosts.backends.values():
+        backend.control.slow_factor = 20.0
+    running = asyncio.ensure_future(two_hosts.async_request(first, "/s/booking/bays"))
+    await async_until(lambda: first.pipeline.in_flight == 1)
+    stopping = asyncio.ensure_future(first.async_stop())
+    await async_until(lambda: len(second.membership.serving_hosts()) == 1)
+    lookup = await two_hosts.async_request(second, "/v1/hosts?service=booking")
+    names = [host["name"] for host in (await lookup.json())["hosts"]]
+    assert names == [second.identity.name]
+    assert (await running).status == 200
+    await stopping
+    assert first.state == "stopped"
