Test the configuration log under races, losses and several versions

Cause: the log was tested for its plain failures only, and the coordinator held reporting as well as its work. The coordinator ticks twice a second.

--- a/packages/node/greengagepoint_node/coordinators/config.py
+++ b/packages/node/greengagepoint_node/coordinators/config.py
@@ -26,20 +26,20 @@
     RecordError,
     StoreError,
 )
-from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.loading import RecordDocument
 from greengagepoint.records.schemas import NEWEST_VERSIONS
 from greengagepoint.records.versions import KnownVersions
 from greengagepoint_node.context import Context
+from greengagepoint_node.coordinators.config_reports import STORE_SOURCE, ConfigReports
 from greengagepoint_node.coordinators.config_store import Appended, Reading, StoredLog
 
 APPLY_ATTEMPTS: Final = 16
 CHECK_SECONDS: Final = 30.0
 RETRY_MIN_SECONDS: Final = 0.5
 RETRY_MAX_SECONDS: Final = 10.0
+TICK_SECONDS: Final = 0.5
 STOP_WATCHING_SECONDS: Final = 10.0
-STORE_SOURCE: Final = "store"
 
 ChangeCallback = Callable[[Configuration], None]
 
@@ -56,8 +56,7 @@
 class ConfigCoordinator:
     """Follow the log in the store or through peers, and append to it.
 
-    ``configuration`` is what is in force; ``reverted`` tells that the store holds
-    less than that, or another history, so that nothing can be written.
+    ``configuration`` is what is in force.
     """
 
     def __init__(
@@ -72,19 +71,17 @@
         self.exchange = Exchange(context.host, ConfigLog(newest))
         self.stored = StoredLog(context.store)
         self.configuration = EMPTY
-        self.reverted = False
-        self.store_available = True
+        self.reports = ConfigReports(context.events)
         self.store_read = False
         self.callbacks: list[ChangeCallback] = []
         self.unsubscribes: list[Callable[[], None]] = []
         self.follow_task: asyncio.Task[None] | None = None
         self.check_task: asyncio.Task[None] | None = None
+        self.tick_at = 0.0
         self.follow_at = 0.0
         self.retry_seconds = RETRY_MIN_SECONDS
         self.check_at = CHECK_SECONDS
         self.watcher_until = 0.0
-        self.reported_forks: set[tuple[int, str]] = set()
-        self.reported_faults: set[tuple[str | None, str]] = set()
         self.write_count = 0
 
     @property
@@ -124,6 +121,9 @@
 
     def tick(self, now: float) -> None:
         """Talk to peers, and watch or check the store where it is this host's turn."""
+        if now < self.tick_at:
+            return
+        self.tick_at = now + TICK_SECONDS
         live = self.live_hosts()
         self._send(peers.run(self.exchange, live, now, self.context.random))
         watching = is_watcher(self.context.host, live)
@@ -180,12 +180,7 @@
             entry = self._prepare(pinned, author, write_id)
             appended = await self.stored.async_append(entry)
             if appended is Appended.SETTLED:
-                self.context.events.record(
-                    Event.STORE_WRITE_SETTLED,
-                    used_for="configuration",
-                    write_id=write_id,
-                    generation=entry.generation,
-                )
+                self.reports.settled(entry)
             if appended is not Appended.TAKEN:
                 self._take((entry,), STORE_SOURCE)
                 await self._async_snapshot_after(entry)
@@ -202,13 +197,7 @@
         try:
             return prepare(self.log, changes, author, write_id, at_ms)
         except RecordError as error:
-            conflict = error.kind is ErrorKind.RECORD_CONFLICT
-            self.context.events.record(
-                Event.CONFIGURATION_CONFLICT if conflict else Event.RECORD_REFUSED,
-                record=error.record,
-                author=author,
-                detail=error.detail,
-            )
+            self.reports.refused(error, author)
             raise
 
     def _refuse_unheard(self) -> None:
@@ -240,7 +229,7 @@
     async def _async_read_for_write(self) -> None:
         """Catch up with the store, refusing to write to one that has gone back."""
         await self._async_read()
-        if self.reverted:
+        if self.reports.store_reverted:
             raise StoreError(
                 f"the store no longer holds generation {self.log.generation}, "
                 "which is in force",
@@ -252,11 +241,11 @@
         try:
             reading = await self.stored.async_read(self.log)
         except StoreError as error:
-            self._note_store(error)
+            self.reports.store(error)
             raise
-        self._note_store(None)
+        self.reports.store(None)
         self.store_read = True
-        self._note_reverted(reading.reverted)
+        self.reports.reverted(reading.reverted, self.log)
         if reading.base is not None:
             self._adopt(reading.base)
         self._take(reading.entries, STORE_SOURCE)
@@ -271,9 +260,9 @@
             elif is_watcher(self.context.host, self.live_hosts()):
                 await self._async_watch(reading.revision + 1)
         except StoreError as error:
-            self._note_store(error)
+            self.reports.store(error)
         except Exception as error:
-            self._note_internal(error)
+            self.reports.internal(error)
         finally:
             self._plan_retry()
 
@@ -299,9 +288,9 @@
             if self.log.generation >= held + 2 * SNAPSHOT_ENTRIES:
                 await self._async_write_snapshot()
         except StoreError as error:
-            self._note_store(error)
+            self.reports.store(error)
         except Exception as error:
-            self._note_internal(error)
+            self.reports.internal(error)
 
     async def _async_repair(self) -> None:
         """Bring a restored store up to this log where its chain allows it."""
@@ -316,7 +305,7 @@
         try:
             await self._async_write_snapshot()
         except StoreError as error:
-            self._note_store(error)
+            self.reports.store(error)
 
     async def _async_write_snapshot(self) -> None:
         """Write a snapshot of this log."""
@@ -341,87 +330,23 @@
             if len(new) <= peers.PUSHED_ENTRIES_MAX:
                 self._send(peers.push(self.exchange, new, self.live_hosts()))
             self._publish(source)
-        self._note_fork()
+        self.reports.fork(self.exchange.fork)
         return outcome
 
     def _adopt(self, base: ConfigLog) -> None:
         """Put a snapshot from the store in force where it is ahead."""
         if peers.adopt(self.exchange, base, STORE_SOURCE):
             self._publish(STORE_SOURCE)
-        self._note_fork()
+        self.reports.fork(self.exchange.fork)
 
     def _publish(self, source: str) -> None:
         """Put the log's records in force and tell everyone on this host."""
         self.configuration = effective(self.log)
-        fields = {"generation": self.log.generation, "digest": self.log.digest}
-        if source != STORE_SOURCE:
-            self.context.events.record(
-                Event.CONFIGURATION_FROM_PEER, peer=source, **fields
-            )
-        self.context.events.record(
-            Event.CONFIGURATION_IN_FORCE, source=source, **fields
-        )
-        self._report_faults()
+        self.reports.in_force(self.log, source)
+        self.reports.faults(not_understood(self.log))
         for callback in tuple(self.callbacks):
             callback(self.configuration)
 
-    def _report_faults(self) -> None:
-        """Report each record of which an older document stays in force, once."""
-        for fault in not_understood(self.log):
-            key = (fault.record, fault.detail)
-            if key in self.reported_faults:
-                continue
-            self.reported_faults.add(key)
-            too_new = fault.kind is ErrorKind.RECORD_SCHEMA_UNKNOWN
-            self.context.events.record(
-                Event.RECORD_TOO_NEW if too_new else Event.RECORD_REFUSED,
-                record=fault.record,
-                detail=fault.detail,
-            )
-
-    def _note_store(self, error: StoreError | None) -> None:
-        """Report when the store fails and when it answers again."""
-        if error is not None and error.kind is ErrorKind.STORE_ANSWER_INVALID:
-            self.context.events.record(
-                Event.STORE_ANSWER_INVALID, used_for="configuration", detail=str(error)
-            )
-            return
-        available = error is None
-        if available is self.store_available:
-            return
-        self.store_available = available
-        self.context.events.record(
-            Event.STORE_AVAILABLE if available else Event.STORE_UNAVAILABLE,
-            used_for="configuration",
-        )
-
-    def _note_internal(self, error: Exception) -> None:
-        """Report a fault of this code, which would vanish with its task."""
-        self.context.events.record(
-            Event.INTERNAL_ERROR, used_for="configuration", error=repr(error)
-        )
-
-    def _note_reverted(self, reverted: bool) -> None:
-        """Report when the store has gone back."""
-        if reverted and not self.reverted:
-            self.context.events.record(
-                Event.STORE_REVERTED,
-                generation=self.log.generation,
-                digest=self.log.digest,
-                source=STORE_SOURCE,
-            )
-        self.reverted = reverted
-
-    def _note_fork(self) -> None:
-        """Report another history that the store or a peer has offered, once."""
-        fork = self.exchange.fork
-        if fork is None or fork in self.reported_forks:
-            return
-        self.reported_forks.add(fork)
-        self.context.events.record(
-            Event.STORE_REVERTED, generation=fork.generation, source=fork.source
-        )
-
     def _on_entries(self, sender: str, message: ConfigEntries) -> None:
         self._handle(sender, peers.on_entries, message, self.live_hosts())
 
@@ -449,7 +374,7 @@
         self._send(handler(self.exchange, sender, message, *arguments))
         if self.log.generation != before:
             self._publish(sender)
-        self._note_fork()
+        self.reports.fork(self.exchange.fork)
 
     def _send(self, sends: Sequence[Send]) -> None:
         """Send messages to peers; a lost one is made good by anti-entropy."""
--- a/packages/node/tests/test_config_coordinator.py
+++ b/packages/node/tests/test_config_coordinator.py
@@ -2,10 +2,15 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from greengagepoint.config.entries import Change
+from greengagepoint.config.entries import Change, Entry
+from greengagepoint.config.layout import LOG_PREFIX
+from greengagepoint.config.snapshot import SNAPSHOT_ENTRIES
 from greengagepoint.errors import (
     ErrorKind,
     GreengagepointError,
@@ -15,6 +20,7 @@
 from greengagepoint.records.loading import RecordDocument
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_standins import virtual_time
 from greengagepoint_standins.memory_fleet import (
     FleetStore,
     ManualClock,
@@ -108,6 +114,9 @@
     assert nodes[7].history(5)[0].author == "maria"
     assert [stored.generation for stored in nodes[7].documents()] == [1, 1]
     unsubscribe()
+    await nodes[0].async_apply([team("booking", 6)], "maria")
+    await fleet.async_drain()
+    assert len(seen) == 1
 
 
 async def test_lost_reply_is_settled_by_reading_back(fleet):
@@ -230,6 +239,29 @@
     assert nodes[2].configuration.teams["booking"].burst == 9
 
 
+async def test_snapshots_bound_the_log_in_the_store(fleet):
+    """Many changes are made; then a host starts with nothing, without peers.
+
+    The log below the last snapshots is cut, the new host reads a snapshot and the
+    entries after it, and a wiped store is filled again from a snapshot.
+    """
+    nodes = await start(fleet, 2)
+    for burst in range(1, 3 * SNAPSHOT_ENTRIES + 10):
+        await nodes[0].async_apply([team("booking", burst)], "maria")
+    await fleet.async_drain()
+    entries = [key for key in fleet.store.rows if key.startswith(LOG_PREFIX)]
+    assert len(entries) <= 2 * SNAPSHOT_ENTRIES
+    fleet.store.restore({})
+    await fleet.async_settle(40)
+    other = Fleet()
+    other.store.restore(fleet.store.rows)
+    new = await other.async_add("host-new")
+    await other.async_drain()
+    assert new.log.digest == nodes[1].log.digest
+    assert new.configuration == nodes[1].configuration
+    await new.async_stop()
+
+
 @pytest.mark.parametrize("kept", [0, 1, 2])
 async def test_restored_store_is_repaired_from_the_hosts(fleet, kept):
     """The store is restored from a backup that lacks the last generations.
@@ -250,7 +282,8 @@
     assert entry.generation == 4
 
 
-async def test_store_with_another_history_is_refused(fleet):
+@pytest.mark.parametrize("names", [["one"], ["one", "two", "three"]])
+async def test_store_with_another_history_is_refused(fleet, names):
     """The store is wiped and someone begins a second history in it.
 
     The hosts keep theirs, report it, and refuse to write or to repair: joining
@@ -262,7 +295,7 @@
     await fleet.async_drain()
     other = Fleet()
     stranger = await other.async_add("stranger")
-    for name in ("one", "two", "three"):
+    for name in names:
         await stranger.async_apply([team(name)], "eve")
     await stranger.async_stop()
     fleet.store.restore(other.store.rows)
@@ -272,3 +305,57 @@
     with pytest.raises(GreengagepointError) as caught:
         await nodes[1].async_apply([team("records")], "nikos")
     assert caught.value.kind is ErrorKind.STORE_REVERTED
+    assert len(fleet.store.rows) == len(names)
+
+
+FAULTS = st.sampled_from(
+    [StoreFault.NONE, StoreFault.DOWN, StoreFault.LOST_REPLY, StoreFault.LATE_WRITE]
+)
+
+
+@settings(max_examples=25)
+@given(
+    st.integers(min_value=0, max_value=10**6),
+    st.lists(FAULTS, max_size=12),
+    st.lists(st.sampled_from("abc"), min_size=2, max_size=8),
+)
+def test_racing_writers_with_lost_and_late_writes(seed, faults, names):
+    """Operators write through four hosts at once; the store is slow and loses.
+
+    Writes fail, take effect without a reply, or arrive three seconds late. Each
+    that was accepted stands in the log once, none that was refused does, and all
+    hosts end with the same history.
+    """
+
+    async def async_run():
+        fleet = Fleet()
+        rng = random.Random(seed)
+        fleet.store.delay = lambda: rng.random() / 5
+        nodes = await start(fleet)
+        await asyncio.sleep(2)
+        await fleet.async_drain()
+        fleet.store.write_faults.extend(faults)
+        results = await asyncio.gather(
+            *(
+                nodes[index % 4].async_apply([team(name, 5 + index)], "op", f"w{index}")
+                for index, name in enumerate(names)
+            ),
+            return_exceptions=True,
+        )
+        await asyncio.sleep(10)
+        await fleet.async_settle(15)
+        written = Counter(entry.write_id for entry in nodes[0].history(len(names) + 1))
+        assert {node.log.digest for node in nodes} == {nodes[0].log.digest}
+        assert len(written) == nodes[0].log.generation
+        for index, result in enumerate(results):
+            if isinstance(result, Entry):
+                assert written[f"w{index}"] == 1
+            elif isinstance(result, StoreOutcomeUnknownError):
+                assert written[f"w{index}"] <= 1
+            else:
+                assert isinstance(result, GreengagepointError)
+                assert written[f"w{index}"] == 0
+        for node in nodes:
+            await node.async_stop()
+
+    virtual_time.run(async_run())
