Add the operators' client

Cause: operators drive the system only by writing records, and need to see it. Change: the commands validate, diff, apply, remove, get, history, status, hosts, usage, events, timeline, drain and shift over the operators' API, with stable exit codes; a write is repeated under its write id when its reply was lost; status and timeline ask every host and join the answers. Measured: nothing yet; 33 tests against a fake API over the real change log pass. Conclusion: usable; to be tried against running daemons next.

--- /dev/null
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -0,0 +1,186 @@
+"""Speak to the operators' API of entry hosts."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
+from contextlib import asynccontextmanager
+from typing import Any, NamedTuple, TypeVar
+
+import aiohttp
+
+from greengagepoint.errors import ErrorKind
+from greengagepoint_cli.const import (
+    ANSWER_TIMEOUT_SECONDS,
+    CONNECT_TIMEOUT_SECONDS,
+    MAX_ANSWER_BYTES,
+    MAX_HOSTS_AT_ONCE,
+    ExitCode,
+)
+from greengagepoint_cli.errors import ClientError, ProblemError, UnreachableError
+
+T = TypeVar("T")
+
+# Another host may well do what this one cannot do now.
+KINDS_TO_TRY_ELSEWHERE = frozenset(
+    {
+        ErrorKind.NOT_READY,
+        ErrorKind.HOST_LEAVING,
+        ErrorKind.STORE_UNAVAILABLE,
+        ErrorKind.STORE_OUTCOME_UNKNOWN,
+    }
+)
+
+
+class HostAnswer(NamedTuple):
+    """The answer of one host, or why there is none."""
+
+    host: str
+    document: dict[str, Any] | None
+    fault: str = ""
+
+
+class Api:
+    """Call the first server that answers."""
+
+    def __init__(
+        self, session: aiohttp.ClientSession, servers: Iterable[str], key: str | None
+    ) -> None:
+        self.session = session
+        self.servers = tuple(server.rstrip("/") for server in servers)
+        self.headers = {"Authorization": f"Bearer {key}"} if key else {}
+
+    async def async_get(
+        self, path: str, params: Mapping[str, str] | None = None
+    ) -> dict[str, Any]:
+        """Read from the first server that answers."""
+        return await self._async_try_each("GET", path, params, None)
+
+    async def async_apply(self, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Write changes; a write whose answer was lost is repeated at the next server.
+
+        The body carries a write id, and a host that meets it again answers with the
+        generation that it made, so the repetition cannot apply the changes twice.
+        """
+        assert body["write_id"]
+        return await self._async_try_each("POST", "/v1/records/apply", None, body)
+
+    async def async_ask_all(
+        self, path: str, params: Mapping[str, str] | None = None
+    ) -> list[HostAnswer]:
+        """Read from every host that the first answering server knows."""
+        status = await self.async_get("/v1/status")
+        hosts = {row["name"]: f"http://{row['address']}" for row in status["hosts"]}
+        limit = asyncio.Semaphore(MAX_HOSTS_AT_ONCE)
+
+        async def async_ask(host: str, server: str) -> HostAnswer:
+            async with limit:
+                try:
+                    document = await self.async_call("GET", server, path, params)
+                except ProblemError as error:
+                    return HostAnswer(host, None, error.lines[0])
+                except (aiohttp.ClientError, TimeoutError) as error:
+                    return HostAnswer(host, None, _describe(error))
+                return HostAnswer(host, document)
+
+        return await asyncio.gather(
+            *(async_ask(host, server) for host, server in sorted(hosts.items()))
+        )
+
+    async def async_call(
+        self,
+        method: str,
+        server: str,
+        path: str,
+        params: Mapping[str, str] | None = None,
+        body: Mapping[str, Any] | None = None,
+    ) -> dict[str, Any]:
+        """Call one server; raise ProblemError for a problem answer."""
+        async with self.session.request(
+            method, server + path, params=params, json=body, headers=self.headers
+        ) as response:
+            # One read call returns what has arrived, so read to the end or the bound.
+            data = bytearray()
+            async for part in response.content.iter_chunked(65_536):
+                data += part
+                if len(data) > MAX_ANSWER_BYTES:
+                    raise aiohttp.ClientPayloadError("the answer is too large")
+            document = _decode(bytes(data))
+            if response.status != 200:
+                raise ProblemError(document or {}, response.status)
+            if document is None:
+                raise aiohttp.ClientPayloadError("the answer is not a JSON object")
+            return document
+
+    async def _async_try_each(
+        self,
+        method: str,
+        path: str,
+        params: Mapping[str, str] | None,
+        body: Mapping[str, Any] | None,
+    ) -> dict[str, Any]:
+        """Call servers in order until one answers with more than an outage."""
+        attempts: list[str] = []
+        problem: ProblemError | None = None
+        maybe_written = False
+        # A write that may have been made is worth a second round: it settles what
+        # the operator would otherwise have to find out by hand.
+        for server in (*self.servers, *(self.servers if body is not None else ())):
+            if len(attempts) >= len(self.servers) and not maybe_written:
+                break
+            try:
+                return await self.async_call(method, server, path, params, body)
+            except ProblemError as error:
+                if error.kind not in KINDS_TO_TRY_ELSEWHERE:
+                    raise
+                problem = problem or error
+                maybe_written |= error.kind is ErrorKind.STORE_OUTCOME_UNKNOWN
+                attempts.append(f"  {server}: {error.lines[0]}")
+            except (aiohttp.ClientError, TimeoutError) as error:
+                maybe_written |= not isinstance(error, aiohttp.ClientConnectorError)
+                attempts.append(f"  {server}: {_describe(error)}")
+        if body is not None and maybe_written:
+            raise ClientError(
+                ExitCode.OUTCOME_UNKNOWN,
+                "the change may have taken effect; to find out, repeat it with "
+                f"--write-id {body['write_id']}: it is applied once at most",
+                *attempts,
+            )
+        raise problem or UnreachableError(attempts)
+
+
+@asynccontextmanager
+async def open_api(servers: Iterable[str], key: str | None) -> AsyncIterator[Api]:
+    """Open a session with the servers."""
+    timeout = aiohttp.ClientTimeout(
+        total=ANSWER_TIMEOUT_SECONDS, sock_connect=CONNECT_TIMEOUT_SECONDS
+    )
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        yield Api(session, servers, key)
+
+
+def run_call(
+    servers: Iterable[str], key: str | None, call: Callable[[Api], Awaitable[T]]
+) -> T:
+    """Run one command's calls to the servers."""
+
+    async def async_run() -> T:
+        async with open_api(servers, key) as api:
+            return await call(api)
+
+    return asyncio.run(async_run())
+
+
+def _decode(data: bytes) -> dict[str, Any] | None:
+    """Return a JSON object, or None for anything else."""
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    return document if isinstance(document, dict) else None
+
+
+def _describe(error: Exception) -> str:
+    """Return one line on a failed call."""
+    if isinstance(error, TimeoutError):
+        return "no answer in time"
+    return " ".join(str(error).split()) or type(error).__name__
--- /dev/null
+++ b/packages/cli/greengagepoint_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the client."""
--- /dev/null
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -0,0 +1,109 @@
+"""The command that merges the events of all hosts."""
+
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from greengagepoint_cli.api import HostAnswer, run_call
+from greengagepoint_cli.const import ExitCode, TimelineOutput
+from greengagepoint_cli.errors import ClientError
+from greengagepoint_cli.options import (
+    Servers,
+    operator_key,
+    parse_moment,
+    server_list,
+)
+from greengagepoint_cli.output import Column, as_time, field, show_json, table_lines
+from greengagepoint_cli.timeline_page import render_page
+
+COLUMNS = (
+    Column("time", lambda row: f"{as_time(row['clock'][0])}.{row['clock'][1]}"),
+    field("host"),
+    field("number", right=True),
+    Column("event", lambda row: row["name"].lower()),
+    Column("fields", lambda row: _fields(row["fields"])),
+)
+
+
+def register(app: typer.Typer) -> None:
+    """Add the command of this module."""
+    app.command()(timeline)
+
+
+def timeline(
+    request_id: Annotated[
+        str | None, typer.Option(help="Only events of this request.")
+    ] = None,
+    team: Annotated[str | None, typer.Option(help="Only events of this team.")] = None,
+    site: Annotated[str | None, typer.Option(help="Only events of this site.")] = None,
+    kind: Annotated[
+        str | None, typer.Option(help="Only this event, by number or name.")
+    ] = None,
+    since: Annotated[
+        str | None,
+        typer.Option(help="Only later events: RFC 3339, or as 5m for minutes ago."),
+    ] = None,
+    file: Annotated[
+        Path | None, typer.Option(help="Write to this file.", dir_okay=False)
+    ] = None,
+    server: Servers = None,
+    output: Annotated[
+        TimelineOutput, typer.Option(help="Form of what is printed.")
+    ] = TimelineOutput.TEXT,
+) -> None:
+    """Show the events of all hosts in order; exit with 5 if a host is mute."""
+    filters = {"request_id": request_id, "team": team, "site": site, "kind": kind}
+    params = {name: value for name, value in filters.items() if value is not None}
+    if since is not None:
+        moment = parse_moment(since, "--since")
+        params["since"] = str(max(0, int(moment.timestamp() * 1000)))
+    answers = run_call(
+        server_list(server),
+        operator_key(),
+        lambda api: api.async_ask_all("/v1/timeline", params),
+    )
+    missing = [answer for answer in answers if answer.document is None]
+    if missing and len(missing) == len(answers):
+        raise ClientError(ExitCode.SERVER_ERROR, *(one.fault for one in missing))
+    _write(merge(answers), [one.host for one in missing], output, file)
+    for answer in missing:
+        typer.echo(f"no events from {answer.host}: {answer.fault}", err=True)
+    if missing:
+        raise typer.Exit(ExitCode.UNREACHABLE)
+
+
+def merge(answers: list[HostAnswer]) -> list[dict[str, Any]]:
+    """Return the events of all hosts in the order of their hybrid clocks."""
+    events = [
+        event
+        for answer in answers
+        if answer.document is not None
+        for event in answer.document["events"]
+    ]
+    return sorted(events, key=lambda one: (*one["clock"], one["host"], one["number"]))
+
+
+def _write(
+    events: list[dict[str, Any]],
+    missing: list[str],
+    output: TimelineOutput,
+    file: Path | None,
+) -> None:
+    """Print the events, or write them to a file."""
+    if output is TimelineOutput.JSON and file is None:
+        show_json({"events": events, "missing": missing})
+        return
+    if output is TimelineOutput.HTML:
+        text = render_page(events, missing)
+    else:
+        text = "\n".join(table_lines(events, COLUMNS)) + "\n"
+    if file is None:
+        typer.echo(text, nl=False)
+    else:
+        file.write_text(text, encoding="utf-8")
+
+
+def _fields(fields: dict[str, Any]) -> str:
+    """Return an event's fields on one line."""
+    return " ".join(f"{name}={value}" for name, value in fields.items())
