--- a/packages/core/greengagepoint/membership/claims.py
+++ b/packages/core/greengagepoint/membership/claims.py
@@ -62,8 +62,7 @@
     row = tables.members.get(claim.name)
     if row is None:
         _store(tables, claim, now, heard_at=now)
-        if tables.in_detail(claim):
-            pass_on(tables, claim)
+        pass_on(tables, claim)
         return None
     held = row.claim
     if claim.version > held.version:
@@ -108,10 +107,13 @@
     _store(tables, claim, now, heard_at=row.heard_at)
     if tell:
         pass_on(tables, claim)
+        tables.alert = True
 
 
 def pass_on(tables: MembershipTables, claim: Claim) -> None:
-    """Queue a claim to travel with the next messages."""
+    """Queue a claim on a host tracked in detail to travel with the next messages."""
+    if not tables.in_detail(claim):
+        return
     doublings = (len(tables.members) + 1).bit_length()
     sends = CLAIM_SENDS_PER_DOUBLING * doublings
     tables.passing[claim.name] = Passing(claim, sends)
--- a/packages/core/greengagepoint/membership/messages.py
+++ b/packages/core/greengagepoint/membership/messages.py
@@ -46,23 +46,29 @@
 
 
 class ZoneDigest(msgspec.Struct, frozen=True, array_like=True):
-    """The state of one availability zone; ``beat`` grows while it is kept up."""
+    """The state of one availability zone.
+
+    ``beat`` grows while it is kept up, ``contacts_beat`` is the beat at which its
+    contacts last changed. Most messages leave the contacts out to stay small.
+    """
 
     region: str
     zone: str
     beat: int
     alive: int
     serving: int
+    contacts_beat: int
     contacts: tuple[Contact, ...]
 
 
 class RegionSum(msgspec.Struct, frozen=True, array_like=True):
-    """The state of one region; ``beat`` grows while it is kept up."""
+    """The state of one region, with beats and contacts as in ``ZoneDigest``."""
 
     region: str
     beat: int
     alive: int
     serving: int
+    contacts_beat: int
     contacts: tuple[Contact, ...]
 
 
--- a/packages/core/greengagepoint/membership/overview.py
+++ b/packages/core/greengagepoint/membership/overview.py
@@ -4,6 +4,8 @@
 from operator import attrgetter
 from typing import Final
 
+import msgspec
+
 from greengagepoint.membership.messages import (
     Claim,
     Contact,
@@ -19,7 +21,9 @@
 DELEGATES: Final = 2
 OVERVIEW_SECONDS: Final = 2.0
 SUMS_PER_OVERVIEW: Final = 5
-ITEMS_PER_MESSAGE: Final = 2
+ITEMS_PER_MESSAGE: Final = 4
+# One item in so many carries its contacts.
+ITEMS_PER_CONTACTS: Final = 8
 # Sums reach every host of 4,900 by gossip in some tens of seconds.
 ITEM_STALE_SECONDS: Final = 60.0
 CONTACT_FORGET_SECONDS: Final = 120.0
@@ -53,7 +57,7 @@
     _sum_zone(tables, chosen, now)
     _sum_region(tables, now)
     for target in _partners(tables, random):
-        yield Send(target, _overview(tables, random, reply=True))
+        yield Send(target, _overview(tables, _chosen(tables, random), reply=True))
 
 
 def receive(
@@ -63,9 +67,7 @@
     tables.heard_at = now
     take_in(tables, message.zones, message.regions, now)
     if message.reply and not tables.detail_everywhere:
-        sums = tuple(heard.item for heard in _freshest(tables.regions.values()))
-        zones = tuple(heard.item for heard in tables.zones.values())
-        yield Send(sender, Overview(zones=zones, regions=sums, reply=False))
+        yield Send(sender, _overview(tables, _freshest(tables), reply=False))
 
 
 def take_in(
@@ -88,11 +90,14 @@
     """Return the next few digests and sums in turn, to travel with a probe."""
     if tables.detail_everywhere:
         return (), ()
-    items = [heard.item for heard in (*tables.zones.values(), *tables.regions.values())]
+    rows = [*tables.zones.values(), *tables.regions.values()]
     chosen = []
-    for _ in range(min(ITEMS_PER_MESSAGE, len(items))):
+    for _ in range(min(ITEMS_PER_MESSAGE, len(rows))):
         tables.items_sent += 1
-        chosen.append(items[tables.items_sent % len(items)])
+        full = tables.items_sent % ITEMS_PER_CONTACTS == 0
+        # The turn shifts by one each round, so that each item gets its contacts out.
+        turn = tables.items_sent + tables.items_sent // (8 * len(rows))
+        chosen.append(_item(rows[turn % len(rows)], full=full))
     zones = tuple(item for item in chosen if isinstance(item, ZoneDigest))
     return zones, tuple(item for item in chosen if isinstance(item, RegionSum))
 
@@ -110,35 +115,54 @@
     now: float,
 ) -> None:
     """Hold an item if its beat is newer."""
-    before = held.get(key)
-    if before is not None and item.beat <= before.item.beat:
-        return
-    held[key] = Heard(item, now)
-    if before is None or before.item.contacts != item.contacts:
+    row = held.get(key)
+    if row is None:
+        row = held[key] = Heard(item, now)
+    elif item.beat > row.item.beat:
+        row.item = item
+        row.heard_at = now
+    if item.contacts and item.contacts_beat > row.contacts_beat:
+        row.contacts_beat = item.contacts_beat
+        row.contacts = item.contacts
         tables.version += 1
         for contact in item.contacts:
             tables.learn_address(contact.name, contact.peer_address)
 
 
-def _freshest(rows: Iterable[Heard]) -> list[Heard]:
+def _item(row: Heard, *, full: bool) -> ZoneDigest | RegionSum:
+    """Return an item to send, with the newest contacts or with none."""
+    return msgspec.structs.replace(
+        row.item,
+        contacts_beat=row.contacts_beat,
+        contacts=row.contacts if full else (),
+    )
+
+
+def _freshest(tables: MembershipTables) -> list[Heard]:
     """Return the sums that changed last, few enough for one message."""
-    ordered = sorted(rows, key=lambda heard: -heard.heard_at)
+    ordered = sorted(tables.regions.values(), key=lambda heard: -heard.heard_at)
     return ordered[:SUMS_PER_OVERVIEW]
 
 
-def _overview(tables: MembershipTables, random: Random, *, reply: bool) -> Overview:
-    """Build an overview: the region's zones and some of the sums."""
-    zones = tuple(heard.item for heard in tables.zones.values())
-    own = tables.regions[tables.me.region].item
+def _chosen(tables: MembershipTables, random: Random) -> list[Heard]:
+    """Return the own sum and a random choice of the others."""
     others = [
-        heard.item
-        for region, heard in tables.regions.items()
-        if region != tables.me.region
+        heard for region, heard in tables.regions.items() if region != tables.me.region
     ]
-    chosen = [own]
+    chosen = [tables.regions[tables.me.region]]
     for _ in range(min(SUMS_PER_OVERVIEW - 1, len(others))):
         chosen.append(others.pop(random.randrange(len(others))))
-    return Overview(zones=zones, regions=tuple(chosen), reply=reply)
+    return chosen
+
+
+def _overview(tables: MembershipTables, sums: list[Heard], *, reply: bool) -> Overview:
+    """Build an overview; the first zone and the first sum carry their contacts."""
+    rows = list(tables.zones.values())
+    tables.items_sent += 1
+    turn = tables.items_sent % len(rows) if rows else 0
+    zones = tuple(_item(row, full=index == turn) for index, row in enumerate(rows))
+    regions = tuple(_item(row, full=index == 0) for index, row in enumerate(sums))
+    return Overview(zones=zones, regions=regions, reply=reply)
 
 
 def _contacts(claims: Iterable[Claim]) -> tuple[Contact, ...]:
@@ -162,29 +186,42 @@
     alive = [claim for claim in claims if claim.state is not HostState.GONE]
     alive.append(me)
     serving = sum(not claim.leaving for claim in alive)
-    before = tables.zones.get((me.region, me.zone))
-    beat = before.item.beat + 1 if before else 1
-    item = ZoneDigest(me.region, me.zone, beat, len(alive), serving, _contacts(chosen))
-    _keep(tables, tables.zones, (me.region, me.zone), item, now)
+    key = (me.region, me.zone)
+    before = tables.zones.get(key)
+    contacts = _contacts(chosen)
+    beat, changed = _next_beat(before, contacts)
+    item = ZoneDigest(me.region, me.zone, beat, len(alive), serving, changed, contacts)
+    _keep(tables, tables.zones, key, item, now)
 
 
 def _sum_region(tables: MembershipTables, now: float) -> None:
     """Write this region's sum with a newer beat, from the digests of its zones."""
     me = tables.me
-    zones = [heard.item for heard in tables.zones.values() if fresh(heard, now)]
-    before = tables.regions.get(me.region)
-    beat = before.item.beat + 1 if before else 1
+    zones = [heard for heard in tables.zones.values() if fresh(heard, now)]
+    zones.sort(key=lambda heard: heard.item.zone)
     contacts = tuple(zone.contacts[0] for zone in zones if zone.contacts)
+    contacts = contacts[: DELEGATES + 1]
+    beat, changed = _next_beat(tables.regions.get(me.region), contacts)
     item = RegionSum(
         me.region,
         beat,
-        sum(zone.alive for zone in zones),
-        sum(zone.serving for zone in zones),
-        contacts[: DELEGATES + 1],
+        sum(zone.item.alive for zone in zones),
+        sum(zone.item.serving for zone in zones),
+        changed,
+        contacts,
     )
     _keep(tables, tables.regions, me.region, item, now)
 
 
+def _next_beat(before: Heard | None, contacts: tuple[Contact, ...]) -> tuple[int, int]:
+    """Return the next beat of an item and the beat at which its contacts changed."""
+    if before is None:
+        return 1, 1
+    beat = before.item.beat + 1
+    same = before.contacts == contacts
+    return beat, before.contacts_beat if same else beat
+
+
 def _partners(tables: MembershipTables, random: Random) -> list[str]:
     """Choose one host of another zone here and one of another region.
 
@@ -194,7 +231,7 @@
     near = [
         contact.name
         for heard in tables.zones.values()
-        for contact in heard.item.contacts
+        for contact in heard.contacts
         if heard.item.zone != me.zone
     ]
     near += [
@@ -205,7 +242,7 @@
     far = [
         contact.name
         for region, heard in tables.regions.items()
-        for contact in heard.item.contacts
+        for contact in heard.contacts
         if region != me.region
     ]
     # Listed hosts of all regions stay candidates, so that regions that were cut apart
--- a/packages/core/greengagepoint/membership/probing.py
+++ b/packages/core/greengagepoint/membership/probing.py
@@ -11,10 +11,12 @@
 from greengagepoint.protocols import Random
 
 PROBE_SECONDS: Final = 1.0
+RESEND_SECONDS: Final = 0.5
 ACK_SECONDS: Final = 1.0
-FAIL_SECONDS: Final = 2.5
+HELPED_SECONDS: Final = 1.0
 HELPERS: Final = 3
 NEIGHBOURS_MAX: Final = 24
+ALERTED: Final = 8
 SUSPICION_SECONDS: Final = 4.0
 SUSPECTS_PROBED: Final = 4
 # A rumour of suspicion that nobody settled for so long is looked into here.
@@ -63,6 +65,7 @@
     if target is not None:
         yield from _probe(tables, target, now)
     yield from _revive(tables, now, random)
+    yield from _alert(tables, random)
 
 
 def _probe(tables: MembershipTables, target: str, now: float) -> Iterator[Send]:
@@ -79,15 +82,21 @@
         waited = now - probe.sent_at
         if row is not None and row.heard_at >= probe.sent_at:
             del tables.probes[sequence]
-        elif waited >= FAIL_SECONDS:
-            del tables.probes[sequence]
-            if row is not None and tables.in_detail(row.claim):
+        elif row is None:
+            if waited >= ACK_SECONDS + HELPED_SECONDS:
+                del tables.probes[sequence]
+        elif probe.asked_at is not None:
+            if now - probe.asked_at >= HELPED_SECONDS:
+                del tables.probes[sequence]
                 _suspect(tables, row, now)
-        elif waited >= ACK_SECONDS and not probe.asked and row is not None:
-            probe.asked = True
+        elif waited >= ACK_SECONDS:
+            probe.asked_at = now
             yield from _ask_helpers(tables, sequence, row, random)
+        elif waited >= RESEND_SECONDS and not probe.resent:
+            probe.resent = True
+            yield messaging.ping(tables, probe.target, sequence)
     for sequence, relay in list(tables.relays.items()):
-        if now - relay.sent_at >= FAIL_SECONDS:
+        if now - relay.sent_at >= HELPED_SECONDS:
             del tables.relays[sequence]
 
 
@@ -112,11 +121,24 @@
         yield Send(helper, request)
 
 
+def _alert(tables: MembershipTables, random: Random) -> Iterator[Send]:
+    """Tell some neighbours at once of this host's new doubts; others hear of them."""
+    if not tables.alert:
+        return
+    tables.alert = False
+    names = [row.claim.name for row in neighbours(tables)]
+    for _ in range(min(ALERTED, len(names))):
+        name = names.pop(random.randrange(len(names)))
+        yield messaging.ping(tables, name, 0)
+
+
 def _suspect(tables: MembershipTables, row: Member, now: float) -> None:
     """Suspect a host that answered neither this host nor its helpers."""
     state = row.claim.state
     if state is HostState.GONE or row.convict_at is not None:
         return
+    if not tables.in_detail(row.claim):
+        return
     alone = isolated(tables, now)
     seconds = ISOLATED_SUSPICION_SECONDS if alone else SUSPICION_SECONDS
     row.convict_at = now + seconds
@@ -149,7 +171,7 @@
     for _ in range(min(SUSPECTS_PROBED, len(suspects))):
         row = suspects.pop(random.randrange(len(suspects)))
         sequence = tables.next_sequence()
-        tables.probes[sequence] = Probe(row.claim.name, now, asked=True)
+        tables.probes[sequence] = Probe(row.claim.name, now, asked_at=now)
         yield from _ask_helpers(tables, sequence, row, random)
 
 
@@ -200,6 +222,8 @@
         host for host in tables.listed.values() if host.name not in tables.members
     ]
     near = [host.name for host in unseen if tables.in_detail(host)]
-    names += near or [host.name for host in unseen]
+    if not near and not tables.present():
+        near = [host.name for host in unseen]
+    names += near
     for _ in range(min(JOIN_PINGS if joining else 1, len(names))):
         yield from _probe(tables, names.pop(random.randrange(len(names))), now)
--- a/packages/core/greengagepoint/membership/regions.py
+++ b/packages/core/greengagepoint/membership/regions.py
@@ -12,6 +12,9 @@
 )
 
 REGION_SILENT_SECONDS: Final = 10.0
+# Until digests and sums have had time to come in, the length of the host list tells
+# how large the system is; later it doesn't count, as it may name hosts long gone.
+LIST_TRUSTED_SECONDS: Final = 60.0
 
 
 def population(tables: MembershipTables, now: float) -> int:
@@ -41,7 +44,7 @@
     Each host decides for itself; hosts of both modes answer each other's probes.
     """
     hosts = population(tables, now)
-    if not any(row.heard_at > 0 for row in tables.members.values()):
+    if now - tables.started_at < LIST_TRUSTED_SECONDS:
         hosts = max(hosts, len(tables.listed))
     limit = DETAIL_HOSTS_MAX if tables.detail_everywhere else DETAIL_HOSTS_RETURN
     everywhere = hosts <= limit
--- a/packages/core/greengagepoint/membership/seeds.py
+++ b/packages/core/greengagepoint/membership/seeds.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from greengagepoint.membership.tables import MembershipTables
+from greengagepoint.membership.tables import DETAIL_HOSTS_MAX, MembershipTables
 from greengagepoint.protocols import ListedHost
 
 LIST_SECONDS_MIN: Final = 10.0
@@ -45,6 +45,8 @@
     # An empty read is more likely a fault of the list than the end of the fleet.
     if listed or not before:
         tables.listed = listed
+    if not tables.members:
+        tables.detail_everywhere = len(tables.listed) <= DETAIL_HOSTS_MAX
     return rejected
 
 
--- a/packages/core/greengagepoint/membership/systems.py
+++ b/packages/core/greengagepoint/membership/systems.py
@@ -8,6 +8,8 @@
 from greengagepoint.membership.tables import MembershipTables, Send
 from greengagepoint.protocols import Random
 
+# The walks over all rows that need not be done each tick.
+SURVEY_SECONDS: Final = 2.0
 GONE_FORGET_SECONDS: Final = 3600.0
 
 
@@ -17,11 +19,13 @@
     tables.ran_at = now
     if gap > probing.PAUSE_SECONDS:
         probing.forgive(tables, gap)
-    regions.run_mode(tables, now)
     sends = list(probing.run_probes(tables, now, random))
     sends += overview.run_overview(tables, now, random)
-    regions.run_regions(tables, now)
-    _forget_gone(tables, now)
+    if now - tables.surveyed_at >= SURVEY_SECONDS:
+        tables.surveyed_at = now
+        regions.run_mode(tables, now)
+        regions.run_regions(tables, now)
+        _forget_gone(tables, now)
     return sends
 
 
@@ -94,10 +98,10 @@
     found = []
     for (region, zone), heard in tables.zones.items():
         if overview.fresh(heard, now) and zone != me.zone:
-            found += [_remote(contact, region) for contact in heard.item.contacts]
+            found += [_remote(contact, region) for contact in heard.contacts]
     for region, heard in tables.regions.items():
         if overview.fresh(heard, now) and region != me.region:
-            found += [_remote(contact, region) for contact in heard.item.contacts]
+            found += [_remote(contact, region) for contact in heard.contacts]
     return found
 
 
--- a/packages/core/greengagepoint/membership/tables.py
+++ b/packages/core/greengagepoint/membership/tables.py
@@ -8,6 +8,7 @@
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.membership.messages import (
     Claim,
+    Contact,
     HostState,
     Message,
     RegionSum,
@@ -40,11 +41,12 @@
 
 
 class Probe(msgspec.Struct):
-    """A ping that awaits its answer; ``asked`` says that helpers were asked."""
+    """A ping that awaits its answer; ``asked_at`` is when helpers were asked."""
 
     target: str
     sent_at: float
-    asked: bool = False
+    resent: bool = False
+    asked_at: float | None = None
 
 
 class Relay(NamedTuple):
@@ -78,10 +80,12 @@
 
 
 class Heard(msgspec.Struct):
-    """A digest or sum and when a newer beat of it last came."""
+    """A digest or sum, when a newer beat of it last came, and its newest contacts."""
 
     item: ZoneDigest | RegionSum
     heard_at: float
+    contacts_beat: int = 0
+    contacts: tuple[Contact, ...] = ()
 
 
 class Passing(msgspec.Struct):
@@ -124,12 +128,16 @@
         self.beat = 0
         self.items_sent = 0
         self.detail_everywhere = True
+        self.present_rows: list[Member] = []
+        self.present_version = -1
         self.digest = 0
         self.digest_version = -1
         self.learnt_addresses: dict[str, str] = {}
         self.ran_at = now
+        self.surveyed_at = float("-inf")
         self.probed_at = float("-inf")
         self.heard_at = now
+        self.alert = False
         self.differing = 0
         self.synced_at = now
         self.overview_at = now
@@ -152,7 +160,12 @@
 
     def present(self) -> list[Member]:
         """Return the detailed members that are not gone."""
-        return [row for row in self.detailed() if row.claim.state is not HostState.GONE]
+        if self.present_version != self.version:
+            self.present_version = self.version
+            self.present_rows = [
+                row for row in self.detailed() if row.claim.state is not HostState.GONE
+            ]
+        return self.present_rows
 
     def peer_address(self, host: str) -> str | None:
         """Return where a host's daemon listens to peers, if known."""
--- a/packages/core/tests/test_membership_fleet.py
+++ b/packages/core/tests/test_membership_fleet.py
@@ -5,11 +5,12 @@
 from collections import Counter
 
 import msgspec
+import pytest
 
 from greengagepoint.hosts import HostIdentity
-from greengagepoint.membership import messaging, seeds, systems
+from greengagepoint.membership import messaging, regions, seeds, systems
 from greengagepoint.membership.messages import HostState, Message
-from greengagepoint.membership.tables import Change, MembershipTables
+from greengagepoint.membership.tables import Change, MembershipTables, RegionChange
 from greengagepoint.protocols import ListedHost
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -137,3 +138,216 @@
     fleet.run(20)
     assert all(fleet.live(name) == NAMES - {"h0-0-0"} for name in fleet.tables)
     assert {host for _, _, host in fleet.gone_seen()} == {"h0-0-0"}
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_loss_and_repetition_hold_nobody_gone(seed):
+    """A tenth of all messages is lost and a tenth comes twice, late and out of order.
+
+    Helpers reach whom the direct ping does not, so no live host is held gone, and the
+    one that does stop is held gone by all.
+    """
+    fleet = Fleet(TWELVE, seed, loss=0.1, doubled=0.1, delay=(0.001, 0.6)).run(120)
+    assert fleet.gone_seen() == []
+    fleet.stop("h1-1-1")
+    fleet.run(30)
+    assert all(fleet.live(name) == NAMES - {"h1-1-1"} for name in fleet.tables)
+
+
+def test_one_way_cut_is_bridged_by_helpers():
+    """Messages from one host to another are lost, those back arrive.
+
+    The answers to the other's pings are lost too, yet helpers reach both, so neither
+    vanishes from look-ups.
+    """
+    fleet = Fleet(TWELVE)
+    fleet.cut = {("h0-0-0", "h1-0-0")}
+    fleet.run(90)
+    assert fleet.gone_seen() == []
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+
+
+def test_paused_host_wakes_and_condemns_nobody():
+    """A host is paused for 30 s, so the others hold it gone; then it goes on.
+
+    Its own clock says that nobody answered for 30 s. It must not tell the others that
+    all are gone, and it comes back to their look-ups under the same incarnation.
+    """
+    fleet = Fleet(TWELVE).run(15)
+    run = fleet.tables["h0-0-0"].me.incarnation
+    fleet.paused.add("h0-0-0")
+    fleet.run(30)
+    assert all("h0-0-0" not in fleet.live(name) for name in NAMES - {"h0-0-0"})
+    fleet.paused.clear()
+    woken = fleet.now
+    fleet.run(15)
+    assert {host for _, _, host in fleet.gone_seen(woken)} <= {"h0-0-0"}
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+    assert fleet.held("h2-0-0", "h0-0-0").incarnation == run
+
+
+def test_deaf_host_tells_nobody_of_its_doubts():
+    """Nothing reaches one host any more, though all it sends arrives.
+
+    It suspects everyone, but as it hears nobody it keeps that to itself: the others
+    go on seeing each other.
+    """
+    fleet = Fleet(TWELVE).run(15)
+    fleet.cut = {(name, "h0-0-0") for name in NAMES}
+    fleet.run(60)
+    assert {host for _, viewer, host in fleet.gone_seen() if viewer != "h0-0-0"} <= {
+        "h0-0-0"
+    }
+    others = NAMES - {"h0-0-0"}
+    assert all(others <= fleet.live(name) for name in others)
+
+
+@pytest.mark.parametrize(
+    ("minutes_of_clock", "stopped_seconds"), [(1, 1), (-60, 1), (-60, 30), (-60, 900)]
+)
+def test_restarted_host_is_a_new_one_whatever_its_clock_says(
+    minutes_of_clock, stopped_seconds
+):
+    """A host restarts, and its wall clock jumped, so its incarnation may be lower.
+
+    The others answer its first messages with what they hold of the earlier run; it
+    raises its version above that, and all take it for the new run.
+    """
+    fleet = Fleet(TWELVE).run(15)
+    before = fleet.tables["h0-0-0"].me.incarnation
+    fleet.stop("h0-0-0")
+    fleet.run(stopped_seconds)
+    run = before + minutes_of_clock * 60_000
+    fleet.start("h0-0-0", run)
+    fleet.run(12)
+    for name in NAMES - {"h0-0-0"}:
+        assert fleet.live(name) == NAMES
+        assert fleet.held(name, "h0-0-0").incarnation == run
+
+
+def test_all_hosts_replaced_within_a_minute():
+    """Each host stops and starts again, one every 5 s, under a stale host list.
+
+    At each moment every host has live peers to name, and at the end all hold all
+    hosts in their new runs.
+    """
+    fleet = Fleet(TWELVE).run(15)
+    for name in sorted(NAMES):
+        fleet.stop(name)
+        fleet.run(1)
+        fleet.start(name)
+        fleet.run(4)
+        assert all(len(fleet.live(viewer)) >= 8 for viewer in NAMES)
+    fleet.run(10)
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+    for viewer, name in [("h0-0-0", "h2-1-1"), ("h2-1-1", "h0-0-0")]:
+        assert fleet.held(viewer, name).incarnation == fleet.tables[name].me.incarnation
+
+
+def test_flapping_host_ends_as_what_it_is():
+    fleet = Fleet(TWELVE).run(15)
+    for _ in range(8):
+        fleet.stop("h0-0-0")
+        fleet.run(3)
+        fleet.start("h0-0-0")
+        fleet.run(3)
+    fleet.run(8)
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+    fleet.stop("h0-0-0")
+    fleet.run(20)
+    assert all("h0-0-0" not in fleet.live(name) for name in fleet.tables)
+
+
+def test_cut_regions_find_each_other_again():
+    """One region is cut off for ten minutes; both sides go on by themselves.
+
+    Each side reports the other as out of reach and, soon after the cut has ended, as
+    back; no host restarts for it.
+    """
+    fleet = Fleet(TWELVE).run(15)
+    inside = {name for name in NAMES if name.startswith("h0")}
+    pairs = {(one, two) for one in inside for two in NAMES - inside}
+    fleet.cut = pairs | {(two, one) for one, two in pairs}
+    fleet.run(600)
+    assert fleet.live("h0-0-0") == inside
+    assert fleet.live("h1-0-0") == NAMES - inside
+    assert fleet.tables["h0-0-0"].unreachable == {"r1", "r2"}
+    assert fleet.tables["h1-0-0"].unreachable == {"r0"}
+    fleet.cut = set()
+    fleet.run(20)
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+    assert all(not tables.unreachable for tables in fleet.tables.values())
+    assert RegionChange("r0", True) in [change for _, _, change in fleet.changes]
+
+
+def test_stale_list_makes_nobody_alive_and_listed_leaving_leaves_lookups():
+    fleet = Fleet(TWELVE)
+    for tables in fleet.tables.values():
+        stale = [
+            ListedHost(f"old{n}", "", "10.9.9.9:81", "r0", "z00", False) for n in "ab"
+        ]
+        seeds.apply_list(tables, [*fleet.listed, *stale])
+    fleet.run(15)
+    assert all(fleet.live(name) == NAMES for name in NAMES)
+    tables = fleet.tables["h0-0-0"]
+    seeds.apply_list(tables, [fleet.listing("h1-0-0", leaving=True)])
+    serving = {host.name for host in systems.serving_hosts(tables, fleet.now)}
+    assert serving == NAMES - {"h1-0-0"}
+    assert fleet.live("h0-0-0") == NAMES
+    fleet.stop("h1-0-0")
+    fleet.start("h1-0-0")
+    fleet.run(10)
+    seeds.apply_list(tables, [fleet.listing("h1-0-0", leaving=True)])
+    serving = {host.name for host in systems.serving_hosts(tables, fleet.now)}
+    assert serving == NAMES
+
+
+LARGE = places(3, 3, 8)
+
+
+def test_large_system_sees_its_zone_in_detail_and_the_rest_in_sums():
+    """72 hosts are more than are tracked one by one.
+
+    Each tracks its zone of 8 and knows contacts of all other zones and regions and
+    how many hosts there are; a host lost elsewhere only changes sums.
+    """
+    fleet = Fleet(LARGE).run(90)
+    tables = fleet.tables["h0-0-0"]
+    assert not any(one.detail_everywhere for one in fleet.tables.values())
+    zone = {name for name in fleet.tables if name.startswith("h0-0")}
+    live = fleet.live("h0-0-0")
+    assert zone <= live
+    assert {host.split("-")[0] for host in live} == {"h0", "h1", "h2"}
+    assert regions.population(tables, fleet.now) == 72
+    fleet.stop("h2-2-7")
+    fleet.run(60)
+    assert regions.population(tables, fleet.now) == 71
+    assert {viewer[:4] for _, viewer, _ in fleet.gone_seen()} == {"h2-2"}
+
+
+def test_large_system_notices_a_lost_region_and_its_return():
+    fleet = Fleet(LARGE).run(60)
+    lost = [name for name in fleet.tables if name.startswith("h1")]
+    for name in lost:
+        fleet.stop(name)
+    fleet.run(100)
+    assert all(one.unreachable == {"r1"} for one in fleet.tables.values())
+    assert all(not name.startswith("h1") for name in fleet.live("h0-0-0"))
+    for name in lost:
+        fleet.start(name)
+    fleet.run(60)
+    assert all(not one.unreachable for one in fleet.tables.values())
+
+
+def test_system_that_shrinks_tracks_all_hosts_again():
+    fleet = Fleet(LARGE).run(90)
+    for name in list(fleet.tables):
+        if name.split("-")[2] not in "01":
+            fleet.stop(name)
+    left = set(fleet.tables)
+    fleet.listed = [fleet.listing(name) for name in left]
+    for tables in fleet.tables.values():
+        seeds.apply_list(tables, fleet.listed)
+    fleet.run(150)
+    assert all(one.detail_everywhere for one in fleet.tables.values())
+    assert all(fleet.live(name) == left for name in left)
