Send claims to a committer no more often than it writes

Cause: each claim was a peer message of its own; a message costs about 0.4 ms of processor time. Change: a host gathers claims for its committer for one write interval; the first goes at once.

--- a/packages/node/greengagepoint_node/coordinators/claims_writer.py
+++ b/packages/node/greengagepoint_node/coordinators/claims_writer.py
@@ -61,6 +61,7 @@
         self.sent: dict[int, list[Waiting]] = {}
         self.last_number = 0
         self.silent_until: dict[str, float] = {}
+        self.last_sent_at: dict[str, float] = {}
         self.committers: list[str] = [context.host.name]
         self.interval_seconds = write_interval_seconds(1)
         self.view_until = float("-inf")
@@ -184,8 +185,11 @@
             return None
 
     async def _async_send(self, committer: str) -> None:
-        """Send what gathers for a committer in one turn of the loop."""
-        await asyncio.sleep(0)
+        """Send what gathers for a committer, no more often than it writes."""
+        now = self.context.clock.monotonic()
+        sent_at = self.last_sent_at.get(committer, float("-inf"))
+        await asyncio.sleep(max(0.0, sent_at + self.interval_seconds - now))
+        self.last_sent_at[committer] = self.context.clock.monotonic()
         gathered = self.outgoing.pop(committer, [])
         for start in range(0, len(gathered), CLAIMS_PER_WRITE_MAX):
             part = gathered[start : start + CLAIMS_PER_WRITE_MAX]
