Refuse empty peer messages and types that are not registered

Change: an empty message is refused as too short; message types are one explicit list; subscribing to a type outside it fails at start. Conclusion: the library's answer to each odd input has to be tried on real sockets.

--- a/packages/node/greengagepoint_node/peer_codec.py
+++ b/packages/node/greengagepoint_node/peer_codec.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import hmac
-import importlib
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
@@ -12,7 +11,13 @@
 
 import msgspec
 
+from greengagepoint.caps import messages as caps
+from greengagepoint.config import messages as config
+from greengagepoint.delivery import messages as delivery
 from greengagepoint.errors import PeerError
+from greengagepoint.membership import messages as membership
+from greengagepoint.steering import messages as steering
+from greengagepoint.usage import messages as usage
 
 ENVELOPE_VERSION: Final = 1
 MAC_BYTES: Final = 16
@@ -23,9 +28,6 @@
 MAX_SENDERS: Final = 16_384
 UNSIGNED_64_MAX: Final = 2**64 - 1
 
-# Subpackages of core whose ``messages`` module lists ``MESSAGES``.
-MESSAGE_SUBPACKAGES: Final = ("balancing", "caps", "config", "membership", "steering")
-
 
 class Rejection(StrEnum):
     """Why an envelope or a message in it was refused."""
@@ -77,20 +79,16 @@
     unknown: int
 
 
-def _message_types() -> tuple[type, ...]:
-    """Collect the message types of core."""
-    found: list[type] = []
-    for name in MESSAGE_SUBPACKAGES:
-        module_name = f"greengagepoint.{name}.messages"
-        try:
-            module = importlib.import_module(module_name)
-        except ModuleNotFoundError:
-            continue
-        found.extend(getattr(module, "MESSAGES", ()))
-    return tuple(found)
-
-
-MESSAGE_TYPES: Final = _message_types()
+# Every message that daemons exchange; a type that is not listed is not sent.
+MESSAGE_TYPES: Final[tuple[type, ...]] = (
+    *caps.MESSAGES,
+    *config.MESSAGES,
+    delivery.ClaimBatch,
+    delivery.ClaimResults,
+    *membership.MESSAGES,
+    *steering.MESSAGES,
+    *usage.MESSAGES,
+)
 
 
 class SenderWindow:
--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -170,7 +170,12 @@
     def subscribe(
         self, message_type: type, callback: Callable[[str, Any], None]
     ) -> Callable[[], None]:
-        """Call back with (sender name, message); return the unsubscribe function."""
+        """Call back with (sender name, message); return the unsubscribe function.
+
+        Raise PeerError for a type that no daemon could send.
+        """
+        if message_type not in self.codec.types:
+            raise PeerError(f"{message_type.__name__} is not a registered peer message")
         callbacks = self.callbacks.setdefault(message_type, [])
         callbacks.append(callback)
 
@@ -264,6 +269,10 @@
                 data = self.listener.recv(block=False)
             except pynng.TryAgain:
                 return
+            except RuntimeError:
+                # pynng cannot unpack a message without bytes, which anyone who
+                # reaches the port may send; read as one, it is refused like others.
+                data = b""
             self.receive(data)
 
     def receive(self, data: bytes) -> None:
--- a/packages/node/tests/test_peers_links.py
+++ b/packages/node/tests/test_peers_links.py
@@ -7,6 +7,7 @@
 import pynng
 import pytest
 
+from greengagepoint.errors import PeerError
 from greengagepoint.events import Event
 from greengagepoint_node.peer_codec import PeerCodec, Rejection
 from greengagepoint_node.peers import MAX_QUEUED_MESSAGES, PeerLinks
@@ -186,3 +187,9 @@
     one.send("two", Grant(2))
     await inbox.get()
     assert len(two.events.rows) == 1
+
+
+async def test_a_type_that_is_not_registered_cannot_be_subscribed_to(cluster):
+    one = await cluster.async_add("one")
+    with pytest.raises(PeerError, match="str is not a registered peer message"):
+        one.subscribe(str, print)
