--- a/packages/standins/greengagepoint_standins/demo/deployments.py
+++ b/packages/standins/greengagepoint_standins/demo/deployments.py
@@ -34,6 +34,7 @@
     hosts_a_zone: int
     drained_backend_server: str
     shift_service: str
+    shift_cap: int
     lost_region: str
 
     @property
@@ -72,6 +73,7 @@
     hosts_a_zone=2,
     drained_backend_server="booking-attiki-1-1",
     shift_service="booking",
+    shift_cap=6,
     lost_region="dytiki-ellada",
 )
 
@@ -104,6 +106,7 @@
     hosts_a_zone=2,
     drained_backend_server="drawing-vault-tunis-1-1",
     shift_service="inspection-desk",
+    shift_cap=5,
     lost_region="gabes",
 )
 
