Report connections to the peer port that are no peer's

Cause: NNG closes a connection whose first bytes are garbage without a word, so garbage on the peer port left no event. Change: NNG's counters of refused connections are read every five seconds and become one PEER_MESSAGE_REJECTED with their number. A message over the size bound ends its connection under a counter shared with ordinary ends, and stays without an event.

--- a/packages/node/greengagepoint_node/peer_codec.py
+++ b/packages/node/greengagepoint_node/peer_codec.py
@@ -32,6 +32,7 @@
 class Rejection(StrEnum):
     """Why an envelope or a message in it was refused."""
 
+    NOT_A_PEER = "not_a_peer"
     TOO_LARGE = "too_large"
     TOO_SHORT = "too_short"
     WRONG_MAC = "wrong_mac"
--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -18,6 +18,7 @@
     RejectedError,
     Rejection,
 )
+from greengagepoint_node.peer_statistics import count_refused
 
 MAX_LINKS: Final = 128
 MAX_QUEUED_MESSAGES: Final = 256
@@ -26,6 +27,7 @@
 MAX_RETRY_SECONDS: Final = 0.5
 RECONNECT_MIN_MILLISECONDS: Final = 50
 RECONNECT_MAX_MILLISECONDS: Final = 2_000
+REFUSED_POLL_SECONDS: Final = 5.0
 RECEIVE_BUFFER_MESSAGES: Final = 128
 # Envelopes read in one turn, so that a flood from one peer cannot hold the loop.
 RECEIVE_BATCH: Final = 64
@@ -105,7 +107,9 @@
         clock_seen: Callable[[tuple[int, int]], None] = lambda clock: None,
         known: Callable[[str], bool] | None = None,
         types: Iterable[type] = MESSAGE_TYPES,
+        refused_poll_seconds: float = REFUSED_POLL_SECONDS,
     ) -> None:
+        self.refused_poll_seconds = refused_poll_seconds
         self.listen_address = listen_address
         self.bound_address = ""
         self.address_of = address_of
@@ -118,6 +122,8 @@
         self.links: OrderedDict[str, Link] = OrderedDict()
         self.callbacks: dict[type, list[Callable[[str, Any], None]]] = {}
         self.listener: pynng.Pull0 | None = None
+        self.refused = 0
+        self.refused_timer: asyncio.TimerHandle | None = None
 
     async def async_start(self) -> None:
         """Listen; ``bound_address`` then names the port, also when it was 0."""
@@ -137,6 +143,7 @@
         # A ready descriptor with non-blocking reads costs half the processor time of
         # pynng's arecv; measure/peer_links.py compares them.
         asyncio.get_running_loop().add_reader(listener.recv_fd, self._read)
+        self._watch_refused()
 
     async def async_stop(self) -> None:
         """Send what is queued where the links are ready, then close all sockets."""
@@ -147,6 +154,8 @@
         for link in self.links.values():
             link.close()
         self.links.clear()
+        if self.refused_timer is not None:
+            self.refused_timer.cancel()
         if self.listener is not None:
             asyncio.get_running_loop().remove_reader(self.listener.recv_fd)
             self.listener.close()
@@ -260,6 +269,19 @@
             Event.PEER_MESSAGE_DROPPED, peer=host, count=count, reason=reason
         )
 
+    def _watch_refused(self) -> None:
+        """Report connections that were no peer's, and look again later."""
+        if self.listener is None:
+            return
+        refused = count_refused(self.listener.listeners[0])
+        if refused > self.refused:
+            detail = f"{refused - self.refused} connections were refused"
+            self._reject("", Rejection.NOT_A_PEER, detail)
+            self.refused = refused
+        self.refused_timer = asyncio.get_running_loop().call_later(
+            self.refused_poll_seconds, self._watch_refused
+        )
+
     def _read(self) -> None:
         """Take the envelopes that have arrived."""
         if self.listener is None:
--- a/packages/node/tests/test_peers_links.py
+++ b/packages/node/tests/test_peers_links.py
@@ -61,6 +61,7 @@
             clock_seen=self.seen.append,
             known=known,
             types=(Beat, Grant),
+            refused_poll_seconds=0.01,
         )
         await links.async_start()
         self.addresses[name] = links.bound_address
@@ -116,6 +117,28 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "data", [b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 64, b"\0SP\0\0\x10\0\0"]
+)
+async def test_a_connection_that_is_no_peers_gives_one_event(cluster, data):
+    """Someone connects to the peer port and sends garbage, or speaks another protocol
+    of NNG. The connection is closed; one event tells of it, and peers still arrive.
+    """
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    inbox = inbox_of(two, Grant)
+    ip, port = two.bound_address.split(":")
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    writer.write(data)
+    while await reader.read(100):
+        pass
+    writer.close()
+    await two.events.async_wait_for(Event.PEER_MESSAGE_REJECTED)
+    one.send("two", Grant(1))
+    assert await inbox.get() == ("one", Grant(1))
+    ((_, fields),) = two.events.rows
+    assert fields["reason"] == Rejection.NOT_A_PEER
+
+
 async def test_an_unknown_host_may_only_announce_itself(cluster):
     """A new host sends its heartbeat and a grant before the receiver knows it. The
     heartbeat is taken, since that is how it becomes known; the grant is refused with
