Remember the view of hosts and pack records to bear the expected size

Cause: ranking a region's hosts again for each tick and message took most of the exchange's processor time, and records held as objects more memory than a host may use at 1.9 million caller blocks. Change: watchers and trees are kept until the view changes; a tick that comes a moment early no longer skips a round of gossip; documents and long lists of blocks are packed; the tail of entries is bounded in bytes; the check of a change runs once where nothing is wrong.

--- a/packages/core/greengagepoint/config/exchange.py
+++ b/packages/core/greengagepoint/config/exchange.py
@@ -1,8 +1,8 @@
 """Pass configuration between hosts: push by trees, anti-entropy, snapshots."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
-from typing import Final, NamedTuple
+from collections.abc import Callable, Sequence
+from typing import Any, Final, NamedTuple
 
 from greengagepoint.config.entries import Entry, decode_entry
 from greengagepoint.config.log import Applied, ConfigLog, apply_entry
@@ -14,8 +14,7 @@
     ConfigSnapshotPart,
 )
 from greengagepoint.config.snapshot import Snapshot, load_snapshot, take_snapshot
-from greengagepoint.config.tree import children_of
-from greengagepoint.config.watchers import is_watcher, watchers_of
+from greengagepoint.config.view import FleetView, refresh
 from greengagepoint.errors import StoreError
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.protocols import Random
@@ -53,13 +52,14 @@
 class Exchange:
     """Hold one host's log and what it knows of the exchange with its peers.
 
-    ``answered`` tells whether a peer has told its head since the start; ``fork``
-    is the last other history that was met.
+    ``view`` is that of the live hosts; ``answered`` tells whether a peer has told
+    its head since the start; ``fork`` is the last other history that was met.
     """
 
     def __init__(self, host: HostIdentity, log: ConfigLog) -> None:
         self.host = host
         self.log = log
+        self.view = FleetView(host)
         self.answered = False
         self.fork: Fork | None = None
         self.next_gossip_at = 0.0
@@ -68,25 +68,29 @@
         self.snapshot: Snapshot | None = None
 
 
-def run(
-    exchange: Exchange, live: Sequence[HostIdentity], now: float, random: Random
-) -> list[Send]:
+def see(exchange: Exchange, live: Sequence[HostIdentity]) -> FleetView:
+    """Take the view of live hosts for what follows."""
+    exchange.view = refresh(exchange.view, live)
+    return exchange.view
+
+
+def run(exchange: Exchange, now: float, random: Random) -> list[Send]:
     """Tell one random host of the region, and a watcher one of another, the head."""
     if now < exchange.next_gossip_at:
         return []
-    exchange.next_gossip_at = now + GOSSIP_SECONDS
-    me = exchange.host
-    near, far = [], []
-    for host in live:
-        if host.name != me.name:
-            (near if host.region == me.region else far).append(host.name)
-    targets = _one_of(near, random)
+    # On the schedule, not from now on: ticks that come a moment early would else
+    # make it every second or third tick.
+    exchange.next_gossip_at = max(
+        exchange.next_gossip_at + GOSSIP_SECONDS, now + GOSSIP_SECONDS / 2
+    )
+    view = exchange.view
+    targets = _one_of(view.near, random)
     # A region with no second host, or whose watchers are cut off from the store,
     # learns from other regions only through this.
-    if not near or is_watcher(me, live):
-        targets += _one_of(far, random)
+    if not view.near or view.is_watcher():
+        targets += _one_of(view.far, random)
     asking = not exchange.answered
-    return [Send(name, _digest(exchange.log, ask=asking)) for name in targets]
+    return [Send(host.name, _digest(exchange.log, ask=asking)) for host in targets]
 
 
 def take_entries(
@@ -105,9 +109,7 @@
     return outcome, new
 
 
-def push(
-    exchange: Exchange, entries: Sequence[Entry], live: Sequence[HostIdentity]
-) -> list[Send]:
+def push(exchange: Exchange, entries: Sequence[Entry]) -> list[Send]:
     """Start a tree for new entries in this region; tell the other regions' watchers.
 
     Every watcher that learns a generation starts a tree, so each host hears of it
@@ -115,21 +117,12 @@
     """
     if not entries:
         return []
-    me = exchange.host
-    sends = _forward(exchange, entries, me.name, live)
     message = ConfigEntries(tuple(entry.encoded for entry in entries))
-    regions = sorted({host.region for host in live} - {me.region})
-    return sends + [
-        Send(name, message) for region in regions for name in watchers_of(region, live)
-    ]
+    sends = _forward(exchange, entries, exchange.host.name)
+    return sends + [Send(name, message) for name in exchange.view.far_watchers()]
 
 
-def on_entries(
-    exchange: Exchange,
-    sender: str,
-    message: ConfigEntries,
-    live: Sequence[HostIdentity],
-) -> list[Send]:
+def on_entries(exchange: Exchange, sender: str, message: ConfigEntries) -> list[Send]:
     """Apply entries from a peer and pass them on where this host is in the tree."""
     entries = _decoded(message.entries)
     if not entries:
@@ -142,10 +135,10 @@
     if outcome is Applied.FORKED:
         return sends
     # Many entries are a host's catching up: its region has them already.
-    if 0 < len(new) <= PUSHED_ENTRIES_MAX and is_watcher(exchange.host, live):
-        sends += _forward(exchange, entries, exchange.host.name, live)
+    if 0 < len(new) <= PUSHED_ENTRIES_MAX and exchange.view.is_watcher():
+        sends += _forward(exchange, entries, exchange.host.name)
     if message.root:
-        sends += _forward(exchange, entries, message.root, live)
+        sends += _forward(exchange, entries, message.root)
     return sends
 
 
@@ -264,12 +257,7 @@
     return snapshot.manifest.generation, snapshot.manifest.digest
 
 
-def _forward(
-    exchange: Exchange,
-    entries: Sequence[Entry],
-    root: str,
-    live: Sequence[HostIdentity],
-) -> list[Send]:
+def _forward(exchange: Exchange, entries: Sequence[Entry], root: str) -> list[Send]:
     """Pass entries on along the tree of a root, once for each root and head."""
     key = (root, entries[-1].generation)
     if key in exchange.forwarded:
@@ -278,8 +266,7 @@
     if len(exchange.forwarded) > FORWARDED_MAX:
         exchange.forwarded.popitem(last=False)
     message = ConfigEntries(tuple(entry.encoded for entry in entries), root)
-    me = exchange.host
-    return [Send(name, message) for name in children_of(me.name, root, me.region, live)]
+    return [Send(name, message) for name in exchange.view.children(root)]
 
 
 def _bounded(entries: Sequence[Entry]) -> tuple[bytes, ...]:
@@ -310,6 +297,15 @@
     return ConfigDigest(log.generation, log.digest, ask)
 
 
-def _one_of(names: Sequence[str], random: Random) -> list[str]:
-    """Return one random name, or none where there is none."""
-    return [names[random.randrange(len(names))]] if names else []
+def _one_of(hosts: Sequence[HostIdentity], random: Random) -> list[HostIdentity]:
+    """Return one random host, or none where there is none."""
+    return [hosts[random.randrange(len(hosts))]] if hosts else []
+
+
+HANDLERS: Final[dict[type, Callable[[Exchange, str, Any], list[Send]]]] = {
+    ConfigEntries: on_entries,
+    ConfigDigest: on_digest,
+    ConfigRequest: on_request,
+    ConfigPartRequest: on_part_request,
+    ConfigSnapshotPart: on_snapshot_part,
+}
--- a/packages/core/greengagepoint/config/log.py
+++ b/packages/core/greengagepoint/config/log.py
@@ -4,15 +4,23 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+import msgspec
+
 from greengagepoint.config.entries import Change, Entry
 from greengagepoint.configuration import Configuration
 from greengagepoint.errors import RecordError
 from greengagepoint.records.checking import configuration_of
-from greengagepoint.records.loading import RecordDocument
-from greengagepoint.records.schemas import NEWEST_VERSIONS, Record
+from greengagepoint.records.loading import (
+    RecordDocument,
+    pack_document,
+    unpack_document,
+)
+from greengagepoint.records.packing import PackedStrings
+from greengagepoint.records.schemas import NEWEST_VERSIONS, Callers, Record
 from greengagepoint.records.versions import KnownVersions, decode
 
 TAIL_ENTRIES_MAX: Final = 256
+TAIL_BYTES_MAX: Final = 4 * 1024 * 1024
 
 RecordKey = tuple[str, str]
 
@@ -29,19 +37,29 @@
 class Row(NamedTuple):
     """One record in the log.
 
-    ``older`` holds the last document of each lower schema version, so that a
-    daemon that doesn't know the newest keeps what it last understood in force.
-    ``record`` is None where none of the documents is understood.
+    ``packed`` is its document; ``older`` holds the last document of each lower
+    schema version, so that a daemon that doesn't know the newest keeps what it last
+    understood in force. ``record`` is None where none of them is understood.
     """
 
-    document: RecordDocument
-    older: tuple[RecordDocument, ...]
+    packed: bytes
+    older: tuple[bytes, ...]
     generation: int
     author: str
     at_ms: int
     record: Record | None
     fault: RecordError | None
 
+    @property
+    def document(self) -> RecordDocument:
+        """Return the newest document, whether it is understood here or not."""
+        return unpack_document(self.packed)
+
+    @property
+    def older_documents(self) -> tuple[RecordDocument, ...]:
+        """Return the documents of lower schema versions, newest first."""
+        return tuple(unpack_document(packed) for packed in self.older)
+
 
 class ConfigLog:
     """Hold the records in force, the head of the log and its last entries."""
@@ -51,7 +69,8 @@
         self.rows: dict[RecordKey, Row] = {}
         self.generation = 0
         self.digest = ""
-        self.tail: deque[Entry] = deque(maxlen=TAIL_ENTRIES_MAX)
+        self.tail: deque[Entry] = deque()
+        self.tail_bytes = 0
 
     def copy(self) -> "ConfigLog":
         """Return a log that can be changed without changing this one."""
@@ -60,8 +79,18 @@
         copied.generation = self.generation
         copied.digest = self.digest
         copied.tail = self.tail.copy()
+        copied.tail_bytes = self.tail_bytes
         return copied
 
+    def remember(self, entry: Entry) -> None:
+        """Add the newest entry to the tail and forget the oldest beyond its bounds."""
+        self.tail.append(entry)
+        self.tail_bytes += len(entry.encoded)
+        while len(self.tail) > 1 and (
+            len(self.tail) > TAIL_ENTRIES_MAX or self.tail_bytes > TAIL_BYTES_MAX
+        ):
+            self.tail_bytes -= len(self.tail.popleft().encoded)
+
     def digest_at(self, generation: int) -> str | None:
         """Return the digest of a generation, or None where it is cut off."""
         if generation == self.generation:
@@ -103,7 +132,7 @@
         _apply_change(log, entry, change)
     log.generation = entry.generation
     log.digest = entry.digest
-    log.tail.append(entry)
+    log.remember(entry)
     return Applied.APPLIED
 
 
@@ -132,11 +161,20 @@
     record, fault = None, None
     for candidate in (document, *older):
         try:
-            record = decode(candidate, newest=newest)
+            record = _slim(decode(candidate, newest=newest))
             break
         except RecordError as error:
             fault = fault or error
-    return Row(document, older, generation, author, at_ms, record, fault)
+    packed = pack_document(document)
+    packed_older = tuple(pack_document(candidate) for candidate in older)
+    return Row(packed, packed_older, generation, author, at_ms, record, fault)
+
+
+def _slim(record: Record) -> Record:
+    """Return a record with its long list packed."""
+    if not isinstance(record, Callers):
+        return record
+    return msgspec.structs.replace(record, blocks=PackedStrings(record.blocks))
 
 
 def _apply_change(log: ConfigLog, entry: Entry, change: Change) -> None:
@@ -163,6 +201,6 @@
         return ()
     return tuple(
         older
-        for older in (row.document, *row.older)
+        for older in (row.document, *row.older_documents)
         if older.schema_version < document.schema_version
     )
--- a/packages/core/greengagepoint/config/preparing.py
+++ b/packages/core/greengagepoint/config/preparing.py
@@ -74,11 +74,12 @@
         if change.document is not None
         for error in validate_record(after.rows[change.key].record)
     ]
+    between = validate(effective(after))
+    if not between:
+        return errors
     before = {(error.record, error.detail) for error in validate(effective(log))}
     return errors + [
-        error
-        for error in validate(effective(after))
-        if (error.record, error.detail) not in before
+        error for error in between if (error.record, error.detail) not in before
     ]
 
 
--- a/packages/core/greengagepoint/config/snapshot.py
+++ b/packages/core/greengagepoint/config/snapshot.py
@@ -54,7 +54,9 @@
 def take_snapshot(log: ConfigLog) -> Snapshot:
     """Return the records of a log in parts of bounded size."""
     rows = (
-        SnapshotRow(row.document, row.older, row.generation, row.author, row.at_ms)
+        SnapshotRow(
+            row.document, row.older_documents, row.generation, row.author, row.at_ms
+        )
         for row in log.rows.values()
     )
     parts = tuple(_parts(_encoder.encode(row) for row in rows))
@@ -80,7 +82,7 @@
     log.generation = manifest.generation
     log.digest = manifest.digest
     if manifest.head:
-        log.tail.append(decode_entry(manifest.head))
+        log.remember(decode_entry(manifest.head))
     for part in parts:
         _load_rows(log, part)
     return log
--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -1,6 +1,6 @@
 """Choose the hosts of a region that watch the store."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Final
 
 import xxhash
@@ -20,11 +20,6 @@
     return tuple(rank(region, names)[:WATCHERS_A_REGION])
 
 
-def is_watcher(host: HostIdentity, live: Sequence[HostIdentity]) -> bool:
-    """Tell whether a host should watch the store, also when it sees no other."""
-    return host.name in watchers_of(host.region, [host, *_others(host, live)])
-
-
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Return names by descending rendezvous weight for a key."""
     return sorted(
@@ -32,8 +27,3 @@
         key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()),
         reverse=True,
     )
-
-
-def _others(host: HostIdentity, live: Iterable[HostIdentity]) -> list[HostIdentity]:
-    """Return the live hosts without this one."""
-    return [other for other in live if other.name != host.name]
--- a/packages/core/greengagepoint/records/accepted.py
+++ b/packages/core/greengagepoint/records/accepted.py
@@ -4,6 +4,7 @@
 import re
 import types
 import typing
+from collections.abc import Sequence
 from typing import Any, Final
 
 import msgspec
@@ -27,8 +28,8 @@
 
 
 def element_type(wanted: Any) -> Any | None:
-    """Return the type of the elements of a tuple type, else None."""
-    if typing.get_origin(wanted) is tuple:
+    """Return the type of the elements of a sequence type, else None."""
+    if typing.get_origin(wanted) in (tuple, Sequence):
         return typing.get_args(wanted)[0]
     return None
 
--- a/packages/core/greengagepoint/records/faults.py
+++ b/packages/core/greengagepoint/records/faults.py
@@ -4,7 +4,7 @@
 import ipaddress
 import re
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, Final, NamedTuple
 
 from greengagepoint.errors import RecordError
@@ -61,7 +61,7 @@
             yield Fault(field, f"{value!r} stands {count} times", "each once")
 
 
-def check_not_empty(field: str, values: tuple[Any, ...]) -> Iterator[Fault]:
+def check_not_empty(field: str, values: Sequence[Any]) -> Iterator[Fault]:
     """Check that a list has elements."""
     if not values:
         yield Fault(field, "is empty", "at least one")
--- a/packages/core/greengagepoint/records/loading.py
+++ b/packages/core/greengagepoint/records/loading.py
@@ -10,6 +10,7 @@
 
 from greengagepoint.errors import ErrorKind, RecordError
 from greengagepoint.records.lines import RecordLines, find_lines, line_of
+from greengagepoint.records.packing import pack, unpack
 from greengagepoint.records.schemas import RecordKind
 
 TOML_ERROR_LINE: Final = re.compile(r"at line (\d+)")
@@ -58,6 +59,20 @@
     )
 
 
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(RecordDocument)
+
+
+def pack_document(document: RecordDocument) -> bytes:
+    """Return a document in the form in which it is kept in memory."""
+    return pack(_encoder.encode(document))
+
+
+def unpack_document(packed: bytes) -> RecordDocument:
+    """Return a document that was packed."""
+    return _decoder.decode(unpack(packed))
+
+
 def strip_source(document: RecordDocument) -> RecordDocument:
     """Return the document without the place where it was read."""
     return msgspec.structs.replace(document, source="", line=0, lines={})
--- a/packages/core/greengagepoint/records/references.py
+++ b/packages/core/greengagepoint/records/references.py
@@ -21,6 +21,7 @@
 
 FRACTION_TOLERANCE: Final = 1e-9
 NAMES_LISTED_MAX: Final = 8
+BLOCKS_COMPARED_MAX: Final = 100_000
 
 
 def validate(configuration: Configuration) -> list[RecordError]:
@@ -160,7 +161,15 @@
 
 
 def _repeated_blocks(configuration: Configuration) -> Iterator[RecordError]:
-    """Find a block of callers in two records: its regions would be unclear."""
+    """Find a block of callers in two records: its regions would be unclear.
+
+    Beyond some number the comparison would stall a daemon and fill its memory. A
+    block that slips through does no harm to agreement: which of two records wins
+    doesn't depend on their order.
+    """
+    count = sum(len(callers.blocks) for callers in configuration.callers.values())
+    if count > BLOCKS_COMPARED_MAX:
+        return
     seen: dict[str, str] = {}
     for callers in configuration.callers.values():
         for index, block in enumerate(callers.blocks):
--- a/packages/core/greengagepoint/records/schemas.py
+++ b/packages/core/greengagepoint/records/schemas.py
@@ -1,5 +1,6 @@
 """Types of the steering records at their newest schema versions."""
 
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import Final
 
@@ -147,10 +148,13 @@
 
 
 class Callers(msgspec.Struct, frozen=True, kw_only=True):
-    """Blocks of caller addresses (CIDR) and the order of regions for them."""
+    """Blocks of caller addresses (CIDR) and the order of regions for them.
+
+    ``blocks`` of a record in force is a packed sequence: each pass unpacks it.
+    """
 
     name: str
-    blocks: tuple[str, ...]
+    blocks: Sequence[str]
     regions: tuple[str, ...]
 
 
--- a/packages/core/tests/test_config_log.py
+++ b/packages/core/tests/test_config_log.py
@@ -10,26 +10,12 @@
 from greengagepoint.config.entries import Change, Entry, decode_entry, make_entry
 from greengagepoint.config.exchange import Exchange
 from greengagepoint.config.log import Applied, ConfigLog, apply_entry
-from greengagepoint.config.messages import (
-    ConfigDigest,
-    ConfigEntries,
-    ConfigPartRequest,
-    ConfigRequest,
-    ConfigSnapshotPart,
-)
 from greengagepoint.config.tree import children_of
 from greengagepoint.config.watchers import WATCHERS_A_REGION, watchers_of
 from greengagepoint.errors import ErrorKind, StoreError
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.loading import RecordDocument
 
-HANDLERS = {
-    ConfigDigest: peers.on_digest,
-    ConfigRequest: peers.on_request,
-    ConfigPartRequest: peers.on_part_request,
-    ConfigSnapshotPart: peers.on_snapshot_part,
-}
-
 
 def next_entry(log: ConfigLog, burst: int) -> Entry:
     fields = {"requests_per_second": 1, "burst": burst}
@@ -122,23 +108,23 @@
             if self.random.random() < self.loss:
                 continue
             node = self.nodes[recipient]
-            if isinstance(message, ConfigEntries):
-                answers = peers.on_entries(node, sender, message, self.live)
-            else:
-                answers = HANDLERS[type(message)](node, sender, message)
+            peers.see(node, self.live)
+            answers = peers.HANDLERS[type(message)](node, sender, message)
             self.send(recipient, answers)
 
     def tick(self):
         self.now += 1
         for name, node in self.nodes.items():
-            self.send(name, peers.run(node, self.live, self.now, self.random))
+            peers.see(node, self.live)
+            self.send(name, peers.run(node, self.now, self.random))
         self.deliver()
 
     def write(self, name, burst):
         node = self.nodes[name]
         entry = next_entry(node.log, burst)
+        peers.see(node, self.live)
         _, new = peers.take_entries(node, [entry], "store")
-        self.send(name, peers.push(node, new, self.live))
+        self.send(name, peers.push(node, new))
         self.deliver()
 
     def heads(self):
--- a/packages/node/greengagepoint_node/coordinators/config.py
+++ b/packages/node/greengagepoint_node/coordinators/config.py
@@ -2,23 +2,15 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 from greengagepoint.config import exchange as peers
 from greengagepoint.config.entries import Change, Entry, decode_entry
 from greengagepoint.config.exchange import Exchange, Send
 from greengagepoint.config.layout import LOG_PREFIX
 from greengagepoint.config.log import Applied, ConfigLog, effective, not_understood
-from greengagepoint.config.messages import (
-    ConfigDigest,
-    ConfigEntries,
-    ConfigPartRequest,
-    ConfigRequest,
-    ConfigSnapshotPart,
-)
 from greengagepoint.config.preparing import pin, prepare
 from greengagepoint.config.snapshot import SNAPSHOT_ENTRIES
-from greengagepoint.config.watchers import is_watcher
 from greengagepoint.configuration import EMPTY, Configuration
 from greengagepoint.errors import (
     ErrorKind,
@@ -96,16 +88,10 @@
 
     async def async_start(self) -> None:
         """Listen to peers and begin to read the store."""
-        for message_type, handler in (
-            (ConfigEntries, self._on_entries),
-            (ConfigDigest, self._on_digest),
-            (ConfigRequest, self._on_request),
-            (ConfigPartRequest, self._on_part_request),
-            (ConfigSnapshotPart, self._on_snapshot_part),
-        ):
-            self.unsubscribes.append(
-                self.context.peers.subscribe(message_type, handler)
-            )
+        subscribe = self.context.peers.subscribe
+        self.unsubscribes += [
+            subscribe(message_type, self._receive) for message_type in peers.HANDLERS
+        ]
         self.check_at = self.context.clock.monotonic() + CHECK_SECONDS
         self._start_following()
 
@@ -123,10 +109,9 @@
         """Talk to peers, and watch or check the store where it is this host's turn."""
         if now < self.tick_at:
             return
-        self.tick_at = now + TICK_SECONDS
-        live = self.live_hosts()
-        self._send(peers.run(self.exchange, live, now, self.context.random))
-        watching = is_watcher(self.context.host, live)
+        self.tick_at = max(self.tick_at + TICK_SECONDS, now + TICK_SECONDS / 2)
+        watching = peers.see(self.exchange, self.live_hosts()).is_watcher()
+        self._send(peers.run(self.exchange, now, self.context.random))
         if watching:
             self.watcher_until = now + STOP_WATCHING_SECONDS
         following = self.follow_task is not None and not self.follow_task.done()
@@ -257,7 +242,7 @@
             reading = await self._async_read()
             if reading.reverted:
                 await self._async_repair()
-            elif is_watcher(self.context.host, self.live_hosts()):
+            elif peers.see(self.exchange, self.live_hosts()).is_watcher():
                 await self._async_watch(reading.revision + 1)
         except StoreError as error:
             self.reports.store(error)
@@ -328,7 +313,7 @@
         outcome, new = peers.take_entries(self.exchange, entries, source)
         if new:
             if len(new) <= peers.PUSHED_ENTRIES_MAX:
-                self._send(peers.push(self.exchange, new, self.live_hosts()))
+                self._send(peers.push(self.exchange, new))
             self._publish(source)
         self.reports.fork(self.exchange.fork)
         return outcome
@@ -347,31 +332,11 @@
         for callback in tuple(self.callbacks):
             callback(self.configuration)
 
-    def _on_entries(self, sender: str, message: ConfigEntries) -> None:
-        self._handle(sender, peers.on_entries, message, self.live_hosts())
-
-    def _on_digest(self, sender: str, message: ConfigDigest) -> None:
-        self._handle(sender, peers.on_digest, message)
-
-    def _on_request(self, sender: str, message: ConfigRequest) -> None:
-        self._handle(sender, peers.on_request, message)
-
-    def _on_part_request(self, sender: str, message: ConfigPartRequest) -> None:
-        self._handle(sender, peers.on_part_request, message)
-
-    def _on_snapshot_part(self, sender: str, message: ConfigSnapshotPart) -> None:
-        self._handle(sender, peers.on_snapshot_part, message)
-
-    def _handle(
-        self,
-        sender: str,
-        handler: Callable[..., list[Send]],
-        message: object,
-        *arguments: Any,
-    ) -> None:
+    def _receive(self, sender: str, message: object) -> None:
         """Run one message through the exchange and carry out what comes of it."""
         before = self.log.generation
-        self._send(handler(self.exchange, sender, message, *arguments))
+        handler = peers.HANDLERS[type(message)]
+        self._send(handler(self.exchange, sender, message))
         if self.log.generation != before:
             self._publish(sender)
         self.reports.fork(self.exchange.fork)
--- a/packages/standins/greengagepoint_standins/memory_fleet.py
+++ b/packages/standins/greengagepoint_standins/memory_fleet.py
@@ -70,6 +70,7 @@
         self.watches.append(entry)
         try:
             while (value := await queue.get()) is not None:
+                await asyncio.sleep(self.delay())
                 yield value
         finally:
             self.watches.remove(entry)
