Let the stand-in store carry out writes that their callers gave up

Cause: a caller that timed out took its write back, because the handler ended with the connection. A slow or paused store does not do that, so the worst case (told "unknown", written later) could not occur in a test. A batch of large values was also sent in one call over the service's size limit.

Change: calls run to their end once taken; a hanging store goes on with them when it wakes. Batches are split by size as well as by count, and a refusal for size counts as not written.

Conclusion: writes that land late can be caused at will.

--- a/packages/node/greengagepoint_node/store.py
+++ b/packages/node/greengagepoint_node/store.py
@@ -8,26 +8,23 @@
 import aiohttp
 import msgspec
 
-from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
+from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
 from greengagepoint.protocols import StoreSnapshot, StoreValue
 from greengagepoint_node import store_messages as messages
 from greengagepoint_node.bodies import BodyTooLargeError, read_bounded
+from greengagepoint_node.store_answers import (
+    DECODE_ERRORS,
+    call_failed,
+    invalid_answer,
+    read_created,
+    read_message,
+    refused,
+)
 
 MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 MAX_LINE_BYTES: Final = 4 * 1024 * 1024
-# The service allows 128 operations a transaction; a nested one takes one of them
-# and needs one for itself.
-MAX_ITEMS_A_CALL: Final = 127
 WATCH_IDLE_SECONDS: Final = 60.0
-# gRPC codes with which the service tells that it refused a call before it acted:
-# invalid argument, not found, permission denied, resource exhausted, failed
-# precondition, out of range, unimplemented, unauthenticated. With any other code
-# (unavailable, deadline exceeded, internal) a write may still take effect.
-REFUSED_CODES: Final = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
 CONNECT_ERRORS: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
-DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError)
-MAX_REFUSAL_BYTES: Final = 64 * 1024
-MAX_DETAIL_BYTES: Final = 200
 CALL_ERRORS: Final = (aiohttp.ClientError, TimeoutError, OSError)
 
 AnswerT = TypeVar("AnswerT")
@@ -91,8 +88,8 @@
     ) -> tuple[bool, ...]:
         """Create each key that is absent; tell for each if it was made.
 
-        A key that stands twice in ``items`` is created by the first of them. More
-        than ``MAX_ITEMS_A_CALL`` items take several calls.
+        A key that stands twice in ``items`` is created by the first of them. Items
+        over the service's limits for one call take several.
         """
         wanted: dict[str, bytes] = {}
         for key, value in items:
@@ -134,10 +131,9 @@
     ) -> tuple[bool, ...]:
         """Run nested transactions; tell for each whether it succeeded."""
         done: list[bool] = []
-        for first in range(0, len(operations), MAX_ITEMS_A_CALL):
-            part = operations[first : first + MAX_ITEMS_A_CALL]
+        for part in messages.batches(operations):
             try:
-                answer = await self.run_txn(messages.TxnRequest(success=list(part)))
+                answer = await self.run_txn(messages.TxnRequest(success=part))
             except StoreError as error:
                 # Earlier parts are written: "did not happen" would be untrue of
                 # the whole, and the caller would release what it holds.
@@ -260,72 +256,6 @@
             )
 
 
-async def read_created(
-    response: aiohttp.ClientResponse, revision: int
-) -> messages.WatchResponse:
-    """Read a watch's first message; refuse a store that lacks what was seen."""
-    if response.status != 200:
-        body = await response.content.read(MAX_REFUSAL_BYTES)
-        raise refused(response.status, body, write=False)
-    created = await read_message(response)
-    # A store restored from a backup waits silently for a revision that it had
-    # before, and meanwhile gives other changes its numbers. Its own revision in
-    # the first message shows it before any of them is taken in.
-    if created.header.revision < revision - 1:
-        raise StoreError(
-            f"the store is at revision {created.header.revision}, before {revision}",
-            ErrorKind.STORE_REVERTED,
-        )
-    return created
-
-
-async def read_message(response: aiohttp.ClientResponse) -> messages.WatchResponse:
-    """Read one message of a watch."""
-    try:
-        line = await response.content.readline()
-    except ValueError as error:
-        raise invalid_answer(str(error), write=False) from error
-    if not line.endswith(b"\n"):
-        raise StoreError("the store ended the watch")
-    try:
-        message = msgspec.json.decode(line, type=messages.WatchStreamed, strict=False)
-    except DECODE_ERRORS as error:
-        raise invalid_answer(str(error), write=False) from error
-    if message.result is None or message.result.canceled:
-        raise StoreError(f"the store ended the watch: {line[:MAX_DETAIL_BYTES]!r}")
-    return message.result
-
-
-def call_failed(detail: str, write: bool) -> StoreError:
-    """Build the error for a call that was sent and not answered."""
-    return StoreOutcomeUnknownError(detail) if write else StoreError(detail)
-
-
-def invalid_answer(detail: str, write: bool) -> StoreError:
-    """Build the error for an answer that does not decode."""
-    if write:
-        return StoreOutcomeUnknownError(
-            detail, ErrorKind.STORE_ANSWER_INVALID, ran=Ran.UNKNOWN
-        )
-    return StoreError(detail, ErrorKind.STORE_ANSWER_INVALID)
-
-
-def refused(status: int, body: bytes, write: bool) -> StoreError:
-    """Build the error for an answer other than 200.
-
-    A write has not happened only if the service gives one of the codes with which
-    it refuses before acting; a bare status may come from anything on the way.
-    """
-    try:
-        refusal = msgspec.json.decode(body, type=messages.Refusal)
-    except DECODE_ERRORS:
-        return invalid_answer(f"status {status} without a gRPC code", write)
-    detail = f"status {status}, code {refusal.code}: {refusal.error}"
-    if refusal.code in REFUSED_CODES:
-        return StoreError(detail)
-    return call_failed(detail, write)
-
-
 def create_store(
     address: str,
     session: aiohttp.ClientSession,
--- a/packages/node/greengagepoint_node/store_messages.py
+++ b/packages/node/greengagepoint_node/store_messages.py
@@ -4,12 +4,18 @@
 value are left out. Comparisons and operations are built by the functions below.
 """
 
+from collections.abc import Iterator, Sequence
 from typing import Final, Literal
 
 import msgspec
 
 from greengagepoint.protocols import StoreValue
 
+# The service allows 128 operations a transaction; a nested one takes one of them
+# and needs one for itself.
+MAX_ITEMS_A_CALL: Final = 127
+# The service refuses a request over 1.5 MiB; what is no value needs some of it.
+MAX_VALUES_BYTES_A_CALL: Final = 1024 * 1024
 HEADERS: Final = {"Content-Type": "application/json"}
 
 
@@ -207,3 +213,30 @@
     """Run one operation inside a transaction if its own comparison holds."""
     txn = TxnRequest(compare=[compare], success=[operation])
     return RequestOperation(request_txn=txn)
+
+
+def batches(
+    operations: Sequence[RequestOperation],
+) -> Iterator[list[RequestOperation]]:
+    """Split nested operations into as few calls as the service's limits allow.
+
+    A single value over the limit goes alone; the service decides about it.
+    """
+    part: list[RequestOperation] = []
+    size = 0
+    for operation in operations:
+        added = nested_bytes(operation)
+        full = len(part) == MAX_ITEMS_A_CALL or size + added > MAX_VALUES_BYTES_A_CALL
+        if part and full:
+            yield part
+            part, size = [], 0
+        part.append(operation)
+        size += added
+    if part:
+        yield part
+
+
+def nested_bytes(operation: RequestOperation) -> int:
+    """Return the bytes of the value that a nested operation writes."""
+    written = operation.request_txn.success[0].request_put
+    return len(written.value) if written else 0
--- a/packages/node/tests/test_store_adapter.py
+++ b/packages/node/tests/test_store_adapter.py
@@ -10,7 +10,8 @@
 
 from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
 from greengagepoint.protocols import StoreValue
-from greengagepoint_node.store import MAX_ITEMS_A_CALL, create_store, prefix_end
+from greengagepoint_node.store import create_store, prefix_end
+from greengagepoint_node.store_messages import MAX_ITEMS_A_CALL
 from greengagepoint_standins.server import Down
 from greengagepoint_standins.store import async_start_store
 
@@ -65,6 +66,19 @@
     assert platform.counts["txn"] == 2
 
 
+async def test_create_splits_over_the_size_limit(platform, store):
+    items = [(key, b"v" * 700_000) for key in ("a", "b", "c")]
+    assert await store.create(items) == (True,) * 3
+    assert platform.counts["txn"] == 3
+
+
+async def test_value_over_the_limit_is_refused_and_not_written(platform, store):
+    with pytest.raises(StoreError, match="too large") as caught:
+        await store.create([("a", b"v" * 3_000_000)])
+    assert caught.value.ran is Ran.NOT_RUN
+    assert platform.gateway.state.revision == 1
+
+
 async def test_create_next_needs_its_predecessor(store):
     assert not await store.create_next("log/2", b"", after="log/1")
     assert await store.create_next("log/1", b"x", after=None)
@@ -203,15 +217,17 @@
 
     A change that comes later is told once and none is missed.
     """
-    opened = asyncio.Event()
 
     class Counts(Counter):
+        opened = asyncio.Event()
+        wanted = 3
+
         def __setitem__(self, kind, count):
             super().__setitem__(kind, count)
-            if kind == "watch" and count >= 3:
-                opened.set()
+            if kind == "watch" and count >= self.wanted:
+                self.opened.set()
 
-    platform.gateway.counts = Counts()
+    counts = platform.gateway.counts = Counts()
     store = create_store(
         platform.address,
         session,
@@ -220,11 +236,15 @@
     )
     async with aclosing(store.watch("a", revision=0)) as changes:
         coming = asyncio.ensure_future(anext(changes))
-        await opened.wait()
+        await counts.opened.wait()
         await store.create([("a", b"1")])
         assert (await coming).value == b"1"
+        counts.opened.clear()
+        counts.wanted = counts["watch"] + 3
+        coming = asyncio.ensure_future(anext(changes))
+        await counts.opened.wait()
         await store.create([("a2", b"2")])
-        assert (await anext(changes)).value == b"2"
+        assert (await coming).value == b"2"
 
 
 async def test_watch_of_a_restored_store_is_refused(platform, store):
@@ -258,3 +278,23 @@
     old = await store.read_prefix("a")
     assert (old.values[0].value, old.revision) == (b"1", 2)
     assert (await store.read("a")).value == b"2"
+
+
+async def test_write_to_a_paused_store_lands_after_its_caller_gave_up(
+    platform, session
+):
+    """The store is paused, a write waits in it, its caller gives up, it wakes.
+
+    The caller was told that the outcome is unknown, and the write lands later.
+    """
+    store = create_store(
+        platform.address, session, timeout_seconds=SHORT_TIMEOUT_SECONDS
+    )
+    platform.set_down(Down.HANG)
+    with pytest.raises(StoreOutcomeUnknownError):
+        await store.create([("a", b"late")])
+    landed = asyncio.Event()
+    platform.gateway.state.listen(lambda changes: landed.set())
+    platform.set_down(Down.NO)
+    await landed.wait()
+    assert (await store.read("a")).value == b"late"
--- a/packages/standins/greengagepoint_standins/backend_server.py
+++ b/packages/standins/greengagepoint_standins/backend_server.py
@@ -56,7 +56,7 @@
     async def async_handle(self, request: web.Request) -> web.StreamResponse:
         """Shed a request, or run it in a slot and answer."""
         self.counts["requests"] += 1
-        await async_be_down(request, self.control.down)
+        await async_be_down(request, self.control)
         await self.async_connect(request)
         if self.control.take("next_reset_before_run"):
             cut(request)
--- a/packages/standins/greengagepoint_standins/backend_views.py
+++ b/packages/standins/greengagepoint_standins/backend_views.py
@@ -21,7 +21,7 @@
     async def show_load(self, request: web.Request) -> web.StreamResponse:
         """Report the load."""
         self.server.counts["load_reads"] += 1
-        await async_be_down(request, self.server.control.down)
+        await async_be_down(request, self.server.control)
         if self.server.control.load_garbage:
             return web.Response(body=GARBAGE, content_type="application/json")
         return json_answer(self.server.load.read(self.server.clock()))
--- a/packages/standins/greengagepoint_standins/host_list.py
+++ b/packages/standins/greengagepoint_standins/host_list.py
@@ -75,7 +75,7 @@
     async def show_hosts(self, request: web.Request) -> web.Response:
         """Answer with the list."""
         self.counts["reads"] += 1
-        await async_be_down(request, self.control.down)
+        await async_be_down(request, self.control)
         if self.control.slow_ms > 0:
             await asyncio.sleep(self.control.slow_ms / 1000)
         if self.control.garbage_answers > 0:
--- a/packages/standins/greengagepoint_standins/server.py
+++ b/packages/standins/greengagepoint_standins/server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from enum import StrEnum
-from typing import Any, Final, Generic, TypeVar
+from typing import Any, Final, Generic, Protocol, TypeVar
 
 import msgspec
 from aiohttp import web
@@ -10,8 +10,7 @@
 LOOPBACK: Final = "127.0.0.1"
 GARBAGE: Final = b'{"header":{"revision":"\xff\xfe not json'
 SHUTDOWN_SECONDS: Final = 0.1
-MAX_REQUEST_BYTES: Final = 4 * 1024 * 1024
-HANG_SECONDS: Final = 3600.0
+HANG_CHECK_SECONDS: Final = 0.02
 
 
 class Down(StrEnum):
@@ -22,6 +21,12 @@
     HANG = "hang"
 
 
+class Faults(Protocol):
+    """Any control state that can put its stand-in out of order."""
+
+    down: Down
+
+
 ControlT = TypeVar("ControlT", bound=msgspec.Struct)
 
 
@@ -95,10 +100,19 @@
         request.transport.abort()
 
 
-async def async_be_down(request: web.Request, down: Down) -> None:
-    """Refuse or hang as told; return at once when in order."""
-    if down is Down.HANG:
-        await asyncio.sleep(HANG_SECONDS)
-    if down is not Down.NO:
+async def async_hang(faults: Faults) -> None:
+    """Wait while told to hang; the field is plain, so it is looked at in turns."""
+    while faults.down is Down.HANG:  # noqa: ASYNC110
+        await asyncio.sleep(HANG_CHECK_SECONDS)
+
+
+async def async_be_down(request: web.Request, faults: Faults) -> None:
+    """Reset the connection or wait for as long as told; return when in order.
+
+    What has waited goes on when the stand-in is in order again, as calls do that
+    reached a process before it was paused.
+    """
+    await async_hang(faults)
+    if faults.down is Down.REFUSE:
         cut(request)
         raise web.HTTPServiceUnavailable
--- a/packages/standins/greengagepoint_standins/store.py
+++ b/packages/standins/greengagepoint_standins/store.py
@@ -6,14 +6,14 @@
 
 from aiohttp import web
 
-from greengagepoint_standins.server import MAX_REQUEST_BYTES, StandIn, async_serve
+from greengagepoint_standins.server import Down, StandIn, async_serve
 from greengagepoint_standins.store_control import StoreControl
-from greengagepoint_standins.store_gateway import StoreGateway
+from greengagepoint_standins.store_gateway import MAX_BODY_BYTES, StoreGateway
 
 
 def create_store_app(gateway: StoreGateway) -> web.Application:
     """Build the application with the gateway's and the control routes."""
-    app = web.Application(client_max_size=MAX_REQUEST_BYTES)
+    app = web.Application(client_max_size=MAX_BODY_BYTES)
     routes: dict[str, Callable[[web.Request], Awaitable[web.StreamResponse]]] = {
         "/v3/kv/range": gateway.range,
         "/v3/kv/put": gateway.put,
@@ -30,7 +30,7 @@
     for path, handler in routes.items():
         app.router.add_post(path, handler)
     app.router.add_get("/control", gateway.show_control)
-    app.cleanup_ctx.append(gateway.async_check_leases)
+    app.cleanup_ctx.append(gateway.async_run_timers)
     return app
 
 
@@ -44,6 +44,10 @@
         """Return the calls so far by kind."""
         return self.gateway.counts
 
+    def set_down(self, down: Down) -> None:
+        """Put the store out of order, or in order again."""
+        self.gateway.set_down(down)
+
 
 async def async_start_store(
     port: int = 0, control: StoreControl | None = None
--- a/packages/standins/greengagepoint_standins/store_gateway.py
+++ b/packages/standins/greengagepoint_standins/store_gateway.py
@@ -1,7 +1,6 @@
 """Answer etcd v3's JSON gateway from the state of the stand-in store."""
 
 import asyncio
-import contextlib
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from typing import Final, TypeVar
@@ -27,6 +26,8 @@
 )
 from greengagepoint_standins.store_watch import Watches
 
+# A request of 1.5 MiB, the published default limit, is a third longer as base64.
+MAX_BODY_BYTES: Final = 2 * 1024 * 1024
 LEASE_CHECK_SECONDS: Final = 0.1
 OUT_OF_RANGE: Final = (400, 11)
 INVALID_ARGUMENT: Final = (400, 3)
@@ -44,6 +45,7 @@
         self.counts: Counter[str] = Counter()
         self.reads = RateLimit()
         self.writes = RateLimit()
+        self.tasks: set[asyncio.Task[web.StreamResponse]] = set()
         self.watches = Watches(self.state, control)
 
     async def async_call(
@@ -51,17 +53,39 @@
         request: web.Request,
         kind: str,
         run: Callable[[bytes], msgspec.Struct],
-        is_write: Callable[[bytes], bool] = lambda body: True,
+        *,
+        write: bool = True,
+    ) -> web.StreamResponse:
+        """Carry out one call to its end, also when its caller has gone away.
+
+        A caller that stops waiting does not take its write back: a slow or paused
+        store carries it out later, and that must be seen in tests.
+        """
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return failure(INVALID_ARGUMENT, "etcdserver: request is too large")
+        task = asyncio.create_task(
+            self.async_execute(request, kind, lambda: run(body), write)
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return await asyncio.shield(task)
+
+    async def async_execute(
+        self,
+        request: web.Request,
+        kind: str,
+        run: Callable[[], msgspec.Struct],
+        write: bool,
     ) -> web.StreamResponse:
         """Count one call, run it and answer, or fail it as the control says."""
-        body = await request.read()
-        write = is_write(body)
         refusal = await self.async_admit(request, kind, write)
         if refusal is not None:
             return refusal
         self.state.expire(self.clock())
         try:
-            answer = run(body)
+            answer = run()
         except CompactedError:
             text = "etcdserver: mvcc: required revision has been compacted"
             return failure(OUT_OF_RANGE, text)
@@ -90,7 +114,7 @@
         """Count a call; return an answer if it is over the rate limit."""
         self.counts[kind] += 1
         self.counts["writes" if write else "reads"] += 1
-        await async_be_down(request, self.control.down)
+        await async_be_down(request, self.control)
         limit = self.writes if write else self.reads
         control = self.control
         rate = control.writes_per_second if write else control.reads_per_second
@@ -99,7 +123,7 @@
             return failure(RESOURCE_EXHAUSTED, "etcdserver: too many requests")
         if self.control.slow_ms > 0:
             await asyncio.sleep(self.control.slow_ms / 1000)
-            await async_be_down(request, self.control.down)
+            await async_be_down(request, self.control)
         return None
 
     def read_revision(self) -> int:
@@ -116,7 +140,7 @@
             wanted = decode(body, messages.RangeRequest)
             return operations.run_range(self.state, wanted, self.read_revision())
 
-        return await self.async_call(request, "range", run, lambda body: False)
+        return await self.async_call(request, "range", run, write=False)
 
     async def put(self, request: web.Request) -> web.StreamResponse:
         """Write one key."""
@@ -211,10 +235,15 @@
     async def change_control(self, request: web.Request) -> web.Response:
         """Change fields of the control state."""
         update_control(self.control, await request.read())
-        if self.control.down is Down.REFUSE:
-            self.watches.cut()
+        self.set_down(self.control.down)
         return await self.show_control(request)
 
+    def set_down(self, down: Down) -> None:
+        """Go out of order or in order again; refusing ends the watches too."""
+        self.control.down = down
+        if down is Down.REFUSE:
+            self.watches.cut()
+
     async def change_restore(self, request: web.Request) -> web.Response:
         """Go back to an old revision, as a restored backup does."""
         wanted = msgspec.json.decode(await request.read(), type=dict[str, int])
@@ -235,19 +264,18 @@
         """End all leases, whatever time they have left."""
         self.state.expire(float("inf"))
 
-    async def async_check_leases(self, app: web.Application) -> AsyncIterator[None]:
-        """End leases in time, so that watches see it."""
-
-        async def check() -> None:
-            while True:
-                await asyncio.sleep(LEASE_CHECK_SECONDS)
-                self.state.expire(self.clock())
-
-        task = asyncio.create_task(check())
+    async def async_run_timers(self, app: web.Application) -> AsyncIterator[None]:
+        """End leases in time, so that watches see it; at the end drop calls."""
+        timer = asyncio.create_task(self.async_check_leases())
         yield
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        for task in (timer, *self.tasks):
+            task.cancel()
+
+    async def async_check_leases(self) -> None:
+        """End leases whenever they have run out."""
+        while True:
+            await asyncio.sleep(LEASE_CHECK_SECONDS)
+            self.state.expire(self.clock())
 
 
 MessageT = TypeVar("MessageT")
--- a/packages/standins/greengagepoint_standins/store_watch.py
+++ b/packages/standins/greengagepoint_standins/store_watch.py
@@ -7,7 +7,7 @@
 
 from greengagepoint_standins import store_messages as messages
 from greengagepoint_standins import store_operations as operations
-from greengagepoint_standins.server import GARBAGE, Down
+from greengagepoint_standins.server import GARBAGE, async_hang
 from greengagepoint_standins.store_control import StoreControl
 from greengagepoint_standins.store_state import FROM_KEY_ON, Entry, StoreState
 
@@ -81,8 +81,7 @@
             return
         if self.control.slow_ms > 0:
             await asyncio.sleep(self.control.slow_ms / 1000)
-        if self.control.down is Down.HANG:
-            await asyncio.Event().wait()
+        await async_hang(self.control)
         head = messages.Header(revision=str(changes[-1].mod_revision))
         await async_send(response, messages.WatchResponse(header=head, events=events))
 
--- a/packages/standins/tests/test_standins_backend.py
+++ b/packages/standins/tests/test_standins_backend.py
@@ -60,7 +60,8 @@
     async with session.get(url(backend, path), headers=headers) as answer:
         body = await answer.read()
     assert answer.status == status
-    assert body == b"".join(packs.pieces("/pack/rack-7", start, stop))
+    block = packs.block_of("/pack/rack-7")
+    assert body == (block * 4)[start:stop]
     if status == 200:
         digest = packs.digest_of("/pack/rack-7", 200_000)
         assert hashlib.sha256(body).hexdigest() == digest
