--- a/packages/core/greengagepoint/caps/messages.py
+++ b/packages/core/greengagepoint/caps/messages.py
@@ -1,5 +1,7 @@
 """Messages with which hosts lend units and confirm each other's rights."""
 
+from typing import Final
+
 import msgspec
 
 
@@ -78,6 +80,11 @@
     units: int
 
 
-Message = (
-    LoanRequest | LoanGrant | VouchRequest | Vouch | LedgerChanged | RegionUnitsWanted
+MESSAGES: Final = (
+    LoanRequest,
+    LoanGrant,
+    VouchRequest,
+    Vouch,
+    LedgerChanged,
+    RegionUnitsWanted,
 )
