--- a/packages/core/greengagepoint/balancing/choice.py
+++ b/packages/core/greengagepoint/balancing/choice.py
@@ -76,7 +76,7 @@
     if outcome is Outcome.SHED:
         return
     row.answered += 1
-    row.latencies.append(latency_seconds)
+    row.pool.latencies.append(latency_seconds)
     if row.answered == 1:
         row.latency_seconds = latency_seconds
     else:
--- a/packages/core/greengagepoint/balancing/estimate.py
+++ b/packages/core/greengagepoint/balancing/estimate.py
@@ -4,8 +4,9 @@
 
 from greengagepoint.balancing.tables import BackendRow
 
-REPORT_HALF_LIFE_SECONDS: Final = 1.0
-REPORT_AGE_MAX_SECONDS: Final = 8.0
+HALF_LIFE_SERVICE_TIMES: Final = 0.1
+HALF_LIFE_MIN_SECONDS: Final = 0.005
+HALF_LIFE_MAX_SECONDS: Final = 0.5
 SLOW_START_SECONDS: Final = 10.0
 SLOW_START_FLOOR: Final = 0.1
 CONNECTION_SECONDS: Final = 0.001
@@ -17,20 +18,28 @@
 def load_of_others(row: BackendRow, now: float) -> float:
     """Return requests in flight from other hosts, as far as reports are believed.
 
-    A report loses half its weight each ``REPORT_HALF_LIFE_SECONDS`` and all of it
-    after ``REPORT_AGE_MAX_SECONDS``: an old report of an idle server would draw
-    all hosts to it at once.
+    The less a report is believed, the more the pool's mean stands for it, so that
+    a server without one is neither sought nor shunned. A report is worth as much
+    as the requests that it counted are still there: it loses half its weight each
+    service time. Longer belief makes all hosts rush to whichever server was idle
+    at the last report.
     """
+    mean = row.pool.others_a_slot * row.slots
+    reported = row.reported
+    if reported is None:
+        return mean
+    half_life = row.latency_seconds * HALF_LIFE_SERVICE_TIMES
+    half_life = min(HALF_LIFE_MAX_SECONDS, max(HALF_LIFE_MIN_SECONDS, half_life))
+    weight = row.trust * 0.5 ** (max(0.0, now - row.reported_at) / half_life)
+    return mean + weight * (reported_by_others(row) - mean)
+
+
+def reported_by_others(row: BackendRow) -> float:
+    """Return what the last report says beyond this host's own requests."""
     reported = row.reported
     if reported is None:
         return 0.0
-    age = now - row.reported_at
-    if age > REPORT_AGE_MAX_SECONDS:
-        return 0.0
-    others = reported.in_flight + reported.queued - row.own_at_report
-    if others <= 0:
-        return 0.0
-    return others * row.trust * 0.5 ** (max(0.0, age) / REPORT_HALF_LIFE_SECONDS)
+    return max(0, reported.in_flight + reported.queued - row.own_at_report)
 
 
 def slow_start_share(row: BackendRow, now: float) -> float:
--- a/packages/core/greengagepoint/balancing/reports.py
+++ b/packages/core/greengagepoint/balancing/reports.py
@@ -5,15 +5,18 @@
 
 import msgspec
 
+from greengagepoint.balancing.estimate import reported_by_others
 from greengagepoint.balancing.tables import BackendRow, LeavingSource, Load
 
 LOAD_BYTES_MAX: Final = 512
 LOAD_COUNT_MAX: Final = 1_000_000
 TRUST_LOSS: Final = 0.5
-TRUST_GAIN: Final = 0.1
+TRUST_GAIN: Final = 0.01
+MEAN_WEIGHT: Final = 0.05
 TRUST_FLOOR: Final = 0.05
 DISTRUST_BELOW: Final = 0.5
-OWN_COUNT_SLACK: Final = 2
+OWN_COUNT_SLACK: Final = 1
+SIGNAL_KEPT_SECONDS: Final = 30.0
 SLOW_FACTOR: Final = 3.0
 SAMPLES_MIN: Final = 16
 
@@ -57,9 +60,26 @@
         row.trust = max(TRUST_FLOOR, row.trust * TRUST_LOSS)
     else:
         row.trust = min(1.0, row.trust + TRUST_GAIN)
+    others = reported_by_others(row) / max(1, row.slots)
+    row.pool.others_a_slot += (
+        MEAN_WEIGHT * row.trust * (others - row.pool.others_a_slot)
+    )
+    _note_leaving(row, load, now)
+
+
+def _note_leaving(row: BackendRow, load: Load, now: float) -> None:
+    """Keep a server's own word that it leaves until it has long not said so.
+
+    Its load endpoint may lag behind its answers' header: were each report to count
+    alone, the late one would bring new requests to a server about to stop.
+    """
     if load.leaving:
         row.leaving.add(LeavingSource.OWN_SIGNAL)
-    elif LeavingSource.OWN_SIGNAL in row.leaving:
+        row.signalled_at = now
+        return
+    if now - row.signalled_at < SIGNAL_KEPT_SECONDS:
+        return
+    if LeavingSource.OWN_SIGNAL in row.leaving:
         row.leaving.discard(LeavingSource.OWN_SIGNAL)
         row.drained_told = False
 
@@ -74,9 +94,9 @@
     busy = load.in_flight + load.queued
     if busy + OWN_COUNT_SLACK < row.in_flight:
         return True
-    if len(row.latencies) < SAMPLES_MIN or row.answered < SAMPLES_MIN:
+    if len(row.pool.latencies) < SAMPLES_MIN or row.answered < SAMPLES_MIN:
         return False
-    usual = median(row.latencies)
+    usual = median(row.pool.latencies)
     if busy * 2 < row.slots:
         return row.latency_seconds > usual * SLOW_FACTOR
     return busy > row.slots * SLOW_FACTOR and row.latency_seconds <= usual
--- a/packages/core/greengagepoint/balancing/rows.py
+++ b/packages/core/greengagepoint/balancing/rows.py
@@ -126,6 +126,6 @@
     for (service, site, _name), row in sorted(table.rows.items()):
         pool = table.pools.setdefault((service, site), Pool())
         pool.rows.append(row)
-        row.latencies = pool.latencies
+        row.pool = pool
     for key in [key for key, pool in table.pools.items() if not pool.rows]:
         del table.pools[key]
--- a/packages/core/greengagepoint/balancing/tables.py
+++ b/packages/core/greengagepoint/balancing/tables.py
@@ -45,6 +45,11 @@
     return deque(maxlen=LATENCIES_KEPT)
 
 
+def _pool() -> "Pool":
+    """Return a pool for a row that is in none yet."""
+    return Pool()
+
+
 @dataclass(slots=True)
 class BackendRow:
     """One backend server as this host sees it.
@@ -53,7 +58,8 @@
     ``reported_at`` when it was true, ``own_at_report`` this host's part of it and
     ``trust`` its weight, 0 to 1. ``warm`` estimates the connections that are open,
     ``slow_start_from`` is when requests to it began to ramp up (None: at full
-    rate). ``latencies`` is shared with the row's pool.
+    rate), ``signalled_at`` when it last said itself that it leaves. ``pool`` is
+    what the row is in.
     """
 
     name: str
@@ -79,7 +85,8 @@
     ejection_wanted: bool = False
     slow_start_from: float | None = None
     leaving: set[LeavingSource] = field(default_factory=set)
-    latencies: deque[float] = field(default_factory=_latencies)
+    signalled_at: float = 0.0
+    pool: "Pool" = field(default_factory=_pool)
     leaving_told: bool = False
     drained_told: bool = False
     distrust_told: bool = False
@@ -93,12 +100,14 @@
 class Pool:
     """The backend servers of one service at one site.
 
-    ``latencies`` are the newest service times in seconds; ``last_choice`` is for
+    ``latencies`` are the newest service times in seconds, ``others_a_slot`` the
+    mean of what reports say of other hosts' requests; ``last_choice`` is for
     policies that go round.
     """
 
     rows: list[BackendRow] = field(default_factory=list)
     latencies: deque[float] = field(default_factory=_latencies)
+    others_a_slot: float = 0.0
     last_choice: int = 0
 
 
