--- a/packages/core/tests/test_caps_machine.py
+++ b/packages/core/tests/test_caps_machine.py
@@ -85,6 +85,7 @@
     rate: float
     configuration: Configuration
     paused: bool = False
+    store_cut: bool = False
     wanted: Counter = field(default_factory=Counter)
     duration: float = REQUEST_SECONDS
     suspects: set[str] = field(default_factory=set)
@@ -138,6 +139,8 @@
         self.left_at: dict[int, float] = {}
         self.incarnations = Counter()
         self.loss = 0.0
+        self.delay = 0.0
+        self.delayed: list[tuple[float, str, str, Any]] = []
         self.sent = Counter()
         self.answered = Counter()
         for name in HOSTS:
@@ -185,11 +188,6 @@
     def _note_left(self, generation: int) -> None:
         self.left_at[generation] = self.now
 
-    def pause(self, name: str, paused: bool) -> None:
-        """Stop or wake a process; it wakes with what it held."""
-        if name in self.hosts:
-            self.hosts[name].paused = paused
-
     def reaches(self, sender: str, receiver: str) -> bool:
         return (sender, receiver) not in self.cut
 
@@ -265,7 +263,7 @@
     def _exchange(self, name: str, host: FakeHost, clock: float) -> None:
         """Read and plan in one step, write in the next, so that writers race."""
         region = host.table.host.region
-        if not self.store.up:
+        if not self.store.up or host.store_cut:
             host.write = None
             return
         if host.write is None:
@@ -295,12 +293,18 @@
         self.sent[sender] += 1
         if self.random.random() < self.loss:
             return
+        if self.delay:
+            due = self.now + self.random.uniform(0, self.delay)
+            self.delayed.append((due, sender, receiver, message))
+            return
         self.queue.append((sender, receiver, message))
         if self.random.random() < 0.05 and len(self.kept) < 50:
             self.kept.append((sender, receiver, message))
 
     def deliver(self) -> None:
         """Deliver what is on its way, and answers to it, in any order."""
+        self.queue += [late[1:] for late in self.delayed if late[0] <= self.now]
+        self.delayed = [late for late in self.delayed if late[0] > self.now]
         for _ in range(2):
             queue, self.queue = self.queue, []
             self.random.shuffle(queue)
@@ -373,7 +377,7 @@
         self.world = World(seed)
         for host in self.world.hosts.values():
             for site in REGION_OF_SITE:
-                host.wanted[site] = 2
+                host.wanted[site] = 6
         self.world.advance(4)
 
     @rule(seconds=st.sampled_from([0.25, 1, 3, 8, 20]))
@@ -391,13 +395,26 @@
             self.world.hosts[name].wanted[site] = wanted
             self.world.hosts[name].duration = duration
 
-    @rule(name=names)
-    def pause(self, name: str) -> None:
-        self.world.pause(name, True)
-
-    @rule(name=names)
-    def wake(self, name: str) -> None:
-        self.world.pause(name, False)
+    @rule(
+        name=names,
+        fault=st.sampled_from(["pause", "isolate", "cut_store", "cut_peers"]),
+        seconds=st.sampled_from([0.75, 2, 5, 7, 12, 18, 30]),
+        heal=st.booleans(),
+    )
+    def disturb_host(self, name: str, fault: str, seconds: float, heal: bool) -> None:
+        """Let one host fail in one way for a while, or from now on."""
+        host = self.world.hosts.get(name)
+        if host is None:
+            return
+        links = {(name, other) for other in HOSTS} | {(other, name) for other in HOSTS}
+        host.paused = fault == "pause"
+        host.store_cut = fault in ("isolate", "cut_store")
+        if fault in ("isolate", "cut_peers"):
+            self.world.cut |= links
+        self.world.advance(seconds)
+        if heal:
+            host.paused = host.store_cut = False
+            self.world.cut -= links
 
     @rule(name=names)
     def kill(self, name: str) -> None:
@@ -420,11 +437,6 @@
         if both:
             self.world.cut.add((other, one))
 
-    @rule(name=names)
-    def isolate(self, name: str) -> None:
-        for other in HOSTS:
-            self.world.cut |= {(name, other), (other, name)}
-
     @rule()
     def cut_regions(self) -> None:
         for one in HOSTS:
@@ -437,8 +449,9 @@
         self.world.cut.clear()
         self.world.store.up = True
         self.world.store.mode = ""
-        self.world.loss = 0.0
+        self.world.loss = self.world.delay = 0.0
         for host in self.world.hosts.values():
+            host.paused = host.store_cut = False
             host.suspects.clear()
 
     @rule(one=names, other=names)
@@ -450,6 +463,10 @@
     def lose_messages(self, loss: float) -> None:
         self.world.loss = loss
 
+    @rule(seconds=st.sampled_from([0.0, 1.5, 12.0]))
+    def delay_messages(self, seconds: float) -> None:
+        self.world.delay = seconds
+
     @rule()
     def redeliver(self) -> None:
         self.world.redeliver()
