--- a/packages/core/greengagepoint/balancing/choice.py
+++ b/packages/core/greengagepoint/balancing/choice.py
@@ -51,6 +51,7 @@
 def started(row: BackendRow, now: float) -> None:
     """Count a request as in flight; call once before the first byte is sent."""
     row.in_flight += 1
+    row.started_at = now
     row.warm = max(row.warm, row.in_flight)
     row.window_peak = max(row.window_peak, row.in_flight)
     row.drained_told = False
--- a/packages/core/greengagepoint/balancing/reports.py
+++ b/packages/core/greengagepoint/balancing/reports.py
@@ -38,22 +38,35 @@
         load = _decoder.decode(text)
     except (msgspec.DecodeError, UnicodeEncodeError) as error:
         raise InvalidLoadError(f"the load report is malformed: {error}") from error
+    check_load(load)
+    return load
+
+
+def check_load(load: Load) -> None:
+    """Raise ``InvalidLoadError`` when a load cannot be true."""
     counts = (load.in_flight, load.slots, load.queued)
     if min(counts) < 0 or max(counts) > LOAD_COUNT_MAX:
         raise InvalidLoadError("the load report has a count out of range")
-    return load
 
 
-def report(row: BackendRow, load: Load, now: float, age_seconds: float = 0.0) -> None:
+def report(
+    row: BackendRow,
+    load: Load,
+    now: float,
+    age_seconds: float = 0.0,
+    *,
+    own: bool = True,
+) -> None:
     """Take in a load report that was true ``age_seconds`` ago.
 
-    One older than the row's newest is ignored: reports shared by other hosts come
-    late and out of order.
+    ``own`` tells that the server itself said so to this host. A report older than
+    the row's newest is ignored: shared ones come late and out of order.
     """
     reported_at = now - max(0.0, age_seconds)
     if row.reported is not None and reported_at < row.reported_at:
         return
     row.reported = load
+    row.reported_own = own
     row.reported_at = reported_at
     row.own_at_report = row.in_flight
     if contradicts(row, load):
--- a/packages/core/greengagepoint/balancing/tables.py
+++ b/packages/core/greengagepoint/balancing/tables.py
@@ -54,9 +54,11 @@
 class BackendRow:
     """One backend server as this host sees it.
 
-    Times are monotonic seconds. ``reported`` is the last load report,
-    ``reported_at`` when it was true, ``own_at_report`` this host's part of it and
-    ``trust`` its weight, 0 to 1. ``warm`` estimates the connections that are open,
+    Times are monotonic seconds. ``started_at`` is when a request was last sent.
+    ``reported`` is the last load report, ``reported_at`` when it was true,
+    ``reported_own`` whether this host had it from the server itself and
+    ``own_at_report`` this host's part of it.
+    ``trust`` is its weight, 0 to 1. ``warm`` estimates the connections that are open,
     ``slow_start_from`` is when requests to it began to ramp up (None: at full
     rate), ``signalled_at`` when it last said itself that it leaves. ``pool`` is
     what the row is in.
@@ -69,6 +71,7 @@
     slots: int
     connections: int
     in_flight: int = 0
+    started_at: float | None = None
     warm: int = 0
     window_peak: int = 0
     window_from: float = 0.0
@@ -76,6 +79,7 @@
     answered: int = 0
     reported: Load | None = None
     reported_at: float = 0.0
+    reported_own: bool = False
     own_at_report: int = 0
     trust: float = 1.0
     failures_in_row: int = 0
