Reach several store addresses and keep keys under a prefix

Cause: the settings for further addresses and for a prefix of keys had no effect, and what a failed write means was written down nowhere.

Change: create_store takes one or several addresses and a prefix. Only a call that got no connection is sent to the next address. Tests that would wait for ever when the code breaks now fail instead. A host-list test that depended on how long the machine had been up is mended: it set a clock to a fixed number.

--- a/packages/node/greengagepoint_node/store.py
+++ b/packages/node/greengagepoint_node/store.py
@@ -20,6 +20,7 @@
     read_message,
     refused,
 )
+from greengagepoint_node.store_keys import KeySpace
 
 MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 MAX_LINE_BYTES: Final = 4 * 1024 * 1024
@@ -30,29 +31,27 @@
 AnswerT = TypeVar("AnswerT")
 
 
-def prefix_end(prefix: bytes) -> bytes:
-    """Return the first key after all keys with a prefix."""
-    kept = prefix.rstrip(b"\xff")
-    if not kept:
-        return b"\0"
-    return kept[:-1] + bytes([kept[-1] + 1])
-
-
 class EtcdStore:
     """Implement ``ConfigStore`` over the published JSON gateway.
 
-    No call is repeated here: only the caller knows whether a write may be.
+    A call is sent to another address only if it reached none before: only the
+    caller knows whether a write that may have happened can be repeated.
     """
 
     def __init__(
         self,
-        address: str,
+        addresses: Sequence[str],
         session: aiohttp.ClientSession,
+        keys: KeySpace,
         timeout_seconds: float,
         watch_idle_seconds: float,
     ) -> None:
-        self.base = address if "://" in address else f"http://{address}"
+        self.addresses = [
+            address if "://" in address else f"http://{address}"
+            for address in addresses
+        ]
         self.session = session
+        self.keys = keys
         self.timeout_seconds = timeout_seconds
         self.watch_idle_seconds = watch_idle_seconds
         self.timeout = aiohttp.ClientTimeout(
@@ -61,26 +60,22 @@
 
     async def read(self, key: str) -> StoreValue | None:
         """Return one key, or None when it is absent."""
-        request = messages.RangeRequest(key=key.encode())
+        request = messages.RangeRequest(key=self.keys.encode(key))
         answer = await self.call(
             "/v3/kv/range", request, messages.RangeResponse, write=False
         )
-        return messages.to_store_value(answer.kvs[0]) if answer.kvs else None
+        return self.keys.decode(answer.kvs[0]) if answer.kvs else None
 
     async def read_prefix(
         self, prefix: str, *, from_key: str | None = None, limit: int = 0
     ) -> StoreSnapshot:
         """Return keys under a prefix in order, from ``from_key`` on."""
-        first = max(prefix, from_key or prefix)
-        request = messages.RangeRequest(
-            key=first.encode() or b"\0",
-            range_end=prefix_end(prefix.encode()),
-            limit=limit,
-        )
+        first, end = self.keys.range(prefix, from_key)
+        request = messages.RangeRequest(key=first, range_end=end, limit=limit)
         answer = await self.call(
             "/v3/kv/range", request, messages.RangeResponse, write=False
         )
-        values = tuple(messages.to_store_value(found) for found in answer.kvs)
+        values = tuple(self.keys.decode(found) for found in answer.kvs)
         return StoreSnapshot(values, answer.header.revision)
 
     async def create(
@@ -96,7 +91,10 @@
             wanted.setdefault(key, value)
         keys = tuple(wanted)
         operations = [
-            messages.nested(messages.absent(key), messages.put(key, wanted[key], lease))
+            messages.nested(
+                messages.absent(self.keys.encode(key)),
+                messages.put(self.keys.encode(key), wanted[key], lease),
+            )
             for key in keys
         ]
         made = dict(zip(keys, await self.run_each(operations), strict=True))
@@ -104,25 +102,29 @@
 
     async def create_next(self, key: str, value: bytes, *, after: str | None) -> bool:
         """Create a key only if it is absent and the key ``after`` is present."""
-        compares = [messages.absent(key)]
+        name = self.keys.encode(key)
+        compares = [messages.absent(name)]
         if after is not None:
-            compares.append(messages.present(after))
-        txn = messages.TxnRequest(compare=compares, success=[messages.put(key, value)])
+            compares.append(messages.present(self.keys.encode(after)))
+        txn = messages.TxnRequest(compare=compares, success=[messages.put(name, value)])
         return (await self.run_txn(txn)).succeeded
 
     async def replace(self, key: str, value: bytes, *, revision: int) -> bool:
         """Write a key only if its revision is unchanged (0: absent)."""
+        name = self.keys.encode(key)
         txn = messages.TxnRequest(
-            compare=[messages.unchanged(key, revision)],
-            success=[messages.put(key, value)],
+            compare=[messages.unchanged(name, revision)],
+            success=[messages.put(name, value)],
         )
         return (await self.run_txn(txn)).succeeded
 
     async def delete(self, items: Sequence[tuple[str, int]]) -> tuple[bool, ...]:
         """Delete each key whose revision is unchanged; tell for each if it was."""
         operations = [
-            messages.nested(messages.unchanged(key, revision), messages.delete(key))
-            for key, revision in items
+            messages.nested(messages.unchanged(name, revision), messages.delete(name))
+            for name, revision in (
+                (self.keys.encode(key), revision) for key, revision in items
+            )
         ]
         return await self.run_each(operations)
 
@@ -175,22 +177,7 @@
         write: bool,
     ) -> AnswerT:
         """Send one call and decode its whole answer."""
-        try:
-            async with self.session.post(
-                self.base + path,
-                data=msgspec.json.encode(request),
-                headers=messages.HEADERS,
-                timeout=self.timeout,
-                allow_redirects=False,
-            ) as response:
-                status = response.status
-                body = await read_bounded(response, MAX_ANSWER_BYTES)
-        except CONNECT_ERRORS as error:
-            raise StoreError(f"no connection to the store: {error}") from error
-        except BodyTooLargeError as error:
-            raise invalid_answer(str(error), write) from error
-        except CALL_ERRORS as error:
-            raise call_failed(f"no answer from the store: {error!r}", write) from error
+        status, body = await self.exchange(path, msgspec.json.encode(request), write)
         if status != 200:
             raise refused(status, body, write)
         try:
@@ -198,6 +185,35 @@
         except DECODE_ERRORS as error:
             raise invalid_answer(str(error), write) from error
 
+    async def exchange(self, path: str, data: bytes, write: bool) -> tuple[int, bytes]:
+        """Return status and body from the first address that can be reached."""
+        unreached = ""
+        for _ in self.addresses:
+            try:
+                async with self.session.post(
+                    self.addresses[0] + path,
+                    data=data,
+                    headers=messages.HEADERS,
+                    timeout=self.timeout,
+                    allow_redirects=False,
+                ) as response:
+                    body = await read_bounded(response, MAX_ANSWER_BYTES)
+                    return response.status, body
+            except CONNECT_ERRORS as error:
+                self.prefer_another_address()
+                unreached = str(error)
+            except BodyTooLargeError as error:
+                raise invalid_answer(str(error), write) from error
+            except CALL_ERRORS as error:
+                self.prefer_another_address()
+                detail = f"no answer from the store: {error!r}"
+                raise call_failed(detail, write) from error
+        raise StoreError(f"no connection to the store: {unreached}")
+
+    def prefer_another_address(self) -> None:
+        """Let the next call go to the address that failed longest ago."""
+        self.addresses.append(self.addresses.pop(0))
+
     async def watch(self, prefix: str, *, revision: int) -> AsyncIterator[StoreValue]:
         """Yield keys written under a prefix from a revision on, until it fails.
 
@@ -215,7 +231,7 @@
                         following = message.header.revision + 1
                     for event in message.events:
                         if event.type == "PUT":
-                            yield messages.to_store_value(event.kv)
+                            yield self.keys.decode(event.kv)
                         following = max(following, event.kv.mod_revision + 1)
 
     async def watch_until_idle(
@@ -236,18 +252,19 @@
                         return
                     yield message
         except CALL_ERRORS as error:
+            self.prefer_another_address()
             raise StoreError(f"the watch broke: {error!r}") from error
 
     async def open_watch(self, prefix: str, revision: int) -> aiohttp.ClientResponse:
         """Send a watch call and return its answer's head."""
-        key = prefix.encode()
+        first, end = self.keys.range(prefix)
         create = messages.WatchCreateRequest(
-            key=key or b"\0", range_end=prefix_end(key), start_revision=revision
+            key=first, range_end=end, start_revision=revision
         )
         # The stream itself has no end, so the session's timeouts can't bound it.
         async with asyncio.timeout(self.timeout_seconds):
             return await self.session.post(
-                f"{self.base}/v3/watch",
+                f"{self.addresses[0]}/v3/watch",
                 data=msgspec.json.encode(messages.WatchRequest(create_request=create)),
                 headers=messages.HEADERS,
                 timeout=aiohttp.ClientTimeout(total=None),
@@ -257,14 +274,18 @@
 
 
 def create_store(
-    address: str,
+    address: str | Sequence[str],
     session: aiohttp.ClientSession,
     *,
     timeout_seconds: float,
+    prefix: str = "",
     watch_idle_seconds: float = WATCH_IDLE_SECONDS,
 ) -> EtcdStore:
-    """Return a store at host:port or at a URL.
+    """Return a store at one or several of host:port or URLs.
 
-    The session is the caller's to close; each watch holds one of its connections.
+    All keys are kept under ``prefix``. The session is the caller's to close; each
+    watch holds one of its connections.
     """
-    return EtcdStore(address, session, timeout_seconds, watch_idle_seconds)
+    addresses = [address] if isinstance(address, str) else address
+    keys = KeySpace(prefix)
+    return EtcdStore(addresses, session, keys, timeout_seconds, watch_idle_seconds)
--- a/packages/node/greengagepoint_node/store_messages.py
+++ b/packages/node/greengagepoint_node/store_messages.py
@@ -9,8 +9,6 @@
 
 import msgspec
 
-from greengagepoint.protocols import StoreValue
-
 # The service allows 128 operations a transaction; a nested one takes one of them
 # and needs one for itself.
 MAX_ITEMS_A_CALL: Final = 127
@@ -173,40 +171,30 @@
     message: str = ""
 
 
-def to_store_value(found: KeyValue) -> StoreValue:
-    """Build what the caller sees of one key."""
-    key = found.key.decode(errors="surrogateescape")
-    return StoreValue(key, found.value, found.mod_revision)
-
-
-def absent(key: str) -> Compare:
+def absent(key: bytes) -> Compare:
     """Require that a key does not exist."""
-    return Compare(key=key.encode(), target="CREATE", result="EQUAL", create_revision=0)
+    return Compare(key=key, target="CREATE", result="EQUAL", create_revision=0)
 
 
-def present(key: str) -> Compare:
+def present(key: bytes) -> Compare:
     """Require that a key exists."""
-    return Compare(
-        key=key.encode(), target="CREATE", result="GREATER", create_revision=0
-    )
+    return Compare(key=key, target="CREATE", result="GREATER", create_revision=0)
 
 
-def unchanged(key: str, revision: int) -> Compare:
+def unchanged(key: bytes, revision: int) -> Compare:
     """Require that a key's last change is the one at a revision (0: absent)."""
-    return Compare(
-        key=key.encode(), target="MOD", result="EQUAL", mod_revision=revision
-    )
+    return Compare(key=key, target="MOD", result="EQUAL", mod_revision=revision)
 
 
-def put(key: str, value: bytes, lease: int = 0) -> RequestOperation:
+def put(key: bytes, value: bytes, lease: int = 0) -> RequestOperation:
     """Write a key."""
-    request = PutRequest(key=key.encode(), value=value, lease=lease)
+    request = PutRequest(key=key, value=value, lease=lease)
     return RequestOperation(request_put=request)
 
 
-def delete(key: str) -> RequestOperation:
+def delete(key: bytes) -> RequestOperation:
     """Delete a key."""
-    return RequestOperation(request_delete_range=DeleteRequest(key=key.encode()))
+    return RequestOperation(request_delete_range=DeleteRequest(key=key))
 
 
 def nested(compare: Compare, operation: RequestOperation) -> RequestOperation:
--- a/packages/node/tests/test_host_list_adapter.py
+++ b/packages/node/tests/test_host_list_adapter.py
@@ -40,7 +40,7 @@
     Readers see the old list until the lag is over, and for ever when it is frozen.
     """
     hosts = create_host_list(platform.address, session, timeout_seconds=30)
-    now = 1000.0
+    now = platform.server.clock()
     platform.server.clock = lambda: now
     assert await hosts.read() == (HOST,)
     platform.control.lag_seconds = 5.0
--- a/packages/node/tests/test_store_adapter.py
+++ b/packages/node/tests/test_store_adapter.py
@@ -10,13 +10,16 @@
 
 from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
 from greengagepoint.protocols import StoreValue
-from greengagepoint_node.store import create_store, prefix_end
+from greengagepoint_node.store import create_store
+from greengagepoint_node.store_keys import prefix_end
 from greengagepoint_node.store_messages import MAX_ITEMS_A_CALL
 from greengagepoint_standins.server import Down
 from greengagepoint_standins.store import async_start_store
 
 TIMEOUT_SECONDS = 30.0
 SHORT_TIMEOUT_SECONDS = 0.2
+# Ends a test that would otherwise wait for ever; no test waits for it to pass.
+GUARD_SECONDS = 60.0
 
 
 @pytest_asyncio.fixture
@@ -37,6 +40,10 @@
     return create_store(platform.address, session, timeout_seconds=TIMEOUT_SECONDS)
 
 
+def guarded(awaitable):
+    return asyncio.wait_for(awaitable, GUARD_SECONDS)
+
+
 WRITES = {
     "create": lambda store: store.create([("a", b"1")]),
     "create_next": lambda store: store.create_next("a", b"1", after=None),
@@ -236,15 +243,15 @@
     )
     async with aclosing(store.watch("a", revision=0)) as changes:
         coming = asyncio.ensure_future(anext(changes))
-        await counts.opened.wait()
+        await guarded(counts.opened.wait())
         await store.create([("a", b"1")])
-        assert (await coming).value == b"1"
+        assert (await guarded(coming)).value == b"1"
         counts.opened.clear()
         counts.wanted = counts["watch"] + 3
         coming = asyncio.ensure_future(anext(changes))
-        await counts.opened.wait()
+        await guarded(counts.opened.wait())
         await store.create([("a2", b"2")])
-        assert (await coming).value == b"2"
+        assert (await guarded(coming)).value == b"2"
 
 
 async def test_watch_of_a_restored_store_is_refused(platform, store):
@@ -261,9 +268,9 @@
         await asyncio.sleep(0)
         platform.gateway.restore(1)
         with pytest.raises(StoreError):
-            await coming
+            await guarded(coming)
     with pytest.raises(StoreError) as caught:
-        await anext(store.watch("", revision=4))
+        await guarded(anext(store.watch("", revision=4)))
     assert caught.value.kind is ErrorKind.STORE_REVERTED
 
 
@@ -296,5 +303,40 @@
     landed = asyncio.Event()
     platform.gateway.state.listen(lambda changes: landed.set())
     platform.set_down(Down.NO)
-    await landed.wait()
+    await guarded(landed.wait())
     assert (await store.read("a")).value == b"late"
+
+
+async def test_prefix_keeps_systems_apart(platform, session):
+    stores = [
+        create_store(
+            platform.address, session, timeout_seconds=TIMEOUT_SECONDS, prefix=prefix
+        )
+        for prefix in ("one", "two")
+    ]
+    assert await stores[0].create([("a", b"1")]) == (True,)
+    assert await stores[1].create_next("a", b"2", after=None)
+    for store, value in zip(stores, (b"1", b"2"), strict=True):
+        found = await store.read_prefix("")
+        assert [(v.key, v.value) for v in found.values] == [("a", value)]
+        assert (await store.read("a")).value == value
+        async with aclosing(store.watch("a", revision=1)) as changes:
+            assert (await guarded(anext(changes))).value == value
+
+
+async def test_write_goes_to_another_address_only_if_it_reached_none(platform, session):
+    """The first address refuses connections, the second takes a write and is lost.
+
+    The write that reached nothing is sent on; the one that may have happened is
+    not, and the caller is told that its outcome is unknown.
+    """
+    gone = await async_start_store()
+    await gone.async_stop()
+    addresses = (gone.address, platform.address)
+    store = create_store(addresses, session, timeout_seconds=TIMEOUT_SECONDS)
+    assert await store.create([("a", b"1")]) == (True,)
+    platform.control.lose_replies = 1
+    with pytest.raises(StoreOutcomeUnknownError):
+        await store.create([("b", b"1")])
+    assert platform.counts["txn"] == 2
+    assert (await store.read("b")).value == b"1"
--- a/packages/standins/tests/test_standins_backend.py
+++ b/packages/standins/tests/test_standins_backend.py
@@ -13,6 +13,9 @@
 from greengagepoint_standins.runs import RunState
 from greengagepoint_standins.server import Down
 
+# Ends a test that would otherwise wait for ever; no test waits for it to pass.
+GUARD_SECONDS = 60.0
+
 
 @pytest_asyncio.fixture
 async def backend():
@@ -28,6 +31,10 @@
         yield session
 
 
+async def async_until(backend, condition):
+    await asyncio.wait_for(backend.server.slots.async_until(condition), GUARD_SECONDS)
+
+
 def url(backend, path):
     return f"http://{backend.address}{path}"
 
@@ -111,11 +118,11 @@
     """
     backend.control.next_hang = 1
     gone = asyncio.ensure_future(session.get(url(backend, "/a")))
-    await backend.server.slots.async_until(lambda: backend.server.slots.in_flight == 1)
+    await async_until(backend, lambda: backend.server.slots.in_flight == 1)
     waiting = asyncio.ensure_future(session.get(url(backend, "/b")))
-    await backend.server.slots.async_until(lambda: backend.server.slots.queued == 1)
+    await async_until(backend, lambda: backend.server.slots.queued == 1)
     gone.cancel()
-    async with await waiting as answer:
+    async with await asyncio.wait_for(waiting, GUARD_SECONDS) as answer:
         assert answer.status == 200
     assert backend.log.states[RunState.CANCELLED] == 1
     assert backend.server.slots.in_flight == 0
@@ -125,13 +132,13 @@
     """A caller goes away while its request waits; it leaves the queue unrun."""
     backend.control.next_hang = 1
     first = asyncio.ensure_future(session.get(url(backend, "/a")))
-    await backend.server.slots.async_until(lambda: backend.server.slots.in_flight == 1)
+    await async_until(backend, lambda: backend.server.slots.in_flight == 1)
     second = asyncio.ensure_future(session.get(url(backend, "/b")))
-    await backend.server.slots.async_until(lambda: backend.server.slots.queued == 1)
+    await async_until(backend, lambda: backend.server.slots.queued == 1)
     second.cancel()
-    await backend.server.slots.async_until(lambda: backend.server.slots.queued == 0)
+    await async_until(backend, lambda: backend.server.slots.queued == 0)
     first.cancel()
-    await backend.server.slots.async_until(lambda: backend.server.slots.in_flight == 0)
+    await async_until(backend, lambda: backend.server.slots.in_flight == 0)
     assert backend.log.states[RunState.STARTED] == 1
 
 
