Keep the limit when one backend server of many fails

Cause: each failure lowered the limit by 15%, so one broken backend server of twenty took the limit of the whole service to its minimum. Change: failures count within the window; only a window in which over a tenth fail lowers the limit. Measured: 10 s at 200 answers a second with every twentieth failing, limit 40: before 1, after 40. Conclusion: ejection deals with one server, the limit with many.

--- a/packages/core/greengagepoint/overload/limiter.py
+++ b/packages/core/greengagepoint/overload/limiter.py
@@ -12,6 +12,7 @@
 # servers. Twice as long means that as many wait there as are running.
 LATENCY_TOLERANCE: Final = 1.5
 DECREASE_FACTOR: Final = 0.85
+FAILED_FRACTION: Final = 0.1
 INCREASE_FRACTION: Final = 0.05
 LIMIT_MIN: Final = 1.0
 BASELINE_SECONDS: Final = 20.0
@@ -44,6 +45,7 @@
     maximum: float
     classes: dict[RequestClass, ClassLatency] = field(default_factory=dict)
     was_full: bool = False
+    failures: int = 0
     window_from: float | None = None
     period_until: float = 0.0
     probe_until: float = float("-inf")
@@ -79,16 +81,35 @@
     row = limiter.classes.setdefault(request_class, ClassLatency())
     row.total += latency
     row.count += 1
+    _close_if_due(limiter, now)
+
+
+def failed(limiter: Limiter, now: float) -> None:
+    """Take in that a backend server shed a request or did not answer.
+
+    Only a window with many failures lowers the limit. One broken backend server
+    among many fails all the time until it is ejected, and the others can still
+    carry the load.
+    """
+    if limiter.window_from is None:
+        limiter.window_from = now
+        limiter.period_until = now + FIRST_PROBE_SECONDS
+    if now >= limiter.window_from:
+        limiter.failures += 1
+        _close_if_due(limiter, now)
+
+
+def _close_if_due(limiter: Limiter, now: float) -> None:
+    """Close the window when it has lasted and has enough in it."""
     if now - limiter.window_from < _window_seconds(limiter, now):
         return
-    if sum(row.count for row in limiter.classes.values()) >= WINDOW_SAMPLES:
+    if _answers(limiter) + limiter.failures >= WINDOW_SAMPLES:
         _close_window(limiter, now)
 
 
-def failed(limiter: Limiter, now: float) -> None:
-    """Lower the limit because a backend server shed or did not answer."""
-    if limiter.window_from is None or now >= limiter.window_from:
-        _decrease(limiter, now)
+def _answers(limiter: Limiter) -> int:
+    """Return how many latencies the open window holds."""
+    return sum(row.count for row in limiter.classes.values())
 
 
 def _window_seconds(limiter: Limiter, now: float) -> float:
@@ -100,9 +121,12 @@
     """Compare the window with the baseline, and begin the next one."""
     probing = now < limiter.probe_until
     limiter.probe_until = float("-inf")
-    total = sum(row.total for row in limiter.classes.values())
-    count = sum(row.count for row in limiter.classes.values())
-    limiter.mean = total / count
+    count = _answers(limiter)
+    if count:
+        total = sum(row.total for row in limiter.classes.values())
+        limiter.mean = total / count
+    failing = limiter.failures > FAILED_FRACTION * (count + limiter.failures)
+    limiter.failures = 0
     ratio = _compare(limiter)
     limiter.window_from = now
     if probing:
@@ -110,7 +134,7 @@
         limiter.window_from = now + limiter.mean
         if _baseline_fell(limiter):
             limiter.period_until = now + FIRST_PROBE_SECONDS
-    elif ratio > LATENCY_TOLERANCE:
+    elif failing or ratio > LATENCY_TOLERANCE:
         _decrease(limiter, now)
     elif limiter.was_full:
         step = max(1.0, limiter.limit * INCREASE_FRACTION)
@@ -165,6 +189,3 @@
     """Lower the limit, and wait until the effect can be seen."""
     limiter.limit = max(LIMIT_MIN, limiter.limit * DECREASE_FACTOR)
     limiter.window_from = now + limiter.mean
-    for row in limiter.classes.values():
-        row.total = 0.0
-        row.count = 0
--- a/packages/core/tests/test_overload_budget.py
+++ b/packages/core/tests/test_overload_budget.py
@@ -47,6 +47,21 @@
     assert row.limit <= 20
 
 
+@pytest.mark.parametrize(("every", "falls"), [(20, False), (3, True), (1, True)])
+def test_the_limit_falls_when_many_fail_and_not_for_one_server(every, falls):
+    """One backend server of twenty fails all the time, until it is ejected: the
+    others carry the load, so the limit stays. When a third sheds, it falls.
+    """
+    row = Limiter(limit=40, maximum=40)
+    for step in range(2000):
+        if step % every == 0:
+            limiter.failed(row, step / 200)
+        else:
+            limiter.sample(row, LOOKUP, 0.05, step / 200)
+    assert (row.limit < 20) is falls
+    assert falls or row.limit == 40
+
+
 def test_archives_do_not_look_like_a_slow_backend_server():
     row = Limiter(limit=10, maximum=10)
     now = feed(row, 0.05, 5, 0.0, full=False)
