Stop the log at a damaged entry and describe the configuration

Cause: one entry that can't be decoded kept a host from reading the good ones before it, and was reported at each try. Change: the entries before it come into force, it is reported once and ends the log on all hosts until its key is deleted.

--- a/packages/core/tests/test_config_log.py
+++ b/packages/core/tests/test_config_log.py
@@ -170,6 +170,7 @@
     fleet.live = fleet.live[:1]
     for burst in range(1, 300):
         fleet.write("h0-0", burst)
+    assert fleet.nodes["h0-0"].log.entries_after(0) is None
     fleet.nodes["h0-1"] = late
     fleet.live = hosts(1, 2)
     fleet.tick()
--- a/packages/core/tests/test_records_reading.py
+++ b/packages/core/tests/test_records_reading.py
@@ -10,7 +10,15 @@
 from greengagepoint.config.log import ConfigLog, apply_entry, effective
 from greengagepoint.config.preparing import prepare
 from greengagepoint.errors import RecordError
+from greengagepoint.records.accepted import field_types
 from greengagepoint.records.loading import describe, parse_toml
+from greengagepoint.records.schemas import (
+    NEWEST_VERSIONS,
+    RECORD_TYPES,
+    BackendServer,
+    RecordKind,
+    Route,
+)
 
 DEPLOYMENTS = Path(__file__).parents[3] / "deployments"
 
@@ -210,3 +218,16 @@
             counts[server.service] += 1
     assert counts == servers
     assert tomllib.loads(text)
+
+
+@pytest.mark.parametrize("kind", RecordKind)
+def test_page_names_every_field(kind: RecordKind):
+    page = (DEPLOYMENTS.parent / "docs" / "RECORDS.md").read_text()
+    section = page.split(f"\n## {kind} ")[1].split("\n## ")[0]
+    assert f"version {NEWEST_VERSIONS[kind]})" in section.replace(
+        "versions 1 and ", "version "
+    )
+    fields = set(field_types(RECORD_TYPES[kind])) - {"name"}
+    nested = {"site": BackendServer, "service": Route}.get(kind)
+    fields |= set(field_types(nested)) if nested else set()
+    assert [field for field in sorted(fields) if f"`{field}`" not in section] == []
--- a/packages/node/greengagepoint_node/coordinators/config.py
+++ b/packages/node/greengagepoint_node/coordinators/config.py
@@ -222,18 +222,24 @@
             )
 
     async def _async_read(self) -> Reading:
-        """Read what the store holds beyond this log."""
+        """Read what the store holds beyond this log.
+
+        An entry that can't be decoded ends the log here: what is before it comes
+        into force, and to go on after it would split the hosts.
+        """
         try:
             reading = await self.stored.async_read(self.log)
         except StoreError as error:
             self.reports.store(error)
             raise
-        self.reports.store(None)
+        self.reports.store(reading.fault)
         self.store_read = True
         self.reports.reverted(reading.reverted, self.log)
         if reading.base is not None:
             self._adopt(reading.base)
         self._take(reading.entries, STORE_SOURCE)
+        if reading.fault is not None:
+            raise reading.fault
         return reading
 
     async def _async_follow(self) -> None:
--- a/packages/node/greengagepoint_node/coordinators/config_reports.py
+++ b/packages/node/greengagepoint_node/coordinators/config_reports.py
@@ -25,6 +25,7 @@
         self.events = events
         self.store_available = True
         self.store_reverted = False
+        self.invalid_detail = ""
         self.reported_forks: set[Fork] = set()
         self.reported_faults: set[tuple[str | None, str]] = set()
 
@@ -71,10 +72,14 @@
     def store(self, error: StoreError | None) -> None:
         """Report when the store fails and when it answers again."""
         if error is not None and error.kind is ErrorKind.STORE_ANSWER_INVALID:
-            self.events.record(
-                Event.STORE_ANSWER_INVALID, used_for=USED_FOR, detail=error.detail
-            )
+            if error.detail != self.invalid_detail:
+                self.invalid_detail = error.detail
+                self.events.record(
+                    Event.STORE_ANSWER_INVALID, used_for=USED_FOR, detail=error.detail
+                )
             return
+        if error is None:
+            self.invalid_detail = ""
         available = error is None
         if available is self.store_available:
             return
--- a/packages/node/greengagepoint_node/coordinators/config_store.py
+++ b/packages/node/greengagepoint_node/coordinators/config_store.py
@@ -22,7 +22,7 @@
     load_snapshot,
 )
 from greengagepoint.errors import ErrorKind, StoreError, StoreOutcomeUnknownError
-from greengagepoint.protocols import ConfigStore, StoreValue
+from greengagepoint.protocols import ConfigStore
 
 PAGE_ENTRIES: Final = 32
 PAGE_PARTS: Final = 16
@@ -44,13 +44,15 @@
     """What the store holds beyond a known log.
 
     ``base`` is a snapshot's log where the known one's head is cut off;
-    ``reverted`` tells that the store no longer holds the known head.
+    ``reverted`` tells that the store no longer holds the known head; ``fault`` is
+    why the entries end before an entry that stands there.
     """
 
-    base: ConfigLog | None
     entries: tuple[Entry, ...]
     revision: int
-    reverted: bool
+    fault: StoreError | None = None
+    base: ConfigLog | None = None
+    reverted: bool = False
 
 
 class StoredLog:
@@ -65,18 +67,20 @@
     async def async_read(self, log: ConfigLog) -> Reading:
         """Return what follows a log, read from its own head on to check it."""
         known, digest = log.generation, log.digest
-        entries, revision = await self._async_entries(max(known, 1))
+        reading = await self._async_entries(max(known, 1))
+        first = reading.entries[0] if reading.entries else None
         if known == 0:
-            if entries and entries[0].generation == 1:
-                return Reading(None, entries, revision, False)
+            if first is not None and first.generation == 1:
+                return reading
             return await self._async_read_whole(log)
-        if entries and entries[0].generation == known:
-            reverted = entries[0].digest != digest
-            return Reading(None, () if reverted else entries[1:], revision, reverted)
+        if first is not None and first.generation == known:
+            if first.digest != digest:
+                return reading._replace(entries=(), reverted=True)
+            return reading._replace(entries=reading.entries[1:])
         manifest = await self.async_manifest()
         if manifest is not None and manifest.generation > known:
             return await self._async_read_whole(log)
-        return Reading(None, (), revision, True)
+        return reading._replace(entries=(), reverted=True)
 
     async def async_append(self, entry: Entry) -> Appended:
         """Create the entry's key, or tell which entry stands there.
@@ -124,7 +128,7 @@
         change nor join two histories; any number of hosts may do it at once.
         """
         first = log.tail[0].generation if log.tail else log.generation
-        held, _ = await self._async_entries(max(first - 1, 1))
+        held = (await self._async_entries(max(first - 1, 1))).entries
         if not held:
             if await self._async_holds_anything():
                 return False
@@ -164,9 +168,9 @@
             "apply it again with this write id"
         )
 
-    async def _async_entries(self, start: int) -> tuple[tuple[Entry, ...], int]:
-        """Return consecutive entries from a generation on, and their revision."""
-        values: list[StoreValue] = []
+    async def _async_entries(self, start: int) -> Reading:
+        """Return the entries from a generation on, up to one that can't be read."""
+        entries: list[Entry] = []
         revision: int | None = None
         from_key = log_key(start)
         while True:
@@ -176,19 +180,21 @@
             # Later pages may hold more than the first one's revision tells; the
             # watch then repeats some entries, which are known and ignored.
             revision = page.revision if revision is None else revision
-            values += page.values
+            for value in page.values:
+                try:
+                    entries.append(decode_entry(value.value))
+                except StoreError as fault:
+                    return Reading(tuple(entries), revision, fault)
             if len(page.values) < PAGE_ENTRIES:
-                break
+                return Reading(tuple(entries), revision)
             from_key = page.values[-1].key + "\0"
-        return tuple(decode_entry(value.value) for value in values), revision
 
     async def _async_read_whole(self, log: ConfigLog) -> Reading:
         """Return the newest snapshot and the entries after it."""
         for _ in range(SNAPSHOT_READS_MAX):
             manifest = await self.async_manifest()
             if manifest is None:
-                entries, revision = await self._async_entries(1)
-                return Reading(None, entries, revision, False)
+                return await self._async_entries(1)
             try:
                 parts = await self._async_parts(manifest)
                 base = load_snapshot(manifest, parts, log.newest)
@@ -196,8 +202,8 @@
                 # A newer snapshot may have taken its place meanwhile.
                 fault = error
                 continue
-            entries, revision = await self._async_entries(manifest.generation + 1)
-            return Reading(base, entries, revision, False)
+            reading = await self._async_entries(manifest.generation + 1)
+            return reading._replace(base=base)
         raise fault
 
     async def _async_parts(self, manifest: SnapshotManifest) -> list[bytes]:
--- a/packages/node/tests/test_config_coordinator.py
+++ b/packages/node/tests/test_config_coordinator.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from greengagepoint.config.entries import Change, Entry
-from greengagepoint.config.layout import LOG_PREFIX
+from greengagepoint.config.layout import LOG_PREFIX, log_key
 from greengagepoint.config.snapshot import SNAPSHOT_ENTRIES
 from greengagepoint.errors import (
     ErrorKind,
@@ -215,6 +215,57 @@
     assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
 
 
+async def test_damaged_entry_stops_the_log(fleet):
+    """Generation 2 in the store is damaged; a host starts and an operator writes.
+
+    All hosts stay at generation 1, say so once, and refuse to write. When the
+    damaged key is deleted the next write takes its place.
+    """
+    nodes = await start(fleet)
+    await nodes[0].async_apply([team("booking")], "maria")
+    await fleet.store.create([(log_key(2), b"damaged")])
+    fleet.bus.cut = lambda sender, recipient: "host-new" in (sender, recipient)
+    nodes.append(await fleet.async_add("host-new"))
+    await fleet.async_settle()
+    assert fleet.generations() == {1}
+    fleet.bus.cut = lambda sender, recipient: False
+    await fleet.async_settle(40)
+    for _ in range(2):
+        with pytest.raises(GreengagepointError) as caught:
+            await nodes[4].async_apply([team("records")], "nikos")
+        assert caught.value.kind is ErrorKind.STORE_ANSWER_INVALID
+    assert nodes[4].context.events.count(Event.STORE_ANSWER_INVALID) == 1
+    del fleet.store.rows[log_key(2)]
+    await nodes[4].async_apply([team("records")], "nikos")
+    await fleet.async_drain()
+    assert fleet.generations() == {2}
+
+
+async def test_new_host_does_not_begin_a_second_history(fleet):
+    """The store went back to generation 1 and a host starts, cut from all peers.
+
+    It sees a whole history and can't know that it is old, so it refuses to write
+    until a peer has answered; then it has generation 2 and the store as well.
+    """
+    nodes = await start(fleet)
+    await nodes[0].async_apply([team("booking")], "maria")
+    old = fleet.store.backup()
+    await nodes[0].async_apply([team("booking", 9)], "maria")
+    fleet.store.restore(old)
+    fleet.bus.cut = lambda sender, recipient: "host-new" in (sender, recipient)
+    new = await fleet.async_add("host-new")
+    await fleet.async_settle()
+    assert new.configuration.generation == 1
+    with pytest.raises(GreengagepointError) as caught:
+        await new.async_apply([team("records")], "nikos")
+    assert caught.value.kind is ErrorKind.NOT_READY
+    fleet.bus.cut = lambda sender, recipient: False
+    await fleet.async_settle(40)
+    entry = await new.async_apply([team("records")], "nikos")
+    assert entry.generation == 3
+    assert new.configuration.teams["booking"].burst == 9
+
+
 async def test_old_read_never_takes_the_configuration_back(fleet):
     """A lagging replica of the store answers with an old read.
 
