Let held shifts creep and keep look-up answers in parts

Cause: a held shift that stands still warms no caches; look-up answers kept for each order of regions would take 76 MB at 1300 orders.

Change: a held shift goes on at a quarter of its rate while the service time doesn't rise; answers are joined from parts kept by service and region.

--- a/packages/core/greengagepoint/steering/hold.py
+++ b/packages/core/greengagepoint/steering/hold.py
@@ -9,7 +9,8 @@
 HOLD_RATIO: Final = 1.5
 RESUME_RATIO: Final = 1.25
 IMPROVED_RATIO: Final = 0.95
-SETTLED_RATIO: Final = 1.1
+RISEN_RATIO: Final = 1.1
+CREEP_PACE: Final = 0.25
 SETTLED_SECONDS: Final = 30.0
 SETTLED_MAX_RATIO: Final = 4.0
 
@@ -47,43 +48,47 @@
     hold.first_baseline = hold.baseline
 
 
-def is_held(hold: Hold, receiving: float | None, now: float) -> bool:
-    """Tell whether a shift waits, and update its hold.
+def pace(hold: Hold, receiving: float | None, now: float) -> float:
+    """Return the part of its rate at which a shift may go on, and update its hold.
 
     A shift onto cold caches raises the service time until they are warm; going on
-    meanwhile would add load to a site that has the least room for it. Where the
-    time settles somewhat higher (a longer way, a slower machine) that becomes the
-    baseline, so that a shift is not held for ever; far higher it stays held, for
-    that is overload and not cold caches.
+    at the full rate would add load to a site that has the least room for it. Caches
+    warm only by requests, so a held shift creeps as long as the time doesn't rise
+    above its lowest since the hold began, and stands still while it does: then
+    requests queue. Where the time settles somewhat higher (a longer way, a slower
+    machine) that becomes the baseline; far higher it never does, for that is
+    overload.
     """
     if receiving is None:
-        return False
+        return 1.0
     if hold.baseline is None:
         hold.baseline = hold.first_baseline = receiving
     if not hold.held:
-        if receiving > hold.baseline * HOLD_RATIO:
-            hold.held = True
-            hold.since = now
-            hold.best = receiving
+        if receiving <= hold.baseline * HOLD_RATIO:
+            return 1.0
+        hold.held = True
+        hold.since = now
+        hold.best = receiving
     elif receiving < hold.baseline * RESUME_RATIO:
         hold.held = False
+        return 1.0
     elif receiving < hold.best * IMPROVED_RATIO:
         hold.best = receiving
         hold.since = now
     elif now - hold.since >= SETTLED_SECONDS:
         _settle(hold, receiving, now)
-    return hold.held
+    return CREEP_PACE if receiving <= hold.best * RISEN_RATIO else 0.0
 
 
 def _settle(hold: Hold, receiving: float, now: float) -> None:
     """Accept a service time that no longer falls, if it is not far too high."""
+    hold.since = now
     first = hold.first_baseline or receiving
-    settled = receiving <= hold.best * SETTLED_RATIO
-    if settled and receiving <= first * SETTLED_MAX_RATIO:
+    if receiving > first * SETTLED_MAX_RATIO:
+        return
+    if receiving <= hold.best * RISEN_RATIO:
         hold.baseline = receiving
         hold.held = False
-        return
-    hold.since = now
     hold.best = receiving
 
 
--- a/packages/core/greengagepoint/steering/lookup.py
+++ b/packages/core/greengagepoint/steering/lookup.py
@@ -12,6 +12,9 @@
 HOSTS_NEAREST_MAX: Final = 4
 HOSTS_OTHER_ZONES_MAX: Final = 2
 HOSTS_OTHER_REGIONS_MAX: Final = 2
+PRIORITY_NEAREST: Final = 0
+PRIORITY_OTHER_ZONE: Final = 1
+PRIORITY_OTHER_REGION: Final = 2
 ROTATIONS_MAX: Final = 64
 WEIGHT_MAX: Final = 16
 SHORT_TTL_SECONDS: Final = 1
@@ -29,16 +32,18 @@
 class LookupTable:
     """Answers prepared for one configuration and one view of the hosts.
 
-    ``hosts`` are those that answers may name; ``heads`` maps a service to the
-    bytes before the hosts, and ``tails`` an order of regions to the host lists in
-    rotation.
+    ``zones`` holds the hosts that answers may name by region and zone. An answer is
+    put together from bytes: ``heads`` by service, ``nearest`` and ``beyond`` by
+    region with one item a rotation, each made when first asked for; so their number
+    doesn't grow with the orders of regions, which ``orders`` maps to those served.
     """
 
     home: HostIdentity
-    hosts: tuple[EntryHost, ...]
+    zones: dict[str, dict[str, list[EntryHost]]]
     heads: dict[str, bytes]
-    tails: dict[tuple[str, ...], tuple[bytes, ...]] = field(default_factory=dict)
-    ttls: dict[str, int] = field(default_factory=dict)
+    nearest: dict[str, tuple[bytes, ...]] = field(default_factory=dict)
+    beyond: dict[str, tuple[bytes, ...]] = field(default_factory=dict)
+    orders: dict[tuple[str, ...], tuple[str, ...]] = field(default_factory=dict)
 
 
 def prepare(
@@ -56,16 +61,12 @@
     """
     staying = tuple(host for host in hosts if not host.leaving)
     short = changing or len(staying) != len(hosts)
-    ttls = {
-        name: min(record.lookup_ttl_seconds, SHORT_TTL_SECONDS)
-        if short
-        else record.lookup_ttl_seconds
-        for name, record in configuration.services.items()
-    }
-    heads = {
-        name: _head(name, ttl, configuration.generation) for name, ttl in ttls.items()
-    }
-    return LookupTable(home, staying or tuple(hosts), heads, ttls=ttls)
+    heads = {}
+    for name, record in configuration.services.items():
+        ttl = record.lookup_ttl_seconds
+        ttl = min(ttl, SHORT_TTL_SECONDS) if short else ttl
+        heads[name] = _head(name, ttl, configuration.generation)
+    return LookupTable(home, _by_zone(staying or hosts), heads)
 
 
 def answer(
@@ -82,12 +83,18 @@
     head = table.heads.get(service)
     if head is None:
         return None
-    order = regions or (table.home.region,)
-    tails = table.tails.get(order)
-    if tails is None:
-        tails = _tails(table, order)
-        table.tails[order] = tails
-    return head + tails[sequence % len(tails)]
+    wanted = regions or (table.home.region,)
+    order = table.orders.get(wanted)
+    if order is None:
+        order = table.orders[wanted] = _served_regions(table, wanted)
+    if not order:
+        return head + b"[]}"
+    nearest = table.nearest.get(order[0]) or _prepare_nearest(table, order[0])
+    parts = [nearest[sequence % len(nearest)]]
+    for region in order[1:]:
+        beyond = table.beyond.get(region) or _prepare_beyond(table, region)
+        parts.append(beyond[sequence % len(beyond)])
+    return b"%b[%b]}" % (head, b",".join(parts))
 
 
 def longest_ttl_seconds(configuration: Configuration) -> int:
@@ -104,26 +111,50 @@
     return msgspec.json.encode(fields)[:-1] + b',"hosts":'
 
 
-def _tails(table: LookupTable, order: tuple[str, ...]) -> tuple[bytes, ...]:
-    """Return the host lists for one order of regions, one for each rotation."""
-    by_region: dict[str, dict[str, list[EntryHost]]] = {}
-    for host in sorted(table.hosts, key=lambda host: host.identity.name):
-        zones = by_region.setdefault(host.identity.region, {})
-        zones.setdefault(host.identity.zone, []).append(host)
-    served = [region for region in order if region in by_region]
-    served += sorted(region for region in by_region if region not in served)
-    if not served:
-        return (b"[]}",)
-    nearest = _zones(by_region[served[0]], table.home)
-    others = [
-        _spread([host for zone in by_region[region].values() for host in zone])
-        for region in served[1:]
-    ]
-    count = min(ROTATIONS_MAX, max(len(zone) for zone in nearest) * len(nearest))
-    return tuple(
-        msgspec.json.encode(_hosts(nearest, others, turn, table.home, served[0])) + b"}"
+def _by_zone(hosts: Sequence[EntryHost]) -> dict[str, dict[str, list[EntryHost]]]:
+    """Group hosts by region and zone, in the order of their names."""
+    zones: dict[str, dict[str, list[EntryHost]]] = {}
+    for host in sorted(hosts, key=lambda host: host.identity.name):
+        region = zones.setdefault(host.identity.region, {})
+        region.setdefault(host.identity.zone, []).append(host)
+    return zones
+
+
+def _served_regions(table: LookupTable, wanted: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the regions that an answer names: the wanted ones, then any others."""
+    served = [region for region in wanted if region in table.zones]
+    served += sorted(region for region in table.zones if region not in served)
+    return tuple(served[: 1 + HOSTS_OTHER_REGIONS_MAX])
+
+
+def _prepare_nearest(table: LookupTable, region: str) -> tuple[bytes, ...]:
+    """Prepare the hosts of the nearest region, one item a rotation."""
+    zones = _zones(table.zones[region], table.home)
+    count = min(ROTATIONS_MAX, max(len(zone) for zone in zones) * len(zones))
+    items = tuple(
+        _encode(_nearest_hosts(zones, turn, table.home, region))
         for turn in range(count)
     )
+    table.nearest[region] = items
+    return items
+
+
+def _prepare_beyond(table: LookupTable, region: str) -> tuple[bytes, ...]:
+    """Prepare the host that a region farther away gives, one item a rotation."""
+    zones = table.zones[region].values()
+    hosts = _spread([host for zone in zones for host in zone])
+    items = tuple(
+        _encode([(PRIORITY_OTHER_REGION, host)]) for host in hosts[:ROTATIONS_MAX]
+    )
+    table.beyond[region] = items
+    return items
+
+
+def _encode(hosts: list[tuple[int, EntryHost]]) -> bytes:
+    """Return hosts with their priorities as JSON without the brackets."""
+    return msgspec.json.encode([_fields(host, priority) for priority, host in hosts])[
+        1:-1
+    ]
 
 
 def _zones(
@@ -146,14 +177,10 @@
     return [host for _place, _name, host in placed]
 
 
-def _hosts(
-    zones: tuple[list[EntryHost], ...],
-    other_regions: list[list[EntryHost]],
-    turn: int,
-    home: HostIdentity,
-    region: str,
-) -> list[dict[str, object]]:
-    """Return the hosts of one answer, nearest first.
+def _nearest_hosts(
+    zones: tuple[list[EntryHost], ...], turn: int, home: HostIdentity, region: str
+) -> list[tuple[int, EntryHost]]:
+    """Return the hosts of one region with priorities, nearest zone first.
 
     Where the region is not the asked host's own, no zone of it is nearer than
     another, so they take turns to come first.
@@ -162,14 +189,13 @@
         shift = turn % len(zones)
         zones = zones[shift:] + zones[:shift]
         turn //= len(zones)
-    chosen = [(0, host) for host in _window(zones[0], turn, HOSTS_NEAREST_MAX)]
-    beyond = HOSTS_OTHER_ZONES_MAX
-    for zone in zones[1 : 1 + beyond]:
-        share = max(1, beyond // len(zones[1:]))
-        chosen += [(1, host) for host in _window(zone, turn, share)]
-    for hosts in other_regions[:HOSTS_OTHER_REGIONS_MAX]:
-        chosen += [(2, host) for host in _window(hosts, turn, 1)]
-    return [_fields(host, priority) for priority, host in chosen]
+    nearest = _window(zones[0], turn, HOSTS_NEAREST_MAX)
+    chosen = [(PRIORITY_NEAREST, host) for host in nearest]
+    others = zones[1 : 1 + HOSTS_OTHER_ZONES_MAX]
+    for zone in others:
+        share = max(1, HOSTS_OTHER_ZONES_MAX // len(others))
+        chosen += [(PRIORITY_OTHER_ZONE, host) for host in _window(zone, turn, share)]
+    return chosen
 
 
 def _window(hosts: list[EntryHost], start: int, count: int) -> list[EntryHost]:
--- a/packages/core/greengagepoint/steering/shifts.py
+++ b/packages/core/greengagepoint/steering/shifts.py
@@ -148,15 +148,20 @@
         events.append(_begun(row))
     if row.cause is ShiftCause.REGION_FAILED and rising:
         row.fraction = goal
-    elif _held(row, receiving, now, events):
-        return
-    elif rising:
-        row.fraction = min(goal, row.fraction + row.rate * seconds)
     else:
-        row.fraction = max(goal, row.fraction - row.rate * seconds)
+        step = row.rate * seconds * _pace(row, receiving, now, events)
+        _move(row, goal, step)
     _stop_if_there(row, events)
 
 
+def _move(row: ShiftRow, goal: float, step: float) -> None:
+    """Move a fraction by a step at most, and not beyond the goal."""
+    if goal > row.fraction:
+        row.fraction = min(goal, row.fraction + step)
+    else:
+        row.fraction = max(goal, row.fraction - step)
+
+
 def _goal(row: ShiftRow, now: float, now_wall_ms: int) -> float:
     """Return the fraction that a shift may reach now.
 
@@ -187,18 +192,18 @@
     return median(fraction for fraction, _heard_at in row.peer_fractions.values())
 
 
-def _held(
+def _pace(
     row: ShiftRow, receiving: float | None, now: float, events: list[ShiftEvent]
-) -> bool:
-    """Tell whether the receiving site holds a shift back; tell it once."""
+) -> float:
+    """Return the part of its rate that the receiving site allows; tell a hold once."""
     before = row.hold.held
-    held = holds.is_held(row.hold, receiving, now)
-    if held and not before:
+    pace = holds.pace(row.hold, receiving, now)
+    if row.hold.held and not before:
         seconds = receiving or 0.0
         baseline = row.hold.baseline or 0.0
         detail = f"service time {seconds:.4f} s, baseline {baseline:.4f} s"
         events.append(ShiftEvent(Event.SHIFT_HELD_BACK, row.name, row.fraction, detail))
-    return held
+    return pace
 
 
 def _begun(row: ShiftRow) -> ShiftEvent:
--- a/packages/node/greengagepoint_node/coordinators/load.py
+++ b/packages/node/greengagepoint_node/coordinators/load.py
@@ -14,6 +14,11 @@
     parse_load,
     report,
 )
+from greengagepoint.balancing.shared_reports import (
+    reports_to_send,
+    rows_to_ask,
+    take_reports,
+)
 from greengagepoint.balancing.sharing import SharingTable
 from greengagepoint.balancing.tables import BackendRow, BackendTable
 from greengagepoint.configuration import Configuration
@@ -78,12 +83,12 @@
         if now - self.wants_at >= WANTS_SECONDS:
             self.wants_at = now
             self._send_wants(now)
-        for row in sharing.rows_to_ask(self.sharing, self.table, now):
+        for row in rows_to_ask(self.sharing, self.table, now):
             ask = asyncio.create_task(self.async_ask(row))
             self.asks.add(ask)
             ask.add_done_callback(self.asks.discard)
         own_name = self.context.host.name
-        messages = sharing.reports_to_send(self.sharing, self.table, own_name, now)
+        messages = reports_to_send(self.sharing, self.table, own_name, now)
         for host, message in messages.items():
             self.context.peers.send(host, message)
 
@@ -95,7 +100,7 @@
     def on_reports(self, sender: str, message: LoadReports) -> None:
         """Take in reports of another host."""
         now = self.context.clock.monotonic()
-        for row in sharing.take_reports(self.table, message, now):
+        for row in take_reports(self.table, message, now):
             self._tell_invalid(row, f"a count out of range, from host {sender}")
 
     async def async_ask(self, row: BackendRow) -> None:
