Test that broken watches are opened again

Cause: no test broke a watch, nor cut the regions from each other. Change: one that does both; the next change comes from the store alone. Measured: it fails when watchers don't follow again.

--- a/packages/node/tests/test_config_coordinator.py
+++ b/packages/node/tests/test_config_coordinator.py
@@ -215,6 +215,23 @@
     assert caught.value.kind is ErrorKind.STORE_UNAVAILABLE
 
 
+async def test_broken_watches_are_opened_again(fleet):
+    """All watches break and, for good measure, all links between hosts are cut.
+
+    The watchers, here two hosts of each region, open their watches again with
+    backoff and get the next change from the store alone.
+    """
+    nodes = await start(fleet)
+    fleet.bus.cut = lambda sender, recipient: True
+    fleet.store.fail_watches()
+    await fleet.async_drain()
+    assert not fleet.store.watches
+    await fleet.async_settle(5)
+    await nodes[0].async_apply([team("booking")], "maria")
+    await fleet.async_drain()
+    assert fleet.generations() == {1}
+
+
 async def test_damaged_entry_stops_the_log(fleet):
     """Generation 2 in the store is damaged; a host starts and an operator writes.
 
