--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -14,6 +14,7 @@
 from greengagepoint.config.log import ConfigLog, apply_entry
 from greengagepoint.config.messages import ConfigDigest, ConfigEntries
 from greengagepoint.config.preparing import prepare
+from greengagepoint.config.state import Exchange
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.loading import RecordDocument
 from greengagepoint.records.versions import decode
@@ -316,7 +317,7 @@
         make_host(f"host-{index}", f"region-{index % FULL_REGIONS}")
         for index in range(FULL_HOSTS)
     ]
-    exchange = peers.Exchange(hosts[0], ConfigLog())
+    exchange = Exchange(hosts[0], ConfigLog())
     rng = random.Random(SEED)
     entry = prepare(exchange.log, [_team(0)], "operator", "w", 0)
     started = time.process_time()
--- a/packages/core/greengagepoint/config/exchange.py
+++ b/packages/core/greengagepoint/config/exchange.py
@@ -1,8 +1,7 @@
-"""Pass configuration between hosts: push by trees, anti-entropy, snapshots."""
+"""Pass configuration between hosts: push by trees, with anti-entropy behind."""
 
-from collections import OrderedDict
 from collections.abc import Callable, Sequence
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 from greengagepoint.config.entries import Entry, decode_entry
 from greengagepoint.config.log import Applied, ConfigLog, apply_entry
@@ -13,7 +12,12 @@
     ConfigRequest,
     ConfigSnapshotPart,
 )
-from greengagepoint.config.snapshot import Snapshot, load_snapshot, take_snapshot
+from greengagepoint.config.state import Exchange, Fork, Send
+from greengagepoint.config.transfer import (
+    first_part,
+    on_part_request,
+    on_snapshot_part,
+)
 from greengagepoint.config.view import FleetView, refresh
 from greengagepoint.errors import StoreError
 from greengagepoint.hosts import HostIdentity
@@ -23,49 +27,6 @@
 MESSAGE_BYTES_MAX: Final = 256 * 1024
 FORWARDED_MAX: Final = 256
 PUSHED_ENTRIES_MAX: Final = 8
-PARTS_MAX: Final = 4096
-
-
-class Send(NamedTuple):
-    """A message for another host."""
-
-    host: str
-    message: object
-
-
-class Fork(NamedTuple):
-    """A generation at which another history was met, and who holds it."""
-
-    generation: int
-    source: str
-
-
-class Assembly(NamedTuple):
-    """A snapshot that is being fetched from a peer."""
-
-    sender: str
-    generation: int
-    digest: str
-    parts: list[bytes]
-
-
-class Exchange:
-    """Hold one host's log and what it knows of the exchange with its peers.
-
-    ``view`` is that of the live hosts; ``answered`` tells whether a peer has told
-    its head since the start; ``fork`` is the last other history that was met.
-    """
-
-    def __init__(self, host: HostIdentity, log: ConfigLog) -> None:
-        self.host = host
-        self.log = log
-        self.view = FleetView(host)
-        self.answered = False
-        self.fork: Fork | None = None
-        self.next_gossip_at = 0.0
-        self.forwarded: OrderedDict[tuple[str, int], None] = OrderedDict()
-        self.assembly: Assembly | None = None
-        self.snapshot: Snapshot | None = None
 
 
 def see(exchange: Exchange, live: Sequence[HostIdentity]) -> FleetView:
@@ -162,101 +123,15 @@
     return _missing(exchange, sender, message.after)
 
 
-def on_part_request(
-    exchange: Exchange, sender: str, message: ConfigPartRequest
-) -> list[Send]:
-    """Send one part of the snapshot that the peer has begun to fetch."""
-    snapshot = exchange.snapshot
-    wanted = (message.generation, message.digest)
-    if snapshot is None or wanted != _identity(snapshot):
-        return _missing(exchange, sender, 0)
-    return _part(snapshot, sender, message.index)
-
-
-def on_snapshot_part(
-    exchange: Exchange, sender: str, message: ConfigSnapshotPart
-) -> list[Send]:
-    """Collect a snapshot; put it in force when whole and ahead of this log."""
-    exchange.answered = True
-    manifest = message.manifest
-    if manifest.generation <= exchange.log.generation:
-        exchange.assembly = None
-        return []
-    count = len(manifest.checksums)
-    if count > PARTS_MAX:
-        return []
-    if message.index == 0:
-        exchange.assembly = Assembly(sender, manifest.generation, manifest.digest, [])
-    assembly = exchange.assembly
-    if assembly is None or assembly[:3] != (
-        sender,
-        manifest.generation,
-        manifest.digest,
-    ):
-        return []
-    if count and message.index != len(assembly.parts):
-        return []
-    if count:
-        assembly.parts.append(message.part)
-    if len(assembly.parts) < count:
-        request = ConfigPartRequest(
-            manifest.generation, manifest.digest, len(assembly.parts)
-        )
-        return [Send(sender, request)]
-    exchange.assembly = None
-    try:
-        loaded = load_snapshot(manifest, assembly.parts, exchange.log.newest)
-    except StoreError:
-        return []
-    adopt(exchange, loaded, sender)
-    return []
-
-
-def adopt(exchange: Exchange, loaded: ConfigLog, source: str) -> bool:
-    """Replace the log by a snapshot's that is ahead and doesn't contradict it."""
-    log = exchange.log
-    if loaded.generation <= log.generation:
-        return False
-    met = loaded.digest_at(log.generation)
-    if met is not None and met != log.digest:
-        exchange.fork = Fork(log.generation, source)
-        return False
-    exchange.log = loaded
-    return True
-
-
 def _missing(exchange: Exchange, peer: str, after: int) -> list[Send]:
     """Return entries after a generation, or a snapshot where they are cut off."""
     entries = exchange.log.entries_after(after)
     if entries is None:
-        exchange.snapshot = current_snapshot(exchange)
-        return _part(exchange.snapshot, peer, 0)
+        return first_part(exchange, peer)
     message = ConfigEntries(_bounded(entries))
     return [Send(peer, message)] if message.entries else []
 
 
-def current_snapshot(exchange: Exchange) -> Snapshot:
-    """Return a snapshot of the log, made once for each generation asked for."""
-    snapshot = exchange.snapshot
-    head = (exchange.log.generation, exchange.log.digest)
-    if snapshot is None or _identity(snapshot) != head:
-        snapshot = take_snapshot(exchange.log)
-    return snapshot
-
-
-def _part(snapshot: Snapshot, peer: str, index: int) -> list[Send]:
-    """Return one part of a snapshot for a peer."""
-    parts = snapshot.parts or (b"",)
-    if not 0 <= index < len(parts):
-        return []
-    return [Send(peer, ConfigSnapshotPart(snapshot.manifest, index, parts[index]))]
-
-
-def _identity(snapshot: Snapshot) -> tuple[int, str]:
-    """Return the generation and digest of a snapshot."""
-    return snapshot.manifest.generation, snapshot.manifest.digest
-
-
 def _forward(exchange: Exchange, entries: Sequence[Entry], root: str) -> list[Send]:
     """Pass entries on along the tree of a root, once for each root and head."""
     key = (root, entries[-1].generation)
--- a/packages/core/tests/test_config_log.py
+++ b/packages/core/tests/test_config_log.py
@@ -8,8 +8,8 @@
 
 from greengagepoint.config import exchange as peers
 from greengagepoint.config.entries import Change, Entry, decode_entry, make_entry
-from greengagepoint.config.exchange import Exchange
 from greengagepoint.config.log import Applied, ConfigLog, apply_entry
+from greengagepoint.config.state import Exchange
 from greengagepoint.config.tree import children_of
 from greengagepoint.config.watchers import WATCHERS_A_REGION, watchers_of
 from greengagepoint.errors import ErrorKind, StoreError
--- a/packages/node/greengagepoint_node/coordinators/config.py
+++ b/packages/node/greengagepoint_node/coordinators/config.py
@@ -6,11 +6,12 @@
 
 from greengagepoint.config import exchange as peers
 from greengagepoint.config.entries import Change, Entry, decode_entry
-from greengagepoint.config.exchange import Exchange, Send
 from greengagepoint.config.layout import LOG_PREFIX
 from greengagepoint.config.log import Applied, ConfigLog, effective, not_understood
 from greengagepoint.config.preparing import pin, prepare
 from greengagepoint.config.snapshot import SNAPSHOT_ENTRIES
+from greengagepoint.config.state import Exchange, Send
+from greengagepoint.config.transfer import adopt, current_snapshot
 from greengagepoint.configuration import EMPTY, Configuration
 from greengagepoint.errors import (
     ErrorKind,
@@ -285,7 +286,7 @@
 
     async def _async_repair(self) -> None:
         """Bring a restored store up to this log where its chain allows it."""
-        snapshot = peers.current_snapshot(self.exchange)
+        snapshot = current_snapshot(self.exchange)
         if await self.stored.async_repair(self.log, snapshot):
             await self._async_read()
 
@@ -300,7 +301,7 @@
 
     async def _async_write_snapshot(self) -> None:
         """Write a snapshot of this log."""
-        snapshot = peers.current_snapshot(self.exchange)
+        snapshot = current_snapshot(self.exchange)
         self.exchange.snapshot = snapshot
         await self.stored.async_write_snapshot(snapshot)
 
@@ -326,7 +327,7 @@
 
     def _adopt(self, base: ConfigLog) -> None:
         """Put a snapshot from the store in force where it is ahead."""
-        if peers.adopt(self.exchange, base, STORE_SOURCE):
+        if adopt(self.exchange, base, STORE_SOURCE):
             self._publish(STORE_SOURCE)
         self.reports.fork(self.exchange.fork)
 
--- a/packages/node/greengagepoint_node/coordinators/config_reports.py
+++ b/packages/node/greengagepoint_node/coordinators/config_reports.py
@@ -4,8 +4,8 @@
 from typing import Final
 
 from greengagepoint.config.entries import Entry
-from greengagepoint.config.exchange import Fork
 from greengagepoint.config.log import ConfigLog
+from greengagepoint.config.state import Fork
 from greengagepoint.errors import ErrorKind, RecordError, StoreError
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
