Resume broken downloads, hedge slow reads, and try other sites

Cause: a read failed when both servers of the nearest site had failed, because the next site was given up while it still had to lend a unit; a broken download could only break off. Change: a site without a unit at hand is asked for a loan once the nearer ones have no server left; downloads go on by range; slow reads are hedged within the retry budget; retries wait a short random time. Ruled out: a missing retry (the retry was made, its placement failed). Conclusion: single faults of backend servers are covered; their pairs are not.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -19,6 +19,7 @@
 )
 from greengagepoint.errors import ErrorKind, Ran, RequestError
 from greengagepoint.events import Event
+from greengagepoint.overload.retries import retry_delay
 from greengagepoint_node.http.const import HEADER_LOAD
 from greengagepoint_node.proxy.body import StreamedBody
 from greengagepoint_node.proxy.call import Call
@@ -27,11 +28,13 @@
     async_exchange,
     request_headers,
 )
+from greengagepoint_node.proxy.hedging import HedgeAllowance, async_hedged
 from greengagepoint_node.proxy.parts import Parts
 from greengagepoint_node.proxy.placement import Placement, async_place, give_back
 from greengagepoint_node.proxy.relay import is_small
 
 ATTEMPTS_MAX: Final = 3
+BACK_OFF_SHARE: Final = 0.1
 
 BALANCING_OUTCOMES: Final[dict[WireOutcome, Outcome]] = {
     WireOutcome.SHED: Outcome.SHED,
@@ -46,8 +49,8 @@
 T = TypeVar("T")
 
 
-class RetryAllowance(Protocol):
-    """Allow retries out of a shared budget."""
+class Allowance(HedgeAllowance, Protocol):
+    """Allow retries and hedges out of a shared budget."""
 
     def spend(self) -> bool:
         """Take one retry from the budget; tell whether there was one."""
@@ -72,34 +75,102 @@
     count: int = 0
 
 
+class Attempt:
+    """One request and what its tries share."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | StreamedBody | None,
+        allowance: Allowance,
+    ) -> None:
+        self.parts = parts
+        self.request = request
+        self.call = call
+        self.body = body
+        self.allowance = allowance
+        self.tries = Tries()
+
+
 async def async_attempt(
     parts: Parts,
     request: web.BaseRequest,
     call: Call,
     body: bytes | StreamedBody | None,
-    allowance: RetryAllowance,
+    allowance: Allowance,
 ) -> Reply:
     """Return the first answer that may be passed on, or raise RequestError."""
-    tries = Tries()
+    attempt = Attempt(parts, request, call, body, allowance)
+    tries = attempt.tries
     while True:
         placement = await _async_place(parts, call, tries)
         try:
-            return await _async_try(parts, request, call, body, placement, tries)
+            if call.may_be_hedged:
+                return await _async_try_hedged(attempt, placement)
+            return await _async_try(attempt, placement)
         except WireError as error:
-            _note_failure(parts, call, placement, error, tries)
             if _body_error(body) is not None:
                 raise _body_stopped(body, tries) from error
             if not _may_send_again(call, error, tries, allowance):
                 raise as_request_error(error, tries.ran) from error
-            parts.context.events.record(
-                Event.REQUEST_RETRIED,
-                request_id=call.request_id,
-                outcome=error.outcome,
-                backend_server=placement.row.name,
-            )
-        except BaseException:
-            give_back(parts, placement, Outcome.CANCELLED, 0.0)
-            raise
+            await _async_back_off(attempt, placement, error)
+
+
+async def _async_back_off(
+    attempt: Attempt, placement: Placement, error: WireError
+) -> None:
+    """Wait a short random time, so that failed requests don't return together."""
+    context = attempt.parts.context
+    context.events.record(
+        Event.REQUEST_RETRIED,
+        request_id=attempt.call.request_id,
+        outcome=error.outcome,
+        backend_server=placement.row.name,
+    )
+    left = attempt.call.remaining(context.clock.monotonic())
+    delay = retry_delay(attempt.tries.count, context.random)
+    await asyncio.sleep(min(delay, max(0.0, left) * BACK_OFF_SHARE))
+
+
+async def _async_try_hedged(attempt: Attempt, placement: Placement) -> Reply:
+    """Try one server, and a second one if the first is slow."""
+    parts, call, tries = attempt.parts, attempt.call, attempt.tries
+
+    async def async_second() -> Reply:
+        tried = tries.tried | {placement.row.name}
+        other = await async_place(parts, call, tried)
+        parts.context.events.record(
+            Event.REQUEST_HEDGED,
+            request_id=call.request_id,
+            backend_server=other.row.name,
+        )
+        return await _async_try(attempt, other)
+
+    def discard(reply: Reply) -> None:
+        reply.upstream.close()
+        give_back(parts, reply.placement, Outcome.CANCELLED, 0.0)
+
+    return await async_hedged(
+        lambda: _async_try(attempt, placement),
+        async_second,
+        attempt.allowance,
+        discard,
+    )
+
+
+async def _async_try(attempt: Attempt, placement: Placement) -> Reply:
+    """Send the request once; give the place back unless an answer came."""
+    parts = attempt.parts
+    try:
+        return await _async_send(attempt, placement)
+    except WireError as error:
+        _note_failure(parts, placement, error, attempt.tries)
+        raise
+    except BaseException:
+        give_back(parts, placement, Outcome.CANCELLED, 0.0)
+        raise
 
 
 async def _async_place(parts: Parts, call: Call, tries: Tries) -> Placement:
@@ -112,15 +183,9 @@
         raise as_request_error(tries.last, tries.ran) from error
 
 
-async def _async_try(
-    parts: Parts,
-    request: web.BaseRequest,
-    call: Call,
-    body: bytes | StreamedBody | None,
-    placement: Placement,
-    tries: Tries,
-) -> Reply:
+async def _async_send(attempt: Attempt, placement: Placement) -> Reply:
     """Send the request once and return its answer, read whole when small."""
+    parts, call, tries = attempt.parts, attempt.call, attempt.tries
     now = parts.context.clock.monotonic()
     permit = placement.permit
     # The process may have been paused since it got the permit, and the lender may
@@ -142,8 +207,8 @@
         parts.sessions,
         call,
         placement.row.address,
-        request_headers(request, call, now),
-        body,
+        request_headers(attempt.request, call, now),
+        attempt.body,
         seconds,
     )
     latency = parts.context.clock.monotonic() - now
@@ -192,7 +257,7 @@
 
 
 def _note_failure(
-    parts: Parts, call: Call, placement: Placement, error: WireError, tries: Tries
+    parts: Parts, placement: Placement, error: WireError, tries: Tries
 ) -> None:
     """Record a failed try in the tables and in what is known of the request."""
     outcome = BALANCING_OUTCOMES.get(error.outcome, Outcome.FAILED)
@@ -203,7 +268,7 @@
 
 
 def _may_send_again(
-    call: Call, error: WireError, tries: Tries, allowance: RetryAllowance
+    call: Call, error: WireError, tries: Tries, allowance: Allowance
 ) -> bool:
     """Tell whether the request may and should be sent again."""
     if tries.count >= ATTEMPTS_MAX or call.streamed:
--- a/packages/node/greengagepoint_node/proxy/call.py
+++ b/packages/node/greengagepoint_node/proxy/call.py
@@ -23,6 +23,7 @@
 # again after a try that did not run. A larger one streams and is sent once.
 REPLAYABLE_BODY_BYTES: Final = 64 * 1024
 
+HEDGED_METHODS: Final = frozenset({hdrs.METH_GET, hdrs.METH_HEAD})
 DEFAULT_ROUTE: Final = Route(path="/", request_class=RequestClass.LOOKUP)
 
 
@@ -45,6 +46,17 @@
     received_bytes: int = 0
     ticket: Ticket | None = None
     latency_seconds: float | None = None
+    range_headers: dict[str, str] | None = None
+    broken_by: str = ""
+
+    @property
+    def may_be_hedged(self) -> bool:
+        """Tell whether a second copy of the request does no harm."""
+        return (
+            self.route.repeatable
+            and self.method in HEDGED_METHODS
+            and self.range_headers is None
+        )
 
     def remaining(self, now: float) -> float:
         """Return the seconds left until the deadline."""
--- a/packages/node/greengagepoint_node/proxy/exchange.py
+++ b/packages/node/greengagepoint_node/proxy/exchange.py
@@ -9,6 +9,7 @@
 from yarl import URL
 
 from greengagepoint.delivery.outcomes import WireOutcome, classify_answer
+from greengagepoint.delivery.resume import REPLACED_HEADERS
 from greengagepoint_node.http.const import (
     HEADER_DEADLINE_MS,
     HEADER_KEY,
@@ -51,10 +52,13 @@
     """Return the headers for the backend server."""
     named = connection_headers(request.headers.get("Connection"))
     headers: CIMultiDict[str] = CIMultiDict()
+    dropped = DROPPED_REQUEST_HEADERS | named
+    if call.range_headers is not None:
+        dropped |= REPLACED_HEADERS
     for name, value in request.headers.items():
-        lowered = name.lower()
-        if lowered not in DROPPED_REQUEST_HEADERS and lowered not in named:
+        if name.lower() not in dropped:
             headers.add(name, value)
+    headers.update(call.range_headers or {})
     headers[HEADER_REQUEST_ID] = call.request_id
     headers[HEADER_TEAM] = call.team
     headers[HEADER_DEADLINE_MS] = str(max(1, int(call.remaining(now) * 1000)))
--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Final, Protocol
 
-import aiohttp
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -29,20 +28,18 @@
 from greengagepoint_node.http.problems import problem_response
 from greengagepoint_node.http.server import SERVICE_PREFIX
 from greengagepoint_node.proxy.attempts import (
+    Allowance,
     Reply,
-    RetryAllowance,
     async_attempt,
-    async_within,
 )
 from greengagepoint_node.proxy.body import BodyLimits, StreamedBody, async_read_body
 from greengagepoint_node.proxy.call import Call, parse_call, parse_request_id
+from greengagepoint_node.proxy.download import AnswerBrokenError, DownloadRelay
 from greengagepoint_node.proxy.parts import Parts
 from greengagepoint_node.proxy.placement import give_back
 from greengagepoint_node.proxy.relay import (
     answer_headers,
     async_begin_stream,
-    async_copy_body,
-    break_off,
     small_answer,
 )
 
@@ -60,21 +57,13 @@
 class Admission(Protocol):
     """Decide whether and when a request may go on."""
 
-    async def async_admit(self, call: Call) -> RetryAllowance:
+    async def async_admit(self, call: Call) -> Allowance:
         """Return when the request may go on, or raise RequestError."""
 
     def ended(self, call: Call, latency_seconds: float | None, *, failed: bool) -> None:
         """Let the next one in; the latency is None when no answer came."""
 
 
-class AnswerBrokenError(ConnectionResetError):
-    """Stop an answer of which the caller has seen a part."""
-
-    def __init__(self, kind: ErrorKind, detail: str) -> None:
-        super().__init__(detail)
-        self.kind = kind
-
-
 class RequestPipeline:
     """Take requests through admission, claim, placement, sending and relaying."""
 
@@ -145,7 +134,7 @@
                 return await self._async_forward_once(request, call, body, allowance)
             reply = await async_attempt(self.parts, request, call, body, allowance)
             call.latency_seconds = reply.latency_seconds
-            return await self._async_deliver(request, call, reply)
+            return await self._async_deliver(request, call, reply, allowance)
         except GreengagepointError as error:
             failed = error.kind in BACKEND_FAILURES
             raise
@@ -157,7 +146,7 @@
         request: web.BaseRequest,
         call: Call,
         body: bytes | StreamedBody | None,
-        allowance: RetryAllowance,
+        allowance: Allowance,
     ) -> web.StreamResponse:
         """Forward a request whose key may run at most once."""
         claims = self.parts.claims
@@ -181,7 +170,7 @@
         if claim.memory_only:
             reply.headers = CIMultiDict(reply.headers)
             reply.headers[HEADER_KEY_STATE] = KEY_STATE_MEMORY_ONLY
-        return await self._async_deliver(request, call, reply)
+        return await self._async_deliver(request, call, reply, allowance)
 
     async def _async_claim(self, call: Call, digest: str) -> Claim:
         """Claim the key, leaving time to run."""
@@ -220,49 +209,24 @@
         return web.Response(status=stored.status, headers=headers, body=stored.body)
 
     async def _async_deliver(
-        self, request: web.BaseRequest, call: Call, reply: Reply
+        self, request: web.BaseRequest, call: Call, reply: Reply, allowance: Allowance
     ) -> web.StreamResponse:
         """Pass an answer on; give its place back when it has ended."""
-        outcome = Outcome.CANCELLED
-        try:
-            if reply.body is not None:
-                call.received_bytes = len(reply.body)
-                outcome = _outcome_of_status(reply.upstream.status)
-                return small_answer(
-                    reply.upstream,
-                    self._headers(call, reply),
-                    reply.body,
-                    call.method,
-                )
-            response = await self._async_stream(request, call, reply)
-            outcome = Outcome.ANSWERED
-            return response
-        except AnswerBrokenError:
-            outcome = Outcome.FAILED
-            raise
-        finally:
-            reply.upstream.close()
-            give_back(self.parts, reply.placement, outcome, reply.latency_seconds)
-
-    async def _async_stream(
-        self, request: web.BaseRequest, call: Call, reply: Reply
-    ) -> web.StreamResponse:
-        """Stream a large answer; break it off visibly if it can't be finished."""
         headers = self._headers(call, reply)
-        response = await async_begin_stream(request, reply.upstream, headers)
-        ends_at = min(call.ends_at, reply.placement.permit.end_by)
-        copying = async_copy_body(reply.upstream, response)
+        if reply.body is not None:
+            call.received_bytes = len(reply.body)
+            reply.upstream.release()
+            outcome = _outcome_of_status(reply.upstream.status)
+            give_back(self.parts, reply.placement, outcome, reply.latency_seconds)
+            return small_answer(reply.upstream, headers, reply.body, call.method)
         try:
-            call.received_bytes = await async_within(self.parts, ends_at, copying)
-        except TimeoutError as error:
-            break_off(request)
-            raise AnswerBrokenError(
-                ErrorKind.BACKEND_TIMEOUT, "The answer did not end before the deadline"
-            ) from error
-        except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
-            break_off(request)
-            raise AnswerBrokenError(ErrorKind.BACKEND_TRUNCATED, str(error)) from error
-        await response.write_eof()
+            response = await async_begin_stream(request, reply.upstream, headers)
+        except BaseException:
+            reply.upstream.close()
+            give_back(self.parts, reply.placement, Outcome.CANCELLED, 0.0)
+            raise
+        relay = DownloadRelay(self.parts, request, call, allowance)
+        await relay.async_run(reply, response)
         return response
 
     def _headers(self, call: Call, reply: Reply) -> CIMultiDict[str]:
--- a/packages/node/greengagepoint_node/proxy/placement.py
+++ b/packages/node/greengagepoint_node/proxy/placement.py
@@ -33,21 +33,23 @@
         raise RequestError(
             f"No site may serve {call.service.name} now", ErrorKind.NO_BACKEND_SERVER
         )
-    has_room = False
+    # Sites without a unit at hand are kept apart: when the servers of the nearest
+    # site all fail, another site may still serve once it has lent a unit.
+    short: list[str] = []
     for site in sites:
         permit = parts.caps.acquire(site, _remaining(parts, call))
         if permit is None:
+            short.append(site)
             continue
-        has_room = True
         placement = _occupy(parts, call, permit, tried)
         if placement is not None:
             return placement
-    if has_room:
+    if not short:
         raise RequestError(
             f"No backend server of {call.service.name} is available",
             ErrorKind.NO_BACKEND_SERVER,
         )
-    return await _async_place_on_loan(parts, call, sites[0], tried)
+    return await _async_place_on_loan(parts, call, short[0], tried)
 
 
 def give_back(
--- a/packages/node/greengagepoint_node/proxy/relay.py
+++ b/packages/node/greengagepoint_node/proxy/relay.py
@@ -1,5 +1,6 @@
 """Relay a backend server's answer to the caller, whole or visibly broken."""
 
+from collections.abc import Callable
 from typing import Final
 
 import aiohttp
@@ -103,18 +104,18 @@
 
 
 async def async_copy_body(
-    upstream: aiohttp.ClientResponse, response: web.StreamResponse
-) -> int:
-    """Copy the body piece by piece; return its bytes.
+    upstream: aiohttp.ClientResponse,
+    response: web.StreamResponse,
+    passed_on: Callable[[int], None],
+) -> None:
+    """Copy the body piece by piece; tell the bytes of each that was passed on.
 
     Memory stays bounded: a piece is at most what the client's read buffer holds, and
     the write waits until the caller has taken enough of the earlier ones.
     """
-    copied = 0
     async for piece in upstream.content.iter_any():
         await response.write(piece)
-        copied += len(piece)
-    return copied
+        passed_on(len(piece))
 
 
 def break_off(request: web.BaseRequest) -> None:
