Bound what askers send and follow records of callers in steps

Cause: an asker in a zone of 120 hosts would send 60 messages a second; a daemon needs the client blocks to follow its configuration without stopping its loop.

Change: reports go out less often when more than 16 hosts want them. FollowedBlocks builds, changes and merges the table in short steps (follow, run, find).

--- a/packages/core/greengagepoint/balancing/shared_reports.py
+++ b/packages/core/greengagepoint/balancing/shared_reports.py
@@ -1,5 +1,7 @@
 """Ask backend servers for their load and pass on what they say."""
 
+from typing import Final
+
 from greengagepoint.balancing.messages import LoadReports, PoolLoad, ServerLoad
 from greengagepoint.balancing.reports import InvalidLoadError, check_load, report
 from greengagepoint.balancing.sharing import (
@@ -19,6 +21,8 @@
     PoolKey,
 )
 
+LISTENERS_AT_FULL_RATE: Final = 16
+
 
 def rows_to_ask(
     sharing: SharingTable, table: BackendTable, now: float
@@ -47,11 +51,14 @@
 ) -> dict[str, LoadReports]:
     """Return what to tell the hosts that want load.
 
-    All reports of one host go in one message each ``SHARE_SECONDS``; that a server
-    leaves is told at the next tick, for until then the others send to it.
+    All reports for one host go in one message each ``SHARE_SECONDS``, less often
+    when many hosts want them, so that an asker's messages a second are bounded. That
+    a server leaves is told at the next tick, for until then the others send to it.
     """
     urgent = _newly_leaving(sharing, table)
-    is_due = now - sharing.shared_at >= SHARE_SECONDS
+    listeners = len({host for hosts in sharing.wanted.values() for host in hosts})
+    interval = SHARE_SECONDS * max(1.0, listeners / LISTENERS_AT_FULL_RATE)
+    is_due = now - sharing.shared_at >= interval
     if is_due:
         sharing.shared_at = now
     loads: dict[str, list[PoolLoad]] = {}
--- a/packages/core/tests/test_steering_client_blocks.py
+++ b/packages/core/tests/test_steering_client_blocks.py
@@ -4,8 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagepoint.configuration import EMPTY
 from greengagepoint.records.schemas import Callers
-from greengagepoint.steering import client_blocks, client_records
+from greengagepoint.steering import client_blocks, client_following, client_records
 from greengagepoint.steering.addresses import parse_block
 from greengagepoint.steering.client_blocks import Change
 from greengagepoint.steering.client_records import build, differences
@@ -66,6 +67,36 @@
     assert list(differences(new, new)) == []
 
 
+def callers(blocks, region="x"):
+    return EMPTY._replace(callers={"a": record("a", blocks, region)})
+
+
+def test_table_follows_the_configuration(monkeypatch):
+    """A host starts, and records change while it builds and changes its table.
+
+    Addresses have no order until the table is built; then the newest records are in
+    force, a small change at once and a large one in steps.
+    """
+    monkeypatch.setattr(client_records, "STEP_BLOCKS", 1)
+    monkeypatch.setattr(client_following, "CHANGES_A_STEP", 4)
+    blocks = [f"10.{number}.0.0/16" for number in range(10)]
+    followed = client_following.FollowedBlocks()
+    followed.follow(callers(blocks))
+    assert followed.find("10.3.0.1") is None
+    followed.follow(callers([*blocks, "11.0.0.0/8"]))
+    while followed.run():
+        pass
+    assert followed.find("10.3.0.1") == followed.find("11.0.0.1") == ("x",)
+    followed.follow(callers(blocks))
+    assert followed.find("11.0.0.1") is None
+    followed.follow(callers(blocks, "y"))
+    followed.follow(callers(blocks, "z"))
+    assert followed.find("10.9.0.1") == ("x",)
+    while followed.run():
+        pass
+    assert followed.find("10.9.0.1") == followed.find("10.0.0.1") == ("z",)
+
+
 def networks():
     """Return blocks that nest often, of both families."""
     number = st.integers(0, 15)
