Register the messages of shared load

Cause: the daemon subscribes to LoadWanted, which the list of message types lacked, so it stopped at start. Change: balancing's messages are in the list. Measured: the codec's tests pass. Conclusion: a missing type shows at start, as meant.

--- a/packages/node/greengagepoint_node/peer_codec.py
+++ b/packages/node/greengagepoint_node/peer_codec.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from greengagepoint.balancing import messages as balancing
+from greengagepoint.balancing import messages as balancing
 from greengagepoint.caps import messages as caps
 from greengagepoint.config import messages as config
 from greengagepoint.delivery import messages as delivery
@@ -82,6 +84,8 @@
 
 # Every message that daemons exchange; a type that is not listed is not sent.
 MESSAGE_TYPES: Final[tuple[type, ...]] = (
+    *balancing.MESSAGES,
+    *balancing.MESSAGES,
     *caps.MESSAGES,
     *config.MESSAGES,
     delivery.ClaimBatch,
