Wire shared load, client blocks, the stop's states and plain entries

Cause: load reports, the map of client blocks and the states of a stop were decided in core and not used by the daemon; history sent raw bytes. Change: the daemon runs them; large client maps are built in steps beside the one that serves.

--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -10,17 +10,21 @@
 from aiohttp import web
 
 from greengagepoint.configuration import Configuration
+from greengagepoint.draining import stop
+from greengagepoint.draining.stop import StopState, StopStatus, StopTable
 from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.protocols import HostList, ListedHost
 from greengagepoint.steering.lookup import EntryHost
 from greengagepoint.timeline.ring import EventRecorder
 from greengagepoint_node.backends import BackendKeeper
+from greengagepoint_node.client_map import ClientMap
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.context import Context, Coordinator
 from greengagepoint_node.coordinators.caps import CapsCoordinator
 from greengagepoint_node.coordinators.claims import ClaimsCoordinator
 from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_node.coordinators.load import LoadCoordinator
 from greengagepoint_node.coordinators.membership import MembershipCoordinator
 from greengagepoint_node.coordinators.usage import UsageCoordinator
 from greengagepoint_node.event_sink import LoggedEvents
@@ -54,7 +58,6 @@
 STORE_TIMEOUT_SECONDS: Final = 2.0
 HOST_LIST_TIMEOUT_SECONDS: Final = 2.0
 STOP_POLL_SECONDS: Final = 0.05
-CLOCK_SKEW_SECONDS: Final = 1.0
 STATE_STARTING: Final = "starting"
 STATE_SERVING: Final = "serving"
 STATE_LEAVING: Final = "leaving"
@@ -81,6 +84,8 @@
         self.events = LoggedEvents(self.recorder)
         self.stop_wanted = asyncio.Event()
         self.tick_task: asyncio.Task[None] | None = None
+        self.stop_table = StopTable()
+        self.stop_status: StopStatus | None = None
         self.prepared: tuple[Configuration, int, bool] | None = None
 
     async def async_run(self) -> None:
@@ -183,16 +188,25 @@
         )
         self.claims = ClaimsCoordinator(context, self.membership.live_hosts)
         self.usage = UsageCoordinator(context, self.membership.live_hosts)
+        self.backends = BackendKeeper(context)
+        self.load = LoadCoordinator(
+            context,
+            self._configuration,
+            self.membership.live_hosts,
+            self.platform_session,
+            self.backends.table,
+        )
         self.coordinators: list[Coordinator] = [
             self.membership,
             self.config,
             self.caps,
             self.claims,
             self.usage,
+            self.load,
         ]
-        self.backends = BackendKeeper(context)
         self.shifts = ShiftKeeper(context, self.backends.table)
-        self.lookups = LookupAnswers(self.identity, self._regions_of)
+        self.client_map = ClientMap()
+        self.lookups = LookupAnswers(self.identity, self.client_map.find)
         self.metrics = Metrics(
             Sources(self._headroom, self._peer_totals, self._generation)
         )
@@ -296,6 +310,7 @@
         failed = frozenset(self.membership.unreachable_regions())
         self.shifts.tick(configuration, failed, peers, now)
         self.admission.tick(now)
+        self.client_map.tick()
         self._prepare_lookups()
         if self.state == STATE_STARTING and self._is_ready():
             self.state = STATE_SERVING
@@ -315,15 +330,18 @@
     def _on_configuration(self, configuration: Configuration) -> None:
         """Put a new configuration in force on the request path at once."""
         self.backends.sync(configuration)
+        self.client_map.sync(configuration)
         self._prepare_lookups()
 
     async def _async_wait_for_callers(self, grace_seconds: float) -> None:
         """Serve until cached answers have run out and nothing is in flight."""
-        now = self.clock.monotonic()
-        cached_until = now + self.lookups.longest_ttl_seconds + CLOCK_SKEW_SECONDS
-        ends_at = max(cached_until, now + grace_seconds)
+        table = self.stop_table
+        stop.leave(table, self.lookups.longest_ttl_seconds, self.clock.monotonic())
+        ends_at = table.cached_until + grace_seconds
         while (now := self.clock.monotonic()) < ends_at:
-            if now >= cached_until and not self.pipeline.in_flight:
+            in_flight = self.pipeline.in_flight
+            self.stop_status = stop.run(table, in_flight, 0.0, now, handed_over=False)
+            if self.stop_status.state is StopState.DRAINED:
                 return
             await asyncio.sleep(STOP_POLL_SECONDS)
 
@@ -354,10 +372,6 @@
         """Return how many hosts serve."""
         return len(self.membership.serving_hosts())
 
-    def _regions_of(self, address: str) -> tuple[str, ...] | None:
-        """Return the order of regions for a caller's address."""
-        return None
-
     def _is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return self.state in (STATE_STARTING, STATE_SERVING) and bool(
--- a/packages/node/greengagepoint_node/http/operators.py
+++ b/packages/node/greengagepoint_node/http/operators.py
@@ -7,7 +7,6 @@
 from aiohttp import web
 
 from greengagepoint.errors import ErrorKind, RequestError
-from greengagepoint.records.loading import RecordDocument
 from greengagepoint_node.http.problems import json_response
 from greengagepoint_node.http.server import Handler
 
@@ -23,7 +22,7 @@
     kind: str
     name: str
     expected_generation: int | None = None
-    document: RecordDocument | None = None
+    document: dict[str, Any] | None = None
 
 
 class WantedChanges(msgspec.Struct, forbid_unknown_fields=True):
--- a/packages/node/greengagepoint_node/operator_backend.py
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
-import msgspec
-
 from greengagepoint.config.entries import Change
+from greengagepoint.config.plain import change_from_plain, entry_to_plain
 from greengagepoint.errors import RecordError, RequestError
 from greengagepoint.events import Event, Occurrence
 from greengagepoint.records.schemas import RecordKind
@@ -58,7 +57,7 @@
         entries = self.config.history(limit)
         return {
             "generation": self.config.configuration.generation,
-            "entries": [msgspec.to_builtins(entry) for entry in entries],
+            "entries": [entry_to_plain(entry) for entry in entries],
         }
 
     def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
@@ -80,11 +79,8 @@
             field="kind",
             accepted=", ".join(RecordKind),
         )
-    return Change(
-        kind=RecordKind(wanted.kind),
-        name=wanted.name,
-        expected_generation=wanted.expected_generation,
-        document=wanted.document,
+    return change_from_plain(
+        wanted.kind, wanted.name, wanted.document, wanted.expected_generation
     )
 
 
