--- a/packages/node/greengagepoint_node/peer_codec.py
+++ b/packages/node/greengagepoint_node/peer_codec.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from greengagepoint.balancing import messages as balancing
 from greengagepoint.balancing import messages as balancing
 from greengagepoint.caps import messages as caps
 from greengagepoint.config import messages as config
