Let the demo overload a service and spread its callers

Change: a burst of 400 downloads that cannot all end in time; four groups of callers a region, each with its own cached look-ups.

--- a/packages/standins/greengagepoint_standins/demo/__main__.py
+++ b/packages/standins/greengagepoint_standins/demo/__main__.py
@@ -24,6 +24,10 @@
 STEADY_SECONDS: Final = 8.0
 LOST_SECONDS: Final = 12.0
 SETTLE_SECONDS: Final = 3.0
+BURST_REQUESTS: Final = 400
+BURST_DEADLINE_MS: Final = 3000
+# Groups of callers in a region; each has a cache of look-ups of its own.
+CALLER_GROUPS: Final = 4
 EXIT_BROKEN: Final = 1
 EXIT_FAILED: Final = 3
 # Addresses of each region's callers, as the callers records have them.
@@ -103,7 +107,10 @@
         for seed, (region, address) in enumerate(pairs):
             near = [one.address for one in self.fleet.hosts if one.region == region]
             far = [one.address for one in self.fleet.hosts if one.region != region]
-            callers.append(Callers(region, address, [*near, *far], seed))
+            callers += [
+                Callers(region, address, [*near, *far], seed * CALLER_GROUPS + group)
+                for group in range(CALLER_GROUPS)
+            ]
         return callers
 
     async def _async_write(self, *arguments: str) -> str:
@@ -120,6 +127,7 @@
         await asyncio.sleep(STEADY_SECONDS)
         await self._async_drain_backend_server()
         await self._async_shift()
+        await self._async_burst()
         await self._async_stop_host()
         await self._async_lose_region()
 
@@ -172,6 +180,12 @@
         )
         await asyncio.sleep(STEADY_SECONDS)
 
+    async def _async_burst(self) -> None:
+        """Ask for far more downloads at once than can end in time."""
+        ask = next(ask for ask in self.deployment.asks if ask.download_bytes)
+        say(f"a burst of {BURST_REQUESTS} requests of the kind {ask.name}")
+        await self.load.async_burst(ask, BURST_REQUESTS, BURST_DEADLINE_MS)
+
     def _shift_target(self) -> str:
         """Return the site that the demo shifts traffic to."""
         return list(self.fleet.places.site_regions)[-1]
--- a/packages/standins/greengagepoint_standins/demo/load.py
+++ b/packages/standins/greengagepoint_standins/demo/load.py
@@ -140,6 +140,13 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
+    async def async_burst(self, ask: Ask, count: int, deadline_ms: int) -> None:
+        """Send many requests of one kind at once, with little time each."""
+        hurried = ask._replace(deadline_ms=deadline_ms)
+        callers = itertools.cycle(self.callers)
+        sending = [self._async_send(hurried, next(callers)) for _ in range(count)]
+        await asyncio.gather(*sending)
+
     async def async_finish(self) -> None:
         """Stop sending and wait for what is under way."""
         self.stopped = True
