--- a/packages/node/greengagepoint_node/peer_codec.py
+++ b/packages/node/greengagepoint_node/peer_codec.py
@@ -83,7 +83,6 @@
 
 # Every message that daemons exchange; a type that is not listed is not sent.
 MESSAGE_TYPES: Final[tuple[type, ...]] = (
-    *balancing.MESSAGES,
     *balancing.MESSAGES,
     *caps.MESSAGES,
     *config.MESSAGES,
