Send nothing but a probe to a site whose servers all fail

Cause: at most a third of a pool is ejected, so where a whole site was down its requests still went there and failed one by one.

Change: servers that failed five times in a row are passed over; where all have, one request a second tries the site and the others go on to the next.

--- a/packages/core/greengagepoint/balancing/choice.py
+++ b/packages/core/greengagepoint/balancing/choice.py
@@ -4,13 +4,14 @@
 
 from greengagepoint.balancing.estimate import load_of_others
 from greengagepoint.balancing.policies import Policy, choose_by_score
-from greengagepoint.balancing.tables import BackendRow, BackendTable, Outcome
+from greengagepoint.balancing.tables import BackendRow, BackendTable, Outcome, Pool
 from greengagepoint.protocols import Random
 
 LATENCY_WEIGHT: Final = 0.1
 FAILURE_WEIGHT: Final = 0.1
 FAILURES_IN_ROW_MAX: Final = 5
 FAILURE_RATE_MAX: Final = 0.5
+PROBE_SECONDS: Final = 1.0
 FAILURE_OUTCOMES: Final = frozenset({Outcome.FAILED, Outcome.REFUSED})
 NOTHING_EXCLUDED: Final[frozenset[str]] = frozenset()
 
@@ -38,7 +39,23 @@
     rows = [row for row in usable if row.ejected_until is None] or usable
     if not rows:
         return None
-    return policy(rows, pool, now, random)
+    alive = [row for row in rows if row.failures_in_row < FAILURES_IN_ROW_MAX]
+    if not alive and not _may_probe(pool, now):
+        return None
+    return policy(alive or rows, pool, now, random)
+
+
+def _may_probe(pool: Pool, now: float) -> bool:
+    """Tell whether a pool whose servers all fail may be tried by one request.
+
+    Only a part of a pool is ejected, so where a whole site is down its requests
+    would still go there, one failure each; without a server they go to the next
+    site at once. One request a second finds out whether the site is back.
+    """
+    if now - pool.probed_at < PROBE_SECONDS:
+        return False
+    pool.probed_at = now
+    return True
 
 
 def has_room(row: BackendRow, now: float) -> bool:
--- a/packages/core/greengagepoint/balancing/tables.py
+++ b/packages/core/greengagepoint/balancing/tables.py
@@ -105,13 +105,14 @@
     """The backend servers of one service at one site.
 
     ``latencies`` are the newest service times in seconds, ``others_a_slot`` the
-    mean of what reports say of other hosts' requests; ``last_choice`` is for
-    policies that go round.
+    mean of what reports say of other hosts' requests; ``probed_at`` is when a pool
+    that is down was last tried. ``last_choice`` is for policies that go round.
     """
 
     rows: list[BackendRow] = field(default_factory=list)
     latencies: deque[float] = field(default_factory=_latencies)
     others_a_slot: float = 0.0
+    probed_at: float = float("-inf")
     last_choice: int = 0
 
 
--- a/packages/core/tests/test_balancing_choice.py
+++ b/packages/core/tests/test_balancing_choice.py
@@ -193,6 +193,27 @@
     assert rows[0].slow_start_from == 5.0
 
 
+def test_site_that_is_down_is_probed_once_a_second():
+    """All servers of a site refuse, more than may be ejected.
+
+    Requests find no server there and go on to the next site at once; one a second
+    tries, and when it is answered the site takes requests again.
+    """
+    table, rows = filled()
+    for row in rows:
+        for _ in range(5):
+            started(row, 0.0)
+            finished(row, Outcome.REFUSED, 0.0, 0.0)
+    run(table, 0.0)
+    tries = [choose(table, "booking", "s", 0.1, Random(1)) for _ in range(3)]
+    assert [row is not None for row in tries] == [True, False, False]
+    assert choose(table, "booking", "s", 1.0, Random(1)) is None
+    probed = choose(table, "booking", "s", 1.2, Random(1))
+    started(probed, 1.2)
+    finished(probed, Outcome.ANSWERED, 0.01, 1.3)
+    assert chosen(table, 1.3) == {probed.name}
+
+
 @given(st.integers(0, 30), st.data())
 def test_ejection_is_bounded(count, data):
     table, rows = filled(count=max(1, count))
