--- a/measure/figure.py
+++ b/measure/figure.py
@@ -6,7 +6,8 @@
 class Figure(NamedTuple):
     """A value with its unit and, where there is one, the baseline's value.
 
-    ``limit`` is the bound the figure must keep, where one is stated.
+    ``limit`` is the bound that ``value`` must keep, where one is stated: the most it
+    may be, or with ``at_least`` the least.
     """
 
     name: str
@@ -15,8 +16,18 @@
     baseline: float | None = None
     baseline_name: str = ""
     limit: float | None = None
+    at_least: bool = False
 
     @property
     def ratio(self) -> float | None:
         """Return value over baseline."""
         return self.value / self.baseline if self.baseline else None
+
+    @property
+    def holds(self) -> bool | None:
+        """Tell whether the limit is kept, None where none is stated."""
+        if self.limit is None:
+            return None
+        if self.at_least:
+            return self.value >= self.limit
+        return self.value <= self.limit
--- a/measure/overload.py
+++ b/measure/overload.py
@@ -327,4 +327,4 @@
         ]
     ratio = goodput[LOADS[-1]] / goodput[1.0]
     title = f"overload: goodput at 3 times over that at 1.0, {name}"
-    return [*figures, Figure(title, ratio, "ratio", limit=0.9)]
+    return [*figures, Figure(title, ratio, "ratio", limit=0.9, at_least=True)]
