--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -1,9 +1,8 @@
 """Links to the other daemons over pynng."""
 
 import asyncio
-from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
-from typing import Any, Final, NamedTuple
+from typing import Any, Final
 
 import pynng
 
@@ -18,15 +17,9 @@
     RejectedError,
     Rejection,
 )
+from greengagepoint_node.peer_sender import PeerCounters, PeerSender
 from greengagepoint_node.peer_statistics import count_refused
 
-MAX_LINKS: Final = 128
-MAX_QUEUED_MESSAGES: Final = 256
-MAX_QUEUED_SECONDS: Final = 3.0
-RETRY_SECONDS: Final = 0.02
-MAX_RETRY_SECONDS: Final = 0.5
-RECONNECT_MIN_MILLISECONDS: Final = 50
-RECONNECT_MAX_MILLISECONDS: Final = 2_000
 REFUSED_POLL_SECONDS: Final = 5.0
 RECEIVE_BUFFER_MESSAGES: Final = 128
 # Envelopes read in one turn, so that a flood from one peer cannot hold the loop.
@@ -36,56 +29,6 @@
 ANNOUNCING_TAG_PREFIX: Final = "membership."
 
 
-class Queued(NamedTuple):
-    """A message that waits for its link, with the loop's time when it was queued."""
-
-    message: object
-    at: float
-
-
-class Link:
-    """The socket to one peer and the messages that wait for it."""
-
-    __slots__ = ("address", "host", "queue", "retry_seconds", "socket", "timer")
-
-    def __init__(self, host: str, address: str) -> None:
-        self.host = host
-        self.address = address
-        self.queue: deque[Queued] = deque()
-        self.retry_seconds = RETRY_SECONDS
-        self.timer: asyncio.Handle | None = None
-        # No send buffer: envelopes would wait there for a peer that is gone and
-        # arrive minutes late when its address is used again.
-        self.socket = pynng.Push0(
-            send_buffer_size=0,
-            reconnect_time_min=RECONNECT_MIN_MILLISECONDS,
-            reconnect_time_max=RECONNECT_MAX_MILLISECONDS,
-        )
-        self.socket.dial(f"tcp://{address}", block=False)
-
-    def close(self) -> None:
-        """Close the socket and forget what waits."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        self.queue.clear()
-        self.socket.close()
-
-
-class PeerCounters:
-    """Totals since the start."""
-
-    def __init__(self) -> None:
-        self.messages_in = 0
-        self.messages_out = 0
-        self.envelopes_in = 0
-        self.envelopes_out = 0
-        self.bytes_in = 0
-        self.bytes_out = 0
-        self.rejected = 0
-        self.dropped = 0
-
-
 class PeerLinks:
     """Exchange authenticated messages with other daemons.
 
@@ -112,14 +55,14 @@
         self.refused_poll_seconds = refused_poll_seconds
         self.listen_address = listen_address
         self.bound_address = ""
-        self.address_of = address_of
         self.known = known or (lambda name: address_of(name) is not None)
         self.events = events
-        self.clock_now = clock_now
         self.clock_seen = clock_seen
         self.codec = PeerCodec(host, incarnation, key, types)
         self.counters = PeerCounters()
-        self.links: OrderedDict[str, Link] = OrderedDict()
+        self.sender = PeerSender(
+            self.codec, self.counters, address_of, events, clock_now
+        )
         self.callbacks: dict[type, list[Callable[[str, Any], None]]] = {}
         self.listener: pynng.Pull0 | None = None
         self.refused = 0
@@ -147,13 +90,10 @@
 
     async def async_stop(self) -> None:
         """Send what is queued where the links are ready, then close all sockets."""
-        for link in list(self.links.values()):
-            self._flush(link)
+        self.sender.flush()
         # pynng hands bytes to its own threads; one turn lets them leave.
         await asyncio.sleep(0)
-        for link in self.links.values():
-            link.close()
-        self.links.clear()
+        self.sender.close()
         if self.refused_timer is not None:
             self.refused_timer.cancel()
         if self.listener is not None:
@@ -163,18 +103,7 @@
 
     def send(self, host: str, message: object) -> bool:
         """Queue a message to a host by name; tell whether there was room for it."""
-        link = self._link(host)
-        if link is None:
-            self._drop(host, 1, "no_address")
-            return False
-        if len(link.queue) >= MAX_QUEUED_MESSAGES:
-            self._drop(host, 1, "queue_full")
-            return False
-        loop = asyncio.get_running_loop()
-        link.queue.append(Queued(message, loop.time()))
-        if link.timer is None:
-            link.timer = loop.call_soon(self._flush, link)
-        return True
+        return self.sender.send(host, message)
 
     def subscribe(
         self, message_type: type, callback: Callable[[str, Any], None]
@@ -194,81 +123,6 @@
 
         return unsubscribe
 
-    def _link(self, host: str) -> Link | None:
-        """Return the link to a host, dialling it when there is none."""
-        address = self.address_of(host)
-        link = self.links.get(host)
-        if link is not None and link.address != address:
-            self.links.pop(host).close()
-            link = None
-        if address is None:
-            return None
-        if link is None:
-            link = self._dial(host, address)
-            if link is None:
-                return None
-        self.links.move_to_end(host)
-        return link
-
-    def _dial(self, host: str, address: str) -> Link | None:
-        """Open a link, closing the one used least recently when there are too many."""
-        try:
-            link = Link(host, address)
-        except (pynng.NNGException, ValueError):
-            return None
-        self.links[host] = link
-        if len(self.links) > MAX_LINKS:
-            name, oldest = self.links.popitem(last=False)
-            if oldest.queue:
-                self._drop(name, len(oldest.queue), "too_many_links")
-            oldest.close()
-        return link
-
-    def _flush(self, link: Link) -> None:
-        """Send all that waits for a peer as one envelope, or try again soon."""
-        link.timer = None
-        if self.links.get(link.host) is not link:
-            return
-        loop = asyncio.get_running_loop()
-        self._drop_stale(link, loop.time() - MAX_QUEUED_SECONDS)
-        if not link.queue:
-            return
-        messages = [queued.message for queued in link.queue]
-        try:
-            self._send_envelope(link, messages)
-        except pynng.TryAgain:
-            link.timer = loop.call_later(link.retry_seconds, self._flush, link)
-            link.retry_seconds = min(2 * link.retry_seconds, MAX_RETRY_SECONDS)
-            return
-        except (PeerError, pynng.NNGException) as error:
-            self._drop(link.host, len(messages), str(error))
-        link.queue.clear()
-        link.retry_seconds = RETRY_SECONDS
-
-    def _send_envelope(self, link: Link, messages: list[object]) -> None:
-        """Hand one envelope to the socket."""
-        data = self.codec.encode(link.host, self.clock_now(), messages)
-        link.socket.send(data, block=False)
-        self.counters.envelopes_out += 1
-        self.counters.messages_out += len(messages)
-        self.counters.bytes_out += len(data)
-
-    def _drop_stale(self, link: Link, oldest: float) -> None:
-        """Forget messages that have waited too long to be of use."""
-        count = 0
-        while link.queue and link.queue[0].at < oldest:
-            link.queue.popleft()
-            count += 1
-        if count:
-            self._drop(link.host, count, "waited_too_long")
-
-    def _drop(self, host: str, count: int, reason: str) -> None:
-        """Count and report messages that will not be sent."""
-        self.counters.dropped += count
-        self.events.record(
-            Event.PEER_MESSAGE_DROPPED, peer=host, count=count, reason=reason
-        )
-
     def _watch_refused(self) -> None:
         """Report connections that were no peer's, and look again later."""
         if self.listener is None:
--- a/packages/node/tests/test_peers_links.py
+++ b/packages/node/tests/test_peers_links.py
@@ -9,8 +9,15 @@
 
 from greengagepoint.errors import PeerError
 from greengagepoint.events import Event
+from greengagepoint_node import peer_sender
 from greengagepoint_node.peer_codec import PeerCodec, Rejection
-from greengagepoint_node.peers import MAX_QUEUED_MESSAGES, PeerLinks
+from greengagepoint_node.peer_link import (
+    MAX_QUEUED_MESSAGES,
+    MAX_QUEUED_SECONDS,
+    Link,
+    Queued,
+)
+from greengagepoint_node.peers import PeerLinks
 
 KEY = b"a key shared by all hosts"
 
@@ -216,3 +223,25 @@
     one = await cluster.async_add("one")
     with pytest.raises(PeerError, match="str is not a registered peer message"):
         one.subscribe(str, print)
+
+
+async def test_messages_that_waited_too_long_are_forgotten(cluster):
+    """A peer does not answer for seconds, then comes back. What was queued for it long
+    ago is of no use by then, so only what is fresh is still sent.
+    """
+    link = Link("gone", "127.0.0.1:1")
+    link.queue.extend(Queued(Grant(n), at) for n, at in enumerate((1.0, 2.0, 5.0)))
+    assert link.remove_stale(2.0 + MAX_QUEUED_SECONDS) == 1
+    assert [queued.at for queued in link.queue] == [2.0, 5.0]
+    link.close()
+
+
+async def test_the_link_used_least_recently_makes_room(cluster, monkeypatch):
+    monkeypatch.setattr(peer_sender, "MAX_LINKS", 1)
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    three = await cluster.async_add("three")
+    for name, links in (("two", two), ("three", three), ("two", two)):
+        inbox = inbox_of(links, Grant)
+        one.send(name, Grant(1))
+        assert await inbox.get() == ("one", Grant(1))
+        assert list(one.sender.links) == [name]
