Tie a committer's answer to the incarnation that asked

Cause: a restarted host counts its batches from one again, so a late answer to its former self could be taken for its own success, and the key could run twice. A caller with a short deadline made the store look down for others. A repeat was told that a request ran where that was not known. A peer could have any key written. Change: incarnation and sender are part of the match; only a wait of a second tells of an outage; what a repeat is told follows the answer; only small claims are written for peers. Hosts write by themselves while claims are few. Clean-up and memory-only claims in modules of their own.

--- a/measure/claims.py
+++ b/measure/claims.py
@@ -20,7 +20,8 @@
 SEED: Final = 7
 REGIONS: Final = ("attiki", "kentriki-makedonia", "dytiki-ellada")
 HOSTS_PER_REGION: Final = 4
-SECONDS: Final = 3.0
+CLAIMS: Final = 2500
+SECONDS_MAX: Final = 40.0
 RATES: Final = (20, 200, 1000)
 PEER_SECONDS: Final = 0.001
 STORE_SECONDS: Final = 0.003
@@ -79,6 +80,7 @@
 
     def __init__(self, rate: int) -> None:
         self.rate = rate
+        self.seconds = min(SECONDS_MAX, CLAIMS / rate)
         self.store = PacedStore()
         self.waits: list[float] = []
         self.failed = 0
@@ -134,7 +136,7 @@
         tasks = []
         now = 0.0
         loop = asyncio.get_running_loop()
-        while (now := now + draw.expovariate(self.rate)) < SECONDS:
+        while (now := now + draw.expovariate(self.rate)) < self.seconds:
             await asyncio.sleep(now - loop.time())
             number = draw.randrange(1 << 60)
             tasks.append(loop.create_task(self.async_one(claim, number)))
@@ -163,9 +165,9 @@
     return [
         Figure(
             f"claims: store writes {label}",
-            ours.store.writes / SECONDS,
+            ours.store.writes / ours.seconds,
             "writes/s",
-            plain.store.writes / SECONDS,
+            plain.store.writes / ours.seconds,
             other,
         ),
         Figure(
@@ -189,7 +191,7 @@
             100 * plain.failed / claims,
             other,
         ),
-        Figure(f"claims: peer messages {label}", messages / SECONDS, "messages/s"),
+        Figure(f"claims: peer messages {label}", messages / ours.seconds, "messages/s"),
     ]
 
 
@@ -205,9 +207,7 @@
     for number in range(20_000):
         value = ClaimValue("host", 1, str(number), "", 0)
         put(table, str(number), ClaimRow(value, ended=True))
-    return Figure(
-        "claims: claims that a host's memory holds", len(table.rows), "claims"
-    )
+    return Figure("claims: kept in a host's memory", len(table.rows), "claims")
 
 
 def run() -> list[Figure]:
--- a/packages/core/greengagepoint/delivery/answers.py
+++ b/packages/core/greengagepoint/delivery/answers.py
@@ -5,6 +5,8 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.delivery.claims import ClaimValue
+from greengagepoint.delivery.outcomes import SERVER_ERROR_FROM
+from greengagepoint.errors import Ran
 
 ANSWER_BYTES_MAX: Final = 16 * 1024
 TABLE_BYTES_MAX: Final = 4 * 1024 * 1024
@@ -22,11 +24,15 @@
 
 @dataclass(slots=True)
 class ClaimRow:
-    """One claim this host knows; ``answer`` once it has ended and was small."""
+    """One claim this host knows; ``answer`` once it has ended and was small.
+
+    ``ran`` is what a repeat is told when there is no answer to give again.
+    """
 
     value: ClaimValue
     memory_only: bool = False
     ended: bool = False
+    ran: Ran = Ran.UNKNOWN
     answer: StoredAnswer | None = None
     size_bytes: int = ROW_BYTES
 
@@ -68,7 +74,11 @@
     if row is None:
         return
     row.ended = True
-    if answer is None or answer_bytes(answer) > ANSWER_BYTES_MAX:
+    if answer is None:
+        return
+    # A server error may follow half of the work, see outcomes.py.
+    row.ran = Ran.RAN if answer.status < SERVER_ERROR_FROM else Ran.UNKNOWN
+    if answer_bytes(answer) > ANSWER_BYTES_MAX:
         return
     row.answer = answer
     added = answer_bytes(answer)
--- a/packages/core/greengagepoint/delivery/messages.py
+++ b/packages/core/greengagepoint/delivery/messages.py
@@ -13,8 +13,13 @@
 class ClaimBatch(
     msgspec.Struct, frozen=True, array_like=True, tag="delivery.claim_batch"
 ):
-    """Ask a committer to create claims."""
+    """Ask a committer to create claims.
 
+    ``incarnation`` is the asking host's: a restarted host counts batches from one
+    again, and an answer to its former self must not be taken for one to it.
+    """
+
+    incarnation: int
     number: int
     items: tuple[ClaimItem, ...]
 
@@ -27,5 +32,6 @@
     ``created`` is empty when the store did not answer: nothing is known then.
     """
 
+    incarnation: int
     number: int
     created: tuple[bool, ...]
--- a/packages/core/greengagepoint/overload/team_limits.py
+++ b/packages/core/greengagepoint/overload/team_limits.py
@@ -1,14 +1,9 @@
-"""Hold each team to its rate with a token bucket."""
+"""Hold each team to its rate."""
 
 from dataclasses import dataclass, field
 
-
-@dataclass(slots=True)
-class TokenBucket:
-    """Tokens of one team on this host; ``filled_at`` is monotonic seconds."""
-
-    tokens: float
-    filled_at: float
+from greengagepoint.overload import token_bucket
+from greengagepoint.overload.token_bucket import TokenBucket
 
 
 @dataclass(slots=True)
@@ -27,12 +22,4 @@
     if bucket is None:
         bucket = TokenBucket(tokens=burst, filled_at=now)
         limits.buckets[team] = bucket
-    elapsed = max(0.0, now - bucket.filled_at)
-    bucket.tokens = min(max(burst, 1.0), bucket.tokens + elapsed * rate)
-    bucket.filled_at = now
-    if bucket.tokens >= 1:
-        bucket.tokens -= 1
-        return 0.0
-    if rate <= 0:
-        return float("inf")
-    return (1 - bucket.tokens) / rate
+    return token_bucket.take(bucket, rate, burst, now)
--- a/packages/node/greengagepoint_node/coordinators/claims.py
+++ b/packages/node/greengagepoint_node/coordinators/claims.py
@@ -1,7 +1,6 @@
 """Claim idempotency keys in the store before a request is sent."""
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Final, NamedTuple, NoReturn
 
@@ -15,24 +14,20 @@
     encode,
     judge,
 )
-from greengagepoint.delivery.committers import CLAIMS_PER_WRITE_MAX
 from greengagepoint.delivery.messages import ClaimItem
 from greengagepoint.errors import ErrorKind, Ran, RequestError, StoreError
 from greengagepoint.events import Event
 from greengagepoint.records.schemas import StoreOutage
 from greengagepoint_node.context import Context
-from greengagepoint_node.coordinators.claims_writer import (
-    STORE_CALL_SECONDS,
-    ClaimWriter,
-    LiveHost,
-)
+from greengagepoint_node.coordinators.claims_cleanup import AbandonedClaims
+from greengagepoint_node.coordinators.claims_memory import MemoryOnlyClaims
+from greengagepoint_node.coordinators.claims_writer import ClaimWriter, LiveHost
 
 CLAIM_SECONDS_MAX: Final = 2.0
 SETTLE_TRIES_MAX: Final = 4
 HOUSEKEEPING_SECONDS: Final = 1.0
-CLEAN_UP_SECONDS: Final = (0.0, 5.0, 30.0)
-ABANDONED_MAX: Final = 4096
-MEMORY_ONLY_MAX: Final = 20_000
+# A claim that has waited so long in vain tells that the store is down.
+OUTAGE_SECONDS: Final = 1.0
 
 
 class Claim(NamedTuple):
@@ -60,8 +55,8 @@
         self.writer = ClaimWriter(context, live_hosts)
         self.table = ClaimTable()
         self.last_write_number = 0
-        self.abandoned: OrderedDict[str, tuple[str, float, int]] = OrderedDict()
-        self.memory_only: dict[str, ClaimRow] = {}
+        self.abandoned = AbandonedClaims(context)
+        self.memory_only = MemoryOnlyClaims(self.writer)
         self.store_down = False
         self.probing = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -72,8 +67,8 @@
 
     async def async_stop(self) -> None:
         """Release what was abandoned, store what only memory holds, and stop."""
-        await self._async_clean_up(all_rows=True)
-        while self.memory_only and await self._async_backfill():
+        await self.abandoned.async_clean_up(all_rows=True)
+        while self.memory_only and await self.memory_only.async_store():
             pass
         for task in self.tasks:
             task.cancel()
@@ -96,7 +91,7 @@
         return row.answer
 
     def remember(self, claim: Claim, answer: StoredAnswer | None) -> None:
-        """Keep the answer of a claimed request, or only that it has ended."""
+        """Keep the answer of a claimed request; None where it is not known whole."""
         row = self.table.rows.get(claim.key)
         if row is not None and row.value.write_id == claim.value.write_id:
             answers.store_answer(self.table, claim.key, answer)
@@ -132,10 +127,10 @@
     async def async_release(self, claim: Claim) -> None:
         """Give a key back because its request surely has not run."""
         answers.drop(self.table, claim.key)
-        self.memory_only.pop(claim.key, None)
-        self._abandon(claim.key, claim.value)
+        self.memory_only.discard(claim.key)
+        self.abandoned.add(claim.key, claim.value)
         self.context.events.record(Event.KEY_RELEASED, key=claim.key)
-        await self._async_delete_own(claim.value.write_id)
+        await self.abandoned.async_delete(claim.value.write_id)
 
     async def _async_decide(
         self,
@@ -148,19 +143,21 @@
         try:
             verdict = await self._async_claim_in_store(key, value, wait_seconds)
         except StoreError as error:
-            self._abandon(key, value)
+            self.abandoned.add(key, value)
             if error.kind is ErrorKind.STORE_ANSWER_INVALID:
                 raise
-            if store_outage is StoreOutage.REFUSE:
+            # A caller in a hurry finds the store slow where it is not down: that
+            # alone must not weaken the promise.
+            if store_outage is StoreOutage.REFUSE or not self.store_down:
                 raise _unavailable(error) from error
             return self._claim_in_memory(key, value)
         except BaseException:
-            self._abandon(key, value)
+            self.abandoned.add(key, value)
             raise
         if verdict is not Verdict.WON:
             # A doubled message may still create this attempt's claim after the
             # holder has released the key, and nobody would ever release that one.
-            self._abandon(key, value)
+            self.abandoned.add(key, value)
             self._refuse(key, verdict, Ran.UNKNOWN)
         return Claim(key, value, memory_only=False)
 
@@ -177,10 +174,11 @@
             async with asyncio.timeout(wait_seconds):
                 verdict = await self._async_create_and_settle(key, value)
         except TimeoutError as error:
-            self.store_down = True
+            self.store_down = self.store_down or wait_seconds >= OUTAGE_SECONDS
             raise StoreError(f"No answer within {wait_seconds} seconds") from error
         except StoreError as error:
-            self.store_down = error.kind is not ErrorKind.STORE_ANSWER_INVALID
+            if error.kind is not ErrorKind.STORE_ANSWER_INVALID:
+                self.store_down = True
             raise
         finally:
             self.probing = False
@@ -217,14 +215,8 @@
 
     def _claim_in_memory(self, key: str, value: ClaimValue) -> Claim:
         """Hold a key in memory only, as the service's record allows."""
-        if len(self.memory_only) >= MEMORY_ONLY_MAX:
-            raise RequestError(
-                "Too many keys are held in memory only", ErrorKind.STORE_UNAVAILABLE
-            )
-        self.abandoned.pop(value.write_id, None)
-        row = self.table.rows[key]
-        row.memory_only = True
-        self.memory_only[key] = row
+        self.memory_only.add(key, self.table.rows[key])
+        self.abandoned.discard(value.write_id)
         return Claim(key, value, memory_only=True)
 
     def _check_memory(self, key: str, digest: str) -> None:
@@ -234,7 +226,7 @@
             return
         if row.value.digest != digest:
             self._refuse(key, Verdict.MISMATCH, Ran.NOT_RUN)
-        self._refuse(key, Verdict.IN_USE, Ran.RAN if row.ended else Ran.UNKNOWN)
+        self._refuse(key, Verdict.IN_USE, row.ran)
 
     def _refuse(self, key: str, verdict: Verdict, ran: Ran) -> NoReturn:
         """Raise the error for a key that another request holds."""
@@ -260,69 +252,15 @@
             self.context.clock.wall_milliseconds(),
         )
 
-    def _abandon(self, key: str, value: ClaimValue) -> None:
-        """Note an attempt under which nothing was or will be sent."""
-        now = self.context.clock.monotonic()
-        self.abandoned[value.write_id] = (key, now + CLEAN_UP_SECONDS[0], 0)
-        while len(self.abandoned) > ABANDONED_MAX:
-            self.abandoned.popitem(last=False)
-
     async def _async_housekeeping(self) -> None:
         """Delete abandoned claims and store memory-only ones."""
         try:
-            await self._async_clean_up()
-            await self._async_backfill()
+            await self.abandoned.async_clean_up()
+            await self.memory_only.async_store()
         finally:
             now = self.context.clock.monotonic()
             self.housekeeping_at = now + HOUSEKEEPING_SECONDS
 
-    async def _async_clean_up(self, *, all_rows: bool = False) -> None:
-        """Delete the abandoned claims that are due; give up on a store error."""
-        now = self.context.clock.monotonic()
-        due = [w for w, row in self.abandoned.items() if all_rows or row[1] <= now]
-        for write_id in due:
-            if not await self._async_delete_own(write_id):
-                return
-
-    async def _async_delete_own(self, write_id: str) -> bool:
-        """Delete one's own abandoned claim; tell whether the store answered."""
-        row = self.abandoned.get(write_id)
-        if row is None:
-            return True
-        key, _, tries = row
-        try:
-            async with asyncio.timeout(STORE_CALL_SECONDS):
-                found = await self.context.store.read(key)
-                if found is not None and decode(found.value).write_id == write_id:
-                    await self.context.store.delete([(key, found.revision)])
-        except (StoreError, TimeoutError):
-            return False
-        self._note_cleaned(write_id, key, tries + 1)
-        return True
-
-    def _note_cleaned(self, write_id: str, key: str, tries: int) -> None:
-        """Plan another look: a delayed write may still take effect."""
-        if tries >= len(CLEAN_UP_SECONDS):
-            self.abandoned.pop(write_id, None)
-            return
-        now = self.context.clock.monotonic()
-        self.abandoned[write_id] = (key, now + CLEAN_UP_SECONDS[tries], tries)
-
-    async def _async_backfill(self) -> bool:
-        """Store claims made in memory; tell whether the store took them."""
-        rows = list(self.memory_only.items())[:CLAIMS_PER_WRITE_MAX]
-        if not rows:
-            return True
-        items = [(key, encode(row.value)) for key, row in rows]
-        try:
-            await self.writer.async_store(items)
-        except StoreError:
-            return False
-        for key, row in rows:
-            row.memory_only = False
-            self.memory_only.pop(key, None)
-        return True
-
     def _start(self, coroutine) -> None:
         """Run a coroutine until it ends or the coordinator stops."""
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/packages/node/greengagepoint_node/coordinators/claims_writer.py
+++ b/packages/node/greengagepoint_node/coordinators/claims_writer.py
@@ -5,18 +5,24 @@
 from dataclasses import dataclass
 from typing import Final, NamedTuple, Protocol
 
+from greengagepoint.delivery.claims import CLAIMS_PREFIX
 from greengagepoint.delivery.committers import (
     CLAIMS_PER_WRITE_MAX,
+    DIRECT_BURST,
     committer_for,
     committers,
+    direct_writes_per_second,
     write_interval_seconds,
 )
 from greengagepoint.delivery.messages import ClaimBatch, ClaimItem, ClaimResults
 from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
+from greengagepoint.overload import token_bucket
+from greengagepoint.overload.token_bucket import TokenBucket
 from greengagepoint_node.context import Context
 
 COMMITTER_PATIENCE_SECONDS: Final = 0.25
 COMMITTER_DISTRUST_SECONDS: Final = 2.0
+VALUE_BYTES_MAX: Final = 1024
 COMMIT_QUEUE_MAX: Final = 4096
 STORE_CALL_SECONDS: Final = 1.0
 VIEW_SECONDS: Final = 1.0
@@ -32,10 +38,14 @@
 
 
 class Waiting(NamedTuple):
-    """A claim to be written; ``reply`` takes True, False or None for unknown."""
+    """A claim to be written; ``reply`` takes True, False or None for unknown.
+
+    ``direct`` claims have their own rate and are not held back for company.
+    """
 
     item: ClaimItem
     reply: Callable[[bool | None], None]
+    direct: bool = False
 
 
 @dataclass(slots=True)
@@ -43,6 +53,7 @@
     """A batch from a peer until all of its results are known."""
 
     sender: str
+    incarnation: int
     number: int
     results: list[bool | None]
     missing: int
@@ -58,13 +69,15 @@
         self.live_hosts = live_hosts
         self.waiting: list[Waiting] = []
         self.outgoing: dict[str, list[Waiting]] = {}
-        self.sent: dict[int, list[Waiting]] = {}
+        self.sent: dict[int, tuple[str, list[Waiting]]] = {}
         self.last_number = 0
         self.silent_until: dict[str, float] = {}
         self.last_sent_at: dict[str, float] = {}
         self.committers: list[str] = [context.host.name]
         self.interval_seconds = write_interval_seconds(1)
         self.view_until = float("-inf")
+        self.direct = TokenBucket(tokens=0.0, filled_at=context.clock.monotonic())
+        self.direct_rate = 0.0
         self.lease = 0
         self.lease_granted_at = 0.0
         self.last_write_at = float("-inf")
@@ -90,16 +103,20 @@
         """Create a claim; tell if this made it, or None when that is not known."""
         item = ClaimItem(key, value)
         committer = self.choose_committer(key)
+        if self.take_direct():
+            return await self.async_create_here(item, direct=True)
         if committer != self.context.host.name:
             result = await self._async_ask(committer, item)
             if result is not None:
                 return result
         return await self.async_create_here(item)
 
-    async def async_create_here(self, item: ClaimItem) -> bool | None:
+    async def async_create_here(
+        self, item: ClaimItem, *, direct: bool = False
+    ) -> bool | None:
         """Create a claim from this host, together with others that wait here."""
         future: asyncio.Future[bool | None] = asyncio.get_running_loop().create_future()
-        self.queue_commit(Waiting(item, _resolver(future)))
+        self.queue_commit(Waiting(item, _resolver(future), direct))
         return await future
 
     async def async_store(self, items: list[tuple[str, bytes]]) -> tuple[bool, ...]:
@@ -123,6 +140,14 @@
             return self.context.host.name
         return chosen
 
+    def take_direct(self) -> bool:
+        """Take leave to write one claim without the hop through the committer."""
+        if not self.direct_rate:
+            return False
+        now = self.context.clock.monotonic()
+        wait = token_bucket.take(self.direct, self.direct_rate, DIRECT_BURST, now)
+        return wait == 0.0
+
     def queue_commit(self, waiting: Waiting) -> None:
         """Add a claim to the next write of this host."""
         if len(self.waiting) >= COMMIT_QUEUE_MAX:
@@ -137,16 +162,19 @@
         """Write a peer's claims and send it the results."""
         if not 0 < len(batch.items) <= CLAIMS_PER_WRITE_MAX:
             return
+        if not all(_is_claim(item) for item in batch.items):
+            return
         size = len(batch.items)
-        state = PeerBatch(sender, batch.number, [None] * size, size)
+        state = PeerBatch(sender, batch.incarnation, batch.number, [None] * size, size)
         for index, item in enumerate(batch.items):
             self.queue_commit(Waiting(item, self._peer_reply(state, index)))
 
     def handle_results(self, sender: str, message: ClaimResults) -> None:
         """Resolve the claims of a batch; a doubled or late message finds none."""
-        batch = self.sent.pop(message.number, None)
-        if batch is None:
+        committer, batch = self.sent.get(message.number, ("", []))
+        if message.incarnation != self.context.host.incarnation or sender != committer:
             return
+        del self.sent[message.number]
         known = len(message.created) == len(batch)
         for index, waiting in enumerate(batch):
             waiting.reply(message.created[index] if known else None)
@@ -156,14 +184,15 @@
     ) -> Callable[[bool | None], None]:
         """Return a callback that answers the peer after the batch's last result."""
 
-        def reply(created: bool | None) -> None:
-            state.results[index] = created
+        def reply(result: bool | None) -> None:
+            state.results[index] = result
             state.missing -= 1
             if state.missing:
                 return
             known = tuple(row for row in state.results if row is not None)
             complete = len(known) == len(state.results)
-            results = ClaimResults(state.number, known if complete else ())
+            created = known if complete else ()
+            results = ClaimResults(state.incarnation, state.number, created)
             self.context.peers.send(state.sender, results)
 
         return reply
@@ -193,16 +222,21 @@
         gathered = self.outgoing.pop(committer, [])
         for start in range(0, len(gathered), CLAIMS_PER_WRITE_MAX):
             part = gathered[start : start + CLAIMS_PER_WRITE_MAX]
-            self.last_number += 1
-            self.sent[self.last_number] = part
-            items = tuple(waiting.item for waiting in part)
-            if not self.context.peers.send(
-                committer, ClaimBatch(self.last_number, items)
-            ):
-                self.handle_results(committer, ClaimResults(self.last_number, ()))
+            self._send_batch(committer, part)
         while len(self.sent) > COMMIT_QUEUE_MAX:
             self.sent.pop(next(iter(self.sent)))
 
+    def _send_batch(self, committer: str, part: list[Waiting]) -> None:
+        """Send one batch; nothing is known of it where there was no room."""
+        incarnation = self.context.host.incarnation
+        self.last_number += 1
+        self.sent[self.last_number] = (committer, part)
+        items = tuple(waiting.item for waiting in part)
+        batch = ClaimBatch(incarnation, self.last_number, items)
+        if not self.context.peers.send(committer, batch):
+            nothing = ClaimResults(incarnation, self.last_number, ())
+            self.handle_results(committer, nothing)
+
     async def _async_commit(self) -> None:
         """Write batches until nothing waits: one at a time, spaced out."""
         try:
@@ -220,10 +254,8 @@
         """Wait until this host may write again; the first write never waits."""
         now = self.context.clock.monotonic()
         wait = self.last_write_at + self.interval_seconds - now
-        if wait > 0:
-            await asyncio.sleep(wait)
-        else:
-            await asyncio.sleep(0)
+        direct = any(waiting.direct for waiting in self.waiting)
+        await asyncio.sleep(0 if direct else max(0.0, wait))
         self.last_write_at = self.context.clock.monotonic()
 
     def _take_batch(self) -> list[Waiting]:
@@ -267,6 +299,7 @@
         names = {name for name, region in rows if region == host.region}
         self.committers = committers(host.region, names | {host.name})
         self.interval_seconds = write_interval_seconds(len(regions))
+        self.direct_rate = direct_writes_per_second(len(rows))
         self.view_until = now + VIEW_SECONDS
 
     def _start(self, coroutine) -> None:
@@ -276,6 +309,11 @@
         task.add_done_callback(self.tasks.discard)
 
 
+def _is_claim(item: ClaimItem) -> bool:
+    """Tell whether a peer's item may be written: nothing but a small claim may."""
+    return item.key.startswith(CLAIMS_PREFIX) and len(item.value) <= VALUE_BYTES_MAX
+
+
 def _resolver(
     future: "asyncio.Future[bool | None]",
 ) -> Callable[[bool | None], None]:
--- a/packages/node/tests/test_claims_protocol.py
+++ b/packages/node/tests/test_claims_protocol.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from greengagepoint.delivery.answers import StoredAnswer
+from greengagepoint.delivery.messages import ClaimBatch, ClaimItem, ClaimResults
 from greengagepoint.errors import ErrorKind, GreengagepointError, Ran
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.schemas import StoreOutage
@@ -250,6 +251,80 @@
     assert elapsed <= 2.0
 
 
+@pytest.mark.parametrize("outage", StoreOutage)
+def test_a_caller_in_a_hurry_does_not_make_the_store_look_down(outage):
+    """The store takes 100 ms. A caller with 20 ms is refused, not run, whatever the
+    service allows in an outage; the next caller's claim goes to the store.
+    """
+
+    async def scenario():
+        fleet = Fleet(MemoryStore(delay=lambda: 0.1))
+        host = fleet.hosts[HOSTS[0]]
+        hurried = host.async_claim("booking", "ermis", "a", "d", outage, 0.02)
+        refused = await outcome(hurried)
+        others = [fleet.claim(HOSTS[0], outage=outage, key=key) for key in "bc"]
+        return refused, await asyncio.gather(*others)
+
+    refused, others = run(scenario())
+    assert refused == (ErrorKind.STORE_UNAVAILABLE, Ran.NOT_RUN)
+    assert [claim.memory_only for claim in others] == [False, False]
+
+
+def test_an_answer_to_a_hosts_former_self_is_not_its_own():
+    """A host claims a key, is lost and starts again. Its first batch then carries
+    another key, which a third host holds, and the doubled answer to its former
+    self's first batch arrives: it must not take that for its own success.
+    """
+
+    async def scenario():
+        fleet = Fleet(MemoryStore())
+        writer = fleet.hosts[HOSTS[0]].writer
+        writer.choose_committer("k")
+        committer = writer.committers[0]
+        name = next(host for host in HOSTS if host != committer)
+        await fleet.claim(committer, key="held")
+        await fleet.claim(name, key="first")
+        fleet.restart(name)
+        fleet.network.next_fate = lambda: "drop"
+        second = asyncio.ensure_future(outcome(fleet.claim(name, key="held")))
+        await asyncio.sleep(0.1)
+        stale = ClaimResults(1, 1, (True,))
+        fleet.network.deliver(committer, name, stale)
+        return await second
+
+    assert run(scenario()) == (ErrorKind.KEY_IN_USE, Ran.UNKNOWN)
+
+
+def test_a_peer_can_have_nothing_but_claims_written():
+    async def scenario():
+        fleet = Fleet(MemoryStore())
+        for key, value in [("/greengagepoint/log/1", b"x"), ("", b""), ("k", b"")]:
+            batch = ClaimBatch(1, 1, (ClaimItem(key, value),))
+            fleet.network.deliver(HOSTS[1], HOSTS[0], batch)
+        await asyncio.sleep(1)
+        return fleet.store.rows
+
+    assert run(scenario()) == {}
+
+
+@pytest.mark.parametrize(
+    ("answer", "word"),
+    [
+        (None, Ran.UNKNOWN),
+        (ANSWER._replace(body=b"x" * 20_000), Ran.RAN),
+        (ANSWER._replace(body=b"x" * 20_000, status=500), Ran.UNKNOWN),
+    ],
+)
+def test_a_repeat_is_told_no_more_than_is_known(answer, word):
+    async def scenario():
+        fleet = Fleet(MemoryStore())
+        claim = await fleet.claim(HOSTS[0])
+        fleet.hosts[HOSTS[0]].remember(claim, answer)
+        return await outcome(fleet.claim(HOSTS[0]))
+
+    assert run(scenario()) == (ErrorKind.KEY_IN_USE, word)
+
+
 def test_claims_of_many_hosts_share_few_writes():
     async def scenario():
         store = MemoryStore(delay=lambda: 0.003)
@@ -274,6 +349,7 @@
         committer = fleet.hosts[HOSTS[0]].writer
         committer.choose_committer("k")
         other = next(name for name in HOSTS if name not in committer.committers)
+        fleet.hosts[other].writer.take_direct = lambda: False
         for number in range(3):
             started = loop.time()
             await fleet.claim(other, key=str(number))
@@ -283,3 +359,29 @@
     first, *others = run(scenario())
     assert first >= 0.25
     assert max(others) <= 0.05
+
+
+def test_few_claims_need_no_other_host():
+    """Claims come seldom and the other hosts can't be reached: none of them waits
+    for a committer. A burst beyond the direct rate goes to the committer.
+    """
+
+    async def scenario():
+        network = Network(lambda: "drop")
+        fleet = Fleet(MemoryStore(), network)
+        loop = asyncio.get_running_loop()
+        waits = []
+        for number in range(6):
+            await asyncio.sleep(0.2)
+            started = loop.time()
+            await fleet.claim(HOSTS[number % 3], key=str(number))
+            waits.append(loop.time() - started)
+        sent = []
+        network.send = lambda *message: sent.append(message) or True
+        burst = (fleet.claim(HOSTS[i % 3], key=f"burst {i}") for i in range(60))
+        await asyncio.gather(*burst)
+        return max(waits), len(sent)
+
+    slowest, messages = run(scenario())
+    assert slowest <= 0.01
+    assert messages >= 1
