--- a/packages/standins/greengagepoint_standins/demo/__main__.py
+++ b/packages/standins/greengagepoint_standins/demo/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Annotated, Final
 
+import msgspec
 import typer
 
 from greengagepoint_standins.demo import report
@@ -19,7 +20,7 @@
 from greengagepoint_standins.demo.load import Callers, Load
 from greengagepoint_standins.demo.places import read_places, write_records
 from greengagepoint_standins.demo.processes import DemoError
-from greengagepoint_standins.demo.promises import Evidence, InForce, check_all
+from greengagepoint_standins.demo.promises import Evidence, InForce, Run, check_all
 
 STEADY_SECONDS: Final = 8.0
 LOST_SECONDS: Final = 12.0
@@ -211,6 +212,7 @@
     async def _async_report(self) -> bool:
         """Print the tables; tell whether every promise held."""
         runs = await self.fleet.async_runs(self.deployment.lost_region)
+        self._write_evidence(runs)
         evidence = Evidence(
             places=self.fleet.places,
             sent=self.load.sent,
@@ -232,6 +234,12 @@
         await self.load.session.close()
         return not any(check.broken for check in checks)
 
+    def _write_evidence(self, runs: list[Run]) -> None:
+        """Keep what ran and what callers saw, to look into a broken promise."""
+        for name, rows in (("runs", runs), ("sent", self.load.sent)):
+            lines = [msgspec.json.encode(row) for row in rows]
+            (self.directory / f"{name}.jsonl").write_bytes(b"\n".join(lines))
+
 
 async def async_main(deployment: Deployment, *, keep: bool) -> int:
     """Run the demo and end all its processes; return the exit code."""
--- a/packages/standins/greengagepoint_standins/demo/promises.py
+++ b/packages/standins/greengagepoint_standins/demo/promises.py
@@ -28,6 +28,7 @@
     key: str
     started: float
     ended: float
+    state: str
 
 
 class InForce(NamedTuple):
@@ -183,6 +184,7 @@
             row["key"],
             row["started"],
             row["ended"] if row["ended"] is not None else now,
+            row["state"],
         )
         for row in summary.get("runs", [])
     ]
