Let leaving owners hand over without being voted out and back

Cause: live hosts exclude leaving ones, so the witnesses of a leaving owner voted it out while it objected with a write every half second; loans of a host out of view were never returned; in a large fleet a witness may not see its owner at all.

Change: a leaving owner does not object and takes back returns without rights; an owner that asks a witness to vouch counts as seen by it.

Measured: state machine, failure and coordinator tests pass.

Conclusion: a graceful stop costs a few writes.

--- a/packages/core/greengagepoint/caps/borrowing.py
+++ b/packages/core/greengagepoint/caps/borrowing.py
@@ -127,9 +127,7 @@
     if now > loan.end_until and not loan.in_flight:
         del site.loans[key]
         return
-    lender = table.lenders.get(key)
-    if lender is None or lender.host not in table.live:
-        return
+    lender = table.lenders[key]
     if _may_ask(lender, now) and loan.counted > loan.in_flight:
         wants.setdefault(key, []).append(_want(site, loan, 0))
 
--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -15,6 +15,9 @@
 """How long after its last confirmation an owner may use its share."""
 
 VOUCH_INTERVAL_SECONDS: Final = 2.0
+HEARD_SECONDS: Final = 2.5 * VOUCH_INTERVAL_SECONDS
+"""How long an owner counts as seen after it asked this host to vouch."""
+
 FENCE_SECONDS: Final = 1.0
 """A longer gap between two ticks makes a host give up its rights."""
 
--- a/packages/core/greengagepoint/caps/lending.py
+++ b/packages/core/greengagepoint/caps/lending.py
@@ -24,7 +24,10 @@
     or overtaken: its ``holding`` is out of date. A request to an earlier incarnation
     speaks of another share. A host without rights grants nothing.
     """
-    if request.lender != table.host.incarnation or not may_use_share(table, now):
+    if request.lender != table.host.incarnation:
+        return None
+    # A leaving host has no use for its rights, but takes back what is returned.
+    if not (may_use_share(table, now) or table.leaving):
         return None
     key = owner_key(sender, request.borrower)
     borrower = table.borrowers.setdefault(key, Borrower())
--- a/packages/core/greengagepoint/caps/owners.py
+++ b/packages/core/greengagepoint/caps/owners.py
@@ -1,8 +1,9 @@
 """Choose who owns a site and who is witness, from the view of live hosts."""
 
 from collections.abc import Iterable, Sequence
+from math import inf
 
-from greengagepoint.caps.const import OWNERS_A_SITE, WITNESSES
+from greengagepoint.caps.const import HEARD_SECONDS, OWNERS_A_SITE, WITNESSES
 from greengagepoint.caps.ledger import owner_key, owner_name
 from greengagepoint.caps.tables import CapsTable, Site
 from greengagepoint.config.watchers import rank
@@ -39,14 +40,20 @@
 
 
 def _note_gone(table: CapsTable, now: float) -> None:
-    """Note since when each owner in the ledger has been gone without a break."""
+    """Note since when each owner in the ledger has been gone without a break.
+
+    In a large fleet a witness may not have the owner in its view, so an owner that
+    asks it to vouch counts as seen.
+    """
     for key in table.ledger.owners:
-        if key == table.me or is_live(table, key):
+        heard = table.heard.get(key, -inf)
+        if key == table.me or is_live(table, key) or now - heard < HEARD_SECONDS:
             table.gone_since.pop(key, None)
         else:
             table.gone_since.setdefault(key, now)
-    for key in table.gone_since.keys() - table.ledger.owners.keys():
-        del table.gone_since[key]
+    for rows in (table.gone_since, table.heard):
+        for key in rows.keys() - table.ledger.owners.keys():
+            del rows[key]
 
 
 def refresh_owners(table: CapsTable, site: Site) -> None:
--- a/packages/core/greengagepoint/caps/planning.py
+++ b/packages/core/greengagepoint/caps/planning.py
@@ -25,7 +25,6 @@
 from greengagepoint.caps.owners import (
     choose_witnesses,
     fair_units,
-    is_live,
     refresh_owners,
 )
 from greengagepoint.caps.tables import CapsTable, DeadEvidence
@@ -65,7 +64,7 @@
     """Tell whether a write must settle an earlier one, or confirm rights in time."""
     if table.pending:
         return True
-    if not table.entries or table.host.name in table.departed:
+    if not table.entries or table.leaving or table.host.name in table.departed:
         return False
     return table.rights_until - now < CONFIRM_SECONDS / 2
 
@@ -130,7 +129,7 @@
         if key == table.me:
             continue
         votes = dict(entry.votes)
-        if is_live(table, key):
+        if key not in table.gone_since:
             votes.pop(table.host.name, None)
         elif _should_vote(table, key, entry, now):
             table.votes_cast += 1
@@ -168,7 +167,9 @@
         shares,
         choose_witnesses(table, current.witnesses),
         max(current.request_seconds, table.wanted_request_seconds),
-        {},
+        # A leaving host is voted out in the end and does not object: what it could
+        # not hand over is reclaimed after the quarantine.
+        current.votes if table.leaving else {},
     )
 
 
--- a/packages/core/greengagepoint/caps/rights.py
+++ b/packages/core/greengagepoint/caps/rights.py
@@ -158,13 +158,16 @@
     return messages
 
 
-def answer_vouch(table: CapsTable, owner: str, request: VouchRequest) -> Vouch | None:
+def answer_vouch(
+    table: CapsTable, owner: str, request: VouchRequest, now: float
+) -> Vouch | None:
     """Vouch for an owner, unless this host has voted it out or was asked by mistake.
 
     A vote counts from before its write is sent, as its reply may be lost.
     """
     if request.witness != table.host.incarnation:
         return None
+    table.heard[f"{owner}#{request.owner}"] = now
     if f"{owner}#{request.owner}" in table.voted:
         return None
     return Vouch(request.owner, request.witness, request.sequence)
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -155,6 +155,7 @@
     # Witness work: owners voted out, by base revision of the vote's write.
     voted: dict[str, int] = field(default_factory=dict)
     gone_since: dict[str, float] = field(default_factory=dict)
+    heard: dict[str, float] = field(default_factory=dict)
     evidence: dict[str, DeadEvidence] = field(default_factory=dict)
     departed: frozenset[str] = frozenset()
     votes_cast: int = 0
--- a/packages/node/greengagepoint_node/coordinators/caps.py
+++ b/packages/node/greengagepoint_node/coordinators/caps.py
@@ -168,7 +168,8 @@
 
     def on_vouch_request(self, sender: str, request: VouchRequest) -> None:
         """Vouch for a peer's share."""
-        vouch = answer_vouch(self.table, sender, request)
+        now = self.context.clock.monotonic()
+        vouch = answer_vouch(self.table, sender, request, now)
         if vouch is not None:
             self.context.peers.send(sender, vouch)
 
