--- a/packages/node/tests/test_measure_runner.py
+++ b/packages/node/tests/test_measure_runner.py
@@ -130,6 +130,7 @@
     page = (tmp_path / "report.html").read_text()
     assert "&lt;b&gt;" in page
     assert "<i>" not in page
+    assert "<b>" not in page
     assert page.count("<rect") == 3
     document = msgspec.json.decode((tmp_path / "figures.json").read_bytes())
     row = document["modules"][0]["figures"][0]
