Check the answers of hosts and wait for a drain everywhere

Change: watching first waits until the record is in force on all hosts; kinds and removals are checked by the client; each answer has a typed form, and one that does not fit counts as no answer of that host.

--- a/packages/cli/greengagepoint_cli/api.py
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -4,11 +4,13 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, Final, NamedTuple, TypeVar
 
 import aiohttp
+import msgspec
 
 from greengagepoint.errors import ErrorKind
+from greengagepoint_cli.answers import ApplyAnswer, StatusAnswer
 from greengagepoint_cli.const import (
     ANSWER_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
@@ -19,6 +21,7 @@
 from greengagepoint_cli.errors import ClientError, ProblemError, UnreachableError
 
 T = TypeVar("T")
+STATUS_PATH: Final = "/v1/status"
 
 # Another host may well do what this one cannot do now.
 KINDS_TO_TRY_ELSEWHERE = frozenset(
@@ -31,6 +34,16 @@
 )
 
 
+class Call(NamedTuple):
+    """One call; ``answer`` is the type that its answer must have."""
+
+    method: str
+    path: str
+    answer: type
+    params: Mapping[str, str] | None = None
+    body: Mapping[str, Any] | None = None
+
+
 class HostAnswer(NamedTuple):
     """The answer of one host, or why there is none."""
 
@@ -50,32 +63,34 @@
         self.headers = {"Authorization": f"Bearer {key}"} if key else {}
 
     async def async_get(
-        self, path: str, params: Mapping[str, str] | None = None
-    ) -> dict[str, Any]:
+        self, path: str, answer: type[T], params: Mapping[str, str] | None = None
+    ) -> T:
         """Read from the first server that answers."""
-        return await self._async_try_each("GET", path, params, None)
+        return await self._async_try_each(Call("GET", path, answer, params))
 
-    async def async_apply(self, body: Mapping[str, Any]) -> dict[str, Any]:
+    async def async_apply(self, body: Mapping[str, Any]) -> ApplyAnswer:
         """Write changes; a write whose answer was lost is repeated at the next server.
 
         The body carries a write id, and a host that meets it again answers with the
         generation that it made, so the repetition cannot apply the changes twice.
         """
         assert body["write_id"]
-        return await self._async_try_each("POST", "/v1/records/apply", None, body)
+        call = Call("POST", "/v1/records/apply", ApplyAnswer, body=body)
+        return await self._async_try_each(call)
 
     async def async_ask_all(
-        self, path: str, params: Mapping[str, str] | None = None
+        self, path: str, answer: type, params: Mapping[str, str] | None = None
     ) -> list[HostAnswer]:
         """Read from every host that the first answering server knows."""
-        status = await self.async_get("/v1/status")
+        status = await self.async_get(STATUS_PATH, StatusAnswer)
         hosts = {row["name"]: f"http://{row['address']}" for row in status["hosts"]}
         limit = asyncio.Semaphore(MAX_HOSTS_AT_ONCE)
+        call = Call("GET", path, answer, params)
 
         async def async_ask(host: str, server: str) -> HostAnswer:
             async with limit:
                 try:
-                    document = await self.async_call("GET", server, path, params)
+                    document = await self.async_call(server, call)
                 except ProblemError as error:
                     return HostAnswer(host, None, error.lines[0])
                 except (aiohttp.ClientError, TimeoutError) as error:
@@ -86,17 +101,14 @@
             *(async_ask(host, server) for host, server in sorted(hosts.items()))
         )
 
-    async def async_call(
-        self,
-        method: str,
-        server: str,
-        path: str,
-        params: Mapping[str, str] | None = None,
-        body: Mapping[str, Any] | None = None,
-    ) -> dict[str, Any]:
+    async def async_call(self, server: str, call: Call) -> dict[str, Any]:
         """Call one server; raise ProblemError for a problem answer."""
         async with self.session.request(
-            method, server + path, params=params, json=body, headers=self.headers
+            call.method,
+            server + call.path,
+            params=call.params,
+            json=call.body,
+            headers=self.headers,
         ) as response:
             # One read call returns what has arrived, so read to the end or the bound.
             data = bytearray()
@@ -107,28 +119,20 @@
             document = _decode(bytes(data))
             if response.status != 200:
                 raise ProblemError(document or {}, response.status)
-            if document is None:
-                raise aiohttp.ClientPayloadError("the answer is not a JSON object")
-            return document
-
-    async def _async_try_each(
-        self,
-        method: str,
-        path: str,
-        params: Mapping[str, str] | None,
-        body: Mapping[str, Any] | None,
-    ) -> dict[str, Any]:
+            return _checked(document, call.answer)
+
+    async def _async_try_each(self, call: Call) -> Any:
         """Call servers in order until one answers with more than an outage."""
         attempts: list[str] = []
         problem: ProblemError | None = None
         maybe_written = False
         # A write that may have been made is worth a second round: it settles what
         # the operator would otherwise have to find out by hand.
-        for server in (*self.servers, *(self.servers if body is not None else ())):
+        for server in (*self.servers, *(self.servers if call.body else ())):
             if len(attempts) >= len(self.servers) and not maybe_written:
                 break
             try:
-                return await self.async_call(method, server, path, params, body)
+                return await self.async_call(server, call)
             except ProblemError as error:
                 if error.kind not in KINDS_TO_TRY_ELSEWHERE:
                     raise
@@ -138,11 +142,11 @@
             except (aiohttp.ClientError, TimeoutError) as error:
                 maybe_written |= not isinstance(error, aiohttp.ClientConnectorError)
                 attempts.append(f"  {server}: {_describe(error)}")
-        if body is not None and maybe_written:
+        if call.body and maybe_written:
             raise ClientError(
                 ExitCode.OUTCOME_UNKNOWN,
                 "the change may have taken effect; to find out, repeat it with "
-                f"--write-id {body['write_id']}: it is applied once at most",
+                f"--write-id {call.body['write_id']}: it is applied once at most",
                 *attempts,
             )
         raise problem or UnreachableError(attempts)
@@ -179,6 +183,19 @@
     return document if isinstance(document, dict) else None
 
 
+def _checked(document: dict[str, Any] | None, answer: type) -> dict[str, Any]:
+    """Return a document that has the members of its type, and any others."""
+    if document is None:
+        raise aiohttp.ClientPayloadError("the answer is not a JSON object")
+    try:
+        msgspec.convert(document, answer)
+    except msgspec.ValidationError as error:
+        raise aiohttp.ClientPayloadError(
+            f"the answer is not understood: {error}"
+        ) from error
+    return document
+
+
 def _describe(error: Exception) -> str:
     """Return one line on a failed call."""
     if isinstance(error, TimeoutError):
--- a/packages/cli/greengagepoint_cli/commands/moves.py
+++ b/packages/cli/greengagepoint_cli/commands/moves.py
@@ -22,7 +22,6 @@
     Watch,
     WriteId,
     as_start,
-    author_name,
     operator_key,
     parse_moment,
     server_list,
@@ -81,7 +80,10 @@
         document = _document(RecordKind.DRAIN, record, fields)
 
         async def async_drain(api: Api) -> dict[str, Any]:
-            written = await _async_put(api, document, author, write_id)
+            # A host that has not taken the drain over yet names nothing that
+            # remains, so "drained" would come too early.
+            wait_seconds = timeout if watch else None
+            written = await _async_put(api, document, author, write_id, wait_seconds)
             if watch:
                 await _async_drained(api, target_kind, target, timeout)
             answers = await async_statuses(api)
@@ -142,15 +144,17 @@
 
 
 async def _async_put(
-    api: Api, document: RecordDocument, author: str | None, write_id: str | None
+    api: Api,
+    document: RecordDocument,
+    author: str | None,
+    write_id: str | None,
+    wait_seconds: float | None = None,
 ) -> dict[str, Any]:
     """Write one record over what is in force."""
     current = await async_current(api)
     check_with_current([document], current)
     change = change_of(document.kind, document.name, document, current)
-    return await async_write(
-        api, current, [change], author_name(author), write_id, None
-    )
+    return await async_write(api, current, [change], author, write_id, wait_seconds)
 
 
 async def _async_drained(
--- a/packages/cli/greengagepoint_cli/commands/records.py
+++ b/packages/cli/greengagepoint_cli/commands/records.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.records.difference import Difference, DifferenceKind
 from greengagepoint.records.schemas import RecordKind
+from greengagepoint_cli.answers import HistoryAnswer, RecordsAnswer
 from greengagepoint_cli.api import Api, run_call
 from greengagepoint_cli.const import ExitCode, Output
 from greengagepoint_cli.documents import (
@@ -148,6 +149,7 @@
             raise ClientError(
                 ExitCode.RECORD_REFUSED, f"{kind}/{name}: there is no such record"
             )
+        check_with_current([], current, [f"{kind}/{name}"])
         changes = [change_of(kind, name, None, current)]
         return await async_write(
             api, current, changes, author, write_id, timeout if watch else None
@@ -164,7 +166,9 @@
 ) -> None:
     """Show the records in force."""
     answer = run_call(
-        server_list(server), operator_key(), lambda api: api.async_get("/v1/records")
+        server_list(server),
+        operator_key(),
+        lambda api: api.async_get("/v1/records", RecordsAnswer),
     )
     rows = [
         row
@@ -187,7 +191,7 @@
     answer = run_call(
         server_list(server),
         operator_key(),
-        lambda api: api.async_get("/v1/history", {"limit": str(limit)}),
+        lambda api: api.async_get("/v1/history", HistoryAnswer, {"limit": str(limit)}),
     )
     show(answer, answer["entries"], HISTORY_COLUMNS, output)
 
--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -7,6 +7,7 @@
 import typer
 
 from greengagepoint.events import CATALOGUE, Event
+from greengagepoint_cli.answers import LookupAnswer, UsageAnswer
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, Output, UsageOutput
 from greengagepoint_cli.fleet import async_statuses, fleet_status
@@ -135,7 +136,7 @@
     answer = run_call(
         server_list(server),
         operator_key(),
-        lambda api: api.async_get("/v1/hosts", params),
+        lambda api: api.async_get("/v1/hosts", LookupAnswer, params),
     )
     show(answer, answer["hosts"], LOOKUP_COLUMNS, output)
 
@@ -155,7 +156,9 @@
 ) -> None:
     """Show what each team sent."""
     answer = run_call(
-        server_list(server), operator_key(), lambda api: api.async_get("/v1/usage")
+        server_list(server),
+        operator_key(),
+        lambda api: api.async_get("/v1/usage", UsageAnswer),
     )
     rows = [
         row
--- a/packages/cli/greengagepoint_cli/commands/timeline.py
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -5,6 +5,9 @@
 
 import typer
 
+from greengagepoint.events import Event
+from greengagepoint.records.loading import suggest
+from greengagepoint_cli.answers import TimelineAnswer, TimelineEvent
 from greengagepoint_cli.api import HostAnswer, run_call
 from greengagepoint_cli.const import ExitCode, TimelineOutput
 from greengagepoint_cli.errors import ClientError
@@ -53,7 +56,8 @@
     ] = TimelineOutput.TEXT,
 ) -> None:
     """Show the events of all hosts in order; exit with 5 if a host is mute."""
-    filters = {"request_id": request_id, "team": team, "site": site, "kind": kind}
+    filters = {"request_id": request_id, "team": team, "site": site}
+    filters["kind"] = None if kind is None else _checked_kind(kind)
     params = {name: value for name, value in filters.items() if value is not None}
     if since is not None:
         moment = parse_moment(since, "--since")
@@ -61,7 +65,7 @@
     answers = run_call(
         server_list(server),
         operator_key(),
-        lambda api: api.async_ask_all("/v1/timeline", params),
+        lambda api: api.async_ask_all("/v1/timeline", TimelineAnswer, params),
     )
     missing = [answer for answer in answers if answer.document is None]
     if missing and len(missing) == len(answers):
@@ -73,7 +77,7 @@
         raise typer.Exit(ExitCode.UNREACHABLE)
 
 
-def merge(answers: list[HostAnswer]) -> list[dict[str, Any]]:
+def merge(answers: list[HostAnswer]) -> list[TimelineEvent]:
     """Return the events of all hosts in the order of their hybrid clocks."""
     events = [
         event
@@ -84,8 +88,21 @@
     return sorted(events, key=lambda one: (*one["clock"], one["host"], one["number"]))
 
 
+def _checked_kind(text: str) -> str:
+    """Return a kind of event as hosts take it; a newer host may know more numbers."""
+    names = [event.name.lower() for event in Event]
+    if not text.isdigit() and text.lower() not in names:
+        hint = suggest(text.lower(), names)
+        raise ClientError(
+            ExitCode.USAGE,
+            f"--kind: {text!r} is not an event{hint} "
+            "(accepted: a number or name that `events` shows)",
+        )
+    return text
+
+
 def _write(
-    events: list[dict[str, Any]],
+    events: list[TimelineEvent],
     missing: list[str],
     output: TimelineOutput,
     file: Path | None,
--- a/packages/cli/greengagepoint_cli/documents.py
+++ b/packages/cli/greengagepoint_cli/documents.py
@@ -11,6 +11,7 @@
 from greengagepoint.records.checking import check_documents
 from greengagepoint.records.difference import Difference, DifferenceKind, diff
 from greengagepoint.records.loading import RecordDocument, describe, parse_toml
+from greengagepoint_cli.answers import RecordsAnswer
 from greengagepoint_cli.api import Api
 from greengagepoint_cli.const import ExitCode
 from greengagepoint_cli.errors import ClientError, refuse_records
@@ -43,7 +44,7 @@
 
 async def async_current(api: Api) -> Current:
     """Return the records in force."""
-    answer = await api.async_get("/v1/records")
+    answer = await api.async_get("/v1/records", RecordsAnswer)
     documents = tuple(
         RecordDocument(
             kind=row["kind"],
--- a/packages/cli/greengagepoint_cli/fleet.py
+++ b/packages/cli/greengagepoint_cli/fleet.py
@@ -6,16 +6,15 @@
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from greengagepoint_cli.api import Api, HostAnswer
+from greengagepoint_cli.answers import StatusAnswer
+from greengagepoint_cli.api import STATUS_PATH, Api, HostAnswer
 from greengagepoint_cli.const import POLL_SECONDS, ExitCode
 from greengagepoint_cli.errors import ClientError
 
-STATUS_PATH = "/v1/status"
-
 
 async def async_statuses(api: Api) -> list[HostAnswer]:
     """Return the status of every host."""
-    return await api.async_ask_all(STATUS_PATH)
+    return await api.async_ask_all(STATUS_PATH, StatusAnswer)
 
 
 def fleet_status(answers: Iterable[HostAnswer]) -> dict[str, Any]:
@@ -31,7 +30,7 @@
     }
 
 
-def headroom(statuses: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+def headroom(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
     """Return capacity and use by region, added up over hosts."""
     rows: dict[str, dict[str, Any]] = {}
     for status in statuses:
@@ -48,7 +47,7 @@
     return [rows[name] for name in sorted(rows)]
 
 
-def caps(statuses: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+def caps(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
     """Return limit and use by site, added up over hosts."""
     rows: dict[str, dict[str, Any]] = {}
     for status in statuses:
@@ -71,7 +70,7 @@
     return [rows[name] for name in sorted(rows)]
 
 
-def drains(statuses: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+def drains(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
     """Return what is in flight to leaving backend servers, added up over hosts."""
     rows: dict[tuple[str, str, str], dict[str, Any]] = {}
     estimates: defaultdict[tuple[str, str, str], list[float]] = defaultdict(list)
@@ -129,7 +128,7 @@
 
 
 def _first_by_name(
-    statuses: Iterable[dict[str, Any]], member: str
+    statuses: Iterable[StatusAnswer], member: str
 ) -> list[dict[str, Any]]:
     """Return rows by name; where hosts differ, the one that has come least far.
 
--- a/packages/cli/greengagepoint_cli/timeline_page.py
+++ b/packages/cli/greengagepoint_cli/timeline_page.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Sequence
 from html import escape
-from typing import Any, Final
+from typing import Final
 
 from greengagepoint.events import CATALOGUE, Event
+from greengagepoint_cli.answers import TimelineEvent
 from greengagepoint_cli.output import as_time
 
 STYLE: Final = """\
@@ -19,7 +20,7 @@
 """
 
 
-def render_page(events: Sequence[dict[str, Any]], missing: Sequence[str]) -> str:
+def render_page(events: Sequence[TimelineEvent], missing: Sequence[str]) -> str:
     """Return the page; ``missing`` names hosts that did not answer."""
     rows = "\n".join(_row(event) for event in events)
     gap = f"<p>No answer from: {escape(', '.join(missing))}.</p>" if missing else ""
@@ -36,7 +37,7 @@
 """
 
 
-def _row(event: dict[str, Any]) -> str:
+def _row(event: TimelineEvent) -> str:
     """Return the table row of one event; all that came from outside is escaped."""
     milliseconds, counter = event["clock"]
     title, level = _describe(event["number"])
--- a/packages/cli/tests/test_cli_records.py
+++ b/packages/cli/tests/test_cli_records.py
@@ -170,6 +170,7 @@
         (("get", "--server=10.0.0.1:80"), "'10.0.0.1:80' is not a URL; accepted"),
         (("validate", "/does/not/exist.toml"), "No such file"),
         (("timeline", "--since=yesterday"), "accepted: RFC 3339"),
+        (("timeline", "--kind=host_gon"), "did you mean 'host_gone'?"),
         (("get", "cup"), "cup"),
         (("frobnicate",), "No such command"),
     ],
--- a/packages/cli/tests/test_cli_state.py
+++ b/packages/cli/tests/test_cli_state.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from greengagepoint.config.log import ConfigLog
 from greengagepoint.errors import ErrorKind
 from greengagepoint_cli.const import ExitCode
 
@@ -106,6 +107,22 @@
     assert (result.exit_code, result.stdout) == (0, snapshot)
 
 
+def test_an_answer_out_of_form_counts_as_no_answer(pair, invoke):
+    """A host of another version, or a proxy on the way, answers with other JSON. The
+    client says what it did not understand and goes on with the other host.
+    """
+    host, other = pair
+    other.status["generation"] = "newest"
+    result = invoke("status", servers=[host])
+    assert result.exit_code == ExitCode.UNREACHABLE
+    fault = (
+        "the answer is not understood: Expected `int`, got `str` - at `$.generation`"
+    )
+    assert fault in result.stdout
+    assert invoke("status", servers=[other, host]).exit_code == ExitCode.UNREACHABLE
+    assert fault in invoke("status", servers=[other]).stderr
+
+
 def test_the_time_line_goes_to_a_file_and_names_mute_hosts(pair, invoke, tmp_path):
     host, other = pair
     other.problem = (ErrorKind.INTERNAL, "broken")
@@ -145,7 +162,8 @@
 
 def test_a_drain_is_a_record_and_shows_what_remains(pair, invoke, tmp_path, snapshot):
     """An operator drains a backend server. One record is written; the table shows how
-    many requests all hosts together still have there.
+    many requests all hosts together still have there. Watching ends when nothing is
+    left, and not before every host has the record in force.
     """
     host, other = pair
     path = tmp_path / "records.toml"
@@ -161,12 +179,17 @@
     }
     for one in pair:
         one.status["drains"] = [drain_part(0)]
+    other.log = host.log
     watched = ("drain", "backend-server", "b1", start, "--watch")
     assert invoke(*watched, servers=[host]).exit_code == 0
     other.status["drains"] = [drain_part(1)]
     late = invoke(*watched, "--timeout=0", servers=[host])
     assert late.exit_code == ExitCode.NOT_IN_TIME
     assert late.stderr == "greengagepoint: not within 0 seconds: b1 is drained\n"
+    other.log, other.status["drains"] = ConfigLog(), []
+    behind = invoke(*watched, "--timeout=0", servers=[host])
+    assert behind.exit_code == ExitCode.NOT_IN_TIME
+    assert "waiting for: attiki-2" in behind.stderr
 
 
 def test_a_drain_of_something_unknown_is_refused(host, invoke, tmp_path):
