Send once, keep callers' answers apart, pass only sendable headers on

Cause: the HTTP client sends GET, HEAD, OPTIONS, PUT and DELETE again by itself when a connection breaks, also a new one, so the separate session for what must not repeat did not help. Bytes that a backend server wrote to an idle connection were taken for the answer to the next request on it. Header values that are not UTF-8 lost bytes silently, control characters failed after the answer counted as given, an odd Retry-After was an internal error, only the first Connection header was heeded, and any transfer coding with "chunked" in its name passed as chunks. A hedge left unsent could lose an answer to a cancellation with its place.

Change: one session whose middleware raises the client's errors as a kind that it doesn't resend, and whose request class looks at the connection right before its first byte. Headers are checked before an answer is passed on. Problems no longer quote the library's text, which named addresses of backend servers.

Measured: with the middleware and the request class taken out, a reset PUT reached the backend server twice and a caller got the bytes of another answer; with them once, and its own. The table of malformed answers failed in 9 rows before and in none after.

Conclusion: a resend is decided by the table of outcomes alone.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -1,13 +1,13 @@
 """Try backend servers until one answers or the request may not be sent again."""
 
 import asyncio
+import re
 from collections.abc import Awaitable
 from typing import Final, Protocol, TypeVar
 
 import aiohttp
 import msgspec
 from aiohttp import web
-from multidict import CIMultiDict
 
 from greengagepoint.balancing.tables import Outcome
 from greengagepoint.delivery.outcomes import (
@@ -35,11 +35,13 @@
 
 ATTEMPTS_MAX: Final = 3
 BACK_OFF_SHARE: Final = 0.1
+RETRY_AFTER: Final = re.compile("[0-9]{1,6}")
 
 BALANCING_OUTCOMES: Final[dict[WireOutcome, Outcome]] = {
     WireOutcome.SHED: Outcome.SHED,
     WireOutcome.CONNECT_REFUSED: Outcome.REFUSED,
     WireOutcome.CONNECT_TIMEOUT: Outcome.REFUSED,
+    WireOutcome.RESET_BEFORE_SENDING: Outcome.CANCELLED,
     WireOutcome.DEADLINE_BEFORE_SENDING: Outcome.CANCELLED,
     WireOutcome.CANCELLED_BEFORE_SENDING: Outcome.CANCELLED,
     WireOutcome.CANCELLED_AFTER_SENDING: Outcome.CANCELLED,
@@ -61,9 +63,9 @@
 
     placement: Placement
     upstream: aiohttp.ClientResponse
-    headers: CIMultiDict[str]
     latency_seconds: float
     body: bytes | None = None
+    key_state: str | None = None
 
 
 class Tries(msgspec.Struct):
@@ -107,7 +109,8 @@
     while True:
         placement = await _async_place(parts, call, tries)
         try:
-            if call.may_be_hedged:
+            # Two copies would each get a part of a body that can be read only once.
+            if call.may_be_hedged and not isinstance(body, StreamedBody):
                 return await _async_try_hedged(attempt, placement)
             return await _async_try(attempt, placement)
         except WireError as error:
@@ -213,7 +216,7 @@
     )
     latency = parts.context.clock.monotonic() - now
     parts.report_load(placement.row, upstream.headers.get(HEADER_LOAD), now + latency)
-    reply = Reply(placement, upstream, upstream.headers, latency)
+    reply = Reply(placement, upstream, latency)
     _check_unavailable(call, upstream, tries)
     if is_small(upstream, call.method):
         reply.body = await _async_read_whole(parts, upstream, call, placement)
@@ -283,7 +286,7 @@
     consequence = CONSEQUENCES[error.outcome]
     kind = consequence.kind or ErrorKind.BACKEND_RESET
     retry_after = None
-    if error.retry_after is not None and error.retry_after.isdigit():
+    if error.retry_after is not None and RETRY_AFTER.fullmatch(error.retry_after):
         retry_after = int(error.retry_after)
     return RequestError(error.detail, kind, ran=ran, retry_after_seconds=retry_after)
 
--- a/packages/node/greengagepoint_node/proxy/download.py
+++ b/packages/node/greengagepoint_node/proxy/download.py
@@ -76,8 +76,9 @@
             ) from error
         except (aiohttp.ClientPayloadError, aiohttp.ClientConnectionError) as error:
             outcome = Outcome.FAILED
-            if self.request.transport is None:
-                raise
+            transport = self.request.transport
+            if transport is None or transport.is_closing():
+                raise ConnectionResetError("The caller went away") from error
             self.call.broken_by = str(error)
             return False
         finally:
--- a/packages/node/greengagepoint_node/proxy/exchange.py
+++ b/packages/node/greengagepoint_node/proxy/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterable
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -19,8 +20,13 @@
     HOP_BY_HOP_HEADERS,
 )
 from greengagepoint_node.proxy.call import Call
-from greengagepoint_node.proxy.relay import connection_headers, is_framed
-from greengagepoint_node.proxy.sessions import BackendSessions
+from greengagepoint_node.proxy.headers import connection_headers, unsendable_header
+from greengagepoint_node.proxy.relay import is_framed
+from greengagepoint_node.proxy.sessions import (
+    BackendSessions,
+    BrokenOffError,
+    SpoiltConnectionError,
+)
 
 DROPPED_REQUEST_HEADERS = HOP_BY_HOP_HEADERS | {
     "host",
@@ -31,6 +37,13 @@
     HEADER_RAN.lower(),
 }
 
+DETAILS: Final[dict[WireOutcome, str]] = {
+    WireOutcome.CONNECT_REFUSED: "The backend server did not accept a connection",
+    WireOutcome.RESET_BEFORE_SENDING: "No usable connection to the backend server",
+    WireOutcome.RESET_AFTER_SENDING: "The backend server closed the connection",
+    WireOutcome.GARBAGE: "The backend server's answer is not valid HTTP",
+}
+
 Body = bytes | AsyncIterable[bytes] | None
 
 
@@ -50,7 +63,7 @@
     request: web.BaseRequest, call: Call, now: float
 ) -> CIMultiDict[str]:
     """Return the headers for the backend server."""
-    named = connection_headers(request.headers.get("Connection"))
+    named = connection_headers(request.headers)
     headers: CIMultiDict[str] = CIMultiDict()
     dropped = DROPPED_REQUEST_HEADERS | named
     if call.range_headers is not None:
@@ -83,11 +96,10 @@
         raise WireError(
             WireOutcome.DEADLINE_BEFORE_SENDING, "The deadline passed before sending"
         )
-    session = sessions.choose(call.method, repeatable=call.route.repeatable)
     url = URL(f"http://{address}{call.target}", encoded=True)
     try:
         async with asyncio.timeout(seconds):
-            upstream = await session.request(
+            upstream = await sessions.session.request(
                 call.method,
                 url,
                 headers=headers,
@@ -97,12 +109,12 @@
     except TimeoutError as error:
         raise _timed_out(error) from error
     except aiohttp.ClientError as error:
-        raise WireError(_outcome_of(error), str(error)) from error
+        raise _broken(_outcome_of(error), error) from error
     except OSError as error:
-        raise WireError(WireOutcome.RESET_AFTER_SENDING, str(error)) from error
+        raise _broken(WireOutcome.RESET_AFTER_SENDING, error) from error
     except ValueError as error:
         # aiohttp raises it for an answer whose headers contradict each other.
-        raise WireError(WireOutcome.GARBAGE, str(error)) from error
+        raise _broken(WireOutcome.GARBAGE, error) from error
     return _checked(upstream, call)
 
 
@@ -124,6 +136,12 @@
         raise WireError(
             WireOutcome.GARBAGE, "The answer has neither a length nor chunks"
         )
+    name = unsendable_header(upstream.headers)
+    if name is not None:
+        upstream.close()
+        raise WireError(
+            WireOutcome.GARBAGE, f"The answer's header {name[:50]} is invalid"
+        )
     return upstream
 
 
@@ -144,6 +162,17 @@
     """
     if isinstance(error, aiohttp.ClientConnectorError):
         return WireOutcome.CONNECT_REFUSED
-    if isinstance(error, aiohttp.ServerDisconnectedError | aiohttp.ClientOSError):
+    if isinstance(error, SpoiltConnectionError):
+        return WireOutcome.RESET_BEFORE_SENDING
+    if isinstance(error, BrokenOffError):
         return WireOutcome.RESET_AFTER_SENDING
     return WireOutcome.GARBAGE
+
+
+def _broken(outcome: WireOutcome, error: Exception) -> WireError:
+    """Return the failed try.
+
+    The library's own text names internal addresses and quotes the backend server's
+    bytes, so callers are told the outcome only.
+    """
+    return WireError(outcome, f"{DETAILS[outcome]} ({type(error).__name__})")
--- a/packages/node/greengagepoint_node/proxy/hedging.py
+++ b/packages/node/greengagepoint_node/proxy/hedging.py
@@ -38,10 +38,21 @@
         _drop(task, discard)
         raise
     if task.done() or not allowance.may_hedge(wait, repeatable=True):
-        return await task
+        return await _async_only(task, discard)
     return await _async_race([task, asyncio.ensure_future(second())], discard)
 
 
+async def _async_only(task: asyncio.Future[T], discard: Discard[T]) -> T:
+    """Return the result of the only try."""
+    try:
+        return await task
+    except asyncio.CancelledError:
+        # The try may have ended at the very moment when the caller went away. Its
+        # result would reach nobody and hold its place for ever.
+        _drop(task, discard)
+        raise
+
+
 async def _async_race(tasks: list[asyncio.Future[T]], discard: Discard[T]) -> T:
     """Return the first good result and drop the other try."""
     winner: asyncio.Future[T] | None = None
--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -168,8 +168,7 @@
         call.latency_seconds = reply.latency_seconds
         self._remember(claim, call, reply)
         if claim.memory_only:
-            reply.headers = CIMultiDict(reply.headers)
-            reply.headers[HEADER_KEY_STATE] = KEY_STATE_MEMORY_ONLY
+            reply.key_state = KEY_STATE_MEMORY_ONLY
         return await self._async_deliver(request, call, reply, allowance)
 
     async def _async_claim(self, call: Call, digest: str) -> Claim:
@@ -233,9 +232,8 @@
         """Return the headers for the caller."""
         host = self.parts.context.host.name
         headers = answer_headers(reply.upstream, call.request_id, host)
-        state = reply.headers.get(HEADER_KEY_STATE)
-        if state is not None:
-            headers[HEADER_KEY_STATE] = state
+        if reply.key_state is not None:
+            headers[HEADER_KEY_STATE] = reply.key_state
         return headers
 
     def _note_answered(self, call: Call) -> None:
--- a/packages/node/greengagepoint_node/proxy/relay.py
+++ b/packages/node/greengagepoint_node/proxy/relay.py
@@ -9,11 +9,13 @@
 
 from greengagepoint_node.http.const import (
     HEADER_HOST,
+    HEADER_KEY_STATE,
     HEADER_LOAD,
     HEADER_RAN,
     HEADER_REQUEST_ID,
     HOP_BY_HOP_HEADERS,
 )
+from greengagepoint_node.proxy.headers import connection_headers, is_sendable
 
 # An answer up to this size is read whole before the caller sees any of it, so that a
 # truncated one still becomes a typed error.
@@ -21,6 +23,7 @@
 
 BODILESS_STATUSES: Final = frozenset({204, 304})
 DROPPED_ANSWER_HEADERS: Final = HOP_BY_HOP_HEADERS | {
+    HEADER_KEY_STATE.lower(),
     HEADER_LOAD.lower(),
     HEADER_RAN.lower(),
 }
@@ -41,14 +44,14 @@
         return True
     if hdrs.CONTENT_LENGTH in upstream.headers:
         return True
-    return "chunked" in upstream.headers.get(hdrs.TRANSFER_ENCODING, "").lower()
+    return upstream.headers.get(hdrs.TRANSFER_ENCODING, "").lower() == "chunked"
 
 
 def answer_headers(
     upstream: aiohttp.ClientResponse, request_id: str, host: str
 ) -> CIMultiDict[str]:
     """Return the headers for the caller."""
-    named = connection_headers(upstream.headers.get(hdrs.CONNECTION))
+    named = connection_headers(upstream.headers)
     headers: CIMultiDict[str] = CIMultiDict()
     for name, value in upstream.headers.items():
         lowered = name.lower()
@@ -60,13 +63,6 @@
     return headers
 
 
-def connection_headers(value: str | None) -> frozenset[str]:
-    """Return the header names that a Connection header declares hop-by-hop."""
-    if not value:
-        return frozenset()
-    return frozenset(name.strip().lower() for name in value.split(","))
-
-
 def is_small(upstream: aiohttp.ClientResponse, method: str) -> bool:
     """Tell whether the answer is short enough to be read before it is passed on."""
     if not has_body(method, upstream.status):
@@ -84,7 +80,7 @@
     """Return an answer whose body has been read whole."""
     carried = body if has_body(method, upstream.status) else None
     return web.Response(
-        status=upstream.status, reason=upstream.reason, headers=headers, body=carried
+        status=upstream.status, reason=_reason(upstream), headers=headers, body=carried
     )
 
 
@@ -95,7 +91,7 @@
 ) -> web.StreamResponse:
     """Send the headers of an answer whose body follows in pieces."""
     response = web.StreamResponse(
-        status=upstream.status, reason=upstream.reason, headers=headers
+        status=upstream.status, reason=_reason(upstream), headers=headers
     )
     if hdrs.CONTENT_LENGTH not in headers:
         response.enable_chunked_encoding()
@@ -118,6 +114,12 @@
         passed_on(len(piece))
 
 
+def _reason(upstream: aiohttp.ClientResponse) -> str | None:
+    """Return the reason phrase, or None for the usual one where it is invalid."""
+    reason = upstream.reason
+    return reason if reason and is_sendable(reason) else None
+
+
 def break_off(request: web.BaseRequest) -> None:
     """Close the caller's connection so that a partial answer looks broken."""
     # Ending the response normally would finish the chunked body, and the caller
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -1,64 +1,86 @@
-"""HTTP client sessions towards backend servers."""
+"""HTTP client session towards backend servers."""
 
-import asyncio
 from typing import Final, NamedTuple
 
 import aiohttp
+from aiohttp import ClientHandlerType
+from aiohttp.connector import Connection
 
 CONNECT_SECONDS: Final = 2.0
 READ_BUFFER_BYTES: Final = 64 * 1024
 KEEPALIVE_SECONDS: Final = 30.0
 HEADER_MAX_BYTES: Final = 32 * 1024
+SPOILT_CONNECTIONS_MAX: Final = 8
 
-# The methods that aiohttp's client sends again by itself when a reused connection
-# turns out to be closed.
-RESENT_BY_CLIENT_METHODS: Final = frozenset(
-    {"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"}
-)
 
+class BrokenOffError(aiohttp.ClientError):
+    """Tell that a connection broke after the request may have been sent."""
+
+
+class SpoiltConnectionError(aiohttp.ClientError):
+    """Tell that a reused connection held bytes already; nothing was sent."""
 
-class BackendSessions(NamedTuple):
-    """One session that reuses connections, and one that never does."""
 
-    reusing: aiohttp.ClientSession
-    single_use: aiohttp.ClientSession
+class BackendRequest(aiohttp.ClientRequest):
+    """A request that goes out only on a connection with nothing left on it."""
 
-    def choose(self, method: str, *, repeatable: bool) -> aiohttp.ClientSession:
-        """Return the session for a request.
+    async def send(self, conn: Connection) -> aiohttp.ClientResponse:
+        """Send the request, or raise SpoiltConnectionError before its first byte."""
+        # A backend server may have written to the idle connection: an answer that it
+        # gave twice, or a notice that it closes. The client would take those bytes
+        # for the answer to this request, and the caller would get another's.
+        if conn.protocol is not None and conn.protocol.should_close:
+            conn.close()
+            raise SpoiltConnectionError("The reused connection held bytes already")
+        return await super().send(conn)
+
+
+class BackendSessions(NamedTuple):
+    """The session towards all backend servers."""
 
-        The client would silently resend, say, a PUT after a reused connection closed
-        under it, and the backend server would run it twice. On a new connection it
-        never resends, so what must not repeat goes there.
-        """
-        if not repeatable and method in RESENT_BY_CLIENT_METHODS:
-            return self.single_use
-        return self.reusing
+    session: aiohttp.ClientSession
 
     async def async_close(self) -> None:
         """Close all connections."""
-        await asyncio.gather(self.reusing.close(), self.single_use.close())
+        await self.session.close()
 
 
 def create_backend_sessions() -> BackendSessions:
-    """Return the sessions; the number in flight is bounded by the balancing tables."""
-    return BackendSessions(
-        reusing=_create_session(
-            aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
-        ),
-        single_use=_create_session(aiohttp.TCPConnector(limit=0, force_close=True)),
-    )
-
-
-def _create_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    """Return a session that passes bytes and headers on unchanged."""
-    return aiohttp.ClientSession(
+    """Return the session; the number in flight is bounded by the balancing tables."""
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_SECONDS)
+    session = aiohttp.ClientSession(
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         max_field_size=HEADER_MAX_BYTES,
         max_line_size=HEADER_MAX_BYTES,
+        middlewares=(async_send_once,),
         read_bufsize=READ_BUFFER_BYTES,
+        request_class=BackendRequest,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_SECONDS),
         trust_env=False,
     )
+    return BackendSessions(session)
+
+
+async def async_send_once(
+    request: aiohttp.ClientRequest, handler: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Send a request at most once, on a connection with nothing left on it.
+
+    The client sends GET, PUT, DELETE and others again by itself when a connection
+    breaks, also a new one, and the backend server would run them twice. It does so
+    for its own errors only, so those are raised as another kind; whether to send
+    again is decided by the table of outcomes.
+    """
+    for _ in range(SPOILT_CONNECTIONS_MAX):
+        try:
+            return await handler(request)
+        except SpoiltConnectionError:
+            continue
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError):
+            raise
+        except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+            raise BrokenOffError(str(error)) from error
+    raise SpoiltConnectionError("All reused connections held bytes already")
