Let hosts settle near equal parts of a service's slots

Cause: with one latency tolerance for all, hosts with few answers saw noise, shrank and starved: four hosts over 20 slots ended at limits of 19, 2, 7 and 6, and payments there waited. Change: the tolerance falls as a limit rises above the host's share of the declared slots. Replays with four hosts, evenly and unevenly loaded.

--- a/measure/overload.py
+++ b/measure/overload.py
@@ -29,6 +29,7 @@
     (RequestClass.LOOKUP, 0.7, 1.0),
     (RequestClass.ARCHIVE, 0.1, 5.0),
 )
+HOSTS: Final = 4
 OFFERS: Final = 10_000
 TEAMS: Final = ("drivers", "partners", "fleet")
 
@@ -220,6 +221,33 @@
         self.pool.limiter.probe_until = float("-inf")
 
 
+class Several:
+    """Several hosts over the same backend servers, each with its own admission."""
+
+    def __init__(self, replay: Replay, way: type[WithAdmission], busy: float) -> None:
+        self.hosts = [way(replay, SLOTS / HOSTS) for _ in range(HOSTS)]
+        self.busy = busy
+
+    def host_of(self, ticket: Ticket) -> WithAdmission:
+        """Return the host that a caller goes to; one of them may get more."""
+        if ticket.id % 100 < 100 * self.busy:
+            return self.hosts[0]
+        return self.hosts[ticket.id % HOSTS]
+
+    def offer(self, ticket: Ticket, now: float) -> int | None:
+        """Ask the host's admission."""
+        return self.host_of(ticket).offer(ticket, now)
+
+    def finish(self, ticket: Ticket, latency: float, now: float) -> None:
+        """Free the place on the host."""
+        self.host_of(ticket).finish(ticket, latency, now)
+
+    def tick(self, now: float) -> None:
+        """Run all hosts' periodic work."""
+        for host in self.hosts:
+            host.tick(now)
+
+
 def arrivals(load: float, seed: int = SEED) -> list[Arrival]:
     """Draw Poisson arrivals at a multiple of what the slots can carry."""
     draw = random.Random(seed)
@@ -247,9 +275,30 @@
     figures += _at_all_loads("callers retry at once", obey=False)
     for limit in START_LIMITS:
         figures += _against_fixed_limit(limit)
+    figures += _several_hosts(LOADS[-1], 0.0, "evenly")
+    figures += _several_hosts(1.0, 0.6, "60% of it on one")
     return [*figures, _processor_time()]
 
 
+def _several_hosts(load: float, busy: float, spread: str) -> list[Figure]:
+    """Measure hosts that know of each other only by the latency they see."""
+    ways = (WithAdmission, WithFixedLimit)
+    adaptive, fixed = (
+        replay(load, partial(Several, way=way, busy=busy), obey=True) for way in ways
+    )
+    label = f"at {load} times capacity over {HOSTS} hosts, {spread}"
+    return [
+        Figure(
+            f"overload: goodput {label}",
+            adaptive.goodput,
+            "requests/s",
+            fixed.goodput,
+            "fixed limit",
+        ),
+        *_p99(label, adaptive, fixed, "fixed limit"),
+    ]
+
+
 def _processor_time() -> Figure:
     """Measure what admission itself costs a request while 3 times too many come."""
     player = Replay([], obey=True)
--- a/packages/core/greengagepoint/overload/limiter.py
+++ b/packages/core/greengagepoint/overload/limiter.py
@@ -9,8 +9,12 @@
 WINDOW_SECONDS: Final = 0.5
 CLASS_SAMPLES_MIN: Final = 8
 # How much longer answers may take than when nothing waits inside the backend
-# servers. Twice as long means that as many wait there as are running.
-LATENCY_TOLERANCE: Final = 1.5
+# servers. Twice as long means that as many wait there as are running. A host far
+# below its share of the slots tolerates more than one far above it.
+TOLERANCE_BELOW_SHARE: Final = 3.0
+TOLERANCE_ABOVE_SHARE: Final = 1.5
+BELOW_SHARE: Final = 0.5
+ABOVE_SHARE: Final = 1.25
 DECREASE_FACTOR: Final = 0.85
 FAILED_FRACTION: Final = 0.1
 INCREASE_FRACTION: Final = 0.05
@@ -39,10 +43,14 @@
 
 @dataclass(slots=True)
 class Limiter:
-    """A limit on requests in flight; times are monotonic seconds."""
+    """A limit on requests in flight; times are monotonic seconds.
+
+    ``share`` is this host's part of the slots that the records declare.
+    """
 
     limit: float
     maximum: float
+    share: float
     classes: dict[RequestClass, ClassLatency] = field(default_factory=dict)
     was_full: bool = False
     failures: int = 0
@@ -134,7 +142,7 @@
         limiter.window_from = now + limiter.mean
         if _baseline_fell(limiter):
             limiter.period_until = now + FIRST_PROBE_SECONDS
-    elif failing or ratio > LATENCY_TOLERANCE:
+    elif failing or ratio > _tolerance(limiter):
         _decrease(limiter, now)
     elif limiter.was_full:
         step = max(1.0, limiter.limit * INCREASE_FRACTION)
@@ -144,6 +152,20 @@
     limiter.was_full = False
 
 
+def _tolerance(limiter: Limiter) -> float:
+    """Return by which factor latency may have grown.
+
+    All hosts see the same backend servers' queue. With one tolerance for all,
+    those with few answers see it with more noise, shrink more often and end up
+    starved by the others; payments then wait there for seconds. A tolerance that
+    falls as the limit rises has one balance, near equal parts of the share.
+    """
+    part = limiter.limit / limiter.share
+    above = min(1.0, max(0.0, (part - BELOW_SHARE) / (ABOVE_SHARE - BELOW_SHARE)))
+    span = TOLERANCE_BELOW_SHARE - TOLERANCE_ABOVE_SHARE
+    return TOLERANCE_BELOW_SHARE - above * span
+
+
 def _compare(limiter: Limiter) -> float:
     """Return the window's latency over the baseline's, and clear the window."""
     actual = 0.0
--- a/packages/core/greengagepoint/overload/tables.py
+++ b/packages/core/greengagepoint/overload/tables.py
@@ -101,5 +101,5 @@
 
 
 def create_pool(limit: float, maximum: float) -> Pool:
-    """Return an empty pool; ``limit`` is where the concurrency limit starts."""
-    return Pool(Limiter(limit=limit, maximum=maximum))
+    """Return an empty pool; ``limit`` is this host's share of the declared slots."""
+    return Pool(Limiter(limit=limit, maximum=maximum, share=limit))
--- a/packages/core/tests/test_overload_budget.py
+++ b/packages/core/tests/test_overload_budget.py
@@ -29,7 +29,7 @@
     """Backend servers slow down fourfold for two seconds and recover. The limit
     falls to under half meanwhile and grows again after that.
     """
-    row = Limiter(limit=40, maximum=60)
+    row = Limiter(limit=40, maximum=60, share=40)
     now = feed(row, 0.05, 5, 0.0)
     before = row.limit
     now = feed(row, 0.2, 4, now)
@@ -39,9 +39,20 @@
     assert row.limit > 1.5 * low
 
 
+@pytest.mark.parametrize(("limit", "falls"), [(10, False), (40, True)])
+def test_hosts_over_one_service_come_near_their_shares(limit, falls):
+    """Two hosts see the same queue in the backend servers, answers take twice as
+    long. The one below its share keeps its limit, the one above it gives way.
+    """
+    row = Limiter(limit=limit, maximum=60, share=20)
+    now = feed(row, 0.05, 5, 0.0, full=False)
+    feed(row, 0.1, 5, now, full=False)
+    assert (row.limit < limit) is falls
+
+
 @pytest.mark.parametrize(("full", "grows"), [(True, True), (False, False)])
 def test_the_limit_grows_only_where_it_held_requests_back(full, grows):
-    row = Limiter(limit=10, maximum=20)
+    row = Limiter(limit=10, maximum=20, share=10)
     feed(row, 0.05, 15, 0.0, full=full)
     assert (row.limit > 10) is grows
     assert row.limit <= 20
@@ -52,7 +63,7 @@
     """One backend server of twenty fails all the time, until it is ejected: the
     others carry the load, so the limit stays. When a third sheds, it falls.
     """
-    row = Limiter(limit=40, maximum=40)
+    row = Limiter(limit=40, maximum=40, share=40)
     for step in range(2000):
         if step % every == 0:
             limiter.failed(row, step / 200)
@@ -63,7 +74,7 @@
 
 
 def test_archives_do_not_look_like_a_slow_backend_server():
-    row = Limiter(limit=10, maximum=10)
+    row = Limiter(limit=10, maximum=10, share=10)
     now = feed(row, 0.05, 5, 0.0, full=False)
     now = feed(row, 2.0, 5, now, full=False, of=ARCHIVE)
     assert row.limit == 10
@@ -73,7 +84,7 @@
     """A cold cache triples the latency for minutes. After the baseline's two
     periods the limit no longer falls, though answers stay slow.
     """
-    row = Limiter(limit=40, maximum=40)
+    row = Limiter(limit=40, maximum=40, share=40)
     now = feed(row, 0.05, 5, 0.0)
     now = feed(row, 0.15, 45, now)
     lowest = row.limit
