Free a unit only when its run has surely ended

A host gave the unit of a cancelled or expired request back at once, while the backend server still ran it until it heard of that. Change: such a unit is kept until the deadline that the server was told plus 250 ms, or 1 s after a cancellation, whichever is sooner. The stand-in can end given-up runs late. Conclusion: a cap holds if a server ends cancelled runs within a second; the price is units held that long after each cancellation or lost hedge.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -199,6 +199,7 @@
         )
     seconds = min(call.ends_at, permit.end_by) - now
     call.attempts += 1
+    placement.ends_at = now + seconds
     tries.count += 1
     parts.context.events.record(
         Event.REQUEST_SENT,
--- a/packages/node/greengagepoint_node/proxy/placement.py
+++ b/packages/node/greengagepoint_node/proxy/placement.py
@@ -1,5 +1,6 @@
 """Find a place for one try: a unit of a site's cap and a backend server there."""
 
+import asyncio
 from typing import Final
 
 import msgspec
@@ -16,14 +17,25 @@
 LOAN_WAIT_SECONDS: Final = 0.25
 LOAN_WAIT_SHARE: Final = 0.25
 
+# A backend server ends a cancelled run within this time, and one whose deadline has
+# passed within the margin; both contain the way over the network.
+CANCELLED_RUN_SECONDS: Final = 1.0
+DEADLINE_MARGIN_SECONDS: Final = 0.25
+RUN_OVER_OUTCOMES: Final = frozenset({Outcome.ANSWERED, Outcome.SHED, Outcome.REFUSED})
+
 
 class Placement(msgspec.Struct):
-    """What one try holds until it has ended."""
+    """What one try holds until it has ended.
+
+    ``ends_at`` is the deadline that the backend server was told, in monotonic
+    seconds; None as long as nothing has been sent.
+    """
 
     permit: Permit
     row: BackendRow
     started_at: float
     open: bool = True
+    ends_at: float | None = None
 
 
 async def async_place(parts: Parts, call: Call, tried: frozenset[str]) -> Placement:
@@ -53,15 +65,43 @@
 
 
 def give_back(
-    parts: Parts, placement: Placement, outcome: Outcome, latency_seconds: float
+    parts: Parts,
+    placement: Placement,
+    outcome: Outcome,
+    latency_seconds: float,
+    *,
+    run_over: bool | None = None,
 ) -> None:
-    """End a try: free the unit and tell the tables how it went; once only."""
+    """End a try: free the unit and tell the tables how it went; once only.
+
+    ``run_over`` tells whether the run has surely ended; None goes by the outcome.
+    """
     if not placement.open:
         return
     placement.open = False
     now = parts.context.clock.monotonic()
     choice.finished(placement.row, outcome, latency_seconds, now)
-    parts.caps.release(placement.permit)
+    if run_over is None:
+        run_over = outcome in RUN_OVER_OUTCOMES
+    if run_over or placement.ends_at is None:
+        parts.caps.release(placement.permit)
+        return
+    _release_later(parts, placement, now)
+
+
+def _release_later(parts: Parts, placement: Placement, now: float) -> None:
+    """Free the unit once the backend server has given the run up too.
+
+    The server hears of a cancelled request, or of its deadline, later than this host:
+    by the network's delay and its own. A unit freed at once would let another request
+    start there meanwhile, and the site would run one more than its cap. The server
+    ends a run by the deadline it was told, and a cancelled one within
+    ``CANCELLED_RUN_SECONDS``, so the sooner of the two is enough.
+    """
+    deadline = placement.ends_at - now + DEADLINE_MARGIN_SECONDS
+    seconds = max(0.0, min(CANCELLED_RUN_SECONDS, deadline))
+    loop = asyncio.get_running_loop()
+    loop.call_later(seconds, parts.caps.release, placement.permit)
 
 
 async def _async_place_on_loan(
--- a/packages/standins/greengagepoint_standins/backend_control.py
+++ b/packages/standins/greengagepoint_standins/backend_control.py
@@ -17,6 +17,7 @@
     ``service_ms`` maps a path prefix to the mean time of a run; the longest prefix
     wins. ``service_sigma`` is the shape of the log-normal distribution (0: constant).
     A pack's bytes are sent at ``pack_bytes_per_second`` (0: as fast as they go).
+    A run that its caller gave up goes on for ``cancel_lag_ms``.
     The first ``cold_requests`` runs take up to ``cold_factor`` times longer. Fields
     that start with ``next_`` count down, one for each request.
     """
@@ -33,6 +34,7 @@
     pack_bytes: int = DEFAULT_PACK_BYTES
     pack_bytes_per_second: float = 0.0
     accept_ranges: bool = True
+    cancel_lag_ms: float = 0.0
     cold_requests: int = 0
     cold_factor: float = 1.0
     leaving: bool = False
--- a/packages/standins/greengagepoint_standins/backend_server.py
+++ b/packages/standins/greengagepoint_standins/backend_server.py
@@ -122,7 +122,7 @@
                 cut(request)
             return self.answer({"expired": request.path}, status=504, ran="unknown")
         finally:
-            self.log.end(run, ended, self.clock())
+            self.end(run, ended)
 
     def start(self, request: web.Request) -> Run:
         """Log that a request runs from now on."""
@@ -140,6 +140,15 @@
         self.load.sample(now)
         return run
 
+    def end(self, run: Run, ended: RunState) -> None:
+        """Log how a run has ended; one given up ends after the lag."""
+        lag = self.control.cancel_lag_ms / 1000
+        if ended is RunState.FINISHED or lag <= 0:
+            self.log.end(run, ended, self.clock())
+            return
+        loop = asyncio.get_running_loop()
+        loop.call_later(lag, lambda: self.log.end(run, ended, self.clock()))
+
     async def async_work(self, request: web.Request) -> web.StreamResponse:
         """Do the work of one run and answer."""
         received = hashlib.sha256()
