Send contacts with one item in eight of an overview too

Cause: the busiest host of 200, a delegate of its zone, sent 1,759 bytes a second. Change: overviews carry contacts as probes do: seldom, and more often while new.

--- a/packages/core/greengagepoint/membership/overview.py
+++ b/packages/core/greengagepoint/membership/overview.py
@@ -4,7 +4,12 @@
 from typing import Final
 
 from greengagepoint.membership.delegates import delegates, sum_region, sum_zone
-from greengagepoint.membership.items import contacts_due, item_to_send, take_in
+from greengagepoint.membership.items import (
+    ITEMS_PER_CONTACTS,
+    contacts_due,
+    item_to_send,
+    take_in,
+)
 from greengagepoint.membership.messages import Overview
 from greengagepoint.membership.tables import Heard, MembershipTables, Send
 from greengagepoint.protocols import Random
@@ -59,19 +64,18 @@
 
 
 def _overview(tables: MembershipTables, sums: list[Heard], *, reply: bool) -> Overview:
-    """Build an overview; the first zone and the first sum carry their contacts."""
-    rows = list(tables.zones.values())
-    tables.items_sent += 1
-    turn = tables.items_sent % len(rows) if rows else 0
-    zones = tuple(
-        item_to_send(row, full=contacts_due(row, index == turn))
+    """Build an overview of this region's zones and some regions."""
+    tables.overviews_sent += 1
+    first = tables.overviews_sent % ITEMS_PER_CONTACTS
+    rows = [*tables.zones.values(), *sums]
+    items = [
+        item_to_send(row, full=contacts_due(row, index % ITEMS_PER_CONTACTS == first))
         for index, row in enumerate(rows)
+    ]
+    count = len(tables.zones)
+    return Overview(
+        zones=tuple(items[:count]), regions=tuple(items[count:]), reply=reply
     )
-    regions = tuple(
-        item_to_send(row, full=contacts_due(row, index == 0))
-        for index, row in enumerate(sums)
-    )
-    return Overview(zones=zones, regions=regions, reply=reply)
 
 
 def _partners(tables: MembershipTables, random: Random) -> list[str]:
--- a/packages/core/greengagepoint/membership/tables.py
+++ b/packages/core/greengagepoint/membership/tables.py
@@ -132,6 +132,7 @@
         self.version = 0
         self.beat = 0
         self.items_sent = 0
+        self.overviews_sent = 0
         self.detail_everywhere = True
         self.present_rows: list[Member] = []
         self.present_version = -1
