Test what two changes to the client left uncovered

Cause: with the check against faults already in force or the local check of a removal taken out, all tests of the client still passed. Change: one test for each; the pages on settings and client are compared with the code; the members of usage are those of core. Conclusion: none beyond the tests.

--- a/packages/cli/greengagepoint_cli/answers.py
+++ b/packages/cli/greengagepoint_cli/answers.py
@@ -2,6 +2,8 @@
 
 from typing import Any, NotRequired, TypedDict
 
+from greengagepoint.usage.counters import UsageLine
+
 
 class DocumentRow(TypedDict):
     """One record in force."""
@@ -135,24 +137,10 @@
     events: list[TimelineEvent]
 
 
-class UsageRow(TypedDict):
-    """What one team sent to one service on one day."""
-
-    day: str
-    team: str
-    service: str
-    requests: int
-    answered: int
-    failed: int
-    not_run: int
-    bytes_in: int
-    bytes_out: int
-
-
 class UsageAnswer(TypedDict):
     """Usage of all teams."""
 
-    rows: list[UsageRow]
+    rows: list[UsageLine]
 
 
 class LookupHost(TypedDict):
--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -7,6 +7,7 @@
 import typer
 
 from greengagepoint.events import CATALOGUE, Event
+from greengagepoint.usage.counters import UsageLine
 from greengagepoint_cli.answers import LookupAnswer, UsageAnswer
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, Output, UsageOutput
@@ -67,17 +68,7 @@
     field("priority", right=True),
     field("weight", right=True),
 )
-USAGE_MEMBERS = (
-    "day",
-    "team",
-    "service",
-    "requests",
-    "answered",
-    "failed",
-    "not_run",
-    "bytes_in",
-    "bytes_out",
-)
+USAGE_MEMBERS = tuple(UsageLine.__annotations__)
 USAGE_COLUMNS = tuple(
     field(name, right=index > 2) for index, name in enumerate(USAGE_MEMBERS)
 )
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -22,7 +22,8 @@
     """One entry host.
 
     ``losing`` replies are cut after the write took effect; ``race`` is a change that
-    another operator gets in before the next one.
+    another operator gets in before the next one; ``foreign`` documents are in force
+    and written by a newer version.
     """
 
     def __init__(self, name="attiki-1"):
@@ -36,6 +37,7 @@
         self.problem = None
         self.race = None
         self.asked = {}
+        self.foreign = []
         self.bodies = []
         self.address = ""
 
@@ -66,7 +68,7 @@
                 "generation": row.generation,
             }
             for row in self.log.rows.values()
-        ]
+        ] + self.foreign
         return web.json_response({"generation": self.log.generation, "documents": rows})
 
     async def async_apply(self, request):
--- a/packages/cli/tests/test_cli_records.py
+++ b/packages/cli/tests/test_cli_records.py
@@ -8,6 +8,7 @@
 from greengagepoint.config.entries import Change
 from greengagepoint.errors import ErrorKind
 from greengagepoint_cli.const import ExitCode
+from greengagepoint_cli.main import create_app
 
 RECORDS = """\
 [[region]]
@@ -146,6 +147,24 @@
     assert ("cap", "athens") not in host.log.rows
 
 
+def test_a_record_of_a_newer_version_does_not_block_others(host, invoke, records):
+    """A newer client wrote a team that this one cannot read. An operator with this one
+    changes other records; only faults that the change itself brings would stop it.
+    """
+    document = {"kind": "team", "name": "ermis", "schema_version": 9, "fields": {}}
+    host.foreign = [document | {"generation": 1}]
+    assert invoke("apply", records, servers=[host]).exit_code == 0
+    assert invoke("validate", records, "--with-current", servers=[host]).exit_code == 0
+
+
+def test_the_page_names_commands_and_exit_codes():
+    page = (Path(__file__).parents[3] / "docs/operators/client.md").read_text()
+    for code in ExitCode:
+        assert f"\n| {code.value} | " in page
+    for command in create_app().registered_commands:
+        assert f"`{command.callback.__name__}" in page
+
+
 def test_wrong_key_is_told_apart(host, invoke, monkeypatch):
     monkeypatch.setenv("GREENGAGEPOINT_OPERATOR_KEY", "not the key")
     result = invoke("get", servers=[host])
--- a/packages/cli/tests/test_cli_state.py
+++ b/packages/cli/tests/test_cli_state.py
@@ -221,7 +221,8 @@
     assert missing.exit_code == ExitCode.RECORD_REFUSED
     blocked = invoke("remove", "region", "attiki", servers=[host])
     assert blocked.exit_code == ExitCode.RECORD_REFUSED
-    assert "no region is called 'attiki'" in blocked.stderr
+    assert "site/athens: region: no region is called 'attiki'" in blocked.stderr
+    assert len(host.bodies) == 1
 
 
 def test_watching_tells_which_hosts_are_behind(pair, invoke, tmp_path):
--- a/packages/node/tests/test_settings_values.py
+++ b/packages/node/tests/test_settings_values.py
@@ -1,5 +1,7 @@
 """Settings: what is taken, what is refused, and what the operator reads."""
 
+from pathlib import Path
+
 import pytest
 from typer.testing import CliRunner
 
@@ -149,8 +151,11 @@
     )
 
 
-def test_every_setting_has_its_flag_and_variable_in_the_help():
+def test_every_setting_stands_in_the_help_and_on_the_page():
     shown = CliRunner().invoke(command(lambda settings: 0), ["--help"]).stdout
+    page = (Path(__file__).parents[3] / "docs/operators/settings.md").read_text()
     for row in SETTINGS:
+        default = f"| `{row.default}` |" if row.default else ""
+        assert f"\n| `{row.flag}` | `{row.variable}` {default}" in page
         assert row.flag in shown
         assert row.variable in shown
