Read the time line's events from the operators' answers

Cause: the renderers took only this package's own JSON, in which an event's number had another key than in the answer to operators, so the client had a second page. Change: the key is `number`; from_lines reads decoded answers; the page names hosts that did not answer. Measured: the tests of these files. Conclusion: the client can use the page with lanes and filters.

--- a/packages/core/greengagepoint/timeline/__init__.py
+++ b/packages/core/greengagepoint/timeline/__init__.py
@@ -8,7 +8,7 @@
     EventRing,
     merge_events,
 )
-from greengagepoint.timeline.wire import decode, encode, parse_kind
+from greengagepoint.timeline.wire import decode, encode, from_lines, parse_kind
 
 __all__ = [
     "EventFilter",
@@ -18,6 +18,7 @@
     "Stamp",
     "decode",
     "encode",
+    "from_lines",
     "merge_events",
     "parse_kind",
     "render_html",
--- a/packages/core/greengagepoint/timeline/page.py
+++ b/packages/core/greengagepoint/timeline/page.py
@@ -27,7 +27,7 @@
 </style>
 </head>
 <body>
-<h1>$title</h1>
+<h1>$title</h1>$missing
 <form>
 <label>request id <input name="requestId"></label>
 <label>team <input name="team"></label>
--- a/packages/core/greengagepoint/timeline/render.py
+++ b/packages/core/greengagepoint/timeline/render.py
@@ -23,18 +23,27 @@
     return "".join(f"{_text_line(occurrence)}\n" for occurrence in occurrences)
 
 
-def render_html(occurrences: Sequence[Occurrence], title: str = "Time line") -> str:
+def render_html(
+    occurrences: Sequence[Occurrence],
+    missing: Sequence[str] = (),
+    title: str = "Time line",
+) -> str:
     """Return a page that needs nothing else, with a lane a host and filter boxes.
 
-    All that comes from events is escaped and stands in the rows only, never in the
-    script.
+    ``missing`` names hosts that did not answer. All that comes from events is escaped
+    and stands in the rows only, never in the script.
     """
     hosts = sorted({occurrence.host for occurrence in occurrences})
     lanes = hosts if len(hosts) <= LANES_MAX else []
     rows = "\n".join(_row(occurrence, lanes) for occurrence in occurrences)
     heads = "".join(f"<th>{escape(host)}</th>" for host in lanes or ["host"])
+    mute = f"<p>No answer from: {escape(', '.join(missing))}.</p>" if missing else ""
     return PAGE.substitute(
-        title=escape(title), count=len(occurrences), heads=heads, rows=rows
+        title=escape(title),
+        count=len(occurrences),
+        missing=mute,
+        heads=heads,
+        rows=rows,
     )
 
 
--- a/packages/core/greengagepoint/timeline/wire.py
+++ b/packages/core/greengagepoint/timeline/wire.py
@@ -1,6 +1,6 @@
 """Carry events between hosts and the operators' client as JSON."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import UTC, datetime
 from typing import Any, Final, TypedDict
 
@@ -19,7 +19,7 @@
     clock: tuple[int, int]
     time: str
     host: str
-    event: int
+    number: int
     name: str
     level: str
     meaning: str
@@ -31,7 +31,7 @@
 
     clock: tuple[int, int]
     host: str
-    event: int
+    number: int
     fields: dict[str, Any] = {}
 
 
@@ -65,7 +65,7 @@
         clock=tuple(occurrence.clock),
         time=time_text(occurrence.clock[0]),
         host=occurrence.host,
-        event=int(event),
+        number=int(event),
         name=event_name(event),
         level=str(event_level(event)),
         meaning=row.meaning if row else UNKNOWN_MEANING,
@@ -84,10 +84,16 @@
 
     Raise ``msgspec.MsgspecError`` when the data isn't such a list.
     """
-    return [
-        Occurrence(Stamp(*one.clock), one.host, _event(one.event), one.fields)
-        for one in DECODER.decode(data)
-    ]
+    return [_occurrence(one) for one in DECODER.decode(data)]
+
+
+def from_lines(lines: Iterable[Mapping[str, Any]]) -> list[Occurrence]:
+    """Read events back from lines that were already decoded.
+
+    Raise ``msgspec.ValidationError`` when a line isn't one.
+    """
+    rows = msgspec.convert(list(lines), list[WireEvent])
+    return [_occurrence(row) for row in rows]
 
 
 def parse_kind(text: str) -> Event:
@@ -104,6 +110,11 @@
     raise ValueError(f"no event is named {text!r}{hint}")
 
 
+def _occurrence(row: WireEvent) -> Occurrence:
+    """Return the event that was carried."""
+    return Occurrence(Stamp(*row.clock), row.host, _event(row.number), row.fields)
+
+
 def _event(number: int) -> Event:
     """Return the event of a number, or the bare number of a newer version."""
     return Event(number) if number in CATALOGUE else number
--- a/packages/core/tests/test_timeline_render.py
+++ b/packages/core/tests/test_timeline_render.py
@@ -8,8 +8,15 @@
 from hypothesis import strategies as st
 
 from greengagepoint.events import Event, Occurrence
-from greengagepoint.timeline import decode, encode, parse_kind, render_html, render_text
-from greengagepoint.timeline.wire import time_text
+from greengagepoint.timeline import (
+    decode,
+    encode,
+    from_lines,
+    parse_kind,
+    render_html,
+    render_text,
+)
+from greengagepoint.timeline.wire import line, time_text
 
 EVENTS = [
     Occurrence(
@@ -77,7 +84,8 @@
 
 def test_many_hosts_share_one_column():
     events = [Occurrence((n, 0), f"h{n}", Event.HOST_ALIVE, {}) for n in range(20)]
-    page = render_html(events)
+    page = render_html(events, missing=["<h20>"])
+    assert "No answer from: &lt;h20&gt;." in page
     assert page.count("<th>") == 2
     assert "h19: <i>host_alive</i>" in page
 
@@ -85,6 +93,7 @@
 def test_json_round_trip_keeps_events_of_newer_versions():
     newer = Occurrence((5, 0), "h", 9999, {"x": 1})
     assert decode(encode([*EVENTS, newer])) == [*EVENTS, newer]
+    assert from_lines([line(newer)]) == [newer]
     assert "9999" in render_text([newer]) and "9999" in render_html([newer])
     with pytest.raises(msgspec.MsgspecError):
         decode(b'[{"host": 1}]')
