Wait longer for a committer whose store is slow

Cause: with a store of 400 ms every host gave its committer up after 0.31 s and wrote alone, which makes a slow store slower. An unexpected error of one write left its claims waiting. Change: patience follows the time of a committer's answers, up to the bound of a store call; the writing of batches is a module of its own; an unexpected error is recorded and the claims are settled by reading. Conclusion: a slow store is no longer asked by everybody.

--- a/packages/node/greengagepoint_node/coordinators/claims.py
+++ b/packages/node/greengagepoint_node/coordinators/claims.py
@@ -56,7 +56,7 @@
         self.table = ClaimTable()
         self.last_write_number = 0
         self.abandoned = AbandonedClaims(context)
-        self.memory_only = MemoryOnlyClaims(self.writer)
+        self.memory_only = MemoryOnlyClaims(self.writer.committer)
         self.store_down = False
         self.probing = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -197,7 +197,7 @@
                 return verdict
             # Absent: a reply was lost before the write took effect, or the holder
             # has released the key. Writing again is safe with the same write id.
-            created = await self.writer.async_create_here(ClaimItem(key, raw))
+            created = await self.writer.committer.async_create(ClaimItem(key, raw))
         raise StoreError("The claim could not be settled")
 
     async def _async_look(self, key: str, value: ClaimValue) -> Verdict | None:
--- a/packages/node/greengagepoint_node/coordinators/claims_cleanup.py
+++ b/packages/node/greengagepoint_node/coordinators/claims_cleanup.py
@@ -7,7 +7,7 @@
 from greengagepoint.delivery.claims import ClaimValue, decode
 from greengagepoint.errors import ErrorKind, StoreError
 from greengagepoint_node.context import Context
-from greengagepoint_node.coordinators.claims_writer import STORE_CALL_SECONDS
+from greengagepoint_node.coordinators.claims_committer import STORE_CALL_SECONDS
 
 # A write that was given up may still take effect, late or through a doubled
 # message, so each is looked for again after these times.
--- a/packages/node/greengagepoint_node/coordinators/claims_memory.py
+++ b/packages/node/greengagepoint_node/coordinators/claims_memory.py
@@ -6,7 +6,7 @@
 from greengagepoint.delivery.claims import encode
 from greengagepoint.delivery.committers import CLAIMS_PER_WRITE_MAX
 from greengagepoint.errors import ErrorKind, RequestError, StoreError
-from greengagepoint_node.coordinators.claims_writer import ClaimWriter
+from greengagepoint_node.coordinators.claims_committer import ClaimCommitter
 
 MEMORY_ONLY_MAX: Final = 20_000
 
@@ -14,8 +14,8 @@
 class MemoryOnlyClaims:
     """Claims that no other host can see, by store key."""
 
-    def __init__(self, writer: ClaimWriter) -> None:
-        self.writer = writer
+    def __init__(self, committer: ClaimCommitter) -> None:
+        self.committer = committer
         self.rows: dict[str, ClaimRow] = {}
 
     def __bool__(self) -> bool:
@@ -45,7 +45,7 @@
             return True
         items = [(key, encode(row.value)) for key, row in rows]
         try:
-            await self.writer.async_store(items)
+            await self.committer.async_store(items)
         except StoreError:
             return False
         for key, row in rows:
--- a/packages/node/tests/test_claims_protocol.py
+++ b/packages/node/tests/test_claims_protocol.py
@@ -11,6 +11,7 @@
 from greengagepoint.delivery.answers import StoredAnswer
 from greengagepoint.delivery.messages import ClaimBatch, ClaimItem, ClaimResults
 from greengagepoint.errors import ErrorKind, GreengagepointError, Ran
+from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.schemas import StoreOutage
 from greengagepoint_node.context import Context
@@ -82,6 +83,7 @@
     def restart(self, name):
         """Lose a host with all it knows, and start it again."""
         old = self.hosts[name]
+        old.writer.committer.close()
         for task in old.tasks | old.writer.tasks:
             task.cancel()
         identity = self.identities[name]
@@ -385,3 +387,51 @@
     slowest, messages = run(scenario())
     assert slowest <= 0.01
     assert messages >= 1
+
+
+def test_a_slow_store_does_not_make_hosts_give_their_committer_up():
+    """The store takes 400 ms. At first the others don't wait that long and write by
+    themselves; after its late answers they do, and no longer burden the store.
+    """
+
+    async def scenario():
+        fleet = Fleet(MemoryStore(delay=lambda: 0.4))
+        writers = {name: host.writer for name, host in fleet.hosts.items()}
+        for writer in writers.values():
+            writer.take_direct = lambda: False
+            writer.choose_committer("k")
+        others = [name for name in HOSTS if name not in writer.committers]
+        counts = []
+        for part in range(2):
+            claims = []
+            for number in range(80):
+                await asyncio.sleep(0.05)
+                name = others[number % 2]
+                claims.append(
+                    asyncio.ensure_future(fleet.claim(name, key=f"{part}{number}"))
+                )
+            await asyncio.gather(*claims)
+            counts.append(sum(writers[name].committer.writes for name in others))
+        return counts
+
+    first, second = run(scenario())
+    assert second == first
+
+
+def test_an_unexpected_error_of_one_write_does_not_strand_its_claims():
+    async def scenario():
+        store = MemoryStore()
+        fleet = Fleet(store)
+        create = store.create
+
+        async def broken_once(items, *, lease):
+            store.create = create
+            raise ValueError("unexpected")
+
+        store.create = broken_once
+        await fleet.claim(fleet.hosts[HOSTS[0]].writer.committers[0])
+        return fleet.events, asyncio.get_running_loop().time()
+
+    events, elapsed = run(scenario())
+    assert events == [Event.INTERNAL_ERROR, Event.KEY_CLAIMED]
+    assert elapsed <= 0.1
