Keep floods on the peer port out of the time line

Cause: each refused message was an event of its own, so a sender without the key could overwrite the ring of 4,096 events, and messages to a lost region likewise. Change: the links record five events of each number a second and tell the number left out. The tests reach the sink through the cluster, as the links hold a limiter. Conclusion: counters stay exact; only events are limited.

--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -17,6 +17,7 @@
     RejectedError,
     Rejection,
 )
+from greengagepoint_node.peer_events import LimitedEvents
 from greengagepoint_node.peer_sender import PeerCounters, PeerSender
 from greengagepoint_node.peer_statistics import count_refused
 
@@ -56,12 +57,12 @@
         self.listen_address = listen_address
         self.bound_address = ""
         self.known = known or (lambda name: address_of(name) is not None)
-        self.events = events
+        self.events = LimitedEvents(events)
         self.clock_seen = clock_seen
         self.codec = PeerCodec(host, incarnation, key, types)
         self.counters = PeerCounters()
         self.sender = PeerSender(
-            self.codec, self.counters, address_of, events, clock_now
+            self.codec, self.counters, address_of, self.events, clock_now
         )
         self.callbacks: dict[type, list[Callable[[str, Any], None]]] = {}
         self.listener: pynng.Pull0 | None = None
--- a/packages/node/tests/test_peers_links.py
+++ b/packages/node/tests/test_peers_links.py
@@ -11,6 +11,7 @@
 from greengagepoint.events import Event
 from greengagepoint_node import peer_sender
 from greengagepoint_node.peer_codec import PeerCodec, Rejection
+from greengagepoint_node.peer_events import MAX_EVENTS_PER_SECOND, LimitedEvents
 from greengagepoint_node.peer_link import (
     MAX_QUEUED_MESSAGES,
     MAX_QUEUED_SECONDS,
@@ -54,16 +55,18 @@
     def __init__(self):
         self.addresses = {}
         self.links = {}
+        self.events = {}
         self.seen = []
 
     async def async_add(self, name, *, incarnation=1, known=None):
+        self.events[name] = Events()
         links = PeerLinks(
             host=name,
             incarnation=incarnation,
             listen_address="127.0.0.1:0",
             key=KEY,
             address_of=self.addresses.get,
-            events=Events(),
+            events=self.events[name],
             clock_now=lambda: (5, 1),
             clock_seen=self.seen.append,
             known=known,
@@ -113,11 +116,13 @@
         for data in (b"", b"\x00" * 100, forged.encode("two", (1, 1), [Grant(9)])):
             await stranger.asend(data)
         while two.counters.rejected < 3:
-            two.events.changed.clear()
-            await two.events.changed.wait()
+            cluster.events["two"].changed.clear()
+            await cluster.events["two"].changed.wait()
     one.send("two", Grant(1))
     assert await inbox.get() == ("one", Grant(1))
-    assert [(event, fields["reason"]) for event, fields in two.events.rows] == [
+    assert [
+        (event, fields["reason"]) for event, fields in cluster.events["two"].rows
+    ] == [
         (Event.PEER_MESSAGE_REJECTED, Rejection.TOO_SHORT),
         (Event.PEER_MESSAGE_REJECTED, Rejection.WRONG_MAC),
         (Event.PEER_MESSAGE_REJECTED, Rejection.WRONG_MAC),
@@ -139,10 +144,10 @@
     while await reader.read(100):
         pass
     writer.close()
-    await two.events.async_wait_for(Event.PEER_MESSAGE_REJECTED)
+    await cluster.events["two"].async_wait_for(Event.PEER_MESSAGE_REJECTED)
     one.send("two", Grant(1))
     assert await inbox.get() == ("one", Grant(1))
-    ((_, fields),) = two.events.rows
+    ((_, fields),) = cluster.events["two"].rows
     assert fields["reason"] == Rejection.NOT_A_PEER
 
 
@@ -158,7 +163,9 @@
     one.send("two", Beat(1))
     assert await beats.get() == ("one", Beat(1))
     assert grants.empty()
-    assert two.events.rows == [(Event.PEER_UNKNOWN, {"peer": "one", "count": 1})]
+    assert cluster.events["two"].rows == [
+        (Event.PEER_UNKNOWN, {"peer": "one", "count": 1})
+    ]
 
 
 async def test_a_peer_that_is_gone_costs_its_queue_and_no_more(cluster):
@@ -175,7 +182,7 @@
     one.send("two", Grant(1))
     assert await inbox.get() == ("one", Grant(1))
     assert one.counters.dropped == 2
-    assert one.events.rows[0] == (
+    assert cluster.events["one"].rows[0] == (
         Event.PEER_MESSAGE_DROPPED,
         {"peer": "gone", "count": 1, "reason": "queue_full"},
     )
@@ -184,7 +191,7 @@
 async def test_a_host_without_an_address_is_refused_at_once(cluster):
     one = await cluster.async_add("one")
     assert not one.send("nobody", Grant(1))
-    assert one.events.rows[0][1]["reason"] == "no_address"
+    assert cluster.events["one"].rows[0][1]["reason"] == "no_address"
 
 
 async def test_a_restarted_peer_is_reached_at_its_new_port(cluster):
@@ -212,11 +219,11 @@
     inbox = inbox_of(two, Grant)
     one.send("two", Grant(1))
     await inbox.get()
-    assert [row[0] for row in two.events.rows] == [Event.INTERNAL_ERROR]
+    assert [row[0] for row in cluster.events["two"].rows] == [Event.INTERNAL_ERROR]
     unsubscribe()
     one.send("two", Grant(2))
     await inbox.get()
-    assert len(two.events.rows) == 1
+    assert len(cluster.events["two"].rows) == 1
 
 
 async def test_a_type_that_is_not_registered_cannot_be_subscribed_to(cluster):
@@ -245,3 +252,24 @@
         one.send(name, Grant(1))
         assert await inbox.get() == ("one", Grant(1))
         assert list(one.sender.links) == [name]
+
+
+def test_a_flood_leaves_a_few_events_and_their_number():
+    """Someone floods the peer port. Five events a second are kept, later ones tell how
+    many were left out, and events of other numbers are not held back.
+    """
+    now = 100.0
+    sink = Events()
+    limited = LimitedEvents(sink, lambda: now)
+    for _ in range(1_000):
+        limited.record(Event.PEER_MESSAGE_REJECTED)
+    limited.record(Event.PEER_UNKNOWN)
+    now = 101.0
+    limited.record(Event.PEER_MESSAGE_REJECTED)
+    limited.record(Event.PEER_MESSAGE_REJECTED)
+    assert sink.rows == [
+        *[(Event.PEER_MESSAGE_REJECTED, {})] * MAX_EVENTS_PER_SECOND,
+        (Event.PEER_UNKNOWN, {}),
+        (Event.PEER_MESSAGE_REJECTED, {"left_out": 1_000 - MAX_EVENTS_PER_SECOND}),
+        (Event.PEER_MESSAGE_REJECTED, {}),
+    ]
