Borrow without giving back, and ask silent lenders again

Cause: a borrower that asked one lender for more returned what it held of another, trimmed loans below the fair part, kept spare units in a shortage, and never again asked a lender that once had not answered.

Change: keep what is held and want the rest of one lender; no spare part in a shortage; a fair part among those that want units; a request that timed out is forgotten. A witness counts an owner as unseen from its last sign of life.

--- a/packages/core/greengagepoint/caps/borrowing.py
+++ b/packages/core/greengagepoint/caps/borrowing.py
@@ -7,6 +7,7 @@
 from greengagepoint.caps.const import (
     ASK_TIMEOUT_SECONDS,
     DEMAND_WINDOW_SECONDS,
+    KEEP_SECONDS,
     LOAN_SECONDS,
     SHORT_SECONDS,
     SHORT_SECONDS_MAX,
@@ -32,16 +33,19 @@
     """Start a new demand window where the last one is over."""
     if now - site.window_start < DEMAND_WINDOW_SECONDS:
         return
+    if site.peak:
+        site.active_at = now
     site.recent_peak = site.peak
     site.peak = site.in_flight + site.borrowed_in_flight
     site.window_start = now
 
 
-def demand(site: Site) -> int:
+def demand(site: Site, now: float) -> int:
     """Return how many units this host can use toward a site.
 
-    The recent peak and a spare part. Refusals count into the peak, but double what
-    is in flight at most, as many refusals may stand for few requests at once.
+    The recent peak, and a spare part while there is enough. Refusals count into the
+    peak, but double what is in flight at most, as many refusals may stand for few
+    requests at once.
     """
     if site.refused:
         in_flight = site.in_flight + site.borrowed_in_flight
@@ -49,7 +53,15 @@
         site.peak = max(site.peak, in_flight + more)
         site.refused = 0
     peak = max(site.peak, site.recent_peak)
-    return min(peak + ceil(peak * SPARE_PART), site.limit)
+    if _is_scarce(site):
+        return min(peak, site.limit)
+    kept = 1 if now - site.active_at < KEEP_SECONDS else 0
+    return min(max(peak + ceil(peak * SPARE_PART), kept), site.limit)
+
+
+def _is_scarce(site: Site) -> bool:
+    """Tell whether no lender had a unit left when it last answered."""
+    return bool(site.loans) and not any(loan.lendable for loan in site.loans.values())
 
 
 def ask(table: CapsTable, site_names: Iterable[str], now: float) -> list[Outgoing]:
@@ -69,27 +81,49 @@
 ) -> None:
     """Spread a site's demand over its lenders, and list those to be asked now."""
     refresh_owners(table, site)
-    wanted = demand(site) - site.in_flight - max(0, free_units(table, site))
-    keys = [owner_key(host.name, host.incarnation) for host in site.lenders]
-    for key, host in zip(keys, site.lenders, strict=True):
-        lender = table.lenders.setdefault(key, Lender(host.name, host.incarnation))
+    wanted = demand(site, now) - site.in_flight - max(0, free_units(table, site))
+    keys = _lender_keys(table, site)
+    for key, want in _spread(site, keys, max(0, wanted), now).items():
         loan = site.loans.get(key)
-        if loan is None and wanted <= 0:
-            continue
-        loan = loan or site.loans.setdefault(key, Loan())
-        want = _part_for(loan, max(0, wanted), now)
-        wanted -= want
-        if _may_ask(lender, now) and _is_ask_due(loan, want, now):
+        if loan is None:
+            loan = site.loans[key] = Loan()
+        if _may_ask(table.lenders[key], now) and _is_ask_due(loan, want, now):
             wants.setdefault(key, []).append(_want(site, loan, want))
     for key in site.loans.keys() - keys:
         _return_loan(table, site, key, wants, now)
 
 
-def _part_for(loan: Loan, wanted: int, now: float) -> int:
-    """Return how much of a demand one lender is asked for."""
-    if now < loan.short_until:
-        return min(wanted, loan.units)
-    return wanted
+def _lender_keys(table: CapsTable, site: Site) -> list[str]:
+    """Return the keys of a site's lenders in the order of asking."""
+    keys = []
+    for host in site.lenders:
+        key = owner_key(host.name, host.incarnation)
+        table.lenders.setdefault(key, Lender(host.name, host.incarnation))
+        keys.append(key)
+    return keys
+
+
+def _spread(site: Site, keys: list[str], wanted: int, now: float) -> dict[str, int]:
+    """Return how many units to want of each lender.
+
+    First what is held already, so that asking one lender for more gives nothing back
+    to another; the rest from the first lender that is not short.
+    """
+    wants = {}
+    for key in keys:
+        loan = site.loans.get(key)
+        if loan is None:
+            continue
+        wants[key] = min(loan.units, wanted)
+        wanted -= wants[key]
+    if not wanted:
+        return wants
+    for key in keys:
+        loan = site.loans.get(key)
+        if loan is None or now >= loan.short_until:
+            wants[key] = wants.get(key, 0) + wanted
+            break
+    return wants
 
 
 def _may_ask(lender: Lender, now: float) -> bool:
@@ -193,6 +227,7 @@
             if loan is not None:
                 _back_off(loan, now)
                 loan.lendable = 0
+        lender.asked = None
 
 
 def _back_off(loan: Loan, now: float) -> None:
--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -15,14 +15,11 @@
 """How long after its last confirmation an owner may use its share."""
 
 VOUCH_INTERVAL_SECONDS: Final = 2.0
-HEARD_SECONDS: Final = 2.5 * VOUCH_INTERVAL_SECONDS
-"""How long an owner counts as seen after it asked this host to vouch."""
-
 FENCE_SECONDS: Final = 1.0
 """A longer gap between two ticks makes a host give up its rights."""
 
-VOTE_AFTER_SECONDS: Final = 2.0
-"""How long a host must be gone before a witness votes it out."""
+VOTE_AFTER_SECONDS: Final = 2.5 * VOUCH_INTERVAL_SECONDS
+"""How long an owner must be unseen before a witness votes it out."""
 
 CLOCK_RATE_ERROR: Final = 0.01
 """Bound on how much faster one host's clock runs than another's."""
@@ -35,7 +32,10 @@
 
 SHORT_SECONDS_MAX: Final = 2.0
 
-DEMAND_WINDOW_SECONDS: Final = 1.0
+DEMAND_WINDOW_SECONDS: Final = 0.5
+KEEP_SECONDS: Final = 5.0
+"""How long one unit is kept after the last request, to save the next one a wait."""
+
 LENDABLE_AGE_SECONDS: Final = 5.0
 LEDGER_POLL_SECONDS: Final = 30.0
 PLAN_INTERVAL_SECONDS: Final = 0.5
--- a/packages/core/greengagepoint/caps/lending.py
+++ b/packages/core/greengagepoint/caps/lending.py
@@ -147,5 +147,8 @@
 
 def fair_part(table: CapsTable, site: Site) -> int:
     """Return the part of one claimant when all of a site's units are wanted."""
-    claimants = sum(1 for b in table.borrowers.values() if site.name in b.lent)
-    return site.owned // (claimants + 1)
+    lent = (b.lent.get(site.name) for b in table.borrowers.values())
+    claimants = sum(1 for loan in lent if loan is not None and loan.wanted)
+    if site.in_flight:
+        claimants += 1
+    return site.owned // max(1, claimants)
--- a/packages/core/greengagepoint/caps/owners.py
+++ b/packages/core/greengagepoint/caps/owners.py
@@ -1,9 +1,8 @@
 """Choose who owns a site and who is witness, from the view of live hosts."""
 
 from collections.abc import Iterable, Sequence
-from math import inf
 
-from greengagepoint.caps.const import HEARD_SECONDS, OWNERS_A_SITE, WITNESSES
+from greengagepoint.caps.const import OWNERS_A_SITE, WITNESSES
 from greengagepoint.caps.ledger import owner_key, owner_name
 from greengagepoint.caps.tables import CapsTable, Site
 from greengagepoint.config.watchers import rank
@@ -20,7 +19,7 @@
         table.live = live
         table.live_version += 1
         table.region_hosts = _by_region(live.values())
-    _note_gone(table, now)
+    _note_seen(table, now)
 
 
 def _by_region(
@@ -39,21 +38,19 @@
     return host is not None and owner_key(host.name, host.incarnation) == key
 
 
-def _note_gone(table: CapsTable, now: float) -> None:
-    """Note since when each owner in the ledger has been gone without a break.
+def _note_seen(table: CapsTable, now: float) -> None:
+    """Note when each owner in the ledger was last seen live.
 
     In a large fleet a witness may not have the owner in its view, so an owner that
-    asks it to vouch counts as seen.
+    asks it to vouch counts as seen, too.
     """
     for key in table.ledger.owners:
-        heard = table.heard.get(key, -inf)
-        if key == table.me or is_live(table, key) or now - heard < HEARD_SECONDS:
-            table.gone_since.pop(key, None)
+        if is_live(table, key):
+            table.seen_at[key] = now
         else:
-            table.gone_since.setdefault(key, now)
-    for rows in (table.gone_since, table.heard):
-        for key in rows.keys() - table.ledger.owners.keys():
-            del rows[key]
+            table.seen_at.setdefault(key, now)
+    for key in table.seen_at.keys() - table.ledger.owners.keys():
+        del table.seen_at[key]
 
 
 def refresh_owners(table: CapsTable, site: Site) -> None:
--- a/packages/core/greengagepoint/caps/planning.py
+++ b/packages/core/greengagepoint/caps/planning.py
@@ -10,6 +10,7 @@
     RECLAIM_RANK_SECONDS,
     REGION_KEY,
     VOTE_AFTER_SECONDS,
+    VOUCH_INTERVAL_SECONDS,
     quarantine_seconds,
 )
 from greengagepoint.caps.ledger import (
@@ -129,9 +130,10 @@
         if key == table.me:
             continue
         votes = dict(entry.votes)
-        if key not in table.gone_since:
+        unseen = now - table.seen_at.get(key, now)
+        if unseen <= VOUCH_INTERVAL_SECONDS:
             votes.pop(table.host.name, None)
-        elif _should_vote(table, key, entry, now):
+        elif unseen >= VOTE_AFTER_SECONDS and _may_vote(table, entry):
             table.votes_cast += 1
             votes[table.host.name] = f"{table.me}.{table.votes_cast}"
             voted.append(key)
@@ -140,14 +142,12 @@
     return tuple(voted)
 
 
-def _should_vote(table: CapsTable, key: str, entry: Entry, now: float) -> bool:
-    """Tell whether this host is a witness of a lost owner and its vote is missing."""
+def _may_vote(table: CapsTable, entry: Entry) -> bool:
+    """Tell whether this host is a witness of an owner and its vote is missing."""
     if is_voted_out(entry) or table.host.name in entry.votes:
         return False
     names = {owner_name(witness) for witness in entry.witnesses}
-    if table.host.name not in names:
-        return False
-    return now - table.gone_since.get(key, now) >= VOTE_AFTER_SECONDS
+    return table.host.name in names
 
 
 def _plan_own(table: CapsTable, ledger: Ledger, now: float) -> Entry | None:
--- a/packages/core/greengagepoint/caps/rights.py
+++ b/packages/core/greengagepoint/caps/rights.py
@@ -167,7 +167,7 @@
     """
     if request.witness != table.host.incarnation:
         return None
-    table.heard[f"{owner}#{request.owner}"] = now
+    table.seen_at[f"{owner}#{request.owner}"] = now
     if f"{owner}#{request.owner}" in table.voted:
         return None
     return Vouch(request.owner, request.witness, request.sequence)
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -65,6 +65,7 @@
     peak: int = 0
     recent_peak: int = 0
     window_start: float = -inf
+    active_at: float = -inf
     starved_at: float = -inf
     starved_by: str = ""
     owners: tuple[HostIdentity, ...] = ()
@@ -154,8 +155,7 @@
     leaving: bool = False
     # Witness work: owners voted out, by base revision of the vote's write.
     voted: dict[str, int] = field(default_factory=dict)
-    gone_since: dict[str, float] = field(default_factory=dict)
-    heard: dict[str, float] = field(default_factory=dict)
+    seen_at: dict[str, float] = field(default_factory=dict)
     evidence: dict[str, DeadEvidence] = field(default_factory=dict)
     departed: frozenset[str] = frozenset()
     votes_cast: int = 0
