Share the timed network between the claims' tests and their measurement

Cause: both carried messages with code of their own. Change: one network with drawn delays in the stand-ins; the bound on store writes stands beside the measured figure. Conclusion: one fake less.

--- a/measure/claims.py
+++ b/measure/claims.py
@@ -3,18 +3,18 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from greengagepoint.delivery.answers import ClaimRow, ClaimTable, put
 from greengagepoint.delivery.claims import CLAIMS_PREFIX, ClaimValue, encode
 from greengagepoint.errors import GreengagepointError
-from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.schemas import StoreOutage
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.claims import ClaimsCoordinator
 from greengagepoint_standins import virtual_time
 from greengagepoint_standins.memory_store import MemoryStore
+from greengagepoint_standins.timed_network import EventList, TimedBus, TimedNetwork
 from measure.figure import Figure
 
 SEED: Final = 7
@@ -27,6 +27,7 @@
 STORE_SECONDS: Final = 0.003
 STORE_CALLS_PER_SECOND: Final = 300
 WAIT_MAX_SECONDS: Final = 2.0
+STORE_WRITES_MAX: Final = 200.0
 
 
 class PacedStore(MemoryStore):
@@ -43,38 +44,6 @@
         return self.free_at - now + STORE_SECONDS
 
 
-class Bus:
-    """One host's link to the others, with a fixed delay."""
-
-    def __init__(self, name: str, callbacks: dict[tuple[str, type], Callable]) -> None:
-        self.name = name
-        self.callbacks = callbacks
-        self.sent = 0
-
-    def send(self, host: str, message: object) -> bool:
-        """Deliver a message after the delay."""
-        self.sent += 1
-        callback = self.callbacks.get((host, type(message)))
-        if callback is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(PEER_SECONDS, callback, self.name, message)
-        return True
-
-    def subscribe(
-        self, message_type: type, callback: Callable[[str, Any], None]
-    ) -> Callable[[], None]:
-        """Register a callback."""
-        self.callbacks[self.name, message_type] = callback
-        return lambda: None
-
-
-class Silent:
-    """Keep no events."""
-
-    def record(self, event: Event, **fields: Any) -> None:
-        """Drop the event."""
-
-
 class Load:
     """Claims that come to a fleet at a rate, and what became of them."""
 
@@ -84,27 +53,25 @@
         self.store = PacedStore()
         self.waits: list[float] = []
         self.failed = 0
-        callbacks: dict[tuple[str, type], Callable] = {}
+        self.network = TimedNetwork(lambda: (PEER_SECONDS,))
         self.identities = [
             HostIdentity(f"{region}-{number}", 1, region, region, "", "")
             for region in REGIONS
             for number in range(HOSTS_PER_REGION)
         ]
-        self.buses = [Bus(host.name, callbacks) for host in self.identities]
-        self.hosts = [
-            ClaimsCoordinator(
-                Context(
-                    host=host,
-                    clock=virtual_time.VirtualClock(),
-                    random=random.Random(SEED),
-                    store=self.store,
-                    peers=bus,
-                    events=Silent(),
-                ),
-                lambda: self.identities,
-            )
-            for host, bus in zip(self.identities, self.buses, strict=True)
-        ]
+        self.hosts = [self.start(host) for host in self.identities]
+
+    def start(self, host: HostIdentity) -> ClaimsCoordinator:
+        """Return the coordinator of one host."""
+        context = Context(
+            host=host,
+            clock=virtual_time.VirtualClock(),
+            random=random.Random(SEED),
+            store=self.store,
+            peers=TimedBus(self.network, host.name),
+            events=EventList(),
+        )
+        return ClaimsCoordinator(context, lambda: self.identities)
 
     async def claim_in_batch(self, number: int) -> None:
         """Claim a key as the daemon does."""
@@ -161,7 +128,7 @@
     label = f"at {rate} claims/s of 12 hosts"
     other = "a write for each claim"
     claims = len(ours.waits) + ours.failed
-    messages = sum(bus.sent for bus in ours.buses)
+    messages = ours.network.sent
     return [
         Figure(
             f"claims: store writes {label}",
@@ -169,6 +136,7 @@
             "writes/s",
             plain.store.writes / ours.seconds,
             other,
+            limit=STORE_WRITES_MAX,
         ),
         Figure(
             f"claims: median wait {label}",
--- a/packages/node/tests/test_claims_protocol.py
+++ b/packages/node/tests/test_claims_protocol.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -17,54 +16,31 @@
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.claims import Claim, ClaimsCoordinator
 from greengagepoint_standins.memory_store import MemoryStore, StoreFault
+from greengagepoint_standins.timed_network import EventList, TimedBus, TimedNetwork
 from greengagepoint_standins.virtual_time import VirtualClock, run
 
 HOSTS = ("entry-1", "entry-2", "entry-3")
 ANSWER = StoredAnswer(201, (("Content-Type", "text/plain"),), b"reserved")
-MESSAGE_FATES = ("deliver", "drop", "double", "late")
 
 
-class Network:
-    """Deliver messages between hosts, each with a drawn fate."""
+DELAYS = {"deliver": [0.001], "drop": [], "double": [0.001, 0.4], "late": [1.0]}
 
-    def __init__(self, next_fate=lambda: "deliver"):
-        self.next_fate = next_fate
-        self.callbacks = {}
 
-    def bus(self, name):
-        return SimpleNamespace(
-            send=lambda host, message: self.send(name, host, message),
-            subscribe=lambda kind, callback: self.subscribe(name, kind, callback),
-        )
-
-    def subscribe(self, name, kind, callback):
-        self.callbacks[name, kind] = callback
-        return lambda: self.callbacks.pop((name, kind), None)
-
-    def send(self, sender, host, message):
-        delays = {"deliver": [0.001], "drop": [], "double": [0.001, 0.4], "late": [1]}
-        for delay in delays[self.next_fate()]:
-            asyncio.get_running_loop().call_later(
-                delay, self.deliver, sender, host, message
-            )
-        return True
-
-    def deliver(self, sender, host, message):
-        callback = self.callbacks.get((host, type(message)))
-        if callback is not None:
-            callback(sender, message)
+def network(next_fate=lambda: "deliver"):
+    """Return a network that draws the fate of each message."""
+    return TimedNetwork(lambda: DELAYS[next_fate()])
 
 
 class Fleet:
     """Three hosts of one region over one store."""
 
-    def __init__(self, store, network=None):
+    def __init__(self, store, links=None):
         self.store = store
-        self.network = network or Network()
+        self.network = links or network()
+        self.events = EventList()
         self.identities = {
             name: HostIdentity(name, 1, "attiki", "attiki-1", "", "") for name in HOSTS
         }
-        self.events = []
         self.hosts = {name: self.start(name) for name in HOSTS}
 
     def start(self, name):
@@ -73,10 +49,8 @@
             clock=VirtualClock(),
             random=random.Random(1),
             store=self.store,
-            peers=self.network.bus(name),
-            events=SimpleNamespace(
-                record=lambda event, **fields: self.events.append(event)
-            ),
+            peers=TimedBus(self.network, name),
+            events=self.events,
         )
         return ClaimsCoordinator(context, lambda: self.identities.values())
 
@@ -91,9 +65,8 @@
         self.hosts[name] = self.start(name)
 
     async def claim(self, name, digest="digest", outage=StoreOutage.REFUSE, key="k"):
-        return await self.hosts[name].async_claim(
-            "booking", "ermis", key, digest, outage
-        )
+        host = self.hosts[name]
+        return await host.async_claim("booking", "ermis", key, digest, outage)
 
 
 async def outcome(awaitable):
@@ -119,7 +92,7 @@
 @given(
     REQUESTS,
     st.lists(st.sampled_from(list(StoreFault)), max_size=12),
-    st.lists(st.sampled_from(MESSAGE_FATES), max_size=8),
+    st.lists(st.sampled_from(list(DELAYS)), max_size=8),
 )
 def test_a_key_runs_at_most_once(requests, store_faults, fates):
     """The caller repeats one key through several hosts, some at the same moment.
@@ -160,7 +133,7 @@
 
     async def scenario():
         store = MemoryStore(lambda: next(faults, StoreFault.NONE), lambda: 0.001)
-        fleet = Fleet(store, Network(lambda: next(fate, "deliver")))
+        fleet = Fleet(store, network(lambda: next(fate, "deliver")))
         await asyncio.gather(
             housekeeping(fleet), *(request(fleet, *row) for row in requests)
         )
@@ -287,7 +260,7 @@
         await fleet.claim(committer, key="held")
         await fleet.claim(name, key="first")
         fleet.restart(name)
-        fleet.network.next_fate = lambda: "drop"
+        fleet.network.next_delays = list
         second = asyncio.ensure_future(outcome(fleet.claim(name, key="held")))
         await asyncio.sleep(0.1)
         stale = ClaimResults(1, 1, (True,))
@@ -345,7 +318,7 @@
     """
 
     async def scenario():
-        fleet = Fleet(MemoryStore(), Network(lambda: "drop"))
+        fleet = Fleet(MemoryStore(), network(lambda: "drop"))
         loop = asyncio.get_running_loop()
         times = []
         committer = fleet.hosts[HOSTS[0]].writer
@@ -369,8 +342,7 @@
     """
 
     async def scenario():
-        network = Network(lambda: "drop")
-        fleet = Fleet(MemoryStore(), network)
+        fleet = Fleet(MemoryStore(), network(lambda: "drop"))
         loop = asyncio.get_running_loop()
         waits = []
         for number in range(6):
@@ -378,11 +350,10 @@
             started = loop.time()
             await fleet.claim(HOSTS[number % 3], key=str(number))
             waits.append(loop.time() - started)
-        sent = []
-        network.send = lambda *message: sent.append(message) or True
+        before = fleet.network.sent
         burst = (fleet.claim(HOSTS[i % 3], key=f"burst {i}") for i in range(60))
         await asyncio.gather(*burst)
-        return max(waits), len(sent)
+        return max(waits), fleet.network.sent - before
 
     slowest, messages = run(scenario())
     assert slowest <= 0.01
