Reclaim the share of a host that an operator declares departed

Change: a drain of the host with its time of leaving passed counts as evidence; the host itself and its witnesses respect it.

--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -38,6 +38,9 @@
 
 LENDABLE_AGE_SECONDS: Final = 5.0
 LEDGER_POLL_SECONDS: Final = 30.0
+LEDGER_POLL_OWNERS: Final = 100
+"""So many owners add as long again: a larger ledger is read less often."""
+
 PLAN_INTERVAL_SECONDS: Final = 0.5
 RECLAIM_RANK_SECONDS: Final = 0.5
 """Spaces the hosts that could reclaim the same share, so that one does it."""
--- a/packages/core/greengagepoint/caps/rights.py
+++ b/packages/core/greengagepoint/caps/rights.py
@@ -161,14 +161,14 @@
 def answer_vouch(
     table: CapsTable, owner: str, request: VouchRequest, now: float
 ) -> Vouch | None:
-    """Vouch for an owner, unless this host has voted it out or was asked by mistake.
+    """Vouch for an owner, unless this host has voted it out or holds it for departed.
 
     A vote counts from before its write is sent, as its reply may be lost.
     """
     if request.witness != table.host.incarnation:
         return None
     table.seen_at[f"{owner}#{request.owner}"] = now
-    if f"{owner}#{request.owner}" in table.voted:
+    if f"{owner}#{request.owner}" in table.voted or owner in table.departed:
         return None
     return Vouch(request.owner, request.witness, request.sequence)
 
--- a/packages/core/greengagepoint/caps/system.py
+++ b/packages/core/greengagepoint/caps/system.py
@@ -11,6 +11,7 @@
 from greengagepoint.caps.const import (
     DEFAULT_REQUEST_SECONDS,
     DEMAND_WINDOW_SECONDS,
+    LEDGER_POLL_OWNERS,
     LEDGER_POLL_SECONDS,
     PLAN_INTERVAL_SECONDS,
     REGION_KEY,
@@ -185,7 +186,8 @@
 
 def _needs_ledger(table: CapsTable, now: float) -> bool:
     """Tell whether to read the ledger, or to change it."""
-    if now - table.read_at >= LEDGER_POLL_SECONDS:
+    size = len(table.ledger.owners) / LEDGER_POLL_OWNERS
+    if now - table.read_at >= LEDGER_POLL_SECONDS * (1 + size):
         return True
     if table.pending or table.hinted_revision > table.revision:
         return True
--- a/packages/core/tests/test_caps_failures.py
+++ b/packages/core/tests/test_caps_failures.py
@@ -15,6 +15,7 @@
     LOAN_SECONDS,
     quarantine_seconds,
 )
+from greengagepoint.caps.departures import planned_departures, update_departed
 from greengagepoint.caps.ledger import (
     Entry,
     Holding,
@@ -45,7 +46,14 @@
 from greengagepoint.configuration import EMPTY, Configuration
 from greengagepoint.errors import ErrorKind, StoreError
 from greengagepoint.hosts import HostIdentity
-from greengagepoint.records.schemas import Cap, Region, Service, Site
+from greengagepoint.records.schemas import (
+    Cap,
+    Drain,
+    DrainTarget,
+    Region,
+    Service,
+    Site,
+)
 from greengagepoint_standins.caps_layout import Layout
 from greengagepoint_standins.caps_store import LedgerFault
 from greengagepoint_standins.caps_world import World
@@ -246,6 +254,32 @@
     assert owner.rights_until == 1.0 + CONFIRM_SECONDS
 
 
+def test_departed_host_is_reclaimed_without_votes() -> None:
+    """An owner is lost together with all its witnesses, so nobody can vote.
+
+    The operator's drain says that it has left. Its share is reclaimed after the
+    quarantine; if it runs after all, it sends nothing and nobody vouches for it.
+    """
+    record = Drain(
+        name="d",
+        target_kind=DrainTarget.HOST,
+        target="a-1",
+        start_at="1970-01-01T00:00:00Z",
+        leave_at="1970-01-01T00:00:02Z",
+    )
+    departures = planned_departures(configuration(LIMIT)._replace(drains={"d": record}))
+    owner, other = build_owner(), build(LIVE[1], {"a-1#1": entry(("a-9#1",))})
+    for table in (owner, other):
+        update_departed(table, departures, 1999)
+        assert table.departed == frozenset()
+        update_departed(table, departures, 2000)
+    assert start_all(owner, 0.0) == []
+    assert answer_vouch(other, "a-1", VouchRequest(1, 1, 1), 0.0) is None
+    plan(other, 0.0)
+    planned = plan(other, quarantine_seconds(REQUEST_SECONDS) + 1)
+    assert planned.reclaimed == ("a-1#1",)
+
+
 @pytest.mark.parametrize("count", range(6))
 def test_voters_and_vouchers_share_a_witness(count: int) -> None:
     listed = Entry({}, tuple(f"h{n}#1" for n in range(count)))
--- a/packages/node/greengagepoint_node/coordinators/caps.py
+++ b/packages/node/greengagepoint_node/coordinators/caps.py
@@ -8,6 +8,11 @@
 
 from greengagepoint.caps import permits
 from greengagepoint.caps.borrowing import Outgoing, ask, take_grant
+from greengagepoint.caps.departures import (
+    Departure,
+    planned_departures,
+    update_departed,
+)
 from greengagepoint.caps.ledger import owner_name
 from greengagepoint.caps.lending import answer_request
 from greengagepoint.caps.messages import (
@@ -44,14 +49,13 @@
         context: Context,
         configuration: Callable[[], Configuration],
         live_hosts: Callable[[], Sequence[HostIdentity]],
-        departed_hosts: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.context = context
         self.configuration = configuration
         self.live_hosts = live_hosts
-        self.departed_hosts = departed_hosts
         self.table = create_table(context.host)
         self.configured: Configuration | None = None
+        self.departures: tuple[Departure, ...] = ()
         self.waiters: dict[str, deque[asyncio.Future[None]]] = {}
         self.sync_wanted = asyncio.Event()
         self.store_task: asyncio.Task[None] | None = None
@@ -107,8 +111,10 @@
         configuration = self.configuration()
         if configuration is not self.configured:
             configure(self.table, configuration)
+            self.departures = planned_departures(configuration)
             self.configured = configuration
-        self.table.departed = self.departed_hosts()
+        wall_milliseconds = self.context.clock.wall_milliseconds()
+        update_departed(self.table, self.departures, wall_milliseconds)
         update_live(self.table, self.live_hosts(), now)
         commands = run(self.table, now)
         self._send(commands.messages)
