Send what a stopping daemon has queued over new links

Cause: a link that was just dialled was closed before it was connected, so what a stopping daemon handed over to a new peer was lost.

--- a/packages/node/greengagepoint_node/peer_sender.py
+++ b/packages/node/greengagepoint_node/peer_sender.py
@@ -11,9 +11,10 @@
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.peer_codec import PeerCodec
-from greengagepoint_node.peer_link import Link, Queued
+from greengagepoint_node.peer_link import RETRY_SECONDS, Link, Queued
 
 MAX_LINKS: Final = 128
+STOP_SECONDS: Final = 0.5
 
 
 class PeerCounters:
@@ -66,10 +67,22 @@
             link.timer = loop.call_soon(self._flush, link)
         return True
 
-    def flush(self) -> None:
-        """Send what is queued where the links are ready."""
-        for link in tuple(self.links.values()):
-            self._flush(link)
+    async def async_flush(self) -> None:
+        """Send what is queued, waiting a short time for links that are not ready.
+
+        A link that was just dialled connects within milliseconds; what a stopping
+        daemon hands over would be lost without the wait.
+        """
+        loop = asyncio.get_running_loop()
+        until = loop.time() + STOP_SECONDS
+        while True:
+            for link in tuple(self.links.values()):
+                self._flush(link)
+            # pynng hands bytes to its own threads; the pause lets them leave.
+            await asyncio.sleep(RETRY_SECONDS)
+            waiting = any(link.queue for link in self.links.values())
+            if not waiting or loop.time() >= until:
+                return
 
     def close(self) -> None:
         """Close all links."""
@@ -108,7 +121,9 @@
 
     def _flush(self, link: Link) -> None:
         """Send all that waits for a peer as one envelope, or try again soon."""
-        link.timer = None
+        if link.timer is not None:
+            link.timer.cancel()
+            link.timer = None
         if self.links.get(link.host) is not link:
             return
         loop = asyncio.get_running_loop()
--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -80,7 +80,8 @@
         except pynng.NNGException as error:
             listener.close()
             raise SettingError(
-                f"peers cannot be listened for on {self.listen_address}: {error}"
+                f"--peer-listen-address: cannot listen on {self.listen_address}: "
+                f"{error}"
             ) from error
         self.listener = listener
         self.bound_address = str(opened.local_address)
@@ -90,10 +91,8 @@
         self._watch_refused()
 
     async def async_stop(self) -> None:
-        """Send what is queued where the links are ready, then close all sockets."""
-        self.sender.flush()
-        # pynng hands bytes to its own threads; one turn lets them leave.
-        await asyncio.sleep(0)
+        """Send what is queued, waiting a short time, then close all sockets."""
+        await self.sender.async_flush()
         self.sender.close()
         if self.refused_timer is not None:
             self.refused_timer.cancel()
--- a/packages/node/tests/test_peers_links.py
+++ b/packages/node/tests/test_peers_links.py
@@ -7,7 +7,7 @@
 import pynng
 import pytest
 
-from greengagepoint.errors import PeerError
+from greengagepoint.errors import PeerError, SettingError
 from greengagepoint.events import Event
 from greengagepoint_node import peer_sender
 from greengagepoint_node.peer_codec import PeerCodec, Rejection
@@ -21,6 +21,7 @@
 from greengagepoint_node.peers import PeerLinks
 
 KEY = b"a key shared by all hosts"
+ANY_PORT = "127.0.0.1:0"
 
 
 class Beat(msgspec.Struct, tag="membership.test", array_like=True, frozen=True):
@@ -58,12 +59,14 @@
         self.events = {}
         self.seen = []
 
-    async def async_add(self, name, *, incarnation=1, known=None):
+    async def async_add(
+        self, name, *, incarnation=1, known=None, listen_address=ANY_PORT
+    ):
         self.events[name] = Events()
         links = PeerLinks(
             host=name,
             incarnation=incarnation,
-            listen_address="127.0.0.1:0",
+            listen_address=listen_address,
             key=KEY,
             address_of=self.addresses.get,
             events=self.events[name],
@@ -226,6 +229,23 @@
     assert len(cluster.events["two"].rows) == 1
 
 
+async def test_a_stopping_daemon_still_sends_over_a_new_link(cluster):
+    """A daemon stops and hands over its rights to a peer that it never spoke to. The
+    link is not connected when the stop begins; the message arrives all the same.
+    """
+    one, two = await cluster.async_add("one"), await cluster.async_add("two")
+    inbox = inbox_of(two, Grant)
+    one.send("two", Grant(1))
+    await one.async_stop()
+    assert await inbox.get() == ("one", Grant(1))
+
+
+async def test_an_address_in_use_is_a_wrong_setting(cluster):
+    one = await cluster.async_add("one")
+    with pytest.raises(SettingError, match="--peer-listen-address: cannot listen on"):
+        await cluster.async_add("two", listen_address=one.bound_address)
+
+
 async def test_a_type_that_is_not_registered_cannot_be_subscribed_to(cluster):
     one = await cluster.async_add("one")
     with pytest.raises(PeerError, match="str is not a registered peer message"):
