Refuse an overlong line of a watch with a typed error

Cause: for a line over its limit aiohttp raises LineTooLong, which is neither a ClientError nor a ValueError, so it left the adapter as it was and would have ended the caller's loop as an unexpected error.

Change: it becomes a store error of kind store_answer_invalid; a test sends an answer and a line over their bounds. Tests of the backend server end by a timeout where they would have waited for minutes.

--- a/packages/node/greengagepoint_node/store_answers.py
+++ b/packages/node/greengagepoint_node/store_answers.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 import msgspec
+from aiohttp.http_exceptions import LineTooLong
 
 from greengagepoint.errors import ErrorKind, Ran, StoreError, StoreOutcomeUnknownError
 from greengagepoint_node import store_messages as messages
@@ -16,6 +17,9 @@
 # (unavailable, deadline exceeded, internal) a write may still take effect.
 REFUSED_CODES: Final = frozenset({3, 5, 7, 8, 9, 11, 12, 16})
 DECODE_ERRORS: Final = (msgspec.DecodeError, UnicodeDecodeError)
+# What aiohttp raises for a line over the limit is no ClientError; which of the two
+# it is depends on its version.
+LINE_ERRORS: Final = (LineTooLong, ValueError)
 
 
 async def read_created(
@@ -41,7 +45,7 @@
     """Read one message of a watch."""
     try:
         line = await response.content.readline()
-    except ValueError as error:
+    except LINE_ERRORS as error:
         raise invalid_answer(str(error), write=False) from error
     if not line.endswith(b"\n"):
         raise StoreError("the store ended the watch")
--- a/packages/node/tests/test_store_adapter.py
+++ b/packages/node/tests/test_store_adapter.py
@@ -340,3 +340,14 @@
         await store.create([("b", b"1")])
     assert platform.counts["txn"] == 2
     assert (await store.read("b")).value == b"1"
+
+
+@pytest.mark.parametrize("limit", ["MAX_ANSWER_BYTES", "MAX_LINE_BYTES"])
+async def test_huge_answer_is_refused_early(platform, store, monkeypatch, limit):
+    """An answer or a line of a watch is over its bound; it is not read whole."""
+    await store.create([("a", b"v" * 500_000)])
+    monkeypatch.setattr(f"greengagepoint_node.store.{limit}", 10_000)
+    call = READS["watch" if limit == "MAX_LINE_BYTES" else "read"]
+    with pytest.raises(StoreError) as caught:
+        await guarded(call(store))
+    assert caught.value.kind is ErrorKind.STORE_ANSWER_INVALID
--- a/packages/standins/tests/test_standins_backend.py
+++ b/packages/standins/tests/test_standins_backend.py
@@ -27,7 +27,8 @@
 
 @pytest_asyncio.fixture
 async def session():
-    async with aiohttp.ClientSession() as session:
+    timeout = aiohttp.ClientTimeout(total=GUARD_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
         yield session
 
 
