Find all hosts by asking from one to the next

Change: survey.py asks the hosts that answers name until none is new; a later run of a host replaces an earlier one's address. Conclusion: the client sees every host that any reached host names.

--- a/packages/cli/greengagepoint_cli/answers.py
+++ b/packages/cli/greengagepoint_cli/answers.py
@@ -57,6 +57,7 @@
 
     name: str
     address: str
+    incarnation: NotRequired[int]
 
 
 class SitePart(TypedDict):
--- a/packages/cli/greengagepoint_cli/api.py
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -4,24 +4,22 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from typing import Any, Final, NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import aiohttp
 import msgspec
 
 from greengagepoint.errors import ErrorKind
-from greengagepoint_cli.answers import ApplyAnswer, StatusAnswer
+from greengagepoint_cli.answers import ApplyAnswer
 from greengagepoint_cli.const import (
     ANSWER_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
     MAX_ANSWER_BYTES,
-    MAX_HOSTS_AT_ONCE,
     ExitCode,
 )
 from greengagepoint_cli.errors import ClientError, ProblemError, UnreachableError
 
 T = TypeVar("T")
-STATUS_PATH: Final = "/v1/status"
 
 # Another host may well do what this one cannot do now.
 KINDS_TO_TRY_ELSEWHERE = frozenset(
@@ -44,14 +42,6 @@
     body: Mapping[str, Any] | None = None
 
 
-class HostAnswer(NamedTuple):
-    """The answer of one host, or why there is none."""
-
-    host: str
-    document: dict[str, Any] | None
-    fault: str = ""
-
-
 class Api:
     """Call the first server that answers."""
 
@@ -78,29 +68,6 @@
         call = Call("POST", "/v1/records/apply", ApplyAnswer, body=body)
         return await self._async_try_each(call)
 
-    async def async_ask_all(
-        self, path: str, answer: type, params: Mapping[str, str] | None = None
-    ) -> list[HostAnswer]:
-        """Read from every host that the first answering server knows."""
-        status = await self.async_get(STATUS_PATH, StatusAnswer)
-        hosts = {row["name"]: f"http://{row['address']}" for row in status["hosts"]}
-        limit = asyncio.Semaphore(MAX_HOSTS_AT_ONCE)
-        call = Call("GET", path, answer, params)
-
-        async def async_ask(host: str, server: str) -> HostAnswer:
-            async with limit:
-                try:
-                    document = await self.async_call(server, call)
-                except ProblemError as error:
-                    return HostAnswer(host, None, error.lines[0])
-                except (aiohttp.ClientError, TimeoutError) as error:
-                    return HostAnswer(host, None, _describe(error))
-                return HostAnswer(host, document)
-
-        return await asyncio.gather(
-            *(async_ask(host, server) for host, server in sorted(hosts.items()))
-        )
-
     async def async_call(self, server: str, call: Call) -> dict[str, Any]:
         """Call one server; raise ProblemError for a problem answer."""
         async with self.session.request(
@@ -141,7 +108,7 @@
                 attempts.append(f"  {server}: {error.lines[0]}")
             except (aiohttp.ClientError, TimeoutError) as error:
                 maybe_written |= not isinstance(error, aiohttp.ClientConnectorError)
-                attempts.append(f"  {server}: {_describe(error)}")
+                attempts.append(f"  {server}: {describe_failure(error)}")
         if call.body and maybe_written:
             raise ClientError(
                 ExitCode.OUTCOME_UNKNOWN,
@@ -196,7 +163,7 @@
     return document
 
 
-def _describe(error: Exception) -> str:
+def describe_failure(error: Exception) -> str:
     """Return one line on a failed call."""
     if isinstance(error, TimeoutError):
         return "no answer in time"
--- a/packages/cli/greengagepoint_cli/commands/moves.py
+++ b/packages/cli/greengagepoint_cli/commands/moves.py
@@ -8,12 +8,12 @@
 
 from greengagepoint.records.loading import RecordDocument
 from greengagepoint.records.schemas import NEWEST_VERSIONS, DrainTarget, RecordKind
-from greengagepoint_cli.api import Api, HostAnswer, run_call
+from greengagepoint_cli.api import Api, run_call
 from greengagepoint_cli.commands.records import async_write
 from greengagepoint_cli.commands.state import DRAIN_COLUMNS, HOST_COLUMNS
 from greengagepoint_cli.const import Output
 from greengagepoint_cli.documents import async_current, change_of, check_with_current
-from greengagepoint_cli.fleet import async_statuses, async_wait, drains, fleet_status
+from greengagepoint_cli.fleet import async_wait, drains, fleet_status
 from greengagepoint_cli.options import (
     Author,
     OutputOption,
@@ -27,6 +27,7 @@
     server_list,
 )
 from greengagepoint_cli.output import show_json, show_table
+from greengagepoint_cli.survey import HostAnswer, async_statuses
 
 RECORD_NAME = re.compile(r"[^a-z0-9.-]+")
 COMMANDS = {
--- a/packages/cli/greengagepoint_cli/commands/records.py
+++ b/packages/cli/greengagepoint_cli/commands/records.py
@@ -21,7 +21,7 @@
     wanted_differences,
 )
 from greengagepoint_cli.errors import ClientError
-from greengagepoint_cli.fleet import async_statuses, async_wait, behind
+from greengagepoint_cli.fleet import async_wait, behind
 from greengagepoint_cli.options import (
     Author,
     OutputOption,
@@ -34,6 +34,7 @@
     server_list,
 )
 from greengagepoint_cli.output import Column, as_time, field, show, show_json
+from greengagepoint_cli.survey import async_statuses
 
 Paths = Annotated[
     list[str], typer.Argument(help="TOML files, folders of them, or - for input.")
@@ -223,7 +224,7 @@
 
 
 async def _async_in_force(api: Api, generation: int, seconds: float) -> None:
-    """Wait until every host that the first server knows has a generation."""
+    """Wait until every host has a generation."""
     waiting: list[str] = []
 
     async def async_check() -> bool:
--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -11,7 +11,7 @@
 from greengagepoint_cli.answers import LookupAnswer, UsageAnswer
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, Output, UsageOutput
-from greengagepoint_cli.fleet import async_statuses, fleet_status
+from greengagepoint_cli.fleet import fleet_status
 from greengagepoint_cli.options import (
     OutputOption,
     Servers,
@@ -19,6 +19,7 @@
     server_list,
 )
 from greengagepoint_cli.output import Column, field, show, show_json, show_table
+from greengagepoint_cli.survey import async_statuses
 
 HOST_COLUMNS = (
     field("name", "host"),
--- a/packages/cli/greengagepoint_cli/commands/timeline.py
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -8,7 +8,7 @@
 from greengagepoint.events import Event
 from greengagepoint.records.loading import suggest
 from greengagepoint_cli.answers import TimelineAnswer, TimelineEvent
-from greengagepoint_cli.api import HostAnswer, run_call
+from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, TimelineOutput
 from greengagepoint_cli.errors import ClientError
 from greengagepoint_cli.options import (
@@ -18,6 +18,7 @@
     server_list,
 )
 from greengagepoint_cli.output import Column, as_time, field, show_json, table_lines
+from greengagepoint_cli.survey import HostAnswer, async_ask_all
 from greengagepoint_cli.timeline_page import render_page
 
 COLUMNS = (
@@ -65,7 +66,7 @@
     answers = run_call(
         server_list(server),
         operator_key(),
-        lambda api: api.async_ask_all("/v1/timeline", TimelineAnswer, params),
+        lambda api: async_ask_all(api, "/v1/timeline", TimelineAnswer, params),
     )
     missing = [answer for answer in answers if answer.document is None]
     if missing and len(missing) == len(answers):
--- a/packages/cli/greengagepoint_cli/fleet.py
+++ b/packages/cli/greengagepoint_cli/fleet.py
@@ -7,14 +7,9 @@
 from typing import Any
 
 from greengagepoint_cli.answers import StatusAnswer
-from greengagepoint_cli.api import STATUS_PATH, Api, HostAnswer
 from greengagepoint_cli.const import POLL_SECONDS, ExitCode
 from greengagepoint_cli.errors import ClientError
-
-
-async def async_statuses(api: Api) -> list[HostAnswer]:
-    """Return the status of every host."""
-    return await api.async_ask_all(STATUS_PATH, StatusAnswer)
+from greengagepoint_cli.survey import HostAnswer
 
 
 def fleet_status(answers: Iterable[HostAnswer]) -> dict[str, Any]:
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -38,6 +38,8 @@
         self.race = None
         self.asked = {}
         self.foreign = []
+        self.known = []
+        self.incarnation = 1
         self.bodies = []
         self.address = ""
 
@@ -45,6 +47,14 @@
     def url(self):
         return f"http://{self.address}"
 
+    @property
+    def identity(self):
+        return {
+            "name": self.name,
+            "address": self.address,
+            "incarnation": self.incarnation,
+        }
+
     def write(self, changes, author, write_id):
         entry = prepare(self.log, changes, author, write_id, AT_MS)
         apply_entry(self.log, entry)
@@ -104,8 +114,7 @@
         return web.json_response({"entries": entries[:limit]})
 
     async def async_status(self, request):
-        hosts = [{"name": host.name, "address": host.address} for host in self.peers]
-        own = {"name": self.name, "address": self.address}
+        hosts = [host.identity for host in self.peers] + self.known
         return web.json_response(
             {
                 "host": self.name,
@@ -115,7 +124,7 @@
                 "generation": self.log.generation,
                 "digest": self.log.digest,
                 "in_flight": 2,
-                "hosts": [own, *hosts],
+                "hosts": [self.identity, *hosts],
                 "shifts": [],
                 "drains": [],
                 **self.status,
--- a/packages/cli/tests/test_cli_state.py
+++ b/packages/cli/tests/test_cli_state.py
@@ -81,6 +81,22 @@
     assert document["shifts"][0]["fraction"] == 0.1
 
 
+def test_hosts_are_found_from_one_to_the_next(start_host, invoke):
+    """A host names only some hosts of other zones, and one of them has restarted since
+    at another port. All are found by asking on, the restarted one at its new port.
+    """
+    names = ("attiki-1", "attiki-2", "sfax-1", "sfax-2")
+    hosts = [start_host(name) for name in names]
+    for one, following in zip(hosts, hosts[1:], strict=False):
+        one.peers = [following]
+    old = {"name": "sfax-2", "address": "127.0.0.1:1", "incarnation": 1}
+    hosts[0].known = [old]
+    hosts[3].incarnation = 2
+    document = json.loads(invoke("status", "--output=json", servers=[hosts[0]]).stdout)
+    assert [row["name"] for row in document["hosts"]] == list(names)
+    assert [row["fault"] for row in document["hosts"]] == [None] * 4
+
+
 def test_a_mute_host_is_shown_and_changes_the_exit_code(pair, invoke):
     """One of two hosts does not answer. The table names it with its fault, the sums
     hold what the other one told, and a script sees exit code 5.
