Split the larger stand-in modules and leave zero fields out

Cause: the stand-in store sent "lease": "0" and the like, which a real gateway leaves out, so the adapter's defaults were not exercised. Two modules held the answers and the control calls together, and a control call that does not decode was answered with an internal error.

Change: zero fields are left out; control views and the choice of a pack's range have modules of their own; a bad control call is answered with 400.

--- a/packages/standins/greengagepoint_standins/backend_server.py
+++ b/packages/standins/greengagepoint_standins/backend_server.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 from weakref import WeakSet
 
@@ -213,31 +214,20 @@
 
     async def async_send_pack(self, request: web.Request) -> web.StreamResponse:
         """Stream a pack, or the range of it that was asked for."""
-        size = int(request.query.get("bytes", self.control.pack_bytes))
-        path = request.path
-        tag = packs.etag_of(path, size)
-        response = web.StreamResponse(headers=self.headers("ran"))
-        response.headers["ETag"] = tag
-        response.headers["Repr-Digest"] = packs.repr_digest_of(path, size)
-        start, stop = 0, size
-        wanted = request.headers.get("Range")
-        fresh = request.headers.get("If-Range", tag) == tag
-        if self.control.accept_ranges:
-            response.headers["Accept-Ranges"] = "bytes"
-            if wanted and fresh:
-                part = packs.parse_range(wanted, size)
-                if part is None:
-                    return web.Response(
-                        status=416, headers={"Content-Range": f"bytes */{size}"}
-                    )
-                start, stop = part
-                response.set_status(206)
-                response.headers["Content-Range"] = f"bytes {start}-{stop - 1}/{size}"
-        response.content_length = stop - start
+        pack = packs.choose(
+            request.path,
+            read_size(request, self.control.pack_bytes),
+            request.headers if self.control.accept_ranges else None,
+        )
+        headers = self.headers("ran") | pack.headers
+        if pack.status == HTTPStatus.REQUESTED_RANGE_NOT_SATISFIABLE:
+            return web.Response(status=pack.status, headers=headers)
+        response = web.StreamResponse(status=pack.status, headers=headers)
+        response.content_length = pack.stop - pack.start
         request[PREPARED] = True
         await response.prepare(request)
         if request.method != "HEAD":
-            await self.async_send_pieces(request, response, start, stop)
+            await self.async_send_pieces(request, response, pack.start, pack.stop)
         return response
 
     async def async_send_pieces(
@@ -281,6 +271,14 @@
         self.load.sample(self.clock())
 
 
+def read_size(request: web.Request, default: int) -> int:
+    """Return the size of the pack that a request asks for."""
+    try:
+        return int(request.query.get("bytes", default))
+    except ValueError:
+        raise web.HTTPBadRequest(text="bytes is not a number") from None
+
+
 def read_deadline(request: web.Request, now: float) -> float | None:
     """Return when a request's time is over, or None without a deadline."""
     left = request.headers.get(DEADLINE)
--- a/packages/standins/greengagepoint_standins/packs.py
+++ b/packages/standins/greengagepoint_standins/packs.py
@@ -4,9 +4,10 @@
 import hashlib
 import random
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from functools import lru_cache
-from typing import Final
+from http import HTTPStatus
+from typing import Final, NamedTuple
 
 BLOCK_BYTES: Final = 65_521
 RANGE_PATTERN: Final = re.compile(r"bytes=(\d+)-(\d*)$")
@@ -48,6 +49,35 @@
     return f"sha-256=:{raw.decode()}:"
 
 
+class Pack(NamedTuple):
+    """Which bytes of a pack to send, with which status and headers."""
+
+    status: HTTPStatus
+    headers: dict[str, str]
+    start: int
+    stop: int
+
+
+def choose(path: str, size: int, asked: Mapping[str, str] | None) -> Pack:
+    """Choose the whole pack or the range asked for (None: ranges are off)."""
+    tag = etag_of(path, size)
+    headers = {"ETag": tag, "Repr-Digest": repr_digest_of(path, size)}
+    if asked is None:
+        return Pack(HTTPStatus.OK, headers, 0, size)
+    headers["Accept-Ranges"] = "bytes"
+    # Bytes of another version joined to those the caller has would make a body
+    # that was never whole; it gets the new version from the start.
+    if "Range" not in asked or asked.get("If-Range", tag) != tag:
+        return Pack(HTTPStatus.OK, headers, 0, size)
+    part = parse_range(asked["Range"], size)
+    if part is None:
+        headers["Content-Range"] = f"bytes */{size}"
+        return Pack(HTTPStatus.REQUESTED_RANGE_NOT_SATISFIABLE, headers, 0, 0)
+    start, stop = part
+    headers["Content-Range"] = f"bytes {start}-{stop - 1}/{size}"
+    return Pack(HTTPStatus.PARTIAL_CONTENT, headers, start, stop)
+
+
 def parse_range(header: str, size: int) -> tuple[int, int] | None:
     """Return start and stop of one byte range, or None when it can't be met."""
     match = RANGE_PATTERN.match(header)
--- a/packages/standins/greengagepoint_standins/server.py
+++ b/packages/standins/greengagepoint_standins/server.py
@@ -74,7 +74,10 @@
 
 def update_control(control: msgspec.Struct, body: bytes) -> None:
     """Set the fields that a JSON object names; refuse unknown ones."""
-    wanted = msgspec.json.decode(body, type=dict[str, Any])
+    try:
+        wanted = msgspec.json.decode(body, type=dict[str, Any])
+    except msgspec.DecodeError as error:
+        raise web.HTTPBadRequest(text=str(error)) from error
     unknown = wanted.keys() - set(control.__struct_fields__)
     if unknown:
         raise web.HTTPBadRequest(text=f"unknown fields: {sorted(unknown)}")
--- a/packages/standins/greengagepoint_standins/store.py
+++ b/packages/standins/greengagepoint_standins/store.py
@@ -9,11 +9,13 @@
 from greengagepoint_standins.server import Down, StandIn, async_serve
 from greengagepoint_standins.store_control import StoreControl
 from greengagepoint_standins.store_gateway import MAX_BODY_BYTES, StoreGateway
+from greengagepoint_standins.store_views import StoreViews
 
 
 def create_store_app(gateway: StoreGateway) -> web.Application:
     """Build the application with the gateway's and the control routes."""
     app = web.Application(client_max_size=MAX_BODY_BYTES)
+    views = StoreViews(gateway)
     routes: dict[str, Callable[[web.Request], Awaitable[web.StreamResponse]]] = {
         "/v3/kv/range": gateway.range,
         "/v3/kv/put": gateway.put,
@@ -23,13 +25,13 @@
         "/v3/lease/keepalive": gateway.lease_keepalive,
         "/v3/lease/revoke": gateway.lease_revoke,
         "/v3/watch": gateway.watch,
-        "/control": gateway.change_control,
-        "/control/restore": gateway.change_restore,
-        "/control/expire-leases": gateway.change_leases,
+        "/control": views.change_control,
+        "/control/restore": views.change_restore,
+        "/control/expire-leases": views.change_leases,
     }
     for path, handler in routes.items():
         app.router.add_post(path, handler)
-    app.router.add_get("/control", gateway.show_control)
+    app.router.add_get("/control", views.show_control)
     app.cleanup_ctx.append(gateway.async_run_timers)
     return app
 
--- a/packages/standins/greengagepoint_standins/store_gateway.py
+++ b/packages/standins/greengagepoint_standins/store_gateway.py
@@ -16,7 +16,6 @@
     async_be_down,
     cut,
     json_answer,
-    update_control,
 )
 from greengagepoint_standins.store_control import RateLimit, StoreControl
 from greengagepoint_standins.store_state import (
@@ -208,7 +207,9 @@
     def lease_answer(self, lease: int, ttl: int) -> messages.LeaseResponse:
         """Build an answer about one lease."""
         return messages.LeaseResponse(
-            header=operations.header(self.state), id=str(lease), ttl=str(ttl)
+            header=operations.header(self.state),
+            id=messages.number(lease),
+            ttl=messages.number(ttl),
         )
 
     async def watch(self, request: web.Request) -> web.StreamResponse:
@@ -220,46 +221,17 @@
         garbage = self.take_garbage()
         return await self.watches.async_stream(request, wanted, garbage=garbage)
 
-    async def show_control(self, request: web.Request) -> web.Response:
-        """Show the control state, the counts and the revision."""
-        shown = msgspec.to_builtins(self.control)
-        return json_answer(
-            shown
-            | {
-                "counts": dict(self.counts),
-                "revision": self.state.revision,
-                "open_watches": len(self.watches.transports),
-            }
-        )
-
-    async def change_control(self, request: web.Request) -> web.Response:
-        """Change fields of the control state."""
-        update_control(self.control, await request.read())
-        self.set_down(self.control.down)
-        return await self.show_control(request)
-
     def set_down(self, down: Down) -> None:
         """Go out of order or in order again; refusing ends the watches too."""
         self.control.down = down
         if down is Down.REFUSE:
             self.watches.cut()
 
-    async def change_restore(self, request: web.Request) -> web.Response:
-        """Go back to an old revision, as a restored backup does."""
-        wanted = msgspec.json.decode(await request.read(), type=dict[str, int])
-        self.restore(wanted["revision"])
-        return await self.show_control(request)
-
     def restore(self, revision: int) -> None:
         """Restore the state of an old revision and cut all watches."""
         self.state.restore(revision)
         self.watches.cut()
 
-    async def change_leases(self, request: web.Request) -> web.Response:
-        """Expire all leases now."""
-        self.expire_leases()
-        return await self.show_control(request)
-
     def expire_leases(self) -> None:
         """End all leases, whatever time they have left."""
         self.state.expire(float("inf"))
--- a/packages/standins/greengagepoint_standins/store_messages.py
+++ b/packages/standins/greengagepoint_standins/store_messages.py
@@ -1,9 +1,20 @@
 """Messages of etcd v3's JSON gateway: base64 bytes, int64 as decimal strings."""
 
 from enum import StrEnum
+from typing import Final
 
 import msgspec
 
+ZERO: Final = "0"
+
+
+def number(value: int) -> str:
+    """Write an int64 as the gateway does; a zero then is left out as a default.
+
+    Defaults are known by identity, so another string "0" would be sent.
+    """
+    return str(value) if value else ZERO
+
 
 class Target(StrEnum):
     """What a comparison looks at."""
@@ -112,18 +123,18 @@
 class Header(msgspec.Struct, omit_defaults=True, kw_only=True):
     """Tell the store's revision."""
 
-    revision: str = "0"
+    revision: str = ZERO
 
 
 class KeyValue(msgspec.Struct, omit_defaults=True, kw_only=True):
     """One key as stored."""
 
     key: bytes
-    create_revision: str = "0"
-    mod_revision: str = "0"
-    version: str = "0"
+    create_revision: str = ZERO
+    mod_revision: str = ZERO
+    version: str = ZERO
     value: bytes = b""
-    lease: str = "0"
+    lease: str = ZERO
 
 
 class RangeResponse(msgspec.Struct, omit_defaults=True, kw_only=True):
@@ -132,7 +143,7 @@
     header: Header
     kvs: list[KeyValue] = []
     more: bool = False
-    count: str = "0"
+    count: str = ZERO
 
 
 class PutResponse(msgspec.Struct, omit_defaults=True, kw_only=True):
@@ -146,7 +157,7 @@
     """Answer a deletion."""
 
     header: Header
-    deleted: str = "0"
+    deleted: str = ZERO
     prev_kvs: list[KeyValue] = []
 
 
@@ -171,8 +182,8 @@
     """Answer a call about a lease; no TTL means that it is gone."""
 
     header: Header
-    id: str = msgspec.field(name="ID", default="0")
-    ttl: str = msgspec.field(name="TTL", default="0")
+    id: str = msgspec.field(name="ID", default=ZERO)
+    ttl: str = msgspec.field(name="TTL", default=ZERO)
 
 
 class WatchEvent(msgspec.Struct, omit_defaults=True, kw_only=True):
@@ -188,7 +199,7 @@
     header: Header
     created: bool = False
     canceled: bool = False
-    compact_revision: str = "0"
+    compact_revision: str = ZERO
     events: list[WatchEvent] = []
 
 
--- a/packages/standins/greengagepoint_standins/store_operations.py
+++ b/packages/standins/greengagepoint_standins/store_operations.py
@@ -18,16 +18,16 @@
     return messages.KeyValue(
         key=entry.key,
         value=entry.value,
-        create_revision=str(entry.create_revision),
-        mod_revision=str(entry.mod_revision),
-        version=str(entry.version),
-        lease=str(entry.lease),
+        create_revision=messages.number(entry.create_revision),
+        mod_revision=messages.number(entry.mod_revision),
+        version=messages.number(entry.version),
+        lease=messages.number(entry.lease),
     )
 
 
 def header(state: StoreState) -> messages.Header:
     """Build the header for an answer given now."""
-    return messages.Header(revision=str(state.revision))
+    return messages.Header(revision=messages.number(state.revision))
 
 
 def run_range(
@@ -37,10 +37,10 @@
     entries = state.read(request.key, request.range_end, request.revision or at)
     shown = entries[: request.limit] if request.limit else entries
     return messages.RangeResponse(
-        header=messages.Header(revision=str(at or state.revision)),
+        header=messages.Header(revision=messages.number(at or state.revision)),
         kvs=[] if request.count_only else [to_key_value(entry) for entry in shown],
         more=len(shown) < len(entries),
-        count=str(len(entries)),
+        count=messages.number(len(entries)),
     )
 
 
@@ -145,7 +145,9 @@
     entries = state.read(request.key, request.range_end)
     for entry in entries:
         state.delete(entry.key, revision)
-    return messages.DeleteRangeResponse(header=header(state), deleted=str(len(entries)))
+    return messages.DeleteRangeResponse(
+        header=header(state), deleted=messages.number(len(entries))
+    )
 
 
 def holds(state: StoreState, compare: messages.Compare) -> bool:
--- a/packages/standins/greengagepoint_standins/store_watch.py
+++ b/packages/standins/greengagepoint_standins/store_watch.py
@@ -58,7 +58,7 @@
         message = messages.WatchResponse(header=operations.header(self.state))
         if start and start < self.state.compacted:
             message.canceled = True
-            message.compact_revision = str(self.state.compacted)
+            message.compact_revision = messages.number(self.state.compacted)
             await async_send(response, message)
             return
         # Taken before the first wait: later changes come through the queue.
@@ -82,7 +82,7 @@
         if self.control.slow_ms > 0:
             await asyncio.sleep(self.control.slow_ms / 1000)
         await async_hang(self.control)
-        head = messages.Header(revision=str(changes[-1].mod_revision))
+        head = messages.Header(revision=messages.number(changes[-1].mod_revision))
         await async_send(response, messages.WatchResponse(header=head, events=events))
 
 
--- a/packages/standins/tests/test_standins_backend.py
+++ b/packages/standins/tests/test_standins_backend.py
@@ -223,3 +223,10 @@
         assert answer.status == 400
     async with session.post(url(backend, "/control"), json={"slots": 2}) as answer:
         assert (await answer.json())["slots"] == 2
+
+
+@pytest.mark.parametrize("body", ["garbage", "[]", '{"slots": "two"}'])
+async def test_control_refuses_what_does_not_decode(backend, session, body):
+    async with session.post(url(backend, "/control"), data=body) as answer:
+        assert answer.status == 400
+    assert backend.control.slots == 1
--- a/packages/standins/tests/test_standins_store_state.py
+++ b/packages/standins/tests/test_standins_store_state.py
@@ -1,5 +1,6 @@
 """Test the stand-in store's state against a plain model of the same history."""
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -168,3 +169,24 @@
     assert sum(limit.take(10, now=0.0) for _ in range(20)) == 10
     assert sum(limit.take(10, now=0.5) for _ in range(20)) == 5
     assert sum(limit.take(10, now=99.0) for _ in range(20)) == 10
+
+
+def test_zero_fields_are_left_out_as_the_gateway_does():
+    state = StoreState()
+    answer = run(state, put(b"a"), nested(delete(b"b")))
+    assert msgspec.to_builtins(answer) == {
+        "header": {"revision": "2"},
+        "succeeded": True,
+        "responses": [
+            {"response_put": {"header": {"revision": "2"}}},
+            {
+                "response_txn": {
+                    "header": {"revision": "2"},
+                    "succeeded": True,
+                    "responses": [
+                        {"response_delete_range": {"header": {"revision": "2"}}}
+                    ],
+                }
+            },
+        ],
+    }
