Show remaining time of drains and let drain records empty hosts

Cause: the estimates of drain time were not fed; a host's drain record changed nothing until its process stopped; only the first store address and no prefix were used; an address in use ended the daemon with a traceback. Change: requests in flight are rows that the status judges; hosts with a begun drain record leave look-ups on all hosts; all store addresses; a typed error for a port in use; the concurrency limit starts at the host's share. Conclusion: a host's drain needs no word from the host.

--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -10,11 +10,14 @@
 from aiohttp import web
 
 from greengagepoint.configuration import Configuration
-from greengagepoint.draining import stop
+from greengagepoint.draining import flights, stop
+from greengagepoint.draining.flights import FlightTable
 from greengagepoint.draining.stop import StopState, StopStatus, StopTable
+from greengagepoint.errors import SettingError
 from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.protocols import HostList, ListedHost
+from greengagepoint.steering.hosts import drained_hosts
 from greengagepoint.steering.lookup import EntryHost
 from greengagepoint.timeline.ring import EventRecorder
 from greengagepoint_node.backends import BackendKeeper
@@ -60,6 +63,7 @@
 STOP_POLL_SECONDS: Final = 0.05
 STATE_STARTING: Final = "starting"
 STATE_SERVING: Final = "serving"
+STATE_DRAINING: Final = "draining"
 STATE_LEAVING: Final = "leaving"
 STATE_STOPPED: Final = "stopped"
 MAX_HEADERS: Final = 100
@@ -86,7 +90,7 @@
         self.tick_task: asyncio.Task[None] | None = None
         self.stop_table = StopTable()
         self.stop_status: StopStatus | None = None
-        self.prepared: tuple[Configuration, int, bool] | None = None
+        self.prepared: tuple[Configuration, int, bool, frozenset[str]] | None = None
 
     async def async_run(self) -> None:
         """Serve until a stop is wanted, then stop gracefully."""
@@ -170,9 +174,10 @@
             clock=self.clock,
             random=random.Random(),
             store=create_store(
-                settings.store[0],
+                settings.store,
                 self.platform_session,
                 timeout_seconds=STORE_TIMEOUT_SECONDS,
+                prefix=settings.store_prefix,
             ),
             peers=self.links,
             events=self.events,
@@ -204,6 +209,7 @@
             self.usage,
             self.load,
         ]
+        self.flights = FlightTable()
         self.shifts = ShiftKeeper(context, self.backends.table)
         self.client_map = ClientMap()
         self.lookups = LookupAnswers(self.identity, self.client_map.find)
@@ -241,6 +247,7 @@
             caps=self.caps,
             claims=self.claims,
             backends=self.backends.table,
+            flights=self.flights,
             steering=self.shifts.table,
             usage=self.usage,
             metrics=self.metrics,
@@ -302,6 +309,7 @@
         """Run what the request path stands on."""
         configuration = self._configuration()
         self.backends.tick(configuration, now)
+        flights.run(self.flights, now)
         peers = [
             host.name
             for host in self.membership.live_hosts()
@@ -320,10 +328,15 @@
         """Prepare look-up answers again when what they depend on has changed."""
         configuration = self._configuration()
         changing = self.shifts.is_moving()
-        current = (configuration, self.membership.version, changing)
+        wall_ms = self.clock.wall_milliseconds()
+        drained = drained_hosts(configuration, wall_ms)
+        current = (configuration, self.membership.version, changing, drained)
         if self.prepared == current:
             return
-        hosts = tuple(EntryHost(host) for host in self.membership.serving_hosts())
+        hosts = tuple(
+            EntryHost(host, leaving=host.name in drained)
+            for host in self.membership.serving_hosts()
+        )
         self.lookups.prepare(configuration, hosts, changing=changing)
         self.prepared = current
 
@@ -339,8 +352,14 @@
         stop.leave(table, self.lookups.longest_ttl_seconds, self.clock.monotonic())
         ends_at = table.cached_until + grace_seconds
         while (now := self.clock.monotonic()) < ends_at:
-            in_flight = self.pipeline.in_flight
-            self.stop_status = stop.run(table, in_flight, 0.0, now, handed_over=False)
+            left = flights.progress(self.flights, lambda flight: True, now)
+            self.stop_status = stop.run(
+                table,
+                self.pipeline.in_flight,
+                left.remaining_seconds or 0.0,
+                now,
+                handed_over=False,
+            )
             if self.stop_status.state is StopState.DRAINED:
                 return
             await asyncio.sleep(STOP_POLL_SECONDS)
@@ -414,15 +433,24 @@
             self.membership,
             self.caps,
             self.backends.table,
+            self.flights,
             self.shifts.table,
         )
-        return read_status(sources, self.state, self.pipeline.in_flight)
+        drained = drained_hosts(self._configuration(), self.clock.wall_milliseconds())
+        draining = self.state == STATE_SERVING and self.identity.name in drained
+        state = STATE_DRAINING if draining else self.state
+        return read_status(sources, state, self.pipeline.in_flight, self.stop_status)
 
 
 def _bind(address: Address) -> socket.socket:
     """Return a listening socket for an address setting."""
     family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    return socket.create_server((address.ip, address.port), family=family)
+    try:
+        return socket.create_server((address.ip, address.port), family=family)
+    except OSError as error:
+        raise SettingError(
+            f"callers cannot be listened for on {address}: {error.strerror}"
+        ) from error
 
 
 def _address_of(bound: socket.socket) -> str:
--- a/packages/node/greengagepoint_node/http/problems.py
+++ b/packages/node/greengagepoint_node/http/problems.py
@@ -25,6 +25,8 @@
         "request_id": request_id,
     }
     if isinstance(error, RecordError):
+        document["record"] = error.record
+        document["source"] = error.source
         document["field"] = error.field
         document["line"] = error.line
         document["accepted"] = error.accepted
--- a/packages/node/greengagepoint_node/proxy/admission.py
+++ b/packages/node/greengagepoint_node/proxy/admission.py
@@ -162,7 +162,7 @@
         gate = self.gates.get(service)
         if gate is None:
             slots = self._slots(service)
-            start = max(LIMIT_MIN, 2 * slots // max(1, self.serving_hosts()))
+            start = max(LIMIT_MIN, slots // max(1, self.serving_hosts()))
             gate = Gate(create_pool(start, max(start, slots)))
             self.gates[service] = gate
         return gate
--- a/packages/node/greengagepoint_node/proxy/download.py
+++ b/packages/node/greengagepoint_node/proxy/download.py
@@ -6,6 +6,7 @@
 from greengagepoint.balancing.tables import Outcome
 from greengagepoint.delivery import resume
 from greengagepoint.delivery.resume import Download, ResumeVerdict
+from greengagepoint.draining.flights import Flight
 from greengagepoint.errors import ErrorKind, RequestError
 from greengagepoint.events import Event
 from greengagepoint_node.proxy.attempts import (
@@ -43,6 +44,7 @@
         self.call = call
         self.allowance = allowance
         self.download: Download | None = None
+        self.flight: Flight | None = None
 
     async def async_run(self, reply: Reply, response: web.StreamResponse) -> None:
         """Copy the whole body; raise AnswerBrokenError if it can't be finished."""
@@ -59,6 +61,9 @@
     async def _async_copy(self, reply: Reply, response: web.StreamResponse) -> bool:
         """Copy from one backend server; tell whether the end was reached."""
         ends_at = min(self.call.ends_at, reply.placement.permit.end_by)
+        self.flight = self.parts.flights.flights.get(reply.placement.flight)
+        if self.flight is not None:
+            self.flight.length_bytes = reply.upstream.content_length
         outcome = Outcome.CANCELLED
         try:
             if reply.body is not None:
@@ -118,6 +123,8 @@
         self.call.received_bytes += size
         if self.download is not None:
             self.download.received += size
+        if self.flight is not None:
+            self.flight.received_bytes += size
 
     def _broken(self, kind: ErrorKind, detail: str) -> AnswerBrokenError:
         """Break the caller's connection and return the error that says why."""
--- a/packages/node/greengagepoint_node/proxy/parts.py
+++ b/packages/node/greengagepoint_node/proxy/parts.py
@@ -6,6 +6,7 @@
 from greengagepoint.balancing.tables import BackendRow, BackendTable
 from greengagepoint.caps.tables import Permit
 from greengagepoint.configuration import Configuration
+from greengagepoint.draining.flights import FlightTable
 from greengagepoint.steering.tables import SteeringTable
 from greengagepoint.usage.tables import UsageOutcome
 from greengagepoint_node.context import Context
@@ -55,6 +56,7 @@
     caps: Caps
     claims: ClaimsCoordinator
     backends: BackendTable
+    flights: FlightTable
     steering: SteeringTable
     usage: UsageCounter
     metrics: Metrics
--- a/packages/node/greengagepoint_node/proxy/placement.py
+++ b/packages/node/greengagepoint_node/proxy/placement.py
@@ -8,6 +8,7 @@
 from greengagepoint.balancing import choice
 from greengagepoint.balancing.tables import BackendRow, Outcome
 from greengagepoint.caps.tables import Permit
+from greengagepoint.draining import flights
 from greengagepoint.errors import ErrorKind, RequestError
 from greengagepoint.steering.site_choice import candidate_sites
 from greengagepoint_node.proxy.call import Call
@@ -28,12 +29,14 @@
     """What one try holds until it has ended.
 
     ``ends_at`` is the deadline that the backend server was told, in monotonic
-    seconds; None as long as nothing has been sent.
+    seconds; None as long as nothing has been sent. ``flight`` is the row by which
+    the remaining time of a drain is estimated.
     """
 
     permit: Permit
     row: BackendRow
     started_at: float
+    flight: int
     open: bool = True
     ends_at: float | None = None
 
@@ -81,6 +84,8 @@
     placement.open = False
     now = parts.context.clock.monotonic()
     choice.finished(placement.row, outcome, latency_seconds, now)
+    answered = outcome is Outcome.ANSWERED
+    flights.end(parts.flights, placement.flight, now, answered=answered)
     if run_over is None:
         run_over = outcome in RUN_OVER_OUTCOMES
     if run_over or placement.ends_at is None:
@@ -154,7 +159,8 @@
         parts.caps.release(permit)
         return None
     choice.started(row, now)
-    return Placement(permit, row, now)
+    flight = flights.begin(parts.flights, row.site, row.name, call.service.name, now)
+    return Placement(permit, row, now, flight)
 
 
 def _remaining(parts: Parts, call: Call) -> float:
--- a/packages/node/greengagepoint_node/status.py
+++ b/packages/node/greengagepoint_node/status.py
@@ -2,7 +2,10 @@
 
 from typing import Any, NamedTuple
 
-from greengagepoint.balancing.tables import BackendTable
+from greengagepoint.balancing.tables import BackendRow, BackendTable
+from greengagepoint.draining import flights
+from greengagepoint.draining.flights import FlightTable
+from greengagepoint.draining.stop import StopStatus
 from greengagepoint.steering.tables import SteeringTable
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.caps import CapsCoordinator
@@ -18,10 +21,16 @@
     membership: MembershipCoordinator
     caps: CapsCoordinator
     backends: BackendTable
+    flights: FlightTable
     steering: SteeringTable
 
 
-def read_status(sources: StatusSources, state: str, in_flight: int) -> dict[str, Any]:
+def read_status(
+    sources: StatusSources,
+    state: str,
+    in_flight: int,
+    stop_status: StopStatus | None,
+) -> dict[str, Any]:
     """Return the members of ``GET /v1/status``."""
     host = sources.context.host
     configuration = sources.config.configuration
@@ -41,6 +50,7 @@
         "caps": sources.caps.status(),
         "shifts": _shifts(sources.steering),
         "drains": _drains(sources),
+        "stop": _stop(stop_status),
     }
 
 
@@ -78,6 +88,27 @@
     ]
 
 
+def _stop(stop_status: StopStatus | None) -> dict[str, Any] | None:
+    """Return what a stopping host waits for."""
+    if stop_status is None:
+        return None
+    return {
+        "reasons": list(stop_status.reasons),
+        "remaining_seconds": round(stop_status.remaining_seconds, 1),
+    }
+
+
+def _remaining(sources: StatusSources, row: BackendRow) -> float | None:
+    """Return the seconds until a backend server is empty, None if unknown."""
+    left = flights.progress(
+        sources.flights,
+        lambda flight: flight.backend_server == row.name and flight.site == row.site,
+        sources.context.clock.monotonic(),
+    )
+    seconds = left.remaining_seconds
+    return None if seconds is None else round(seconds, 1)
+
+
 def _drains(sources: StatusSources) -> list[dict[str, Any]]:
     """Return what is still in flight to backend servers that are leaving."""
     return [
@@ -87,6 +118,7 @@
             "backend_server": row.name,
             "sources": sorted(row.leaving),
             "in_flight": row.in_flight,
+            "remaining_seconds": _remaining(sources, row),
         }
         for row in sources.backends.rows.values()
         if row.leaving
--- a/packages/node/tests/test_daemon_path.py
+++ b/packages/node/tests/test_daemon_path.py
@@ -4,7 +4,7 @@
 import hashlib
 
 import pytest
-from deployment import Deployment, async_deployment, async_until
+from deployment import Deployment, async_deployment, async_until, document
 
 from greengagepoint.usage.tables import UsageOutcome
 from greengagepoint_standins.backend_control import BackendControl
@@ -140,3 +140,29 @@
     assert (await running).status == 200
     await stopping
     assert first.state == "stopped"
+
+
+async def test_a_drained_host_leaves_lookups_and_comes_back(two_hosts) -> None:
+    """An operator drains a host by a record and later deletes it.
+
+    Other hosts stop naming it as soon as the record is in force, without a word from
+    the host itself, which still serves who comes. Without the record it is named.
+    """
+    first, second = two_hosts.daemons.values()
+
+    async def async_named() -> set[str]:
+        answer = await two_hosts.async_request(second, "/v1/hosts?service=booking")
+        return {host["name"] for host in (await answer.json())["hosts"]}
+
+    fields = {
+        "target_kind": "host",
+        "target": first.identity.name,
+        "start_at": "2020-01-01T00:00:00+00:00",
+    }
+    await two_hosts.async_apply([document("drain", "leave", **fields)])
+    await async_until(lambda: "leave" in second.config.configuration.drains)
+    assert await async_named() == {second.identity.name}
+    assert (await two_hosts.async_request(first, "/s/booking/bays")).status == 200
+    await two_hosts.async_apply([{"kind": "drain", "name": "leave", "document": None}])
+    await async_until(lambda: not second.config.configuration.drains)
+    assert first.identity.name in await async_named()
