Refuse a ledger that came back from a backup

Cause: a store restored from a backup shows units as unowned, or as this host's, that others hold now; a host that starts then would claim them.

Change: a share that a host never wrote is refused; a host tells its peers what it has read before its first write, and changes nothing while a peer knows a later revision; conflicts are retried with growing pauses.

Conclusion: after a restore shares stay as they are until all hosts of the region have been replaced.

--- a/packages/core/greengagepoint/caps/planning.py
+++ b/packages/core/greengagepoint/caps/planning.py
@@ -45,8 +45,12 @@
 
 
 def plan(table: CapsTable, now: float) -> Plan | None:
-    """Return the change this host wants, or None; needs the ledger to be read."""
-    if table.revision < 0:
+    """Return the change this host wants, or None; needs the ledger to be read.
+
+    Nothing is changed while a peer knows a later revision: the read was old, or the
+    store was restored and shows units as unowned that others hold.
+    """
+    if table.revision < 0 or table.hinted_revision > table.revision:
         return None
     owners = dict(table.ledger.owners)
     reclaimed = _reclaim(table, owners, now)
--- a/packages/core/greengagepoint/caps/rights.py
+++ b/packages/core/greengagepoint/caps/rights.py
@@ -19,7 +19,7 @@
     units_of,
     vouches_needed,
 )
-from greengagepoint.caps.messages import Vouch, VouchRequest
+from greengagepoint.caps.messages import LedgerChanged, Vouch, VouchRequest
 from greengagepoint.caps.planning import Plan
 from greengagepoint.caps.tables import CapsTable, Pending
 
@@ -38,7 +38,7 @@
     revision older than one already seen is an old read or a restored store, and is
     not taken: it would bring back shares that were given away.
     """
-    if revision < table.revision:
+    if revision < table.revision or _is_foreign(table, ledger):
         return Observed(False, False)
     before = table.ledger.owners.get(table.me)
     table.ledger = ledger
@@ -57,6 +57,21 @@
     return Observed(True, before != entry)
 
 
+def _is_foreign(table: CapsTable, ledger: Ledger) -> bool:
+    """Tell whether a ledger holds a share for this host that it never wrote.
+
+    Only the host itself changes its share. Another one comes from a store that was
+    restored and written to since; taking it would use units that others hold.
+    """
+    entry = ledger.owners.get(table.me)
+    if entry is None or table.revision < 0:
+        return False
+    known = [pending.entry for pending in table.pending]
+    if table.me in table.ledger.owners:
+        known.append(table.ledger.owners[table.me])
+    return all(entry.shares != own.shares for own in known)
+
+
 def begin_write(table: CapsTable, plan: Plan) -> None:
     """Give up what a write gives up, before it is sent.
 
@@ -181,3 +196,13 @@
         return
     table.vouched[witness] = asked
     refresh_rights(table)
+
+
+def take_hint(table: CapsTable, changed: LedgerChanged) -> LedgerChanged | None:
+    """Note that a peer has seen a revision; return the own one if it is later."""
+    if changed.region != table.host.region:
+        return None
+    if changed.revision < table.revision:
+        return LedgerChanged(changed.region, table.revision)
+    table.hinted_revision = max(table.hinted_revision, changed.revision)
+    return None
--- a/packages/core/greengagepoint/caps/system.py
+++ b/packages/core/greengagepoint/caps/system.py
@@ -11,6 +11,7 @@
 from greengagepoint.caps.const import (
     DEFAULT_REQUEST_SECONDS,
     DEMAND_WINDOW_SECONDS,
+    HINT_RETRY_SECONDS,
     LEDGER_POLL_OWNERS,
     LEDGER_POLL_SECONDS,
     PLAN_INTERVAL_SECONDS,
@@ -189,7 +190,10 @@
     size = len(table.ledger.owners) / LEDGER_POLL_OWNERS
     if now - table.read_at >= LEDGER_POLL_SECONDS * (1 + size):
         return True
-    if table.pending or table.hinted_revision > table.revision:
+    if table.pending:
+        return True
+    if table.hinted_revision > table.revision and now >= table.next_hint_read:
+        table.next_hint_read = now + HINT_RETRY_SECONDS
         return True
     if now < table.next_plan:
         return False
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -140,6 +140,7 @@
     revision: int = -1
     read_at: float = -inf
     hinted_revision: int = -1
+    next_hint_read: float = -inf
     pending: list[Pending] = field(default_factory=list)
     # Rights: what confirms this host's share.
     entries: tuple[Entry, ...] = ()
--- a/packages/core/tests/test_caps_failures.py
+++ b/packages/core/tests/test_caps_failures.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from greengagepoint.caps.borrowing import ask, take_grant
+from greengagepoint.caps.borrowing import ask, drop_silent_requests, take_grant
 from greengagepoint.caps.const import (
     CLOCK_RATE_ERROR,
     CONFIRM_SECONDS,
@@ -184,6 +184,15 @@
     assert start_all(borrower, 1.0) == []
 
 
+def test_silent_lender_is_asked_again() -> None:
+    """The first request is lost; the borrower looks elsewhere and comes back."""
+    borrower = build(LIVE[2])
+    assert request_from(borrower, 2, 0.0).sequence == 1
+    for tenth in range(5, 50):
+        drop_silent_requests(borrower, tenth / 10)
+    assert request_from(borrower, 2, 5.0).sequence == 2
+
+
 def test_doubled_request_returns_nothing() -> None:
     """The first request, which held nothing, comes again while units are in use."""
     owner, borrower = build_owner(), build(LIVE[2])
@@ -348,6 +357,7 @@
     configure(owner, configuration(LIMIT, 60))
     assert acquire(owner, "s", 60.0, 0.0).end_by == REQUEST_SECONDS
     planned = plan(owner, 0.0)
+    begin_write(owner, planned)
     observe(owner, planned.ledger, REVISION + 1, 0.0)
     assert acquire(owner, "s", 60.0, 0.0).end_by == 60
 
--- a/packages/node/greengagepoint_node/coordinators/caps.py
+++ b/packages/node/greengagepoint_node/coordinators/caps.py
@@ -24,7 +24,7 @@
     VouchRequest,
 )
 from greengagepoint.caps.owners import update_live
-from greengagepoint.caps.rights import answer_vouch, take_vouch
+from greengagepoint.caps.rights import answer_vouch, take_hint, take_vouch
 from greengagepoint.caps.status import CapsStatus, status
 from greengagepoint.caps.system import configure, run, yield_region_units
 from greengagepoint.caps.tables import Permit, create_table
@@ -33,10 +33,12 @@
 from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
 from greengagepoint_node.context import Context
-from greengagepoint_node.coordinators.caps_ledger import async_sync
+from greengagepoint_node.coordinators.caps_ledger import async_read, async_sync
 
 STORE_RETRY_SECONDS: Final = 1.0
 CONFLICT_RETRY_SECONDS: Final = 0.05
+CONFLICT_RETRY_SECONDS_MAX: Final = 5.0
+FIRST_WRITE_SECONDS: Final = 0.3
 HANDOVER_SECONDS: Final = 3.0
 HINTED_HOSTS_MAX: Final = 32
 
@@ -184,11 +186,11 @@
         take_vouch(self.table, sender, vouch)
 
     def on_ledger_changed(self, sender: str, changed: LedgerChanged) -> None:
-        """Read the ledger again."""
-        if changed.region != self.table.host.region:
-            return
-        if changed.revision > self.table.revision:
-            self.table.hinted_revision = changed.revision
+        """Read the ledger again, or tell a peer that has read an older one."""
+        reply = take_hint(self.table, changed)
+        if reply is not None:
+            self.context.peers.send(sender, reply)
+        if self.table.hinted_revision > self.table.revision:
             self.sync_wanted.set()
 
     def on_region_units_wanted(self, sender: str, wanted: RegionUnitsWanted) -> None:
@@ -230,7 +232,16 @@
                 future.set_result(None)
 
     async def _async_exchange(self) -> None:
-        """Exchange the ledger whenever a tick or a hint asks for it."""
+        """Exchange the ledger whenever a tick or a hint asks for it.
+
+        Before its first write the host tells its peers what it has read: if the store
+        was restored, they know a later revision and say so.
+        """
+        with suppress(StoreError):
+            await async_read(self.context, self.table)
+            self._hint_peers()
+            await self._async_pause(FIRST_WRITE_SECONDS)
+        retry_seconds = CONFLICT_RETRY_SECONDS
         while True:
             await self.sync_wanted.wait()
             self.sync_wanted.clear()
@@ -243,7 +254,10 @@
                 self._hint_peers()
             if synced.again:
                 self.sync_wanted.set()
-                await self._async_pause(CONFLICT_RETRY_SECONDS)
+                await self._async_pause(retry_seconds)
+                retry_seconds = min(2 * retry_seconds, CONFLICT_RETRY_SECONDS_MAX)
+            else:
+                retry_seconds = CONFLICT_RETRY_SECONDS
 
     async def _async_pause(self, seconds: float) -> None:
         """Wait for half to one and a half times the given time."""
--- a/packages/node/greengagepoint_node/coordinators/caps_ledger.py
+++ b/packages/node/greengagepoint_node/coordinators/caps_ledger.py
@@ -28,7 +28,8 @@
 
     Raises StoreError when the store cannot be reached.
     """
-    await async_read(context, table)
+    if not await async_read(context, table):
+        return Synced(False, True)
     planned = plan(table, context.clock.monotonic())
     if planned is None:
         return Synced(False, False)
@@ -40,8 +41,8 @@
     return Synced(True, False)
 
 
-async def async_read(context: Context, table: CapsTable) -> None:
-    """Take the ledger as the store has it."""
+async def async_read(context: Context, table: CapsTable) -> bool:
+    """Take the ledger as the store has it; tell whether it can be believed."""
     stored = await context.store.read(ledger_key(table.host.region))
     now = context.clock.monotonic()
     if stored is None:
@@ -60,8 +61,9 @@
             Event.LEDGER_CHANGED,
             region=table.host.region,
             revision=table.revision,
-            units={site.name: site.owned for site in table.sites.values()},
+            units={s.name: s.owned for s in table.sites.values() if s.owned},
         )
+    return observed.accepted
 
 
 async def _async_write(context: Context, table: CapsTable, planned: Plan) -> bool:
--- a/packages/node/tests/test_caps_coordinator.py
+++ b/packages/node/tests/test_caps_coordinator.py
@@ -5,9 +5,16 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import pytest
 
-from greengagepoint.caps.ledger import decode_ledger, ledger_key
+from greengagepoint.caps.ledger import (
+    Holding,
+    Ledger,
+    decode_ledger,
+    encode_ledger,
+    ledger_key,
+)
 from greengagepoint.configuration import EMPTY, Configuration
 from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
 from greengagepoint.events import Event
@@ -103,18 +110,22 @@
         self.configuration = CONFIGURATION
         self.nodes: dict[str, CapsCoordinator] = {}
         for name in ("a-1", "a-2", "b-1"):
-            host = HostIdentity(name, 1, name[0], "x", "", "")
-            context = Context(
-                host,
-                self.clock,
-                random.Random(1),
-                self.store,
-                self.bus.link(name),
-                Events(),
-            )
-            self.nodes[name] = CapsCoordinator(
-                context, lambda: self.configuration, self.live
-            )
+            self.add(name)
+
+    def add(self, name: str) -> None:
+        """Add a host."""
+        host = HostIdentity(name, 1, name[0], "x", "", "")
+        context = Context(
+            host,
+            self.clock,
+            random.Random(1),
+            self.store,
+            self.bus.link(name),
+            Events(),
+        )
+        self.nodes[name] = CapsCoordinator(
+            context, lambda: self.configuration, self.live
+        )
 
     def live(self) -> list[HostIdentity]:
         return [node.context.host for node in self.nodes.values()]
@@ -223,12 +234,30 @@
     assert len(take_all(fleet.nodes["a-2"])) == LIMIT
 
 
-async def test_reverted_ledger_is_refused(fleet: Fleet) -> None:
-    """The store comes back from an old backup; no share of then is used again."""
+@pytest.mark.parametrize("later", [False, True])
+async def test_restored_ledger_is_refused(fleet: Fleet, later: bool) -> None:
+    """The store comes back from a backup of when one host owned half or all.
+
+    A host that starts now knows nothing else; its peers tell it that they have seen a
+    later revision, so it claims nothing. If the restored ledger was written to all
+    the same, the host refuses the share that it gave away.
+    """
     key = ledger_key("a")
-    fleet.store.values[key] = fleet.store.values[key]._replace(revision=1)
-    node = fleet.nodes["a-1"]
-    owned = node.table.sites["s"].owned
-    await fleet.async_run(1)
-    assert Event.STORE_REVERTED in node.context.events
-    assert node.table.sites["s"].owned == owned
+    ledger = decode_ledger(fleet.store.values[key].value)
+    units = LIMIT if later else LIMIT // 2
+    old = msgspec.structs.replace(
+        ledger.owners["a-1#1"], shares={"s": Holding(units, LIMIT)}
+    )
+    revision = fleet.store.values[key].revision
+    value = encode_ledger(Ledger({"a-1#1": old}))
+    fleet.store.values[key] = StoreValue(key, value, revision + 9 if later else 1)
+    fleet.add("a-3")
+    newcomer = fleet.nodes["a-3"]
+    await newcomer.async_start()
+    await asyncio.sleep(0)
+    await newcomer._async_cancel()
+    await fleet.async_run(2)
+    owner = fleet.nodes["a-1"]
+    assert Event.STORE_REVERTED in owner.context.events
+    assert 0 < owner.table.sites["s"].owned <= LIMIT // 2
+    assert newcomer.table.sites["s"].owned == 0
--- a/packages/standins/greengagepoint_standins/caps_host.py
+++ b/packages/standins/greengagepoint_standins/caps_host.py
@@ -21,6 +21,7 @@
     begin_write,
     confirm_write,
     observe,
+    take_hint,
     take_vouch,
 )
 from greengagepoint.caps.system import yield_region_units
@@ -92,7 +93,7 @@
             case Vouch():
                 take_vouch(self.table, sender, message)
             case LedgerChanged():
-                self.table.hinted_revision = message.revision
+                return take_hint(self.table, message)
             case RegionUnitsWanted():
                 yield_region_units(self.table, message.units, clock)
         return None
