Let a region's hosts go on after a restored store once all are replaced

Cause: a host remembered for ever that a peer had seen a later revision, so even after all hosts with that memory were replaced no share could move.

Change: such a word counts for five minutes and is repeated by those that know it.

Measured: the test of a restored ledger failed with the share stuck and passes now; 50 tests of caps pass.

Conclusion: replacing the hosts of a region ends the state that a restored store leaves.

--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -39,6 +39,9 @@
 LENDABLE_AGE_SECONDS: Final = 5.0
 LEDGER_POLL_SECONDS: Final = 30.0
 HINT_RETRY_SECONDS: Final = 5.0
+HINT_SECONDS: Final = 300.0
+"""How long a peer's word of a later revision counts; hosts read at least as often."""
+
 LEDGER_POLL_OWNERS: Final = 100
 """So many owners add as long again: a larger ledger is read less often."""
 
--- a/packages/core/greengagepoint/caps/planning.py
+++ b/packages/core/greengagepoint/caps/planning.py
@@ -28,7 +28,7 @@
     fair_units,
     refresh_owners,
 )
-from greengagepoint.caps.tables import CapsTable, DeadEvidence
+from greengagepoint.caps.tables import CapsTable, DeadEvidence, is_behind
 from greengagepoint.config.watchers import rank
 
 REGION_STEP = 4
@@ -50,7 +50,7 @@
     Nothing is changed while a peer knows a later revision: the read was old, or the
     store was restored and shows units as unowned that others hold.
     """
-    if table.revision < 0 or table.hinted_revision > table.revision:
+    if table.revision < 0 or is_behind(table, now):
         return None
     owners = dict(table.ledger.owners)
     reclaimed = _reclaim(table, owners, now)
--- a/packages/core/greengagepoint/caps/rights.py
+++ b/packages/core/greengagepoint/caps/rights.py
@@ -198,11 +198,15 @@
     refresh_rights(table)
 
 
-def take_hint(table: CapsTable, changed: LedgerChanged) -> LedgerChanged | None:
+def take_hint(
+    table: CapsTable, changed: LedgerChanged, now: float
+) -> LedgerChanged | None:
     """Note that a peer has seen a revision; return the own one if it is later."""
     if changed.region != table.host.region:
         return None
     if changed.revision < table.revision:
         return LedgerChanged(changed.region, table.revision)
-    table.hinted_revision = max(table.hinted_revision, changed.revision)
+    if changed.revision >= table.hinted_revision:
+        table.hinted_revision = changed.revision
+        table.hinted_at = now
     return None
--- a/packages/core/greengagepoint/caps/system.py
+++ b/packages/core/greengagepoint/caps/system.py
@@ -28,7 +28,7 @@
     refresh_entries,
     refresh_rights,
 )
-from greengagepoint.caps.tables import CapsTable, Site
+from greengagepoint.caps.tables import CapsTable, Site, is_behind
 from greengagepoint.configuration import Configuration
 from greengagepoint.events import Event
 
@@ -192,7 +192,7 @@
         return True
     if table.pending:
         return True
-    if table.hinted_revision > table.revision and now >= table.next_hint_read:
+    if is_behind(table, now) and now >= table.next_hint_read:
         table.next_hint_read = now + HINT_RETRY_SECONDS
         return True
     if now < table.next_plan:
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from greengagepoint.caps.const import HINT_SECONDS
 from greengagepoint.caps.ledger import EMPTY_LEDGER, Entry, Ledger, owner_key
 from greengagepoint.hosts import HostIdentity
 
@@ -140,6 +141,7 @@
     revision: int = -1
     read_at: float = -inf
     hinted_revision: int = -1
+    hinted_at: float = -inf
     next_hint_read: float = -inf
     pending: list[Pending] = field(default_factory=list)
     # Rights: what confirms this host's share.
@@ -172,3 +174,13 @@
 def create_table(host: HostIdentity) -> CapsTable:
     """Create the table of one run of a host; it holds nothing yet."""
     return CapsTable(host, owner_key(host.name, host.incarnation))
+
+
+def is_behind(table: CapsTable, now: float) -> bool:
+    """Tell whether a peer lately said that it knows a later revision.
+
+    Hosts that know one repeat it while the store shows an older one; when they are
+    all replaced, nobody holds units by it any more.
+    """
+    is_fresh = now - table.hinted_at < HINT_SECONDS
+    return is_fresh and table.hinted_revision > table.revision
--- a/packages/node/greengagepoint_node/coordinators/caps.py
+++ b/packages/node/greengagepoint_node/coordinators/caps.py
@@ -27,7 +27,7 @@
 from greengagepoint.caps.rights import answer_vouch, take_hint, take_vouch
 from greengagepoint.caps.status import CapsStatus, status
 from greengagepoint.caps.system import configure, run, yield_region_units
-from greengagepoint.caps.tables import Permit, create_table
+from greengagepoint.caps.tables import Permit, create_table, is_behind
 from greengagepoint.configuration import Configuration
 from greengagepoint.errors import StoreError
 from greengagepoint.events import Event
@@ -187,10 +187,11 @@
 
     def on_ledger_changed(self, sender: str, changed: LedgerChanged) -> None:
         """Read the ledger again, or tell a peer that has read an older one."""
-        reply = take_hint(self.table, changed)
+        now = self.context.clock.monotonic()
+        reply = take_hint(self.table, changed, now)
         if reply is not None:
             self.context.peers.send(sender, reply)
-        if self.table.hinted_revision > self.table.revision:
+        if is_behind(self.table, now):
             self.sync_wanted.set()
 
     def on_region_units_wanted(self, sender: str, wanted: RegionUnitsWanted) -> None:
@@ -250,7 +251,7 @@
             except StoreError:
                 await self._async_pause(STORE_RETRY_SECONDS)
                 continue
-            if synced.written:
+            if synced.written or synced.refused:
                 self._hint_peers()
             if synced.again:
                 self.sync_wanted.set()
--- a/packages/node/greengagepoint_node/coordinators/caps_ledger.py
+++ b/packages/node/greengagepoint_node/coordinators/caps_ledger.py
@@ -17,10 +17,14 @@
 
 
 class Synced(NamedTuple):
-    """The outcome of one exchange; ``again`` if more is to be done soon."""
+    """The outcome of one exchange; ``refused`` if what was read can't be true.
 
-    written: bool
-    again: bool
+    ``again`` if more is to be done soon.
+    """
+
+    written: bool = False
+    refused: bool = False
+    again: bool = False
 
 
 async def async_sync(context: Context, table: CapsTable) -> Synced:
@@ -29,16 +33,16 @@
     Raises StoreError when the store cannot be reached.
     """
     if not await async_read(context, table):
-        return Synced(False, True)
+        return Synced(refused=True, again=True)
     planned = plan(table, context.clock.monotonic())
     if planned is None:
-        return Synced(False, False)
+        return Synced()
     if not await _async_write(context, table, planned):
-        return Synced(False, True)
+        return Synced(again=True)
     for owner in planned.reclaimed:
         context.events.record(Event.SHARE_RECLAIMED, owner=owner)
     await async_read(context, table)
-    return Synced(True, False)
+    return Synced(written=True)
 
 
 async def async_read(context: Context, table: CapsTable) -> bool:
--- a/packages/node/tests/test_caps_coordinator.py
+++ b/packages/node/tests/test_caps_coordinator.py
@@ -112,9 +112,9 @@
         for name in ("a-1", "a-2", "b-1"):
             self.add(name)
 
-    def add(self, name: str) -> None:
+    def add(self, name: str, incarnation: int = 1) -> None:
         """Add a host."""
-        host = HostIdentity(name, 1, name[0], "x", "", "")
+        host = HostIdentity(name, incarnation, name[0], "x", "", "")
         context = Context(
             host,
             self.clock,
@@ -261,3 +261,11 @@
     assert Event.STORE_REVERTED in owner.context.events
     assert 0 < owner.table.sites["s"].owned <= LIMIT // 2
     assert newcomer.table.sites["s"].owned == 0
+    # All hosts that knew more are replaced: nobody holds units by it any more.
+    for name in ("a-1", "a-2"):
+        fleet.add(name, incarnation=2)
+        await fleet.nodes[name].async_start()
+        await fleet.nodes[name]._async_cancel()
+    await fleet.async_run(400)
+    owned = [node.table.sites["s"].owned for node in fleet.nodes.values()]
+    assert sum(owned) == LIMIT
--- a/packages/standins/greengagepoint_standins/caps_host.py
+++ b/packages/standins/greengagepoint_standins/caps_host.py
@@ -93,7 +93,7 @@
             case Vouch():
                 take_vouch(self.table, sender, message)
             case LedgerChanged():
-                return take_hint(self.table, message)
+                return take_hint(self.table, message, clock)
             case RegionUnitsWanted():
                 yield_region_units(self.table, message.units, clock)
         return None
