Count a region's silence from when it is named, and find peers sooner

Cause: in the demo all hosts started before the host list named them; they read it again only 10 s later, and at once held other regions out of reach, because silence was counted from their own start. Shifts of failed regions began for regions that were well. Change: silence counts from when a region is first named; a host that knows no other reads the list each second. Conclusion: a young fleet no longer moves traffic for want of time.

--- a/packages/core/greengagepoint/membership/regions.py
+++ b/packages/core/greengagepoint/membership/regions.py
@@ -82,7 +82,10 @@
     heard = tables.regions.get(region)
     if not tables.detail_everywhere:
         return fresh(heard, now) if heard else now - tables.started_at < 60
-    last = tables.region_heard_at.get(region, tables.started_at)
+    # A region that the host list has only now named was never silent: counted from
+    # the start of this host, its traffic would be moved away before it could answer.
+    known_at = tables.region_known_at.setdefault(region, now)
+    last = tables.region_heard_at.get(region, known_at)
     if now - last < REGION_SILENT_SECONDS:
         return True
     return any(
--- a/packages/core/greengagepoint/membership/seeds.py
+++ b/packages/core/greengagepoint/membership/seeds.py
@@ -7,6 +7,8 @@
 from greengagepoint.protocols import ListedHost
 
 LIST_SECONDS_MIN: Final = 10.0
+# A host that knows no other is in a fleet that is just starting, or lost its list.
+LIST_SECONDS_ALONE: Final = 1.0
 # A long list is read less often, so that reading it stays near 0.5 KB a second at
 # about 100 bytes an entry.
 LIST_SECONDS_PER_HOST: Final = 0.2
@@ -52,4 +54,6 @@
 
 def list_period_seconds(tables: MembershipTables) -> float:
     """Return how long to wait before reading the list again."""
+    if not tables.members and not tables.listed:
+        return LIST_SECONDS_ALONE
     return max(LIST_SECONDS_MIN, LIST_SECONDS_PER_HOST * len(tables.listed))
--- a/packages/core/greengagepoint/membership/tables.py
+++ b/packages/core/greengagepoint/membership/tables.py
@@ -124,6 +124,7 @@
         self.zones: dict[tuple[str, str], Heard] = {}
         self.regions: dict[str, Heard] = {}
         self.region_heard_at: dict[str, float] = {}
+        self.region_known_at: dict[str, float] = {}
         self.unreachable: set[str] = set()
         self.order: list[str] = []
         self.changes: list[Change | RegionChange] = []
