Probe two hosts a second in a small system

Cause: a dead host that no one happened to probe stayed in look-ups for up to 7.3 s. Change: two pings a second while all hosts are tracked and they are at most 25.

--- a/packages/core/greengagepoint/membership/probing.py
+++ b/packages/core/greengagepoint/membership/probing.py
@@ -11,6 +11,9 @@
 from greengagepoint.protocols import Random
 
 PROBE_SECONDS: Final = 1.0
+# Among few hosts the one that nobody happens to probe for seconds weighs more than
+# the bytes of a second ping.
+PROBES_AMONG_FEW: Final = 2
 RESEND_SECONDS: Final = 0.5
 ACK_SECONDS: Final = 1.0
 HELPED_SECONDS: Final = 1.0
@@ -61,13 +64,20 @@
         return
     tables.probed_at = now
     yield from _probe_suspects(tables, now, random)
-    target = _next_target(tables, random)
-    if target is not None:
-        yield from _probe(tables, target, now)
+    for _ in range(_probes(tables)):
+        target = _next_target(tables, random)
+        if target is not None:
+            yield from _probe(tables, target, now)
     yield from _revive(tables, now, random)
     yield from _alert(tables, random)
 
 
+def _probes(tables: MembershipTables) -> int:
+    """Return how many hosts to ping this time; never one of them twice."""
+    few = tables.detail_everywhere and len(tables.present()) <= NEIGHBOURS_MAX
+    return min(len(tables.present()), PROBES_AMONG_FEW if few else 1)
+
+
 def _probe(tables: MembershipTables, target: str, now: float) -> Iterator[Send]:
     """Ping a host and wait for its answer."""
     sequence = tables.next_sequence()
