Run the first try of a hedged read in its caller's task

Cause: Every repeatable read paid for a task and a wait that only a slow one needs, and for a timeout around reading a body that had already come whole.

Change: The first try runs in the caller's own task; a timer starts the second, and a good second try cancels the first's wait as asyncio.timeout does. An answer that has come whole is read without a timeout, unless its request is still being sent. The measurement keeps connections open and joins three deployments, because where the kernel puts a process costs it up to a tenth for as long as it lives.

--- a/measure/request_path.py
+++ b/measure/request_path.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import itertools
 from statistics import median
 from typing import Final, NamedTuple
 
@@ -17,10 +18,12 @@
 from measure.runner import is_quick
 
 CONNECTIONS: Final = 8
-BLOCK_REQUESTS: Final = 400 if is_quick() else 1_200
-BLOCKS: Final = 4 if is_quick() else 9
+BLOCK_REQUESTS: Final = 160
+BLOCKS: Final = 10 if is_quick() else 15
+# Where the kernel puts a process in memory and on a core costs it up to a tenth, for
+# as long as it lives; so several runs of all processes are taken together.
+DEPLOYMENTS: Final = 1 if is_quick() else 3
 WARM_UP_REQUESTS: Final = 400
-KEYED_REQUESTS: Final = 200
 KEYED_BLOCKS: Final = 3
 PROXIED_LIMIT: Final = 2.0
 LOOKUP_LIMIT: Final = 1.3
@@ -40,69 +43,107 @@
     """Report an answer that would make the figures wrong."""
 
 
-async def async_send(load: Load, count: int, first: int) -> None:
-    """Send a number of requests one after another over one connection."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", load.server.port)
-    with contextlib.closing(writer):
-        for number in range(first, first + count):
-            request = load.request
-            if load.keyed:
-                request = request.replace(b"KEY", b"k%d" % number)
+class Client:
+    """Connections that are kept open and send one request after another."""
+
+    def __init__(self, load: Load) -> None:
+        self.load = load
+        self.streams: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.numbers = itertools.count()
+
+    async def async_open(self) -> None:
+        """Open the connections and warm the server up."""
+        port = self.load.server.port
+        for _ in range(CONNECTIONS):
+            self.streams.append(await asyncio.open_connection("127.0.0.1", port))
+        await self.async_block(WARM_UP_REQUESTS)
+
+    def close(self) -> None:
+        """Close the connections."""
+        for _reader, writer in self.streams:
+            writer.close()
+
+    async def async_block(self, requests: int) -> float:
+        """Return microseconds of the server's processor time for each request."""
+        each = requests // CONNECTIONS
+        before = self.load.server.processor_seconds()
+        await asyncio.gather(
+            *(self._async_send(reader, writer, each) for reader, writer in self.streams)
+        )
+        spent = self.load.server.processor_seconds() - before
+        return spent / (each * CONNECTIONS) * MICROSECONDS
+
+    async def _async_send(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, count: int
+    ) -> None:
+        """Send requests one after another over one connection."""
+        for _ in range(count):
+            request = self.load.request
+            if self.load.keyed:
+                request = request.replace(b"KEY", b"k%d" % next(self.numbers))
             writer.write(request)
             await _async_read_answer(reader)
 
 
-async def _async_read_answer(reader: asyncio.StreamReader) -> bytes:
-    """Return the body of one answer."""
+async def _async_read_answer(reader: asyncio.StreamReader) -> None:
+    """Read one answer whole."""
     head = await reader.readuntil(b"\r\n\r\n")
     length = int(head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0])
     body = await reader.readexactly(length)
     if not head.startswith(STATUS_OK):
         raise FailedRequestError((head + body[:500]).decode())
-    return body
 
 
-async def async_block(load: Load, requests: int, first: int = 0) -> float:
-    """Return microseconds of the server's processor time for each request."""
-    each = requests // CONNECTIONS
-    before = load.server.processor_seconds()
-    await asyncio.gather(
-        *(
-            async_send(load, each, first + connection * each)
-            for connection in range(CONNECTIONS)
-        )
-    )
-    spent = load.server.processor_seconds() - before
-    return spent / (each * CONNECTIONS) * MICROSECONDS
+async def async_compare(loads: list[Load]) -> list[list[float]]:
+    """Return the blocks of each load; the n-th blocks of all were run in turn."""
+    async with contextlib.AsyncExitStack() as stack:
+        clients = [Client(load) for load in loads]
+        for client in clients:
+            stack.callback(client.close)
+            await client.async_open()
+        blocks: list[list[float]] = [[] for _ in loads]
+        for number in range(BLOCKS):
+            order = list(zip(clients, blocks, strict=True))
+            for client, found in order if number % 2 else reversed(order):
+                found.append(await client.async_block(BLOCK_REQUESTS))
+    return blocks
+
 
+def ratio(own: list[float], baseline: list[float]) -> float:
+    """Return the median of the ratios of blocks that ran next to each other.
 
-async def async_compare(loads: list[Load]) -> list[float]:
-    """Return the median block of each load, run in turn after a warm-up."""
-    for load in loads:
-        await async_block(load, WARM_UP_REQUESTS)
-    blocks: list[list[float]] = [[] for _ in loads]
-    for number in range(BLOCKS):
-        order = list(zip(loads, blocks, strict=True))
-        for load, found in order if number % 2 else reversed(order):
-            found.append(await async_block(load, BLOCK_REQUESTS))
-    return [median(found) for found in blocks]
+    A busy machine slows both blocks of a pair, so their ratio is steadier than that
+    of the two medians.
+    """
+    return median(one / other for one, other in zip(own, baseline, strict=True))
 
 
-async def async_keyed(deployment: Deployment) -> float:
-    """Return the cost of a request whose key must be claimed in the store."""
+async def async_keyed(deployment: Deployment) -> list[float]:
+    """Return blocks of requests whose keys must be claimed in the store."""
     load = Load(deployment.daemon, deployment.post_request, keyed=True)
-    found = [
-        await async_block(load, KEYED_REQUESTS, number * KEYED_REQUESTS)
-        for number in range(KEYED_BLOCKS)
-    ]
-    return median(found)
+    client = Client(load)
+    with contextlib.closing(client):
+        await client.async_open()
+        return [await client.async_block(BLOCK_REQUESTS) for _ in range(KEYED_BLOCKS)]
+
+
+class Blocks(NamedTuple):
+    """The blocks of one deployment; the n-th ones of a group were run in turn."""
 
+    proxied: list[float]
+    pass_through: list[float]
+    pass_through_application: list[float]
+    lookup: list[float]
+    handler_application: list[float]
+    handler: list[float]
+    keyed: list[float]
 
-async def async_run() -> list[Figure]:
+
+async def async_measure() -> Blocks:
     """Start the processes and compare."""
     async with async_deployment() as deployment:
         daemon, bare = deployment.daemon, deployment.bare
-        proxied, plain, application = await async_compare(
+        requests = await async_compare(
             [
                 Load(daemon, deployment.get_request),
                 Load(bare.pass_through, deployment.get_request),
@@ -110,36 +151,53 @@
             ]
         )
         await deployment.async_copy_lookup()
-        lookup, handler, low_level = await async_compare(
+        lookups = await async_compare(
             [
                 Load(daemon, deployment.lookup_request),
                 Load(bare.lookup_application, deployment.lookup_request),
                 Load(bare.lookup, deployment.lookup_request),
             ]
         )
-        keyed = await async_keyed(deployment)
+        return Blocks(*requests, *lookups, await async_keyed(deployment))
+
+
+async def async_run() -> Blocks:
+    """Return the blocks of all deployments together."""
+    found = [await async_measure() for _ in range(DEPLOYMENTS)]
+    return Blocks(*(sum(lists, []) for lists in zip(*found, strict=True)))
+
+
+def compare(name: str, own: list[float], other: list[float], baseline: str) -> Figure:
+    """Return the figure of one load beside a baseline."""
+    return Figure(f"request path: {name}", median(own), "us", median(other), baseline)
+
+
+def limited(name: str, own: list[float], other: list[float], limit: float) -> Figure:
+    """Return the ratio that has a limit."""
+    return Figure(f"request path: {name}", ratio(own, other), "ratio", limit=limit)
+
+
+def run() -> list[Figure]:
+    """Return the figures of the request path."""
+    blocks = asyncio.run(async_run())
     low, full = "web.Server with the daemon's options", "web.Application"
+    get, lookup, post = "a small GET", "a look-up", "a POST with a key"
     return [
-        Figure("request path: a small GET", proxied, "us", plain, low),
-        Figure("request path: a small GET", proxied, "us", application, full),
-        Figure(
-            "request path: a small GET over a pass-through",
-            proxied / plain,
-            "ratio",
-            limit=PROXIED_LIMIT,
+        compare(get, blocks.proxied, blocks.pass_through, low),
+        compare(get, blocks.proxied, blocks.pass_through_application, full),
+        limited(
+            "a small GET over a pass-through (web.Server)",
+            blocks.proxied,
+            blocks.pass_through,
+            PROXIED_LIMIT,
         ),
-        Figure("request path: a look-up", lookup, "us", handler, full),
-        Figure("request path: a look-up", lookup, "us", low_level, low),
-        Figure(
-            "request path: a look-up over a bare handler",
-            lookup / handler,
-            "ratio",
-            limit=LOOKUP_LIMIT,
+        compare(lookup, blocks.lookup, blocks.handler_application, full),
+        compare(lookup, blocks.lookup, blocks.handler, low),
+        limited(
+            "a look-up over a handler (web.Application)",
+            blocks.lookup,
+            blocks.handler_application,
+            LOOKUP_LIMIT,
         ),
-        Figure("request path: a POST with a key", keyed, "us", proxied, "a small GET"),
+        compare(post, blocks.keyed, blocks.proxied, get),
     ]
-
-
-def run() -> list[Figure]:
-    """Return the figures of the request path."""
-    return asyncio.run(async_run())
--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -247,6 +247,8 @@
         return b""
     ends_at = min(call.ends_at, placement.permit.end_by)
     try:
+        if _has_come_whole(upstream, call):
+            return await upstream.read()
         return await async_within(parts, ends_at, upstream.read())
     except TimeoutError as error:
         upstream.close()
@@ -260,6 +262,12 @@
         ) from error
 
 
+def _has_come_whole(upstream: aiohttp.ClientResponse, call: Call) -> bool:
+    """Tell whether reading the answer waits for nothing, so needs no timeout."""
+    sending = call.streamed or call.body is not None
+    return upstream.content.is_eof() and not sending
+
+
 def _note_failure(
     parts: Parts, placement: Placement, error: WireError, tries: Tries
 ) -> None:
--- a/packages/node/greengagepoint_node/proxy/hedging.py
+++ b/packages/node/greengagepoint_node/proxy/hedging.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import Protocol, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 T = TypeVar("T")
 Start = Callable[[], Awaitable[T]]
@@ -31,58 +31,102 @@
     wait = allowance.hedge_wait_seconds()
     if wait is None:
         return await first()
-    task = asyncio.ensure_future(first())
+    hedge = _Hedge(second, allowance, wait)
     try:
-        await asyncio.wait({task}, timeout=wait)
+        return await first()
     except asyncio.CancelledError:
-        _drop(task, discard)
+        if not hedge.stop() and hedge.has_result():
+            return hedge.take()
         raise
-    if task.done() or not allowance.may_hedge(wait, repeatable=True):
-        return await _async_only(task, discard)
-    return await _async_race([task, asyncio.ensure_future(second())], discard)
-
-
-async def _async_only(task: asyncio.Future[T], discard: Discard[T]) -> T:
-    """Return the result of the only try."""
-    try:
-        return await task
-    except asyncio.CancelledError:
-        # The try may have ended at the very moment when the caller went away. Its
-        # result would reach nobody and hold its place for ever.
-        _drop(task, discard)
+    except Exception:
+        hedge.stop()
+        if await hedge.async_has_result():
+            return hedge.take()
         raise
-
-
-async def _async_race(tasks: list[asyncio.Future[T]], discard: Discard[T]) -> T:
-    """Return the first good result and drop the other try."""
-    winner: asyncio.Future[T] | None = None
-    try:
-        winner = await _async_first_good(tasks)
-        return winner.result()
     finally:
-        for task in tasks:
-            if task is not winner:
-                _drop(task, discard)
+        hedge.stop()
+        hedge.drop(discard)
 
 
-async def _async_first_good(tasks: list[asyncio.Future[T]]) -> asyncio.Future[T]:
-    """Return the first try that succeeds, or the first one when all fail."""
-    pending: set[asyncio.Future[T]] = set(tasks)
-    while pending:
-        done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            if task in done and task.exception() is None:
-                return task
-    return tasks[0]
+class _Hedge(Generic[T]):
+    """A second try beside the one that the current task runs itself.
 
+    A task for the first try would cost every request that needs no second one. So
+    the first runs in the caller's task, and a good second try cancels that task to
+    get it out of its wait, as ``asyncio.timeout`` does.
+    """
 
-def _drop(task: asyncio.Future[T], discard: Discard[T]) -> None:
-    """Cancel a try that is under way, or discard its unused result."""
-    task.add_done_callback(lambda ended: _discard_result(ended, discard))
-    task.cancel()
+    def __init__(
+        self, second: Start[T], allowance: HedgeAllowance, wait_seconds: float
+    ) -> None:
+        self.second = second
+        self.allowance = allowance
+        self.wait_seconds = wait_seconds
+        self.task = asyncio.current_task()
+        self.cancelling = self.task.cancelling()
+        self.other: asyncio.Future[T] | None = None
+        self.cancelled_first = False
+        loop = asyncio.get_running_loop()
+        self.timer: asyncio.TimerHandle | None = loop.call_later(
+            wait_seconds, self._start
+        )
+
+    def stop(self) -> bool:
+        """Take no part any longer; tell whether the caller was cancelled meanwhile."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.other is not None:
+            self.other.remove_done_callback(self._interrupt)
+        if self.cancelled_first:
+            self.cancelled_first = False
+            self.task.uncancel()
+        return self.task.cancelling() > self.cancelling
+
+    def has_result(self) -> bool:
+        """Tell whether the second try has ended well."""
+        return self.other is not None and self.other.done() and _is_good(self.other)
+
+    async def async_has_result(self) -> bool:
+        """Wait for the second try, if there is one; tell whether it ended well."""
+        if self.other is not None:
+            await asyncio.wait({self.other})
+        return self.has_result()
+
+    def take(self) -> T:
+        """Return the second try's result, which then isn't discarded."""
+        result = self.other.result()
+        self.other = None
+        return result
+
+    def drop(self, discard: Discard[T]) -> None:
+        """Cancel the second try, or discard its unused result."""
+        if self.other is None:
+            return
+        self.other.add_done_callback(lambda ended: _discard_result(ended, discard))
+        self.other.cancel()
+        self.other = None
+
+    def _start(self) -> None:
+        """Start the second try, if the budget allows it."""
+        self.timer = None
+        if self.allowance.may_hedge(self.wait_seconds, repeatable=True):
+            self.other = asyncio.ensure_future(self.second())
+            self.other.add_done_callback(self._interrupt)
+
+    def _interrupt(self, other: asyncio.Future[T]) -> None:
+        """Get the first try out of its wait, because the second has ended well."""
+        if _is_good(other):
+            self.cancelled_first = True
+            self.task.cancel()
+
+
+def _is_good(task: asyncio.Future[T]) -> bool:
+    """Tell whether a try that is done has a result."""
+    return not task.cancelled() and task.exception() is None
 
 
 def _discard_result(task: asyncio.Future[T], discard: Discard[T]) -> None:
     """Discard a result that came too late; an error needs nothing more."""
-    if not task.cancelled() and task.exception() is None:
+    if _is_good(task):
         discard(task.result())
