Split the daemon, never cut a stop short, and split limits over the fleet

Change: opening of sockets and links, gauges and the refresh of look-ups are modules of their own; the grace is at least the longest deadline; the count of serving hosts comes from digests and sums; envelopes follow membership's own version.

--- a/packages/core/greengagepoint/configuration.py
+++ b/packages/core/greengagepoint/configuration.py
@@ -30,3 +30,12 @@
 
 
 EMPTY = Configuration(0, "", {}, {}, {}, {}, {}, {}, {}, {})
+
+
+def longest_deadline_seconds(configuration: Configuration) -> float:
+    """Return the longest time that any service gives a request."""
+    longest = max(
+        (service.max_deadline_ms for service in configuration.services.values()),
+        default=0,
+    )
+    return longest / 1000
--- a/packages/core/greengagepoint/membership/regions.py
+++ b/packages/core/greengagepoint/membership/regions.py
@@ -1,7 +1,9 @@
 """Tell which regions can be reached, and how much is tracked in detail."""
 
+from collections.abc import Iterable
 from typing import Final
 
+from greengagepoint.hosts import HostIdentity
 from greengagepoint.membership.items import fresh
 from greengagepoint.membership.messages import HostState
 from greengagepoint.membership.tables import (
@@ -38,6 +40,34 @@
     return 1 + single + by_zone + by_region
 
 
+def serving_population(
+    tables: MembershipTables, serving: Iterable[HostIdentity], now: float
+) -> int:
+    """Return about how many hosts serve in all, at least one.
+
+    ``serving`` are those held serving one by one. In a large system they are only this
+    zone's and some contacts: a limit that is split over these alone would let the
+    fleet as a whole pass many times as much.
+    """
+    me = tables.me
+    if tables.detail_everywhere:
+        return max(1, sum(1 for _ in serving))
+    count = sum((host.region, host.zone) == (me.region, me.zone) for host in serving)
+    count += sum(
+        heard.item.serving
+        for key, heard in tables.zones.items()
+        if key != (me.region, me.zone) and fresh(heard, now)
+    )
+    count += sum(
+        heard.item.serving
+        for region, heard in tables.regions.items()
+        if region != me.region and fresh(heard, now)
+    )
+    if now - tables.started_at < LIST_TRUSTED_SECONDS:
+        count = max(count, len(tables.listed))
+    return max(1, count)
+
+
 def run_mode(tables: MembershipTables, now: float) -> None:
     """Track all hosts in detail in a small system, and only this zone in a large one.
 
--- a/packages/node/greengagepoint_node/coordinators/membership.py
+++ b/packages/node/greengagepoint_node/coordinators/membership.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from typing import Any, Final
+from typing import Any, Final, NamedTuple
 
 from greengagepoint.errors import ErrorKind, GreengagepointError
 from greengagepoint.events import Event
@@ -20,7 +20,7 @@
     RegionChange,
     Send,
 )
-from greengagepoint.protocols import HostList
+from greengagepoint.protocols import HostList, ListedHost
 from greengagepoint_node.context import Context
 
 # How often hosts known only by digests are looked over for having gone stale.
@@ -33,11 +33,20 @@
 }
 
 
+class Candidates(NamedTuple):
+    """Candidate hosts, and the view and host list that they were made from."""
+
+    version: int
+    listed: dict[str, ListedHost]
+    hosts: tuple[HostIdentity, ...]
+
+
 class MembershipCoordinator:
     """Watch other hosts by probes, seeded from the lagging host list.
 
     ``tick`` is due every 0.5 to 1 s. ``version`` grows when ``live_hosts``,
-    ``serving_hosts`` or a region's reachability may have changed.
+    ``serving_hosts`` or a region's reachability may have changed. ``serving_count`` is
+    about how many hosts serve in the whole fleet, of which a large one shows few.
     """
 
     def __init__(self, context: Context, host_list: HostList) -> None:
@@ -51,9 +60,10 @@
         self.unsubscribes: list[Callable[[], None]] = []
         self.reader: asyncio.Task[None] | None = None
         self.list_failed = False
-        self.candidates: tuple[Any, tuple[HostIdentity, ...]] | None = None
+        self.candidates: Candidates | None = None
         self.live: tuple[HostIdentity, ...] = (context.host,)
         self.serving: tuple[HostIdentity, ...] = (context.host,)
+        self.serving_count = 1
         self.seen_version = -1
         self.viewed_at = float("-inf")
 
@@ -126,10 +136,19 @@
 
         The latter's incarnation is 0: nobody here has heard them, they may be gone.
         """
-        key = (self.version, self.tables.listed)
-        if self.candidates is None or self.candidates[0] != key:
-            self.candidates = (key, systems.candidate_hosts(self.tables, self.live))
-        return self.candidates[1]
+        version, listed = self.version, self.tables.listed
+        # By identity: each read of the list makes a new table, and comparing thousands
+        # of equal entries at each tick would take a tenth of the time for control.
+        if (
+            self.candidates is None
+            or self.candidates.version != version
+            or self.candidates.listed is not listed
+        ):
+            hosts = systems.candidate_hosts(self.tables, self.live)
+            if self.candidates is not None and self.candidates.hosts == hosts:
+                hosts = self.candidates.hosts
+            self.candidates = Candidates(version, listed, hosts)
+        return self.candidates.hosts
 
     def unreachable_regions(self) -> frozenset[str]:
         """Return regions of which no host can be heard."""
@@ -214,6 +233,7 @@
             systems.live_hosts(self.tables, now),
             systems.serving_hosts(self.tables, now),
         )
+        self.serving_count = regions.serving_population(self.tables, view[1], now)
         if view == (self.live, self.serving) and not changes:
             return
         self.live, self.serving = view
--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -2,28 +2,22 @@
 
 import asyncio
 import itertools
-import random
-import socket
+from functools import partial
 from typing import Any, Final
 
-import aiohttp
 from aiohttp import web
 
-from greengagepoint.configuration import Configuration
+from greengagepoint.configuration import Configuration, longest_deadline_seconds
 from greengagepoint.draining import flights, stop
 from greengagepoint.draining.flights import FlightTable
 from greengagepoint.draining.stop import StopState, StopStatus, StopTable
-from greengagepoint.errors import SettingError
 from greengagepoint.events import Event
-from greengagepoint.hosts import HostIdentity
-from greengagepoint.protocols import HostList, ListedHost
 from greengagepoint.steering.hosts import drained_hosts
-from greengagepoint.steering.lookup import EntryHost
 from greengagepoint.timeline.ring import EventRecorder
 from greengagepoint_node.backends import BackendKeeper
 from greengagepoint_node.client_map import ClientMap
 from greengagepoint_node.clock import SystemClock
-from greengagepoint_node.context import Context, Coordinator
+from greengagepoint_node.context import Coordinator
 from greengagepoint_node.coordinators.caps import CapsCoordinator
 from greengagepoint_node.coordinators.claims import ClaimsCoordinator
 from greengagepoint_node.coordinators.config import ConfigCoordinator
@@ -31,7 +25,7 @@
 from greengagepoint_node.coordinators.membership import MembershipCoordinator
 from greengagepoint_node.coordinators.usage import UsageCoordinator
 from greengagepoint_node.event_sink import LoggedEvents
-from greengagepoint_node.host_list import create_host_list
+from greengagepoint_node.gauges import read_headroom, read_peer_totals
 from greengagepoint_node.http.health import HealthSources, create_health_routes
 from greengagepoint_node.http.lookups import create_lookup_handler
 from greengagepoint_node.http.operators import create_operator_routes
@@ -43,23 +37,19 @@
     create_dispatcher,
 )
 from greengagepoint_node.lookup_answers import LookupAnswers
-from greengagepoint_node.metrics import Metrics, PeerTotals, Sources
+from greengagepoint_node.metrics import Metrics, Sources
 from greengagepoint_node.operator_backend import DaemonOperatorBackend
-from greengagepoint_node.peers import PeerLinks
 from greengagepoint_node.proxy.admission import RequestAdmission
 from greengagepoint_node.proxy.body import BodyLimits
 from greengagepoint_node.proxy.parts import Parts
 from greengagepoint_node.proxy.pipeline import RequestPipeline
 from greengagepoint_node.proxy.sessions import create_backend_sessions
-from greengagepoint_node.setting_checks import Address
 from greengagepoint_node.settings import Settings
 from greengagepoint_node.shifting import ShiftKeeper
 from greengagepoint_node.status import StatusSources, read_status
-from greengagepoint_node.store import create_store
+from greengagepoint_node.surroundings import async_open_surroundings
 
 TICK_LATE_SECONDS: Final = 1.0
-STORE_TIMEOUT_SECONDS: Final = 2.0
-HOST_LIST_TIMEOUT_SECONDS: Final = 2.0
 STOP_POLL_SECONDS: Final = 0.05
 STATE_STARTING: Final = "starting"
 STATE_SERVING: Final = "serving"
@@ -69,14 +59,6 @@
 MAX_HEADERS: Final = 100
 
 
-class EmptyHostList:
-    """The host list of a host that runs alone."""
-
-    async def read(self) -> tuple[ListedHost, ...]:
-        """Return no hosts."""
-        return ()
-
-
 class Daemon:
     """One run of the daemon on one entry host."""
 
@@ -90,7 +72,7 @@
         self.tick_task: asyncio.Task[None] | None = None
         self.stop_table = StopTable()
         self.stop_status: StopStatus | None = None
-        self.prepared: tuple[Configuration, int, bool, frozenset[str]] | None = None
+        self.membership: MembershipCoordinator | None = None
 
     async def async_run(self) -> None:
         """Serve until a stop is wanted, then stop gracefully."""
@@ -100,7 +82,12 @@
 
     async def async_start(self) -> None:
         """Open sockets, start all parts and begin to tick."""
-        await self._async_open()
+        self.surroundings = await async_open_surroundings(
+            self.settings, self.clock, self.recorder, self.events, self._peer_address
+        )
+        self.context = self.surroundings.context
+        self.identity = self.context.host
+        self.links = self.surroundings.links
         self._create_parts()
         for part in self.coordinators:
             await part.async_start()
@@ -124,8 +111,7 @@
         self.membership.set_leaving()
         self.caps.leave()
         self._prepare_lookups()
-        grace = self.settings.stop_grace_seconds
-        await self._async_wait_for_callers(grace)
+        await self._async_wait_for_callers()
         await self._async_close()
         self.state = STATE_STOPPED
         self.events.record(Event.DAEMON_STOPPED)
@@ -140,65 +126,27 @@
             await part.async_stop()
         await self._async_close_links()
 
-    async def _async_open(self) -> None:
-        """Bind sockets and make what the coordinators stand on."""
-        settings = self.settings
-        self.http_socket = _bind(settings.listen_address)
-        self.membership: MembershipCoordinator | None = None
-        incarnation = self.clock.wall_milliseconds()
-        key = settings.peer_key.data if settings.peer_key else b""
-        self.links = PeerLinks(
-            host=settings.host,
-            incarnation=incarnation,
-            listen_address=str(settings.peer_listen_address),
-            key=key,
-            address_of=self._peer_address,
-            events=self.events,
-            clock_now=self.recorder.stamp,
-            clock_seen=self.recorder.observe,
-        )
-        await self.links.async_start()
-        self.identity = HostIdentity(
-            settings.host,
-            incarnation,
-            settings.region,
-            settings.zone,
-            str(settings.advertised_address or _address_of(self.http_socket)),
-            str(settings.advertised_peer_address or self.links.bound_address),
-        )
-        self.platform_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), trust_env=False
-        )
-        self.context = Context(
-            host=self.identity,
-            clock=self.clock,
-            random=random.Random(),
-            store=create_store(
-                settings.store,
-                self.platform_session,
-                timeout_seconds=STORE_TIMEOUT_SECONDS,
-                prefix=settings.store_prefix,
-            ),
-            peers=self.links,
-            events=self.events,
-        )
-
     def _create_parts(self) -> None:
         """Make coordinators and the request path."""
         context = self.context
-        self.membership = MembershipCoordinator(context, self._host_list())
+        self.membership = MembershipCoordinator(context, self.surroundings.host_list)
         self.config = ConfigCoordinator(context, self.membership.live_hosts)
         self.caps = CapsCoordinator(
             context, self._configuration, self.membership.live_hosts
         )
         self.claims = ClaimsCoordinator(context, self.membership.live_hosts)
-        self.usage = UsageCoordinator(context, self.membership.live_hosts)
+        self.usage = UsageCoordinator(
+            context,
+            self.membership.live_hosts,
+            candidates=self.membership.candidate_hosts,
+            population=self.membership.population,
+        )
         self.backends = BackendKeeper(context)
         self.load = LoadCoordinator(
             context,
             self._configuration,
             self.membership.live_hosts,
-            self.platform_session,
+            self.surroundings.session,
             self.backends.table,
         )
         self.coordinators: list[Coordinator] = [
@@ -214,7 +162,11 @@
         self.client_map = ClientMap()
         self.lookups = LookupAnswers(self.identity, self.client_map.find)
         self.metrics = Metrics(
-            Sources(self._headroom, self._peer_totals, self._generation)
+            Sources(
+                partial(read_headroom, self._configuration, self.caps),
+                partial(read_peer_totals, self.links.counters),
+                self._generation,
+            )
         )
         self.admission = RequestAdmission(
             self._configuration, self._serving_count, self.clock, context.random
@@ -227,16 +179,6 @@
         self.config.on_change(self._on_configuration)
         self.membership.on_change(self._prepare_lookups)
 
-    def _host_list(self) -> HostList:
-        """Return the platform's host list, or an empty one where there is none."""
-        if self.settings.host_list is None:
-            return EmptyHostList()
-        return create_host_list(
-            self.settings.host_list,
-            self.platform_session,
-            timeout_seconds=HOST_LIST_TIMEOUT_SECONDS,
-        )
-
     def _parts(self) -> Parts:
         """Return what the request path uses."""
         self.sessions = create_backend_sessions()
@@ -265,7 +207,7 @@
         server = ProblemServer(create_dispatcher(self._routes()), self.events, limits)
         self.runner = ProblemServerRunner(server)
         await self.runner.setup()
-        await web.SockSite(self.runner, self.http_socket).start()
+        await web.SockSite(self.runner, self.surroundings.http_socket).start()
 
     def _routes(self) -> Routes:
         """Return all routes of the HTTP server."""
@@ -318,6 +260,10 @@
         failed = frozenset(self.membership.unreachable_regions())
         self.shifts.tick(configuration, failed, peers, now)
         self.admission.tick(now)
+        # A host whose clock was set back starts with a lower incarnation than peers
+        # know; membership raises it, and envelopes must follow or peers refuse them.
+        codec = self.links.codec
+        codec.incarnation = max(codec.incarnation, self.membership.own_version)
         self.client_map.tick()
         self._prepare_lookups()
         if self.state == STATE_STARTING and self._is_ready():
@@ -326,19 +272,12 @@
 
     def _prepare_lookups(self) -> None:
         """Prepare look-up answers again when what they depend on has changed."""
-        configuration = self._configuration()
-        changing = self.shifts.is_moving()
-        wall_ms = self.clock.wall_milliseconds()
-        drained = drained_hosts(configuration, wall_ms)
-        current = (configuration, self.membership.version, changing, drained)
-        if self.prepared == current:
-            return
-        hosts = tuple(
-            EntryHost(host, leaving=host.name in drained)
-            for host in self.membership.serving_hosts()
+        self.lookups.refresh(
+            self._configuration(),
+            self.membership,
+            self.clock.wall_milliseconds(),
+            changing=self.shifts.is_moving(),
         )
-        self.lookups.prepare(configuration, hosts, changing=changing)
-        self.prepared = current
 
     def _on_configuration(self, configuration: Configuration) -> None:
         """Put a new configuration in force on the request path at once."""
@@ -346,11 +285,19 @@
         self.client_map.sync(configuration)
         self._prepare_lookups()
 
-    async def _async_wait_for_callers(self, grace_seconds: float) -> None:
-        """Serve until cached answers have run out and nothing is in flight."""
+    async def _async_wait_for_callers(self) -> None:
+        """Serve until cached answers have run out and nothing is in flight.
+
+        The grace is for requests that never end; it is never shorter than the longest
+        deadline, or a planned stop would cut off a request that still has time.
+        """
         table = self.stop_table
         stop.leave(table, self.lookups.longest_ttl_seconds, self.clock.monotonic())
-        ends_at = table.cached_until + grace_seconds
+        grace = max(
+            self.settings.stop_grace_seconds,
+            longest_deadline_seconds(self._configuration()),
+        )
+        ends_at = table.cached_until + grace
         while (now := self.clock.monotonic()) < ends_at:
             left = flights.progress(self.flights, lambda flight: True, now)
             self.stop_status = stop.run(
@@ -375,9 +322,8 @@
 
     async def _async_close_links(self) -> None:
         """Close all connections that this host has opened."""
-        await self.links.async_stop()
         await self.sessions.async_close()
-        await self.platform_session.close()
+        await self.surroundings.async_close()
 
     def _configuration(self) -> Configuration:
         """Return the configuration in force."""
@@ -388,8 +334,8 @@
         return self.membership.peer_address(host) if self.membership else None
 
     def _serving_count(self) -> int:
-        """Return how many hosts serve."""
-        return len(self.membership.serving_hosts())
+        """Return how many hosts serve in the whole fleet."""
+        return self.membership.serving_count
 
     def _is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -397,26 +343,6 @@
             self._configuration().generation
         )
 
-    def _headroom(self) -> dict[str, float]:
-        """Return what this host could still send toward each region."""
-        free: dict[str, float] = {}
-        for site in self._configuration().sites.values():
-            headroom = self.caps.headroom(site.name)
-            free[site.region] = free.get(site.region, 0) + headroom
-        return free
-
-    def _peer_totals(self) -> PeerTotals:
-        """Return the totals of the peer links."""
-        counters = self.links.counters
-        return PeerTotals(
-            counters.bytes_in,
-            counters.bytes_out,
-            counters.messages_in,
-            counters.messages_out,
-            counters.rejected,
-            counters.dropped,
-        )
-
     def _generation(self) -> int:
         """Return the generation in force."""
         return self._configuration().generation
@@ -440,20 +366,3 @@
         draining = self.state == STATE_SERVING and self.identity.name in drained
         state = STATE_DRAINING if draining else self.state
         return read_status(sources, state, self.pipeline.in_flight, self.stop_status)
-
-
-def _bind(address: Address) -> socket.socket:
-    """Return a listening socket for an address setting."""
-    family = socket.AF_INET6 if ":" in address.ip else socket.AF_INET
-    try:
-        return socket.create_server((address.ip, address.port), family=family)
-    except OSError as error:
-        raise SettingError(
-            f"callers cannot be listened for on {address}: {error.strerror}"
-        ) from error
-
-
-def _address_of(bound: socket.socket) -> str:
-    """Return host:port of a bound socket."""
-    host, port = bound.getsockname()[:2]
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
