Count a run's late end in loans and quarantine too

Cause: a server ends a run up to 250 ms after its deadline, which the sender allowed for and the lender did not: for short requests a lender could count a unit as its own while the run on it was ending. A whole answer with an error status held its unit like a cancelled request. Change: one constant for both sides; whole answers free their unit at once. Conclusion: closed by reasoning, not by a failing test.

--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -26,6 +26,9 @@
 
 CLOCK_MARGIN_SECONDS: Final = 0.05
 
+RUN_END_SECONDS: Final = 0.25
+"""How long after its deadline a run may go on: the network's delay and the server's."""
+
 ASK_TIMEOUT_SECONDS: Final = 1.0
 SHORT_SECONDS: Final = 0.25
 """How long a lender that granted too little is not asked for more; then doubled."""
@@ -54,7 +57,7 @@
 
 def lent_seconds(request_seconds: float) -> float:
     """Return how long a lender counts a loan that is not renewed."""
-    longest = LOAN_SECONDS + request_seconds
+    longest = LOAN_SECONDS + request_seconds + RUN_END_SECONDS
     return longest * (1 + CLOCK_RATE_ERROR) + CLOCK_MARGIN_SECONDS
 
 
@@ -65,5 +68,6 @@
     be paused for ``FENCE_SECONDS`` between its check and the send, and what it lent
     last ends a loan and a request later.
     """
-    longest = CONFIRM_SECONDS + FENCE_SECONDS + LOAN_SECONDS + request_seconds
+    held = CONFIRM_SECONDS + FENCE_SECONDS + LOAN_SECONDS
+    longest = held + request_seconds + RUN_END_SECONDS
     return longest * (1 + CLOCK_RATE_ERROR) + CLOCK_MARGIN_SECONDS
--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -223,7 +223,13 @@
             call.received_bytes = len(reply.body)
             reply.upstream.release()
             outcome = _outcome_of_status(reply.upstream.status)
-            give_back(self.parts, reply.placement, outcome, reply.latency_seconds)
+            give_back(
+                self.parts,
+                reply.placement,
+                outcome,
+                reply.latency_seconds,
+                run_over=True,
+            )
             return small_answer(reply.upstream, headers, reply.body, call.method)
         try:
             response = await async_begin_stream(request, reply.upstream, headers)
--- a/packages/node/greengagepoint_node/proxy/placement.py
+++ b/packages/node/greengagepoint_node/proxy/placement.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.balancing import choice
 from greengagepoint.balancing.tables import BackendRow, Outcome
+from greengagepoint.caps.const import RUN_END_SECONDS
 from greengagepoint.caps.tables import Permit
 from greengagepoint.draining import flights
 from greengagepoint.errors import ErrorKind, RequestError
@@ -18,10 +19,9 @@
 LOAN_WAIT_SECONDS: Final = 0.25
 LOAN_WAIT_SHARE: Final = 0.25
 
-# A backend server ends a cancelled run within this time, and one whose deadline has
-# passed within the margin; both contain the way over the network.
+# A backend server ends a cancelled run within this time, the way over the network
+# included; one whose deadline has passed ends within RUN_END_SECONDS.
 CANCELLED_RUN_SECONDS: Final = 1.0
-DEADLINE_MARGIN_SECONDS: Final = 0.25
 RUN_OVER_OUTCOMES: Final = frozenset({Outcome.ANSWERED, Outcome.SHED, Outcome.REFUSED})
 
 
@@ -103,7 +103,7 @@
     ends a run by the deadline it was told, and a cancelled one within
     ``CANCELLED_RUN_SECONDS``, so the sooner of the two is enough.
     """
-    deadline = placement.ends_at - now + DEADLINE_MARGIN_SECONDS
+    deadline = placement.ends_at - now + RUN_END_SECONDS
     seconds = max(0.0, min(CANCELLED_RUN_SECONDS, deadline))
     loop = asyncio.get_running_loop()
     loop.call_later(seconds, parts.caps.release, placement.permit)
