Name all hosts of a large zone in look-ups equally often

Cause: 64 rotations of four hosts name the first 67 of a zone, in the same order on each asked host. In a zone of 120 the other 53 would get no callers.

Change: up to 256 rotations, in whole rounds of the nearest zone.

--- a/packages/core/greengagepoint/steering/lookup.py
+++ b/packages/core/greengagepoint/steering/lookup.py
@@ -15,7 +15,7 @@
 PRIORITY_NEAREST: Final = 0
 PRIORITY_OTHER_ZONE: Final = 1
 PRIORITY_OTHER_REGION: Final = 2
-ROTATIONS_MAX: Final = 64
+ROTATIONS_MAX: Final = 256
 WEIGHT_MAX: Final = 16
 SHORT_TTL_SECONDS: Final = 1
 
@@ -130,15 +130,28 @@
 def _prepare_nearest(table: LookupTable, region: str) -> tuple[bytes, ...]:
     """Prepare the hosts of the nearest region, one item a rotation."""
     zones = _zones(table.zones[region], table.home)
-    count = min(ROTATIONS_MAX, max(len(zone) for zone in zones) * len(zones))
     items = tuple(
         _encode(_nearest_hosts(zones, turn, table.home, region))
-        for turn in range(count)
+        for turn in range(_rotations(zones))
     )
     table.nearest[region] = items
     return items
 
 
+def _rotations(zones: tuple[list[EntryHost], ...]) -> int:
+    """Return how many rotations to prepare.
+
+    Whole rounds of the nearest zone where that is possible: of a zone with more hosts
+    than rotations the last ones would be in no answer and stand idle, and a part of a
+    round names the first ones more often.
+    """
+    count = max(len(zone) for zone in zones) * len(zones)
+    if count <= ROTATIONS_MAX:
+        return count
+    size = len(zones[0])
+    return ROTATIONS_MAX // size * size or ROTATIONS_MAX
+
+
 def _prepare_beyond(table: LookupTable, region: str) -> tuple[bytes, ...]:
     """Prepare the host that a region farther away gives, one item a rotation."""
     zones = table.zones[region].values()
--- a/packages/core/tests/test_steering_lookup.py
+++ b/packages/core/tests/test_steering_lookup.py
@@ -89,6 +89,24 @@
     assert (first.count("h0"), first.count("h1")) == expected
 
 
+@pytest.mark.parametrize("count", [1, 3, 64, 65, 120, 200])
+def test_all_hosts_of_a_large_zone_are_named_equally_often(count):
+    """A zone has more hosts than its answers have rotations.
+
+    All asked hosts turn them in the same order, so a host that is in no rotation gets
+    no callers at all, however many the others refuse.
+    """
+    others = [entry("other-1", "attiki", "b"), entry("other-2", "attiki", "c")]
+    hosts = [entry(f"h{number:03}", "attiki", "a") for number in range(count)]
+    table = prepare(CONFIGURATION, [*hosts, *others], hosts[0].identity)
+    first = [
+        names(json.loads(answer(table, "booking", None, turn)))[0]
+        for turn in range(count * 6)
+    ]
+    times = [first.count(host.identity.name) for host in hosts]
+    assert max(times) - min(times) <= 1
+
+
 def test_far_regions_zones_take_turns():
     first = [
         ask(HOSTS, ("dytiki",), sequence)["hosts"][0]["name"] for sequence in range(4)
