Merge and render the time line in one place

Cause: the client had its own merge, table and HTML page beside those of core's timeline, and its own writer of usage as CSV; the daemon had its own form of an event and its own reading of an event's name. Each pair had begun to differ: the client's page had no lanes and filters, and a host's answer wrote names in upper case.

Change: the client and the daemon use core's from_lines, merge_events, render_text, render_html, line, parse_kind and render_csv. JSON keeps what a newer host tells of an event that the client does not know. The CSV leaves out members of a newer host.

--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -1,13 +1,11 @@
 """Commands that show the state of the system."""
 
-import csv
-import sys
 from typing import Annotated, Any
 
 import typer
 
 from greengagepoint.events import CATALOGUE, Event
-from greengagepoint.usage.counters import UsageLine
+from greengagepoint.usage.counters import UsageLine, render_csv
 from greengagepoint_cli.answers import LookupAnswer, UsageAnswer
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, Output, UsageOutput
@@ -160,11 +158,7 @@
         and team in (None, row["team"])
     ]
     if output is UsageOutput.CSV:
-        writer = csv.DictWriter(
-            sys.stdout, USAGE_MEMBERS, extrasaction="ignore", lineterminator="\n"
-        )
-        writer.writeheader()
-        writer.writerows(rows)
+        typer.echo(render_csv(rows), nl=False)
     else:
         show({"rows": rows}, rows, USAGE_COLUMNS, Output(output.value))
 
--- a/packages/cli/greengagepoint_cli/commands/timeline.py
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -1,12 +1,14 @@
 """The command that merges the events of all hosts."""
 
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, NamedTuple
 
 import typer
 
-from greengagepoint.events import Event
+from greengagepoint.events import Event, Occurrence
 from greengagepoint.records.loading import suggest
+from greengagepoint.timeline import from_lines, merge_events, render_html, render_text
+from greengagepoint.timeline.ring import order_key
 from greengagepoint_cli.answers import TimelineAnswer, TimelineEvent
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, TimelineOutput
@@ -17,17 +19,18 @@
     parse_moment,
     server_list,
 )
-from greengagepoint_cli.output import Column, as_time, field, show_json, table_lines
+from greengagepoint_cli.output import json_text
 from greengagepoint_cli.survey import HostAnswer, async_ask_all
-from greengagepoint_cli.timeline_page import render_page
-
-COLUMNS = (
-    Column("time", lambda row: f"{as_time(row['clock'][0])}.{row['clock'][1]}"),
-    field("host"),
-    field("number", right=True),
-    Column("event", lambda row: row["name"].lower()),
-    Column("fields", lambda row: _fields(row["fields"])),
-)
+
+
+class MergedTimeline(NamedTuple):
+    """The events of all hosts, in the same order as read and as hosts gave them.
+
+    ``lines`` keep what a newer host tells of an event that this client doesn't know.
+    """
+
+    occurrences: list[Occurrence]
+    lines: list[TimelineEvent]
 
 
 def register(app: typer.Typer) -> None:
@@ -78,15 +81,21 @@
         raise typer.Exit(ExitCode.UNREACHABLE)
 
 
-def merge(answers: list[HostAnswer]) -> list[TimelineEvent]:
+def merge(answers: list[HostAnswer]) -> MergedTimeline:
     """Return the events of all hosts in the order of their hybrid clocks."""
-    events = [
-        event
-        for answer in answers
-        if answer.document is not None
-        for event in answer.document["events"]
-    ]
-    return sorted(events, key=lambda one: (*one["clock"], one["host"], one["number"]))
+    rings = []
+    lines = {}
+    for answer in answers:
+        if answer.document is None:
+            continue
+        rows = answer.document["events"]
+        ring = from_lines(rows)
+        rings.append(ring)
+        lines |= zip(map(order_key, ring), rows, strict=True)
+    occurrences = merge_events(rings)
+    return MergedTimeline(
+        occurrences, [lines[order_key(occurrence)] for occurrence in occurrences]
+    )
 
 
 def _checked_kind(text: str) -> str:
@@ -103,25 +112,19 @@
 
 
 def _write(
-    events: list[TimelineEvent],
+    merged: MergedTimeline,
     missing: list[str],
     output: TimelineOutput,
     file: Path | None,
 ) -> None:
     """Print the events, or write them to a file."""
-    if output is TimelineOutput.JSON and file is None:
-        show_json({"events": events, "missing": missing})
-        return
-    if output is TimelineOutput.HTML:
-        text = render_page(events, missing)
+    if output is TimelineOutput.JSON:
+        text = json_text({"events": merged.lines, "missing": missing})
+    elif output is TimelineOutput.HTML:
+        text = render_html(merged.occurrences, missing)
     else:
-        text = "\n".join(table_lines(events, COLUMNS)) + "\n"
+        text = render_text(merged.occurrences)
     if file is None:
         typer.echo(text, nl=False)
     else:
         file.write_text(text, encoding="utf-8")
-
-
-def _fields(fields: dict[str, Any]) -> str:
-    """Return an event's fields on one line."""
-    return " ".join(f"{name}={value}" for name, value in fields.items())
--- a/packages/cli/greengagepoint_cli/output.py
+++ b/packages/cli/greengagepoint_cli/output.py
@@ -35,7 +35,12 @@
 
 def show_json(document: Any) -> None:
     """Print a document as JSON, with its members in order."""
-    typer.echo(json.dumps(document, indent=2, ensure_ascii=False))
+    typer.echo(json_text(document), nl=False)
+
+
+def json_text(document: Any) -> str:
+    """Return a document as JSON, with its members in order and a line end."""
+    return json.dumps(document, indent=2, ensure_ascii=False) + "\n"
 
 
 def show_table(rows: Iterable[Row], columns: Sequence[Column]) -> None:
--- a/packages/cli/tests/test_cli_state.py
+++ b/packages/cli/tests/test_cli_state.py
@@ -159,7 +159,7 @@
 
 def test_usage_is_filtered_and_written_as_csv(host, invoke, snapshot):
     counts = {"requests": 5, "answered": 4, "failed": 1, "not_run": 0}
-    counts |= {"bytes_in": 10, "bytes_out": 20, "service": "booking"}
+    counts |= {"bytes_in": 10, "bytes_out": 20, "service": "booking", "newer": 1}
     host.usage = [
         {"day": f"2026-12-0{day}", "team": team, **counts}
         for day in (1, 2)
--- a/packages/core/greengagepoint/usage/counters.py
+++ b/packages/core/greengagepoint/usage/counters.py
@@ -74,10 +74,10 @@
 
 
 def render_csv(lines: Iterable[UsageLine]) -> str:
-    """Return a report as CSV with a header line."""
+    """Return a report as CSV with a header line, without members not known here."""
     text = io.StringIO()
     names = list(UsageLine.__annotations__)
-    writer = csv.DictWriter(text, names, lineterminator="\n")
+    writer = csv.DictWriter(text, names, extrasaction="ignore", lineterminator="\n")
     writer.writeheader()
     writer.writerows(lines)
     return text.getvalue()
--- a/packages/node/greengagepoint_node/operator_backend.py
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -7,12 +7,14 @@
 from greengagepoint.config.entries import Change
 from greengagepoint.config.plain import change_from_plain, entry_to_plain
 from greengagepoint.errors import RecordError, RequestError
-from greengagepoint.events import Event, Occurrence
+from greengagepoint.events import Event
 from greengagepoint.records.schemas import RecordKind
 from greengagepoint.timeline.ring import EventFilter, EventRecorder
+from greengagepoint.timeline.wire import line, parse_kind
 from greengagepoint_node.coordinators.config import ConfigCoordinator
 from greengagepoint_node.http.operators import WantedChange, WantedChanges
 
+KIND_MAX_LENGTH: Final = 50
 SINCE: Final = re.compile(r"([0-9]{1,15})(?:\.([0-9]{1,9}))?")
 
 
@@ -70,7 +72,7 @@
     def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
         """Return this host's events that match the filters."""
         wanted = _parse_filters(filters)
-        events = [_as_dict(event) for event in self.recorder.ring.select(wanted)]
+        events = [line(event) for event in self.recorder.ring.select(wanted)]
         return {"host": self.recorder.host, "events": events}
 
     async def async_usage(self) -> dict[str, Any]:
@@ -107,9 +109,9 @@
     if text is None:
         return None
     try:
-        return Event(int(text)) if text.isdigit() else Event[text.upper()]
-    except (KeyError, ValueError):
-        raise RequestError(f"{text[:50]!r} is not an event") from None
+        return parse_kind(text[:KIND_MAX_LENGTH])
+    except ValueError as error:
+        raise RequestError(str(error)) from None
 
 
 def _parse_since(text: str | None) -> tuple[int, int] | None:
@@ -121,14 +123,3 @@
         raise RequestError("since must be milliseconds or milliseconds.counter")
     milliseconds, counter = match.groups()
     return int(milliseconds), int(counter or 0)
-
-
-def _as_dict(occurrence: Occurrence) -> dict[str, Any]:
-    """Return an event as JSON-able members."""
-    return {
-        "clock": list(occurrence.clock),
-        "host": occurrence.host,
-        "number": int(occurrence.event),
-        "name": occurrence.event.name,
-        "fields": occurrence.fields,
-    }
