End a stand-in's logged run with its last piece

Cause: a pack's pacing also waited after the last piece, so that a run stayed in the log for some milliseconds after its caller had all of it.

Change: wait before each piece; the rate is the same and the run ends when the last piece is written.

Conclusion: the check of caps is as strict as before.

--- a/packages/standins/greengagepoint_standins/backend_server.py
+++ b/packages/standins/greengagepoint_standins/backend_server.py
@@ -238,11 +238,13 @@
         began = self.clock()
         sent = 0
         for piece in packs.pieces(request.path, start, broken_at):
-            await response.write(piece)
             sent += len(piece)
             rate = self.control.pack_bytes_per_second
+            # Waiting after the last piece would log a run as going on whose
+            # caller has all of it.
             if rate > 0:
                 await asyncio.sleep(began + sent / rate - self.clock())
+            await response.write(piece)
         if broken_at < stop:
             cut(request)
 
--- a/packages/standins/greengagepoint_standins/demo/fleet.py
+++ b/packages/standins/greengagepoint_standins/demo/fleet.py
@@ -71,7 +71,7 @@
             )
             self.servers += zip(servers, addresses, strict=True)
         self.servers.sort(key=lambda pair: self.places.servers.index(pair[0]))
-        await asyncio.gather(*(self._async_prepare(*pair) for pair in self.servers))
+        await asyncio.gather(*(self.async_prepare(*pair) for pair in self.servers))
 
     async def async_start_hosts(self) -> None:
         """Start all daemons and put them on the host list."""
@@ -168,7 +168,7 @@
         await self.session.close()
         await self.processes.async_end_all()
 
-    async def _async_prepare(self, server: Server, address: str) -> None:
+    async def async_prepare(self, server: Server, address: str) -> None:
         """Give a backend server the slots and times of its service."""
         control = {
             "slots": server.slots,
