Rank hosts by one rendezvous hash

Cause: rendezvous hashing stood in the configuration, in membership and in delivery, with three hashes and three orders; usage imported membership only for it.

Change: greengagepoint.rendezvous.rank is the one ranking. It keeps the hash of the configuration and of caps, so owners of caps stay the same; delegates, neighbours, holders of counters and committers are drawn anew. A claim's committer is ranked too in place of a remainder, so with several committers few keys would move. Old import names stay until caps and measure use the new one.

--- a/packages/core/greengagepoint/config/tree.py
+++ b/packages/core/greengagepoint/config/tree.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-from greengagepoint.config.watchers import rank
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 
 FANOUT: Final = 4
 
--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -3,9 +3,8 @@
 from collections.abc import Iterable
 from typing import Final
 
-import xxhash
-
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 
 WATCHERS_A_REGION: Final = 2
 
@@ -18,12 +17,3 @@
     """
     names = (host.name for host in live if host.region == region)
     return tuple(rank(region, names)[:WATCHERS_A_REGION])
-
-
-def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Return names by descending rendezvous weight for a key."""
-    return sorted(
-        names,
-        key=lambda name: xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()),
-        reverse=True,
-    )
--- a/packages/core/greengagepoint/delivery/committers.py
+++ b/packages/core/greengagepoint/delivery/committers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from typing import Final
 
-import xxhash
+from greengagepoint.rendezvous import rank
 
 COMMITTERS_PER_REGION: Final = 1
 CLAIMS_PER_WRITE_MAX: Final = 128
@@ -20,18 +20,12 @@
     Two hosts with different views choose differently, which costs a write more
     and breaks nothing: the store's create-if-absent decides, not who sends it.
     """
-    ranked = sorted(live_hosts, key=lambda host: (-_score(f"{region}/{host}"), host))
-    return ranked[:COMMITTERS_PER_REGION]
+    return rank(region, live_hosts)[:COMMITTERS_PER_REGION]
 
 
 def committer_for(key: str, chosen: Sequence[str]) -> str:
     """Return which of a region's committers writes a claim."""
-    return chosen[_score(key) % len(chosen)]
-
-
-def _score(text: str) -> int:
-    """Return a number that is the same on all hosts."""
-    return xxhash.xxh64_intdigest(text.encode())
+    return rank(key, chosen)[0]
 
 
 def write_interval_seconds(regions: int) -> float:
--- a/packages/core/greengagepoint/membership/delegates.py
+++ b/packages/core/greengagepoint/membership/delegates.py
@@ -12,8 +12,8 @@
     RegionSum,
     ZoneDigest,
 )
-from greengagepoint.membership.rendezvous import ranked
 from greengagepoint.membership.tables import Heard, MembershipTables
+from greengagepoint.rendezvous import rank
 
 DELEGATES: Final = 2
 REGION_CONTACTS: Final = 3
@@ -30,7 +30,7 @@
         if claim.state is HostState.ALIVE
         and (claim.region, claim.zone) == (me.region, me.zone)
     ]
-    return ranked(me.zone, able, attrgetter("name"))[:DELEGATES]
+    return rank(me.zone, able, attrgetter("name"))[:DELEGATES]
 
 
 def _contacts(claims: Iterable[Claim]) -> tuple[Contact, ...]:
--- a/packages/core/greengagepoint/membership/probing.py
+++ b/packages/core/greengagepoint/membership/probing.py
@@ -6,9 +6,9 @@
 from greengagepoint.membership import messaging
 from greengagepoint.membership.claims import doubt
 from greengagepoint.membership.messages import HostState, ProbeRequest
-from greengagepoint.membership.rendezvous import ranked
 from greengagepoint.membership.tables import Member, MembershipTables, Probe, Send
 from greengagepoint.protocols import Random
+from greengagepoint.rendezvous import rank
 
 PROBE_SECONDS: Final = 1.0
 # Among few hosts the one that nobody happens to probe for seconds weighs more than
@@ -202,7 +202,7 @@
     present = tables.present()
     if len(present) <= NEIGHBOURS_MAX:
         return present
-    ordered = ranked(tables.me.name, present, lambda row: row.claim.name)
+    ordered = rank(tables.me.name, present, lambda row: row.claim.name)
     return ordered[:NEIGHBOURS_MAX]
 
 
--- a/packages/core/greengagepoint/usage/sharing.py
+++ b/packages/core/greengagepoint/usage/sharing.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from greengagepoint.hosts import HostIdentity
-from greengagepoint.membership.rendezvous import ranked
+from greengagepoint.rendezvous import rank
 from greengagepoint.usage.counters import merge
 from greengagepoint.usage.messages import Share, ShareAck
 from greengagepoint.usage.tables import Chosen, HeldRun, Holder, UsageTables, day_of
@@ -53,7 +53,7 @@
     cached = tables.chosen
     if cached and cached.candidates is candidates and cached.avoided == avoided:
         return cached.holders
-    others = ranked(
+    others = rank(
         me.name,
         (host for host in candidates if host.name not in avoided | {me.name}),
         attrgetter("name"),
--- /dev/null
+++ b/packages/core/tests/test_rendezvous.py
@@ -0,0 +1,32 @@
+"""Rendezvous hashing, by which hosts share work without asking each other."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagepoint.rendezvous import rank
+
+NAMES = st.lists(st.from_regex(r"[a-z]{1,4}-[0-9]", fullmatch=True), unique=True)
+
+
+@given(st.text("abc-"), NAMES, st.randoms())
+def test_views_that_differ_in_one_host_rank_the_others_alike(key, names, random):
+    """Two hosts see one host more or less, in another order.
+
+    Each still names the same host for what is not that one's, so a host that comes or
+    goes moves only its own work.
+    """
+    other = random.sample(names, len(names))
+    gone = {other.pop()} if other else set()
+    assert rank(key, other) == [one for one in rank(key, names) if one not in gone]
+
+
+def test_keys_spread_over_hosts():
+    names = [f"host-{number}" for number in range(10)]
+    firsts = [rank(f"key-{number}", names)[0] for number in range(1000)]
+    assert all(50 < firsts.count(name) < 200 for name in names)
+
+
+def test_rows_are_ranked_by_their_name():
+    rows = [("a", 1), ("b", 2), ("c", 3)]
+    ordered = rank("key", rows, lambda row: row[0])
+    assert [name for name, _ in ordered] == rank("key", "abc")
