--- a/measure/caps.py
+++ b/measure/caps.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+import tracemalloc
 from collections.abc import Callable
 from contextlib import contextmanager
 from statistics import mean, median
@@ -21,9 +22,12 @@
     Want,
 )
 from greengagepoint.caps.owners import update_live
+from greengagepoint.caps.system import configure
 from greengagepoint.caps.system import run as run_tick
+from greengagepoint.caps.tables import create_table
 from greengagepoint.config.watchers import rank
-from greengagepoint_standins.caps_layout import Layout, region_of
+from greengagepoint.hosts import HostIdentity
+from greengagepoint_standins.caps_layout import Layout, configuration, region_of
 from greengagepoint_standins.caps_world import World
 from measure.figure import Figure
 
@@ -317,6 +321,18 @@
     return len(encode_ledger(Ledger(entries)))
 
 
+def table_bytes(layout: Layout) -> int:
+    """Return the memory of one host's table with all sites of a layout."""
+    shared = configuration(layout, 1, layout.limits)
+    tracemalloc.start()
+    identity = HostIdentity(layout.hosts[0], 1, region_of(layout.hosts[0]), "x", "", "")
+    table = create_table(identity)
+    configure(table, shared)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return size
+
+
 def large_layout() -> Layout:
     """Build the full number of sites and regions, with one region's hosts."""
     regions = [f"region{n:02d}" for n in range(15)]
@@ -386,5 +402,6 @@
         Figure("caps_node_core_part_large_idle", idle.core_part, "1"),
         Figure("caps_node_messages_large", busy.messages, "1/s"),
         Figure("caps_node_sent_bytes_large", busy.sent_bytes, "B/s", limit=3000),
+        Figure("caps_table_bytes_large", table_bytes(large), "B"),
         Figure("caps_ledger_bytes_large", ledger_bytes(large), "B", limit=1_000_000),
     ]
