--- a/packages/cli/greengagepoint_cli/answers.py
+++ b/packages/cli/greengagepoint_cli/answers.py
@@ -144,6 +144,12 @@
     rows: list[UsageLine]
 
 
+class PruneAnswer(TypedDict):
+    """How many counters were deleted."""
+
+    deleted: int
+
+
 class LookupHost(TypedDict):
     """One entry host as callers are told."""
 
--- a/packages/cli/greengagepoint_cli/api.py
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from greengagepoint.errors import ErrorKind
-from greengagepoint_cli.answers import ApplyAnswer
+from greengagepoint_cli.answers import ApplyAnswer, PruneAnswer
 from greengagepoint_cli.const import (
     ANSWER_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
@@ -58,6 +58,11 @@
         """Read from the first server that answers."""
         return await self._async_try_each(Call("GET", path, answer, params))
 
+    async def async_prune_usage(self, before: str) -> PruneAnswer:
+        """Delete usage of days before a day; doing so twice does no harm."""
+        call = Call("POST", "/v1/usage/prune", PruneAnswer, {"before": before})
+        return await self._async_try_each(call)
+
     async def async_apply(self, body: Mapping[str, Any]) -> ApplyAnswer:
         """Write changes; a write whose answer was lost is repeated at the next server.
 
--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -88,7 +88,7 @@
 
 def register(app: typer.Typer) -> None:
     """Add the commands of this module."""
-    for command in (status, hosts, usage, events):
+    for command in (status, hosts, usage, prune, events):
         app.command()(command)
 
 
@@ -145,10 +145,12 @@
     ] = UsageOutput.TABLE,
 ) -> None:
     """Show what each team sent."""
+    wanted = {"since": since, "until": until}
+    days = {name: day for name, day in wanted.items() if day is not None}
     answer = run_call(
         server_list(server),
         operator_key(),
-        lambda api: api.async_get("/v1/usage", UsageAnswer),
+        lambda api: api.async_get("/v1/usage", UsageAnswer, days),
     )
     rows = [
         row
@@ -163,6 +165,23 @@
         show({"rows": rows}, rows, USAGE_COLUMNS, Output(output.value))
 
 
+def prune(
+    before: Annotated[str, typer.Argument(help="First day that is kept, in UTC.")],
+    server: Servers = None,
+    output: OutputOption = Output.TABLE,
+) -> None:
+    """Delete usage of days before a day from the store; export it first."""
+    answer = run_call(
+        server_list(server),
+        operator_key(),
+        lambda api: api.async_prune_usage(before),
+    )
+    if output is Output.JSON:
+        show_json(answer)
+    else:
+        typer.echo(f"{answer['deleted']} counters are deleted")
+
+
 def events(output: OutputOption = Output.TABLE) -> None:
     """Show the catalogue of events."""
     rows = [
--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -108,6 +108,7 @@
         """
         self.state = STATE_LEAVING
         self.events.record(Event.DAEMON_STOPPING, in_flight=self.pipeline.in_flight)
+        self.pipeline.leaving = True
         self.membership.set_leaving()
         self.caps.leave()
         self._prepare_lookups()
@@ -213,7 +214,7 @@
         """Return all routes of the HTTP server."""
         key = self.settings.operator_key.text if self.settings.operator_key else None
         backend = DaemonOperatorBackend(
-            self.config, self.recorder, self._status, self.usage.async_report
+            self.config, self.recorder, self._status, self.usage
         )
         health = HealthSources(self._is_ready, self._state, self.metrics.render)
         routes = [
--- a/packages/node/greengagepoint_node/http/operators.py
+++ b/packages/node/greengagepoint_node/http/operators.py
@@ -2,6 +2,7 @@
 
 import hmac
 import re
+from datetime import date
 from typing import Any, Final, NamedTuple, Protocol
 
 import msgspec
@@ -55,8 +56,11 @@
     def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
         """Return this host's events that match the filters."""
 
-    async def async_usage(self) -> dict[str, Any]:
-        """Return usage by team."""
+    async def async_prune_usage(self, before: str) -> dict[str, Any]:
+        """Delete usage of days before a day; return how many counters went."""
+
+    async def async_usage(self, since: str | None, until: str | None) -> dict[str, Any]:
+        """Return usage by team from day to day, both included."""
 
 
 class OperatorRoute(NamedTuple):
@@ -93,7 +97,15 @@
         return json_response(backend.timeline(dict(request.rel_url.query)))
 
     async def async_usage(request: web.BaseRequest) -> web.StreamResponse:
-        return json_response(await backend.async_usage())
+        query = request.rel_url.query
+        since, until = parse_day(query.get("since")), parse_day(query.get("until"))
+        return json_response(await backend.async_usage(since, until))
+
+    async def async_prune_usage(request: web.BaseRequest) -> web.StreamResponse:
+        before = parse_day(request.rel_url.query.get("before"))
+        if before is None:
+            raise RequestError("before must name a day")
+        return json_response(await backend.async_prune_usage(before))
 
     routes = [
         OperatorRoute("GET", "/v1/records", async_records),
@@ -102,6 +114,7 @@
         OperatorRoute("GET", "/v1/status", async_status),
         OperatorRoute("GET", "/v1/timeline", async_timeline),
         OperatorRoute("GET", "/v1/usage", async_usage),
+        OperatorRoute("POST", "/v1/usage/prune", async_prune_usage),
     ]
     return [
         OperatorRoute(route.method, route.path, require_key(route.handler, key))
@@ -141,6 +154,18 @@
         ) from error
 
 
+def parse_day(text: str | None) -> str | None:
+    """Return a day as YYYY-MM-DD."""
+    if text is None:
+        return None
+    try:
+        return date.fromisoformat(text).isoformat()
+    except ValueError:
+        raise RequestError(
+            f"{text[:50]!r} is not a day; accepted: as 2026-12-02"
+        ) from None
+
+
 def parse_limit(text: str | None) -> int:
     """Return how many entries are wanted."""
     if text is None:
--- a/packages/node/greengagepoint_node/operator_backend.py
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -12,6 +12,7 @@
 from greengagepoint.timeline.ring import EventFilter, EventRecorder
 from greengagepoint.timeline.wire import line, parse_kind
 from greengagepoint_node.coordinators.config import ConfigCoordinator
+from greengagepoint_node.coordinators.usage import UsageCoordinator
 from greengagepoint_node.http.operators import WantedChange, WantedChanges
 
 KIND_MAX_LENGTH: Final = 50
@@ -26,12 +27,12 @@
         config: ConfigCoordinator,
         recorder: EventRecorder,
         status: Callable[[], dict[str, Any]],
-        async_usage_rows: Callable[[], Any],
+        usage: UsageCoordinator,
     ) -> None:
         self.config = config
         self.recorder = recorder
         self.status = status
-        self.async_usage_rows = async_usage_rows
+        self.usage = usage
 
     def records(self) -> dict[str, Any]:
         """Return the generation and all documents."""
@@ -75,9 +76,13 @@
         events = [line(event) for event in self.recorder.ring.select(wanted)]
         return {"host": self.recorder.host, "events": events}
 
-    async def async_usage(self) -> dict[str, Any]:
-        """Return usage by team."""
-        return {"rows": await self.async_usage_rows()}
+    async def async_usage(self, since: str | None, until: str | None) -> dict[str, Any]:
+        """Return usage by team from day to day, both included."""
+        return {"rows": await self.usage.async_report(since, until)}
+
+    async def async_prune_usage(self, before: str) -> dict[str, Any]:
+        """Delete usage of days before a day; return how many counters went."""
+        return {"deleted": await self.usage.async_prune(before)}
 
 
 def _to_change(wanted: WantedChange) -> Change:
--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -74,14 +74,20 @@
         self.admission = admission
         self.limits = limits
         self.in_flight = 0
+        self.leaving = False
 
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/s/{service}/``."""
         self.in_flight += 1
         try:
-            return await self._async_handle(request)
+            response = await self._async_handle(request)
         finally:
             self.in_flight -= 1
+        if self.leaving:
+            # A caller that kept this connection would send its next request on it
+            # after the host has stopped, and see it cut off.
+            response.force_close()
+        return response
 
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request, turning every failure into a typed answer."""
--- a/packages/node/tests/test_daemon_path.py
+++ b/packages/node/tests/test_daemon_path.py
@@ -4,7 +4,13 @@
 import hashlib
 
 import pytest
-from deployment import Deployment, async_deployment, async_until, document
+from deployment import (
+    OPERATOR_KEY,
+    Deployment,
+    async_deployment,
+    async_until,
+    document,
+)
 
 from greengagepoint.usage.tables import UsageOutcome
 from greengagepoint_standins.backend_control import BackendControl
@@ -137,7 +143,8 @@
     lookup = await two_hosts.async_request(second, "/v1/hosts?service=booking")
     names = [host["name"] for host in (await lookup.json())["hosts"]]
     assert names == [second.identity.name]
-    assert (await running).status == 200
+    answer = await running
+    assert (answer.status, answer.headers["Connection"]) == (200, "close")
     await stopping
     assert first.state == "stopped"
 
@@ -166,3 +173,17 @@
     await two_hosts.async_apply([{"kind": "drain", "name": "leave", "document": None}])
     await async_until(lambda: not second.config.configuration.drains)
     assert first.identity.name in await async_named()
+
+
+async def test_usage_of_old_days_is_deleted_and_days_are_checked(two_hosts) -> None:
+    daemon = two_hosts.daemons["attiki-host-0"]
+    await two_hosts.async_request(daemon, "/s/booking/bays")
+    assert await daemon.usage.async_write()
+    headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+    answers = []
+    for day in ("2000-01-01", "9999-12-31", "soon"):
+        path = f"/v1/usage/prune?before={day}"
+        post = {"method": "POST", "headers": headers}
+        answer = await two_hosts.async_request(daemon, path, **post)
+        answers.append((answer.status, (await answer.json()).get("deleted")))
+    assert answers == [(200, 0), (200, 1), (400, None)]
