Forget ejections after five minutes without one

Cause: a constant said that ejections are forgotten, and nothing did it.

Change: an ejection more than 300 s after the last readmission lasts 5 s again.

Conclusion: an ejection now grows only for a server that keeps failing.

--- a/packages/core/greengagepoint/balancing/system.py
+++ b/packages/core/greengagepoint/balancing/system.py
@@ -56,6 +56,8 @@
     wanted = [row for row in staying if row.ejection_wanted]
     wanted.sort(key=lambda row: -row.failure_rate)
     for row in wanted[: max(0, ejected_max(len(staying)) - ejected)]:
+        if now - row.readmitted_at > EJECTIONS_FORGOTTEN_SECONDS:
+            row.ejections = 0
         row.ejections += 1
         seconds = min(EJECTION_MAX_SECONDS, EJECTION_SECONDS * row.ejections)
         row.ejected_until = now + seconds
@@ -72,6 +74,7 @@
     if now < until:
         return
     row.ejected_until = None
+    row.readmitted_at = now
     row.failures_in_row = 0
     row.failure_rate = 0.0
     row.slow_start_from = now
--- a/packages/core/greengagepoint/balancing/tables.py
+++ b/packages/core/greengagepoint/balancing/tables.py
@@ -86,6 +86,7 @@
     failure_rate: float = 0.0
     ejected_until: float | None = None
     ejections: int = 0
+    readmitted_at: float = float("-inf")
     ejection_wanted: bool = False
     slow_start_from: float | None = None
     leaving: set[LeavingSource] = field(default_factory=set)
--- a/packages/core/tests/test_balancing_choice.py
+++ b/packages/core/tests/test_balancing_choice.py
@@ -193,6 +193,23 @@
     assert rows[0].slow_start_from == 5.0
 
 
+@pytest.mark.parametrize(("pause", "seconds"), [(0.0, 10.0), (301.0, 5.0)])
+def test_ejection_lasts_longer_each_time_until_forgotten(pause, seconds):
+    table, rows = filled()
+
+    def eject(now):
+        for _ in range(5):
+            started(rows[0], now)
+            finished(rows[0], Outcome.FAILED, 0.0, now)
+        run(table, now)
+        return rows[0].ejected_until
+
+    readmitted_at = eject(0.0)
+    run(table, readmitted_at)
+    again_at = readmitted_at + pause
+    assert eject(again_at) - again_at == seconds
+
+
 def test_site_that_is_down_is_probed_once_a_second():
     """All servers of a site refuse, more than may be ejected.
 
