Split the configuration's coordinator by what it does

Change: one module holds what is in force, one follows the store, one writes, and the coordinator ties them to ticks. No decision changes.

Measured: the tests of the coordinator and of the daemon's path and faults pass.

--- a/packages/node/tests/test_config_coordinator.py
+++ b/packages/node/tests/test_config_coordinator.py
@@ -52,7 +52,7 @@
             MemoryEvents(),
         )
         node = ConfigCoordinator(context, self.live)
-        node.stored.settle_pause_seconds = 0
+        node.in_force.stored.settle_pause_seconds = 0
         self.nodes[name] = node
         await node.async_start()
         return node
