Split the settings into table, reading and command line

Change: setting_rows.py is the table, settings.py reads and checks, command.py makes the command line of it. The help and the messages are the same.

--- a/packages/node/greengagepoint_node/main.py
+++ b/packages/node/greengagepoint_node/main.py
@@ -3,9 +3,10 @@
 import asyncio
 import signal
 
+from greengagepoint_node.command import command
 from greengagepoint_node.daemon import Daemon
 from greengagepoint_node.logs import configure_logs
-from greengagepoint_node.settings import Settings, command
+from greengagepoint_node.settings import Settings
 
 
 def run(settings: Settings) -> int:
--- a/packages/node/tests/test_settings_values.py
+++ b/packages/node/tests/test_settings_values.py
@@ -6,13 +6,10 @@
 from typer.testing import CliRunner
 
 from greengagepoint.errors import SettingError
+from greengagepoint_node.command import EXIT_USAGE, command
 from greengagepoint_node.setting_checks import Address
-from greengagepoint_node.settings import (
-    EXIT_USAGE,
-    SETTINGS,
-    command,
-    read_settings,
-)
+from greengagepoint_node.setting_rows import SETTINGS
+from greengagepoint_node.settings import read_settings
 
 KEY = "0123456789abcdef-secret"
 NEEDED = {
