--- a/measure/request_path_servers.py
+++ b/measure/request_path_servers.py
@@ -232,9 +232,9 @@
 async def async_deployment(hosts: int = 1) -> AsyncIterator[Deployment]:
     """Start all processes and put records in force."""
     with contextlib.ExitStack() as stack:
-        _platform, (store_port, *backend_ports) = _start(stack, "platform")
+        _platform, (store_port, *backend_ports) = start_process(stack, "platform")
         backends = [f"127.0.0.1:{port}" for port in backend_ports]
-        bare, bare_ports = _start(stack, "bare", backends[0])
+        bare, bare_ports = start_process(stack, "bare", backends[0])
         daemon = start_daemon(stack, store_port)
         await async_apply(daemon, records(backends))
         yield Deployment(
@@ -248,7 +248,7 @@
         )
 
 
-def _start(
+def start_process(
     stack: contextlib.ExitStack, *arguments: str
 ) -> tuple[subprocess.Popen[bytes], list[int]]:
     """Start a process of this module; return it with its ports."""
