--- a/packages/node/tests/test_claims_protocol.py
+++ b/packages/node/tests/test_claims_protocol.py
@@ -1,81 +1,18 @@
 """Claims of idempotency keys under faults of store, links and hosts."""
 
 import asyncio
-import random
 
 import pytest
+from claims_fleet import ANSWER, DELAYS, HOSTS, Fleet, network, outcome
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from greengagepoint.delivery.answers import StoredAnswer
 from greengagepoint.delivery.messages import ClaimBatch, ClaimItem, ClaimResults
-from greengagepoint.errors import ErrorKind, GreengagepointError, Ran
-from greengagepoint.events import Event
-from greengagepoint.hosts import HostIdentity
+from greengagepoint.errors import ErrorKind, Ran
 from greengagepoint.records.schemas import StoreOutage
-from greengagepoint_node.context import Context
-from greengagepoint_node.coordinators.claims import Claim, ClaimsCoordinator
+from greengagepoint_node.coordinators.claims import Claim
 from greengagepoint_standins.memory_store import MemoryStore, StoreFault
-from greengagepoint_standins.timed_network import EventList, TimedBus, TimedNetwork
-from greengagepoint_standins.virtual_time import VirtualClock, run
-
-HOSTS = ("entry-1", "entry-2", "entry-3")
-ANSWER = StoredAnswer(201, (("Content-Type", "text/plain"),), b"reserved")
-
-
-DELAYS = {"deliver": [0.001], "drop": [], "double": [0.001, 0.4], "late": [1.0]}
-
-
-def network(next_fate=lambda: "deliver"):
-    """Return a network that draws the fate of each message."""
-    return TimedNetwork(lambda: DELAYS[next_fate()])
-
-
-class Fleet:
-    """Three hosts of one region over one store."""
-
-    def __init__(self, store, links=None):
-        self.store = store
-        self.network = links or network()
-        self.events = EventList()
-        self.identities = {
-            name: HostIdentity(name, 1, "attiki", "attiki-1", "", "") for name in HOSTS
-        }
-        self.hosts = {name: self.start(name) for name in HOSTS}
-
-    def start(self, name):
-        context = Context(
-            host=self.identities[name],
-            clock=VirtualClock(),
-            random=random.Random(1),
-            store=self.store,
-            peers=TimedBus(self.network, name),
-            events=self.events,
-        )
-        return ClaimsCoordinator(context, lambda: self.identities.values())
-
-    def restart(self, name):
-        """Lose a host with all it knows, and start it again."""
-        old = self.hosts[name]
-        old.writer.committer.close()
-        for task in old.tasks | old.writer.tasks:
-            task.cancel()
-        identity = self.identities[name]
-        self.identities[name] = identity._replace(incarnation=identity.incarnation + 1)
-        self.hosts[name] = self.start(name)
-
-    async def claim(self, name, digest="digest", outage=StoreOutage.REFUSE, key="k"):
-        host = self.hosts[name]
-        return await host.async_claim("booking", "ermis", key, digest, outage)
-
-
-async def outcome(awaitable):
-    """Return a claim, or the kind and the word on whether it ran."""
-    try:
-        return await awaitable
-    except GreengagepointError as error:
-        return error.kind, error.ran
-
+from greengagepoint_standins.virtual_time import run
 
 REQUESTS = st.lists(
     st.tuples(
@@ -298,111 +235,3 @@
         return await outcome(fleet.claim(HOSTS[0]))
 
     assert run(scenario()) == (ErrorKind.KEY_IN_USE, word)
-
-
-def test_claims_of_many_hosts_share_few_writes():
-    async def scenario():
-        store = MemoryStore(delay=lambda: 0.003)
-        fleet = Fleet(store)
-        claims = await asyncio.gather(
-            *(fleet.claim(HOSTS[i % 3], key=str(i)) for i in range(300))
-        )
-        return len(claims), store.writes
-
-    assert run(scenario()) == (300, 3)
-
-
-def test_a_silent_committer_costs_one_wait():
-    """The committer has died and the view does not know it. The first claim waits
-    for it and is then written by its own host; the next ones do not wait.
-    """
-
-    async def scenario():
-        fleet = Fleet(MemoryStore(), network(lambda: "drop"))
-        loop = asyncio.get_running_loop()
-        times = []
-        committer = fleet.hosts[HOSTS[0]].writer
-        committer.choose_committer("k")
-        other = next(name for name in HOSTS if name not in committer.committers)
-        fleet.hosts[other].writer.take_direct = lambda: False
-        for number in range(3):
-            started = loop.time()
-            await fleet.claim(other, key=str(number))
-            times.append(loop.time() - started)
-        return times
-
-    first, *others = run(scenario())
-    assert first >= 0.25
-    assert max(others) <= 0.05
-
-
-def test_few_claims_need_no_other_host():
-    """Claims come seldom and the other hosts can't be reached: none of them waits
-    for a committer. A burst beyond the direct rate goes to the committer.
-    """
-
-    async def scenario():
-        fleet = Fleet(MemoryStore(), network(lambda: "drop"))
-        loop = asyncio.get_running_loop()
-        waits = []
-        for number in range(6):
-            await asyncio.sleep(0.2)
-            started = loop.time()
-            await fleet.claim(HOSTS[number % 3], key=str(number))
-            waits.append(loop.time() - started)
-        before = fleet.network.sent
-        burst = (fleet.claim(HOSTS[i % 3], key=f"burst {i}") for i in range(60))
-        await asyncio.gather(*burst)
-        return max(waits), fleet.network.sent - before
-
-    slowest, messages = run(scenario())
-    assert slowest <= 0.01
-    assert messages >= 1
-
-
-def test_a_slow_store_does_not_make_hosts_give_their_committer_up():
-    """The store takes 400 ms. At first the others don't wait that long and write by
-    themselves; after its late answers they do, and no longer burden the store.
-    """
-
-    async def scenario():
-        fleet = Fleet(MemoryStore(delay=lambda: 0.4))
-        writers = {name: host.writer for name, host in fleet.hosts.items()}
-        for writer in writers.values():
-            writer.take_direct = lambda: False
-            writer.choose_committer("k")
-        others = [name for name in HOSTS if name not in writer.committers]
-        counts = []
-        for part in range(2):
-            claims = []
-            for number in range(80):
-                await asyncio.sleep(0.05)
-                name = others[number % 2]
-                claims.append(
-                    asyncio.ensure_future(fleet.claim(name, key=f"{part}{number}"))
-                )
-            await asyncio.gather(*claims)
-            counts.append(sum(writers[name].committer.writes for name in others))
-        return counts
-
-    first, second = run(scenario())
-    assert second == first
-
-
-def test_an_unexpected_error_of_one_write_does_not_strand_its_claims():
-    async def scenario():
-        store = MemoryStore()
-        fleet = Fleet(store)
-        create = store.create
-
-        async def broken_once(items, *, lease):
-            store.create = create
-            raise ValueError("unexpected")
-
-        store.create = broken_once
-        await fleet.claim(fleet.hosts[HOSTS[0]].writer.committers[0])
-        return fleet.events, asyncio.get_running_loop().time()
-
-    events, elapsed = run(scenario())
-    assert events == [Event.INTERNAL_ERROR, Event.KEY_CLAIMED]
-    assert elapsed <= 0.1
