Add experiments on operators, platform, backend servers and pairs

Cause: races of operators, a lowered cap, faults of the host list and of backend servers, a region that comes back and pairs of faults were missing.

--- a/packages/standins/greengagepoint_standins/experiments/__main__.py
+++ b/packages/standins/greengagepoint_standins/experiments/__main__.py
@@ -1,7 +1,6 @@
 """Run experiments and print one table over them."""
 
 import asyncio
-import contextlib
 import shutil
 import subprocess
 import time
@@ -19,6 +18,9 @@
 from greengagepoint_standins.demo.report import promises_table, table
 from greengagepoint_standins.experiments import (  # noqa: F401
     hosts,
+    operators,
+    pairs,
+    platform,
     store,
 )
 from greengagepoint_standins.experiments.catalogue import EXPERIMENTS, Experiment
@@ -132,9 +134,11 @@
     results = []
     for name in chosen:
         typer.echo(f"[{time.strftime('%H:%M:%S')}] {name}")
-        with contextlib.suppress(KeyboardInterrupt):
+        try:
             one = EXPERIMENTS[name]
             results.append(asyncio.run(async_run(one, DEPLOYMENTS[deployment], seed)))
+        except KeyboardInterrupt:
+            break
         typer.echo(details(results[-1]))
     typer.echo(summary(results, seed))
     raise typer.Exit(max((result.code for result in results), default=0))
