Let borrowers find owners that they do not see

Cause: in a large fleet a host sees few hosts of other zones and regions, so it chose owners among hosts that hold nothing and got no units. A request to a silent lender was repeated before the tick noticed the silence, so a dead owner was asked first again and again.

Change: a host of the region that holds nothing names the owners; hosts of the region take them from the ledger. Only the tick gives a request up, and a silent lender is asked for nothing new for 4 to 16 s; a loan that could not be renewed is wanted elsewhere.

--- a/measure/caps.py
+++ b/measure/caps.py
@@ -25,8 +25,8 @@
 from greengagepoint.caps.system import configure
 from greengagepoint.caps.system import run as run_tick
 from greengagepoint.caps.tables import create_table
-from greengagepoint.config.watchers import rank
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 from greengagepoint_standins.caps_layout import Layout, configuration, region_of
 from greengagepoint_standins.caps_world import World
 from measure.figure import Figure
--- a/packages/core/greengagepoint/caps/borrowing.py
+++ b/packages/core/greengagepoint/caps/borrowing.py
@@ -9,14 +9,23 @@
     DEMAND_WINDOW_SECONDS,
     KEEP_SECONDS,
     LOAN_SECONDS,
+    REDIRECT_SECONDS,
     SHORT_SECONDS,
     SHORT_SECONDS_MAX,
+    SILENT_SECONDS,
+    SILENT_SECONDS_MAX,
+)
+from greengagepoint.caps.ledger import (
+    owner_incarnation,
+    owner_key,
+    owner_name,
+    owners_of,
 )
-from greengagepoint.caps.ledger import owner_key
 from greengagepoint.caps.messages import LoanGrant, LoanRequest, Want
 from greengagepoint.caps.owners import refresh_owners
 from greengagepoint.caps.permits import free_units
 from greengagepoint.caps.tables import CapsTable, Lender, Loan, Site
+from greengagepoint.rendezvous import rank
 
 SPARE_PART: Final = 0.25
 FIRST_UNITS: Final = 4
@@ -82,24 +91,36 @@
     """Spread a site's demand over its lenders, and list those to be asked now."""
     refresh_owners(table, site)
     wanted = demand(site, now) - site.in_flight - max(0, free_units(table, site))
-    keys = _lender_keys(table, site)
+    keys = _lender_keys(table, site, now)
     for key, want in _spread(site, keys, max(0, wanted), now).items():
         loan = site.loans.get(key)
         if loan is None:
             loan = site.loans[key] = Loan()
-        if _may_ask(table.lenders[key], now) and _is_ask_due(loan, want, now):
+        if table.lenders[key].asked is None and _is_ask_due(loan, want, now):
             wants.setdefault(key, []).append(_want(site, loan, want))
     for key in site.loans.keys() - keys:
         _return_loan(table, site, key, wants, now)
 
 
-def _lender_keys(table: CapsTable, site: Site) -> list[str]:
-    """Return the keys of a site's lenders in the order of asking."""
-    keys = []
-    for host in site.lenders:
-        key = owner_key(host.name, host.incarnation)
-        table.lenders.setdefault(key, Lender(host.name, host.incarnation))
-        keys.append(key)
+def _lender_keys(table: CapsTable, site: Site, now: float) -> list[str]:
+    """Return the keys of a site's lenders in the order of asking.
+
+    Those that this host's view would choose, and those that the ledger tells, in the
+    own region, or that a host of another region has named lately.
+    """
+    named: tuple[str, ...] = ()
+    if site.region == table.host.region:
+        named = owners_of(table.ledger, site.name)
+    elif now < site.named_until:
+        named = site.named_owners
+    keys = [owner_key(host.name, host.incarnation) for host in site.lenders]
+    others = {*keys, *named} - {table.me}
+    if len(others) > len(keys):
+        keys = rank(f"{site.name}/{table.me}", others)
+    for key in keys:
+        if key not in table.lenders:
+            lender = Lender(owner_name(key), owner_incarnation(key))
+            table.lenders[key] = lender
     return keys
 
 
@@ -107,12 +128,13 @@
     """Return how many units to want of each lender.
 
     First what is held already, so that asking one lender for more gives nothing back
-    to another; the rest from the first lender that is not short.
+    to another; the rest from the first lender that is not short. A loan that could
+    not be renewed in time is no use and wanted elsewhere.
     """
-    wants = {}
+    wants = {key: 0 for key in keys if key in site.loans}
     for key in keys:
         loan = site.loans.get(key)
-        if loan is None:
+        if loan is None or now > loan.start_until:
             continue
         wants[key] = min(loan.units, wanted)
         wanted -= wants[key]
@@ -126,11 +148,6 @@
     return wants
 
 
-def _may_ask(lender: Lender, now: float) -> bool:
-    """Tell whether no request to this lender is outstanding."""
-    return lender.asked is None or now - lender.asked >= ASK_TIMEOUT_SECONDS
-
-
 def _is_ask_due(loan: Loan, want: int, now: float) -> bool:
     """Tell whether to ask for more, renew, or return what is not needed."""
     if want > loan.units:
@@ -162,7 +179,7 @@
         del site.loans[key]
         return
     lender = table.lenders[key]
-    if _may_ask(lender, now) and loan.counted > loan.in_flight:
+    if lender.asked is None and loan.counted > loan.in_flight:
         wants.setdefault(key, []).append(_want(site, loan, 0))
 
 
@@ -205,7 +222,7 @@
             gained.append(granted.site)
             loan.short_seconds = 0.0
         if granted.units < loan.sent_want:
-            _back_off(loan, now)
+            _back_off(loan, now, SHORT_SECONDS, SHORT_SECONDS_MAX)
         loan.counted = max(granted.units, loan.sent_holding)
         loan.units = granted.units
         loan.start_until = start_until
@@ -213,11 +230,17 @@
         loan.end_until = start_until + grant.request_seconds
         loan.lendable = granted.lendable
         loan.answered = now
+        if granted.owners:
+            site.named_owners = granted.owners
+            site.named_until = now + REDIRECT_SECONDS
     return gained
 
 
 def drop_silent_requests(table: CapsTable, now: float) -> None:
-    """Pass over lenders that did not answer in time."""
+    """Pass over lenders that did not answer in time.
+
+    Only here is a request given up: asking again before would hide the silence.
+    """
     for key, lender in table.lenders.items():
         if lender.asked is None or now - lender.asked < ASK_TIMEOUT_SECONDS:
             continue
@@ -225,13 +248,12 @@
             site = table.sites.get(name)
             loan = site.loans.get(key) if site is not None else None
             if loan is not None:
-                _back_off(loan, now)
+                _back_off(loan, now, SILENT_SECONDS, SILENT_SECONDS_MAX)
                 loan.lendable = 0
         lender.asked = None
 
 
-def _back_off(loan: Loan, now: float) -> None:
+def _back_off(loan: Loan, now: float, least: float, most: float) -> None:
     """Ask a lender for no more for a while, twice as long each time."""
-    seconds = max(SHORT_SECONDS, 2 * loan.short_seconds)
-    loan.short_seconds = min(seconds, SHORT_SECONDS_MAX)
+    loan.short_seconds = min(max(least, 2 * loan.short_seconds), most)
     loan.short_until = now + loan.short_seconds
--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -34,11 +34,18 @@
 """How long a lender that granted too little is not asked for more; then doubled."""
 
 SHORT_SECONDS_MAX: Final = 2.0
+SILENT_SECONDS: Final = 4.0
+"""How long a lender that did not answer is asked for nothing new; then doubled."""
+
+SILENT_SECONDS_MAX: Final = 16.0
 
 DEMAND_WINDOW_SECONDS: Final = 0.5
 KEEP_SECONDS: Final = 5.0
 """How long one unit is kept after the last request, to save the next one a wait."""
 
+REDIRECT_SECONDS: Final = 30.0
+"""How long a borrower relies on the owners that a host of the region named."""
+
 LENDABLE_AGE_SECONDS: Final = 5.0
 LEDGER_POLL_SECONDS: Final = 30.0
 HINT_RETRY_SECONDS: Final = 5.0
--- a/packages/core/greengagepoint/caps/ledger.py
+++ b/packages/core/greengagepoint/caps/ledger.py
@@ -103,6 +103,13 @@
     return max(0, floor(limit * (1 - held)))
 
 
+def owners_of(ledger: Ledger, key: str) -> tuple[str, ...]:
+    """Return who holds a part of a limit."""
+    return tuple(
+        owner for owner, entry in sorted(ledger.owners.items()) if key in entry.shares
+    )
+
+
 def votes_needed(entry: Entry) -> int:
     """Return how many witnesses must vote before an owner counts as lost."""
     return len(entry.witnesses) // 2 + 1
--- a/packages/core/greengagepoint/caps/lending.py
+++ b/packages/core/greengagepoint/caps/lending.py
@@ -7,7 +7,7 @@
     LOAN_SECONDS,
     lent_seconds,
 )
-from greengagepoint.caps.ledger import owner_key
+from greengagepoint.caps.ledger import owner_key, owners_of
 from greengagepoint.caps.messages import Granted, LoanGrant, LoanRequest, Want
 from greengagepoint.caps.permits import free_units, may_use_share
 from greengagepoint.caps.tables import Borrower, CapsTable, Lent, Site
@@ -27,7 +27,8 @@
     if request.lender != table.host.incarnation:
         return None
     # A leaving host has no use for its rights, but takes back what is returned.
-    if not (may_use_share(table, now) or table.leaving):
+    # One without a share tells who has one.
+    if table.entries and not (may_use_share(table, now) or table.leaving):
         return None
     key = owner_key(sender, request.borrower)
     borrower = table.borrowers.setdefault(key, Borrower())
@@ -69,7 +70,20 @@
     if counted or lent is not None:
         expires = now + lent_seconds(table.request_seconds)
         borrower.lent[want.site] = Lent(counted, expires, want.want)
-    return Granted(want.site, units, max(0, free_units(table, site)))
+    lendable = max(0, free_units(table, site))
+    return Granted(want.site, units, lendable, _named_owners(table, site))
+
+
+def _named_owners(table: CapsTable, site: Site) -> tuple[str, ...]:
+    """Return the owners of a site in this region, if this host is none of them.
+
+    In a large fleet a borrower sees few hosts of another region and may ask one that
+    holds nothing; so may a host that another zone's hosts take for an owner.
+    """
+    if site.owned or site.region != table.host.region:
+        return ()
+    owners = owners_of(table.ledger, site.name)
+    return () if table.me in owners else owners
 
 
 def _units_to_grant(
--- a/packages/core/greengagepoint/caps/messages.py
+++ b/packages/core/greengagepoint/caps/messages.py
@@ -29,11 +29,15 @@
 
 
 class Granted(msgspec.Struct, frozen=True, array_like=True):
-    """Units on loan, and how many more the lender could lend."""
+    """Units on loan, and how many more the lender could lend.
+
+    A host that holds nothing of the site names its owners (host#incarnation).
+    """
 
     site: str
     units: int
     lendable: int
+    owners: tuple[str, ...] = ()
 
 
 class LoanGrant(msgspec.Struct, frozen=True, array_like=True, tag="caps.loan_grant"):
--- a/packages/core/greengagepoint/caps/owners.py
+++ b/packages/core/greengagepoint/caps/owners.py
@@ -5,8 +5,8 @@
 from greengagepoint.caps.const import OWNERS_A_SITE, WITNESSES
 from greengagepoint.caps.ledger import owner_key, owner_name
 from greengagepoint.caps.tables import CapsTable, Site
-from greengagepoint.config.watchers import rank
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 
 
 def update_live(table: CapsTable, hosts: Iterable[HostIdentity], now: float) -> None:
--- a/packages/core/greengagepoint/caps/planning.py
+++ b/packages/core/greengagepoint/caps/planning.py
@@ -29,7 +29,7 @@
     refresh_owners,
 )
 from greengagepoint.caps.tables import CapsTable, DeadEvidence, is_behind
-from greengagepoint.config.watchers import rank
+from greengagepoint.rendezvous import rank
 
 REGION_STEP = 4
 
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -72,6 +72,8 @@
     owners: tuple[HostIdentity, ...] = ()
     lenders: tuple[HostIdentity, ...] = ()
     owners_version: int = -1
+    named_owners: tuple[str, ...] = ()
+    named_until: float = -inf
 
 
 @dataclass(slots=True)
--- a/packages/core/tests/test_caps_failures.py
+++ b/packages/core/tests/test_caps_failures.py
@@ -178,6 +178,7 @@
     owner, borrower = build_owner(), build(LIVE[2])
     late = answer_request(owner, "b-1", request_from(borrower, 2, 0.0), 0.0)
     borrower.sites["s"].loans["a-1#1"].counted = late.granted[0].units
+    drop_silent_requests(borrower, 1.0)
     answer_request(owner, "b-1", request_from(borrower, 0, 1.0), 1.0)
     assert owner.sites["s"].lent == 0
     take_grant(borrower, "a-1", late, 1.0)
@@ -468,3 +469,23 @@
     world.advance(60)
     assert world.excess() == {}
     assert world.in_flight()["s"] >= 11
+
+
+@pytest.mark.parametrize("name", ["b-1", "a-9"])
+def test_borrower_that_sees_no_owner_finds_them(name: str) -> None:
+    """In a large fleet a host sees few others; here only one that owns nothing.
+
+    A remote host asks that one, is told who the owners are, and borrows from them; a
+    host of the region has them from the ledger.
+    """
+    hosts = ("a-1", "a-2", "a-3", "a-4", "a-5", "a-9", "b-1")
+    layout = Layout(hosts, {"s": "a"}, {"a": 12, "b": 1}, {"s": 12}, 4)
+    world = World(layout, 1)
+    world.advance(5)
+    owners = set(world.store.values["a"][0].owners)
+    others = {host for host in hosts if host[0] == "a" and f"{host}#1" not in owners}
+    assert len(others - {name}) >= 1
+    world.hosts[name].contacts = {sorted(others - {name})[0]}
+    world.hosts[name].wanted["s"] = 9
+    world.advance(8)
+    assert world.hosts[name].running["s"] == 9
--- a/packages/standins/greengagepoint_standins/caps_host.py
+++ b/packages/standins/greengagepoint_standins/caps_host.py
@@ -34,7 +34,8 @@
 class FakeHost:
     """One run of a host; its clock shows ``offset + rate * true`` seconds.
 
-    ``wanted`` is how many requests it keeps running toward each site.
+    ``wanted`` is how many requests it keeps running toward each site, ``contacts`` the
+    hosts that it sees (None: all).
     """
 
     table: CapsTable
@@ -47,6 +48,7 @@
     wanted: Counter = field(default_factory=Counter)
     running: Counter = field(default_factory=Counter)
     suspects: set[str] = field(default_factory=set)
+    contacts: set[str] | None = None
     write: tuple[Plan, float] | None = None
 
     def clock(self, true: float) -> float:
--- a/packages/standins/greengagepoint_standins/caps_world.py
+++ b/packages/standins/greengagepoint_standins/caps_world.py
@@ -157,11 +157,13 @@
     def _seen_by(self, name: str) -> list[HostIdentity]:
         """Return the hosts that one host sees; its suspicions may be wrong."""
         suspects = self.hosts[name].suspects
+        contacts = self.hosts[name].contacts
         return [
             other.table.host
             for other_name, other in self.hosts.items()
             if not (other.paused or other.table.leaving)
             and other_name not in suspects
+            and (contacts is None or other_name in contacts)
             and (other_name, name) not in self.cut
         ]
 
