Measure what faults do to callers and how long recovery takes

Cause: What an outage, a replacement or a cut does to callers stood in the design only; nothing had measured it over the whole path.

A region's way to the store and the host list is a relay that can be cut, and a kill resets connections and loses what the process would still have told.

--- a/measure/daemon_fleet.py
+++ b/measure/daemon_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import re
 import secrets
 import tomllib
@@ -19,12 +20,15 @@
 from greengagepoint_standins.backend_control import BackendControl
 from greengagepoint_standins.host_list import HostListStandIn, async_start_host_list
 from greengagepoint_standins.store import StoreStandIn, async_start_store
+from measure.relay import Relay
 
 RECORDS: Final = Path(__file__).resolve().parent.parent / "deployments" / "ermis"
 ADDRESS: Final = re.compile(r'(address = )"[^"]*"')
 LOOKUP_TTL: Final = re.compile(r"lookup_ttl_seconds = \d+")
+DEADLINE: Final = re.compile(r"(deadline_ms) = (\d+)")
 WAIT_SECONDS: Final = 60.0
 POLL_SECONDS: Final = 0.01
+UNREACHABLE: Final = "http://127.0.0.1:1"
 SERVICE_MS: Final = 20.0
 OPERATOR_KEY: Final = secrets.token_hex(16)
 PEER_KEY: Final = secrets.token_hex(16)
@@ -38,7 +42,11 @@
 
 
 class DaemonFleet:
-    """Daemons with the platform's stand-ins; ``cut`` holds pairs of cut regions."""
+    """Daemons with the platform's stand-ins.
+
+    ``cut`` holds pairs of regions that are cut from each other, ``killed`` daemons
+    whose messages are lost, ``paths`` each region's way to store and host list.
+    """
 
     def __init__(self) -> None:
         self.store: StoreStandIn
@@ -48,18 +56,21 @@
         self.daemons: dict[str, Daemon] = {}
         self.places: dict[str, Place] = {}
         self.cut: set[frozenset[str]] = set()
+        self.killed: set[Daemon] = set()
+        self.paths: dict[str, tuple[Relay, Relay]] = {}
         self.write_number = 0
 
     async def async_start_host(self, name: str, place: Place) -> Daemon:
         """Start a daemon and put it on the host list."""
+        store, host_list = await self._async_paths(place.region)
         values = {
             "host": name,
             "region": place.region,
             "zone": place.zone,
             "listen_address": "127.0.0.1:0",
             "peer_listen_address": "127.0.0.1:0",
-            "store": f"http://{self.store.address}",
-            "host_list": f"http://{self.host_list.address}",
+            "store": f"http://{store.address}",
+            "host_list": f"http://{host_list.address}",
         }
         environment = {
             "GREENGAGEPOINT_PEER_KEY": PEER_KEY,
@@ -86,10 +97,33 @@
             place = self.places.get(host)
             if place is not None and frozenset({own, place.region}) in self.cut:
                 return True
+            if daemon in self.killed:
+                return True
             return send(host, message)
 
         daemon.links.send = send_unless_cut
 
+    async def _async_paths(self, region: str) -> tuple[Relay, Relay]:
+        """Return a region's ways to store and host list."""
+        if region not in self.paths:
+            paths = (Relay(self.store.address), Relay(self.host_list.address))
+            for path in paths:
+                await path.async_start()
+            self.paths[region] = paths
+        return self.paths[region]
+
+    async def async_kill(self, name: str) -> None:
+        """End a daemon as a kill does: nothing is told, all connections reset."""
+        daemon = self.daemons[name]
+        self.killed.add(daemon)
+        daemon.context.store.addresses[:] = [UNREACHABLE]
+        for site in list(daemon.runner.sites):
+            await site.stop()
+        for connection in list(daemon.runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+        await daemon.async_abort()
+
     async def async_change(self, daemon: Daemon) -> int:
         """Change a team's weight through a daemon; return the new generation."""
         self.write_number += 1
@@ -142,8 +176,15 @@
             await asyncio.sleep(POLL_SECONDS)
 
 
+class Shortened(NamedTuple):
+    """Times that a fleet's records have in place of those of the deployment."""
+
+    lookup_ttl_seconds: int
+    max_deadline_ms: int
+
+
 def read_changes(
-    addresses: list[str], lookup_ttl_seconds: int | None
+    addresses: list[str], shortened: Shortened | None
 ) -> list[dict[str, Any]]:
     """Return all records of Ermis with the stand-ins' addresses put in, in order."""
     left = iter(addresses)
@@ -152,9 +193,10 @@
         text = path.read_text()
         if path.name == "sites.toml":
             text = ADDRESS.sub(lambda match: f'{match[1]}"{next(left)}"', text)
-        if lookup_ttl_seconds is not None:
-            ttl = f"lookup_ttl_seconds = {lookup_ttl_seconds}"
+        if shortened is not None:
+            ttl = f"lookup_ttl_seconds = {shortened.lookup_ttl_seconds}"
             text = LOOKUP_TTL.sub(ttl, text)
+            text = DEADLINE.sub(lambda match: _at_most(match, shortened), text)
         changes += [
             _change(one.kind, one.name, one.schema_version, one.fields)
             for one in parse_toml(text, path.name)
@@ -162,6 +204,11 @@
     return changes
 
 
+def _at_most(match: re.Match[str], shortened: Shortened) -> str:
+    """Return a deadline's setting, at most the longest one."""
+    return f"{match[1]} = {min(int(match[2]), shortened.max_deadline_ms)}"
+
+
 def _change(
     kind: str, name: str, version: int, fields: dict[str, Any]
 ) -> dict[str, Any]:
@@ -198,7 +245,7 @@
 
 @contextlib.asynccontextmanager
 async def async_fleet(
-    *, hosts_a_zone: int, lookup_ttl_seconds: int | None = None
+    *, hosts_a_zone: int, shortened: Shortened | None = None
 ) -> AsyncIterator[DaemonFleet]:
     """Run a fleet with the records in force on all daemons."""
     fleet = DaemonFleet()
@@ -212,12 +259,14 @@
                 await fleet.async_start_host(f"{place.zone}-{number}", place)
         first = next(iter(fleet.daemons.values()))
         addresses = [backend.address for backend in fleet.backends]
-        await fleet.async_apply(first, read_changes(addresses, lookup_ttl_seconds))
+        await fleet.async_apply(first, read_changes(addresses, shortened))
         await fleet.async_until_ready(list(fleet.daemons))
         yield fleet
     finally:
         for daemon in fleet.serving():
             await daemon.async_abort()
+        for path in itertools.chain.from_iterable(fleet.paths.values()):
+            await path.async_cut()
         await fleet.session.close()
         for backend in fleet.backends:
             await backend.async_stop()
