Look at the permit right before the first byte

Cause: the permit was checked before connecting, which may take 2 s, while the quarantine of a lent unit allows 1 s from check to send. A lender could have given the unit to another request by then, and the site would have run more than its cap.

Change: the client's request asks may_start when the connection stands and sends nothing otherwise: "not run". Tests also for hedges of reads whose body can be read only once, and for paths that mean another thing once they are resolved (Hypothesis, against posixpath).

The test of hedges fails when streamed bodies may be hedged.

Conclusion: the fence holds from the check to the first byte.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -189,14 +189,15 @@
 async def _async_send(attempt: Attempt, placement: Placement) -> Reply:
     """Send the request once and return its answer, read whole when small."""
     parts, call, tries = attempt.parts, attempt.call, attempt.tries
-    now = parts.context.clock.monotonic()
+    clock = parts.context.clock
+    now = clock.monotonic()
     permit = placement.permit
-    # The process may have been paused since it got the permit, and the lender may
-    # count the unit as free by now: the permit is looked at right before sending.
-    if now > permit.start_by:
-        raise WireError(
-            WireOutcome.DEADLINE_BEFORE_SENDING, "The permit lapsed before sending"
-        )
+
+    def may_start() -> bool:
+        # The process may have been paused since it got the permit, and the lender
+        # may count the unit as free by now.
+        return clock.monotonic() <= permit.start_by
+
     seconds = min(call.ends_at, permit.end_by) - now
     call.attempts += 1
     placement.ends_at = now + seconds
@@ -214,8 +215,9 @@
         request_headers(attempt.request, call, now),
         attempt.body,
         seconds,
+        may_start,
     )
-    latency = parts.context.clock.monotonic() - now
+    latency = clock.monotonic() - now
     parts.report_load(placement.row, upstream.headers.get(HEADER_LOAD), now + latency)
     reply = Reply(placement, upstream, latency)
     _check_unavailable(call, upstream, tries)
--- a/packages/node/greengagepoint_node/proxy/exchange.py
+++ b/packages/node/greengagepoint_node/proxy/exchange.py
@@ -1,7 +1,7 @@
 """One try at a backend server: send the request and wait for the answer's headers."""
 
 import asyncio
-from collections.abc import AsyncIterable
+from collections.abc import AsyncIterable, Callable
 from typing import Final
 
 import aiohttp
@@ -25,6 +25,8 @@
 from greengagepoint_node.proxy.sessions import (
     BackendSessions,
     BrokenOffError,
+    LapsedError,
+    SendOnce,
     SpoiltConnectionError,
 )
 
@@ -39,6 +41,7 @@
 
 DETAILS: Final[dict[WireOutcome, str]] = {
     WireOutcome.CONNECT_REFUSED: "The backend server did not accept a connection",
+    WireOutcome.DEADLINE_BEFORE_SENDING: "The permit lapsed before sending",
     WireOutcome.RESET_BEFORE_SENDING: "No usable connection to the backend server",
     WireOutcome.RESET_AFTER_SENDING: "The backend server closed the connection",
     WireOutcome.GARBAGE: "The backend server's answer is not valid HTTP",
@@ -87,10 +90,12 @@
     headers: CIMultiDict[str],
     body: Body,
     seconds: float,
+    may_start: Callable[[], bool],
 ) -> aiohttp.ClientResponse:
     """Send the request once and return the answer with its body still to come.
 
-    Raise WireError unless the answer may be passed on.
+    ``may_start`` is asked right before the first byte. Raise WireError unless the
+    answer may be passed on.
     """
     if seconds <= 0:
         raise WireError(
@@ -105,6 +110,7 @@
                 headers=headers,
                 data=body,
                 allow_redirects=False,
+                middlewares=(SendOnce(may_start),),
             )
     except TimeoutError as error:
         raise _timed_out(error) from error
@@ -162,6 +168,8 @@
     """
     if isinstance(error, aiohttp.ClientConnectorError):
         return WireOutcome.CONNECT_REFUSED
+    if isinstance(error, LapsedError):
+        return WireOutcome.DEADLINE_BEFORE_SENDING
     if isinstance(error, SpoiltConnectionError):
         return WireOutcome.RESET_BEFORE_SENDING
     if isinstance(error, BrokenOffError):
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -1,5 +1,6 @@
 """HTTP client session towards backend servers."""
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 import aiohttp
@@ -21,11 +22,21 @@
     """Tell that a reused connection held bytes already; nothing was sent."""
 
 
+class LapsedError(aiohttp.ClientError):
+    """Tell that the right to send ended while connecting; nothing was sent."""
+
+
 class BackendRequest(aiohttp.ClientRequest):
-    """A request that goes out only on a connection with nothing left on it."""
+    """A request that goes out only in time, on a connection with nothing left on it."""
+
+    may_start: Callable[[], bool]
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
-        """Send the request, or raise SpoiltConnectionError before its first byte."""
+        """Send the request, or raise an error before its first byte."""
+        # Connecting may have taken longer than the permit was good for, and whoever
+        # lent the unit may have given it to another request.
+        if not self.may_start():
+            raise LapsedError("The permit lapsed while connecting")
         # A backend server may have written to the idle connection: an answer that it
         # gave twice, or a notice that it closes. The client would take those bytes
         # for the answer to this request, and the caller would get another's.
@@ -54,7 +65,6 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         max_field_size=HEADER_MAX_BYTES,
         max_line_size=HEADER_MAX_BYTES,
-        middlewares=(async_send_once,),
         read_bufsize=READ_BUFFER_BYTES,
         request_class=BackendRequest,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -64,16 +74,30 @@
     return BackendSessions(session)
 
 
-async def async_send_once(
-    request: aiohttp.ClientRequest, handler: ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Send a request at most once, on a connection with nothing left on it.
+class SendOnce:
+    """Send a request at most once, while ``may_start`` allows, on a clean connection.
 
     The client sends GET, PUT, DELETE and others again by itself when a connection
     breaks, also a new one, and the backend server would run them twice. It does so
     for its own errors only, so those are raised as another kind; whether to send
     again is decided by the table of outcomes.
     """
+
+    def __init__(self, may_start: Callable[[], bool]) -> None:
+        self.may_start = may_start
+
+    async def __call__(
+        self, request: BackendRequest, handler: ClientHandlerType
+    ) -> aiohttp.ClientResponse:
+        """Send the request through the rest of the client."""
+        request.may_start = self.may_start
+        return await _async_send_once(request, handler)
+
+
+async def _async_send_once(
+    request: BackendRequest, handler: ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Raise BrokenOffError where the client would send the request again."""
     for _ in range(SPOILT_CONNECTIONS_MAX):
         try:
             return await handler(request)
--- /dev/null
+++ b/packages/node/tests/test_hostile_sending.py
@@ -0,0 +1,130 @@
+"""What the request path checks right before and while it sends."""
+
+import asyncio
+import posixpath
+import re
+from urllib.parse import unquote
+
+import pytest
+from deployment import async_until
+from hostile import (
+    GOOD,
+    async_raw,
+    async_raw_deployment,
+    held,
+    raw_request,
+)
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from greengagepoint.errors import RequestError
+from greengagepoint_node.proxy.checks import check_path, plain_path
+from greengagepoint_node.proxy.sessions import BackendRequest
+
+
+async def test_a_permit_that_lapses_while_connecting_sends_nothing(monkeypatch) -> None:
+    """A host's unit is on loan, and connecting takes longer than the loan.
+
+    The lender counts the unit as free and another host may use it. The permit is
+    looked at right before the first byte: the caller is told "not run", and the
+    server never saw the request.
+    """
+    async with async_raw_deployment() as running:
+        _, daemon, backend, _ = running
+        acquire = daemon.caps.acquire
+        permits = []
+
+        def acquire_short(site, deadline_seconds):
+            permit = acquire(site, deadline_seconds)
+            permits.append(permit)
+            return permit
+
+        send = BackendRequest.send
+
+        async def async_send_late(self, connection):
+            # As if the connection had taken until after the permit's end.
+            late = max(permit.start_by for permit in permits) + 0.001
+            clock = daemon.context.clock
+            with monkeypatch.context() as patch:
+                patch.setattr(clock, "monotonic", lambda: late)
+                return await send(self, connection)
+
+        monkeypatch.setattr(daemon.caps, "acquire", acquire_short)
+        monkeypatch.setattr(BackendRequest, "send", async_send_late)
+        answer = await async_raw(daemon, raw_request())
+        assert (answer.status, answer.problem["ran"]) == (503, "not_run")
+        assert backend.requests == []
+        monkeypatch.undo()
+        answer = await async_raw(daemon, raw_request())
+        assert answer.raw.endswith(GOOD[-4:])
+        await async_until(lambda: not held(running.deployment))
+
+
+@pytest.mark.parametrize(("body", "copies"), [(b"", 2), (b"1\r\nx\r\n0\r\n\r\n", 1)])
+async def test_a_body_that_is_read_once_goes_to_one_server(body, copies) -> None:
+    """A slow read, whose copies may be hedged, carries a body in chunks.
+
+    Two copies would each send a part of it as if it were the whole, and whichever
+    answered first would answer something that nobody asked.
+    """
+    async with async_raw_deployment() as running:
+        _, daemon, backend, _ = running
+        answered = asyncio.Event()
+
+        async def async_slow(head, writer):
+            if b" /bays" in head:
+                await answered.wait()
+            writer.write(GOOD)
+
+        await async_raw(daemon, raw_request())
+        gate = daemon.admission.gates["booking"]
+        gate.hedge_wait_seconds = lambda: 0.0
+        gate.may_hedge = lambda elapsed, *, repeatable: repeatable
+        backend.requests.clear()
+        backend.answer = async_slow
+        lines = (b"Transfer-Encoding: chunked",) if body else ()
+        request = raw_request(b"/s/booking/bays", *lines, body=body)
+        answer = asyncio.ensure_future(async_raw(daemon, request))
+        await async_until(lambda: len(backend.requests) >= copies)
+        # Others' whole requests pass meanwhile, and a second copy would as well.
+        for _ in range(5):
+            await async_raw(daemon, raw_request(b"/s/booking/other"))
+        answered.set()
+        assert (await answer).raw.endswith(b"good")
+        sent = [one for one in backend.requests if b" /bays" in one]
+        assert len(sent) == copies
+        assert all(one.endswith(body) for one in sent)
+        await async_until(lambda: not held(running.deployment))
+
+
+SEGMENTS = st.sampled_from(
+    ["", ".", "..", "%2e", "%2E.", ".%2e", "..;a", "...", "a", "a%2f..", "..\\a", "%5c"]
+)
+
+
+@given(st.lists(SEGMENTS, max_size=5))
+@example(["..%2f"])
+def test_an_accepted_path_means_the_same_once_it_is_resolved(segments) -> None:
+    path = "/".join(["a", *segments])
+    try:
+        check_path(path)
+    except RequestError:
+        return
+    decoded = "/" + unquote(path).replace("\\", "/")
+    without_parameters = re.sub(r";[^/]*", "", decoded)
+    merged = re.sub("/+", "/", without_parameters).rstrip("/")
+    assert posixpath.normpath(merged) == merged
+
+
+@pytest.mark.parametrize(
+    ("path", "plain"),
+    [
+        ("/pay", "/pay"),
+        ("/%70ay", "/pay"),
+        ("//pay", "/pay"),
+        ("/a%2F%2fpay", "/a/pay"),
+        ("\\pay", "/pay"),
+    ],
+)
+def test_the_plain_path_is_what_a_decoding_server_sees(path: str, plain: str) -> None:
+    assert plain_path(path) == plain
