Type the operators' interface once for daemon and client

Cause: the daemon answered with bare dictionaries, the client had types of its own for them, and the time line's event had two. Nothing compared the two sides. The client's commands also repeated the servers, the key and four options of each write.

Change: core's operator_api.py holds the messages of the interface; the daemon makes its answers and the client its requests of them, and rows of the client's tables are typed. writing.py holds what all writing commands do.

--- a/packages/cli/greengagepoint_cli/api.py
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -4,13 +4,13 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, Generic, NamedTuple, TypeVar
 
 import aiohttp
 import msgspec
 
 from greengagepoint.errors import ErrorKind
-from greengagepoint_cli.answers import ApplyAnswer, PruneAnswer
+from greengagepoint.operator_api import ApplyAnswer, PruneAnswer, WantedChanges
 from greengagepoint_cli.const import (
     ANSWER_TIMEOUT_SECONDS,
     CONNECT_TIMEOUT_SECONDS,
@@ -18,6 +18,7 @@
     ExitCode,
 )
 from greengagepoint_cli.errors import ClientError, ProblemError, UnreachableError
+from greengagepoint_cli.options import operator_key, server_list
 
 T = TypeVar("T")
 
@@ -32,12 +33,12 @@
 )
 
 
-class Call(NamedTuple):
+class Call(NamedTuple, Generic[T]):
     """One call; ``answer`` is the type that its answer must have."""
 
     method: str
     path: str
-    answer: type
+    answer: type[T]
     params: Mapping[str, str] | None = None
     body: Mapping[str, Any] | None = None
 
@@ -63,17 +64,18 @@
         call = Call("POST", "/v1/usage/prune", PruneAnswer, {"before": before})
         return await self._async_try_each(call)
 
-    async def async_apply(self, body: Mapping[str, Any]) -> ApplyAnswer:
+    async def async_apply(self, wanted: WantedChanges) -> ApplyAnswer:
         """Write changes; a write whose answer was lost is repeated at the next server.
 
         The body carries a write id, and a host that meets it again answers with the
         generation that it made, so the repetition cannot apply the changes twice.
         """
-        assert body["write_id"]
+        assert wanted.write_id
+        body = msgspec.to_builtins(wanted)
         call = Call("POST", "/v1/records/apply", ApplyAnswer, body=body)
         return await self._async_try_each(call)
 
-    async def async_call(self, server: str, call: Call) -> dict[str, Any]:
+    async def async_call(self, server: str, call: Call[T]) -> T:
         """Call one server; raise ProblemError for a problem answer."""
         async with self.session.request(
             call.method,
@@ -93,7 +95,7 @@
                 raise ProblemError(document or {}, response.status)
             return _checked(document, call.answer)
 
-    async def _async_try_each(self, call: Call) -> Any:
+    async def _async_try_each(self, call: Call[T]) -> T:
         """Call servers in order until one answers with more than an outage."""
         attempts: list[str] = []
         problem: ProblemError | None = None
@@ -134,13 +136,11 @@
         yield Api(session, servers, key)
 
 
-def run_call(
-    servers: Iterable[str], key: str | None, call: Callable[[Api], Awaitable[T]]
-) -> T:
-    """Run one command's calls to the servers."""
+def run_call(servers: list[str] | None, call: Callable[[Api], Awaitable[T]]) -> T:
+    """Run one command's calls to the servers that its options name."""
 
     async def async_run() -> T:
-        async with open_api(servers, key) as api:
+        async with open_api(server_list(servers), operator_key()) as api:
             return await call(api)
 
     return asyncio.run(async_run())
@@ -155,7 +155,7 @@
     return document if isinstance(document, dict) else None
 
 
-def _checked(document: dict[str, Any] | None, answer: type) -> dict[str, Any]:
+def _checked(document: dict[str, Any] | None, answer: type[T]) -> T:
     """Return a document that has the members of its type, and any others."""
     if document is None:
         raise aiohttp.ClientPayloadError("the answer is not a JSON object")
--- a/packages/cli/greengagepoint_cli/commands/moves.py
+++ b/packages/cli/greengagepoint_cli/commands/moves.py
@@ -1,19 +1,19 @@
 """Commands that write drain and shift records."""
 
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Annotated, Any
 
 import typer
 
+from greengagepoint.operator_api import DrainPart, StatusAnswer
 from greengagepoint.records.loading import RecordDocument
 from greengagepoint.records.schemas import NEWEST_VERSIONS, DrainTarget, RecordKind
 from greengagepoint_cli.api import Api, run_call
-from greengagepoint_cli.commands.records import async_write
 from greengagepoint_cli.commands.state import DRAIN_COLUMNS, HOST_COLUMNS
 from greengagepoint_cli.const import Output
 from greengagepoint_cli.documents import async_current, change_of, check_with_current
-from greengagepoint_cli.fleet import async_wait, drains, fleet_status
+from greengagepoint_cli.fleet import HostRow, async_wait, drains, fleet_status
 from greengagepoint_cli.options import (
     Author,
     OutputOption,
@@ -21,13 +21,13 @@
     Timeout,
     Watch,
     WriteId,
-    as_start,
-    operator_key,
+    WriteOptions,
+    as_record_time,
     parse_moment,
-    server_list,
 )
 from greengagepoint_cli.output import show_json, show_table
 from greengagepoint_cli.survey import HostAnswer, async_statuses
+from greengagepoint_cli.writing import Written, async_write
 
 RECORD_NAME = re.compile(r"[^a-z0-9.-]+")
 COMMANDS = {
@@ -40,6 +40,12 @@
 ]
 
 
+class Moved(Written):
+    """What a drain came to, and what is still in flight or where its host is."""
+
+    remaining: list[DrainPart] | list[HostRow]
+
+
 def register(app: typer.Typer) -> None:
     """Add the commands of this module."""
     group = typer.Typer(no_args_is_help=True, help="Empty what is about to leave.")
@@ -51,7 +57,7 @@
     app.command()(shift)
 
 
-def _drain_command(target_kind: DrainTarget) -> Any:
+def _drain_command(target_kind: DrainTarget) -> Callable[..., None]:
     """Return the command that drains one kind of target."""
 
     def drain(
@@ -73,24 +79,24 @@
         fields = {
             "target_kind": target_kind.value,
             "target": target,
-            "start_at": as_start(parse_moment(start_at, "--start-at")),
+            "start_at": as_record_time(parse_moment(start_at, "--start-at")),
         }
         if leave_at is not None:
-            fields["leave_at"] = as_start(parse_moment(leave_at, "--leave-at"))
+            fields["leave_at"] = as_record_time(parse_moment(leave_at, "--leave-at"))
         record = name or record_name(f"drain-{target}")
         document = _document(RecordKind.DRAIN, record, fields)
+        options = WriteOptions(author, write_id, timeout if watch else None)
 
-        async def async_drain(api: Api) -> dict[str, Any]:
+        async def async_drain(api: Api) -> Moved:
             # A host that has not taken the drain over yet names nothing that
             # remains, so "drained" would come too early.
-            wait_seconds = timeout if watch else None
-            written = await _async_put(api, document, author, write_id, wait_seconds)
+            written = await _async_put(api, document, options)
             if watch:
                 await _async_drained(api, target_kind, target, timeout)
             answers = await async_statuses(api)
-            return written | {"remaining": remaining(answers, target_kind, target)}
+            return Moved(**written, remaining=remaining(answers, target_kind, target))
 
-        written = run_call(server_list(server), operator_key(), async_drain)
+        written = run_call(server, async_drain)
         _show_move(written, f"drain/{record}", output)
 
     return drain
@@ -115,15 +121,12 @@
         "from_site": from_site,
         "to_site": to_site,
         "fraction": fraction,
-        "start_at": as_start(parse_moment(start_at, "--start-at")),
+        "start_at": as_record_time(parse_moment(start_at, "--start-at")),
         "ramp_seconds": ramp_seconds,
     }
     document = _document(RecordKind.SHIFT, name, fields)
-    written = run_call(
-        server_list(server),
-        operator_key(),
-        lambda api: _async_put(api, document, author, write_id),
-    )
+    options = WriteOptions(author, write_id)
+    written = run_call(server, lambda api: _async_put(api, document, options))
     _show_move(written, f"shift/{name}", output)
 
 
@@ -133,8 +136,8 @@
 
 
 def remaining(
-    answers: Sequence[HostAnswer], target_kind: DrainTarget, target: str
-) -> list[dict[str, Any]]:
+    answers: Sequence[HostAnswer[StatusAnswer]], target_kind: DrainTarget, target: str
+) -> list[DrainPart] | list[HostRow]:
     """Return what a drain still waits for."""
     known = [answer.document for answer in answers if answer.document is not None]
     if target_kind is DrainTarget.HOST:
@@ -145,17 +148,13 @@
 
 
 async def _async_put(
-    api: Api,
-    document: RecordDocument,
-    author: str | None,
-    write_id: str | None,
-    wait_seconds: float | None = None,
-) -> dict[str, Any]:
+    api: Api, document: RecordDocument, options: WriteOptions
+) -> Written:
     """Write one record over what is in force."""
     current = await async_current(api)
     check_with_current([document], current)
     change = change_of(document.kind, document.name, document, current)
-    return await async_write(api, current, [change], author, write_id, wait_seconds)
+    return await async_write(api, current, [change], options)
 
 
 async def _async_drained(
@@ -180,7 +179,7 @@
     )
 
 
-def _show_move(written: dict[str, Any], reference: str, output: Output) -> None:
+def _show_move(written: Written | Moved, reference: str, output: Output) -> None:
     """Print what was written and what remains."""
     if output is Output.JSON:
         show_json(written)
--- a/packages/cli/greengagepoint_cli/commands/records.py
+++ b/packages/cli/greengagepoint_cli/commands/records.py
@@ -1,17 +1,15 @@
 """Commands that read and write steering records."""
 
-import secrets
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
+from greengagepoint.operator_api import HistoryAnswer, HistoryChange, RecordsAnswer
 from greengagepoint.records.difference import Difference, DifferenceKind
 from greengagepoint.records.schemas import RecordKind
-from greengagepoint_cli.answers import HistoryAnswer, RecordsAnswer
 from greengagepoint_cli.api import Api, run_call
 from greengagepoint_cli.const import ExitCode, Output
 from greengagepoint_cli.documents import (
-    Current,
     async_current,
     change_of,
     changes_of,
@@ -21,7 +19,6 @@
     wanted_differences,
 )
 from greengagepoint_cli.errors import ClientError
-from greengagepoint_cli.fleet import async_wait, behind
 from greengagepoint_cli.options import (
     Author,
     OutputOption,
@@ -29,12 +26,10 @@
     Timeout,
     Watch,
     WriteId,
-    author_name,
-    operator_key,
-    server_list,
+    WriteOptions,
 )
 from greengagepoint_cli.output import Column, as_time, field, show, show_json
-from greengagepoint_cli.survey import async_statuses
+from greengagepoint_cli.writing import Written, async_write, describe_change
 
 Paths = Annotated[
     list[str], typer.Argument(help="TOML files, folders of them, or - for input.")
@@ -59,7 +54,7 @@
     Column("at", lambda row: as_time(row["at_ms"])),
     field("author"),
     field("write_id"),
-    Column("changes", lambda row: [_describe_change(one) for one in row["changes"]]),
+    Column("changes", lambda row: [_changed(one) for one in row["changes"]]),
 )
 
 
@@ -80,7 +75,7 @@
     """Check records without changing anything."""
     wanted = read_documents(paths)
     if with_current:
-        current = run_call(server_list(server), operator_key(), async_current)
+        current = run_call(server, async_current)
         check_with_current(wanted, current)
     else:
         check_alone(wanted)
@@ -95,7 +90,7 @@
 ) -> None:
     """Show what applying records would change; exit with 1 if anything."""
     wanted = read_documents(paths)
-    current = run_call(server_list(server), operator_key(), async_current)
+    current = run_call(server, async_current)
     differences = wanted_differences(wanted, current, prune=prune)
     _show_differences(differences, output)
     if differences:
@@ -114,8 +109,9 @@
 ) -> None:
     """Put records in force, all or none."""
     wanted = read_documents(paths)
+    options = WriteOptions(author, write_id, timeout if watch else None)
 
-    async def async_apply(api: Api) -> dict[str, Any]:
+    async def async_apply(api: Api) -> Written:
         current = await async_current(api)
         differences = wanted_differences(wanted, current, prune=prune)
         removed = [
@@ -125,11 +121,9 @@
         ]
         check_with_current(wanted, current, removed)
         changes = changes_of(differences, wanted, current)
-        return await async_write(
-            api, current, changes, author, write_id, timeout if watch else None
-        )
+        return await async_write(api, current, changes, options)
 
-    _show_written(run_call(server_list(server), operator_key(), async_apply), output)
+    _show_written(run_call(server, async_apply), output)
 
 
 def remove(
@@ -143,8 +137,9 @@
     output: OutputOption = Output.TABLE,
 ) -> None:
     """Delete one record."""
+    options = WriteOptions(author, write_id, timeout if watch else None)
 
-    async def async_remove(api: Api) -> dict[str, Any]:
+    async def async_remove(api: Api) -> Written:
         current = await async_current(api)
         if f"{kind}/{name}" not in current.generations:
             raise ClientError(
@@ -152,11 +147,9 @@
             )
         check_with_current([], current, [f"{kind}/{name}"])
         changes = [change_of(kind, name, None, current)]
-        return await async_write(
-            api, current, changes, author, write_id, timeout if watch else None
-        )
+        return await async_write(api, current, changes, options)
 
-    _show_written(run_call(server_list(server), operator_key(), async_remove), output)
+    _show_written(run_call(server, async_remove), output)
 
 
 def get(
@@ -167,8 +160,7 @@
 ) -> None:
     """Show the records in force."""
     answer = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: api.async_get("/v1/records", RecordsAnswer),
     )
     rows = [
@@ -190,62 +182,19 @@
 ) -> None:
     """Show the newest changes."""
     answer = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: api.async_get("/v1/history", HistoryAnswer, {"limit": str(limit)}),
     )
     show(answer, answer["entries"], HISTORY_COLUMNS, output)
 
 
-async def async_write(
-    api: Api,
-    current: Current,
-    changes: list[dict[str, Any]],
-    author: str | None,
-    write_id: str | None,
-    wait_seconds: float | None,
-) -> dict[str, Any]:
-    """Write changes and, where asked, wait until all hosts have them in force."""
-    if not changes:
-        return {"generation": current.generation, "write_id": None, "changes": []}
-    body = {
-        "author": author_name(author),
-        "write_id": write_id or secrets.token_hex(16),
-        "changes": changes,
-    }
-    answer = await api.async_apply(body)
-    if wait_seconds is not None:
-        await _async_in_force(api, answer["generation"], wait_seconds)
-    return {
-        "generation": answer["generation"],
-        "write_id": body["write_id"],
-        "changes": [_describe_change(change) for change in changes],
-    }
-
-
-async def _async_in_force(api: Api, generation: int, seconds: float) -> None:
-    """Wait until every host has a generation."""
-    waiting: list[str] = []
-
-    async def async_check() -> bool:
-        waiting[:] = behind(await async_statuses(api), generation)
-        return not waiting
-
-    try:
-        await async_wait(async_check, seconds, f"generation {generation} is in force")
-    except ClientError as error:
-        raise ClientError(
-            error.exit_code, *error.lines, f"waiting for: {', '.join(waiting)}"
-        ) from None
-
-
-def _describe_change(change: dict[str, Any]) -> str:
-    """Return one word for a change, with its sign."""
-    sign = "-" if change.get("document") is None else "+"
-    return f"{sign}{change['kind']}/{change['name']}"
+def _changed(change: HistoryChange) -> str:
+    """Return one word for a change of the history."""
+    deleted = change.get("document") is None
+    return describe_change(change["kind"], change["name"], deleted=deleted)
 
 
-def _show_written(written: dict[str, Any], output: Output) -> None:
+def _show_written(written: Written, output: Output) -> None:
     """Print what a write came to."""
     if output is Output.JSON:
         show_json(written)
--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -1,20 +1,18 @@
 """Commands that show the state of the system."""
 
-from typing import Annotated, Any
+from typing import Annotated
 
 import typer
 
 from greengagepoint.events import CATALOGUE, Event
+from greengagepoint.operator_api import LookupAnswer, UsageAnswer
 from greengagepoint.usage.counters import UsageLine, render_csv
-from greengagepoint_cli.answers import LookupAnswer, UsageAnswer
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, Output, UsageOutput
-from greengagepoint_cli.fleet import fleet_status
+from greengagepoint_cli.fleet import FleetStatus, fleet_status
 from greengagepoint_cli.options import (
     OutputOption,
     Servers,
-    operator_key,
-    server_list,
 )
 from greengagepoint_cli.output import Column, field, show, show_json, show_table
 from greengagepoint_cli.survey import async_statuses
@@ -94,7 +92,7 @@
 
 def status(server: Servers = None, output: OutputOption = Output.TABLE) -> None:
     """Show hosts, headroom, caps, shifts and drains; exit with 5 if a host is mute."""
-    answers = run_call(server_list(server), operator_key(), async_statuses)
+    answers = run_call(server, async_statuses)
     document = fleet_status(answers)
     if output is Output.JSON:
         show_json(document)
@@ -104,7 +102,7 @@
         raise typer.Exit(ExitCode.UNREACHABLE)
 
 
-def _show_status(document: dict[str, Any]) -> None:
+def _show_status(document: FleetStatus) -> None:
     """Print the tables that have rows."""
     parts = [(name, columns) for name, columns in STATUS_TABLES if document[name]]
     for index, (name, columns) in enumerate(parts):
@@ -124,8 +122,7 @@
     """Show which entry hosts a caller of a service is told."""
     params = {"service": service} | ({"address": address} if address else {})
     answer = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: api.async_get("/v1/hosts", LookupAnswer, params),
     )
     show(answer, answer["hosts"], LOOKUP_COLUMNS, output)
@@ -148,8 +145,7 @@
     wanted = {"since": since, "until": until}
     days = {name: day for name, day in wanted.items() if day is not None}
     answer = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: api.async_get("/v1/usage", UsageAnswer, days),
     )
     rows = [
@@ -172,8 +168,7 @@
 ) -> None:
     """Delete usage of days before a day from the store; export it first."""
     answer = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: api.async_prune_usage(before),
     )
     if output is Output.JSON:
--- a/packages/cli/greengagepoint_cli/commands/timeline.py
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -6,18 +6,17 @@
 import typer
 
 from greengagepoint.events import Event, Occurrence
+from greengagepoint.operator_api import TimelineAnswer
 from greengagepoint.records.loading import suggest
 from greengagepoint.timeline import from_lines, merge_events, render_html, render_text
 from greengagepoint.timeline.ring import order_key
-from greengagepoint_cli.answers import TimelineAnswer, TimelineEvent
+from greengagepoint.timeline.wire import TimelineLine
 from greengagepoint_cli.api import run_call
 from greengagepoint_cli.const import ExitCode, TimelineOutput
 from greengagepoint_cli.errors import ClientError
 from greengagepoint_cli.options import (
     Servers,
-    operator_key,
     parse_moment,
-    server_list,
 )
 from greengagepoint_cli.output import json_text
 from greengagepoint_cli.survey import HostAnswer, async_ask_all
@@ -30,7 +29,7 @@
     """
 
     occurrences: list[Occurrence]
-    lines: list[TimelineEvent]
+    lines: list[TimelineLine]
 
 
 def register(app: typer.Typer) -> None:
@@ -67,8 +66,7 @@
         moment = parse_moment(since, "--since")
         params["since"] = str(max(0, int(moment.timestamp() * 1000)))
     answers = run_call(
-        server_list(server),
-        operator_key(),
+        server,
         lambda api: async_ask_all(api, "/v1/timeline", TimelineAnswer, params),
     )
     missing = [answer for answer in answers if answer.document is None]
@@ -81,7 +79,7 @@
         raise typer.Exit(ExitCode.UNREACHABLE)
 
 
-def merge(answers: list[HostAnswer]) -> MergedTimeline:
+def merge(answers: list[HostAnswer[TimelineAnswer]]) -> MergedTimeline:
     """Return the events of all hosts in the order of their hybrid clocks."""
     rings = []
     lines = {}
--- a/packages/cli/greengagepoint_cli/documents.py
+++ b/packages/cli/greengagepoint_cli/documents.py
@@ -3,15 +3,15 @@
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
-from typing import Any, Final, NamedTuple
+from typing import Final, NamedTuple
 
 import msgspec
 
 from greengagepoint.errors import RecordError
+from greengagepoint.operator_api import RecordsAnswer, WantedChange
 from greengagepoint.records.checking import check_documents
 from greengagepoint.records.difference import Difference, DifferenceKind, diff
 from greengagepoint.records.loading import RecordDocument, describe, parse_toml
-from greengagepoint_cli.answers import RecordsAnswer
 from greengagepoint_cli.api import Api
 from greengagepoint_cli.const import ExitCode
 from greengagepoint_cli.errors import ClientError, refuse_records
@@ -93,7 +93,7 @@
     differences: Sequence[Difference],
     wanted: Sequence[RecordDocument],
     current: Current,
-) -> list[dict[str, Any]]:
+) -> list[WantedChange]:
     """Return the changes to send, each bound to the generation that was read."""
     documents = {document.reference: document for document in wanted}
     return [
@@ -111,14 +111,14 @@
 
 def change_of(
     kind: str, name: str, document: RecordDocument | None, current: Current
-) -> dict[str, Any]:
+) -> WantedChange:
     """Return one change to send; without a document the record is deleted."""
-    return {
-        "kind": kind,
-        "name": name,
-        "expected_generation": current.generations.get(f"{kind}/{name}", 0),
-        "document": None if document is None else msgspec.to_builtins(document),
-    }
+    return WantedChange(
+        kind=kind,
+        name=name,
+        expected_generation=current.generations.get(f"{kind}/{name}", 0),
+        document=None if document is None else msgspec.to_builtins(document),
+    )
 
 
 def _sources(paths: Sequence[str]) -> list[str]:
--- a/packages/cli/greengagepoint_cli/fleet.py
+++ b/packages/cli/greengagepoint_cli/fleet.py
@@ -4,37 +4,66 @@
 import time
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Any
-
-from greengagepoint_cli.answers import StatusAnswer
+from typing import TypedDict
+
+from greengagepoint.operator_api import (
+    DrainPart,
+    RegionPart,
+    ShiftRow,
+    SitePart,
+    StatusAnswer,
+)
 from greengagepoint_cli.const import POLL_SECONDS, ExitCode
 from greengagepoint_cli.errors import ClientError
 from greengagepoint_cli.survey import HostAnswer
 
 
-def fleet_status(answers: Iterable[HostAnswer]) -> dict[str, Any]:
+class HostRow(TypedDict):
+    """One host; without an answer all but name and fault are None."""
+
+    name: str
+    region: str | None
+    zone: str | None
+    state: str | None
+    generation: int | None
+    digest: str | None
+    in_flight: int | None
+    fault: str | None
+
+
+class FleetStatus(TypedDict):
+    """The state of all hosts."""
+
+    hosts: list[HostRow]
+    headroom: list[RegionPart]
+    caps: list[SitePart]
+    shifts: list[ShiftRow]
+    drains: list[DrainPart]
+
+
+def fleet_status(answers: Iterable[HostAnswer[StatusAnswer]]) -> FleetStatus:
     """Return the state of all hosts as one document."""
     answers = list(answers)
     known = [answer.document for answer in answers if answer.document is not None]
-    return {
-        "hosts": [_host(answer) for answer in answers],
-        "headroom": headroom(known),
-        "caps": caps(known),
-        "shifts": _first_by_name(known, "shifts"),
-        "drains": drains(known),
-    }
+    return FleetStatus(
+        hosts=[_host(answer) for answer in answers],
+        headroom=headroom(known),
+        caps=caps(known),
+        shifts=_slowest_shifts(known),
+        drains=drains(known),
+    )
 
 
-def headroom(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
+def headroom(statuses: Iterable[StatusAnswer]) -> list[RegionPart]:
     """Return capacity and use by region, added up over hosts."""
-    rows: dict[str, dict[str, Any]] = {}
+    rows: dict[str, RegionPart] = {}
     for status in statuses:
         part = status.get("caps", {}).get("region")
         if not part:
             continue
         name = part["region"]
         row = rows.setdefault(
-            name, {"region": name, "capacity": 0, "owned": 0, "used": 0, "headroom": 0}
+            name, RegionPart(region=name, capacity=0, owned=0, used=0, headroom=0)
         )
         row["capacity"] = max(row["capacity"], part["capacity"])
         for member in ("owned", "used", "headroom"):
@@ -42,22 +71,22 @@
     return [rows[name] for name in sorted(rows)]
 
 
-def caps(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
+def caps(statuses: Iterable[StatusAnswer]) -> list[SitePart]:
     """Return limit and use by site, added up over hosts."""
-    rows: dict[str, dict[str, Any]] = {}
+    rows: dict[str, SitePart] = {}
     for status in statuses:
         for part in status.get("caps", {}).get("sites", ()):
             name = part["site"]
             row = rows.setdefault(
                 name,
-                {
-                    "site": name,
-                    "region": part["region"],
-                    "limit": part["limit"],
-                    "owned": 0,
-                    "in_flight": 0,
-                    "headroom": 0,
-                },
+                SitePart(
+                    site=name,
+                    region=part["region"],
+                    limit=part["limit"],
+                    owned=0,
+                    in_flight=0,
+                    headroom=0,
+                ),
             )
             row["limit"] = max(row["limit"], part["limit"])
             for member in ("owned", "in_flight", "headroom"):
@@ -65,22 +94,22 @@
     return [rows[name] for name in sorted(rows)]
 
 
-def drains(statuses: Iterable[StatusAnswer]) -> list[dict[str, Any]]:
+def drains(statuses: Iterable[StatusAnswer]) -> list[DrainPart]:
     """Return what is in flight to leaving backend servers, added up over hosts."""
-    rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+    rows: dict[tuple[str, str, str], DrainPart] = {}
     estimates: defaultdict[tuple[str, str, str], list[float]] = defaultdict(list)
     for status in statuses:
         for part in status.get("drains", ()):
             key = (part["site"], part["backend_server"], part["service"])
             row = rows.setdefault(
                 key,
-                {
-                    "site": part["site"],
-                    "backend_server": part["backend_server"],
-                    "service": part["service"],
-                    "in_flight": 0,
-                    "remaining_seconds": None,
-                },
+                DrainPart(
+                    site=part["site"],
+                    backend_server=part["backend_server"],
+                    service=part["service"],
+                    in_flight=0,
+                    remaining_seconds=None,
+                ),
             )
             row["in_flight"] += part["in_flight"]
             if part.get("remaining_seconds") is not None:
@@ -103,7 +132,7 @@
         await asyncio.sleep(POLL_SECONDS)
 
 
-def behind(answers: Iterable[HostAnswer], generation: int) -> list[str]:
+def behind(answers: Iterable[HostAnswer[StatusAnswer]], generation: int) -> list[str]:
     """Return the hosts that do not have a generation in force, or did not answer."""
     return [
         answer.host
@@ -112,27 +141,30 @@
     ]
 
 
-def _host(answer: HostAnswer) -> dict[str, Any]:
+def _host(answer: HostAnswer[StatusAnswer]) -> HostRow:
     """Return the row of one host."""
     status = answer.document or {}
-    row = {"name": answer.host}
-    for member in ("region", "zone", "state", "generation", "digest", "in_flight"):
-        row[member] = status.get(member)
-    row["fault"] = answer.fault or None
-    return row
+    return HostRow(
+        name=answer.host,
+        region=status.get("region"),
+        zone=status.get("zone"),
+        state=status.get("state"),
+        generation=status.get("generation"),
+        digest=status.get("digest"),
+        in_flight=status.get("in_flight"),
+        fault=answer.fault or None,
+    )
 
 
-def _first_by_name(
-    statuses: Iterable[StatusAnswer], member: str
-) -> list[dict[str, Any]]:
-    """Return rows by name; where hosts differ, the one that has come least far.
+def _slowest_shifts(statuses: Iterable[StatusAnswer]) -> list[ShiftRow]:
+    """Return shifts by name; where hosts differ, the one that has come least far.
 
     Hosts move a shift step by step, so the slowest tells what has been reached.
     """
-    rows: dict[str, dict[str, Any]] = {}
+    rows: dict[str, ShiftRow] = {}
     for status in statuses:
-        for row in status.get(member, ()):
+        for row in status["shifts"]:
             held = rows.get(row["name"])
-            if held is None or row.get("fraction", 0) < held.get("fraction", 0):
+            if held is None or row["fraction"] < held["fraction"]:
                 rows[row["name"]] = row
     return [rows[name] for name in sorted(rows)]
--- a/packages/cli/greengagepoint_cli/options.py
+++ b/packages/cli/greengagepoint_cli/options.py
@@ -5,7 +5,7 @@
 import re
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import Annotated, Final
+from typing import Annotated, Final, NamedTuple
 from urllib.parse import urlsplit
 
 import typer
@@ -61,6 +61,17 @@
 ]
 
 
+class WriteOptions(NamedTuple):
+    """Who writes, under which id, and how long to wait until it is in force.
+
+    ``wait_seconds`` None: do not wait.
+    """
+
+    author: str | None
+    write_id: str | None
+    wait_seconds: float | None = None
+
+
 def server_list(servers: list[str] | None) -> tuple[str, ...]:
     """Return the servers to try, checked."""
     checked = tuple(servers or (DEFAULT_SERVER,))
@@ -116,6 +127,6 @@
     return moment
 
 
-def as_start(moment: datetime) -> str:
+def as_record_time(moment: datetime) -> str:
     """Return a time as records hold it."""
     return moment.astimezone(UTC).isoformat(timespec="seconds")
--- a/packages/cli/greengagepoint_cli/survey.py
+++ b/packages/cli/greengagepoint_cli/survey.py
@@ -7,35 +7,37 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping
-from typing import Any, Final, NamedTuple
+from typing import Final, Generic, NamedTuple, TypeVar
 
 import aiohttp
 
-from greengagepoint_cli.answers import KnownHost, StatusAnswer
+from greengagepoint.operator_api import KnownHost, StatusAnswer
 from greengagepoint_cli.api import Api, Call, describe_failure
 from greengagepoint_cli.const import MAX_HOSTS_AT_ONCE
 from greengagepoint_cli.errors import ProblemError
 
+T = TypeVar("T")
+
 STATUS: Final = Call("GET", "/v1/status", StatusAnswer)
 
 
-class HostAnswer(NamedTuple):
+class HostAnswer(NamedTuple, Generic[T]):
     """The answer of one host, or why there is none."""
 
     host: str
-    document: dict[str, Any] | None
+    document: T | None
     fault: str = ""
 
 
-async def async_statuses(api: Api) -> list[HostAnswer]:
+async def async_statuses(api: Api) -> list[HostAnswer[StatusAnswer]]:
     """Return the status of every host, by name."""
     _known, answers = await _async_survey(api)
     return [answers[name] for name in sorted(answers)]
 
 
 async def async_ask_all(
-    api: Api, path: str, answer: type, params: Mapping[str, str] | None = None
-) -> list[HostAnswer]:
+    api: Api, path: str, answer: type[T], params: Mapping[str, str] | None = None
+) -> list[HostAnswer[T]]:
     """Return the answer of every host to one question, by name."""
     known, _answers = await _async_survey(api)
     return await _async_ask(api, known.values(), Call("GET", path, answer, params))
@@ -43,11 +45,11 @@
 
 async def _async_survey(
     api: Api,
-) -> tuple[dict[str, KnownHost], dict[str, HostAnswer]]:
+) -> tuple[dict[str, KnownHost], dict[str, HostAnswer[StatusAnswer]]]:
     """Return all hosts that can be found, and their statuses."""
     first = await api.async_get(STATUS.path, STATUS.answer)
     known: dict[str, KnownHost] = {}
-    answers: dict[str, HostAnswer] = {}
+    answers: dict[str, HostAnswer[StatusAnswer]] = {}
     new = _take_new(known, first["hosts"])
     while new:
         answered = await _async_ask(api, new, STATUS)
@@ -78,12 +80,12 @@
 
 
 async def _async_ask(
-    api: Api, hosts: Iterable[KnownHost], call: Call
-) -> list[HostAnswer]:
+    api: Api, hosts: Iterable[KnownHost], call: Call[T]
+) -> list[HostAnswer[T]]:
     """Ask some hosts, a few at a time."""
     limit = asyncio.Semaphore(MAX_HOSTS_AT_ONCE)
 
-    async def async_ask_one(host: KnownHost) -> HostAnswer:
+    async def async_ask_one(host: KnownHost) -> HostAnswer[T]:
         async with limit:
             try:
                 document = await api.async_call(f"http://{host['address']}", call)
--- a/packages/core/greengagepoint/config/plain.py
+++ b/packages/core/greengagepoint/config/plain.py
@@ -6,6 +6,7 @@
 
 from greengagepoint.config.entries import Change, Entry
 from greengagepoint.errors import ErrorKind, RecordError
+from greengagepoint.operator_api import HistoryChange, HistoryEntry
 from greengagepoint.records.loading import RecordDocument
 
 
@@ -57,22 +58,22 @@
     return plain
 
 
-def entry_to_plain(entry: Entry) -> dict[str, Any]:
+def entry_to_plain(entry: Entry) -> HistoryEntry:
     """Return who changed what in an entry."""
-    return {
-        "generation": entry.generation,
-        "write_id": entry.write_id,
-        "author": entry.author,
-        "at_ms": entry.at_ms,
-        "digest": entry.digest,
-        "changes": [_change_to_plain(change) for change in entry.changes],
-    }
+    return HistoryEntry(
+        generation=entry.generation,
+        write_id=entry.write_id,
+        author=entry.author,
+        at_ms=entry.at_ms,
+        digest=entry.digest,
+        changes=[_change_to_plain(change) for change in entry.changes],
+    )
 
 
-def _change_to_plain(change: Change) -> dict[str, Any]:
+def _change_to_plain(change: Change) -> HistoryChange:
     """Return one change; ``document`` None deletes."""
-    return {
-        "kind": change.kind,
-        "name": change.name,
-        "document": document_to_plain(change.document) if change.document else None,
-    }
+    return HistoryChange(
+        kind=change.kind,
+        name=change.name,
+        document=document_to_plain(change.document) if change.document else None,
+    )
--- a/packages/cli/greengagepoint_cli/answers.py
+++ b/packages/core/greengagepoint/operator_api.py
@@ -1,10 +1,42 @@
-"""What the operators' API answers; members that are not named here are kept."""
+"""What daemons and the client tell each other over the operators' interface.
+
+The client needs the members of an answer that are required here. The others are
+``NotRequired``, since a host of another version may not give them; whatever else an
+answer holds is kept.
+"""
 
 from typing import Any, NotRequired, TypedDict
 
+import msgspec
+
+from greengagepoint.timeline.wire import TimelineLine
 from greengagepoint.usage.counters import UsageLine
 
 
+class WantedChange(msgspec.Struct, forbid_unknown_fields=True):
+    """One change that an operator asks for; ``document`` None deletes."""
+
+    kind: str
+    name: str
+    expected_generation: int | None = None
+    document: dict[str, Any] | None = None
+
+
+class WantedChanges(msgspec.Struct, forbid_unknown_fields=True):
+    """The body of ``POST /v1/records/apply``."""
+
+    author: str
+    changes: list[WantedChange]
+    write_id: str | None = None
+
+
+class ApplyAnswer(TypedDict):
+    """The generation that holds the changes."""
+
+    generation: int
+    write_id: NotRequired[str]
+
+
 class DocumentRow(TypedDict):
     """One record in force."""
 
@@ -13,6 +45,7 @@
     schema_version: int
     fields: dict[str, Any]
     generation: int
+    author: NotRequired[str]
 
 
 class RecordsAnswer(TypedDict):
@@ -22,12 +55,6 @@
     documents: list[DocumentRow]
 
 
-class ApplyAnswer(TypedDict):
-    """The generation that holds the changes."""
-
-    generation: int
-
-
 class HistoryChange(TypedDict):
     """One changed record; without a document it was deleted."""
 
@@ -43,12 +70,14 @@
     author: str
     at_ms: int
     write_id: str
+    digest: NotRequired[str]
     changes: list[HistoryChange]
 
 
 class HistoryAnswer(TypedDict):
     """The newest generations."""
 
+    generation: NotRequired[int]
     entries: list[HistoryEntry]
 
 
@@ -57,7 +86,10 @@
 
     name: str
     address: str
+    region: NotRequired[str]
+    zone: NotRequired[str]
     incarnation: NotRequired[int]
+    serving: NotRequired[bool]
 
 
 class SitePart(TypedDict):
@@ -93,6 +125,11 @@
 
     name: str
     fraction: float
+    cause: NotRequired[str]
+    service: NotRequired[str]
+    from_site: NotRequired[str]
+    to_site: NotRequired[str]
+    target: NotRequired[float]
 
 
 class DrainPart(TypedDict):
@@ -102,40 +139,43 @@
     backend_server: str
     service: str
     in_flight: int
+    sources: NotRequired[list[str]]
     remaining_seconds: NotRequired[float | None]
 
 
+class StopPart(TypedDict):
+    """What a stopping host waits for."""
+
+    reasons: list[str]
+    remaining_seconds: float
+
+
 class StatusAnswer(TypedDict):
     """The state of one host."""
 
     host: str
     region: str
     zone: str
+    incarnation: NotRequired[int]
     state: str
+    in_flight: int
     generation: int
     digest: str
-    in_flight: int
+    store_reverted: NotRequired[bool]
+    store_available: NotRequired[bool]
     hosts: list[KnownHost]
+    unreachable_regions: NotRequired[list[str]]
     caps: NotRequired[CapsPart]
     shifts: list[ShiftRow]
     drains: list[DrainPart]
-
-
-class TimelineEvent(TypedDict):
-    """One event; ``clock`` is its hybrid logical time."""
-
-    clock: tuple[int, int]
-    host: str
-    number: int
-    name: str
-    fields: dict[str, Any]
+    stop: NotRequired[StopPart | None]
 
 
 class TimelineAnswer(TypedDict):
     """The events of one host."""
 
     host: str
-    events: list[TimelineEvent]
+    events: list[TimelineLine]
 
 
 class UsageAnswer(TypedDict):
--- a/packages/core/greengagepoint/timeline/wire.py
+++ b/packages/core/greengagepoint/timeline/wire.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 from datetime import UTC, datetime
-from typing import Any, Final, TypedDict
+from typing import Any, Final, NotRequired, TypedDict
 
 import msgspec
 
@@ -17,12 +17,12 @@
     """One event as an operator's script reads it; ``time`` is RFC 3339 in UTC."""
 
     clock: tuple[int, int]
-    time: str
+    time: NotRequired[str]
     host: str
     number: int
     name: str
-    level: str
-    meaning: str
+    level: NotRequired[str]
+    meaning: NotRequired[str]
     fields: dict[str, Any]
 
 
--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from functools import partial
-from typing import Any, Final
+from typing import Final
 
 from aiohttp import web
 
@@ -12,6 +12,7 @@
 from greengagepoint.draining.flights import FlightTable
 from greengagepoint.draining.stop import StopState, StopStatus, StopTable
 from greengagepoint.events import Event
+from greengagepoint.operator_api import StatusAnswer
 from greengagepoint.steering.hosts import drained_hosts
 from greengagepoint.timeline.ring import EventRecorder
 from greengagepoint_node.backends import BackendKeeper
@@ -352,7 +353,7 @@
         """Return the state of the process."""
         return self.state
 
-    def _status(self) -> dict[str, Any]:
+    def _status(self) -> StatusAnswer:
         """Return the state of this host for operators."""
         sources = StatusSources(
             self.context,
--- a/packages/node/greengagepoint_node/operator_backend.py
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -2,12 +2,22 @@
 
 import re
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 from greengagepoint.config.entries import Change
 from greengagepoint.config.plain import change_from_plain, entry_to_plain
 from greengagepoint.errors import RecordError, RequestError
 from greengagepoint.events import Event
+from greengagepoint.operator_api import (
+    ApplyAnswer,
+    DocumentRow,
+    HistoryAnswer,
+    PruneAnswer,
+    RecordsAnswer,
+    StatusAnswer,
+    TimelineAnswer,
+    UsageAnswer,
+)
 from greengagepoint.records.schemas import RecordKind
 from greengagepoint.timeline.ring import EventFilter, EventRecorder
 from greengagepoint.timeline.wire import line, parse_kind
@@ -26,7 +36,7 @@
         self,
         config: ConfigCoordinator,
         recorder: EventRecorder,
-        status: Callable[[], dict[str, Any]],
+        status: Callable[[], StatusAnswer],
         usage: UsageCoordinator,
     ) -> None:
         self.config = config
@@ -34,25 +44,23 @@
         self.status = status
         self.usage = usage
 
-    def records(self) -> dict[str, Any]:
+    def records(self) -> RecordsAnswer:
         """Return the generation and all documents."""
-        rows = self.config.documents()
-        return {
-            "generation": self.config.configuration.generation,
-            "documents": [
-                {
-                    "kind": row.document.kind,
-                    "name": row.document.name,
-                    "schema_version": row.document.schema_version,
-                    "fields": row.document.fields,
-                    "generation": row.generation,
-                    "author": row.author,
-                }
-                for row in rows
-            ],
-        }
-
-    async def async_apply(self, wanted: WantedChanges) -> dict[str, Any]:
+        rows = [
+            DocumentRow(
+                kind=row.document.kind,
+                name=row.document.name,
+                schema_version=row.document.schema_version,
+                fields=row.document.fields,
+                generation=row.generation,
+                author=row.author,
+            )
+            for row in self.config.documents()
+        ]
+        generation = self.config.configuration.generation
+        return RecordsAnswer(generation=generation, documents=rows)
+
+    async def async_apply(self, wanted: WantedChanges) -> ApplyAnswer:
         """Apply changes; return the generation that holds them."""
         try:
             changes = [_to_change(change) for change in wanted.changes]
@@ -60,29 +68,29 @@
             self.config.reports.refused(error, wanted.author)
             raise
         entry = await self.config.async_apply(changes, wanted.author, wanted.write_id)
-        return {"generation": entry.generation, "write_id": entry.write_id}
+        return ApplyAnswer(generation=entry.generation, write_id=entry.write_id)
 
-    async def async_history(self, limit: int) -> dict[str, Any]:
+    async def async_history(self, limit: int) -> HistoryAnswer:
         """Return the newest entries of the change log."""
         entries = self.config.history(limit)
-        return {
-            "generation": self.config.configuration.generation,
-            "entries": [entry_to_plain(entry) for entry in entries],
-        }
+        return HistoryAnswer(
+            generation=self.config.configuration.generation,
+            entries=[entry_to_plain(entry) for entry in entries],
+        )
 
-    def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
+    def timeline(self, filters: dict[str, str]) -> TimelineAnswer:
         """Return this host's events that match the filters."""
         wanted = _parse_filters(filters)
         events = [line(event) for event in self.recorder.ring.select(wanted)]
-        return {"host": self.recorder.host, "events": events}
+        return TimelineAnswer(host=self.recorder.host, events=events)
 
-    async def async_usage(self, since: str | None, until: str | None) -> dict[str, Any]:
+    async def async_usage(self, since: str | None, until: str | None) -> UsageAnswer:
         """Return usage by team from day to day, both included."""
-        return {"rows": await self.usage.async_report(since, until)}
+        return UsageAnswer(rows=await self.usage.async_report(since, until))
 
-    async def async_prune_usage(self, before: str) -> dict[str, Any]:
+    async def async_prune_usage(self, before: str) -> PruneAnswer:
         """Delete usage of days before a day; return how many counters went."""
-        return {"deleted": await self.usage.async_prune(before)}
+        return PruneAnswer(deleted=await self.usage.async_prune(before))
 
 
 def _to_change(wanted: WantedChange) -> Change:
--- a/packages/node/greengagepoint_node/status.py
+++ b/packages/node/greengagepoint_node/status.py
@@ -1,11 +1,18 @@
 """The state of one host, as operators see it."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from greengagepoint.balancing.tables import BackendRow, BackendTable
 from greengagepoint.draining import flights
 from greengagepoint.draining.flights import FlightTable
 from greengagepoint.draining.stop import StopStatus
+from greengagepoint.operator_api import (
+    DrainPart,
+    KnownHost,
+    ShiftRow,
+    StatusAnswer,
+    StopPart,
+)
 from greengagepoint.steering.tables import SteeringTable
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.caps import CapsCoordinator
@@ -30,72 +37,72 @@
     state: str,
     in_flight: int,
     stop_status: StopStatus | None,
-) -> dict[str, Any]:
-    """Return the members of ``GET /v1/status``."""
+) -> StatusAnswer:
+    """Return the answer to ``GET /v1/status``."""
     host = sources.context.host
     configuration = sources.config.configuration
-    return {
-        "host": host.name,
-        "region": host.region,
-        "zone": host.zone,
-        "incarnation": host.incarnation,
-        "state": state,
-        "in_flight": in_flight,
-        "generation": configuration.generation,
-        "digest": configuration.digest,
-        "store_reverted": sources.config.reports.store_reverted,
-        "store_available": sources.config.reports.store_available,
-        "hosts": _hosts(sources.membership),
-        "unreachable_regions": sorted(sources.membership.unreachable_regions()),
-        "caps": sources.caps.status(),
-        "shifts": _shifts(sources.steering),
-        "drains": _drains(sources),
-        "stop": _stop(stop_status),
-    }
-
-
-def _hosts(membership: MembershipCoordinator) -> list[dict[str, Any]]:
+    return StatusAnswer(
+        host=host.name,
+        region=host.region,
+        zone=host.zone,
+        incarnation=host.incarnation,
+        state=state,
+        in_flight=in_flight,
+        generation=configuration.generation,
+        digest=configuration.digest,
+        store_reverted=sources.config.reports.store_reverted,
+        store_available=sources.config.reports.store_available,
+        hosts=_hosts(sources.membership),
+        unreachable_regions=sorted(sources.membership.unreachable_regions()),
+        caps=sources.caps.status(),
+        shifts=_shifts(sources.steering),
+        drains=_drains(sources),
+        stop=_stop(stop_status),
+    )
+
+
+def _hosts(membership: MembershipCoordinator) -> list[KnownHost]:
     """Return the hosts that this one knows."""
     serving = membership.serving_hosts()
     live = {host.name: host for host in (*membership.live_hosts(), *serving)}
     names = {host.name for host in serving}
     return [
-        {
-            "name": host.name,
-            "region": host.region,
-            "zone": host.zone,
-            "address": host.address,
-            "incarnation": host.incarnation,
-            "serving": host.name in names,
-        }
+        KnownHost(
+            name=host.name,
+            region=host.region,
+            zone=host.zone,
+            address=host.address,
+            incarnation=host.incarnation,
+            serving=host.name in names,
+        )
         for _name, host in sorted(live.items())
     ]
 
 
-def _shifts(steering: SteeringTable) -> list[dict[str, Any]]:
+def _shifts(steering: SteeringTable) -> list[ShiftRow]:
     """Return how far each shift has come."""
     return [
-        {
-            "name": row.name,
-            "cause": row.cause,
-            "service": row.service,
-            "from_site": row.from_site,
-            "to_site": row.to_site,
-            "fraction": row.fraction,
-            "target": row.target,
-        }
+        ShiftRow(
+            name=row.name,
+            cause=row.cause,
+            service=row.service,
+            from_site=row.from_site,
+            to_site=row.to_site,
+            fraction=row.fraction,
+            target=row.target,
+        )
         for row in steering.shifts.values()
     ]
 
 
-def _stop(stop_status: StopStatus | None) -> dict[str, Any] | None:
+def _stop(stop_status: StopStatus | None) -> StopPart | None:
     """Return what a stopping host waits for."""
     if stop_status is None:
         return None
-    return {
-        "reasons": list(stop_status.reasons),
-        "remaining_seconds": round(stop_status.remaining_seconds, 1),
-    }
+    return StopPart(
+        reasons=list(stop_status.reasons),
+        remaining_seconds=round(stop_status.remaining_seconds, 1),
+    )
 
 
 def _remaining(sources: StatusSources, row: BackendRow) -> float | None:
@@ -109,17 +116,17 @@
     return None if seconds is None else round(seconds, 1)
 
 
-def _drains(sources: StatusSources) -> list[dict[str, Any]]:
+def _drains(sources: StatusSources) -> list[DrainPart]:
     """Return what is still in flight to backend servers that are leaving."""
     return [
-        {
-            "service": row.service,
-            "site": row.site,
-            "backend_server": row.name,
-            "sources": sorted(row.leaving),
-            "in_flight": row.in_flight,
-            "remaining_seconds": _remaining(sources, row),
-        }
+        DrainPart(
+            service=row.service,
+            site=row.site,
+            backend_server=row.name,
+            sources=sorted(row.leaving),
+            in_flight=row.in_flight,
+            remaining_seconds=_remaining(sources, row),
+        )
         for row in sources.backends.rows.values()
         if row.leaving
     ]
