Sharpen four tests of steering that could not fail

Cause: with one line of code broken for each test in turn, the tests of rotation, of hosts named twice, of late records and of repeatable order still passed.

Change: the rotation is stated in full, hosts have weights, a late record is followed past the time in which a restarted host resumes, and fifty seeds are compared.

--- a/packages/core/tests/test_steering_lookup.py
+++ b/packages/core/tests/test_steering_lookup.py
@@ -78,7 +78,11 @@
 
 @pytest.mark.parametrize(
     ("weights", "expected"),
-    [((1, 1), (2, 2)), ((3, 1), (3, 1))],
+    [
+        ((1, 1), ["h0", "h1", "h0", "h1"]),
+        ((2, 2), ["h0", "h1", "h0", "h1"]),
+        ((3, 1), ["h0", "h0", "h1", "h0"]),
+    ],
 )
 def test_rotation_follows_weights(weights, expected):
     hosts = [
@@ -86,7 +90,7 @@
         for number, weight in enumerate(weights)
     ]
     first = [names(ask(hosts, sequence=turn))[0] for turn in range(4)]
-    assert (first.count("h0"), first.count("h1")) == expected
+    assert first == expected
 
 
 @pytest.mark.parametrize("count", [1, 3, 64, 65, 120, 200])
@@ -121,7 +125,8 @@
 )
 def test_never_empty_and_never_twice(hosts, leaving, sequence):
     hosts = [
-        host._replace(leaving=number in leaving) for number, host in enumerate(hosts)
+        host._replace(leaving=number in leaving, weight=1 + number % 3)
+        for number, host in enumerate(hosts)
     ]
     found = names(ask(hosts, sequence=sequence))
     assert found
--- a/packages/core/tests/test_steering_shifts.py
+++ b/packages/core/tests/test_steering_shifts.py
@@ -120,8 +120,7 @@
     are as cold as at any start.
     """
     host.run(IDLE, 60.0)
-    assert host.run(shift(), 61.0) <= 0.01
-    assert host.run(shift(), 62.0) <= 0.02
+    assert host.run_to(shift(), 61, 70) == pytest.approx(9 * 0.005)
 
 
 def test_slow_destination_holds_the_shift_back(host):
--- a/packages/core/tests/test_steering_site_choice.py
+++ b/packages/core/tests/test_steering_site_choice.py
@@ -129,9 +129,8 @@
 
 def test_same_random_gives_same_order():
     table = shifted(("near", "far_1", 0.5))
-    assert [candidates(table, seed=7) for _ in range(3)] == [
-        candidates(table, seed=7)
-    ] * 3
+    found = [[candidates(table, seed=seed) for seed in range(50)] for _ in range(2)]
+    assert found[0] == found[1]
 
 
 def test_large_service_is_cut_and_unknown_one_has_no_site():
