Name the request id in the headers of problems too

Cause: whole answers carry Greengagepoint-Request-Id, problems named it in the body only, so a caller could not match a HEAD's refusal.

Change: the header stands on every problem whose request id is known. A test of an answer that comes before its request's body has ended.

--- a/packages/node/greengagepoint_node/http/problems.py
+++ b/packages/node/greengagepoint_node/http/problems.py
@@ -6,7 +6,11 @@
 from aiohttp import web
 
 from greengagepoint.errors import GreengagepointError, RecordError
-from greengagepoint_node.http.const import HEADER_RAN, PROBLEM_CONTENT_TYPE
+from greengagepoint_node.http.const import (
+    HEADER_RAN,
+    HEADER_REQUEST_ID,
+    PROBLEM_CONTENT_TYPE,
+)
 
 PROBLEM_TYPE_PREFIX = "urn:greengagepoint:error:"
 
@@ -36,6 +40,8 @@
 def problem_response(error: GreengagepointError, request_id: str = "") -> web.Response:
     """Return the answer for an error, with Retry-After where waiting helps."""
     headers = {HEADER_RAN: str(error.ran)}
+    if request_id:
+        headers[HEADER_REQUEST_ID] = request_id
     if error.retry_after_seconds is not None:
         headers["Retry-After"] = str(error.retry_after_seconds)
     return web.Response(
--- a/packages/node/tests/hostile.py
+++ b/packages/node/tests/hostile.py
@@ -40,6 +40,7 @@
         self.answer: bytes | Answer = GOOD
         self.requests: list[bytes] = []
         self.connections = 0
+        self.reads_bodies = True
 
     async def async_open_port(self) -> RawPort:
         return RawPort(await asyncio.start_server(self.async_serve, "127.0.0.1", 0))
@@ -54,7 +55,9 @@
                 if head.startswith(b"GET /load"):
                     writer.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
                     continue
-                self.requests.append(head + await _async_read_body(head, reader))
+                if self.reads_bodies:
+                    head += await _async_read_body(head, reader)
+                self.requests.append(head)
                 if isinstance(self.answer, bytes):
                     no_body = head.startswith(b"HEAD")
                     end = self.answer.index(b"\r\n\r\n") + 4 if no_body else None
--- a/packages/node/tests/test_hostile_promises.py
+++ b/packages/node/tests/test_hostile_promises.py
@@ -105,7 +105,7 @@
             return
         ran = answer.headers.get("Greengagepoint-Ran", "")
         self.told.append(Told(request_id, key, ran, answer.status))
-        assert answer.headers.get("Greengagepoint-Request-Id", request_id) == request_id
+        assert answer.headers["Greengagepoint-Request-Id"] == request_id
         if answer.status == 200:
             self.check(answer, content, request_id, key)
 
--- a/packages/node/tests/test_hostile_sending.py
+++ b/packages/node/tests/test_hostile_sending.py
@@ -21,6 +21,8 @@
 from greengagepoint_node.proxy.checks import check_path, plain_path
 from greengagepoint_node.proxy.sessions import BackendRequest
 
+ONCE = b"/s/booking/tickets"
+
 
 async def test_a_permit_that_lapses_while_connecting_sends_nothing(monkeypatch) -> None:
     """A host's unit is on loan, and connecting takes longer than the loan.
@@ -97,6 +99,27 @@
         await async_until(lambda: not held(running.deployment))
 
 
+async def test_an_answer_before_the_end_of_the_body_leaves_nothing_behind() -> None:
+    """A server answers an upload before it has come whole; its caller sends the rest.
+
+    What is left of the body must not reach the server as the beginning of the next
+    request, which comes on the same connection of the caller.
+    """
+    async with async_raw_deployment() as running:
+        _, daemon, backend, _ = running
+        backend.reads_bodies = False
+        host, port = daemon.identity.address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        upload = raw_request(ONCE, b"Content-Length: 200000", method=b"POST")
+        writer.write(upload.replace(b"Connection: close\r\n", b"") + b"x" * 1000)
+        assert (await reader.readuntil(b"good")).startswith(b"HTTP/1.1 200 ")
+        writer.write(b"x" * 199_000 + raw_request())
+        assert (await reader.read()).endswith(b"good")
+        writer.close()
+        assert [sent.split(b" ")[0] for sent in backend.requests] == [b"POST", b"GET"]
+        await async_until(lambda: not held(running.deployment))
+
+
 SEGMENTS = st.sampled_from(
     ["", ".", "..", "%2e", "%2E.", ".%2e", "..;a", "...", "a", "a%2f..", "..\\a", "%5c"]
 )
