Test that a cut upload never looks whole to a backend server

Cause: an upload in chunks that breaks off while it is passed on was not under test; with its last chunk a server would run half an order.

Conclusion: the caller is told "unknown" and the server's connection closes.

--- a/packages/node/tests/hostile.py
+++ b/packages/node/tests/hostile.py
@@ -41,6 +41,7 @@
         self.requests: list[bytes] = []
         self.connections = 0
         self.reads_bodies = True
+        self.broken = 0
 
     async def async_open_port(self) -> RawPort:
         return RawPort(await asyncio.start_server(self.async_serve, "127.0.0.1", 0))
@@ -56,7 +57,9 @@
                     writer.write(b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n")
                     continue
                 if self.reads_bodies:
+                    self.broken += 1
                     head += await _async_read_body(head, reader)
+                    self.broken -= 1
                 self.requests.append(head)
                 if isinstance(self.answer, bytes):
                     no_body = head.startswith(b"HEAD")
--- a/packages/node/tests/test_hostile_sending.py
+++ b/packages/node/tests/test_hostile_sending.py
@@ -9,6 +9,7 @@
 from deployment import async_until
 from hostile import (
     GOOD,
+    RawAnswer,
     async_raw,
     async_raw_deployment,
     held,
@@ -120,6 +121,46 @@
         await async_until(lambda: not held(running.deployment))
 
 
+CUT = {
+    "bad chunk": (b"zz\r\n", 408),
+    "no more": (b"", 408),
+    "too large": (b"f4240\r\n%s\r\n" % (b"x" * 1_000_000), 413),
+    "gone": (None, 0),
+}
+
+
+async def test_a_cut_upload_never_looks_whole_to_the_server() -> None:
+    """An upload in chunks breaks off while it is passed on.
+
+    The server has got a part. It must not get the last chunk, or it would run half an
+    order; its connection closes instead, and the caller is told "unknown".
+    """
+    async with async_raw_deployment() as running:
+        _, daemon, backend, _ = running
+        host, port = daemon.identity.address.split(":")
+        upload = raw_request(
+            ONCE, b"Transfer-Encoding: chunked", method=b"POST", body=b"1\r\na\r\n"
+        )
+        callers = [await asyncio.open_connection(host, int(port)) for _ in CUT]
+        for _, writer in callers:
+            writer.write(upload)
+        await async_until(lambda: backend.broken == len(CUT))
+        told = []
+        for (reader, writer), (more, _) in zip(callers, CUT.values(), strict=True):
+            if more is None:
+                writer.transport.abort()
+            else:
+                writer.write(more)
+                told.append(asyncio.ensure_future(reader.read()))
+        answers = [RawAnswer(raw) for raw in await asyncio.gather(*told)]
+        statuses = [status for _, status in CUT.values() if status]
+        assert [answer.status for answer in answers] == statuses
+        assert {answer.problem["ran"] for answer in answers} == {"unknown"}
+        await async_until(lambda: not held(running.deployment))
+        assert backend.broken == len(CUT)
+        assert backend.requests == []
+
+
 SEGMENTS = st.sampled_from(
     ["", ".", "..", "%2e", "%2E.", ".%2e", "..;a", "...", "a", "a%2f..", "..\\a", "%5c"]
 )
