Let hosts of a large region try a failed store less often

Cause: in an outage longer than its poll each host's ledger becomes due, and each tried once a second: 4,900 calls a second at the expected size, also when the store comes back and can take 2,000.

Change: the wait grows with the hosts of the region above 16.

Conclusion: with 124 hosts in view each tries every 7.8 s, 4,900 together 632 a second; with 320 owners in the ledger every 20 s, 245 a second. A host that has no rights yet may wait half a minute longer after an outage in a region of that size.

--- a/packages/core/greengagepoint/caps/const.py
+++ b/packages/core/greengagepoint/caps/const.py
@@ -48,6 +48,10 @@
 
 LENDABLE_AGE_SECONDS: Final = 5.0
 LEDGER_POLL_SECONDS: Final = 30.0
+STORE_RETRY_SECONDS: Final = 1.0
+HOSTS_AT_FULL_RETRY_RATE: Final = 16
+"""Up to so many hosts of a region each try a failed store once a second."""
+
 HINT_RETRY_SECONDS: Final = 5.0
 HINT_SECONDS: Final = 300.0
 """How long a peer's word of a later revision counts; hosts read at least as often."""
@@ -78,3 +82,13 @@
     held = CONFIRM_SECONDS + FENCE_SECONDS + LOAN_SECONDS
     longest = held + request_seconds + RUN_END_SECONDS
     return longest * (1 + CLOCK_RATE_ERROR) + CLOCK_MARGIN_SECONDS
+
+
+def store_retry_seconds(hosts: int) -> float:
+    """Return how long a host of a region waits after the store has failed.
+
+    In a long outage the ledger becomes due on every host. If each tried once a second,
+    a fleet of 4,900 would ask for more than twice what the store can take in the first
+    second after it is back, and again in each later one.
+    """
+    return STORE_RETRY_SECONDS * max(1.0, hosts / HOSTS_AT_FULL_RETRY_RATE)
--- a/packages/node/greengagepoint_node/coordinators/caps.py
+++ b/packages/node/greengagepoint_node/coordinators/caps.py
@@ -8,6 +8,7 @@
 
 from greengagepoint.caps import permits
 from greengagepoint.caps.borrowing import Outgoing, ask, take_grant
+from greengagepoint.caps.const import store_retry_seconds
 from greengagepoint.caps.departures import (
     Departure,
     planned_departures,
@@ -35,7 +36,6 @@
 from greengagepoint_node.context import Context
 from greengagepoint_node.coordinators.caps_ledger import async_read, async_sync
 
-STORE_RETRY_SECONDS: Final = 1.0
 CONFLICT_RETRY_SECONDS: Final = 0.05
 CONFLICT_RETRY_SECONDS_MAX: Final = 5.0
 FIRST_WRITE_SECONDS: Final = 0.3
@@ -249,7 +249,7 @@
             try:
                 synced = await async_sync(self.context, self.table)
             except StoreError:
-                await self._async_pause(STORE_RETRY_SECONDS)
+                await self._async_pause(store_retry_seconds(self._region_size()))
                 continue
             if synced.written or synced.refused:
                 self._hint_peers()
@@ -260,6 +260,11 @@
             else:
                 retry_seconds = CONFLICT_RETRY_SECONDS
 
+    def _region_size(self) -> int:
+        """Return about how many hosts of the region use its ledger."""
+        hosts = self.table.region_hosts.get(self.context.host.region, ())
+        return max(len(hosts), len(self.table.ledger.owners))
+
     async def _async_pause(self, seconds: float) -> None:
         """Wait for half to one and a half times the given time."""
         await asyncio.sleep(seconds * (0.5 + self.context.random.random()))
