--- a/measure/client_blocks.py
+++ b/measure/client_blocks.py
@@ -28,7 +28,7 @@
 
 def run() -> list[Figure]:
     """Build, search and change the table; compare with a dictionary a length."""
-    orders = _orders()
+    orders = region_orders()
     records = _records(orders)
     started = time.process_time()
     table = build(records)
@@ -128,7 +128,7 @@
     ]
 
 
-def _orders() -> list[tuple[str, ...]]:
+def region_orders() -> list[tuple[str, ...]]:
     """Return an order of regions and sites for each site."""
     draw = random.Random(SEED)
     regions = [f"region-{number:02}" for number in range(REGIONS)]
@@ -137,7 +137,7 @@
 
 def _records(orders: list[tuple[str, ...]]) -> list[Callers]:
     """Return records of callers with blocks that nest, a twentieth IPv6."""
-    blocks = list(_blocks())
+    blocks = list(block_texts())
     size = -(-BLOCKS // SITES)
     return [
         Callers(
@@ -149,7 +149,7 @@
     ]
 
 
-def _blocks() -> Iterator[str]:
+def block_texts() -> Iterator[str]:
     """Yield different blocks scattered over the addresses.
 
     An odd factor visits each block of a length once before any twice.
--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -163,7 +163,7 @@
     for count, regions in SIZES:
         figures += virtual_time.run(_async_fleet(count, regions))
     figures += virtual_time.run(_async_faults())
-    figures += _one_node_at_full_size()
+    figures += one_node()
     return figures + _held()
 
 
@@ -311,7 +311,7 @@
     return fleet.clock.monotonic() - began
 
 
-def _one_node_at_full_size() -> list[Figure]:
+def one_node() -> list[Figure]:
     """Measure one node's part in a fleet of the size that is expected."""
     hosts = [
         make_host(f"host-{index}", f"region-{index % FULL_REGIONS}")
