Show how many replies the store lost

Cause: store-loses-replies answered all 600 keyed requests, which alone does not show that replies were lost. Change: the store's own count is an expectation.

--- a/packages/standins/greengagepoint_standins/experiments/store.py
+++ b/packages/standins/greengagepoint_standins/experiments/store.py
@@ -84,7 +84,9 @@
         losing.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await losing
-        await world.async_store(lose_replies=0)
+        counts = (await world.async_store(lose_replies=0))["counts"]
+        lost = counts.get("lost_replies", 0)
+        expect_true(world, "replies were lost", lost > 0, f"{lost} so far")
 
 
 @experiment("store-loses-replies")
