--- a/measure/report.py
+++ b/measure/report.py
@@ -37,9 +37,10 @@
 
 
 def write(folder: Path, head: Head, results: Sequence[ModuleResult]) -> None:
-    """Write report.html and figures.json into a new folder."""
+    """Write report.html, report.md and figures.json into a new folder."""
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "report.html").write_text(render_html(head, results))
+    (folder / "report.md").write_text(render_markdown(head, results))
     (folder / "figures.json").write_bytes(render_json(head, results))
 
 
@@ -79,6 +80,27 @@
     return "\n".join([*parts, "</html>"])
 
 
+def render_markdown(head: Head, results: Sequence[ModuleResult]) -> str:
+    """Return the tables for a page of the documentation."""
+    lines = [_title(head), "", _verdict(results) + ".", ""]
+    for result in results:
+        lines += [f"## {result.module}: {_state(result)}", ""]
+        if not result.measured:
+            continue
+        header = _header(compared=bool(head.compare))
+        lines += [_row(header), "|" + "---|" * len(header)]
+        lines += [
+            _row(_cells(one, compared=bool(head.compare))) for one in result.measured
+        ]
+        lines.append("")
+    return "\n".join(lines)
+
+
+def _row(cells: list[str]) -> str:
+    """Return one row of a Markdown table."""
+    return "| " + " | ".join(cell.replace("|", "\\|") for cell in cells) + " |"
+
+
 def holds_text(figure: Figure) -> str:
     """Return whether the limit holds, as a word."""
     return {True: "holds", False: "BROKEN", None: ""}[figure.holds]
--- a/packages/node/tests/test_measure_runner.py
+++ b/packages/node/tests/test_measure_runner.py
@@ -132,6 +132,8 @@
     assert "<i>" not in page
     assert "<b>" not in page
     assert page.count("<rect") == 3
+    table = (tmp_path / "report.md").read_text().splitlines()
+    assert "| <b> | 1 | s | 2 (<i>) | 0.5 | <= 3 | holds | 1 | 1 |" in table
     document = msgspec.json.decode((tmp_path / "figures.json").read_bytes())
     row = document["modules"][0]["figures"][0]
     assert (row["ratio"], row["ratio_to_earlier"], row["holds"]) == (0.5, 1.0, True)
