Test that a run's late end is inside loans and quarantine

Cause: the 0.25 s for a run's late end were argued for, not tested.

Change: the tests of the lender's and the reclaimer's clock add it to the end of the last request.

--- a/packages/core/tests/test_caps_failures.py
+++ b/packages/core/tests/test_caps_failures.py
@@ -13,6 +13,7 @@
     CONFIRM_SECONDS,
     FENCE_SECONDS,
     LOAN_SECONDS,
+    RUN_END_SECONDS,
     quarantine_seconds,
 )
 from greengagepoint.caps.departures import planned_departures, update_departed
@@ -138,7 +139,7 @@
     assert len(permits) == borrower.sites["s"].loans["a-1#1"].units > 0
     assert not start_all(borrower, last + 0.001)
     for permit in permits:
-        end = permit.end_by / slow
+        end = permit.end_by / slow + RUN_END_SECONDS
         assert expire_loans(owner, end * fast) == 0
 
 
@@ -153,10 +154,12 @@
     owner.last_tick = CONFIRM_SECONDS
     assert lend(owner, borrower, 2, CONFIRM_SECONDS)
     permits = start_all(borrower, CONFIRM_SECONDS + LOAN_SECONDS)
-    end = max(permit.end_by for permit in permits) / slow
+    end = max(permit.end_by for permit in permits) / slow + RUN_END_SECONDS
     reclaimer = build(LIVE[1], {"a-1#1": entry(**{"a-2": "a-2#1.1"})})
     plan(reclaimer, 0.0)
-    before = plan(reclaimer, (end + FENCE_SECONDS) * (1 + CLOCK_RATE_ERROR / 2))
+    earliest = (end + FENCE_SECONDS) * (1 + CLOCK_RATE_ERROR / 2)
+    assert quarantine_seconds(REQUEST_SECONDS) >= earliest
+    before = plan(reclaimer, earliest)
     assert before is None or not before.reclaimed
     after = plan(reclaimer, quarantine_seconds(REQUEST_SECONDS) + 1)
     assert after.reclaimed == ("a-1#1",)
