--- a/measure/tick.py
+++ b/measure/tick.py
@@ -33,8 +33,8 @@
 
     def __init__(self, daemon: Daemon) -> None:
         self.seconds: list[float] = []
-        self.tick_all = daemon._tick_all
-        daemon._tick_all = self.run
+        self.tick_all = daemon.ticker.tick_all
+        daemon.ticker.tick_all = self.run
 
     def run(self, now: float) -> None:
         """Run one tick and keep its time."""
--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -1,16 +1,14 @@
 """Start the parts of the daemon, tick them, and stop them without cutting anything."""
 
 import asyncio
-import itertools
 from functools import partial
 from typing import Final
 
 from aiohttp import web
 
 from greengagepoint.configuration import Configuration, longest_deadline_seconds
-from greengagepoint.draining import flights, stop
+from greengagepoint.draining import flights
 from greengagepoint.draining.flights import FlightTable
-from greengagepoint.draining.stop import StopState, StopStatus, StopTable
 from greengagepoint.events import Event
 from greengagepoint.operator_api import StatusAnswer
 from greengagepoint.steering.client_following import FollowedBlocks
@@ -26,8 +24,10 @@
 from greengagepoint_node.coordinators.load import LoadCoordinator
 from greengagepoint_node.coordinators.membership import MembershipCoordinator
 from greengagepoint_node.coordinators.usage import UsageCoordinator
+from greengagepoint_node.daemon_state import DaemonState
 from greengagepoint_node.event_sink import LoggedEvents
 from greengagepoint_node.gauges import read_headroom, read_peer_totals
+from greengagepoint_node.graceful_stop import GracefulStop
 from greengagepoint_node.http.health import HealthSources, create_health_routes
 from greengagepoint_node.http.lookups import create_lookup_handler
 from greengagepoint_node.http.operators import create_operator_routes
@@ -50,14 +50,8 @@
 from greengagepoint_node.shifting import ShiftKeeper
 from greengagepoint_node.status import StatusSources, read_status
 from greengagepoint_node.surroundings import async_open_surroundings
+from greengagepoint_node.ticker import Ticker
 
-TICK_LATE_SECONDS: Final = 1.0
-STOP_POLL_SECONDS: Final = 0.05
-STATE_STARTING: Final = "starting"
-STATE_SERVING: Final = "serving"
-STATE_DRAINING: Final = "draining"
-STATE_LEAVING: Final = "leaving"
-STATE_STOPPED: Final = "stopped"
 MAX_HEADERS: Final = 100
 
 
@@ -67,13 +61,10 @@
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
         self.clock = SystemClock()
-        self.state = STATE_STARTING
+        self.state = DaemonState.STARTING
         self.recorder = EventRecorder(settings.host, self.clock.wall_milliseconds)
         self.events = LoggedEvents(self.recorder)
         self.stop_wanted = asyncio.Event()
-        self.tick_task: asyncio.Task[None] | None = None
-        self.stop_table = StopTable()
-        self.stop_status: StopStatus | None = None
         self.membership: MembershipCoordinator | None = None
 
     async def async_run(self) -> None:
@@ -94,7 +85,7 @@
         for part in self.coordinators:
             await part.async_start()
         await self._async_serve()
-        self.tick_task = asyncio.create_task(self._async_tick())
+        self.ticker.start()
         self.events.record(
             Event.DAEMON_STARTED,
             address=self.identity.address,
@@ -108,22 +99,23 @@
         Callers keep cached answers that name this host until their time to live has
         run out, so it serves them until then and for what is still in flight.
         """
-        self.state = STATE_LEAVING
+        self.state = DaemonState.LEAVING
         self.events.record(Event.DAEMON_STOPPING, in_flight=self.pipeline.in_flight)
         self.pipeline.leaving = True
         self.membership.set_leaving()
         self.caps.leave()
         self._prepare_lookups()
-        await self._async_wait_for_callers()
+        await self.graceful_stop.async_wait(
+            self.lookups.longest_ttl_seconds, self._stop_grace_seconds()
+        )
         await self._async_close()
-        self.state = STATE_STOPPED
+        self.state = DaemonState.STOPPED
         self.events.record(Event.DAEMON_STOPPED)
 
     async def async_abort(self) -> None:
         """Close at once, as a killed process would, without handing over."""
-        self.state = STATE_STOPPED
-        if self.tick_task is not None:
-            self.tick_task.cancel()
+        self.state = DaemonState.STOPPED
+        self.ticker.stop()
         await self.runner.cleanup()
         for part in reversed(self.coordinators):
             await part.async_stop()
@@ -186,6 +178,16 @@
             self.admission,
             BodyLimits(self.settings.max_body_bytes, self.settings.slow_sender_seconds),
         )
+        self.graceful_stop = GracefulStop(
+            self.clock, self.flights, lambda: self.pipeline.in_flight
+        )
+        self.ticker = Ticker(
+            [*(part.tick for part in self.coordinators), self._tick_request_path],
+            self.settings.tick_seconds,
+            self.clock,
+            self.events,
+            self.metrics,
+        )
         self.config.on_change(self._on_configuration)
         self.membership.on_change(self._prepare_lookups)
 
@@ -234,29 +236,6 @@
         exact[("GET", "/v1/hosts")] = create_lookup_handler(self.lookups.answer)
         return Routes(exact, self.pipeline.async_handle)
 
-    async def _async_tick(self) -> None:
-        """Run all periodic systems again and again."""
-        last = self.clock.monotonic()
-        for _number in itertools.count():
-            await asyncio.sleep(self.settings.tick_seconds)
-            now = self.clock.monotonic()
-            if now - last > self.settings.tick_seconds + TICK_LATE_SECONDS:
-                self.events.record(Event.TICK_LATE, seconds=round(now - last, 3))
-            last = now
-            self._tick_all(now)
-            self.metrics.add_tick(self.clock.monotonic() - now)
-
-    def _tick_all(self, now: float) -> None:
-        """Run each part's tick; one that fails does not stop the others."""
-        ticks = [part.tick for part in self.coordinators]
-        for tick in (*ticks, self._tick_request_path):
-            try:
-                tick(now)
-            except Exception as error:  # noqa: BLE001
-                self.events.record(
-                    Event.INTERNAL_ERROR, where=tick.__qualname__, detail=repr(error)
-                )
-
     def _tick_request_path(self, now: float) -> None:
         """Run what the request path stands on."""
         configuration = self._configuration()
@@ -276,8 +255,8 @@
         codec.incarnation = max(codec.incarnation, self.membership.own_version)
         self.client_map.run()
         self._prepare_lookups()
-        if self.state == STATE_STARTING and self._is_ready():
-            self.state = STATE_SERVING
+        if self.state == DaemonState.STARTING and self._is_ready():
+            self.state = DaemonState.SERVING
             self.events.record(Event.DAEMON_READY, generation=configuration.generation)
 
     def _prepare_lookups(self) -> None:
@@ -295,39 +274,12 @@
         self.client_map.follow(configuration)
         self._prepare_lookups()
 
-    async def _async_wait_for_callers(self) -> None:
-        """Serve until cached answers have run out and nothing is in flight.
-
-        The grace is for requests that never end; it is never shorter than the longest
-        deadline, or a planned stop would cut off a request that still has time.
-        """
-        table = self.stop_table
-        stop.leave(table, self.lookups.longest_ttl_seconds, self.clock.monotonic())
-        grace = max(
-            self.settings.stop_grace_seconds,
-            longest_deadline_seconds(self._configuration()),
-        )
-        ends_at = table.cached_until + grace
-        while (now := self.clock.monotonic()) < ends_at:
-            left = flights.progress(self.flights, lambda flight: True, now)
-            self.stop_status = stop.run(
-                table,
-                self.pipeline.in_flight,
-                left.remaining_seconds or 0.0,
-                now,
-                handed_over=False,
-            )
-            if self.stop_status.state is StopState.DRAINED:
-                return
-            await asyncio.sleep(STOP_POLL_SECONDS)
-
     async def _async_close(self) -> None:
         """Stop all parts, newest first."""
         await self.runner.cleanup()
         for part in reversed(self.coordinators):
             await part.async_stop()
-        if self.tick_task is not None:
-            self.tick_task.cancel()
+        self.ticker.stop()
         await self._async_close_links()
 
     async def _async_close_links(self) -> None:
@@ -349,10 +301,15 @@
 
     def _is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return self.state in (STATE_STARTING, STATE_SERVING) and bool(
+        return self.state in (DaemonState.STARTING, DaemonState.SERVING) and bool(
             self._configuration().generation
         )
 
+    def _stop_grace_seconds(self) -> float:
+        """Return how long a stop waits for requests beyond cached answers."""
+        longest = longest_deadline_seconds(self._configuration())
+        return max(self.settings.stop_grace_seconds, longest)
+
     def _generation(self) -> int:
         """Return the generation in force."""
         return self._configuration().generation
@@ -373,6 +330,8 @@
             self.shifts.table,
         )
         drained = drained_hosts(self._configuration(), self.clock.wall_milliseconds())
-        draining = self.state == STATE_SERVING and self.identity.name in drained
-        state = STATE_DRAINING if draining else self.state
-        return read_status(sources, state, self.pipeline.in_flight, self.stop_status)
+        draining = self.state == DaemonState.SERVING and self.identity.name in drained
+        state = DaemonState.DRAINING if draining else self.state
+        return read_status(
+            sources, state, self.pipeline.in_flight, self.graceful_stop.status
+        )
