--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -155,8 +155,8 @@
 def _role_table(roles: list[Role], at: dict[str, float]) -> str:
     """Return the table of roles with their sums."""
     lines = [
-        "| role | mechanism | state | messages/s out | in | bytes/s out | "
-        "processor ms/s |",
+        "| role | mechanism that carries it | state | messages/s out | in | "
+        "bytes/s out | processor ms/s |",
         "|---|---|---|---|---|---|---|",
     ]
     lines += [
--- a/measure/capacity_views.py
+++ b/measure/capacity_views.py
@@ -126,16 +126,16 @@
             "one view",
         ),
         Figure(
-            "capacity: zones of a site's region that ask one of its owners",
+            "capacity: zones of a site's region that ask an owner first",
             near / near_all,
-            "1",
+            "of all",
             1.0,
             "one view",
         ),
         Figure(
-            "capacity: zones of other regions that ask one of a site's owners",
+            "capacity: zones of other regions that ask an owner first",
             far / far_all,
-            "1",
+            "of all",
             1.0,
             "one view",
         ),
@@ -169,14 +169,25 @@
     far_zones = sum(place.region == far for place in fleet.zones())
     name = "capacity: hosts that look-ups name"
     return [
-        Figure(f"{name} of the own zone", len(named["own zone"]), "hosts", a_zone),
+        Figure(
+            f"{name} of the own zone",
+            len(named["own zone"]),
+            "hosts",
+            a_zone,
+            "hosts there",
+        ),
         Figure(
             f"{name} of the region's other zones",
             len(named["other zones"]),
             "hosts",
             a_zone * other_zones,
+            "hosts there",
         ),
         Figure(
-            f"{name} of another region", len(named[far]), "hosts", a_zone * far_zones
+            f"{name} of another region",
+            len(named[far]),
+            "hosts",
+            a_zone * far_zones,
+            "hosts there",
         ),
     ]
