Name membership's parts by the field's terms

Change: Piggyback, suspicion_ends_at, mark_failed and the tag membership.probe_answer. The wire's shape is the same but for that tag.

Measured: 86 tests of membership, peer links and the daemon's path pass.

--- a/packages/core/greengagepoint/membership/claims.py
+++ b/packages/core/greengagepoint/membership/claims.py
@@ -40,8 +40,8 @@
         return True
     if weight(claim) <= weight(row.claim):
         return False
-    doubted = claim.state is not HostState.ALIVE and claim.version == row.claim.version
-    if doubted and now - row.heard_at < IMMUNITY_SECONDS:
+    failed = claim.state is not HostState.ALIVE and claim.version == row.claim.version
+    if failed and now - row.heard_at < IMMUNITY_SECONDS:
         return False
     _store(tables, claim, now, heard_at=row.heard_at)
     pass_on(tables, claim)
@@ -74,7 +74,7 @@
     if held.state is HostState.GONE and claim.state is not HostState.GONE:
         return held
     row.heard_at = now
-    row.convict_at = None
+    row.suspicion_ends_at = None
     if claim.state is held.state:
         return None
     _store(tables, claim, now, heard_at=now)
@@ -99,7 +99,7 @@
     pass_on(tables, claim)
 
 
-def doubt(
+def mark_failed(
     tables: MembershipTables, row: Member, state: HostState, now: float, *, tell: bool
 ) -> None:
     """Hold a host suspected or gone because of this host's own probes."""
@@ -144,7 +144,7 @@
     row.heard_at = heard_at
     row.claimed_at = now
     if claim.state is HostState.ALIVE:
-        row.convict_at = None
+        row.suspicion_ends_at = None
     if before is None or before.incarnation != claim.incarnation:
         row.listed_leaving = False
     if before != claim:
--- a/packages/core/greengagepoint/membership/messages.py
+++ b/packages/core/greengagepoint/membership/messages.py
@@ -72,7 +72,7 @@
     contacts: tuple[Contact, ...]
 
 
-class Freight(msgspec.Struct, frozen=True, array_like=True):
+class Piggyback(msgspec.Struct, frozen=True, array_like=True):
     """What a probe and its answer carry besides.
 
     ``digest`` sums up the sender's detailed table; ``notes`` are small payloads of
@@ -93,7 +93,7 @@
 
     sequence: int
     sender: Claim
-    freight: Freight
+    piggyback: Piggyback
 
 
 class Ack(
@@ -103,7 +103,7 @@
 
     sequence: int
     sender: Claim
-    freight: Freight
+    piggyback: Piggyback
 
 
 class ProbeRequest(
@@ -117,7 +117,11 @@
 
 
 class ProbeAnswer(
-    msgspec.Struct, frozen=True, array_like=True, tag="membership.vouch", kw_only=True
+    msgspec.Struct,
+    frozen=True,
+    array_like=True,
+    tag="membership.probe_answer",
+    kw_only=True,
 ):
     """Tell the requester that the host has answered; ``claim`` is its own."""
 
--- a/packages/core/greengagepoint/membership/messaging.py
+++ b/packages/core/greengagepoint/membership/messaging.py
@@ -11,10 +11,10 @@
 from greengagepoint.membership.messages import (
     Ack,
     Claim,
-    Freight,
     HostState,
     Message,
     Overview,
+    Piggyback,
     Ping,
     ProbeAnswer,
     ProbeRequest,
@@ -47,21 +47,23 @@
     return tables.digest
 
 
-def freight(tables: MembershipTables, about: Claim | None = None) -> Freight:
+def piggyback(tables: MembershipTables, about: Claim | None = None) -> Piggyback:
     """Gather what travels with a message; ``about`` is a claim on its receiver."""
     claims = take_claims(tables)
     if about is not None and about not in claims:
         claims = (about, *claims)
     zones, regions = items.take_items(tables)
-    return Freight(claims, zones, regions, digest(tables), tables.notes)
+    return Piggyback(claims, zones, regions, digest(tables), tables.notes)
 
 
 def ping(tables: MembershipTables, target: str, sequence: int) -> Send:
-    """Build a ping; it tells its receiver of any doubt about it."""
+    """Build a ping; it tells its receiver where that is not held alive."""
     row = tables.members.get(target)
-    doubted = row is not None and row.claim.state is not HostState.ALIVE
-    about = row.claim if row is not None and doubted else None
-    message = Ping(sequence=sequence, sender=tables.me, freight=freight(tables, about))
+    failed = row is not None and row.claim.state is not HostState.ALIVE
+    about = row.claim if row is not None and failed else None
+    message = Ping(
+        sequence=sequence, sender=tables.me, piggyback=piggyback(tables, about)
+    )
     return Send(target, message)
 
 
@@ -96,13 +98,13 @@
     tables: MembershipTables, sender: str, message: Ping, now: float
 ) -> Iterator[Send]:
     """Answer a ping, with the claim that contradicts its sender if there is one."""
-    about = _take_freight(tables, sender, message.sender, message.freight, now)
+    about = _take_piggyback(tables, sender, message.sender, message.piggyback, now)
     if about is None and not message.sequence:
         return
     ack = Ack(
         sequence=message.sequence,
         sender=tables.me,
-        freight=freight(tables, about),
+        piggyback=piggyback(tables, about),
     )
     yield Send(sender, ack)
 
@@ -111,7 +113,7 @@
     tables: MembershipTables, sender: str, message: Ack, now: float
 ) -> Iterator[Send]:
     """End the probe that the answer belongs to."""
-    about = _take_freight(tables, sender, message.sender, message.freight, now)
+    about = _take_piggyback(tables, sender, message.sender, message.piggyback, now)
     probe = tables.probes.get(message.sequence)
     if probe is not None and probe.target == sender:
         del tables.probes[message.sequence]
@@ -126,14 +128,14 @@
     yield from _compare(tables, sender, message, now)
 
 
-def _take_freight(
-    tables: MembershipTables, sender: str, claim: Claim, load: Freight, now: float
+def _take_piggyback(
+    tables: MembershipTables, sender: str, claim: Claim, carried: Piggyback, now: float
 ) -> Claim | None:
-    """Take in a message's freight; return a claim to contradict its sender with."""
+    """Take in what a message carries; return a claim that contradicts its sender."""
     about = hear(tables, claim, now) if claim.name == sender else None
-    for other in load.claims:
+    for other in carried.claims:
         apply_claim(tables, other, now)
-    items.take_in(tables, load.zones, load.regions, now)
+    items.take_in(tables, carried.zones, carried.regions, now)
     return about
 
 
@@ -141,7 +143,7 @@
     tables: MembershipTables, sender: str, message: Ack, now: float
 ) -> Iterator[Send]:
     """Exchange whole tables with a host when tables differ for longer."""
-    theirs = message.freight.digest
+    theirs = message.piggyback.digest
     ours = digest(tables)
     if (theirs ^ ours) & 1 or not tables.in_detail(message.sender):
         return
--- a/packages/core/greengagepoint/membership/probing.py
+++ b/packages/core/greengagepoint/membership/probing.py
@@ -1,10 +1,10 @@
-"""Probe other hosts in turn, ask helpers, and convict those nobody reaches."""
+"""Probe other hosts in turn, ask helpers, and hold gone those nobody reaches."""
 
 from collections.abc import Iterator
 from typing import Final
 
 from greengagepoint.membership import messaging
-from greengagepoint.membership.claims import doubt
+from greengagepoint.membership.claims import mark_failed
 from greengagepoint.membership.messages import HostState, ProbeRequest
 from greengagepoint.membership.tables import Member, MembershipTables, Probe, Send
 from greengagepoint.protocols import Random
@@ -28,7 +28,7 @@
 # that came meanwhile are still unread, so no probe of before may count as failed.
 PAUSE_SECONDS: Final = 3.0
 # Nothing heard from anyone for this long looks the same as a cut of this host's own
-# inbound path. It then tells nobody of its doubts and convicts much later.
+# inbound path. It then tells nobody of its suspicions and holds hosts gone much later.
 ISOLATED_SECONDS: Final = 5.0
 ISOLATED_SUSPICION_SECONDS: Final = 30.0
 # Hosts held gone and listed hosts never heard are tried this often, one at a time:
@@ -49,7 +49,7 @@
     tables.relays.clear()
     tables.heard_at += gap
     for row in tables.members.values():
-        row.convict_at = None
+        row.suspicion_ends_at = None
     for region in tables.region_heard_at:
         tables.region_heard_at[region] += gap
     for heard in (*tables.zones.values(), *tables.regions.values()):
@@ -59,7 +59,7 @@
 def run_probes(tables: MembershipTables, now: float, random: Random) -> Iterator[Send]:
     """Start and age probes; yield what to send."""
     yield from _age(tables, now, random)
-    _convict(tables, now)
+    _end_suspicions(tables, now)
     if now - tables.probed_at < PROBE_SECONDS:
         return
     tables.probed_at = now
@@ -132,7 +132,7 @@
 
 
 def _alert(tables: MembershipTables, random: Random) -> Iterator[Send]:
-    """Tell some neighbours at once of this host's new doubts; others hear of them."""
+    """Tell some neighbours at once of new suspicions; others hear of them."""
     if not tables.alert:
         return
     tables.alert = False
@@ -145,32 +145,32 @@
 def _suspect(tables: MembershipTables, row: Member, now: float) -> None:
     """Suspect a host that answered neither this host nor its helpers."""
     state = row.claim.state
-    if state is HostState.GONE or row.convict_at is not None:
+    if state is HostState.GONE or row.suspicion_ends_at is not None:
         return
     if not tables.in_detail(row.claim):
         return
     alone = isolated(tables, now)
     seconds = ISOLATED_SUSPICION_SECONDS if alone else SUSPICION_SECONDS
-    row.convict_at = now + seconds
+    row.suspicion_ends_at = now + seconds
     if state is HostState.ALIVE:
-        doubt(tables, row, HostState.SUSPECTED, now, tell=not alone)
+        mark_failed(tables, row, HostState.SUSPECTED, now, tell=not alone)
 
 
-def _convict(tables: MembershipTables, now: float) -> None:
+def _end_suspicions(tables: MembershipTables, now: float) -> None:
     """Hold gone the suspects whose time is up.
 
     Each got a direct and up to three indirect pings every second meanwhile, and any
-    answer clears ``convict_at``, so loss alone must strike them all.
+    answer clears ``suspicion_ends_at``, so loss alone must strike them all.
     """
     alone = isolated(tables, now)
     for row in tables.members.values():
-        if row.convict_at is None or row.convict_at > now:
+        if row.suspicion_ends_at is None or row.suspicion_ends_at > now:
             continue
         if alone and now - row.claimed_at < ISOLATED_SUSPICION_SECONDS:
             continue
-        row.convict_at = None
+        row.suspicion_ends_at = None
         if row.claim.state is HostState.SUSPECTED:
-            doubt(tables, row, HostState.GONE, now, tell=not alone)
+            mark_failed(tables, row, HostState.GONE, now, tell=not alone)
 
 
 def _probe_suspects(
@@ -187,7 +187,7 @@
 
 def _needs_probe(row: Member, now: float) -> bool:
     """Tell whether a suspect is to be probed out of its turn."""
-    if row.convict_at is not None:
+    if row.suspicion_ends_at is not None:
         return True
     suspected = row.claim.state is HostState.SUSPECTED
     return suspected and now - row.claimed_at > RUMOUR_SECONDS
--- a/packages/core/greengagepoint/membership/tables.py
+++ b/packages/core/greengagepoint/membership/tables.py
@@ -30,13 +30,14 @@
     """A host as held here.
 
     ``heard_at`` is when a message of its own last came, ``claimed_at`` when its state
-    last changed; ``convict_at`` is set while this host's own probes fail.
+    last changed; ``suspicion_ends_at``, set while this host's own probes fail, is
+    when it will be held gone.
     """
 
     claim: Claim
     heard_at: float
     claimed_at: float
-    convict_at: float | None = None
+    suspicion_ends_at: float | None = None
     listed_leaving: bool = False
 
 
--- a/packages/core/tests/test_membership_fleet.py
+++ b/packages/core/tests/test_membership_fleet.py
@@ -101,7 +101,7 @@
     tables = fleet.tables["h0-0-0"]
     row = tables.members["h1-0-0"]
     row.claim = msgspec.structs.replace(row.claim, state=HostState.SUSPECTED)
-    row.convict_at = fleet.now + 2
+    row.suspicion_ends_at = fleet.now + 2
     systems.run(tables, fleet.now + 30, fleet.random)
     assert row.claim.state is HostState.SUSPECTED
 
--- a/packages/node/greengagepoint_node/coordinators/membership.py
+++ b/packages/node/greengagepoint_node/coordinators/membership.py
@@ -87,7 +87,7 @@
             self.unsubscribes.pop()()
 
     def tick(self, now: float) -> None:
-        """Probe, suspect and convict; report what changed."""
+        """Run the periodic systems; report what changed."""
         for key, make in self.note_makers.items():
             messaging.note(self.tables, key, make())
         self._send(systems.run(self.tables, now, self.context.random))
@@ -97,9 +97,9 @@
         """Take in a message of another host."""
         now = self.context.clock.monotonic()
         self._send(messaging.receive(self.tables, sender, message, now))
-        freight = getattr(message, "freight", None)
-        if freight is not None:
-            for key, payload in freight.notes.items():
+        piggyback = getattr(message, "piggyback", None)
+        if piggyback is not None:
+            for key, payload in piggyback.notes.items():
                 if key in self.note_takers:
                     self.note_takers[key](sender, payload)
         self._report()
