Count a loan for its part of a lowered limit

Change: a grant names the limit that it was lent under; a borrower with a lower one keeps the loan's part of it, rounded down, when the limit changes and when a late grant comes. The parts of all borrowers and owners sum to the lower limit at most, as the owners' shares do already. A grant without the limit counts as before.

Conclusion: a lowered cap holds as soon as its record is in force and the older requests have ended.

--- a/packages/core/greengagepoint/caps/borrowing.py
+++ b/packages/core/greengagepoint/caps/borrowing.py
@@ -224,6 +224,8 @@
             _back_off(loan, now, SHORT_SECONDS, SHORT_SECONDS_MAX)
         loan.counted = max(granted.units, loan.sent_holding)
         loan.units = granted.units
+        loan.of = granted.limit
+        _lower_loan(loan, site.limit)
         loan.start_until = start_until
         loan.request_seconds = grant.request_seconds
         loan.end_until = start_until + grant.request_seconds
@@ -235,6 +237,24 @@
     return gained
 
 
+def set_limit(site: Site, limit: int) -> None:
+    """Take a site's limit; loans keep their part of a lower one."""
+    site.limit = limit
+    for loan in site.loans.values():
+        _lower_loan(loan, limit)
+
+
+def _lower_loan(loan: Loan, limit: int) -> None:
+    """Keep only the loan's part of a limit below the one that it was lent under.
+
+    Loans from before may be used for seconds, and all of them together for the
+    higher limit. Their parts of the lower one, rounded down, sum to it at most.
+    """
+    if limit < loan.of:
+        loan.units = loan.units * limit // loan.of
+        loan.of = limit
+
+
 def drop_silent_requests(table: CapsTable, now: float) -> None:
     """Pass over lenders that did not answer in time.
 
--- a/packages/core/greengagepoint/caps/lending.py
+++ b/packages/core/greengagepoint/caps/lending.py
@@ -72,7 +72,8 @@
         expires = now + lent_seconds(table.request_seconds)
         borrower.lent[want.site] = Lent(counted, expires, want.want)
     lendable = max(0, free_units(table, site))
-    return Granted(want.site, units, lendable, _named_owners(table, site))
+    owners = _named_owners(table, site)
+    return Granted(want.site, units, lendable, owners, site.limit)
 
 
 def _named_owners(table: CapsTable, site: Site) -> tuple[str, ...]:
--- a/packages/core/greengagepoint/caps/messages.py
+++ b/packages/core/greengagepoint/caps/messages.py
@@ -32,12 +32,14 @@
     """Units on loan, and how many more the lender could lend.
 
     A host that holds nothing of the site names its owners (host#incarnation).
+    ``limit`` is the site's as the lender has it, 0 if it does not tell.
     """
 
     site: str
     units: int
     lendable: int
     owners: tuple[str, ...] = ()
+    limit: int = 0
 
 
 class LoanGrant(msgspec.Struct, frozen=True, array_like=True, tag="caps.loan_grant"):
--- a/packages/core/greengagepoint/caps/system.py
+++ b/packages/core/greengagepoint/caps/system.py
@@ -7,6 +7,7 @@
     ask,
     drop_silent_requests,
     roll_demand,
+    set_limit,
 )
 from greengagepoint.caps.const import (
     DEFAULT_REQUEST_SECONDS,
@@ -83,12 +84,12 @@
         if site is None:
             table.sites[name] = Site(name, record.region, limits[name])
         elif site.region == record.region:
-            site.limit = limits[name]
+            set_limit(site, limits[name])
         else:
             _move_site(table, site, record.region, limits[name])
     for name in table.sites.keys() - limits.keys():
         site = table.sites[name]
-        site.limit = 0
+        set_limit(site, 0)
         if not _is_in_use(site):
             del table.sites[name]
     region = configuration.regions.get(table.host.region)
@@ -113,7 +114,7 @@
 def _move_site(table: CapsTable, site: Site, region: str, limit: int) -> None:
     """Move a site to another region's ledger once nothing here uses it."""
     if _is_in_use(site):
-        site.limit = 0
+        set_limit(site, 0)
         return
     table.sites[site.name] = Site(site.name, region, limit)
 
--- a/packages/core/greengagepoint/caps/tables.py
+++ b/packages/core/greengagepoint/caps/tables.py
@@ -30,10 +30,12 @@
     """Units borrowed from one lender for one site.
 
     ``counted`` is the most the lender may count as lent; ``sent_holding`` and
-    ``sent_want`` are those of the newest request.
+    ``sent_want`` are those of the newest request; ``of`` is the site's limit that
+    ``units`` were lent under.
     """
 
     units: int = 0
+    of: int = 0
     counted: int = 0
     sent_holding: int = 0
     sent_want: int = 0
