Use plain names for announcing, applying claims and timeouts

Cause: hear, say and speak were functions of membership, a timeout was a patience, a peer a stranger, and the help of the client called a host mute.

Change: apply_senders_claim, set_own_claim, announce_state, COMMITTER_TIMEOUT_SECONDS, COMMITTER_AVOID_SECONDS; the help and pages say that a host is missing or does not answer.

Measured: 120 tests of membership, claims, peer links and the client pass.

--- a/packages/cli/greengagepoint_cli/commands/state.py
+++ b/packages/cli/greengagepoint_cli/commands/state.py
@@ -91,7 +91,7 @@
 
 
 def status(server: Servers = None, output: OutputOption = Output.TABLE) -> None:
-    """Show hosts, headroom, caps, shifts and drains; exit with 5 if a host is mute."""
+    """Show hosts, headroom, caps, shifts and drains; exit with 5 if one is missing."""
     answers = run_call(server, async_statuses)
     document = fleet_status(answers)
     if output is Output.JSON:
--- a/packages/cli/greengagepoint_cli/commands/timeline.py
+++ b/packages/cli/greengagepoint_cli/commands/timeline.py
@@ -58,7 +58,7 @@
         TimelineOutput, typer.Option(help="Form of what is printed.")
     ] = TimelineOutput.TEXT,
 ) -> None:
-    """Show the events of all hosts in order; exit with 5 if a host is mute."""
+    """Show the events of all hosts in order; exit with 5 if one is missing."""
     filters = {"request_id": request_id, "team": team, "site": site}
     filters["kind"] = None if kind is None else _checked_kind(kind)
     params = {name: value for name, value in filters.items() if value is not None}
--- a/packages/core/greengagepoint/membership/claims.py
+++ b/packages/core/greengagepoint/membership/claims.py
@@ -48,7 +48,9 @@
     return True
 
 
-def hear(tables: MembershipTables, claim: Claim, now: float) -> Claim | None:
+def apply_senders_claim(
+    tables: MembershipTables, claim: Claim, now: float
+) -> Claim | None:
     """Take in what a host says of itself; return the claim to contradict it with.
 
     There is one when a heavier claim about the host is held: it is held gone, or it
@@ -86,11 +88,11 @@
     me = tables.me
     if claim.version < me.version or claim == me or me.state is HostState.GONE:
         return False
-    say(tables, msgspec.structs.replace(me, version=claim.version + 1))
+    set_own_claim(tables, msgspec.structs.replace(me, version=claim.version + 1))
     return True
 
 
-def say(tables: MembershipTables, claim: Claim) -> None:
+def set_own_claim(tables: MembershipTables, claim: Claim) -> None:
     """Hold a new statement of this host about itself and pass it on."""
     before = tables.me
     tables.me = claim
--- a/packages/core/greengagepoint/membership/messaging.py
+++ b/packages/core/greengagepoint/membership/messaging.py
@@ -7,7 +7,12 @@
 import xxhash
 
 from greengagepoint.membership import items, overview
-from greengagepoint.membership.claims import apply_claim, hear, say, take_claims
+from greengagepoint.membership.claims import (
+    apply_claim,
+    apply_senders_claim,
+    set_own_claim,
+    take_claims,
+)
 from greengagepoint.membership.messages import (
     Ack,
     Claim,
@@ -132,7 +137,7 @@
     tables: MembershipTables, sender: str, claim: Claim, carried: Piggyback, now: float
 ) -> Claim | None:
     """Take in what a message carries; return a claim that contradicts its sender."""
-    about = hear(tables, claim, now) if claim.name == sender else None
+    about = apply_senders_claim(tables, claim, now) if claim.name == sender else None
     for other in carried.claims:
         apply_claim(tables, other, now)
     items.take_in(tables, carried.zones, carried.regions, now)
@@ -203,7 +208,7 @@
 def hear_through_helper(tables: MembershipTables, claim: Claim, now: float) -> None:
     """Take a host's own claim from a helper without counting its region as reached."""
     reached = tables.region_heard_at.get(claim.region)
-    hear(tables, claim, now)
+    apply_senders_claim(tables, claim, now)
     if reached is None:
         tables.region_heard_at.pop(claim.region, None)
     else:
@@ -222,10 +227,12 @@
     tables.notes = notes
 
 
-def speak(tables: MembershipTables, *, leaving: bool, state: HostState) -> list[Send]:
+def announce_state(
+    tables: MembershipTables, *, leaving: bool, state: HostState
+) -> list[Send]:
     """State this host's own leaving or end, and tell all in reach at once."""
     me = tables.me
-    say(
+    set_own_claim(
         tables,
         msgspec.structs.replace(
             me, version=me.version + 1, leaving=leaving, state=state
--- a/packages/core/greengagepoint/timeline/render.py
+++ b/packages/core/greengagepoint/timeline/render.py
@@ -37,11 +37,11 @@
     lanes = hosts if len(hosts) <= LANES_MAX else []
     rows = "\n".join(_row(occurrence, lanes) for occurrence in occurrences)
     heads = "".join(f"<th>{escape(host)}</th>" for host in lanes or ["host"])
-    mute = f"<p>No answer from: {escape(', '.join(missing))}.</p>" if missing else ""
+    gap = f"<p>No answer from: {escape(', '.join(missing))}.</p>" if missing else ""
     return PAGE.substitute(
         title=escape(title),
         count=len(occurrences),
-        missing=mute,
+        missing=gap,
         heads=heads,
         rows=rows,
     )
--- a/packages/node/greengagepoint_node/coordinators/claims_writer.py
+++ b/packages/node/greengagepoint_node/coordinators/claims_writer.py
@@ -1,4 +1,4 @@
-"""Choose who writes a claim, and speak with the region's committer."""
+"""Choose who writes a claim, and exchange batches with the region's committer."""
 
 import asyncio
 from collections.abc import Callable, Iterable
@@ -26,8 +26,8 @@
     start,
 )
 
-COMMITTER_PATIENCE_SECONDS: Final = 0.25
-COMMITTER_DISTRUST_SECONDS: Final = 2.0
+COMMITTER_TIMEOUT_SECONDS: Final = 0.25
+COMMITTER_AVOID_SECONDS: Final = 2.0
 ANSWER_GAIN: Final = 0.2
 BATCHES_SENT_MAX: Final = 1024
 VALUE_BYTES_MAX: Final = 1024
@@ -123,15 +123,15 @@
         wait = token_bucket.take(self.direct, self.direct_rate, DIRECT_BURST, now)
         return wait == 0.0
 
-    def patience_seconds(self) -> float:
+    def timeout_seconds(self) -> float:
         """Return how long to wait for a committer.
 
         It grows with the time that answers take: with a slow store each host would
         otherwise give its committer up and write alone, which makes it slower still.
         """
-        patience = COMMITTER_PATIENCE_SECONDS + 2 * self.answer_seconds
-        longest = COMMITTER_PATIENCE_SECONDS + STORE_CALL_SECONDS
-        return min(longest, patience) + 2 * self.committer.interval_seconds
+        timeout = COMMITTER_TIMEOUT_SECONDS + 2 * self.answer_seconds
+        longest = COMMITTER_TIMEOUT_SECONDS + STORE_CALL_SECONDS
+        return min(longest, timeout) + 2 * self.committer.interval_seconds
 
     def handle_batch(self, sender: str, batch: ClaimBatch) -> None:
         """Write a peer's claims and send it the results."""
@@ -187,11 +187,11 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         try:
-            async with asyncio.timeout(self.patience_seconds()):
+            async with asyncio.timeout(self.timeout_seconds()):
                 return await future
         except TimeoutError:
             now = self.context.clock.monotonic()
-            self.silent_until[committer] = now + COMMITTER_DISTRUST_SECONDS
+            self.silent_until[committer] = now + COMMITTER_AVOID_SECONDS
             return None
 
     async def _async_send(self, committer: str) -> None:
--- a/packages/node/greengagepoint_node/coordinators/membership.py
+++ b/packages/node/greengagepoint_node/coordinators/membership.py
@@ -82,7 +82,9 @@
             self.reader.cancel()
             await asyncio.gather(self.reader, return_exceptions=True)
             self.reader = None
-        self._send(messaging.speak(self.tables, leaving=True, state=HostState.GONE))
+        self._send(
+            messaging.announce_state(self.tables, leaving=True, state=HostState.GONE)
+        )
         while self.unsubscribes:
             self.unsubscribes.pop()()
 
@@ -162,7 +164,9 @@
         """Leave look-ups, and tell all known hosts at once."""
         if self.tables.me.leaving:
             return
-        self._send(messaging.speak(self.tables, leaving=True, state=HostState.ALIVE))
+        self._send(
+            messaging.announce_state(self.tables, leaving=True, state=HostState.ALIVE)
+        )
         self._report()
 
     def on_change(self, callback: Callable[[], None]) -> Callable[[], None]:
--- a/packages/node/greengagepoint_node/peers.py
+++ b/packages/node/greengagepoint_node/peers.py
@@ -168,7 +168,7 @@
         self._deliver(batch)
 
     def _deliver(self, batch: Batch) -> None:
-        """Hand messages to subscribers; a stranger may only announce itself."""
+        """Hand messages to subscribers; an unknown host may only announce itself."""
         refused = 0
         for message in batch.messages:
             if not _announces(message) and not self.known(batch.sender):
