Keep the parts of look-up answers when only records change

Cause: each change of records threw away all prepared parts of answers, though they depend on the hosts only; the look-ups after it paid for them again.

Change: parts and orders are kept where the hosts are the same; at most 4,096 orders.

--- a/measure/capacity_hosts.py
+++ b/measure/capacity_hosts.py
@@ -173,7 +173,7 @@
     me = everyone[0]
     seen = fleet.view(me, everyone)
     records = fleet.configuration()
-    prepared, first, held = [], [], []
+    prepared, first, again, held = [], [], [], []
     for hosts in (seen, *(tuple(everyone[:count]) for count in HOST_COUNTS)):
         entries = [EntryHost(host) for host in hosts]
         prepared.append(
@@ -181,12 +181,14 @@
         )
         table = _prepare(records, entries, me)
         first.append((len(hosts), milliseconds(lambda t=table: _ask_all(t), 1)))
+        again.append((len(hosts), milliseconds(lambda t=table: _change(records, t))))
         _, size = held_bytes(lambda e=entries: _ask_all(_prepare(records, e, me)))
         held.append((len(hosts), size))
     over = "hosts in view"
     return [
         Slope("look-ups prepared", over, "ms", tuple(prepared)),
         Slope("first answers for all orders of regions", over, "ms", tuple(first)),
+        Slope("answers for all orders after a change", over, "ms", tuple(again)),
         Slope("look-up answers held", over, "B", tuple(held)),
     ]
 
@@ -196,6 +198,12 @@
     return lookup.prepare(records, entries, me)
 
 
+def _change(records, table: lookup.LookupTable) -> None:
+    """Prepare after a change of records, and ask for all orders of regions."""
+    hosts = [EntryHost(host.identity) for host in table.hosts]
+    _ask_all(lookup.prepare(records, hosts, table.home, earlier=table))
+
+
 def _ask_all(table: lookup.LookupTable) -> lookup.LookupTable:
     """Ask once for each of 1,300 orders of regions."""
     names = [f"region-{number:02}" for number in range(fleet.REGIONS)]
--- a/measure/capacity_roles.py
+++ b/measure/capacity_roles.py
@@ -142,11 +142,11 @@
 
 
 def _lookup(at: Values) -> Role:
-    """Return look-ups without answering: answers are prepared anew at each change."""
-    anew = at["look-ups prepared"] + at["first answers for all orders of regions"]
+    """Return look-ups without answering: heads are made anew at each change."""
+    anew = at["answers for all orders after a change"]
     return Role(
         "look-up",
-        "parts of answers kept as bytes, made anew at each change",
+        "parts of answers kept as bytes; a change renews the heads",
         at["look-up answers held"] / MEGABYTE,
         0.0,
         0.0,
--- a/packages/core/greengagepoint/steering/lookup.py
+++ b/packages/core/greengagepoint/steering/lookup.py
@@ -1,7 +1,7 @@
 """Answer callers that ask which entry hosts to use."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Final, NamedTuple
 
 import msgspec
@@ -16,6 +16,7 @@
 PRIORITY_OTHER_ZONE: Final = 1
 PRIORITY_OTHER_REGION: Final = 2
 ROTATIONS_MAX: Final = 256
+ORDERS_KEPT_MAX: Final = 4096
 WEIGHT_MAX: Final = 16
 SHORT_TTL_SECONDS: Final = 1
 
@@ -36,9 +37,11 @@
     put together from bytes: ``heads`` by service, ``nearest`` and ``beyond`` by
     region with one item a rotation, each made when first asked for; so their number
     doesn't grow with the orders of regions, which ``orders`` maps to those served.
+    ``hosts`` are those that answers may name.
     """
 
     home: HostIdentity
+    hosts: tuple[EntryHost, ...]
     zones: dict[str, dict[str, list[EntryHost]]]
     heads: dict[str, bytes]
     nearest: dict[str, tuple[bytes, ...]] = field(default_factory=dict)
@@ -52,9 +55,12 @@
     home: HostIdentity,
     *,
     changing: bool = False,
+    earlier: LookupTable | None = None,
 ) -> LookupTable:
     """Prepare answers; do so again when configuration or hosts change.
 
+    What ``earlier`` holds by region is kept where the hosts are the same: records
+    change far more often, and only the heads of answers depend on them.
     ``hosts`` are the live ones. Leaving hosts are left out as long as any other
     serves. ``changing`` asks for a short time to live, as while a shift moves;
     a leaving host does so too, for answers handed out before name it.
@@ -66,7 +72,12 @@
         ttl = record.lookup_ttl_seconds
         ttl = min(ttl, SHORT_TTL_SECONDS) if short else ttl
         heads[name] = _head(name, ttl, configuration.generation)
-    return LookupTable(home, _by_zone(staying or hosts), heads)
+    named = staying or tuple(hosts)
+    if earlier is not None and (earlier.home, earlier.hosts) == (home, named):
+        # Orders come from records: without a bound those no longer used would pile up.
+        kept = earlier.orders if len(earlier.orders) <= ORDERS_KEPT_MAX else {}
+        return replace(earlier, heads=heads, orders=kept)
+    return LookupTable(home, named, _by_zone(named), heads)
 
 
 def answer(
--- a/packages/core/tests/test_steering_lookup.py
+++ b/packages/core/tests/test_steering_lookup.py
@@ -7,7 +7,12 @@
 from greengagepoint.configuration import EMPTY
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.records.schemas import Service
-from greengagepoint.steering.lookup import EntryHost, answer, prepare
+from greengagepoint.steering.lookup import (
+    ORDERS_KEPT_MAX,
+    EntryHost,
+    answer,
+    prepare,
+)
 
 CONFIGURATION = EMPTY._replace(
     generation=7, services={"booking": Service(name="booking", sites=())}
@@ -118,6 +123,42 @@
     assert len(set(first)) == 4
 
 
+VIEW = st.tuples(
+    st.lists(st.sampled_from(HOSTS), min_size=1, unique=True), st.integers(0, 12)
+)
+
+
+@given(st.lists(VIEW, min_size=1, max_size=4), st.integers(0, 30))
+def test_what_is_kept_of_earlier_answers_changes_none(views, sequence):
+    """Records change while hosts mostly stay, and hosts come and go in between.
+
+    Answers that are put together with kept parts are the ones that a host gives that
+    has just started. Else callers would be sent to hosts that have gone.
+    """
+    kept = None
+    for number, (hosts, leaving) in enumerate(views):
+        configuration = CONFIGURATION._replace(generation=number)
+        seen = [
+            host._replace(leaving=place < leaving) for place, host in enumerate(hosts)
+        ]
+        kept = prepare(configuration, seen, HOME, earlier=kept)
+        fresh = prepare(configuration, seen, HOME)
+        for regions in (None, ("dytiki",), ("kentriki", "attiki")):
+            assert answer(kept, "booking", regions, sequence) == answer(
+                fresh, "booking", regions, sequence
+            )
+
+
+def test_a_change_of_records_keeps_what_depends_on_hosts_only():
+    first = prepare(CONFIGURATION, HOSTS, HOME)
+    answer(first, "booking", None, 0)
+    second = prepare(CONFIGURATION._replace(generation=8), HOSTS, HOME, earlier=first)
+    assert second.nearest is first.nearest
+    second.orders.update({(str(number),): () for number in range(ORDERS_KEPT_MAX)})
+    assert not prepare(CONFIGURATION, HOSTS, HOME, earlier=second).orders
+    assert json.loads(answer(second, "booking", None, 0))["generation"] == 8
+
+
 @given(
     st.lists(st.sampled_from(HOSTS), min_size=1, unique=True),
     st.sets(st.integers(0, 11)),
--- a/packages/node/greengagepoint_node/lookup_answers.py
+++ b/packages/node/greengagepoint_node/lookup_answers.py
@@ -44,7 +44,9 @@
         changing: bool,
     ) -> None:
         """Build the answers for a configuration and a view of the hosts."""
-        self.table = lookup.prepare(configuration, hosts, self.home, changing=changing)
+        self.table = lookup.prepare(
+            configuration, hosts, self.home, changing=changing, earlier=self.table
+        )
         self.longest_ttl_seconds = max(
             self.longest_ttl_seconds, lookup.longest_ttl_seconds(configuration)
         )
