Tell that only memory holds a key also where the request may have run

Cause: while the store is down and the service's record allows keys in memory, whole answers said memory-only and errors did not. A caller told "unknown" that repeated the key through another host could run a payment twice without ever having been told; a random load showed keys that ran twice with no answer that said so.

Change: the state of the key belongs to the call, and stands on every problem of a request that may have run.

Measured: the test got no header before and memory-only after.

Conclusion: the weaker promise is never silent.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -65,7 +65,6 @@
     upstream: aiohttp.ClientResponse
     latency_seconds: float
     body: bytes | None = None
-    key_state: str | None = None
 
 
 class Tries(msgspec.Struct):
--- a/packages/node/greengagepoint_node/proxy/call.py
+++ b/packages/node/greengagepoint_node/proxy/call.py
@@ -48,6 +48,7 @@
     received_bytes: int = 0
     ticket: Ticket | None = None
     latency_seconds: float | None = None
+    key_state: str | None = None
     range_headers: dict[str, str] | None = None
     broken_by: str = ""
 
--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -101,7 +101,7 @@
             response = await self._async_serve(request, call)
         except GreengagepointError as error:
             self._note_error(call, request_id, error)
-            return problem_response(error, request_id)
+            return self._problem(call, request_id, error)
         except AnswerBrokenError as error:
             self._note_failed(call, request_id, error.kind, str(error), Ran.UNKNOWN)
             raise
@@ -169,6 +169,8 @@
         if given is not None:
             return self._replayed(call, given)
         claim = await self._async_claim(call, digest)
+        if claim.memory_only:
+            call.key_state = KEY_STATE_MEMORY_ONLY
         try:
             reply = await async_attempt(self.parts, request, call, body, allowance)
         except GreengagepointError as error:
@@ -180,8 +182,6 @@
             raise
         call.latency_seconds = reply.latency_seconds
         self._remember(claim, call, reply)
-        if claim.memory_only:
-            reply.key_state = KEY_STATE_MEMORY_ONLY
         return await self._async_deliver(request, call, reply, allowance)
 
     async def _async_claim(self, call: Call, digest: str) -> Claim:
@@ -251,8 +251,8 @@
         """Return the headers for the caller."""
         host = self.parts.context.host.name
         headers = answer_headers(reply.upstream, call.request_id, host)
-        if reply.key_state is not None:
-            headers[HEADER_KEY_STATE] = reply.key_state
+        if call.key_state is not None:
+            headers[HEADER_KEY_STATE] = call.key_state
         return headers
 
     def _answer_unexpected(
@@ -271,7 +271,20 @@
             break_off(request)
             raise ConnectionResetError("The answer has begun") from error
         unexpected = GreengagepointError("An unexpected error was caught")
-        return problem_response(unexpected, request_id)
+        return self._problem(call, request_id, unexpected)
+
+    def _problem(
+        self, call: Call | None, request_id: str, error: GreengagepointError
+    ) -> web.Response:
+        """Return the problem answer, which tells of a claim that only memory holds.
+
+        A repeat through another host would not find that claim and might run, so the
+        caller of a request that may have run has to know.
+        """
+        response = problem_response(error, request_id)
+        if call is not None and call.key_state and error.ran is not Ran.NOT_RUN:
+            response.headers[HEADER_KEY_STATE] = call.key_state
+        return response
 
     def _note_answered(self, call: Call) -> None:
         """Count a whole answer."""
--- a/packages/node/tests/test_hostile_promises.py
+++ b/packages/node/tests/test_hostile_promises.py
@@ -250,3 +250,26 @@
             await callers.async_burst([again, *daemons])
         await async_until(lambda: not held(deployment))
         check_promises(callers)
+
+
+async def test_an_unknown_end_tells_that_only_memory_holds_the_key() -> None:
+    """The store is down, the service's record lets keys be held in memory only.
+
+    A payment runs and its answer is lost. A repeat through another host would run it
+    again, so the caller who is told "unknown" is also told why that is so.
+    """
+    async with async_deployment(
+        control=quick, service={"store_outage": "memory_only"}
+    ) as deployment:
+        deployment.store.set_down(Down.REFUSE)
+        for backend in deployment.backends.values():
+            backend.control.next_reset_after_run = 1
+        answer = await deployment.async_request(
+            deployment.daemons["attiki-host-0"],
+            "/s/booking/reservations",
+            method="POST",
+            headers={"Idempotency-Key": "k"},
+        )
+        assert (answer.status, answer.headers["Greengagepoint-Ran"]) == (502, "unknown")
+        assert answer.headers.get("Greengagepoint-Key") == "memory-only"
+        mend_all(deployment)
