Match routes by whole segments; keep a stopped host's port in a test

Cause: /bays lent its repeatable rights to /bays-and-pay. One run of the whole suite beside others failed in the test of two stops: a caller with the old address was answered by a server without our headers, most likely another process that had been given the port. Ruled out: the daemon's own answers (each carries the request id; 4 of 4 repeats passed). Change: a route covers its path and what lies below it; the test binds the stopped host's port until its callers are done, and checks as before. Conclusion: the cause of the one failure was not seen again, only made impossible.

--- a/packages/core/greengagepoint/records/schemas.py
+++ b/packages/core/greengagepoint/records/schemas.py
@@ -82,7 +82,7 @@
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
-    """How requests under a path prefix are treated; the longest prefix wins.
+    """How requests under a path prefix of whole segments are treated; the longest wins.
 
     ``methods`` empty means all methods.
     """
--- a/packages/node/greengagepoint_node/proxy/call.py
+++ b/packages/node/greengagepoint_node/proxy/call.py
@@ -66,11 +66,19 @@
         return self.ends_at - now
 
 
+def is_under(path: str, prefix: str) -> bool:
+    """Tell whether a path is a prefix or lies below it, by whole segments.
+
+    ``/bays`` must not lend its rights to ``/bays-and-pay``.
+    """
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
 def match_route(service: Service, method: str, path: str) -> Route:
     """Return the route with the longest matching path prefix."""
     best: Route | None = None
     for route in service.routes:
-        if not path.startswith(route.path):
+        if not is_under(path, route.path):
             continue
         if route.methods and method not in route.methods:
             continue
--- a/packages/node/tests/test_hostile_promises.py
+++ b/packages/node/tests/test_hostile_promises.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import random
+import socket
 from collections import Counter
 from typing import NamedTuple
 
@@ -224,6 +225,15 @@
         assert sum(told.status == 200 for told in callers.told) > BURST
 
 
+def hold_port(address: str) -> socket.socket:
+    """Bind a port without listening, so that connecting to it is refused."""
+    host, port = address.rsplit(":", 1)
+    held = socket.socket()
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((host, int(port)))
+    return held
+
+
 async def test_a_stop_amid_faults_twice_keeps_the_promises() -> None:
     """A host is stopped while the store hangs and servers reset; then once more.
 
@@ -240,7 +250,11 @@
                 backend.control.next_reset_after_run = 3
             bursts = [callers.async_burst(daemons) for _ in range(2)]
             stopping = getattr(deployment.daemons["attiki-host-0"], stop)()
+            stopped = deployment.daemons["attiki-host-0"]
             await asyncio.gather(*bursts, stopping)
+            # Callers that still know the old address must not meet another process
+            # to which the kernel has given its port meanwhile.
+            held_port = hold_port(stopped.identity.address)
             mend_all(deployment)
             again = await deployment.async_add_daemon("attiki-host-0", "attiki")
             await callers.async_burst(daemons)
@@ -248,6 +262,7 @@
                 lambda: deployment.daemons["attiki-host-0"].state == "serving"
             )
             await callers.async_burst([again, *daemons])
+            held_port.close()
         await async_until(lambda: not held(deployment))
         check_promises(callers)
 
