Name the service beside each kind in the demo's tables

Cause: the tables told requests and latencies by kind of request only. Change: a column for the service.

--- a/packages/standins/greengagepoint_standins/demo/load.py
+++ b/packages/standins/greengagepoint_standins/demo/load.py
@@ -126,8 +126,8 @@
         self.numbers = itertools.count()
         self.sent: list[Sent] = []
         self.tasks: set[asyncio.Task[None]] = set()
-        self.latencies: dict[str, HdrHistogram] = {}
-        self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.latencies: dict[tuple[str, str], HdrHistogram] = {}
+        self.outcomes: Counter[tuple[str, str, str]] = Counter()
         self.stopped = False
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
@@ -178,10 +178,11 @@
     def _count(self, ask: Ask, sent: Sent) -> None:
         """Count the end of a request."""
         self.sent.append(sent)
-        self.outcomes[ask.name, sent.outcome] += 1
+        self.outcomes[ask.service, ask.name, sent.outcome] += 1
         if sent.outcome == OK:
             histogram = self.latencies.setdefault(
-                ask.name, HdrHistogram(LATENCY_MIN_US, LATENCY_MAX_US, DIGITS)
+                (ask.service, ask.name),
+                HdrHistogram(LATENCY_MIN_US, LATENCY_MAX_US, DIGITS),
             )
             histogram.record_value(int((sent.ended - sent.started) * 1e6))
 
--- a/packages/standins/greengagepoint_standins/demo/report.py
+++ b/packages/standins/greengagepoint_standins/demo/report.py
@@ -23,22 +23,25 @@
 
 def outcomes_table(load: Load) -> str:
     """Return requests by kind and outcome."""
-    rows = [
-        (ask, outcome, count) for (ask, outcome), count in sorted(load.outcomes.items())
-    ]
-    return table("Requests", ("kind", "outcome", "count"), rows)
+    rows = [(*key, count) for key, count in sorted(load.outcomes.items())]
+    return table("Requests", ("service", "kind", "outcome", "count"), rows)
 
 
 def latency_table(load: Load) -> str:
     """Return latency percentiles of answered requests, in milliseconds."""
     rows = []
-    for name, histogram in sorted(load.latencies.items()):
+    for key, histogram in sorted(load.latencies.items()):
         values = [
             f"{histogram.get_value_at_percentile(percentile) / 1000:.1f}"
             for percentile in PERCENTILES
         ]
-        rows.append((name, histogram.get_total_count(), *values))
-    heads = ("kind", "answered", *(f"p{value:g} ms" for value in PERCENTILES))
+        rows.append((*key, histogram.get_total_count(), *values))
+    heads = (
+        "service",
+        "kind",
+        "answered",
+        *(f"p{value:g} ms" for value in PERCENTILES),
+    )
     return table("Latency from the caller's first try to its whole answer", heads, rows)
 
 
