Count look-ups and store calls where they happen

Cause: two metrics that the page of settings describes, look-ups and calls to the key-value service, had a counter that nothing called: a scrape never showed them.

Change: the daemon counts each look-up answered; the store's adapter counts each call by operation and outcome, also those cancelled and watches that cannot be opened. Core's PeerLink takes the place of the same protocol in the node. Three names that nothing used are gone.

--- a/packages/core/greengagepoint/config/layout.py
+++ b/packages/core/greengagepoint/config/layout.py
@@ -12,11 +12,6 @@
     return f"{LOG_PREFIX}{generation:012d}"
 
 
-def generation_of(key: str) -> int:
-    """Return the generation of a log key."""
-    return int(key.removeprefix(LOG_PREFIX))
-
-
 def snapshot_part_prefix(generation: int) -> str:
     """Return the prefix of the parts of one snapshot."""
     return f"{SNAPSHOT_PART_PREFIX}{generation:012d}/"
--- a/packages/core/greengagepoint/protocols.py
+++ b/packages/core/greengagepoint/protocols.py
@@ -1,7 +1,7 @@
 """The few interfaces through which core is driven."""
 
-from collections.abc import AsyncIterator, Sequence
-from typing import NamedTuple, Protocol
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any, NamedTuple, Protocol
 
 
 class Clock(Protocol):
@@ -97,7 +97,12 @@
 
 
 class PeerLink(Protocol):
-    """Send messages to other daemons; a message may be lost, late or doubled."""
+    """Exchange messages with other daemons; any may be lost, late or doubled."""
 
     def send(self, host: str, message: object) -> bool:
-        """Queue a message; tell whether there was room for it."""
+        """Queue a message to a host by name; tell whether there was room for it."""
+
+    def subscribe(
+        self, message_type: type, callback: Callable[[str, Any], None]
+    ) -> Callable[[], None]:
+        """Call back with (sender name, message); return the unsubscribe function."""
--- a/packages/node/greengagepoint_node/context.py
+++ b/packages/node/greengagepoint_node/context.py
@@ -1,23 +1,10 @@
 """What every coordinator of the daemon is given."""
 
-from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 from greengagepoint.events import Event
 from greengagepoint.hosts import HostIdentity
-from greengagepoint.protocols import Clock, ConfigStore, Random
-
-
-class PeerBus(Protocol):
-    """Exchange messages with other daemons; any may be lost, late or doubled."""
-
-    def send(self, host: str, message: object) -> bool:
-        """Queue a message to a host by name; tell whether there was room for it."""
-
-    def subscribe(
-        self, message_type: type, callback: Callable[[str, Any], None]
-    ) -> Callable[[], None]:
-        """Call back with (sender name, message); return the unsubscribe function."""
+from greengagepoint.protocols import Clock, ConfigStore, PeerLink, Random
 
 
 class EventSink(Protocol):
@@ -34,7 +21,7 @@
     clock: Clock
     random: Random
     store: ConfigStore
-    peers: PeerBus
+    peers: PeerLink
     events: EventSink
 
 
--- a/packages/node/greengagepoint_node/coordinators/load.py
+++ b/packages/node/greengagepoint_node/coordinators/load.py
@@ -26,7 +26,6 @@
 from greengagepoint.hosts import HostIdentity
 from greengagepoint_node.context import Context
 
-LOAD_HEADER: Final = "Greengagepoint-Load"
 LOAD_PATH: Final = "/load"
 ASK_TIMEOUT_SECONDS: Final = 0.8
 ASKED_AT_ONCE_MAX: Final = 8
--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -168,6 +168,7 @@
                 partial(read_headroom, self._configuration, self.caps),
                 partial(read_peer_totals, self.links.counters),
                 self._generation,
+                lambda: self.surroundings.store_calls,
             )
         )
         self.admission = RequestAdmission(
@@ -233,7 +234,7 @@
             *create_health_routes(health),
         ]
         exact = {(route.method, route.path): route.handler for route in routes}
-        exact[("GET", "/v1/hosts")] = create_lookup_handler(self.lookups.answer)
+        exact[("GET", "/v1/hosts")] = create_lookup_handler(self._answer_lookup)
         return Routes(exact, self.pipeline.async_handle)
 
     def _tick_request_path(self, now: float) -> None:
@@ -259,6 +260,13 @@
             self.state = DaemonState.SERVING
             self.events.record(Event.DAEMON_READY, generation=configuration.generation)
 
+    def _answer_lookup(self, service: str, address: str) -> bytes | None:
+        """Answer a look-up and count it."""
+        answer = self.lookups.answer(service, address)
+        if answer is not None:
+            self.metrics.add_lookup()
+        return answer
+
     def _prepare_lookups(self) -> None:
         """Prepare look-up answers again when what they depend on has changed."""
         self.lookups.refresh(
--- a/packages/node/greengagepoint_node/metrics.py
+++ b/packages/node/greengagepoint_node/metrics.py
@@ -20,7 +20,6 @@
 METER_NAME: Final = "greengagepoint"
 UNKNOWN_SERVICE: Final = "unknown"
 MAX_SERVICES: Final = 100
-CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 # Upper bounds; a last bucket without a bound follows.
 REQUEST_BOUNDS_SECONDS: Final = (
     0.002,
@@ -78,12 +77,14 @@
     """Where figures come from that the daemon's parts keep themselves.
 
     ``headroom`` gives free concurrent requests by region, ``peers`` the totals of
-    the peer links, ``generation`` the configuration in force.
+    the peer links, ``generation`` the configuration in force, ``store_calls`` the
+    calls to the key-value service by operation and outcome.
     """
 
     headroom: Callable[[], Mapping[str, float]]
     peers: Callable[[], PeerTotals]
     generation: Callable[[], int]
+    store_calls: Callable[[], Mapping[tuple[str, str], int]] = dict
 
 
 class Metrics:
@@ -98,7 +99,6 @@
             lambda: Histogram(REQUEST_BOUNDS_SECONDS)
         )
         self.ticks = Histogram(TICK_BOUNDS_SECONDS)
-        self.store_calls: Counter[tuple[str, str]] = Counter()
         self.lookups = 0
         self.registry = CollectorRegistry()
         reader = PrometheusMetricReader(
@@ -136,10 +136,6 @@
         """Count one run of the periodic systems."""
         self.ticks.add(seconds)
 
-    def add_store_call(self, operation: str, outcome: str) -> None:
-        """Count one call to the key-value service."""
-        self.store_calls[operation, outcome] += 1
-
     def render(self) -> bytes:
         """Return all figures in the Prometheus text format."""
         return generate_latest(self.registry)
@@ -237,7 +233,7 @@
         yield Observation(totals.dropped, {"outcome": "dropped"})
 
     def _store_calls(self) -> Iterator[Observation]:
-        for (operation, outcome), count in self.store_calls.items():
+        for (operation, outcome), count in self.sources.store_calls().items():
             yield Observation(count, {"operation": operation, "outcome": outcome})
 
     def _in_flight(self) -> Iterator[Observation]:
--- a/packages/node/greengagepoint_node/store.py
+++ b/packages/node/greengagepoint_node/store.py
@@ -1,8 +1,9 @@
 """Reach the platform's key-value service over etcd v3's JSON gateway."""
 
 import asyncio
+from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator, Sequence
-from contextlib import aclosing
+from contextlib import AsyncExitStack, aclosing
 from typing import Final, TypeVar
 
 import aiohttp
@@ -20,11 +21,13 @@
     read_message,
     refused,
 )
+from greengagepoint_node.store_calls import StoreCalls, counting
 from greengagepoint_node.store_keys import KeySpace
 
 MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
 MAX_LINE_BYTES: Final = 4 * 1024 * 1024
 WATCH_IDLE_SECONDS: Final = 60.0
+WATCH_PATH: Final = "/v3/watch"
 CONNECT_ERRORS: Final = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 CALL_ERRORS: Final = (aiohttp.ClientError, TimeoutError, OSError)
 
@@ -57,6 +60,7 @@
         self.timeout = aiohttp.ClientTimeout(
             total=timeout_seconds, connect=timeout_seconds / 2
         )
+        self.calls: StoreCalls = Counter()
 
     async def read(self, key: str) -> StoreValue | None:
         """Return one key, or None when it is absent."""
@@ -175,6 +179,18 @@
         answer_type: type[AnswerT],
         *,
         write: bool,
+    ) -> AnswerT:
+        """Send one call, count it and decode its whole answer."""
+        with counting(self.calls, path):
+            return await self.call_uncounted(path, request, answer_type, write=write)
+
+    async def call_uncounted(
+        self,
+        path: str,
+        request: msgspec.Struct,
+        answer_type: type[AnswerT],
+        *,
+        write: bool,
     ) -> AnswerT:
         """Send one call and decode its whole answer."""
         status, body = await self.exchange(path, msgspec.json.encode(request), write)
@@ -239,10 +255,12 @@
     ) -> AsyncGenerator[messages.WatchResponse, None]:
         """Yield the messages of one watch call until it has been quiet for long."""
         try:
-            response = await self.open_watch(prefix, revision)
-            async with response:
-                async with asyncio.timeout(self.timeout_seconds):
-                    created = await read_created(response, revision)
+            async with AsyncExitStack() as stack:
+                with counting(self.calls, WATCH_PATH):
+                    response = await self.open_watch(prefix, revision)
+                    await stack.enter_async_context(response)
+                    async with asyncio.timeout(self.timeout_seconds):
+                        created = await read_created(response, revision)
                 yield created
                 while True:
                     try:
@@ -264,7 +282,7 @@
         # The stream itself has no end, so the session's timeouts can't bound it.
         async with asyncio.timeout(self.timeout_seconds):
             return await self.session.post(
-                f"{self.addresses[0]}/v3/watch",
+                self.addresses[0] + WATCH_PATH,
                 data=msgspec.json.encode(messages.WatchRequest(create_request=create)),
                 headers=messages.HEADERS,
                 timeout=aiohttp.ClientTimeout(total=None),
--- a/packages/node/greengagepoint_node/surroundings.py
+++ b/packages/node/greengagepoint_node/surroundings.py
@@ -17,6 +17,7 @@
 from greengagepoint_node.setting_checks import Address
 from greengagepoint_node.settings import Settings
 from greengagepoint_node.store import create_store
+from greengagepoint_node.store_calls import StoreCalls
 
 STORE_TIMEOUT_SECONDS: Final = 2.0
 HOST_LIST_TIMEOUT_SECONDS: Final = 2.0
@@ -30,6 +31,7 @@
     session: aiohttp.ClientSession
     host_list: HostList
     context: Context
+    store_calls: StoreCalls
 
     async def async_close(self) -> None:
         """Close all links that this host has opened."""
@@ -88,7 +90,7 @@
     )
     context = Context(identity, clock, random.Random(), store, links, events)
     host_list = _create_host_list(settings, session)
-    return Surroundings(http_socket, links, session, host_list, context)
+    return Surroundings(http_socket, links, session, host_list, context, store.calls)
 
 
 def _create_host_list(settings: Settings, session: aiohttp.ClientSession) -> HostList:
--- a/packages/node/tests/test_logs_metrics.py
+++ b/packages/node/tests/test_logs_metrics.py
@@ -9,7 +9,10 @@
 @pytest.fixture
 def metrics():
     peers = PeerTotals(0, 300, 0, 0, 0, 0)
-    made = Metrics(Sources(lambda: {"attiki": 12}, lambda: peers, lambda: 7))
+    calls = {("txn", "store_outcome_unknown"): 1}
+    made = Metrics(
+        Sources(lambda: {"attiki": 12}, lambda: peers, lambda: 7, lambda: calls)
+    )
     yield made
     made.close()
 
@@ -61,7 +64,6 @@
 
 def test_figures_of_other_parts_are_read_when_scraped(metrics):
     metrics.add_tick(0.003)
-    metrics.add_store_call("replace", "outcome_unknown")
     metrics.add_lookup()
     samples = scrape(metrics)
     assert samples["headroom_requests", ("region", "attiki")] == 12
@@ -70,5 +72,5 @@
     assert samples["lookups_total",] == 1
     assert samples["tick_duration_seconds_bucket_total", ("le", "0.002")] == 0
     assert samples["tick_duration_seconds_bucket_total", ("le", "0.005")] == 1
-    call = ("operation", "replace"), ("outcome", "outcome_unknown")
+    call = ("operation", "txn"), ("outcome", "store_outcome_unknown")
     assert samples["store_calls_total", *call] == 1
--- a/packages/node/tests/test_operator_answers.py
+++ b/packages/node/tests/test_operator_answers.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 from deployment import OPERATOR_KEY, async_deployment
+from prometheus_client.parser import text_string_to_metric_families
 
 from greengagepoint.operator_api import (
     HistoryAnswer,
@@ -40,6 +41,23 @@
         assert document[rows], path
 
 
+async def test_metrics_count_lookups_requests_and_store_calls(two_hosts) -> None:
+    daemon = two_hosts.daemons["attiki-host-0"]
+    await two_hosts.async_request(daemon, "/s/booking/bays")
+    await two_hosts.async_request(daemon, "/v1/hosts?service=booking")
+    await two_hosts.async_request(daemon, "/v1/hosts?service=unknown")
+    answer = await two_hosts.async_request(daemon, "/metrics")
+    families = text_string_to_metric_families(await answer.text())
+    samples = {
+        (sample.name, *sample.labels.values()): sample.value
+        for family in families
+        for sample in family.samples
+    }
+    assert samples["greengagepoint_lookups_total",] == 1
+    assert samples["greengagepoint_requests_total", "ok", "booking"] == 1
+    assert samples["greengagepoint_store_calls_total", "range", "ok"] >= 1
+
+
 async def test_the_answers_hold_nothing_untyped(two_hosts) -> None:
     daemon = two_hosts.daemons["attiki-host-0"]
     for path in ("/v1/records", "/v1/history", "/v1/status", "/v1/timeline"):
--- a/packages/standins/greengagepoint_standins/memory_fleet.py
+++ b/packages/standins/greengagepoint_standins/memory_fleet.py
@@ -162,7 +162,7 @@
 
 
 class MemoryPort:
-    """Implement ``PeerBus`` for one host of a ``MemoryBus``."""
+    """Implement ``PeerLink`` for one host of a ``MemoryBus``."""
 
     def __init__(self, bus: MemoryBus, host: str) -> None:
         self.bus = bus
