Judge the other experiments when one fails to run

Cause: store-leases-expired asked the store's stand-in for a path that it does not have; the error ended the whole run and its summary.

--- a/packages/standins/greengagepoint_standins/experiments/__main__.py
+++ b/packages/standins/greengagepoint_standins/experiments/__main__.py
@@ -6,6 +6,7 @@
 import time
 from typing import Annotated, Final, NamedTuple
 
+import aiohttp
 import typer
 
 from greengagepoint_standins.demo.deployments import (
@@ -60,7 +61,7 @@
         await one.run(world)
         await world.async_end_load()
         promises, expectations = await world.async_check()
-    except (DemoError, TimeoutError, OSError) as error:
+    except (DemoError, TimeoutError, OSError, aiohttp.ClientError) as error:
         return Result(one.name, Counts(0, 0, 0), [], [], repr(error))
     finally:
         await world.async_end()
