--- a/packages/standins/greengagepoint_standins/experiments/store.py
+++ b/packages/standins/greengagepoint_standins/experiments/store.py
@@ -110,9 +110,9 @@
     Every host finds its lease gone and takes a new one; until then it may use no
     right that another host could claim.
     """
-    await world.async_store("")
+    await world.async_store("/control/expire-leases")
     await asyncio.sleep(8)
-    await world.async_store("")
+    await world.async_store("/control/expire-leases")
     await asyncio.sleep(10)
     expect_recovered(world)
     await asyncio.sleep(LAST_SECONDS)
