Bound the connections of callers, as the setting says

Ruled out: closing at once every connection above the limit leaves its caller in doubt whether its request ran.

Change: a request on a connection above the limit is refused, overloaded and not run, and its connection closed; 256 above the limit connections are cut. Probes and operators are answered all the same. A test looks that each setting is used.

--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -216,6 +216,7 @@
             header_bytes=settings.max_header_bytes,
             headers=MAX_HEADERS,
             first_request_seconds=settings.slow_sender_seconds,
+            connections=settings.max_connections,
         )
         server = ProblemServer(create_dispatcher(self._routes()), self.events, limits)
         self.runner = ProblemServerRunner(server)
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -20,10 +20,11 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 SERVICE_PREFIX: Final = "/s/"
-HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE: Final = 431
 KEEPALIVE_SECONDS: Final = 75.0
 LINGERING_SECONDS: Final = 2.0
 SHUTDOWN_SECONDS: Final = 1.0
+# So many connections above the limit are kept until a request can be refused on them.
+REFUSED_CONNECTIONS_MAX: Final = 256
 
 
 class ServerLimits(NamedTuple):
@@ -32,6 +33,7 @@
     header_bytes: int
     headers: int
     first_request_seconds: float
+    connections: int
 
 
 class Routes(NamedTuple):
@@ -46,11 +48,21 @@
 
     events: EventSink
     first_request_timer: asyncio.TimerHandle | None = None
+    is_excess: bool = False
     limits: ServerLimits
+    server: "ProblemServer"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Close the connection unless a request comes soon."""
+        """Count the connection, and close it unless a request comes soon."""
         super().connection_made(transport)
+        self.server.open_connections += 1
+        excess = self.server.open_connections - self.limits.connections
+        self.is_excess = excess > 0
+        if excess > REFUSED_CONNECTIONS_MAX:
+            # Without an end to them, connections would take all descriptors, and the
+            # host could reach neither the store nor backend servers any more.
+            transport.abort()
+            return
         # A caller that sends its first headers byte by byte would hold a connection
         # for ever; later requests are bounded by the keep-alive timeout.
         self.first_request_timer = asyncio.get_running_loop().call_later(
@@ -58,7 +70,8 @@
         )
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Stop waiting for the first request."""
+        """Stop waiting for the first request, and make room for another caller."""
+        self.server.open_connections -= 1
         if self.first_request_timer is not None:
             self.first_request_timer.cancel()
         super().connection_lost(exc)
@@ -103,6 +116,7 @@
         super().__init__(handler, handler_cancellation=True)
         self.events = events
         self.limits = limits
+        self.open_connections = 0
         self.make_connection = functools.partial(
             ProblemRequestHandler,
             self,
@@ -121,6 +135,7 @@
         connection = self.make_connection()
         connection.events = self.events
         connection.limits = self.limits
+        connection.server = self
         return connection
 
 
@@ -139,6 +154,8 @@
         _stop_first_request_timer(request)
         path = request.rel_url.raw_path
         if path.startswith(SERVICE_PREFIX):
+            if request.protocol.is_excess:
+                return _refuse_excess(request)
             return await routes.service(request)
         try:
             handler = routes.exact.get((request.method, path))
@@ -157,6 +174,21 @@
     return async_dispatch
 
 
+def _refuse_excess(request: web.BaseRequest) -> web.Response:
+    """Refuse a request on a connection above the limit, and close it.
+
+    A connection closed without an answer would leave its caller in doubt whether the
+    request ran. Operators and probes of health are answered all the same.
+    """
+    error = RequestError("Too many connections are open", ErrorKind.OVERLOADED)
+    request.protocol.events.record(
+        Event.REQUEST_REFUSED, kind=error.kind, detail=error.detail
+    )
+    response = problem_response(error)
+    response.force_close()
+    return response
+
+
 def _stop_first_request_timer(request: web.BaseRequest) -> None:
     """Leave the connection to the keep-alive timeout once a request has come."""
     connection = request.protocol
--- a/packages/node/tests/test_settings_values.py
+++ b/packages/node/tests/test_settings_values.py
@@ -5,11 +5,12 @@
 import pytest
 from typer.testing import CliRunner
 
+import greengagepoint_node
 from greengagepoint.errors import SettingError
 from greengagepoint_node.command import EXIT_USAGE, command
 from greengagepoint_node.setting_checks import Address
 from greengagepoint_node.setting_rows import SETTINGS
-from greengagepoint_node.settings import read_settings
+from greengagepoint_node.settings import Settings, read_settings
 
 KEY = "0123456789abcdef-secret"
 NEEDED = {
@@ -20,6 +21,18 @@
 }
 
 
+def test_each_setting_is_used():
+    """A setting was once read and checked, and nothing asked for it."""
+    folder = Path(greengagepoint_node.__file__).parent
+    code = "".join(
+        page.read_text()
+        for page in folder.rglob("*.py")
+        if not page.name.startswith("setting")
+    )
+    unused = [name for name in Settings._fields if f"settings.{name}" not in code]
+    assert not unused
+
+
 def settings_of(environment=None, **values):
     return read_settings(NEEDED | values, environment or {})
 
