Use the one rendezvous hash and the one set of operators' messages everywhere

Cause: choosing who asks backend servers still had a hash of its own and built its view in two places, one of them unused; the operators' routes had a second copy of the messages that core now holds.

Change: sharing.py ranks by greengagepoint.rendezvous; the routes and the backend take their messages from operator_api.

--- a/measure/capacity_fleet.py
+++ b/measure/capacity_fleet.py
@@ -5,7 +5,6 @@
 from greengagepoint.configuration import EMPTY, Configuration
 from greengagepoint.hosts import HostIdentity
 from greengagepoint.membership.delegates import DELEGATES, REGION_CONTACTS
-from greengagepoint.membership.rendezvous import ranked
 from greengagepoint.records.schemas import (
     BackendServer,
     Region,
@@ -14,6 +13,7 @@
     Site,
     Team,
 )
+from greengagepoint.rendezvous import rank
 
 HOSTS: Final = 4_900
 REGIONS: Final = 15
@@ -80,7 +80,7 @@
 def delegates(place: Zone, everyone: list[HostIdentity]) -> list[HostIdentity]:
     """Return who answers for a zone."""
     own = [host for host in everyone if host.zone == place.name]
-    return ranked(place.name, own, lambda host: host.name)[:DELEGATES]
+    return rank(place.name, own, lambda host: host.name)[:DELEGATES]
 
 
 def summed_zones(region: str) -> list[Zone]:
--- a/measure/capacity_views.py
+++ b/measure/capacity_views.py
@@ -3,9 +3,10 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.caps.const import OWNERS_A_SITE
-from greengagepoint.config.watchers import rank, watchers_of
+from greengagepoint.config.watchers import watchers_of
 from greengagepoint.delivery.committers import committers, write_interval_seconds
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 from greengagepoint.steering import lookup
 from greengagepoint.steering.lookup import EntryHost
 from measure import capacity_fleet as fleet
--- a/packages/core/greengagepoint/balancing/sharing.py
+++ b/packages/core/greengagepoint/balancing/sharing.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-import xxhash
-
 from greengagepoint.balancing.messages import (
     LoadWanted,
     PoolName,
@@ -18,6 +16,7 @@
 )
 from greengagepoint.configuration import Configuration
 from greengagepoint.hosts import HostIdentity
+from greengagepoint.rendezvous import rank
 
 ASKERS_A_SERVER: Final = 2
 USED_SECONDS: Final = 10.0
@@ -71,21 +70,12 @@
     different live hosts may name others; that costs a few questions more, for
     whoever is told that a pool is wanted asks.
     """
-    view = sharing.view
-    if (
-        view is None
-        or view.hosts is not hosts
-        or view.configuration is not configuration
-    ):
-        view = AskerView(hosts, configuration, {}, {})
-        for host in hosts:
-            view.names.setdefault((host.region, host.zone), []).append(host.name)
-        sharing.view = view
+    view = _asker_view(sharing, configuration, hosts)
     found = view.askers.get(pool)
     if found is None:
-        names = _near_names(view, pool[1])
-        names.sort(key=lambda name: xxhash.xxh64_intdigest(f"{name}|{pool}".encode()))
-        found = view.askers[pool] = tuple(names[:ASKERS_A_SERVER])
+        service, site = pool
+        ranked = rank(f"{service}/{site}", _near_names(view, site))
+        found = view.askers[pool] = tuple(ranked[:ASKERS_A_SERVER])
     return found
 
 
--- a/packages/node/greengagepoint_node/http/operators.py
+++ b/packages/node/greengagepoint_node/http/operators.py
@@ -3,12 +3,22 @@
 import hmac
 import re
 from datetime import date
-from typing import Any, Final, NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 import msgspec
 from aiohttp import web
 
 from greengagepoint.errors import ErrorKind, RequestError
+from greengagepoint.operator_api import (
+    ApplyAnswer,
+    HistoryAnswer,
+    PruneAnswer,
+    RecordsAnswer,
+    StatusAnswer,
+    TimelineAnswer,
+    UsageAnswer,
+    WantedChanges,
+)
 from greengagepoint_node.http.problems import json_response
 from greengagepoint_node.http.reading import async_read_whole
 from greengagepoint_node.http.server import Handler
@@ -21,45 +31,28 @@
 LIMIT: Final = re.compile("[0-9]{1,9}")
 
 
-class WantedChange(msgspec.Struct, forbid_unknown_fields=True):
-    """One change that an operator asks for; ``document`` None deletes."""
-
-    kind: str
-    name: str
-    expected_generation: int | None = None
-    document: dict[str, Any] | None = None
-
-
-class WantedChanges(msgspec.Struct, forbid_unknown_fields=True):
-    """The body of ``POST /v1/records/apply``."""
-
-    author: str
-    changes: list[WantedChange]
-    write_id: str | None = None
-
-
 class OperatorBackend(Protocol):
     """What the operators' interface needs from the daemon."""
 
-    def records(self) -> dict[str, Any]:
+    def records(self) -> RecordsAnswer:
         """Return the generation and all documents."""
 
-    async def async_apply(self, wanted: WantedChanges) -> dict[str, Any]:
+    async def async_apply(self, wanted: WantedChanges) -> ApplyAnswer:
         """Apply changes; return the generation that holds them."""
 
-    async def async_history(self, limit: int) -> dict[str, Any]:
+    async def async_history(self, limit: int) -> HistoryAnswer:
         """Return the newest entries of the change log."""
 
-    def status(self) -> dict[str, Any]:
+    def status(self) -> StatusAnswer:
         """Return the state of this host and what it knows of others."""
 
-    def timeline(self, filters: dict[str, str]) -> dict[str, Any]:
+    def timeline(self, filters: dict[str, str]) -> TimelineAnswer:
         """Return this host's events that match the filters."""
 
-    async def async_prune_usage(self, before: str) -> dict[str, Any]:
+    async def async_prune_usage(self, before: str) -> PruneAnswer:
         """Delete usage of days before a day; return how many counters went."""
 
-    async def async_usage(self, since: str | None, until: str | None) -> dict[str, Any]:
+    async def async_usage(self, since: str | None, until: str | None) -> UsageAnswer:
         """Return usage by team from day to day, both included."""
 
 
--- a/packages/node/greengagepoint_node/operator_backend.py
+++ b/packages/node/greengagepoint_node/operator_backend.py
@@ -17,13 +17,14 @@
     StatusAnswer,
     TimelineAnswer,
     UsageAnswer,
+    WantedChange,
+    WantedChanges,
 )
 from greengagepoint.records.schemas import RecordKind
 from greengagepoint.timeline.ring import EventFilter, EventRecorder
 from greengagepoint.timeline.wire import line, parse_kind
 from greengagepoint_node.coordinators.config import ConfigCoordinator
 from greengagepoint_node.coordinators.usage import UsageCoordinator
-from greengagepoint_node.http.operators import WantedChange, WantedChanges
 
 KIND_MAX_LENGTH: Final = 50
 SINCE: Final = re.compile(r"([0-9]{1,15})(?:\.([0-9]{1,9}))?")
