Let the client wait for hosts that have just started

Change: the client asks again for up to 3.75 s on not_ready, with the same write id. Conclusion: a refusal that lasts is still told.

--- a/packages/cli/greengagepoint_cli/api.py
+++ b/packages/cli/greengagepoint_cli/api.py
@@ -22,6 +22,8 @@
 
 T = TypeVar("T")
 
+NOT_READY_PAUSES_SECONDS = (0.25, 0.5, 1.0, 2.0)
+
 # Another host may well do what this one cannot do now.
 KINDS_TO_TRY_ELSEWHERE = frozenset(
     {
@@ -73,6 +75,15 @@
         assert wanted.write_id
         body = msgspec.to_builtins(wanted)
         call = Call("POST", "/v1/records/apply", ApplyAnswer, body=body)
+        # A host that has just started refuses to write until a peer has told it its
+        # configuration, which takes a moment; the operator need not ask again.
+        for seconds in NOT_READY_PAUSES_SECONDS:
+            try:
+                return await self._async_try_each(call)
+            except ProblemError as error:
+                if error.kind is not ErrorKind.NOT_READY:
+                    raise
+            await asyncio.sleep(seconds)
         return await self._async_try_each(call)
 
     async def async_call(self, server: str, call: Call[T]) -> T:
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -30,6 +30,7 @@
         self.name = name
         self.log = ConfigLog()
         self.losing = 0
+        self.not_ready = 0
         self.status = {}
         self.events = []
         self.usage = []
@@ -84,6 +85,9 @@
     async def async_apply(self, request):
         body = await request.json()
         self.bodies.append(body)
+        if self.not_ready:
+            self.not_ready -= 1
+            return problem(ErrorKind.NOT_READY, "no other host has been heard yet")
         if self.race is not None:
             self.write([self.race], "nikos", "race")
             self.race = None
--- a/packages/cli/tests/test_cli_records.py
+++ b/packages/cli/tests/test_cli_records.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.config.entries import Change
 from greengagepoint.errors import ErrorKind
+from greengagepoint_cli import api
 from greengagepoint_cli.const import ExitCode
 from greengagepoint_cli.main import create_app
 
@@ -172,6 +173,22 @@
     assert result.stderr.startswith("greengagepoint: unauthenticated:")
 
 
+def test_a_write_waits_for_a_host_that_has_just_started(host, invoke, monkeypatch):
+    """An operator applies records the moment a fleet has started.
+
+    The host refuses to write until a peer has told it its configuration. The client
+    asks again for some seconds and then tells the refusal; nothing is written twice.
+    """
+    monkeypatch.setattr(api, "NOT_READY_PAUSES_SECONDS", (0.0, 0.0))
+    host.not_ready = 2
+    changed = RECORDS.replace("limit = 40", "limit = 30")
+    result = invoke("apply", "-", servers=[host], text=RECORDS)
+    assert (result.exit_code, host.log.generation) == (0, 1), result.stderr
+    host.not_ready = 3
+    result = invoke("apply", "-", servers=[host], text=changed)
+    assert (result.exit_code, host.log.generation) == (ExitCode.SERVER_ERROR, 1)
+
+
 def test_reads_go_to_the_next_server(host, invoke, refused_url, start_host):
     other = start_host("attiki-2")
     other.problem = (ErrorKind.NOT_READY, "no configuration yet")
