Keep one relay that can be cut, in the stand-ins

Cause: the measurement of recovery and the experiments each had a TCP relay.

Change: greengagepoint_standins.relay serves both; it waits on a cut until its connections have ended and listens on the same port afterwards.

--- a/measure/daemon_fleet.py
+++ b/measure/daemon_fleet.py
@@ -19,8 +19,8 @@
 from greengagepoint_standins.backend import BackendStandIn, async_start_backend
 from greengagepoint_standins.backend_control import BackendControl
 from greengagepoint_standins.host_list import HostListStandIn, async_start_host_list
+from greengagepoint_standins.relay import Relay
 from greengagepoint_standins.store import StoreStandIn, async_start_store
-from measure.relay import Relay
 
 RECORDS: Final = Path(__file__).resolve().parent.parent / "deployments" / "ermis"
 ADDRESS: Final = re.compile(r'(address = )"[^"]*"')
@@ -108,7 +108,7 @@
         if region not in self.paths:
             paths = (Relay(self.store.address), Relay(self.host_list.address))
             for path in paths:
-                await path.async_start()
+                await path.async_open()
             self.paths[region] = paths
         return self.paths[region]
 
--- a/measure/recovery.py
+++ b/measure/recovery.py
@@ -159,7 +159,7 @@
     await asyncio.sleep(ALONE_SECONDS)
     behind = outside[0].config.configuration.generation - _generation(inside[0])
     for path in fleet.paths[ATTIKI]:
-        await path.async_start()
+        await path.async_open()
     fleet.cut.clear()
     ended = time.monotonic()
     await async_until(lambda: len(set(_generations(fleet))) == 1)
--- a/measure/relay.py
+++ b/packages/standins/greengagepoint_standins/relay.py
@@ -2,27 +2,42 @@
 
 import asyncio
 import contextlib
+import socket
+from typing import Final
 
-READ_BYTES = 64 * 1024
+LOOPBACK: Final = "127.0.0.1"
+PIECE_BYTES: Final = 65_536
+
+
+def free_port() -> int:
+    """Return a port that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
 
 
 class Relay:
-    """A network path that can be cut: connections reset, new ones refused."""
+    """A network path that can be cut: connections reset, new ones refused.
+
+    ``target`` is host:port; ``address`` is where it listens, known once it is open.
+    """
 
     def __init__(self, target: str) -> None:
-        self.host, _, port = target.rpartition(":")
-        self.port = int(port)
-        self.address = ""
+        self.target = target
+        self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def async_start(self) -> None:
+    @property
+    def address(self) -> str:
+        """Return where the relay listens."""
+        return f"{LOOPBACK}:{self.port}"
+
+    async def async_open(self) -> None:
         """Listen; after a cut on the same port as before."""
-        port = int(self.address.rpartition(":")[2]) if self.address else 0
-        self.server = await asyncio.start_server(self._async_serve, "127.0.0.1", port)
-        bound = self.server.sockets[0].getsockname()
-        self.address = f"127.0.0.1:{bound[1]}"
+        self.server = await asyncio.start_server(self._async_serve, LOOPBACK, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     async def async_cut(self) -> None:
         """Reset all connections and refuse new ones."""
@@ -42,7 +57,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         try:
-            other, to_other = await asyncio.open_connection(self.host, self.port)
+            other, to_other = await asyncio.open_connection(*self.target.rsplit(":", 1))
         except OSError:
             writer.transport.abort()
             return
@@ -56,7 +71,7 @@
 ) -> None:
     """Copy one way; the end of one direction ends the connection."""
     with contextlib.suppress(OSError):
-        while data := await reader.read(READ_BYTES):
+        while data := await reader.read(PIECE_BYTES):
             writer.write(data)
             await writer.drain()
     writer.transport.abort()
--- a/packages/standins/tests/test_experiments_catalogue.py
+++ b/packages/standins/tests/test_experiments_catalogue.py
@@ -10,7 +10,7 @@
 from greengagepoint_standins.experiments import __main__ as command
 from greengagepoint_standins.experiments.catalogue import EXPERIMENTS
 from greengagepoint_standins.experiments.outcomes import Counts
-from greengagepoint_standins.experiments.relay import Relay
+from greengagepoint_standins.relay import Relay
 
 HELD = Check("held", 1, 0, "")
 BROKEN = Check("broken", 1, 1, "")
@@ -53,7 +53,7 @@
         writer.close()
 
     server = await asyncio.start_server(echo, "127.0.0.1", 0)
-    relay = Relay(server.sockets[0].getsockname()[1])
+    relay = Relay(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
     await relay.async_open()
     reader, writer = await asyncio.open_connection("127.0.0.1", relay.port)
     writer.write(b"hi")
