End a measurement's processes when its run is interrupted

Cause: A run that was told to end left its module running with daemons of its own, and the worktree of the earlier commit in place.

Change: An interrupted wait ends the module's process group as one that is too slow does; SIGTERM interrupts as Ctrl-C does, so the worktree is removed.

Measured: the new test fails when only the module itself is ended, and passes now.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -26,6 +27,8 @@
 
 def command(names: Names = None, compare: Compare = None, quick: Quick = False) -> None:
     """Run measurements, print a table and write a report under measurements/."""
+    # As with Ctrl-C, so that children end and the worktree is removed.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     known = runner.find_modules(ROOT)
     unknown = sorted(set(names or ()) - set(known))
     if unknown:
--- a/measure/runner.py
+++ b/measure/runner.py
@@ -209,18 +209,27 @@
 
 
 def _wait(child: subprocess.Popen[bytes], seconds_max: float) -> bool:
-    """Wait for a child; end its process group and return False if it is too slow."""
+    """Wait for a child; return False if it is too slow and was ended."""
     try:
         child.wait(seconds_max)
     except subprocess.TimeoutExpired:
-        # The group, because a module's own processes would otherwise run on and
-        # disturb the modules that follow.
-        os.killpg(child.pid, signal.SIGKILL)
-        child.wait()
         return False
+    finally:
+        if child.returncode is None:
+            _end_group(child)
     return True
 
 
+def _end_group(child: subprocess.Popen[bytes]) -> None:
+    """End a child and the processes that it has started.
+
+    A module that is too slow, or whose run is interrupted, would otherwise leave
+    daemons that disturb the modules that follow.
+    """
+    os.killpg(child.pid, signal.SIGKILL)
+    child.wait()
+
+
 def is_quick() -> bool:
     """Tell a module whether rough figures suffice."""
     return bool(os.environ.get(QUICK_VARIABLE))
--- a/packages/node/tests/test_measure_runner.py
+++ b/packages/node/tests/test_measure_runner.py
@@ -1,6 +1,10 @@
 """The runner and the report of measurements."""
 
+import os
+import select
+import signal
 import subprocess
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -9,6 +13,7 @@
 from measure.figure import Figure
 from measure.runner import ModuleRun, Status
 
+WAIT_SECONDS = 20.0
 HEAD = report.Head("script/measure", "abc", "def", "now", 4, 1.0, 2.0, quick=False)
 
 
@@ -66,6 +71,57 @@
     )
 
 
+STARTS_A_PROCESS = """
+import pathlib, subprocess, sys
+def run() -> list:
+    code = "import signal; signal.pause()"
+    child = subprocess.Popen([sys.executable, "-c", code])
+    pathlib.Path("started").write_text(str(child.pid))
+    while True:
+        pass
+"""
+
+
+def has_ended(pid: int) -> bool:
+    """Wait for a process that was killed; tell whether it has ended in time."""
+    try:
+        descriptor = os.pidfd_open(pid)
+    except ProcessLookupError:
+        return True
+    ended, _, _ = select.select([descriptor], [], [], WAIT_SECONDS)
+    if not ended:
+        signal.pidfd_send_signal(descriptor, signal.SIGKILL)
+    os.close(descriptor)
+    return bool(ended)
+
+
+def test_an_interrupted_run_ends_what_its_module_started(tmp_path, monkeypatch) -> None:
+    """An operator presses Ctrl-C while a module runs daemons of its own.
+
+    The runner is interrupted in its wait. The module and all that it started are
+    ended, or they would go on under load and spoil the next run.
+    """
+    write_module(tmp_path, "sample", STARTS_A_PROCESS)
+    started = tmp_path / "started"
+
+    def interrupted(child, seconds_max) -> None:
+        while not (started.exists() and started.read_text()):
+            assert child.poll() is None
+        raise KeyboardInterrupt
+
+    wait = subprocess.Popen.wait
+    monkeypatch.setattr(
+        subprocess.Popen,
+        "wait",
+        lambda child, timeout=None: (
+            interrupted(child, timeout) if timeout else wait(child)
+        ),
+    )
+    with pytest.raises(KeyboardInterrupt):
+        runner.run_module(tmp_path, "sample", quick=True)
+    assert has_ended(int(started.read_text()))
+
+
 def test_code_of_another_tree_is_not_measured(tmp_path) -> None:
     """An earlier commit is checked out where a package of its own is missing.
 
