--- a/packages/node/tests/test_measure_runner.py
+++ b/packages/node/tests/test_measure_runner.py
@@ -4,7 +4,6 @@
 import select
 import signal
 import subprocess
-from pathlib import Path
 
 import msgspec
 import pytest
