--- a/packages/standins/greengagepoint_standins/experiments/platform.py
+++ b/packages/standins/greengagepoint_standins/experiments/platform.py
@@ -146,7 +146,8 @@
     A shed request has not run and may be sent again, keyed or not, while the retry
     budget lasts.
     """
-    site = next(iter(world.fleet.places.site_regions))
+    # The first site's traffic is shifted away, so the second one is the busiest.
+    site = list(world.fleet.places.site_regions)[1]
     chosen = [address for _server, address in world.servers_at(site)]
     began = time.monotonic()
     for address in chosen:
