--- a/packages/node/greengagepoint_node/proxy/pipeline.py
+++ b/packages/node/greengagepoint_node/proxy/pipeline.py
@@ -15,9 +15,7 @@
     Ran,
     RequestError,
 )
-from greengagepoint.events import Event
-from greengagepoint.usage.tables import UsageOutcome
-from greengagepoint_node.coordinators.claims import Claim
+from greengagepoint_node.coordinators.claims import CLAIM_SECONDS_MAX, Claim
 from greengagepoint_node.http.const import (
     HEADER_HOST,
     HEADER_KEY_STATE,
@@ -44,8 +42,8 @@
     break_off,
     small_answer,
 )
+from greengagepoint_node.proxy.reports import RequestReports
 
-KIND_OK: Final = "ok"
 BACKEND_FAILURES: Final = frozenset(
     {
         ErrorKind.BACKEND_SHED,
@@ -71,6 +69,7 @@
 
     def __init__(self, parts: Parts, admission: Admission, limits: BodyLimits) -> None:
         self.parts = parts
+        self.reports = RequestReports(parts)
         self.admission = admission
         self.limits = limits
         self.in_flight = 0
@@ -100,17 +99,17 @@
             self.parts.metrics.start_request(call.service.name)
             response = await self._async_serve(request, call)
         except GreengagepointError as error:
-            self._note_error(call, request_id, error)
+            self.reports.error(call, request_id, error)
             return self._problem(call, request_id, error)
         except AnswerBrokenError as error:
-            self._note_failed(call, request_id, error.kind, str(error), Ran.UNKNOWN)
+            self.reports.failed(call, request_id, error.kind, str(error), Ran.UNKNOWN)
             raise
         except (asyncio.CancelledError, ConnectionError):
-            self._note_cancelled(call, request_id)
+            self.reports.cancelled(call, request_id)
             raise
         except Exception as error:
             return self._answer_unexpected(request, call, request_id, error)
-        self._note_answered(call)
+        self.reports.answered(call)
         return response
 
     def _parse(self, request: web.BaseRequest, request_id: str) -> Call:
@@ -193,7 +192,7 @@
             call.key,
             digest,
             call.service.store_outage,
-            min(2.0, call.remaining(now) / 2),
+            min(CLAIM_SECONDS_MAX, call.remaining(now) / 2),
         )
 
     async def _async_settle_claim(self, claim: Claim, ran: Ran) -> None:
@@ -263,10 +262,7 @@
         error: Exception,
     ) -> web.Response:
         """Answer an error that nobody foresaw; it counts like any failed request."""
-        self._count(call, ErrorKind.INTERNAL, UsageOutcome.FAILED)
-        self.parts.context.events.record(
-            Event.INTERNAL_ERROR, request_id=request_id, detail=repr(error)
-        )
+        self.reports.unexpected(call, request_id, error)
         if request.writer.output_size > 0:
             break_off(request)
             raise ConnectionResetError("The answer has begun") from error
@@ -286,65 +282,6 @@
             response.headers[HEADER_KEY_STATE] = call.key_state
         return response
 
-    def _note_answered(self, call: Call) -> None:
-        """Count a whole answer."""
-        self._count(call, KIND_OK, UsageOutcome.ANSWERED)
-        self.parts.context.events.record(
-            Event.REQUEST_ANSWERED, request_id=call.request_id, team=call.team
-        )
-
-    def _note_error(
-        self, call: Call | None, request_id: str, error: GreengagepointError
-    ) -> None:
-        """Count a refusal or a failure."""
-        if error.ran is not Ran.NOT_RUN:
-            self._note_failed(call, request_id, error.kind, error.detail, error.ran)
-            return
-        self._count(call, error.kind, UsageOutcome.NOT_RUN)
-        self.parts.context.events.record(
-            Event.REQUEST_REFUSED,
-            request_id=request_id,
-            team=call.team if call else None,
-            kind=error.kind,
-            detail=error.detail,
-        )
-
-    def _note_failed(
-        self,
-        call: Call | None,
-        request_id: str,
-        kind: ErrorKind,
-        detail: str,
-        ran: Ran,
-    ) -> None:
-        """Count a request that failed after it may have run."""
-        self._count(call, kind, UsageOutcome.FAILED)
-        self.parts.context.events.record(
-            Event.REQUEST_FAILED,
-            request_id=request_id,
-            team=call.team if call else None,
-            kind=kind,
-            detail=detail,
-            ran=ran,
-        )
-
-    def _note_cancelled(self, call: Call | None, request_id: str) -> None:
-        """Count a request whose caller went away."""
-        self._count(call, ErrorKind.CALLER_CANCELLED, UsageOutcome.FAILED)
-        self.parts.context.events.record(Event.REQUEST_CANCELLED, request_id=request_id)
-
-    def _count(self, call: Call | None, kind: str, outcome: UsageOutcome) -> None:
-        """Count one ended request for metrics and usage."""
-        if call is None:
-            self.parts.metrics.refuse_request("", kind)
-            return
-        now = self.parts.context.clock.monotonic()
-        service = call.service.name
-        self.parts.metrics.finish_request(service, kind, now - call.received_at)
-        self.parts.usage.count(
-            call.team, service, outcome, call.sent_bytes, call.received_bytes
-        )
-
 
 def _outcome_of_status(status: int) -> Outcome:
     """Return how a whole answer counts for the backend server's health."""
