Work a load estimate out once per server and choice

Cause: choosing a server estimated the load of others twice for each row, once to see whether it has room and once for its score. Change: while the pool's mean and the report both fit, the estimate between them fits too and is not worked out for the first.

--- a/packages/core/greengagepoint/balancing/choice.py
+++ b/packages/core/greengagepoint/balancing/choice.py
@@ -2,7 +2,11 @@
 
 from typing import Final
 
-from greengagepoint.balancing.estimate import load_of_others
+from greengagepoint.balancing.estimate import (
+    load_of_others,
+    mean_of_others,
+    reported_by_others,
+)
 from greengagepoint.balancing.policies import Policy, choose_by_score
 from greengagepoint.balancing.tables import BackendRow, BackendTable, Outcome, Pool
 from greengagepoint.protocols import Random
@@ -62,6 +66,11 @@
     """Tell whether a row may get one more request."""
     if row.leaving or row.in_flight >= row.connections:
         return False
+    # The estimate lies between the pool's mean and the report, so while both fit it
+    # need not be worked out for each row of each request.
+    most = max(mean_of_others(row), reported_by_others(row))
+    if row.in_flight + most < row.connections:
+        return True
     return row.in_flight + load_of_others(row, now) < row.connections
 
 
--- a/packages/core/greengagepoint/balancing/estimate.py
+++ b/packages/core/greengagepoint/balancing/estimate.py
@@ -24,7 +24,7 @@
     service time. Longer belief makes all hosts rush to whichever server was idle
     at the last report.
     """
-    mean = row.pool.others_a_slot * row.slots
+    mean = mean_of_others(row)
     reported = row.reported
     if reported is None:
         return mean
@@ -34,6 +34,11 @@
     return mean + weight * (reported_by_others(row) - mean)
 
 
+def mean_of_others(row: BackendRow) -> float:
+    """Return what the pool's mean says of requests in flight from other hosts."""
+    return row.pool.others_a_slot * row.slots
+
+
 def reported_by_others(row: BackendRow) -> float:
     """Return what the last report says beyond this host's own requests."""
     reported = row.reported
