--- a/packages/standins/greengagepoint_standins/experiments/world.py
+++ b/packages/standins/greengagepoint_standins/experiments/world.py
@@ -23,7 +23,7 @@
     check_all,
     check_stop,
 )
-from greengagepoint_standins.experiments.relay import Relay, free_port
+from greengagepoint_standins.relay import LOOPBACK, Relay, free_port
 
 REQUESTS_PER_SECOND: Final = 120.0
 # Longer than in the demo, so that a small cap binds under a small load.
@@ -207,11 +207,11 @@
             return
         for region, zones in self.fleet.places.zones.items():
             for zone in zones:
-                relay = Relay(free_port())
+                listen = f"{LOOPBACK}:{free_port()}"
+                relay = Relay(listen)
                 await relay.async_open()
                 name = f"{zone}-1"
                 self.relays[name] = relay
-                listen = f"127.0.0.1:{relay.target_port}"
                 await self.fleet.async_start_host(
                     name,
                     region,
