Leave a site whose servers shed for another one with room

Ruled out: caps and loans (keyed requests all got through elsewhere), and too few tries (three were allowed, the budget was empty). Change: the share of shed requests of a pool, which halves in 2 s, puts a site last while it is over one half.

--- a/packages/core/greengagepoint/balancing/choice.py
+++ b/packages/core/greengagepoint/balancing/choice.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from greengagepoint.balancing import shedding
 from greengagepoint.balancing.estimate import (
     load_of_others,
     mean_of_others,
@@ -103,7 +104,9 @@
         return
     row.failures_in_row = 0
     row.failure_rate -= FAILURE_WEIGHT * row.failure_rate
-    if outcome is Outcome.SHED:
+    shed = outcome is Outcome.SHED
+    shedding.note_outcome(row.pool, now, shed=shed)
+    if shed:
         return
     row.answered += 1
     row.pool.latencies.append(latency_seconds)
--- a/packages/core/greengagepoint/balancing/tables.py
+++ b/packages/core/greengagepoint/balancing/tables.py
@@ -108,14 +108,17 @@
     ``latencies`` are the newest service times in seconds, ``others_a_slot`` the
     mean of what reports say of other hosts' requests; ``probed_at`` is when a pool
     that is down was last tried. ``active`` tells that the periodic work has something
-    to do: of a thousand sites a host sends to few. ``last_choice`` is for policies that
-    go round.
+    to do: of a thousand sites a host sends to few. ``shed_share`` is the part of its
+    requests that were shed, as of ``shed_at``. ``last_choice`` is for policies that go
+    round.
     """
 
     rows: list[BackendRow] = field(default_factory=list)
     latencies: deque[float] = field(default_factory=_latencies)
     others_a_slot: float = 0.0
     probed_at: float = float("-inf")
+    shed_share: float = 0.0
+    shed_at: float = 0.0
     active: bool = True
     last_choice: int = 0
 
--- a/packages/node/greengagepoint_node/proxy/placement.py
+++ b/packages/node/greengagepoint_node/proxy/placement.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from greengagepoint.balancing import choice
+from greengagepoint.balancing.shedding import is_shedding
 from greengagepoint.balancing.tables import BackendRow, Outcome
 from greengagepoint.caps.const import RUN_END_SECONDS
 from greengagepoint.caps.tables import Permit
@@ -128,8 +129,15 @@
 
 
 def _candidates(parts: Parts, call: Call) -> tuple[str, ...]:
-    """Return the permitted sites, best first."""
+    """Return the permitted sites, best first; those that shed come last."""
     context = parts.context
+    now = context.clock.monotonic()
+
+    def headroom(site: str) -> int:
+        if is_shedding(parts.backends, call.service.name, site, now):
+            return 0
+        return parts.caps.headroom(site)
+
     return candidate_sites(
         parts.configuration(),
         call.service.name,
@@ -137,7 +145,7 @@
         context.host.zone,
         context.clock.wall_milliseconds(),
         parts.steering,
-        parts.caps.headroom,
+        headroom,
         context.random,
     )
 
--- a/packages/node/tests/test_daemon_faults.py
+++ b/packages/node/tests/test_daemon_faults.py
@@ -4,7 +4,7 @@
 import hashlib
 
 import pytest
-from deployment import Deployment, async_deployment, async_until
+from deployment import WAIT_SECONDS, Deployment, async_deployment, async_until
 
 from greengagepoint.events import Event
 from greengagepoint_standins.backend_control import BackendControl
@@ -135,3 +135,32 @@
     )
     assert answer.status == 504
     assert (await answer.json())["ran"] == "unknown"
+
+
+async def test_a_site_that_sheds_everything_is_left_for_another(deployment) -> None:
+    """All servers of the nearest site shed each request, and say so, for a while.
+
+    The first reads are sent on within the retry budget. Then the host sends to the
+    other site at once: without that the budget is soon used up, and callers are
+    refused although another site has room.
+    """
+    for name in ("attiki-0", "attiki-1"):
+        deployment.backends[name].control.next_shed = 10_000
+    daemon = deployment.daemons["attiki-host-0"]
+    statuses = [
+        (await deployment.async_request(daemon, "/s/booking/bays")).status
+        for _ in range(80)
+    ]
+    assert statuses.count(200) >= 75
+    for name in ("attiki-0", "attiki-1"):
+        deployment.backends[name].control.next_shed = 0
+    nearest = [deployment.backends[name] for name in ("attiki-0", "attiki-1")]
+
+    async def async_is_back() -> bool:
+        await deployment.async_request(daemon, "/s/booking/bays")
+        return any(one.log.runs for one in nearest)
+
+    async with asyncio.timeout(WAIT_SECONDS):
+        while True:
+            if await async_is_back():
+                break
