Let a stopping host listen to its end and refuse

Ruled out: closing earlier; callers' addresses are up to 3 s old, so the same happens then. Change: after half of the time for a stop the host refuses at once and goes on listening until no caller came for 0.8 s.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -40,6 +40,11 @@
 # addresses for up to three times as long as they were told.
 ACCEPTING_SHARE: Final = 0.5
 CLOSING_SECONDS: Final = 0.4
+# After that the host still listens and says at once that it has not run a request:
+# whatever is on its way when the socket closes gets no answer at all. It exits when no
+# caller has come for this long.
+QUIET_SECONDS: Final = 0.8
+POLL_SECONDS: Final = 0.1
 
 LookupHandler = Callable[
     [HostDirectory], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -142,11 +147,14 @@
         self._refresh_own_state()
         self.tasks[1].cancel()
         withdrawal = asyncio.create_task(self.registration.async_withdraw())
-        seconds = self.settings.stop_seconds
-        await asyncio.sleep(seconds * ACCEPTING_SHARE)
+        ends_at = began + self.settings.stop_seconds - 2 * CLOSING_SECONDS
+        await asyncio.sleep(self.settings.stop_seconds * ACCEPTING_SHARE)
+        self.gateway.refusing = True
+        while not self.gateway.is_quiet(QUIET_SECONDS):
+            if self.clock.monotonic() > ends_at:
+                break
+            await asyncio.sleep(POLL_SECONDS)
         await self.front.async_stop_accepting()
-        left = began + seconds - 2 * CLOSING_SECONDS - self.clock.monotonic()
-        await self.gateway.async_wait_idle(max(0.0, left))
         # The last answers leave the handlers before they leave the host.
         await self.front.async_close(CLOSING_SECONDS)
         withdrawal.cancel()
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -1,7 +1,6 @@
 """One request from its first byte to its last."""
 
 import asyncio
-import contextlib
 from typing import Final, NamedTuple
 
 import aiohttp
@@ -103,7 +102,8 @@
         self.serving_hosts: list[str] = [host]
         self.in_flight = 0
         self.leaving = False
-        self.idle: asyncio.Event | None = None
+        self.refusing = False
+        self.last_request_at = clock.monotonic()
         self.dropped_headers = HOP_BY_HOP_HEADERS | {
             "host",
             "expect",
@@ -119,28 +119,26 @@
             response = await self._async_answer(request)
         finally:
             self.in_flight -= 1
-            if self.idle is not None and not self.in_flight:
-                self.idle.set()
         if self.leaving:
             # A caller that kept this connection would send its next request on it
             # after the host has stopped, and see it cut off.
             response.force_close()
         return response
 
-    async def async_wait_idle(self, seconds: float) -> None:
-        """Wait until nothing is in flight, but no longer than some seconds."""
-        self.idle = asyncio.Event()
-        if not self.in_flight:
-            return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self.idle.wait()
+    def is_quiet(self, seconds: float) -> bool:
+        """Tell whether nothing is in flight and no request came for some seconds."""
+        return (
+            not self.in_flight
+            and self.clock.monotonic() - self.last_request_at >= seconds
+        )
 
     async def _async_answer(self, request: web.BaseRequest) -> web.Response:
         """Answer a request, also where it fails."""
         request_id = request.headers.get(self.names.request_id, "")
-        arrived_at = self.clock.monotonic()
+        arrived_at = self.last_request_at = self.clock.monotonic()
         try:
+            if self.refusing:
+                raise Refusal(503, "this host is about to exit", 0.0)
             call = self._parse(request, request_id, arrived_at)
             body = await self._async_body(request, call)
             return await self._async_serve(request, call, body)
