Spend only idle slots on cold runs

Cause: in overload requests went on to the second to fourth server of their key and ran cold there, three times as long as warm; the more load, the more cold runs. Change: the key's first server takes a request up to the wait limit, any other one only while at most 0.6 of its slots are busy; else the request is refused at once.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -11,8 +11,10 @@
 # number of answers: with queues as long as servers take them, 5 in 100 answers were in
 # time at a load that warm servers bear twice over.
 WAIT_SHARE_OF_GOAL: Final = 0.5
-# A server that is not warm for a key takes it when most of its slots are idle.
-IDLE_SHARE: Final = 0.5
+# A cold run takes as long as three warm ones. A server that is not warm for a key takes
+# it only while this part of its slots is busy at most; spent on a busy one, each such
+# run keeps three callers waiting whose keys are warm there.
+IDLE_SHARE: Final = 0.6
 # Callers that come back at once find the same queue; together they would be a burst.
 RETRY_SECONDS_MIN: Final = 0.3
 
@@ -55,10 +57,12 @@
     """
     longest = wanted.goal_seconds * WAIT_SHARE_OF_GOAL
     shortest = float("inf")
-    for server in _candidates(table, ranks, wanted, now):
+    for place, server in enumerate(_candidates(table, ranks, wanted, now)):
         wait = server.expected_wait(now)
         shortest = min(shortest, wait)
-        if wait <= longest and _may_use(server, may_send, now):
+        is_warm = place == 0 and wanted.key is not None
+        fits = wait <= longest if is_warm else _is_idle(server, now)
+        if fits and _may_use(server, may_send, now):
             return server
     if shortest == float("inf"):
         return NoPlace(retry_seconds=1.0, servers_known=False)
@@ -95,9 +99,12 @@
     ]
     if not fit:
         return
-    server = min(fit, key=lambda row: row.occupancy(now) / row.slots)
-    if server.occupancy(now) <= IDLE_SHARE * server.slots:
-        yield server
+    yield min(fit, key=lambda row: row.occupancy(now) / row.slots)
+
+
+def _is_idle(server: Server, now: float) -> bool:
+    """Tell whether a server has slots to spare for a cold run."""
+    return server.occupancy(now) <= IDLE_SHARE * server.slots
 
 
 def _in_region(
