--- /dev/null
+++ b/packages/core/tests/placing_fleet.py
@@ -0,0 +1,156 @@
+"""Play a load: hosts that share servers without seeing each other's requests."""
+
+import heapq
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from greengagepoint.placing.choice import NoPlace, Wanted, choose
+from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.tables import Server, ServerTable
+
+SERVICE = "booking"
+REGION = "attiki"
+GOAL = 0.4
+COLD_SECONDS = 0.48
+WARM_SECONDS = 0.144
+KEPT_KEYS = 60
+QUEUE = 27
+
+Policy = Callable[["Host", str, float, random.Random], Server | NoPlace]
+
+
+@dataclass
+class Machine:
+    """What a backend server really does."""
+
+    slots: int
+    busy: int = 0
+    queue: list = field(default_factory=list)
+    warm: OrderedDict = field(default_factory=OrderedDict)
+
+    def run_seconds(self, key: str) -> float:
+        seconds = WARM_SECONDS if key in self.warm else COLD_SECONDS
+        self.warm[key] = True
+        self.warm.move_to_end(key)
+        if len(self.warm) > KEPT_KEYS:
+            self.warm.popitem(last=False)
+        return seconds
+
+
+class Host:
+    """One entry host's view."""
+
+    def __init__(self, servers: int, slots: int, hosts: int) -> None:
+        self.table = ServerTable()
+        for index in range(servers):
+            name = f"i-{index}"
+            self.table.servers[name] = Server(
+                name, SERVICE, "", "zone", REGION, slots, senders=hosts
+            )
+        self.table.rebuild()
+        self.ranks = RankCache()
+
+
+@dataclass
+class Outcome:
+    """What callers got."""
+
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    shed: int = 0
+
+    @property
+    def asked(self) -> int:
+        return self.in_time + self.late + self.refused + self.shed
+
+
+def by_key(host: Host, key: str, now: float, _: random.Random) -> Server | NoPlace:
+    """Choose as the product does."""
+    wanted = Wanted(SERVICE, [REGION], key, GOAL)
+    return choose(host.table, host.ranks, wanted, lambda server: True, now)
+
+
+def least_loaded(host: Host, _key: str, now: float, rng: random.Random) -> Server:
+    """Choose the less loaded of two at random: the simplest policy."""
+    rows = rng.sample(list(host.table.servers.values()), 2)
+    return min(rows, key=lambda row: row.occupancy(now))
+
+
+def down_the_ranks(host: Host, key: str, now: float, _: random.Random) -> Server:
+    """Go on to the next server of the key whenever one is busy: the former policy."""
+    ranked = host.ranks.rank(host.table, SERVICE, REGION, key)
+    for server in ranked:
+        if server.expected_wait(now) <= GOAL / 2:
+            return server
+    return min(ranked, key=lambda row: row.expected_wait(now))
+
+
+def play(
+    policy: Policy,
+    *,
+    rate: float,
+    seconds: float = 20.0,
+    measured_from: float = 8.0,
+    hosts: int = 6,
+    servers: int = 8,
+    slots: int = 9,
+    keys: int = 120,
+    seed: int = 1,
+) -> Outcome:
+    """Let callers arrive at a rate and count how they fare."""
+    rng = random.Random(seed)
+    fleet = [Host(servers, slots, hosts) for _ in range(hosts)]
+    machines = [Machine(slots) for _ in range(servers)]
+    outcome, events, sequence = Outcome(), [], 0
+    at = 0.0
+    while at < seconds:
+        at += rng.expovariate(rate)
+        sequence += 1
+        call = (rng.randrange(hosts), f"k{rng.randrange(keys)}", at)
+        heapq.heappush(events, (at, sequence, "arrive", call, None))
+
+    def start(machine, index, call, now):
+        nonlocal sequence
+        machine.busy += 1
+        sequence += 1
+        ends_at = now + machine.run_seconds(call[1])
+        heapq.heappush(events, (ends_at, sequence, "end", call, index))
+
+    def count(name, call):
+        if call[2] >= measured_from:
+            setattr(outcome, name, getattr(outcome, name) + 1)
+
+    while events:
+        now, _, kind, call, index = heapq.heappop(events)
+        host = fleet[call[0]]
+        if kind == "arrive":
+            server = policy(host, call[1], now, rng)
+            if isinstance(server, NoPlace):
+                count("refused", call)
+                continue
+            index = int(server.instance[2:])
+            machine = machines[index]
+            if machine.busy < slots:
+                server.in_flight += 1
+                start(machine, index, call, now)
+            elif len(machine.queue) < QUEUE:
+                server.in_flight += 1
+                machine.queue.append(call)
+            else:
+                server.take_report(slots, QUEUE, now)
+                count("shed", call)
+            continue
+        machine = machines[index]
+        machine.busy -= 1
+        server = host.table.servers[f"i-{index}"]
+        server.in_flight -= 1
+        server.take_report(machine.busy, len(machine.queue), now)
+        if not machine.queue:
+            server.take_service_time(now - call[2])
+        count("in_time" if now - call[2] <= GOAL else "late", call)
+        if machine.queue:
+            start(machine, index, machine.queue.pop(0), now)
+    return outcome
--- /dev/null
+++ b/packages/core/tests/test_placing_choice.py
@@ -0,0 +1,145 @@
+import pytest
+
+from greengagepoint.placing import suspicion
+from greengagepoint.placing.choice import NoPlace, Wanted, choose
+from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.tables import Server, ServerTable
+
+NOW = 100.0
+KEY = "/bays/\x0017"
+
+
+def server(instance, *, region="attiki", zone="a", **fields):
+    return Server(instance, "booking", "10.0.0.1:80", zone, region, 4, **fields)
+
+
+def table_of(*servers):
+    table = ServerTable()
+    table.servers = {row.instance: row for row in servers}
+    table.rebuild()
+    return table
+
+
+def chosen(table, *, key=KEY, regions=("attiki",), tried=(), may_send=True):
+    wanted = Wanted("booking", regions, key, 0.4, frozenset(tried))
+    found = choose(table, RankCache(), wanted, lambda row: may_send, NOW)
+    return found if isinstance(found, NoPlace) else found.instance
+
+
+def ranked(table):
+    rows = RankCache().rank(table, "booking", "attiki", KEY)
+    return [row.instance for row in rows]
+
+
+def four():
+    return table_of(*(server(f"i-{number}") for number in range(4)))
+
+
+def load(table, instance, running, waiting=0):
+    table.servers[instance].take_report(running, waiting, NOW)
+
+
+def test_a_key_goes_to_the_same_server_from_every_host():
+    assert len({chosen(four()) for _ in range(5)}) == 1
+    assert chosen(four()) == ranked(four())[0]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "expected"),
+    [
+        ((0, 0), (0, 0), 0),
+        ((4, 1), (0, 0), 0),
+        ((4, 6), (0, 0), 1),
+        ((4, 6), (3, 0), 2),
+        ((4, 6), (4, 0), 2),
+    ],
+    ids=["idle", "short wait", "long wait", "second busy", "second full"],
+)
+def test_a_warm_server_is_left_only_for_an_idle_one(first, second, expected):
+    table = four()
+    order = ranked(table)
+    load(table, order[0], *first)
+    load(table, order[1], *second)
+    assert chosen(table) == order[expected]
+
+
+def test_when_all_are_busy_the_caller_hears_at_once_when_to_come_back():
+    table = four()
+    for row in table.servers.values():
+        load(table, row.instance, 4, 12)
+    place = chosen(table)
+    assert place.servers_known
+    assert 0.3 <= place.retry_seconds < 2.0
+
+
+def test_without_servers_there_is_no_place():
+    assert chosen(table_of()) == NoPlace(1.0, servers_known=False)
+
+
+@pytest.mark.parametrize("how", ["leaving", "evacuated"])
+def test_nothing_goes_to_a_server_that_leaves_or_stands_in_an_evacuated_zone(how):
+    table = table_of(server("i-1", zone="a"), server("i-2", zone="b"))
+    if how == "leaving":
+        table.leaving.add("i-1")
+    else:
+        table.evacuated_zones = frozenset({"a"})
+    table.rebuild()
+    assert all(chosen(table, key=f"k{number}") == "i-2" for number in range(20))
+
+
+def test_a_server_that_failed_is_spared_and_then_gets_its_keys_back():
+    table = four()
+    first, second = ranked(table)[:2]
+    suspicion.note_failure(table.servers[first], NOW)
+    assert chosen(table) == second
+    suspicion.note_answer(table.servers[first])
+    assert chosen(table) == first
+
+
+def test_the_pause_of_a_failing_server_grows_to_its_bound():
+    row = server("i-1")
+    pauses = []
+    for _ in range(6):
+        suspicion.note_failure(row, NOW)
+        pauses.append(row.suspect_until - NOW)
+    assert pauses == [0.5, 1.0, 2.0, 4.0, 4.0, 4.0]
+
+
+def test_when_all_are_suspected_one_is_tried_all_the_same():
+    table = four()
+    for row in table.servers.values():
+        suspicion.note_failure(row, NOW)
+    assert chosen(table) in table.servers
+
+
+def test_a_retry_goes_to_another_server():
+    table = four()
+    first, second = ranked(table)[:2]
+    assert chosen(table, tried={first}) == second
+
+
+def test_a_cold_server_is_used_only_by_permission():
+    table = four()
+    first = ranked(table)[0]
+    table.servers[first].cold_until = NOW + 3
+    assert chosen(table, may_send=False) != first
+    assert chosen(table, may_send=True) == first
+
+
+def test_requests_without_a_key_go_to_the_least_loaded_server():
+    table = four()
+    for number, running in enumerate((2, 1, 0, 2)):
+        load(table, f"i-{number}", running)
+    assert chosen(table, key=None) == "i-2"
+
+
+@pytest.mark.parametrize(
+    ("age", "own", "expected"),
+    [(0.0, 0, 8), (0.0, 2, 10), (1.0, 0, 2.94), (30.0, 0, 0), (30.0, 2, 8)],
+    ids=["fresh", "fresh and own", "a second old", "old", "old: others do as this one"],
+)
+def test_a_report_fades_into_what_this_host_does(age, own, expected):
+    row = server("i-1", senders=4)
+    row.take_report(4, 4, NOW - age)
+    row.in_flight = own
+    assert row.occupancy(NOW) == pytest.approx(expected, abs=0.01)
--- /dev/null
+++ b/packages/core/tests/test_placing_load.py
@@ -0,0 +1,38 @@
+"""What callers get under a load, against the simplest policy and the former one."""
+
+import pytest
+from placing_fleet import by_key, down_the_ranks, least_loaded, play
+
+# 8 servers of 9 slots run 500 requests a second when all are warm, 150 when none is.
+CALM, BUSY, FULL, OVER = 120, 300, 420, 600
+
+
+@pytest.mark.parametrize(
+    ("rate", "in_time"), [(CALM, 0.97), (BUSY, 0.9), (FULL, 0.6), (OVER, 0.5)]
+)
+def test_most_callers_are_answered_in_time(rate, in_time):
+    outcome = play(by_key, rate=rate)
+    served = outcome.in_time / outcome.asked
+    assert served >= in_time, outcome
+
+
+@pytest.mark.parametrize("rate", [CALM, BUSY, FULL, OVER])
+@pytest.mark.parametrize("other", [least_loaded, down_the_ranks])
+def test_no_fewer_are_answered_in_time_than_by_other_policies(other, rate):
+    # Callers of a busy service wait in ever longer queues: hosts send on to servers
+    # that are cold for the key, each such run takes the slots of three warm ones, so
+    # the queues grow further and stay when the load falls again.
+    ours = play(by_key, rate=rate)
+    theirs = play(other, rate=rate)
+    assert ours.in_time >= 0.97 * theirs.in_time, (ours, theirs)
+
+
+def test_over_the_limit_refused_callers_hear_at_once_and_few_answers_are_late():
+    # At 1.2 times what warm servers bear, some callers can't be served. Queues as long
+    # as the servers take them would make all answers late; with the bounded wait the
+    # rest is refused on arrival and servers shed next to nothing.
+    ours = play(by_key, rate=OVER)
+    former = play(down_the_ranks, rate=OVER)
+    assert ours.in_time > 2 * former.in_time, (ours, former)
+    assert ours.late < 0.25 * ours.asked, ours
+    assert ours.shed < 0.01 * ours.asked, ours
--- /dev/null
+++ b/packages/core/tests/test_routing_match.py
@@ -0,0 +1,92 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagepoint.routing.split import WeightedSplit
+from greengagepoint.routing.tables import (
+    CallerLimits,
+    Destination,
+    RequestKind,
+    Route,
+    create_route_table,
+    find_route,
+)
+
+
+def route(name, prefix, *destinations):
+    return Route(
+        name=name,
+        prefix=prefix,
+        destinations=destinations or (Destination("booking"),),
+    )
+
+
+TABLE = create_route_table(
+    7,
+    {
+        "a.example": [
+            route("all", "/"),
+            route("pay", "/pay/"),
+            route("in", "/pay/in/"),
+        ],
+        "B.example": [route("bays", "/bays/")],
+    },
+    [],
+    CallerLimits(),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("a.example", "/pay/in/1", "in"),
+        ("a.example", "/pay/1", "pay"),
+        ("a.example", "/pay", "all"),
+        ("a.example:8080", "/pay/1", "pay"),
+        ("A.EXAMPLE", "/pay/1", "pay"),
+        ("b.example", "/bays/2f", "bays"),
+        ("b.example", "/baysitters/", None),
+        ("b.example", "/", None),
+        ("c.example", "/pay/1", None),
+        ("", "/pay/1", None),
+    ],
+)
+def test_the_longest_prefix_of_the_host_wins(host, path, name):
+    found = find_route(TABLE, host, path)
+    assert (found.name if found else None) == name
+
+
+@pytest.mark.parametrize(
+    ("kind", "repeatable"),
+    [
+        (RequestKind.SAFE, True),
+        (RequestKind.DOWNLOAD, True),
+        (RequestKind.UNSAFE, False),
+    ],
+)
+def test_the_kind_says_what_may_be_repeated(kind, repeatable):
+    assert (
+        Route(name="r", prefix="/", destinations=(), kind=kind).repeatable is repeatable
+    )
+
+
+@given(
+    weights=st.lists(st.integers(1, 90), min_size=1, max_size=4),
+    requests=st.integers(1, 300),
+)
+def test_each_part_of_a_split_is_within_one_request_of_its_weight(weights, requests):
+    parts = [Destination(f"s{index}", weight) for index, weight in enumerate(weights)]
+    split, row = WeightedSplit(), route("r", "/", *parts)
+    chosen = [split.choose(row) for _ in range(requests)]
+    for part in parts:
+        fair = requests * part.weight / sum(weights)
+        assert abs(chosen.count(part.service) - fair) <= len(parts)
+
+
+def test_a_changed_split_begins_anew_and_gone_routes_are_forgotten():
+    split = WeightedSplit()
+    split.choose(route("r", "/", Destination("a", 1), Destination("b", 9)))
+    split.choose(route("r", "/", Destination("a", 9), Destination("b", 1)))
+    assert len(split.credits) == 2
+    split.keep({"other"})
+    assert not split.credits
--- /dev/null
+++ b/packages/node/tests/gateway_world.py
@@ -0,0 +1,207 @@
+"""A gateway on loopback with servers in the platform's manner, without a store."""
+
+import asyncio
+import contextlib
+import random
+import socket
+from typing import Any
+
+import aiohttp
+from deployment import async_until
+
+from greengagepoint.events import Event
+from greengagepoint.routing.tables import (
+    CallerLimits,
+    Destination,
+    RequestKind,
+    Route,
+    ServicePolicy,
+    create_route_table,
+)
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway.daemon import GatewayDaemon
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    Configuration,
+    ServerEntry,
+    Snapshot,
+    StoredItem,
+)
+from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.settings import GatewaySettings
+from greengagepoint_standins.users_platform.backend import PlatformBackend
+
+NAMES = HeaderNames(
+    request_id="X-Greengagepoint-Request-Id",
+    deadline_ms="X-Greengagepoint-Deadline-Ms",
+    affinity_cookie="X-Greengagepoint-Affinity-Key",
+    signature="X-Greengagepoint-Response-Signature",
+    target_instance="X-Greengagepoint-Target-Instance",
+    instance="X-Greengagepoint-Instance-Id",
+    load="X-Greengagepoint-Backend-Load",
+    not_executed="X-Greengagepoint-Not-Executed",
+)
+HOST = "a.example"
+ZONES = {"zone-a": "north", "zone-b": "south"}
+
+
+class Lines:
+    """Keep events with their fields."""
+
+    def __init__(self) -> None:
+        self.rows: list[tuple[Event, dict[str, Any]]] = []
+
+    def record(self, event: Event, **fields: Any) -> None:
+        self.rows.append((event, fields))
+
+    def of(self, event: Event) -> list[dict[str, Any]]:
+        return [fields for kind, fields in self.rows if kind is event]
+
+
+class FixedStore:
+    """A store that holds the same facts for ever."""
+
+    def __init__(self, facts: dict[str, Any]) -> None:
+        self.facts = facts
+
+    async def async_snapshot(self) -> Snapshot:
+        items = tuple(StoredItem(key, b"", 1) for key in self.facts)
+        return Snapshot(items, 1)
+
+    async def async_changes(self, after: int, wait_seconds: float) -> Changes:
+        await asyncio.sleep(wait_seconds)
+        return Changes((), after)
+
+    async def async_grant_lease(self, seconds: float) -> int:
+        return 1
+
+    async def async_renew_lease(self, lease: int) -> None:
+        return None
+
+    async def async_end_lease(self, lease: int) -> None:
+        return None
+
+    async def async_put_host(self, entry: Any, lease: int) -> None:
+        return None
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def routes(**changes: Any) -> list[Route]:
+    kinds = {
+        "/safe/": RequestKind.SAFE,
+        "/unsafe/": RequestKind.UNSAFE,
+        "/pack/": RequestKind.DOWNLOAD,
+    }
+    fields = {"timeout_seconds": 1.0, "attempts_max": 2, "goal_seconds": 0.4, **changes}
+    return [
+        Route(
+            name=prefix,
+            prefix=prefix,
+            kind=kind,
+            destinations=(Destination("booking"),),
+            **fields,
+        )
+        for prefix, kind in kinds.items()
+    ]
+
+
+class World:
+    """One daemon, its servers and a caller."""
+
+    def __init__(self, daemon: GatewayDaemon, backends: list[PlatformBackend]) -> None:
+        self.daemon = daemon
+        self.backends = backends
+        self.events: Lines = daemon.events
+        self.session = aiohttp.ClientSession()
+        self.count = 0
+
+    @property
+    def url(self) -> str:
+        return f"http://{self.daemon.settings.front_address}"
+
+    def headers(self, deadline_ms: int = 2000) -> dict[str, str]:
+        self.count += 1
+        return {
+            "Host": HOST,
+            NAMES.request_id: f"id-{self.count}",
+            NAMES.deadline_ms: str(deadline_ms),
+        }
+
+    async def async_call(
+        self, path: str, method: str = "GET", deadline_ms: int = 2000, **fields: Any
+    ) -> tuple[int, bytes, dict[str, str]]:
+        headers = {**self.headers(deadline_ms), **fields.pop("headers", {})}
+        async with self.session.request(
+            method, self.url + path, headers=headers, **fields
+        ) as answer:
+            return answer.status, await answer.read(), dict(answer.headers)
+
+    def ran(self) -> int:
+        return sum(len(backend.ran) for backend in self.backends)
+
+
+def create_daemon(facts: dict[str, Any], **changes: Any) -> GatewayDaemon:
+    settings = GatewaySettings(
+        host="h1",
+        zone="zone-a",
+        region="north",
+        zones=ZONES,
+        front_address=free_address(),
+        ready_address=free_address(),
+        directory_address=free_address(),
+        peer_address=free_address(),
+        seeds=(),
+        names=NAMES,
+        stop_seconds=2.0,
+        retry_ratio=0.2,
+        retry_slack=64.0,
+    )._replace(**changes)
+    return GatewayDaemon(
+        settings,
+        FixedStore(facts),
+        lambda item: facts[item.key],
+        lambda directory: None,
+        "/ready",
+        SystemClock(),
+        Lines(),
+    )
+
+
+def facts_of(backends: list[PlatformBackend], rows: list[Route]) -> dict[str, Any]:
+    policy = ServicePolicy(name="booking", cold_seconds=3, cold_requests_per_second=16)
+    table = create_route_table(1, {HOST: rows}, [policy], CallerLimits())
+    facts: dict[str, Any] = {"config": Configuration(table)}
+    for backend in backends:
+        facts[backend.instance] = ServerEntry(
+            backend.instance, "booking", backend.address, "zone-a", 4, False, 0.0
+        )
+    return facts
+
+
+@contextlib.asynccontextmanager
+async def async_world(servers: int = 2, seconds: float = 0.0, **changes: Any):
+    random.seed(1)
+    backends = [
+        PlatformBackend(f"i-{index}", seconds=seconds) for index in range(servers)
+    ]
+    for backend in backends:
+        await backend.async_start()
+    daemon = create_daemon(facts_of(backends, routes(**changes)))
+    await daemon.async_start()
+    world = World(daemon, backends)
+    try:
+        await async_until(daemon.is_ready)
+        yield world
+    finally:
+        await world.session.close()
+        for task in daemon.tasks:
+            task.cancel()
+        for listener in daemon.listeners:
+            await listener.async_close(0.02)
+        for backend in backends:
+            await backend.async_stop()
--- /dev/null
+++ b/packages/node/tests/test_gateway_answers.py
@@ -0,0 +1,177 @@
+"""What callers get when a backend server misbehaves.
+
+A caller sends one request. Its server truncates the answer, resets, answers for another
+request, twice, without proof, or not at all. The caller must see its own whole answer
+or a failure, never a part or another's; and what may run once must not run twice, which
+is why an unsafe request is sent on only after an answer that says that nothing ran.
+"""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from deployment import async_until
+from gateway_world import HOST, NAMES, async_world
+
+from greengagepoint.events import Event
+from greengagepoint_standins.users_platform.backend import SIGNATURE, Manner
+
+
+def set_manner(world, manner):
+    for backend in world.backends:
+        backend.manner = manner
+
+
+@pytest.mark.parametrize(
+    ("manner", "safe_status", "safe_ran", "unsafe_status", "unsafe_ran"),
+    [
+        (Manner.GOOD, 200, 1, 200, 1),
+        (Manner.UNFRAMED, 200, 1, 200, 1),
+        (Manner.FAILED, 500, 1, 500, 1),
+        (Manner.SHED, 503, 0, 503, 0),
+        (Manner.TRUNCATED, 502, 2, 502, 1),
+        (Manner.RESET, 502, 2, 502, 1),
+        (Manner.UNFRAMED_RESET, 502, 2, 502, 1),
+        (Manner.UNSIGNED, 502, 2, 502, 1),
+        (Manner.ENCODED, 502, 2, 502, 1),
+        (Manner.FOREIGN, 502, 2, 502, 1),
+        (Manner.GARBAGE, 502, 2, 502, 1),
+        (Manner.SILENT, 504, 1, 504, 1),
+    ],
+)
+async def test_callers_get_their_own_whole_answer_or_a_failure(
+    manner, safe_status, safe_ran, unsafe_status, unsafe_ran
+):
+    async with async_world() as world:
+        set_manner(world, manner)
+        status, body, headers = await world.async_call("/safe/1")
+        assert (status, world.ran()) == (safe_status, safe_ran)
+        assert (status != 200) or body.endswith(b" /safe/1")
+        assert (headers.get(NAMES.signature) == SIGNATURE) == (status in (200, 500))
+        status, _, headers = await world.async_call("/unsafe/1", "POST", data=b"x" * 99)
+        assert (status, world.ran()) == (unsafe_status, safe_ran + unsafe_ran)
+        assert ("Retry-After" in headers) == (status == 503)
+
+
+async def test_a_safe_request_is_answered_by_another_server():
+    async with async_world() as world:
+        world.backends[0].manner = Manner.RESET
+        results = [await world.async_call(f"/safe/{number}") for number in range(12)]
+        assert {status for status, _, _ in results} == {200}
+        assert world.events.of(Event.REQUEST_RETRIED)
+
+
+async def test_a_second_answer_left_on_a_connection_reaches_nobody():
+    # The server answers each request twice. The second answer waits on the connection
+    # and would be taken for the answer to whatever is sent next.
+    async with async_world(servers=1) as world:
+        set_manner(world, Manner.TWICE)
+        for number in range(8):
+            status, body, _ = await world.async_call(f"/unsafe/{number}", "POST")
+            assert (status, body) == (200, f"i-0 /unsafe/{number}".encode())
+
+
+async def test_what_is_sent_to_a_server_is_what_the_caller_sent():
+    async with async_world(servers=1) as world:
+        await world.async_call(
+            "/unsafe/a%2Fb?x=%20y&x", "PUT", data=b"body", headers={"X-Other": "1"}
+        )
+        seen = world.backends[0].ran[0]
+        assert (seen.method, seen.target) == ("PUT", "/unsafe/a%2Fb?x=%20y&x")
+        assert seen.body == b"body"
+        assert seen.headers["host"] == HOST
+        assert seen.headers["x-other"] == "1"
+        assert seen.headers[NAMES.request_id.lower()] == "id-1"
+        assert seen.headers[NAMES.target_instance.lower()] == "i-0"
+        assert 900 < int(seen.headers[NAMES.deadline_ms.lower()]) <= 1000
+
+
+@pytest.mark.parametrize(
+    ("path", "changes", "status"),
+    [
+        ("/nowhere/", {}, 404),
+        ("/safe/1", {"Host": "b.example"}, 404),
+        ("/safe/1", {NAMES.request_id: ""}, 400),
+    ],
+)
+async def test_what_no_route_allows_is_refused_and_not_sent(path, changes, status):
+    async with async_world(servers=1) as world:
+        found, _, _ = await world.async_call(path, headers=changes)
+        assert found == status
+        assert not world.backends[0].received
+
+
+async def test_a_host_that_knows_no_configuration_says_come_back_not_unknown():
+    # A host starts while the store is down. A 404 would tell callers that their route
+    # does not exist, and they would give up.
+    async with async_world(servers=1) as world:
+        world.daemon.view.routes = None
+        status, _, headers = await world.async_call("/safe/1")
+        assert (status, "Retry-After" in headers) == (503, True)
+
+
+async def test_a_route_timeout_is_answered_when_it_is_over():
+    async with async_world(servers=1, timeout_seconds=0.2) as world:
+        set_manner(world, Manner.SILENT)
+        began = asyncio.get_running_loop().time()
+        status, _, _ = await world.async_call("/safe/1")
+        assert status == 504
+        assert asyncio.get_running_loop().time() - began < 0.5
+
+
+async def test_an_address_that_another_server_took_runs_nothing():
+    # A server ended and its address went to another one. The request names whom it is
+    # meant for, so the other one refuses it, and the caller hears that nothing ran.
+    async with async_world(servers=1) as world:
+        world.backends[0].instance = "i-9"
+        status, _, _ = await world.async_call("/unsafe/1", "POST")
+        assert (status, world.ran()) == (503, 0)
+
+
+async def test_a_server_that_is_gone_is_not_run_and_spared():
+    async with async_world(servers=1) as world:
+        await world.backends[0].async_stop()
+        status, _, _ = await world.async_call("/unsafe/1", "POST")
+        assert status == 503
+        assert world.events.of(Event.BACKEND_SERVER_SUSPECTED)
+
+
+async def test_a_caller_that_leaves_ends_the_run():
+    # A driver gives up and closes the connection. Work that goes on for nobody takes
+    # the slot of a caller who still waits.
+    async with async_world(servers=1, seconds=5.0, timeout_seconds=None) as world:
+        host, _, port = world.daemon.settings.front_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = f"GET /safe/1 HTTP/1.1\r\nHost: {HOST}\r\n{NAMES.request_id}: z\r\n\r\n"
+        writer.write(head.encode())
+        await async_until(lambda: world.backends[0].ran)
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+        async with asyncio.timeout(0.5):
+            await async_until(lambda: world.backends[0].cancelled)
+
+
+async def test_an_idle_connection_outlives_the_first_request_timer():
+    # A caller keeps its connection after an answer. The timer against connections that
+    # never send anything must end with the first request; when it did not, it cut off
+    # whatever ran on the connection twenty seconds later.
+    async with async_world(servers=1) as world:
+        await world.async_call("/safe/1")
+        connections = list(world.daemon.front.server.connections)
+        assert connections
+        assert all(row.first_request_timer is None for row in connections)
+
+
+async def test_no_server_fits_is_refused_at_once():
+    async with async_world(servers=1, seconds=0.2) as world:
+        row = world.daemon.view.servers.servers["i-0"]
+        row.take_report(4, 20, world.daemon.clock.monotonic())
+        began = asyncio.get_running_loop().time()
+        status, _, headers = await world.async_call("/safe/1")
+        assert status == 503
+        assert float(headers["Retry-After"]) >= 0.3
+        assert asyncio.get_running_loop().time() - began < 0.15
+        assert world.ran() == 0
--- /dev/null
+++ b/packages/node/tests/test_gateway_follower.py
@@ -0,0 +1,119 @@
+"""Following a store that loses its history, fails, and comes back."""
+
+import asyncio
+import random
+
+import pytest
+from deployment import async_until
+from gateway_world import ZONES, Lines
+
+from greengagepoint.errors import StoreError
+from greengagepoint.events import Event
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway import follower as module
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    HistoryLostError,
+    HostEntry,
+    LeaseLostError,
+    Snapshot,
+)
+from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
+from greengagepoint_node.gateway.view import FleetView
+
+
+class Script:
+    """Answer calls from a list; the last answer is given for ever."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def answer(self, *call):
+        self.calls.append(call)
+        await asyncio.sleep(0)
+        answer = self.answers.pop(0) if self.answers else None
+        if answer is None:
+            await asyncio.sleep(3600)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def async_snapshot(self):
+        return await self.answer("snapshot")
+
+    async def async_changes(self, after, wait_seconds):
+        return await self.answer("changes", after)
+
+    async def async_grant_lease(self, seconds):
+        return await self.answer("grant")
+
+    async def async_renew_lease(self, lease):
+        return await self.answer("renew", lease)
+
+    async def async_put_host(self, entry, lease):
+        return await self.answer("put", lease)
+
+
+async def async_follow(monkeypatch, *answers):
+    monkeypatch.setattr(module, "GATHER_SECONDS", 0)
+    monkeypatch.setattr(module, "PAUSE_SECONDS", 0.001)
+    store, lines = Script(*answers), Lines()
+    view = FleetView(ZONES, lambda item: None, lines)
+    follower = StoreFollower(store, view, SystemClock(), random.Random(1), lines)
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: not store.answers)
+    await asyncio.sleep(0.02)
+    task.cancel()
+    return store.calls, lines, view
+
+
+async def test_lost_history_leads_to_a_snapshot(monkeypatch):
+    # The store drops its history while changes are made. A host that only asked on from
+    # where it was would never hear of them, and keep an old configuration in force.
+    calls, _, view = await async_follow(
+        monkeypatch, Snapshot((), 4), HistoryLostError(), Snapshot((), 9)
+    )
+    assert calls == [("snapshot",), ("changes", 4), ("snapshot",), ("changes", 9)]
+    assert view.revision == 9
+
+
+async def test_an_outage_is_told_once_and_following_goes_on(monkeypatch):
+    calls, lines, view = await async_follow(
+        monkeypatch,
+        Snapshot((), 4),
+        StoreError("status 503"),
+        StoreError("status 503"),
+        Changes((), 6),
+    )
+    assert calls[-1] == ("changes", 6)
+    assert len(lines.of(Event.STORE_UNAVAILABLE)) == 1
+    assert len(lines.of(Event.STORE_AVAILABLE)) == 1
+    assert view.lapses_until > float("-inf")
+
+
+@pytest.mark.parametrize(
+    ("answers", "expected"),
+    [
+        ((7, 0), [("grant",), ("put", 7)]),
+        (
+            (7, 0, LeaseLostError(), 8, 0),
+            [("grant",), ("put", 7), ("renew", 7), ("grant",), ("put", 8)],
+        ),
+        (
+            (StoreError("down"), 7, 0),
+            [("grant",), ("grant",), ("put", 7)],
+        ),
+    ],
+    ids=["calm", "lease lost", "store down"],
+)
+async def test_a_host_keeps_its_entry(monkeypatch, answers, expected):
+    monkeypatch.setattr(module, "RENEW_SECONDS", 0.001)
+    monkeypatch.setattr(module, "PAUSE_SECONDS", 0.001)
+    store = Script(*answers)
+    entry = HostEntry("h1", "north", "zone-a", "f", "p")
+    registration = HostRegistration(store, entry, random.Random(1), Lines())
+    task = asyncio.create_task(registration.async_run())
+    await async_until(lambda: len(store.calls) >= len(expected))
+    task.cancel()
+    assert store.calls[: len(expected)] == expected
--- /dev/null
+++ b/packages/node/tests/test_gateway_view.py
@@ -0,0 +1,191 @@
+"""What a host believes, whatever order and way the store's news takes.
+
+News comes from a watch, from a snapshot after a gap, and from peers, late and doubled.
+A host that let an older one win would send to a server that has left, or put back a
+configuration that operators have replaced.
+"""
+
+import pytest
+from gateway_world import ZONES, Lines
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagepoint.errors import RecordError
+from greengagepoint.events import Event
+from greengagepoint.routing.tables import (
+    CallerLimits,
+    ServicePolicy,
+    create_route_table,
+)
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    Configuration,
+    Evacuation,
+    RemovedKey,
+    ServerEntry,
+    Snapshot,
+    StoredItem,
+)
+from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
+
+NOW = 50.0
+POLICY = ServicePolicy(name="booking", cold_seconds=3.0, cold_requests_per_second=16)
+
+
+def decode(item):
+    kind, _, rest = item.value.decode().partition(":")
+    if kind == "bad":
+        raise RecordError("no number", field="version")
+    if kind == "config":
+        table = create_route_table(int(rest), {}, [POLICY], CallerLimits())
+        return Configuration(table)
+    if kind == "evacuate":
+        return Evacuation(rest)
+    zone, _, state = rest.partition(",")
+    return ServerEntry(
+        item.key, "booking", "10.0.0.1:1", zone, 4, state == "leaving", 0.0
+    )
+
+
+def view():
+    return FleetView(ZONES, decode, Lines())
+
+
+def item(key, value, revision):
+    return StoredItem(key, value.encode(), revision)
+
+
+def members(fleet):
+    found = fleet.servers.members.values()
+    return sorted(row.instance for group in found for row in group.servers)
+
+
+START = (
+    item("op", "config:3", 1),
+    item("i-1", "server:zone-a", 2),
+    item("i-2", "server:zone-b", 3),
+)
+
+
+def started():
+    fleet = view()
+    fleet.replace(Snapshot(START, 3), NOW)
+    return fleet
+
+
+def test_a_snapshot_tells_everything():
+    fleet = started()
+    assert members(fleet) == ["i-1", "i-2"]
+    assert fleet.routes.version == 3
+
+
+@pytest.mark.parametrize(
+    ("change", "left"),
+    [
+        (item("i-1", "server:zone-a,leaving", 4), ["i-2"]),
+        (RemovedKey("i-1", 4), ["i-2"]),
+        (item("e", "evacuate:zone-a", 4), ["i-2"]),
+        (item("i-3", "server:zone-a", 4), ["i-1", "i-2", "i-3"]),
+        (item("i-1", "server:zone-a,leaving", 2), ["i-1", "i-2"]),
+        (RemovedKey("i-1", 2), ["i-1", "i-2"]),
+        (RemovedKey("unknown", 4), ["i-1", "i-2"]),
+    ],
+)
+def test_a_change_takes_effect_at_once_unless_it_is_older(change, left):
+    fleet = started()
+    fleet.apply(Changes((change,), 4), NOW)
+    assert members(fleet) == left
+
+
+def test_a_zone_that_is_taken_back_is_cold():
+    # A zone is emptied and taken back. Nothing reached its servers meanwhile, so nobody
+    # saw them turn cold; all callers at once would crash them.
+    fleet = started()
+    fleet.apply(Changes((item("e", "evacuate:zone-a", 4),), 4), NOW)
+    fleet.apply(Changes((RemovedKey("e", 5),), 5), NOW + 8)
+    assert members(fleet) == ["i-1", "i-2"]
+    assert fleet.servers.servers["i-1"].cold_until == NOW + 11
+    assert fleet.servers.servers["i-2"].cold_until == 0
+
+
+def test_what_a_later_snapshot_lacks_is_gone():
+    fleet = started()
+    fleet.replace(Snapshot(START[:2], 9), NOW)
+    assert members(fleet) == ["i-1"]
+
+
+def test_an_older_snapshot_changes_nothing():
+    fleet = started()
+    fleet.apply(Changes((item("i-4", "server:zone-a", 8),), 8), NOW)
+    fleet.replace(Snapshot(START, 3), NOW)
+    assert members(fleet) == ["i-1", "i-2", "i-4"]
+
+
+def test_a_configuration_that_can_not_be_read_leaves_the_last_one_in_force():
+    fleet = started()
+    fleet.apply(Changes((item("op", "bad:", 4),), 4), NOW)
+    assert fleet.routes.version == 3
+    assert fleet.events.of(Event.RECORD_REFUSED)[0]["field"] == "version"
+
+
+def test_entries_that_lapsed_in_an_outage_stay_until_they_had_time_to_return():
+    # The store was away, and all entries of servers lapsed with it. Taken at its word
+    # on its return, the host would refuse every caller for two seconds; the servers
+    # live and write their entries again. One that stays missing is gone.
+    fleet = started()
+    fleet.store_returned(NOW)
+    fleet.apply(Changes((RemovedKey("i-1", 4), RemovedKey("i-2", 5)), 5), NOW + 0.1)
+    assert members(fleet) == ["i-1", "i-2"]
+    fleet.apply(Changes((item("i-1", "server:zone-a", 6),), 6), NOW + 1.0)
+    fleet.tick(NOW + 0.1 + LAPSED_SECONDS)
+    assert members(fleet) == ["i-1"]
+
+
+def test_a_removal_in_calm_times_is_believed_at_once():
+    fleet = started()
+    fleet.store_returned(NOW)
+    fleet.apply(Changes((RemovedKey("i-1", 4),), 4), NOW + 5)
+    assert members(fleet) == ["i-2"]
+
+
+@pytest.mark.parametrize(
+    ("lapsed", "left"), [((), ["i-2"]), (("i-1",), ["i-1", "i-2"])]
+)
+def test_a_peer_says_which_removals_it_does_not_trust(lapsed, left):
+    fleet = started()
+    fleet.apply(Changes((RemovedKey("i-1", 4),), 4), NOW, lapsed)
+    assert members(fleet) == left
+
+
+def test_a_peer_that_lags_gets_what_it_lacks_and_no_more():
+    fleet = started()
+    fleet.apply(Changes((RemovedKey("i-1", 4), item("op", "config:5", 5)), 5), NOW)
+    changes = fleet.changes_after(3)
+    assert [row.key for row in changes.changes] == ["op", "i-1"]
+    other = started()
+    other.apply(changes, NOW, ())
+    assert members(other) == members(fleet)
+    assert other.routes.version == 5
+
+
+@given(
+    order=st.permutations(range(6)),
+    doubled=st.lists(st.integers(0, 5), max_size=6),
+)
+def test_any_order_of_news_ends_in_the_same_belief(order, doubled):
+    news = [
+        item("i-1", "server:zone-a", 4),
+        item("i-1", "server:zone-a,leaving", 6),
+        RemovedKey("i-2", 7),
+        item("op", "config:5", 8),
+        item("op", "config:9", 9),
+        item("i-5", "server:zone-b", 10),
+    ]
+    fleet = started()
+    for index in [*order, *doubled]:
+        before = fleet.routes.version
+        row = news[index]
+        fleet.apply(Changes((row,), row.revision), NOW, ())
+        assert fleet.routes.version >= before
+    assert members(fleet) == ["i-5"]
+    assert fleet.routes.version == 9
--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_boundary.py
@@ -0,0 +1,59 @@
+"""Nothing outside the adapter knows the platform, and the adapter decides nothing."""
+
+import ast
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[3]
+ADAPTER = ROOT / "platform" / "greengagepoint_platform"
+LINES_MAX = 800
+PLATFORM_WORDS = re.compile(
+    r"x-greengagepoint-|GREENGAGEPOINT_NODE_FILE|kv-(key|range|txn|watch|lease|keep)"
+    r"|coldLeftS|trafficSplit|pathPrefix|allowedRegions|op/config|/api/resolve",
+    re.IGNORECASE,
+)
+DECIDING = ("greengagepoint.placing", "greengagepoint.overload", "greengagepoint.caps")
+
+
+def product_sources():
+    for package in ("core", "node", "cli"):
+        for path in (ROOT / "packages" / package).rglob("*.py"):
+            if "tests" not in path.parts and "build" not in path.parts:
+                yield path
+
+
+def imports_of(path):
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            found.add(node.module)
+    return found
+
+
+def test_the_product_knows_none_of_the_platforms_words():
+    known = {
+        f"{path.name}: {match.group()}"
+        for path in product_sources()
+        for match in PLATFORM_WORDS.finditer(path.read_text())
+    }
+    assert not known
+
+
+def test_the_product_does_not_import_the_adapter():
+    for path in product_sources():
+        roots = {name.split(".")[0] for name in imports_of(path)}
+        assert "greengagepoint_platform" not in roots, path
+
+
+@pytest.mark.parametrize("path", sorted(ADAPTER.glob("*.py")), ids=lambda row: row.name)
+def test_the_adapter_imports_nothing_that_decides(path):
+    assert not [name for name in imports_of(path) if name.startswith(DECIDING)]
+
+
+def test_the_adapter_stays_small():
+    lines = sum(len(path.read_text().splitlines()) for path in ADAPTER.glob("*.py"))
+    assert lines < LINES_MAX
--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -0,0 +1,160 @@
+import msgspec
+import pytest
+
+from greengagepoint.errors import RecordError, SettingError
+from greengagepoint.routing.tables import RequestKind, find_route
+from greengagepoint_node.gateway.facts import Evacuation, HostEntry, StoredItem
+from greengagepoint_platform.decoding import decode_item, encode_host
+from greengagepoint_platform.settings import daemon_settings, read_settings_file
+
+CONFIGURATION = {
+    "version": "r12",
+    "limits": {"maxBodyBytes": 9, "headerTimeoutS": 3, "new": 1},
+    "listeners": [
+        {
+            "host": "a.example",
+            "rules": [
+                {
+                    "name": "r-1",
+                    "kind": "safe",
+                    "targetLatencyS": 0.4,
+                    "priority": 2,
+                    "sticky": True,
+                    "match": {"pathPrefix": "/bays/"},
+                    "action": {
+                        "trafficSplit": [
+                            {"service": "one", "weight": 90},
+                            {"service": "two", "weight": 10},
+                        ],
+                        "timeoutS": 1.2,
+                        "maxAttempts": 3,
+                        "allowedRegions": ["attiki"],
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "match": {"pathPrefix": "/pay/"},
+                    "action": {"service": "one"},
+                },
+            ],
+        }
+    ],
+    "clusters": [{"name": "one", "maxConns": 390, "coldStartS": 3.0, "coldPerS": 16.0}],
+}
+
+
+def item(key, document):
+    return StoredItem(key, msgspec.json.encode(document), 7)
+
+
+def test_a_configuration_becomes_routes():
+    table = decode_item(item("op/config", CONFIGURATION)).table
+    assert table.version == 12
+    route = find_route(table, "a.example", "/bays/2f")
+    assert [(part.service, part.weight) for part in route.destinations] == [
+        ("one", 90),
+        ("two", 10),
+    ]
+    assert (route.kind, route.goal_seconds, route.rank) == (RequestKind.SAFE, 0.4, 2)
+    assert (route.timeout_seconds, route.attempts_max) == (1.2, 3)
+    assert route.affinity
+    assert route.home_regions == frozenset({"attiki"})
+    assert table.services["one"].cold_requests_per_second == 16.0
+    assert table.limits.body_bytes == 9
+
+
+def test_a_rule_that_does_not_say_its_kind_runs_once():
+    table = decode_item(item("op/config", CONFIGURATION)).table
+    assert not find_route(table, "a.example", "/pay/").repeatable
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"version": 5}, "version"),
+        ({"version": "new"}, "new"),
+        ({"listeners": [{"rules": []}]}, "host"),
+        ({"listeners": [{"host": "a", "rules": [{"name": "r"}]}]}, "match"),
+    ],
+)
+def test_a_configuration_that_can_not_be_read_names_the_field(change, said):
+    with pytest.raises(RecordError, match=said) as caught:
+        decode_item(item("op/config", {**CONFIGURATION, **change}))
+    assert caught.value.field == "op/config"
+
+
+@pytest.mark.parametrize(
+    ("state", "leaving"), [("ready", False), ("draining", True), ("new", True)]
+)
+def test_only_a_ready_server_gets_requests(state, leaving):
+    entry = decode_item(
+        item(
+            "servers/i-1",
+            {
+                "service": "one",
+                "address": "10.0.0.1:80",
+                "zone": "z",
+                "slots": 9,
+                "state": state,
+                "coldLeftS": 2.5,
+                "sequence": 4,
+            },
+        )
+    )
+    assert (entry.instance, entry.slots, entry.cold_seconds) == ("i-1", 9, 2.5)
+    assert entry.leaving is leaving
+
+
+def test_other_keys():
+    assert decode_item(item("op/evacuate/z-1", {})) == Evacuation("z-1")
+    assert decode_item(item("other/1", {})) is None
+    host = HostEntry("h", "north", "z", "10.0.0.1:1", "10.0.0.1:2")
+    assert decode_item(StoredItem("hosts/h", encode_host(host), 1)) == host
+
+
+SETTINGS = {
+    "nodeName": "front-1",
+    "zone": "z",
+    "region": "north",
+    "zones": {"z": "north"},
+    "listen": {
+        "front": "a:1",
+        "readiness": "a:2",
+        "directory": "a:3",
+        "control": "a:4",
+    },
+    "seeds": ["a:4"],
+    "bounds": {"graceS": 6, "retryBudgetRatio": 0.2, "budgetSlack": 64, "new": True},
+    "platform": {"address": "10.200.1.7:8142", "form": "kv"},
+    "dataDir": None,
+    "later": {},
+}
+
+
+def test_settings(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode(SETTINGS))
+    settings = daemon_settings(read_settings_file(path))
+    assert (settings.host, settings.stop_seconds) == ("front-1", 6)
+    assert (settings.retry_ratio, settings.retry_slack) == (0.2, 64)
+    assert settings.peer_address == "a:4"
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"zone": None}, r"\$\.zone"),
+        ({"listen": {"front": "a:1"}}, "readiness"),
+        ({"bounds": {"graceS": "6"}}, r"\$\.bounds\.graceS"),
+    ],
+)
+def test_bad_settings_name_the_field(tmp_path, change, said):
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode({**SETTINGS, **change}))
+    with pytest.raises(SettingError, match=said):
+        read_settings_file(path)
+
+
+def test_a_missing_settings_file_is_named(tmp_path):
+    with pytest.raises(SettingError, match="absent.json"):
+        read_settings_file(tmp_path / "absent.json")
--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -0,0 +1,114 @@
+"""The client of the store against the stand-in, in calm and in every kind of outage."""
+
+import asyncio
+import base64
+import contextlib
+
+import pytest
+
+from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
+from greengagepoint_node.gateway.facts import (
+    HistoryLostError,
+    HostEntry,
+    LeaseLostError,
+    RemovedKey,
+)
+from greengagepoint_platform import store as module
+from greengagepoint_platform.store import StoreClient
+from greengagepoint_standins.users_platform.store import PlatformStore
+
+ENTRY = HostEntry("h1", "north", "z", "10.0.0.1:1", "10.0.0.1:2")
+
+
+@contextlib.asynccontextmanager
+async def async_client():
+    store = PlatformStore()
+    await store.async_start()
+    client = StoreClient(store.address)
+    try:
+        yield client, store
+    finally:
+        await client.async_close()
+        await store.async_stop()
+
+
+def put(store, key, text):
+    store.items.put(key, base64.b64encode(text.encode()).decode())
+
+
+async def test_a_snapshot_reads_all_pages():
+    async with async_client() as (client, store):
+        for number in range(1_200):
+            put(store, f"servers/i-{number}", str(number))
+        snapshot = await client.async_snapshot()
+        assert len(snapshot.items) == 1_200
+        assert snapshot.revision == 1_200
+        assert {item.value for item in snapshot.items} == {
+            str(number).encode() for number in range(1_200)
+        }
+
+
+async def test_a_watch_waits_for_changes_and_removals():
+    async with async_client() as (client, store):
+        put(store, "op/config", "one")
+        watch = asyncio.create_task(client.async_changes(1, 5.0))
+        await asyncio.sleep(0.05)
+        put(store, "op/config", "two")
+        changes = await watch
+        assert [(row.key, row.value) for row in changes.changes] == [
+            ("op/config", b"two")
+        ]
+        store.items.remove("op/config")
+        changes = await client.async_changes(changes.revision, 5.0)
+        assert changes.changes == (RemovedKey("op/config", 3),)
+
+
+async def test_a_watch_without_changes_ends_by_itself():
+    async with async_client() as (client, _):
+        assert (await client.async_changes(0, 0.1)).changes == ()
+
+
+async def test_lost_history_is_told():
+    async with async_client() as (client, store):
+        put(store, "a", "1")
+        store.items.compact()
+        with pytest.raises(HistoryLostError):
+            await client.async_changes(0, 1.0)
+
+
+async def test_a_host_entry_lasts_as_long_as_its_lease():
+    async with async_client() as (client, store):
+        lease = await client.async_grant_lease(3.0)
+        await client.async_put_host(ENTRY, lease)
+        await client.async_renew_lease(lease)
+        assert "hosts/h1" in store.items.items
+        await client.async_end_lease(lease)
+        assert "hosts/h1" not in store.items.items
+        with pytest.raises(LeaseLostError):
+            await client.async_renew_lease(lease)
+        with pytest.raises(LeaseLostError):
+            await client.async_put_host(ENTRY, lease)
+
+
+@pytest.mark.parametrize("status", [503, 429, 500])
+async def test_a_store_that_turns_calls_away_is_an_error(status):
+    async with async_client() as (client, store):
+        store.control.status = status
+        with pytest.raises(StoreError, match=str(status)):
+            await client.async_snapshot()
+
+
+async def test_a_write_whose_answer_is_lost_may_have_been_done():
+    async with async_client() as (client, store):
+        store.control.lost_writes = True
+        with pytest.raises(StoreOutcomeUnknownError):
+            await client.async_grant_lease(3.0)
+        assert store.items.leases
+
+
+async def test_a_silent_store_is_given_up(monkeypatch):
+    monkeypatch.setattr(module, "CALL_SECONDS", 0.1)
+    async with async_client() as (client, store):
+        store.control.hangs = True
+        with pytest.raises(StoreError, match="TimeoutError"):
+            await client.async_snapshot()
--- /dev/null
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -0,0 +1,275 @@
+"""A backend server in the platform's manner, over raw sockets."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+LOOPBACK: Final = "127.0.0.1"
+SIGNATURE: Final = "3e1b.07.5a2"
+
+
+class Manner(StrEnum):
+    """How a server answers."""
+
+    GOOD = "good"
+    SHED = "shed"
+    TRUNCATED = "truncated"
+    RESET = "reset"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    FOREIGN = "foreign"
+    TWICE = "twice"
+    GARBAGE = "garbage"
+    SILENT = "silent"
+    FAILED = "failed"
+
+
+class Received(NamedTuple):
+    """One request as it came; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class PlatformBackend:
+    """One lifetime of a server; ``ran`` are the requests that it began to work on."""
+
+    def __init__(self, instance: str, *, seconds: float = 0.0) -> None:
+        self.instance = instance
+        self.seconds = seconds
+        self.manner = Manner.GOOD
+        self.received: list[Received] = []
+        self.ran: list[Received] = []
+        self.cancelled: list[Received] = []
+        self.address = ""
+
+    async def async_start(self) -> None:
+        """Listen on loopback."""
+        self.server = await asyncio.start_server(self._async_serve, LOOPBACK, 0)
+        host, port = self.server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    async def async_stop(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection."""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                request = await _async_read(reader)
+                self.received.append(request)
+                if not await self._async_answer(request, reader, writer):
+                    break
+        writer.close()
+
+    async def _async_answer(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one request; tell whether the connection goes on."""
+        target = request.headers.get("x-greengagepoint-target-instance", self.instance)
+        if target != self.instance:
+            writer.write(self.head(request, "421 Misdirected Request", 0, signed=False))
+            return True
+        if self.manner is Manner.SHED:
+            head = self.head(request, "503 Service Unavailable", 0, signed=False)
+            writer.write(head[:-2] + b"X-Greengagepoint-Not-Executed: 1\r\n\r\n")
+            return True
+        self.ran.append(request)
+        if self.seconds and not await self._async_work(request, reader):
+            return False
+        answer = ANSWERS.get(self.manner, _async_good)
+        return await answer(self, request, writer)
+
+    async def _async_work(
+        self, request: Received, reader: asyncio.StreamReader
+    ) -> bool:
+        """Work for a while; stop when the connection closes."""
+        closed = asyncio.ensure_future(reader.read(1))
+        done, _ = await asyncio.wait({closed}, timeout=self.seconds)
+        if done and not closed.result():
+            self.cancelled.append(request)
+            return False
+        closed.cancel()
+        return True
+
+    def head(
+        self, request: Received, status: str, length: int | None, *, signed: bool = True
+    ) -> bytes:
+        """Return the status line and headers of an answer."""
+        lines = [f"HTTP/1.1 {status}"]
+        lines.append(f"X-Greengagepoint-Request-Id: {request_id(request)}")
+        lines.append("X-Greengagepoint-Backend-Load: 1,0,4")
+        if signed:
+            lines.append(f"X-Greengagepoint-Response-Signature: {SIGNATURE}")
+        if length is not None:
+            lines.append(f"Content-Length: {length}")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+Answer = Callable[[PlatformBackend, Received, asyncio.StreamWriter], Awaitable[bool]]
+
+
+def request_id(request: Received) -> str:
+    """Return the id of a request."""
+    return request.headers.get("x-greengagepoint-request-id", "")
+
+
+def body_of(backend: PlatformBackend, request: Received) -> bytes:
+    """Return the whole body of the answer to a request."""
+    return f"{backend.instance} {request.target}".encode()
+
+
+async def _async_good(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer well."""
+    body = body_of(backend, request)
+    writer.write(backend.head(request, "200 OK", len(body)) + body)
+    await writer.drain()
+    return True
+
+
+async def _async_truncated(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Break off within the body."""
+    body = body_of(backend, request)
+    writer.write(backend.head(request, "200 OK", len(body)) + body[:3])
+    await writer.drain()
+    return False
+
+
+async def _async_reset(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Reset before the first byte."""
+    writer.transport.abort()
+    return False
+
+
+async def _async_unframed(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer without a length; the end of the connection is that of the body."""
+    body = body_of(backend, request)
+    writer.write(backend.head(request, "200 OK", None) + body)
+    await writer.drain()
+    return False
+
+
+async def _async_unframed_reset(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Break off an answer without a length by a reset."""
+    writer.write(backend.head(request, "200 OK", None) + b"i-")
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    linger = struct.pack("ii", 1, 0)
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+    return False
+
+
+async def _async_unsigned(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer without a signature."""
+    writer.write(backend.head(request, "200 OK", 2, signed=False) + b"ok")
+    await writer.drain()
+    return True
+
+
+async def _async_encoded(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer with an encoding that nobody asked for."""
+    head = backend.head(request, "200 OK", 2)
+    writer.write(head[:-2] + b"Content-Encoding: gzip\r\n\r\nok")
+    await writer.drain()
+    return True
+
+
+async def _async_foreign(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer for another request."""
+    other = request._replace(headers={"x-greengagepoint-request-id": "another"})
+    return await _async_good(backend, other, writer)
+
+
+async def _async_twice(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Answer twice."""
+    await _async_good(backend, request, writer)
+    return await _async_good(backend, request, writer)
+
+
+async def _async_garbage(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Send bytes that are no answer."""
+    writer.write(b"\x00\x01 no answer\r\n\r\n")
+    await writer.drain()
+    return False
+
+
+async def _async_silent(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Never answer."""
+    await asyncio.sleep(3600)
+    return False
+
+
+async def _async_failed(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """Fail after having run."""
+    writer.write(backend.head(request, "500 Internal Server Error", 0))
+    await writer.drain()
+    return True
+
+
+ANSWERS: Final[dict[Manner, Answer]] = {
+    Manner.TRUNCATED: _async_truncated,
+    Manner.RESET: _async_reset,
+    Manner.UNFRAMED: _async_unframed,
+    Manner.UNFRAMED_RESET: _async_unframed_reset,
+    Manner.UNSIGNED: _async_unsigned,
+    Manner.ENCODED: _async_encoded,
+    Manner.FOREIGN: _async_foreign,
+    Manner.TWICE: _async_twice,
+    Manner.GARBAGE: _async_garbage,
+    Manner.SILENT: _async_silent,
+    Manner.FAILED: _async_failed,
+}
+
+
+async def _async_read(reader: asyncio.StreamReader) -> Received:
+    """Read one request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in filter(None, lines):
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = int(headers.get("content-length", 0))
+    body = await reader.readexactly(length) if length else b""
+    return Received(method, target, headers, body)
