--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -15,6 +15,9 @@
 # it only while this part of its slots is busy at most; spent on a busy one, each such
 # run keeps three callers waiting whose keys are warm there.
 IDLE_SHARE: Final = 0.6
+# Of the time that a caller has left, what may pass before its request runs: a cold run
+# takes a third of a short deadline, and the estimate of a wait is off by as much.
+WAIT_SHARE_OF_DEADLINE: Final = 0.4
 # Callers that come back at once find the same queue; together they would be a burst.
 RETRY_SECONDS_MIN: Final = 0.3
 
@@ -22,13 +25,15 @@
 class Wanted(NamedTuple):
     """What is asked of the choice.
 
-    ``regions`` is the order in which they may be used; ``key`` None means any server.
+    ``seconds_left`` bounds a late answer. ``regions`` is the order in which they may
+    be used; ``key`` None means any server.
     """
 
     service: str
     regions: Sequence[str]
     key: str | None
     goal_seconds: float
+    seconds_left: float
     tried: frozenset[str] = frozenset()
 
 
@@ -47,6 +52,7 @@
     ranks: RankCache,
     wanted: Wanted,
     may_send: Permission,
+    may_wait: Callable[[], bool],
     now: float,
 ) -> Server | NoPlace:
     """Return the server for a request, or why there is none.
@@ -66,6 +72,9 @@
             return server
     if shortest == float("inf"):
         return NoPlace(retry_seconds=1.0, servers_known=False)
+    late = _late_place(table, ranks, wanted, now)
+    if late is not None and _may_use(late, may_send, now) and may_wait():
+        return late
     retry_seconds = max(RETRY_SECONDS_MIN, shortest - longest)
     return NoPlace(retry_seconds=retry_seconds, servers_known=True)
 
@@ -87,6 +96,19 @@
     yield from suspected
 
 
+def _late_place(
+    table: ServerTable, ranks: RankCache, wanted: Wanted, now: float
+) -> Server | None:
+    """Return the server that is warm for the key, if it answers before the deadline."""
+    for region in wanted.regions:
+        for server in _in_region(table, ranks, wanted, region, now):
+            if server.instance in wanted.tried or server.suspect_until > now:
+                continue
+            longest = wanted.seconds_left * WAIT_SHARE_OF_DEADLINE
+            return server if server.expected_wait(now) <= longest else None
+    return None
+
+
 def _idle_ones(
     table: ServerTable, wanted: Wanted, region: str, now: float
 ) -> Iterable[Server]:
--- a/packages/core/tests/placing_fleet.py
+++ b/packages/core/tests/placing_fleet.py
@@ -7,12 +7,14 @@
 from dataclasses import dataclass, field
 
 from greengagepoint.placing.choice import NoPlace, Wanted, choose
+from greengagepoint.placing.patience import Patience
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.tables import Server, ServerTable
 
 SERVICE = "booking"
 REGION = "attiki"
 GOAL = 0.4
+DEADLINE = 2.5
 COLD_SECONDS = 0.48
 WARM_SECONDS = 0.144
 KEPT_KEYS = 60
@@ -51,6 +53,7 @@
             )
         self.table.rebuild()
         self.ranks = RankCache()
+        self.patience = Patience()
 
 
 @dataclass
@@ -69,8 +72,10 @@
 
 def by_key(host: Host, key: str, now: float, _: random.Random) -> Server | NoPlace:
     """Choose as the product does."""
-    wanted = Wanted(SERVICE, [REGION], key, GOAL)
-    return choose(host.table, host.ranks, wanted, lambda server: True, now)
+    wanted = Wanted(SERVICE, [REGION], key, GOAL, DEADLINE)
+    host.patience.deposit()
+    may_wait = host.patience.withdraw
+    return choose(host.table, host.ranks, wanted, lambda _: True, may_wait, now)
 
 
 def least_loaded(host: Host, _key: str, now: float, rng: random.Random) -> Server:
--- a/packages/core/tests/test_placing_choice.py
+++ b/packages/core/tests/test_placing_choice.py
@@ -20,9 +20,13 @@
     return table
 
 
-def chosen(table, *, key=KEY, regions=("attiki",), tried=(), may_send=True):
-    wanted = Wanted("booking", regions, key, 0.4, frozenset(tried))
-    found = choose(table, RankCache(), wanted, lambda row: may_send, NOW)
+def chosen(
+    table, *, key=KEY, regions=("attiki",), tried=(), may_send=True, may_wait=False
+):
+    wanted = Wanted("booking", regions, key, 0.4, 2.5, frozenset(tried))
+    found = choose(
+        table, RankCache(), wanted, lambda row: may_send, lambda: may_wait, NOW
+    )
     return found if isinstance(found, NoPlace) else found.instance
 
 
@@ -72,6 +76,19 @@
     assert 0.3 <= place.retry_seconds < 2.0
 
 
+@pytest.mark.parametrize(
+    ("waiting", "served"), [(6, True), (10, True), (14, False), (40, False)]
+)
+def test_a_caller_who_may_wait_does_so_only_for_an_answer_before_the_deadline(
+    waiting, served
+):
+    table = four()
+    for row in table.servers.values():
+        load(table, row.instance, 4, waiting)
+    place = chosen(table, may_wait=True)
+    assert (place == ranked(table)[0]) == served
+
+
 def test_without_servers_there_is_no_place():
     assert chosen(table_of()) == NoPlace(1.0, servers_known=False)
 
--- a/packages/core/tests/test_placing_load.py
+++ b/packages/core/tests/test_placing_load.py
@@ -3,6 +3,8 @@
 import pytest
 from placing_fleet import by_key, down_the_ranks, least_loaded, play
 
+from greengagepoint.placing.patience import Patience
+
 # 8 servers of 9 slots run 500 requests a second when all are warm, 150 when none is.
 CALM, BUSY, FULL, OVER = 120, 300, 420, 600
 
@@ -36,3 +38,17 @@
     assert ours.in_time > 2 * former.in_time, (ours, former)
     assert ours.late < 0.25 * ours.asked, ours
     assert ours.shed < 0.01 * ours.asked, ours
+
+
+def test_a_burst_is_waited_for_and_a_lasting_overload_is_not():
+    # Servers are cold for two seconds after a start, and callers of that time get late
+    # answers or refusals. Whoever may wait is served; but if everybody waited in an
+    # overload that lasts, no answer would be in time any more.
+    burst = Patience()
+    assert sum(burst.withdraw() for _ in range(50)) == 50
+    lasting = Patience()
+    waited = 0
+    for _ in range(2_000):
+        lasting.deposit()
+        waited += lasting.withdraw()
+    assert 0.08 <= waited / 2_000 <= 0.12
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -13,6 +13,7 @@
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.choice import NoPlace, Wanted, choose
 from greengagepoint.placing.cold_start import ColdStartLimiter
+from greengagepoint.placing.patience import Patience
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.spill import region_for_key
 from greengagepoint.placing.tables import Server
@@ -109,6 +110,7 @@
         self.serving_hosts: list[str] = [host]
         self.in_flight = 0
         self.leaving = False
+        self.patience = Patience()
         self.refusing = False
         self.last_request_at = clock.monotonic()
         self.dropped_headers = HOP_BY_HOP_HEADERS | {
@@ -220,6 +222,7 @@
     ) -> web.Response:
         """Try servers until one answers or the request may not be sent again."""
         self.demand.take_arrival(call.route.name, call.service)
+        self.patience.deposit()
         tried: set[str] = set()
         last: Exchange | None = None
         may_have_run = False
@@ -324,6 +327,7 @@
             self._regions(call),
             call.key,
             call.route.goal_seconds,
+            call.ends_at - now,
             tried,
         )
 
@@ -331,7 +335,8 @@
             rate = self._cold_rate(call.service)
             return self.cold.may_send(server.instance, rate, self.serving_hosts, now)
 
-        return choose(self.view.servers, self.ranks, wanted, may_send, now)
+        may_wait = self.patience.withdraw
+        return choose(self.view.servers, self.ranks, wanted, may_send, may_wait, now)
 
     def _regions(self, call: Call) -> list[str]:
         """Return the regions that may run a request, the one of its key first."""
