Give each key one region on all hosts; gather the watch's changes

Change: weighted rendezvous over the regions by slots in place of shares by measured demand; the demand meter, its gossip and the peaks go. A watch gathers 0.4 s, not 0.15.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -205,7 +205,7 @@
         Level.INFO, "A backend server failed a request and is spared for a while."
     ),
     Event.SPILL_CHANGED: EventType(
-        Level.INFO, "Other regions get another share of this region's requests."
+        Level.INFO, "The regions get other parts of a service's keys."
     ),
     Event.STORE_UNAVAILABLE: EventType(
         Level.WARNING, "The key-value service cannot be reached."
--- /dev/null
+++ b/packages/core/tests/test_placing_regions.py
@@ -0,0 +1,72 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from greengagepoint.placing.regions import moved_toward, region_for_key, wanted_weights
+
+SLOTS = {"attiki": 144.0, "dytiki": 126.0, "kentriki": 36.0}
+PARTS = st.dictionaries(
+    st.sampled_from(["a", "b", "c", "d"]), st.floats(0.01, 1.0), min_size=1
+)
+
+
+def spread(weights, count=4_000):
+    found = dict.fromkeys(weights, 0)
+    for number in range(count):
+        found[region_for_key(f"k{number}", weights)] += 1
+    return {region: part / count for region, part in found.items()}
+
+
+def test_keys_spread_over_the_regions_by_their_slots():
+    found = spread(wanted_weights(SLOTS))
+    for region, slots in SLOTS.items():
+        assert found[region] == pytest.approx(slots / 306, abs=0.025)
+
+
+@pytest.mark.parametrize(
+    ("slots", "weights"),
+    [
+        ({}, {}),
+        ({"a": 4.0}, {"a": 1.0}),
+        ({"a": 3.0, "b": 1.0, "c": 0.0}, {"a": 0.75, "b": 0.25}),
+    ],
+)
+def test_a_region_without_servers_has_no_part(slots, weights):
+    assert wanted_weights(slots) == weights
+
+
+def test_without_servers_there_is_no_region():
+    assert region_for_key("k", {}) is None
+
+
+def test_a_lost_region_moves_only_its_own_keys():
+    # A zone is evacuated, or its servers crash. Its keys have to run somewhere else and
+    # run cold there; were others to move too, they would run cold for nothing.
+    before = wanted_weights(SLOTS)
+    after = wanted_weights({**SLOTS, "kentriki": 0.0})
+    for number in range(2_000):
+        was = region_for_key(f"k{number}", before)
+        assert was in ("kentriki", region_for_key(f"k{number}", after))
+
+
+@given(now=PARTS, wanted=PARTS, most=st.floats(0.001, 0.2))
+def test_keys_move_by_no_more_than_they_may(now, wanted, most):
+    now, wanted = wanted_weights(now), wanted_weights(wanted)
+    moved = moved_toward(now, wanted, most)
+    assert sum(moved.values()) == pytest.approx(1.0)
+    change = sum(abs(moved.get(name, 0) - now.get(name, 0)) for name in {*now, *moved})
+    assert change / 2 <= most + 1e-9
+
+
+def test_added_servers_get_their_part_within_the_limit_on_moving():
+    # Servers are added in one region. Keys move there, as many in two seconds as users
+    # allow at most, and then the weights stand where they should.
+    weights, goal = wanted_weights(SLOTS), wanted_weights({**SLOTS, "kentriki": 126.0})
+    before = spread(weights)
+    for _ in range(8):
+        weights = moved_toward(weights, goal, 0.03 * 0.25)
+    after = spread(weights)
+    assert after["kentriki"] - before["kentriki"] <= 0.15
+    for _ in range(80):
+        weights = moved_toward(weights, goal, 0.03 * 0.25)
+    assert weights == pytest.approx(goal)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -13,14 +13,13 @@
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
 from greengagepoint_node.context import EventSink
-from greengagepoint_node.gateway.demand import DemandMeter
 from greengagepoint_node.gateway.directory import HostDirectory
 from greengagepoint_node.gateway.facts import DecodeItem, HostEntry, PlatformStore
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
 from greengagepoint_node.gateway.gossip import PATH, Gossip, HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
-from greengagepoint_node.gateway.region_shares import RegionShares
+from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.settings import GatewaySettings
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.server import ServerLimits
@@ -79,9 +78,8 @@
             settings.front_address,
             settings.peer_address,
         )
-        self.own = HostState(self.entry, time.time_ns(), 0, False, {})
-        self.demand = DemandMeter()
-        self.shares = RegionShares(settings.region, events)
+        self.own = HostState(self.entry, time.time_ns(), 0, leaving=False)
+        self.weights = RegionWeights(self.view.servers, events)
         self.retries = SharedRetryBudget(settings.retry_ratio, settings.retry_slack)
         self.create_lookup = create_lookup
         self.tasks: list[asyncio.Task[None]] = []
@@ -111,13 +109,11 @@
         )
         self.gateway = Gateway(
             settings.host,
-            settings.region,
             settings.names,
             self.view,
             self.sessions,
-            self.shares,
+            self.weights,
             self.retries,
-            self.demand,
             self.clock,
             self.events,
         )
@@ -132,7 +128,7 @@
         for work in (
             self.follower.async_run(),
             self.registration.async_run(),
-            self.gossip.async_run(self._refresh_own_state),
+            self.gossip.async_run(),
             self._async_tick(),
         ):
             self.tasks.append(asyncio.create_task(work))
@@ -144,7 +140,7 @@
         self.events.record(Event.DAEMON_STOPPING, in_flight=self.gateway.in_flight)
         self.gateway.leaving = True
         self.own.leaving = True
-        self._refresh_own_state()
+        self.own.count += 1
         self.tasks[1].cancel()
         withdrawal = asyncio.create_task(self.registration.async_withdraw())
         ends_at = began + self.settings.stop_seconds - 2 * CLOSING_SECONDS
@@ -191,9 +187,7 @@
             now = self.clock.monotonic()
             hosts = self.gossip.alive(now)
             self.view.tick(now)
-            self.demand.tick(now)
-            self._refresh_own_state()
-            self.shares.tick(self.view.servers, hosts, now)
+            self.weights.tick(now)
             near = sum(state.entry.region == self.settings.region for state in hosts)
             self.view.servers.set_senders(max(1, near))
             names = sorted(state.entry.name for state in hosts)
@@ -201,13 +195,6 @@
             self.retries.hosts = max(len(names), len(self.view.hosts))
             await asyncio.sleep(TICK_SECONDS)
 
-    def _refresh_own_state(self) -> None:
-        """Bring what this host tells of itself up to date."""
-        self.own.count += 1
-        self.own.demand = {
-            service: round(busy, 2) for service, busy in self.demand.busy.items()
-        }
-
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return not self.gateway.leaving and self.view.routes is not None
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -22,7 +22,7 @@
 WATCH_SECONDS: Final = 3.0
 # Changes that come together are read in one call. At a start every server and host
 # writes its entry, and each would otherwise wake every host.
-GATHER_SECONDS: Final = 0.15
+GATHER_SECONDS: Final = 0.4
 # Retries after a failed call; a store that comes back is seen within half a second.
 PAUSE_SECONDS: Final = 0.25
 # A lost host leaves the answers of look-ups after this long.
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -1,4 +1,4 @@
-"""Exchange what hosts believe: who lives, demand, and the store's news.
+"""Exchange what hosts believe: who lives, and the store's news.
 
 Once every half second a host sends its table to another one and gets that one's table
 and whatever of the store's items it lacks. So a host that the store turns away still
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from typing import Final
 
 import aiohttp
@@ -45,7 +44,6 @@
     started: int
     count: int
     leaving: bool
-    demand: dict[str, float]
 
 
 class Message(msgspec.Struct, array_like=True):
@@ -56,7 +54,6 @@
     items: list[StoredItem]
     removed: list[RemovedKey]
     lapsed: list[str]
-    reached: int
 
 
 class HeardHost(msgspec.Struct):
@@ -102,11 +99,11 @@
                 rows.append(row.state)
         return rows
 
-    async def async_run(self, before: Callable[[], None]) -> None:
-        """Exchange with peers until cancelled, with ``before`` called each time."""
+    async def async_run(self) -> None:
+        """Exchange with peers until cancelled."""
         while True:
             await asyncio.sleep(PERIOD_SECONDS * (0.8 + 0.4 * self.random.random()))
-            before()
+            self.own.count += 1
             address = self._next_address()
             if address is not None:
                 await self._async_exchange(address)
@@ -163,7 +160,6 @@
             items=[row for row in changes.changes if isinstance(row, StoredItem)],
             removed=[row for row in changes.changes if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
-            reached=0,
         )
 
     def _take(self, message: Message) -> None:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -15,13 +15,12 @@
 from greengagepoint.placing.cold_start import ColdStartLimiter
 from greengagepoint.placing.patience import Patience
 from greengagepoint.placing.ranking import RankCache
-from greengagepoint.placing.spill import region_for_key
+from greengagepoint.placing.regions import region_for_key
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint.routing.split import WeightedSplit
 from greengagepoint.routing.tables import Route, RouteTable, find_route
 from greengagepoint_node.context import EventSink
-from greengagepoint_node.gateway.demand import DemandMeter
 from greengagepoint_node.gateway.exchange import (
     NOT_RUN,
     Exchange,
@@ -30,7 +29,7 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
-from greengagepoint_node.gateway.region_shares import RegionShares
+from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
 from greengagepoint_node.proxy.headers import connection_headers
@@ -85,23 +84,19 @@
     def __init__(
         self,
         host: str,
-        region: str,
         names: HeaderNames,
         view: FleetView,
         sessions: BackendSessions,
-        shares: RegionShares,
+        weights: RegionWeights,
         retries: SharedRetryBudget,
-        demand: DemandMeter,
         clock: Clock,
         events: EventSink,
     ) -> None:
-        self.region = region
         self.names = names
         self.view = view
         self.sessions = sessions
-        self.shares = shares
+        self.weights = weights
         self.retries = retries
-        self.demand = demand
         self.clock = clock
         self.events = events
         self.ranks = RankCache()
@@ -221,7 +216,6 @@
         self, request: web.BaseRequest, call: Call, body: bytes | None
     ) -> web.Response:
         """Try servers until one answers or the request may not be sent again."""
-        self.demand.take_arrival(call.route.name, call.service)
         self.patience.deposit()
         tried: set[str] = set()
         last: Exchange | None = None
@@ -309,7 +303,6 @@
             # demand look large; both would send requests away from warm servers.
             if waited == 0 and (load is None or load.waiting == 0):
                 server.take_service_time(seconds)
-                self.demand.take_run(call.route.name, call.service, seconds)
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             suspicion.note_failure(server, now)
             self.events.record(
@@ -339,18 +332,10 @@
         return choose(self.view.servers, self.ranks, wanted, may_send, may_wait, now)
 
     def _regions(self, call: Call) -> list[str]:
-        """Return the regions that may run a request, the one of its key first."""
-        allowed = list(self.view.servers.regions_of(call.service))
-        homes = call.route.home_regions
-        if homes:
-            allowed = [region for region in allowed if region in homes]
-        if not allowed:
-            return []
-        shares = self.shares.current(call.service, homes)
-        first = region_for_key(call.key or call.request_id, self.region, shares)
-        if first not in allowed:
-            first = self.region if self.region in allowed else allowed[0]
-        return [first]
+        """Return the region of a request's key, if any may run it."""
+        weights = self.weights.current(call.service, call.route.home_regions)
+        region = region_for_key(call.key or call.request_id, weights)
+        return [region] if region is not None else []
 
     def _cold_rate(self, service: str) -> float:
         """Return what a cold server of a service bears, in requests a second."""
