Apply changed settings, with a signal or without

Cause: a changed settings file was only checked on SIGHUP, and not seen without one. Change: budget, seeds and the time for a stop take effect at once; what needs a restart is named in the log line; a bad file leaves all as it was.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -45,6 +45,10 @@
 QUIET_SECONDS: Final = 0.8
 POLL_SECONDS: Final = 0.1
 
+APPLIED_AT_ONCE: Final = frozenset(
+    {"retry_ratio", "retry_slack", "seeds", "stop_seconds"}
+)
+
 LookupHandler = Callable[
     [HostDirectory], Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 ]
@@ -158,6 +162,24 @@
             task.cancel()
         self.events.record(Event.DAEMON_STOPPED, cut_off=self.gateway.in_flight)
 
+    def apply(self, settings: GatewaySettings) -> list[str]:
+        """Take in changed settings; return the names of those that need a restart."""
+        self.retries.ratio = settings.retry_ratio
+        self.retries.slack = settings.retry_slack
+        self.gossip.seeds = list(settings.seeds)
+        changed = [
+            name
+            for name in settings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = self.settings._replace(
+            seeds=settings.seeds,
+            stop_seconds=settings.stop_seconds,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+        )
+        return [name for name in changed if name not in APPLIED_AT_ONCE]
+
     async def _async_listen(self) -> None:
         """Open all listening sockets."""
         settings = self.settings
--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -258,7 +258,15 @@
     # A caller's request is in flight when its host is told to stop. It is answered
     # whole, the host vanishes from look-ups, and the process ends by itself.
     n1, n2, _ = fleet.nodes
+    n1.path.write_bytes(b"{not json")
     n1.process.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.2)
+    n1.document["bounds"]["budgetSlack"] = 32
+    n1.path.write_bytes(msgspec.json.encode(n1.document))
+    await asyncio.sleep(1.5)
+    reloads = [row for row in n1.lines if row["name"] == "settings_reloaded"]
+    assert [row["accepted"] for row in reloads] == [False, True]
+    assert reloads[1]["need_restart"] == []
     for backend in fleet.backends:
         backend.seconds = 0.5
     call = asyncio.create_task(fleet.async_call(n1, "/bays/"))
