Exchange news over new connections; leave servers that answer nobody

And a request to a server that went dark waited until its own end. Retry-After is spread over half of the time on either side. The handler is split into call, placing, refusals; a 504 is logged as failed, not as refused.

--- a/packages/core/greengagepoint/placing/suspicion.py
+++ b/packages/core/greengagepoint/placing/suspicion.py
@@ -17,7 +17,8 @@
     server.suspect_until = now + pause
 
 
-def note_answer(server: Server) -> None:
+def note_answer(server: Server, now: float) -> None:
     """Trust a server again that has answered."""
+    server.answered_at = now
     server.failures = 0
     server.suspect_until = 0.0
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -32,6 +32,7 @@
     senders: int = 1
     suspect_until: float = 0.0
     failures: int = 0
+    answered_at: float = float("-inf")
     service_seconds: float = SERVICE_SECONDS_START
 
     def occupancy(self, now: float) -> float:
--- a/packages/core/tests/test_placing_choice.py
+++ b/packages/core/tests/test_placing_choice.py
@@ -109,7 +109,7 @@
     first, second = ranked(table)[:2]
     suspicion.note_failure(table.servers[first], NOW)
     assert chosen(table) == second
-    suspicion.note_answer(table.servers[first])
+    suspicion.note_answer(table.servers[first], NOW)
     assert chosen(table) == first
 
 
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -0,0 +1,79 @@
+"""One caller's request, as far as its headers tell."""
+
+from typing import Final, NamedTuple
+
+from aiohttp import web
+
+from greengagepoint.routing.tables import Route, RouteTable, find_route
+from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.refusals import Refusal
+
+# A caller's clock started 3 ms before the request came, and the answer needs as long.
+ANSWER_MARGIN_SECONDS: Final = 0.01
+DEADLINE_DEFAULT_SECONDS: Final = 10.0
+
+
+class Call(NamedTuple):
+    """One caller's request; times are monotonic seconds.
+
+    ``key`` names the object that the request concerns, for routes with affinity.
+    """
+
+    request_id: str
+    route: Route
+    service: str
+    key: str | None
+    target: str
+    arrived_at: float
+    ends_at: float
+
+
+def match_route(table: RouteTable, request: web.BaseRequest) -> Route:
+    """Return the route of a request, or raise Refusal."""
+    route = find_route(table, request.host, request.rel_url.raw_path)
+    if route is None:
+        raise Refusal(404, f"no route, configuration {table.version}")
+    return route
+
+
+def create_call(
+    request: web.BaseRequest,
+    names: HeaderNames,
+    route: Route,
+    service: str,
+    arrived_at: float,
+) -> Call:
+    """Return the call that a request makes on a route."""
+    key = read_cookie(request, names.affinity_cookie) if route.affinity else None
+    if key is not None:
+        key = f"{route.prefix}\0{key}"
+    seconds = _deadline_seconds(request.headers.get(names.deadline_ms))
+    ends_at = arrived_at + seconds - ANSWER_MARGIN_SECONDS
+    if route.timeout_seconds is not None:
+        ends_at = min(ends_at, arrived_at + route.timeout_seconds)
+    return Call(
+        request_id=request.headers[names.request_id],
+        route=route,
+        service=service,
+        key=key,
+        target=request.rel_url.raw_path_qs,
+        arrived_at=arrived_at,
+        ends_at=ends_at,
+    )
+
+
+def read_cookie(request: web.BaseRequest, name: str) -> str | None:
+    """Return a cookie's value, read without building all cookies."""
+    for header in request.headers.getall("Cookie", ()):
+        for part in header.split(";"):
+            key, _, value = part.strip().partition("=")
+            if key == name:
+                return value
+    return None
+
+
+def _deadline_seconds(text: str | None) -> float:
+    """Return how long the caller waits."""
+    if text is None or not text.isdigit():
+        return DEADLINE_DEFAULT_SECONDS
+    return int(text) / 1000
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -19,6 +19,7 @@
 from greengagepoint_node.gateway.gossip import PATH, Gossip, HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
+from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.settings import GatewaySettings
 from greengagepoint_node.gateway.view import FleetView
@@ -109,14 +110,20 @@
             self.clock,
             self.random,
             self.events,
-            _create_peer_session(),
+            create_peer_session(),
         )
-        self.gateway = Gateway(
+        self.placer = Placer(
             settings.host,
+            self.view,
+            self.weights,
+            self.clock.monotonic(),
+            self.events,
+        )
+        self.gateway = Gateway(
             settings.names,
             self.view,
             self.sessions,
-            self.weights,
+            self.placer,
             self.retries,
             self.clock,
             self.events,
@@ -213,7 +220,8 @@
             near = sum(state.entry.region == self.settings.region for state in hosts)
             self.view.servers.set_senders(max(1, near))
             names = sorted(state.entry.name for state in hosts)
-            self.gateway.serving_hosts = names
+            self.placer.serving_hosts = names
+            self.placer.forget_gone()
             self.retries.hosts = max(len(names), len(self.view.hosts))
             await asyncio.sleep(TICK_SECONDS)
 
@@ -234,11 +242,16 @@
         return await self.gossip.async_answer(request)
 
 
-def _create_peer_session() -> aiohttp.ClientSession:
-    """Return the session towards other hosts."""
+def create_peer_session() -> aiohttp.ClientSession:
+    """Return the session towards other hosts.
+
+    Each exchange opens its connection anew. After a cut the kept ones to all peers
+    stand still, and each would have to time out before news came again by it: a host
+    sent to a leaving server 2.5 s after all others had heard that it leaves.
+    """
     connector = aiohttp.TCPConnector(
         limit=0,
-        keepalive_timeout=30.0,
+        force_close=True,
         socket_factory=lambda info: create_socket(*info[:3]),
     )
     return aiohttp.ClientSession(
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -52,15 +52,30 @@
     retry_after: float | None = None
 
 
-class Sending(NamedTuple):
-    """What is sent; ``ends_at`` is monotonic seconds."""
-
-    method: str
-    target: str
-    headers: CIMultiDict[str]
-    body: bytes | None
-    request_id: str
-    seconds: float
+class Sending:
+    """What is sent, and the time for it in seconds."""
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        headers: CIMultiDict[str],
+        body: bytes | None,
+        request_id: str,
+        seconds: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.request_id = request_id
+        self.seconds = seconds
+        self.limit: asyncio.Timeout | None = None
+
+    def give_up(self) -> None:
+        """End the exchange now, as if its time were over."""
+        if self.limit is not None and not self.limit.expired():
+            self.limit.reschedule(asyncio.get_running_loop().time())
 
 
 async def async_exchange(
@@ -68,7 +83,7 @@
 ) -> Exchange:
     """Send a request once and return how it ended."""
     try:
-        async with asyncio.timeout(sending.seconds):
+        async with asyncio.timeout(sending.seconds) as sending.limit:
             answer = await sessions.session.request(
                 sending.method,
                 _url(server.address, sending.target),
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -110,14 +110,14 @@
 
     async def _async_exchange(self, address: str) -> None:
         """Exchange with one peer; a failure only means that its news gets older."""
-        body = encode(self._message(self.view.revision, with_items=False))
+        body = self.encoded(self.view.revision)
         self.exchanges += 1
         try:
             async with asyncio.timeout(EXCHANGE_SECONDS):
                 async with self.session.post(
                     f"http://{address}{PATH}", data=body
                 ) as answer:
-                    message = decode(await answer.read())
+                    self.take_encoded(await answer.read())
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -128,8 +128,14 @@
             self.events.record(
                 Event.PEER_MESSAGE_DROPPED, address=address, detail=type(error).__name__
             )
-            return
-        self._take(message)
+
+    def encoded(self, revision: int) -> bytes:
+        """Return this host's half of an exchange with a peer at a revision."""
+        return encode(self._message(revision))
+
+    def take_encoded(self, body: bytes) -> None:
+        """Take in a peer's half; raise MsgspecError where it can't be read."""
+        self._take(decode(body))
 
     async def async_answer(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer's half of an exchange."""
@@ -139,14 +145,12 @@
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
         self._take(message)
-        return web.Response(
-            body=encode(self._message(message.revision, with_items=True))
-        )
+        return web.Response(body=self.encoded(message.revision))
 
-    def _message(self, revision: int, *, with_items: bool) -> Message:
-        """Return this host's half; items only for one that lacks them."""
+    def _message(self, revision: int) -> Message:
+        """Return this host's half, with the items that a peer at a revision lacks."""
         changes = Changes((), self.view.revision)
-        if with_items and revision < self.view.revision:
+        if revision < self.view.revision:
             changes = self.view.changes_after(revision)
         now = self.clock.monotonic()
         recent = [
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -0,0 +1,122 @@
+"""Place requests on backend servers, and learn from how they end there."""
+
+from typing import NamedTuple
+
+from greengagepoint.events import Event
+from greengagepoint.placing import suspicion
+from greengagepoint.placing.choice import NoPlace, Wanted, choose
+from greengagepoint.placing.cold_start import ColdStartLimiter
+from greengagepoint.placing.patience import Patience
+from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.regions import region_for_key
+from greengagepoint.placing.tables import Server
+from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.exchange import Exchange, Verdict
+from greengagepoint_node.gateway.region_weights import RegionWeights
+from greengagepoint_node.gateway.view import FleetView
+
+
+class Load(NamedTuple):
+    """How many requests a server runs, and how many wait for a slot."""
+
+    running: int
+    waiting: int
+
+
+class Placer:
+    """Hold what this host's choices stand on."""
+
+    def __init__(
+        self,
+        host: str,
+        view: FleetView,
+        weights: RegionWeights,
+        started_at: float,
+        events: EventSink,
+    ) -> None:
+        self.view = view
+        self.weights = weights
+        self.events = events
+        self.ranks = RankCache()
+        self.patience = Patience()
+        self.cold = ColdStartLimiter(host, started_at)
+        self.serving_hosts: list[str] = [host]
+
+    def place(self, call: Call, tried: frozenset[str], now: float) -> Server | NoPlace:
+        """Choose a server for a request that has not been sent to ``tried``."""
+        wanted = Wanted(
+            call.service,
+            self._regions(call),
+            call.key,
+            call.route.goal_seconds,
+            call.ends_at - now,
+            tried,
+        )
+
+        def may_send(server: Server) -> bool:
+            rate = self._cold_rate(call.service)
+            return self.cold.may_send(server.instance, rate, self.serving_hosts, now)
+
+        may_wait = self.patience.withdraw
+        return choose(self.view.servers, self.ranks, wanted, may_send, may_wait, now)
+
+    def learn(
+        self,
+        server: Server,
+        exchange: Exchange,
+        seconds: float,
+        waited: float,
+        now: float,
+    ) -> None:
+        """Keep what a try says of its server; ``waited`` is what was expected."""
+        load = read_load(exchange.load)
+        if load is not None:
+            server.take_report(load.running, load.waiting, now)
+        elif exchange.verdict is Verdict.SHED:
+            server.take_shedding(now)
+        if exchange.verdict is Verdict.ANSWERED:
+            suspicion.note_answer(server, now)
+            # A run that waited for its slot would make the server look slow, and its
+            # queue twice as long as it is.
+            if waited == 0 and (load is None or load.waiting == 0):
+                server.take_service_time(seconds)
+        elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
+            self.suspect(server, exchange.verdict, now)
+
+    def suspect(self, server: Server, verdict: Verdict, now: float) -> None:
+        """Spare a server for a while."""
+        suspicion.note_failure(server, now)
+        self.events.record(
+            Event.BACKEND_SERVER_SUSPECTED,
+            instance=server.instance,
+            failures=server.failures,
+            outcome=verdict,
+            seconds=round(server.suspect_until - now, 3),
+        )
+
+    def forget_gone(self) -> None:
+        """Drop what is kept of servers that are gone."""
+        self.cold.keep(set(self.view.servers.servers))
+
+    def _regions(self, call: Call) -> list[str]:
+        """Return the region of a request's key, if any may run it."""
+        weights = self.weights.current(call.service, call.route.home_regions)
+        region = region_for_key(call.key or call.request_id, weights)
+        return [region] if region is not None else []
+
+    def _cold_rate(self, service: str) -> float:
+        """Return what a cold server of a service bears, in requests a second."""
+        routes = self.view.routes
+        policy = routes.services.get(service) if routes is not None else None
+        return policy.cold_requests_per_second if policy else 0.0
+
+
+def read_load(text: str | None) -> Load | None:
+    """Return what a server says of its load, or None where it says nothing."""
+    if text is None:
+        return None
+    parts = text.split(",")
+    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
+        return None
+    return Load(int(parts[0]), int(parts[1]))
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -0,0 +1,77 @@
+"""Answers of this host's own, for requests that no server answers."""
+
+from typing import Final
+
+from aiohttp import web
+
+from greengagepoint.events import Event
+from greengagepoint.placing.choice import NoPlace
+from greengagepoint.placing.ranking import unit_hash
+from greengagepoint_node.gateway.exchange import Exchange, Verdict
+from greengagepoint_node.gateway.names import HeaderNames
+
+RETRY_AFTER_MIN_SECONDS: Final = 0.05
+# Servers that shed everything are looked at again after this, where they don't say.
+SHED_RETRY_SECONDS: Final = 0.1
+# Callers who were refused together come back spread over half of the time on either
+# side, not as the same burst.
+RETRY_SPREAD: Final = 0.5
+# These say that the request has not run and will not.
+NOT_RUN_STATUSES: Final = frozenset({400, 404, 408, 413, 503})
+# What is left of such a request on its connection would be read as the next one.
+UNREAD_STATUSES: Final = frozenset({400, 408, 413})
+
+
+class Refusal(Exception):
+    """End a request with an answer of this host's own."""
+
+    def __init__(
+        self, status: int, reason: str, retry_after: float | None = None
+    ) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after = retry_after
+
+    @property
+    def event(self) -> Event:
+        """Return the event under which it is logged."""
+        if self.status in NOT_RUN_STATUSES:
+            return Event.REQUEST_REFUSED
+        return Event.REQUEST_FAILED
+
+
+def no_place(service: str, place: NoPlace) -> Refusal:
+    """Return the refusal of a request for which there is no server now."""
+    reason = "all servers are busy" if place.servers_known else "no server may be used"
+    return Refusal(503, f"{reason}: {service}", place.retry_seconds)
+
+
+def no_answer(last: Exchange | None, *, may_have_run: bool) -> Refusal:
+    """Return what the caller is told when no try gave an answer."""
+    if last is None:
+        return Refusal(503, "no time was left to send the request", 0.0)
+    if may_have_run:
+        status = 504 if last.verdict is Verdict.TIMED_OUT else 502
+        return Refusal(status, f"may have run: {last.verdict}")
+    seconds = SHED_RETRY_SECONDS if last.retry_after is None else last.retry_after
+    return Refusal(503, f"not run: {last.verdict}", seconds)
+
+
+def refusal_response(
+    refusal: Refusal, names: HeaderNames, request_id: str
+) -> web.Response:
+    """Return the answer to a request that is refused."""
+    headers = {}
+    if request_id:
+        headers[names.request_id] = request_id
+    if refusal.retry_after is not None:
+        spread = 1 + RETRY_SPREAD * (unit_hash(request_id) - 0.5)
+        seconds = max(RETRY_AFTER_MIN_SECONDS, refusal.retry_after * spread)
+        headers["Retry-After"] = f"{seconds:.3f}"
+    response = web.Response(
+        status=refusal.status, headers=headers, text=f"{refusal.reason}\n"
+    )
+    if refusal.status in UNREAD_STATUSES:
+        response.force_close()
+    return response
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -23,6 +23,11 @@
         backend.manner = manner
 
 
+def set_run_seconds(world, seconds):
+    for row in world.daemon.view.servers.servers.values():
+        row.service_seconds = seconds
+
+
 @pytest.mark.parametrize(
     ("manner", "safe_status", "safe_ran", "unsafe_status", "unsafe_ran"),
     [
@@ -62,6 +67,28 @@
         assert world.events.of(Event.REQUEST_RETRIED)
 
 
+async def test_a_safe_request_leaves_a_server_that_answers_nobody():
+    # A server went dark: its connections stay open and nothing comes. A caller who had
+    # to wait for the end of its time would get nothing; half of it is enough to see
+    # that this server answers nobody, and the other half to be served by another.
+    async with async_world() as world:
+        set_run_seconds(world, 0.05)
+        world.backends[0].manner = Manner.SILENT
+        results = [await world.async_call(f"/safe/{number}") for number in range(8)]
+        assert {status for status, _, _ in results} == {200}
+        suspected = world.events.of(Event.BACKEND_SERVER_SUSPECTED)
+        assert [row["outcome"] for row in suspected] == ["timed_out"]
+
+
+async def test_an_unsafe_request_stays_with_a_server_that_is_silent():
+    async with async_world() as world:
+        set_run_seconds(world, 0.05)
+        set_manner(world, Manner.SILENT)
+        status, _, _ = await world.async_call("/unsafe/1", "POST")
+        assert (status, world.ran()) == (504, 1)
+        assert world.events.of(Event.BACKEND_SERVER_SUSPECTED)
+
+
 async def test_a_second_answer_left_on_a_connection_reaches_nobody():
     # The server answers each request twice. The second answer waits on the connection
     # and would be taken for the answer to whatever is sent next.
@@ -165,6 +192,14 @@
         assert all(row.first_request_timer is None for row in connections)
 
 
+async def test_a_long_run_on_an_idle_server_is_waited_for():
+    # Nobody else sends to the server, so it answers nobody while it runs one request
+    # that takes longer than most. Sent to a second server, it would run twice.
+    async with async_world(seconds=0.7) as world:
+        status, _, _ = await world.async_call("/safe/1")
+        assert (status, world.ran()) == (200, 1)
+
+
 async def test_no_server_fits_is_refused_at_once():
     async with async_world(servers=1, seconds=0.2) as world:
         row = world.daemon.view.servers.servers["i-0"]
--- /dev/null
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -0,0 +1,140 @@
+"""News between hosts while the store, a link or a peer is out of order."""
+
+import asyncio
+import random
+
+import pytest
+from aiohttp import web
+from gateway_world import ZONES, Lines
+
+from greengagepoint.events import Event
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway.daemon import create_peer_session
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    Evacuation,
+    HostEntry,
+    RemovedKey,
+    StoredItem,
+)
+from greengagepoint_node.gateway.gossip import Gossip, HostState
+from greengagepoint_node.gateway.view import FleetView
+
+NOW = 10.0
+
+
+class Clock(SystemClock):
+    """Stand still."""
+
+    now = NOW
+
+    def monotonic(self):
+        return self.now
+
+
+class Request:
+    """A peer's half of an exchange, as the server would read it."""
+
+    def __init__(self, body):
+        self.body = body
+
+    async def read(self):
+        return self.body
+
+
+def host(name, clock=None, session=None, seeds=()):
+    entry = HostEntry(name, "north", "zone-a", f"{name}:1", f"{name}:2")
+    lines = Lines()
+    view = FleetView(ZONES, lambda item: Evacuation(item.key), lines)
+    own = HostState(entry, 1, 0, leaving=False)
+    return Gossip(
+        own, view, list(seeds), clock or Clock(), random.Random(1), lines, session
+    )
+
+
+async def async_exchange(one, other):
+    """Let one host exchange with another, without a network."""
+    one.own.count += 1
+    half = one.encoded(one.view.revision)
+    answer = await other.async_answer(Request(half))
+    assert answer.status == 200
+    one.take_encoded(answer.body)
+
+
+async def test_a_host_that_the_store_turns_away_hears_of_changes_from_a_peer():
+    # The store serves one host and turns another one away. A zone is evacuated; the
+    # second host would send on to it for as long as the store does not let it in.
+    served, away = host("h1"), host("h2")
+    item = StoredItem("zone-a", b"", 7)
+    served.view.apply(Changes((item,), 7), NOW)
+    await async_exchange(away, served)
+    assert away.view.revision == 7
+    assert "zone-a" in away.view.evacuated_at
+    served.view.apply(Changes((RemovedKey("zone-a", 9),), 9), NOW)
+    await async_exchange(away, served)
+    assert "zone-a" not in away.view.evacuated_at
+    assert len(away.events.of(Event.CONFIGURATION_FROM_PEER)) == 2
+
+
+async def test_news_of_hosts_travels_through_others():
+    first, middle, last = host("h1"), host("h2"), host("h3")
+    await async_exchange(first, middle)
+    await async_exchange(last, middle)
+    assert {row.entry.name for row in last.alive(NOW)} == {"h1", "h2", "h3"}
+
+
+@pytest.mark.parametrize(
+    ("seconds", "leaving", "named"),
+    [(0.0, False, True), (3.0, False, True), (4.0, False, False), (0.0, True, False)],
+)
+async def test_a_dead_or_leaving_host_is_named_no_more(seconds, leaving, named):
+    clock = Clock()
+    one, other = host("h1", clock), host("h2")
+    other.own.leaving = leaving
+    await async_exchange(one, other)
+    clock.now = NOW + seconds
+    assert ("h2" in {row.entry.name for row in one.alive(clock.now)}) is named
+
+
+async def test_older_news_of_a_host_does_not_win():
+    one, other, third = host("h1"), host("h2"), host("h3")
+    await async_exchange(third, other)
+    other.own.leaving = True
+    other.own.count += 1
+    await async_exchange(one, other)
+    await async_exchange(one, third)
+    assert {row.entry.name for row in one.alive(NOW)} == {"h1", "h3"}
+
+
+async def test_garbage_from_a_peer_is_refused():
+    one = host("h1")
+    answer = await one.async_answer(Request(b"garbage"))
+    assert answer.status == 400
+    assert one.events.of(Event.PEER_MESSAGE_REJECTED)
+
+
+async def test_each_exchange_opens_a_connection_of_its_own():
+    # A link was cut and has healed. Kept connections over it stand still for good while
+    # new ones work; a host that went on with them would hear of nothing for as long as
+    # it takes to try all its peers.
+    peer, transports = host("h2"), []
+
+    async def async_answer(request):
+        transports.append(request.transport)
+        return await peer.async_answer(request)
+
+    runner = web.ServerRunner(web.Server(async_answer))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    address = site._server.sockets[0].getsockname()
+    session = create_peer_session()
+    one = host("h1", session=session, seeds=[f"127.0.0.1:{address[1]}"])
+    running = asyncio.create_task(one.async_run())
+    async with asyncio.timeout(10):
+        while len(transports) < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    running.cancel()
+    assert len({id(row) for row in transports}) == len(transports)
+    await session.close()
+    await runner.cleanup()
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -50,6 +50,7 @@
         self.ran: list[Received] = []
         self.cancelled: list[Received] = []
         self.address = ""
+        self.stopped = asyncio.Event()
 
     async def async_start(self) -> None:
         """Listen on loopback."""
@@ -60,6 +61,7 @@
     async def async_stop(self) -> None:
         """Stop listening."""
         self.server.close()
+        self.stopped.set()
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -233,7 +235,7 @@
     backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
 ) -> bool:
     """Never answer."""
-    await asyncio.sleep(3600)
+    await backend.stopped.wait()
     return False
 
 
--- /dev/null
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -0,0 +1,231 @@
+"""Run daemons as the deploy file says, on the stand-ins of the users' platform."""
+
+import asyncio
+import base64
+import contextlib
+import os
+import socket
+import sys
+import tomllib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import msgspec
+
+from greengagepoint_standins.users_platform.backend import PlatformBackend
+from greengagepoint_standins.users_platform.store import PlatformStore
+
+SETTINGS_VARIABLE: Final = "GREENGAGEPOINT_NODE_FILE"
+ZONES: Final = {"z-a": "north", "z-b": "south"}
+HOST: Final = "a.example"
+SERVICE: Final = "booking"
+LISTENERS: Final = ("front", "readiness", "directory", "control")
+READY_SECONDS: Final = 20.0
+LOOK_SECONDS: Final = 0.05
+GRACE_SECONDS: Final = 3
+
+
+def free_address() -> str:
+    """Return an address on loopback that nothing listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def deployed_command(root: Path) -> list[str]:
+    """Return the command of the deploy file's role, for this interpreter."""
+    deploy = tomllib.loads((root / "deploy" / "system.toml").read_text())
+    words = deploy["roles"]["host"]["run"].split()
+    return [sys.executable, *words[1:]]
+
+
+class Node:
+    """One daemon as a process of its own; ``lines`` is its log so far."""
+
+    def __init__(
+        self, root: Path, folder: Path, name: str, zone: str, store: str
+    ) -> None:
+        self.root = root
+        self.name = name
+        self.listen = {kind: free_address() for kind in LISTENERS}
+        self.path = folder / f"{name}.json"
+        self.lines: list[dict[str, Any]] = []
+        self.document: dict[str, Any] = {
+            "nodeName": name,
+            "zone": zone,
+            "region": ZONES[zone],
+            "zones": ZONES,
+            "listen": self.listen,
+            "seeds": [],
+            "bounds": {
+                "graceS": GRACE_SECONDS,
+                "retryBudgetRatio": 0.2,
+                "budgetSlack": 64,
+            },
+            "platform": {"address": store, "form": "kv"},
+        }
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        self.path.write_bytes(msgspec.json.encode(self.document))
+
+    async def async_start(self) -> None:
+        """Start the process."""
+        self.write_settings()
+        self.lines = []
+        self.process = await asyncio.create_subprocess_exec(
+            *deployed_command(self.root),
+            cwd=self.root,
+            env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.reading = asyncio.create_task(self._async_read())
+
+    async def async_kill(self) -> None:
+        """End the process if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+
+    def events(self) -> list[str]:
+        """Return the names of the events so far."""
+        return [row["name"] for row in self.lines]
+
+    async def _async_read(self) -> None:
+        """Keep the log."""
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(msgspec.json.decode(line))
+
+
+class Fleet:
+    """Daemons, backend servers and a store, and the operator and a caller of them."""
+
+    def __init__(
+        self,
+        store: PlatformStore,
+        backends: list[PlatformBackend],
+        nodes: list[Node],
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.store = store
+        self.backends = backends
+        self.nodes = nodes
+        self.session = session
+        self.version = 0
+        self.count = 0
+
+    def put(self, key: str, document: dict[str, Any]) -> None:
+        """Write a document as the operator or a server does."""
+        value = base64.b64encode(msgspec.json.encode(document)).decode()
+        self.store.items.put(key, value)
+
+    def configure(self, *prefixes: str) -> None:
+        """Put a configuration with these routes."""
+        self.version += 3
+        rules = [
+            {
+                "name": f"r{prefix}",
+                "kind": "safe",
+                "targetLatencyS": 0.4,
+                "sticky": True,
+                "match": {"pathPrefix": prefix},
+                "action": {"service": SERVICE, "timeoutS": 2.0, "maxAttempts": 2},
+            }
+            for prefix in prefixes
+        ]
+        document = {
+            "version": f"r{self.version}",
+            "listeners": [{"host": HOST, "rules": rules}],
+            "clusters": [{"name": SERVICE, "coldStartS": 1.0, "coldPerS": 50.0}],
+        }
+        self.put("op/config", document)
+
+    def enter(self, backend: PlatformBackend, zone: str, state: str = "ready") -> None:
+        """Write a server's entry."""
+        document = {
+            "service": SERVICE,
+            "address": backend.address,
+            "zone": zone,
+            "slots": 8,
+            "state": state,
+            "coldLeftS": 0,
+            "sequence": 1,
+        }
+        self.put(f"servers/{backend.instance}", document)
+
+    async def async_call(
+        self, node: Node, path: str, key: str = "1"
+    ) -> tuple[int, str, str]:
+        """Send a request; return its status, the server that ran it, and its id."""
+        self.count += 1
+        request_id = f"id-{self.count}"
+        headers = {
+            "Host": HOST,
+            "X-Greengagepoint-Request-Id": request_id,
+            "X-Greengagepoint-Deadline-Ms": "3000",
+            "Cookie": f"X-Greengagepoint-Affinity-Key={key}",
+        }
+        url = f"http://{node.listen['front']}{path}"
+        async with self.session.get(url, headers=headers) as answer:
+            server = (await answer.read()).decode().split(" ")[0]
+            return answer.status, server, request_id
+
+    async def async_until(
+        self, check: Callable[[], Awaitable[bool]], seconds: float = READY_SECONDS
+    ) -> None:
+        """Wait until a check holds; raise TimeoutError when it takes too long."""
+        async with asyncio.timeout(seconds):
+            while not await check():  # noqa: ASYNC110
+                await asyncio.sleep(LOOK_SECONDS)
+
+    async def async_is_ready(self, node: Node) -> bool:
+        """Ask a daemon whether callers may be sent there."""
+        with contextlib.suppress(aiohttp.ClientError):
+            url = f"http://{node.listen['readiness']}/api/ready"
+            async with self.session.get(url) as answer:
+                return answer.status == 200
+        return False
+
+    async def async_named(self, node: Node, region: str) -> list[str]:
+        """Ask a daemon for the hosts that callers of a region should use."""
+        url = f"http://{node.listen['directory']}/api/resolve"
+        query = {"name": HOST, "region": region, "zone": "z-a"}
+        async with self.session.get(url, params=query) as answer:
+            if answer.status != 200:
+                return []
+            return msgspec.json.decode(await answer.read())["addresses"]
+
+
+@contextlib.asynccontextmanager
+async def async_fleet(root: Path, folder: Path) -> AsyncIterator[Fleet]:
+    """Run three daemons and four servers in two regions until the block ends."""
+    store = PlatformStore()
+    await store.async_start()
+    backends = [PlatformBackend(f"i-{number}") for number in range(4)]
+    nodes = [
+        Node(root, folder, name, zone, store.address)
+        for name, zone in (("n1", "z-a"), ("n2", "z-a"), ("n3", "z-b"))
+    ]
+    async with aiohttp.ClientSession() as session:
+        fleet = Fleet(store, backends, nodes, session)
+        for number, backend in enumerate(backends):
+            await backend.async_start()
+            fleet.enter(backend, "z-a" if number < 2 else "z-b")
+        fleet.configure("/bays/")
+        for node in nodes:
+            node.document["seeds"] = [row.listen["control"] for row in nodes]
+            await node.async_start()
+        try:
+            for node in nodes:
+                await fleet.async_until(lambda node=node: fleet.async_is_ready(node))
+            yield fleet
+        finally:
+            for node in nodes:
+                await node.async_kill()
+            for backend in backends:
+                await backend.async_stop()
+            await store.async_stop()
