--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -8,8 +8,8 @@
 
 # A warm run takes about 0.4 of the response-time goal, so a wait of half of it still
 # ends in time. A queue that is let grow beyond makes every answer late, at the same
-# number of answers: with queues as long as servers take them, 5 in 100 answers were in
-# time at a load that warm servers bear twice over.
+# number of answers: with queues as long as servers take them, 1 to 5 in 100 requests of
+# a lasting overload were answered in time.
 WAIT_SHARE_OF_GOAL: Final = 0.5
 # A cold run takes as long as three warm ones. A server that is not warm for a key takes
 # it only while this part of its slots is busy at most; spent on a busy one, each such
@@ -112,7 +112,7 @@
 def _idle_ones(
     table: ServerTable, wanted: Wanted, region: str, now: float
 ) -> Iterable[Server]:
-    """Yield the most idle server of a region if it is idle enough."""
+    """Yield the most idle server of a region, if any may be asked."""
     members = table.find(wanted.service, region).servers
     fit = [
         server
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -245,9 +245,9 @@
 def create_peer_session() -> aiohttp.ClientSession:
     """Return the session towards other hosts.
 
-    Each exchange opens its connection anew. After a cut the kept ones to all peers
-    stand still, and each would have to time out before news came again by it: a host
-    sent to a leaving server 2.5 s after all others had heard that it leaves.
+    Each exchange opens its connection anew. After a cut, kept connections may stand
+    still for good while new ones work, and each would have to time out before news came
+    by that peer again.
     """
     connector = aiohttp.TCPConnector(
         limit=0,
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -27,8 +27,8 @@
 PERIOD_SECONDS: Final = 0.5
 # Two regions are 40 ms apart there and back; a peer that takes longer is busy or gone.
 EXCHANGE_SECONDS: Final = 0.6
-# With 12 hosts news of a live one is at most 2 s old; look-ups drop a dead one within
-# this and the lease's time, under the 6 s that users allow.
+# Several rounds of exchanges; look-ups drop a dead host after it, under the 6 s that
+# users allow. How old news of a live host gets was not measured.
 ALIVE_SECONDS: Final = 3.5
 FORGET_SECONDS: Final = 30.0
 PATH: Final = "/v1/gossip"
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -13,8 +13,8 @@
 RETRY_AFTER_MIN_SECONDS: Final = 0.05
 # Servers that shed everything are looked at again after this, where they don't say.
 SHED_RETRY_SECONDS: Final = 0.1
-# Callers who were refused together come back spread over half of the time on either
-# side, not as the same burst.
+# Callers who were refused together come back spread over a quarter of the time on
+# either side, not as the same burst.
 RETRY_SPREAD: Final = 0.5
 # These say that the request has not run and will not.
 NOT_RUN_STATUSES: Final = frozenset({400, 404, 408, 413, 503})
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -27,20 +27,11 @@
     Snapshot,
     StoredItem,
 )
-from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.settings import GatewaySettings
+from greengagepoint_platform.names import HEADERS
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 
-NAMES = HeaderNames(
-    request_id="X-Greengagepoint-Request-Id",
-    deadline_ms="X-Greengagepoint-Deadline-Ms",
-    affinity_cookie="X-Greengagepoint-Affinity-Key",
-    signature="X-Greengagepoint-Response-Signature",
-    target_instance="X-Greengagepoint-Target-Instance",
-    instance="X-Greengagepoint-Instance-Id",
-    load="X-Greengagepoint-Backend-Load",
-    not_executed="X-Greengagepoint-Not-Executed",
-)
+NAMES = HEADERS
 HOST = "a.example"
 ZONES = {"zone-a": "north", "zone-b": "south"}
 
