Begin pipelined requests as they come, and answer them in order

Cause: a connection's requests were handled one after the other. A host that stops answers what it has begun before it closes the connection.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -19,6 +19,7 @@
 from greengagepoint_node.gateway.gossip import PATH, Gossip, HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
+from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.settings import GatewaySettings
@@ -197,7 +198,11 @@
             connections=CONNECTIONS_MAX,
         )
         self.front = Listener(
-            settings.front_address, self.gateway.async_handle, self.events, limits
+            settings.front_address,
+            self.gateway.async_handle,
+            self.events,
+            limits,
+            create_pipelined_connection(self.gateway),
         )
         handlers = {
             settings.ready_address: self._async_answer_ready,
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -14,6 +14,7 @@
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint.routing.split import WeightedSplit
+from greengagepoint.routing.tables import find_route
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call, create_call, match_route
 from greengagepoint_node.gateway.exchange import (
@@ -83,18 +84,36 @@
             names.target_instance.lower(),
         }
 
-    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one request."""
+    async def async_handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer the request of a connection whose turn it is."""
+        connection = request.protocol
+        response = await connection.async_answer_in_turn(request)
+        if self.leaving and not connection.early:
+            # A caller that kept this connection would send its next request on it
+            # after the host has stopped, and see it cut off. Requests that were begun
+            # behind this one are answered first.
+            response.force_close()
+        return response
+
+    def may_begin_early(self, request: web.BaseRequest) -> bool:
+        """Tell whether a request without a body may run beside those before it.
+
+        One that runs once at most must not: its caller sends it again when the
+        connection closes before its turn.
+        """
+        table = self.view.routes
+        if table is None or request.can_read_body:
+            return False
+        route = find_route(table, request.host, request.rel_url.raw_path)
+        return route is not None and route.repeatable
+
+    async def async_answer(self, request: web.BaseRequest) -> web.Response:
+        """Return the answer to a request, counted as one in flight meanwhile."""
         self.in_flight += 1
         try:
-            response = await self._async_answer(request)
+            return await self._async_answer(request)
         finally:
             self.in_flight -= 1
-        if self.leaving:
-            # A caller that kept this connection would send its next request on it
-            # after the host has stopped, and see it cut off.
-            response.force_close()
-        return response
 
     def is_quiet(self, seconds: float) -> bool:
         """Tell whether nothing is in flight and no request came for some seconds."""
--- a/packages/node/greengagepoint_node/gateway/listeners.py
+++ b/packages/node/greengagepoint_node/gateway/listeners.py
@@ -10,6 +10,7 @@
 
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.http.server import (
+    ProblemRequestHandler,
     ProblemServer,
     ProblemServerRunner,
     ServerLimits,
@@ -49,11 +50,16 @@
     """One address on which requests are answered."""
 
     def __init__(
-        self, address: str, handler: Handler, events: EventSink, limits: ServerLimits
+        self,
+        address: str,
+        handler: Handler,
+        events: EventSink,
+        limits: ServerLimits,
+        connection: type[ProblemRequestHandler] = ProblemRequestHandler,
     ) -> None:
         self.address = address
         self.handler = handler
-        self.server = ProblemServer(self._async_dispatch, events, limits)
+        self.server = ProblemServer(self._async_dispatch, events, limits, connection)
         self.runner = ProblemServerRunner(self.server)
         self.site: web.SockSite | None = None
 
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -111,14 +111,18 @@
     """Make a ``ProblemRequestHandler`` for each connection."""
 
     def __init__(
-        self, handler: Handler, events: EventSink, limits: ServerLimits
+        self,
+        handler: Handler,
+        events: EventSink,
+        limits: ServerLimits,
+        connection: type[ProblemRequestHandler] = ProblemRequestHandler,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self.events = events
         self.limits = limits
         self.open_connections = 0
         self.make_connection = functools.partial(
-            ProblemRequestHandler,
+            connection,
             self,
             loop=asyncio.get_running_loop(),
             access_log=None,
