Let one host a region watch the store and tell the others at once

Ruled out: longer gathering of changes (users allow 2.0 s until they are in force); gossip alone for the others (at 83 hosts news takes two seconds and more). Change: one watcher a region by rendezvous; it sends changes to the region's hosts as they come, and confirms each second that there were none. A host whose news is older than 1.4 s watches by itself; one that missed news asks its sender. Of ten exchanges eight are within the region.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from greengagepoint.config.watchers import watchers_of
 from greengagepoint.events import Event
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
@@ -17,7 +18,7 @@
 from greengagepoint_node.gateway.directory import HostDirectory
 from greengagepoint_node.gateway.facts import DecodeItem, HostEntry, PlatformStore
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
-from greengagepoint_node.gateway.gossip import PATH, Gossip, HostState
+from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip, HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
@@ -50,6 +51,11 @@
 QUIET_SECONDS: Final = 0.8
 POLL_SECONDS: Final = 0.1
 
+# One host a region watches the store for the others. When it is lost they find their
+# news stale and watch themselves until another one has taken its place; a second one
+# would cost as many calls again, each second, for those two or three seconds.
+WATCHERS_HERE: Final = 1
+
 APPLIED_AT_ONCE: Final = frozenset(
     {"retry_ratio", "retry_slack", "seeds", "stop_seconds"}
 )
@@ -142,7 +148,12 @@
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
-            self.store, self.view, self.clock, self.random, self.events
+            self.store,
+            self.view,
+            self.clock,
+            self.random,
+            self.events,
+            self.gossip,
         )
         self.registration = HostRegistration(
             self.store, self.entry, self.random, self.events
@@ -235,8 +246,11 @@
             hosts = self.gossip.alive(now)
             self.view.tick(now)
             self.weights.tick(now)
-            near = sum(state.entry.region == self.settings.region for state in hosts)
-            self.view.servers.set_senders(max(1, near))
+            region = self.settings.region
+            near = [row.entry for row in hosts if row.entry.region == region]
+            watchers = watchers_of(region, near, WATCHERS_HERE)
+            self.gossip.is_watcher = self.settings.host in watchers
+            self.view.servers.set_senders(max(1, len(near)))
             names = sorted(state.entry.name for state in hosts)
             self.placer.serving_hosts = names
             self.placer.round_trip_seconds = self.gossip.farthest_seconds()
@@ -274,9 +288,11 @@
 
     async def _async_answer_peer(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer."""
-        if request.rel_url.raw_path != PATH:
-            return web.Response(status=404)
-        return await self.gossip.async_answer(request)
+        if request.rel_url.raw_path == PATH:
+            return await self.gossip.async_answer(request)
+        if request.rel_url.raw_path == NEWS_PATH:
+            return await self.gossip.async_take_news(request)
+        return web.Response(status=404)
 
 
 def _age(since: float | None, now: float) -> float:
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -1,7 +1,7 @@
 """Follow the platform's store, and keep this host's entry in it."""
 
 import asyncio
-from typing import Final
+from typing import Final, Protocol
 
 from greengagepoint.errors import StoreError
 from greengagepoint.events import Event
@@ -18,8 +18,10 @@
 # A store that drops its history may leave a waiting watch without the changes of its
 # last moments; only the next watch is told that they are lost. Hosts begin theirs at
 # different times, so the first one learns within a part of this and tells its peers.
-# Shorter waits cost more calls: 12 hosts make 4 a second.
-WATCH_SECONDS: Final = 3.0
+# Each end of a wait also tells the other hosts that there was nothing to hear.
+WATCH_SECONDS: Final = 1.0
+# How soon a host that others keep up to date sees that they no longer do.
+LOOK_SECONDS: Final = 0.1
 # Changes that come together are read in one call. At a start every server and host
 # writes its entry, and each would otherwise wake every host.
 GATHER_SECONDS: Final = 0.4
@@ -30,6 +32,16 @@
 RENEW_SECONDS: Final = 1.0
 
 
+class News(Protocol):
+    """Pass on what the store told, and know whether peers do so for this host."""
+
+    def must_watch(self) -> bool:
+        """Tell whether this host has to ask the store itself."""
+
+    def confirm(self, before: int) -> None:
+        """Take in that the view is complete; ``before`` is its former revision."""
+
+
 class StoreFollower:
     """Keep the view up to date from the store."""
 
@@ -40,9 +52,11 @@
         clock: Clock,
         random: Random,
         events: EventSink,
+        news: News,
     ) -> None:
         self.store = store
         self.view = view
+        self.news = news
         self.clock = clock
         self.random = random
         self.events = events
@@ -53,9 +67,11 @@
     async def async_run(self) -> None:
         """Follow until cancelled."""
         while True:
+            if not self.needs_snapshot and not self.news.must_watch():
+                await asyncio.sleep(LOOK_SECONDS)
+                continue
             try:
                 await self._async_step()
-                self._note_reached()
             except HistoryLostError:
                 self.needs_snapshot = True
             except StoreError as error:
@@ -65,16 +81,20 @@
     async def _async_step(self) -> None:
         """Read everything once, then wait for what changes."""
         view = self.view
+        before = view.revision
         if self.needs_snapshot:
             snapshot = await self.store.async_snapshot()
             self._note_reached()
             view.replace(snapshot, self.clock.monotonic())
             self.needs_snapshot = False
+            self.news.confirm(before)
             return
-        changes = await self.store.async_changes(view.revision, WATCH_SECONDS)
+        changes = await self.store.async_changes(before, WATCH_SECONDS)
         self._note_reached()
         view.apply(changes, self.clock.monotonic())
-        await asyncio.sleep(GATHER_SECONDS)
+        self.news.confirm(before)
+        if changes.changes:
+            await asyncio.sleep(GATHER_SECONDS)
 
     def _note_lost(self, error: StoreError) -> None:
         """Say once that the store is lost."""
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -1,5 +1,8 @@
 """Exchange what hosts believe: who lives, and the store's news.
 
+The host that watches the store for its region sends each change to the region's other
+hosts at once, and each second tells them that they miss nothing.
+
 Once every half second a host sends its table to another one and gets that one's table
 and whatever of the store's items it lacks. So a host that the store turns away still
 learns of changes, and so does one whose watch hangs on a silent connection; a host that
@@ -8,12 +11,14 @@
 
 import asyncio
 import math
-from typing import Final
+from collections.abc import Coroutine
+from typing import Any, Final
 
 import aiohttp
 import msgspec
 from aiohttp import web
 
+from greengagepoint.config.watchers import must_watch
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
@@ -35,7 +40,11 @@
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
+# Of ten exchanges, so many are with hosts of the own region, where they cost less; news
+# still enters each other region several times a second.
+NEAR_SHARE: Final = 0.8
 PATH: Final = "/v1/gossip"
+NEWS_PATH: Final = "/v1/news"
 
 
 class HostState(msgspec.Struct, array_like=True):
@@ -51,9 +60,15 @@
 
 
 class Message(msgspec.Struct, array_like=True):
-    """Half of an exchange."""
+    """Half of an exchange, or news.
+
+    The items are those after the revision ``after``. ``age`` is how many seconds ago
+    the sender's view was known to be complete, None where it never was.
+    """
 
     revision: int
+    after: int
+    age: float | None
     hosts: list[HostState]
     items: list[StoredItem]
     removed: list[RemovedKey]
@@ -93,6 +108,10 @@
         self.session = session
         self.heard: dict[str, HeardHost] = {}
         self.round_trips: dict[str, float] = {}
+        self.is_watcher = True
+        self.confirmed_at = float("-inf")
+        self.peers_confirmed_at = float("-inf")
+        self.under_way: dict[str, asyncio.Task[None]] = {}
         self.exchanges = 0
         self.failures = 0
 
@@ -113,6 +132,62 @@
             if address is not None:
                 await self._async_exchange(address)
 
+    def must_watch(self) -> bool:
+        """Tell whether this host has to ask the store itself."""
+        return must_watch(
+            watcher=self.is_watcher,
+            confirmed_at=self.peers_confirmed_at,
+            now=self.clock.monotonic(),
+        )
+
+    def confirm(self, before: int) -> None:
+        """Take in that the store told everything, and pass on what is new."""
+        self.confirmed_at = self.clock.monotonic()
+        if not self.is_watcher or self.own.leaving:
+            return
+        body = encode(self._message(before, [self.own]))
+        for state in self.alive(self.confirmed_at):
+            entry = state.entry
+            if entry.name != self.own.entry.name and self._is_near(entry):
+                self._start(entry.peer_address, self._async_tell(entry, body))
+
+    def _is_near(self, entry: HostEntry) -> bool:
+        """Tell whether a host is in this one's region."""
+        return entry.region == self.own.entry.region
+
+    def _start(self, address: str, work: Coroutine[Any, Any, None]) -> None:
+        """Run one task for a peer at a time; one that is behind asks by itself."""
+        if address in self.under_way:
+            work.close()
+            return
+        task = asyncio.get_running_loop().create_task(work)
+        self.under_way[address] = task
+        task.add_done_callback(lambda _: self.under_way.pop(address, None))
+
+    async def _async_tell(self, entry: HostEntry, body: bytes) -> None:
+        """Send news to one peer; one that missed it finds its own news stale."""
+        url = f"http://{entry.peer_address}{NEWS_PATH}"
+        try:
+            async with asyncio.timeout(EXCHANGE_SECONDS):
+                async with self.session.post(url, data=body) as answer:
+                    await answer.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self._note_failure(entry.peer_address, error)
+
+    async def async_take_news(self, request: web.BaseRequest) -> web.Response:
+        """Take in what the watcher of this region tells."""
+        try:
+            message = decode(await request.read())
+        except msgspec.MsgspecError as error:
+            self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
+            return web.Response(status=400)
+        self._take(message, self.clock.monotonic())
+        if self.view.revision < message.revision and message.hosts:
+            # News before this one got lost, and this one can't stand without it.
+            address = message.hosts[0].entry.peer_address
+            self._start(address, self._async_exchange(address))
+        return web.Response(status=204)
+
     async def _async_exchange(self, address: str) -> None:
         """Exchange with one peer; a failure only means that its news gets older."""
         body = self.encoded(self.view.revision)
@@ -123,7 +198,7 @@
                 async with self.session.post(
                     f"http://{address}{PATH}", data=body
                 ) as answer:
-                    self.take_encoded(await answer.read())
+                    self._take(decode(await answer.read()), began)
             self.note_exchange(address, self.clock.monotonic() - began)
         except (
             TimeoutError,
@@ -131,10 +206,14 @@
             OSError,
             msgspec.MsgspecError,
         ) as error:
-            self.failures += 1
-            self.events.record(
-                Event.PEER_MESSAGE_DROPPED, address=address, detail=type(error).__name__
-            )
+            self._note_failure(address, error)
+
+    def _note_failure(self, address: str, error: BaseException) -> None:
+        """Tell of an exchange that failed."""
+        self.failures += 1
+        self.events.record(
+            Event.PEER_MESSAGE_DROPPED, address=address, detail=type(error).__name__
+        )
 
     def note_exchange(self, address: str, seconds: float) -> None:
         """Learn from an exchange how far its peer's region is."""
@@ -151,11 +230,11 @@
 
     def encoded(self, revision: int) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
-        return encode(self._message(revision))
+        return encode(self._message(revision, [self.own, *self._recent()]))
 
     def take_encoded(self, body: bytes) -> None:
         """Take in a peer's half; raise MsgspecError where it can't be read."""
-        self._take(decode(body))
+        self._take(decode(body), self.clock.monotonic())
 
     async def async_answer(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer's half of an exchange."""
@@ -164,40 +243,55 @@
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
-        self._take(message)
+        # How long this half was under way is not known, so its age is left aside.
+        self._take(message, None)
         return web.Response(body=self.encoded(message.revision))
 
-    def _message(self, revision: int) -> Message:
-        """Return this host's half, with the items that a peer at a revision lacks."""
-        changes = Changes((), self.view.revision)
-        if revision < self.view.revision:
-            changes = self.view.changes_after(revision)
+    def _recent(self) -> list[HostState]:
+        """Return the other hosts that news came of lately."""
         now = self.clock.monotonic()
-        recent = [
+        return [
             row.state
             for row in self.heard.values()
             if now - row.heard_at <= ALIVE_SECONDS
         ]
+
+    def _message(self, revision: int, hosts: list[HostState]) -> Message:
+        """Return what a peer at a revision lacks, with the states of some hosts."""
+        changes = Changes((), self.view.revision)
+        if revision < self.view.revision:
+            changes = self.view.changes_after(revision)
+        confirmed_at = max(self.confirmed_at, self.peers_confirmed_at)
+        age = self.clock.monotonic() - confirmed_at
         return Message(
             revision=self.view.revision,
-            hosts=[self.own, *recent],
+            after=min(revision, self.view.revision),
+            age=age if math.isfinite(age) else None,
+            hosts=hosts,
             items=[row for row in changes.changes if isinstance(row, StoredItem)],
             removed=[row for row in changes.changes if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
         )
 
-    def _take(self, message: Message) -> None:
-        """Take in a peer's half."""
+    def _take(self, message: Message, sent_after: float | None) -> None:
+        """Take in a peer's half, or news.
+
+        ``sent_after`` is a time before which it was not written, None if unknown.
+        """
         now = self.clock.monotonic()
         for state in message.hosts:
             self._take_host(state, now)
-        if message.revision > self.view.revision and (message.items or message.removed):
-            before = self.view.revision
+        before = self.view.revision
+        if message.revision > before >= message.after:
             changes = Changes((*message.items, *message.removed), message.revision)
             self.view.apply(changes, now, message.lapsed)
             self.events.record(
                 Event.CONFIGURATION_FROM_PEER, before=before, revision=message.revision
             )
+        complete = self.view.revision >= message.revision
+        if complete and message.age is not None and sent_after is not None:
+            at = sent_after - message.age
+            self.peers_confirmed_at = max(self.peers_confirmed_at, at)
 
     def _take_host(self, state: HostState, now: float) -> None:
         """Keep what is news of a host."""
@@ -236,5 +330,11 @@
             known |= {seed for seed in self.seeds if seed != own}
         if not known:
             return None
-        ordered = sorted(known)
+        near = known & {
+            row.state.entry.peer_address
+            for row in self.heard.values()
+            if self._is_near(row.state.entry)
+        }
+        chosen = near if near and self.random.random() < NEAR_SHARE else known
+        ordered = sorted(chosen)
         return ordered[self.random.randrange(len(ordered))]
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -55,12 +55,28 @@
         return await self.answer("put", lease)
 
 
+class Peers:
+    """Peers that keep this host up to date, or not."""
+
+    def __init__(self, must=True):
+        self.must = must
+        self.confirmed = []
+
+    def must_watch(self):
+        return self.must
+
+    def confirm(self, before):
+        self.confirmed.append(before)
+
+
 async def async_follow(monkeypatch, *answers):
     monkeypatch.setattr(module, "GATHER_SECONDS", 0)
     monkeypatch.setattr(module, "PAUSE_SECONDS", 0.001)
     store, lines = Script(*answers), Lines()
     view = FleetView(ZONES, lambda item: None, lines)
-    follower = StoreFollower(store, view, SystemClock(), random.Random(1), lines)
+    follower = StoreFollower(
+        store, view, SystemClock(), random.Random(1), lines, Peers()
+    )
     task = asyncio.create_task(follower.async_run())
     await async_until(lambda: not store.answers)
     await asyncio.sleep(0.02)
@@ -117,3 +133,24 @@
     await async_until(lambda: len(store.calls) >= len(expected))
     task.cancel()
     assert store.calls[: len(expected)] == expected
+
+
+async def test_a_host_that_peers_keep_up_to_date_asks_only_at_its_start(monkeypatch):
+    # Each change wakes all waiting watches. With 83 of them the store answers the same
+    # question 83 times, and on the day on which it is slow none of them in time.
+    monkeypatch.setattr(module, "LOOK_SECONDS", 0.001)
+    monkeypatch.setattr(module, "GATHER_SECONDS", 0)
+    store, peers = Script(Snapshot((), 4), Changes((), 5), Changes((), 6)), Peers(False)
+    view = FleetView(ZONES, lambda item: None, Lines())
+    follower = StoreFollower(
+        store, view, SystemClock(), random.Random(1), Lines(), peers
+    )
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: peers.confirmed == [0])
+    await asyncio.sleep(0.02)
+    assert store.calls == [("snapshot",)]
+    # The watcher is lost, and the news here gets stale.
+    peers.must = True
+    await async_until(lambda: view.revision == 6)
+    task.cancel()
+    assert peers.confirmed == [0, 4, 5]
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from gateway_world import ZONES, Lines
 
+from greengagepoint.config.watchers import STALE_SECONDS
 from greengagepoint.events import Event
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.gateway.daemon import create_peer_session
@@ -17,7 +18,7 @@
     RemovedKey,
     StoredItem,
 )
-from greengagepoint_node.gateway.gossip import Gossip, HostState
+from greengagepoint_node.gateway.gossip import Gossip, HostState, encode
 from greengagepoint_node.gateway.view import FleetView
 
 NOW = 10.0
@@ -151,3 +152,84 @@
         near.note_exchange("h2:2", seconds)
     near.note_exchange("unknown:2", 9.0)
     assert near.farthest_seconds() == 0.04
+
+
+def told(host, before):
+    """Return the news that a watcher sends after its view was at a revision."""
+    return encode(host._message(before, [host.own]))
+
+
+async def test_news_of_the_watcher_arrives_at_once_and_keeps_others_from_asking():
+    watcher, other = host("h1"), host("h2", Clock())
+    item = StoredItem("zone-a", b"", 7)
+    watcher.view.apply(Changes((item,), 7), NOW)
+    watcher.confirm(0)
+    other.is_watcher = False
+    assert other.must_watch()
+    answer = await other.async_take_news(Request(told(watcher, 0)))
+    assert answer.status == 204
+    assert "zone-a" in other.view.evacuated_at
+    assert not other.must_watch()
+    # Nothing comes any more: the watcher is dead, cut off or slow.
+    other.clock.now += STALE_SECONDS + 0.1
+    assert other.must_watch()
+
+
+async def test_a_host_that_missed_news_asks_its_sender():
+    # The news of revision 7 was lost on its way; that of 9 says nothing of zone-a, and
+    # a host that took it for complete would send on to the evacuated zone.
+    watcher, other = host("h1"), host("h2")
+    asked = []
+
+    async def async_exchange_with(address):
+        asked.append(address)
+
+    other._async_exchange = async_exchange_with
+    other.is_watcher = False
+    watcher.view.apply(Changes((StoredItem("zone-a", b"", 7),), 7), NOW)
+    watcher.view.apply(Changes((StoredItem("zone-b", b"", 9),), 9), NOW)
+    watcher.confirm(7)
+    await other.async_take_news(Request(told(watcher, 7)))
+    await asyncio.sleep(0)
+    assert other.view.revision == 0
+    assert other.must_watch()
+    assert asked == ["h1:2"]
+
+
+async def test_what_is_passed_on_keeps_its_age():
+    # The watcher is gone. Two hosts that tell each other how new their news is must not
+    # take each other's word for the store's, or neither would ever ask again.
+    watcher, one, other = host("h1"), host("h2"), host("h3")
+    one.is_watcher = other.is_watcher = False
+    for each in (one, other):
+        each.clock = watcher.clock
+    watcher.confirm(0)
+    await one.async_take_news(Request(told(watcher, 0)))
+    for _ in range(4):
+        watcher.clock.now += STALE_SECONDS / 3
+        await async_exchange(other, one)
+        await async_exchange(one, other)
+    assert one.must_watch()
+    assert other.must_watch()
+
+
+async def test_a_watcher_tells_each_host_of_its_region_one_thing_at_a_time():
+    watcher, near, far = host("h1"), host("h2"), host("h3")
+    far.own.entry = HostEntry("h3", "south", "zone-b", "h3:1", "h3:2")
+    for each in (near, far):
+        each.own.count += 1
+        await async_exchange(watcher, each)
+    sent = []
+
+    async def async_tell(entry, body):
+        sent.append(entry.name)
+        await asyncio.sleep(0.01)
+
+    watcher._async_tell = async_tell
+    watcher.confirm(0)
+    watcher.confirm(0)
+    await asyncio.sleep(0.03)
+    watcher.is_watcher = False
+    watcher.confirm(0)
+    await asyncio.sleep(0)
+    assert sent == ["h2"]
