Give up a silent server only for another one that takes the request

A server that had answered nobody for half of a request's time was given up first; then no other server had room, or no retry was left, and the caller got a 504 of the host's own at once, with half of its time unused. Ruled out: the route's timeout (1.27 s after the request, the half of it), the stop itself (requests without a silent server were answered whole). Change: the successor and the retry's token are settled first; without them the request keeps its server to its end. A stopping host never gives one up. Three tests fail without the change.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -71,10 +71,12 @@
         self.request_id = request_id
         self.seconds = seconds
         self.limit: asyncio.Timeout | None = None
+        self.successor: Server | None = None
 
-    def give_up(self) -> None:
-        """End the exchange now, as if its time were over."""
+    def give_up_for(self, successor: Server) -> None:
+        """End the exchange now, as if its time were over, for another server."""
         if self.limit is not None and not self.limit.expired():
+            self.successor = successor
             self.limit.reschedule(asyncio.get_running_loop().time())
 
 
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -220,43 +220,49 @@
         tried: set[str] = set()
         last: Exchange | None = None
         may_have_run = False
+        server: Server | None = None
         for attempt in range(max(1, call.route.attempts_max)):
-            now = self.clock.monotonic()
-            left = call.ends_at - now
-            if left < SECONDS_LEFT_MIN:
-                break
-            server = self.placer.place(call, frozenset(tried), now)
-            if isinstance(server, NoPlace):
-                if attempt == 0:
-                    raise no_place(call.service, server)
-                break
-            if attempt and not self.retries.withdraw(call.service):
+            if server is None:
+                server = self._next_server(call, tried)
+            left = call.ends_at - self.clock.monotonic()
+            if server is None or left < SECONDS_LEFT_MIN:
                 break
-            if not attempt:
-                self.retries.deposit(call.service)
-            last = await self._async_try(request, call, body, server, left, attempt)
+            tried.add(server.instance)
+            sending = self._sending(request, call, body, server, left)
+            last = await self._async_try(call, server, sending, tried, attempt)
             if last.verdict is Verdict.ANSWERED:
                 return self._answered(call, last, server, attempt)
             may_have_run = may_have_run or last.verdict not in NOT_RUN
-            tried.add(server.instance)
             if may_have_run and not call.route.repeatable:
                 break
+            server = sending.successor
         raise no_answer(last, may_have_run=may_have_run)
 
-    async def _async_try(
+    def _next_server(self, call: Call, tried: set[str]) -> Server | None:
+        """Return where to send a request next, None where it is not sent again.
+
+        Raise Refusal where it can't be sent even once.
+        """
+        place = self.placer.place(call, frozenset(tried), self.clock.monotonic())
+        if not tried:
+            if isinstance(place, NoPlace):
+                raise no_place(call.service, place)
+            self.retries.deposit(call.service)
+            return place
+        if isinstance(place, NoPlace) or not self.retries.withdraw(call.service):
+            return None
+        return place
+
+    def _sending(
         self,
         request: web.BaseRequest,
         call: Call,
         body: bytes | None,
         server: Server,
         left: float,
-        attempt: int,
-    ) -> Exchange:
-        """Send the request to one server and learn from how that ends."""
-        began = self.clock.monotonic()
-        waited = server.expected_wait(began)
-        server.in_flight += 1
-        sending = Sending(
+    ) -> Sending:
+        """Return what is sent to a server."""
+        return Sending(
             request.method,
             call.target,
             self._request_headers(request, server, left),
@@ -264,9 +270,24 @@
             call.request_id,
             left,
         )
-        silent_after = max(left * SILENCE_SHARE, SILENCE_RUNS * server.service_seconds)
+
+    async def _async_try(
+        self,
+        call: Call,
+        server: Server,
+        sending: Sending,
+        tried: set[str],
+        attempt: int,
+    ) -> Exchange:
+        """Send the request to one server and learn from how that ends."""
+        began = self.clock.monotonic()
+        waited = server.expected_wait(began)
+        server.in_flight += 1
+        silent_after = max(
+            sending.seconds * SILENCE_SHARE, SILENCE_RUNS * server.service_seconds
+        )
         silence = asyncio.get_running_loop().call_later(
-            silent_after, self._note_silence, call, server, sending, began
+            silent_after, self._note_silence, call, server, sending, tried, began
         )
         try:
             exchange = await async_exchange(self.sessions, self.names, server, sending)
@@ -289,14 +310,29 @@
         return exchange
 
     def _note_silence(
-        self, call: Call, server: Server, sending: Sending, began: float
+        self,
+        call: Call,
+        server: Server,
+        sending: Sending,
+        tried: set[str],
+        began: float,
     ) -> None:
-        """Give up a server that has answered nobody since a request was sent to it."""
+        """Give up a server that has answered nobody since a request was sent to it.
+
+        It may only be slow, so it keeps a request that no other server would take: a
+        failure told while it works would lose its answer. A host that stops leaves it
+        all its time, since the second try may fail as well.
+        """
         if server.answered_at >= began:
             return
         self.placer.suspect(server, Verdict.TIMED_OUT, self.clock.monotonic())
-        if call.route.repeatable:
-            sending.give_up()
+        if self.leaving or not call.route.repeatable:
+            return
+        if len(tried) >= call.route.attempts_max:
+            return
+        successor = self._next_server(call, tried)
+        if successor is not None:
+            sending.give_up_for(successor)
 
     def _request_headers(
         self, request: web.BaseRequest, server: Server, left: float
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -80,6 +80,44 @@
         assert [row["outcome"] for row in suspected] == ["timed_out"]
 
 
+async def test_a_silent_server_is_not_given_up_while_there_is_no_other():
+    # The only server is slow, and has answered nobody for half of the request's time.
+    # Giving it up then would tell the caller of a failure while the server is at work,
+    # and the answer that comes a moment later would be lost.
+    async with async_world(servers=1) as world:
+        set_run_seconds(world, 0.05)
+        set_manner(world, Manner.SILENT)
+        status, _, _ = await world.async_call("/safe/1")
+        (failed,) = world.events.of(Event.REQUEST_FAILED)
+        assert (status, world.ran()) == (504, 1)
+        assert failed["seconds"] >= 0.9
+
+
+async def test_a_silent_server_is_not_given_up_when_retries_are_used_up():
+    async with async_world() as world:
+        set_run_seconds(world, 0.05)
+        set_manner(world, Manner.SILENT)
+        world.daemon.retries.slack = 0.0
+        status, _, _ = await world.async_call("/safe/1")
+        (failed,) = world.events.of(Event.REQUEST_FAILED)
+        assert (status, world.ran()) == (504, 1)
+        assert failed["seconds"] >= 0.9
+
+
+async def test_a_stopping_host_leaves_a_silent_server_its_time():
+    # The host stops while a server is slow. A second try that is shed would leave the
+    # caller with a failure of the host's own for a request that was being worked on.
+    async with async_world() as world:
+        set_run_seconds(world, 0.05)
+        set_manner(world, Manner.SILENT)
+        call = asyncio.create_task(world.async_call("/safe/1"))
+        await async_until(lambda: world.ran() == 1)
+        stop = asyncio.create_task(world.daemon.async_stop())
+        status, _, _ = await call
+        assert (status, world.ran()) == (504, 1)
+        await stop
+
+
 async def test_an_unsafe_request_stays_with_a_server_that_is_silent():
     async with async_world() as world:
         set_run_seconds(world, 0.05)
