--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -76,10 +76,14 @@
 
 
 class HeardHost(msgspec.Struct):
-    """The newest state of another host and when news of it came; monotonic seconds."""
+    """The newest state of another host and when news of it came; monotonic seconds.
+
+    ``ended_start`` is the start of a lifetime that a restart has replaced.
+    """
 
     state: HostState
     heard_at: float
+    ended_start: int | None = None
 
 
 encode = msgspec.msgpack.Encoder().encode
@@ -303,11 +307,19 @@
             self.heard[name] = HeardHost(state, now)
             self.events.record(Event.HOST_ALIVE, host=name, region=state.entry.region)
             return
-        order = (state.started, state.count)
-        if order > (known.state.started, known.state.count):
+        newer = (state.started, state.count) > (known.state.started, known.state.count)
+        # A clock that went back makes a new lifetime look older than the one before it,
+        # which is over once nothing of it has come for so long. What other hosts still
+        # pass on of it must not bring it back.
+        restarted = state.started != known.state.started
+        replaced = restarted and now - known.heard_at > ALIVE_SECONDS
+        if state.started == known.ended_start:
+            return
+        if newer or replaced:
             if state.leaving and not known.state.leaving:
                 self.events.record(Event.HOST_LEAVING, host=name)
-            self.heard[name] = HeardHost(state, now)
+            ended = known.state.started if restarted else known.ended_start
+            self.heard[name] = HeardHost(state, now, ended)
 
     def _next_address(self) -> str | None:
         """Return whom to exchange with: a host at random, or a seed while alone."""
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -18,7 +18,13 @@
     RemovedKey,
     StoredItem,
 )
-from greengagepoint_node.gateway.gossip import Gossip, HostState, encode
+from greengagepoint_node.gateway.gossip import (
+    ALIVE_SECONDS,
+    Gossip,
+    HeardHost,
+    HostState,
+    encode,
+)
 from greengagepoint_node.gateway.view import FleetView
 
 NOW = 10.0
@@ -233,3 +239,23 @@
     watcher.confirm(0)
     await asyncio.sleep(0)
     assert sent == ["h2"]
+
+
+async def test_a_host_that_starts_again_after_its_clock_went_back_is_heard():
+    # The time of day jumps back on a host, and its process starts again. Its new
+    # lifetime looks older than the one before; peers that kept to the later start would
+    # not name the host to callers for as long as the clock is behind.
+    one, other = host("h1"), host("h2")
+    one.own.started = 5_000
+    await async_exchange(one, other)
+    one.own.started, one.own.count = 2_000, 0
+    await async_exchange(one, other)
+    assert other.heard["h1"].state.started == 5_000
+    other.clock.now += ALIVE_SECONDS + 0.1
+    await async_exchange(one, other)
+    assert [state.started for state in other.alive(other.clock.now)][1:] == [2_000]
+    # A third host still passes the ended lifetime on.
+    third = host("h3")
+    third.heard["h1"] = HeardHost(HostState(one.own.entry, 5_000, 9, False), NOW)
+    await async_exchange(other, third)
+    assert other.heard["h1"].state.started == 2_000
