Leave addresses out of the heartbeats that hosts pass on

Ruled out: fewer exchanges (a lost host must leave look-ups within 6 s). Change: a lifetime's addresses travel for its first 5 s and to hosts that ask; afterwards name, start, count and leaving do. Messages and codec moved to a module of their own.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -18,7 +18,8 @@
 from greengagepoint_node.gateway.directory import HostDirectory
 from greengagepoint_node.gateway.facts import DecodeItem, HostEntry, PlatformStore
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
-from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip, HostState
+from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip
+from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -28,6 +28,14 @@
     RemovedKey,
     StoredItem,
 )
+from greengagepoint_node.gateway.gossip_messages import (
+    Heartbeat,
+    HostState,
+    Message,
+    decode,
+    encode,
+    heartbeat_of,
+)
 from greengagepoint_node.gateway.view import FleetView
 
 PERIOD_SECONDS: Final = 0.5
@@ -40,6 +48,9 @@
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
+# A lifetime is passed on with its addresses for this long; who lacks them later asks.
+# A state in full takes 100 bytes, a heartbeat 30.
+ADDRESSES_SECONDS: Final = 5.0
 # Of ten exchanges, so many are with hosts of the own region, where they cost less; news
 # still enters each other region several times a second.
 NEAR_SHARE: Final = 0.8
@@ -47,49 +58,19 @@
 NEWS_PATH: Final = "/v1/news"
 
 
-class HostState(msgspec.Struct, array_like=True):
-    """What a host tells of itself.
-
-    ``started`` orders its lifetimes and ``count`` its news in one of them.
-    """
-
-    entry: HostEntry
-    started: int
-    count: int
-    leaving: bool
-
-
-class Message(msgspec.Struct, array_like=True):
-    """Half of an exchange, or news.
-
-    The items are those after the revision ``after``. ``age`` is how many seconds ago
-    the sender's view was known to be complete, None where it never was.
-    """
-
-    revision: int
-    after: int
-    age: float | None
-    hosts: list[HostState]
-    items: list[StoredItem]
-    removed: list[RemovedKey]
-    lapsed: list[str]
-
-
 class HeardHost(msgspec.Struct):
     """The newest state of another host and when news of it came; monotonic seconds.
 
-    ``ended_start`` is the start of a lifetime that a restart has replaced.
+    ``first_heard_at`` is when this lifetime was heard of; ``ended_start`` is the start
+    of one that it has replaced.
     """
 
     state: HostState
     heard_at: float
+    first_heard_at: float
     ended_start: int | None = None
 
 
-encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Message).decode
-
-
 class Gossip:
     """Keep the table of hosts by exchanging it with one peer after the other."""
 
@@ -115,6 +96,7 @@
         self.is_watcher = True
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
+        self.lacks_addresses = False
         self.under_way: dict[str, asyncio.Task[None]] = {}
         self.exchanges = 0
         self.failures = 0
@@ -149,7 +131,7 @@
         self.confirmed_at = self.clock.monotonic()
         if not self.is_watcher or self.own.leaving:
             return
-        body = encode(self._message(before, [self.own]))
+        body = encode(self._message(before, []))
         for state in self.alive(self.confirmed_at):
             entry = state.entry
             if entry.name != self.own.entry.name and self._is_near(entry):
@@ -195,6 +177,9 @@
     async def _async_exchange(self, address: str) -> None:
         """Exchange with one peer; a failure only means that its news gets older."""
         body = self.encoded(self.view.revision)
+        # Asked for with this half; should the answer be lost, the next heartbeat of a
+        # host that is not known here asks again.
+        self.lacks_addresses = False
         self.exchanges += 1
         began = self.clock.monotonic()
         try:
@@ -234,7 +219,7 @@
 
     def encoded(self, revision: int) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
-        return encode(self._message(revision, [self.own, *self._recent()]))
+        return encode(self._message(revision, self._recent()))
 
     def take_encoded(self, body: bytes) -> None:
         """Take in a peer's half; raise MsgspecError where it can't be read."""
@@ -249,19 +234,27 @@
             return web.Response(status=400)
         # How long this half was under way is not known, so its age is left aside.
         self._take(message, None)
-        return web.Response(body=self.encoded(message.revision))
+        known = self._recent()
+        answer = self._message(message.revision, known, full=message.wants_addresses)
+        return web.Response(body=encode(answer))
 
-    def _recent(self) -> list[HostState]:
+    def _recent(self) -> list[HeardHost]:
         """Return the other hosts that news came of lately."""
         now = self.clock.monotonic()
         return [
-            row.state
-            for row in self.heard.values()
-            if now - row.heard_at <= ALIVE_SECONDS
+            row for row in self.heard.values() if now - row.heard_at <= ALIVE_SECONDS
         ]
 
-    def _message(self, revision: int, hosts: list[HostState]) -> Message:
-        """Return what a peer at a revision lacks, with the states of some hosts."""
+    def _message(
+        self, revision: int, others: list[HeardHost], *, full: bool = False
+    ) -> Message:
+        """Return what a peer at a revision lacks, with the states of other hosts.
+
+        Their addresses are left out where peers should have them, unless ``full``.
+        """
+        new_since = self.clock.monotonic() - ADDRESSES_SECONDS
+        in_full = [row for row in others if full or row.first_heard_at >= new_since]
+        in_short = [] if full else [row for row in others if row not in in_full]
         changes = Changes((), self.view.revision)
         if revision < self.view.revision:
             changes = self.view.changes_after(revision)
@@ -271,7 +264,9 @@
             revision=self.view.revision,
             after=min(revision, self.view.revision),
             age=age if math.isfinite(age) else None,
-            hosts=hosts,
+            hosts=[self.own, *(row.state for row in in_full)],
+            heartbeats=[heartbeat_of(row.state) for row in in_short],
+            wants_addresses=self.lacks_addresses,
             items=[row for row in changes.changes if isinstance(row, StoredItem)],
             removed=[row for row in changes.changes if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
@@ -283,8 +278,7 @@
         ``sent_after`` is a time before which it was not written, None if unknown.
         """
         now = self.clock.monotonic()
-        for state in message.hosts:
-            self._take_host(state, now)
+        self._take_hosts(message, now)
         before = self.view.revision
         if message.revision > before >= message.after:
             changes = Changes((*message.items, *message.removed), message.revision)
@@ -297,6 +291,25 @@
             at = sent_after - message.age
             self.peers_confirmed_at = max(self.peers_confirmed_at, at)
 
+    def _take_hosts(self, message: Message, now: float) -> None:
+        """Keep what is news of hosts; ask for addresses that are not known here."""
+        for state in message.hosts:
+            self._take_host(state, now)
+        for beat in message.heartbeats:
+            entry = self._entry(beat)
+            if entry is not None:
+                state = HostState(entry, beat.started, beat.count, beat.leaving)
+                self._take_host(state, now)
+            elif beat.name != self.own.entry.name:
+                self.lacks_addresses = True
+
+    def _entry(self, beat: Heartbeat) -> HostEntry | None:
+        """Return the addresses of a lifetime, None where they are not known."""
+        known = self.heard.get(beat.name)
+        if known is not None and known.state.started == beat.started:
+            return known.state.entry
+        return None
+
     def _take_host(self, state: HostState, now: float) -> None:
         """Keep what is news of a host."""
         name = state.entry.name
@@ -304,7 +317,7 @@
             return
         known = self.heard.get(name)
         if known is None:
-            self.heard[name] = HeardHost(state, now)
+            self.heard[name] = HeardHost(state, now, now)
             self.events.record(Event.HOST_ALIVE, host=name, region=state.entry.region)
             return
         newer = (state.started, state.count) > (known.state.started, known.state.count)
@@ -319,7 +332,8 @@
             if state.leaving and not known.state.leaving:
                 self.events.record(Event.HOST_LEAVING, host=name)
             ended = known.state.started if restarted else known.ended_start
-            self.heard[name] = HeardHost(state, now, ended)
+            first_heard_at = now if restarted else known.first_heard_at
+            self.heard[name] = HeardHost(state, now, first_heard_at, ended)
 
     def _next_address(self) -> str | None:
         """Return whom to exchange with: a host at random, or a seed while alone."""
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -0,0 +1,54 @@
+"""What hosts send each other, and its encoding."""
+
+import msgspec
+
+from greengagepoint_node.gateway.facts import HostEntry, RemovedKey, StoredItem
+
+
+class HostState(msgspec.Struct, array_like=True):
+    """What a host tells of itself.
+
+    ``started`` orders its lifetimes and ``count`` its news in one of them.
+    """
+
+    entry: HostEntry
+    started: int
+    count: int
+    leaving: bool
+
+
+class Heartbeat(msgspec.Struct, array_like=True):
+    """A host's newest state without its addresses, which hardly ever change."""
+
+    name: str
+    started: int
+    count: int
+    leaving: bool
+
+
+class Message(msgspec.Struct, array_like=True):
+    """Half of an exchange, or news.
+
+    The items are those after the revision ``after``. ``age`` is how many seconds ago
+    the sender's view was known to be complete, None where it never was.
+    ``wants_addresses`` asks for all hosts in full.
+    """
+
+    revision: int
+    after: int
+    age: float | None
+    hosts: list[HostState]
+    heartbeats: list[Heartbeat]
+    wants_addresses: bool
+    items: list[StoredItem]
+    removed: list[RemovedKey]
+    lapsed: list[str]
+
+
+def heartbeat_of(state: HostState) -> Heartbeat:
+    """Return a state without its addresses."""
+    return Heartbeat(state.entry.name, state.started, state.count, state.leaving)
+
+
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Message).decode
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -19,12 +19,12 @@
     StoredItem,
 )
 from greengagepoint_node.gateway.gossip import (
+    ADDRESSES_SECONDS,
     ALIVE_SECONDS,
     Gossip,
     HeardHost,
-    HostState,
-    encode,
 )
+from greengagepoint_node.gateway.gossip_messages import HostState, encode
 from greengagepoint_node.gateway.view import FleetView
 
 NOW = 10.0
@@ -63,6 +63,7 @@
     """Let one host exchange with another, without a network."""
     one.own.count += 1
     half = one.encoded(one.view.revision)
+    one.lacks_addresses = False
     answer = await other.async_answer(Request(half))
     assert answer.status == 200
     one.take_encoded(answer.body)
@@ -162,7 +163,7 @@
 
 def told(host, before):
     """Return the news that a watcher sends after its view was at a revision."""
-    return encode(host._message(before, [host.own]))
+    return encode(host._message(before, []))
 
 
 async def test_news_of_the_watcher_arrives_at_once_and_keeps_others_from_asking():
@@ -256,6 +257,29 @@
     assert [state.started for state in other.alive(other.clock.now)][1:] == [2_000]
     # A third host still passes the ended lifetime on.
     third = host("h3")
-    third.heard["h1"] = HeardHost(HostState(one.own.entry, 5_000, 9, False), NOW)
+    third.heard["h1"] = HeardHost(
+        HostState(one.own.entry, 5_000, 9, False), other.clock.now, NOW
+    )
     await async_exchange(other, third)
     assert other.heard["h1"].state.started == 2_000
+
+
+async def test_addresses_are_sent_for_some_seconds_and_then_on_demand():
+    # A host's state is passed on twice a second by everybody; its addresses were most
+    # of these bytes. A host that starts later and can't reach the store still has to
+    # learn them, or it would name only itself to callers.
+    first, second, late = host("h1"), host("h2"), host("h3")
+    clock = first.clock
+    second.clock = late.clock = clock
+    await async_exchange(second, first)
+    in_full = len(first.encoded(0))
+    clock.now += ADDRESSES_SECONDS + 1
+    second.own.count += 1
+    await async_exchange(second, first)
+    assert len(first.encoded(0)) < in_full
+    await async_exchange(late, first)
+    assert [state.entry.name for state in late.alive(clock.now)] == ["h3", "h1"]
+    assert late.lacks_addresses
+    await async_exchange(late, first)
+    assert not late.lacks_addresses
+    assert late.heard["h2"].state.entry.front_address == "h2:1"
