Log what decided a refusal, and who watches the store

Cause: a refused request's line gave its reason only; on-call could not see whether servers were full, how old the reports behind that were, and by which configuration. A host that begins to watch the store told nothing of it. Change: a refusal for want of room tells the number of servers, the shortest wait and the longest one allowed, and the age of the report; every refusal tells its kind, route, service, configuration and revision. New event 7008. Tests: the line of a refusal, and of a watch that begins and ends.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -82,6 +82,7 @@
     HOST_LIST_UNAVAILABLE = 7005
     HOST_LIST_INVALID = 7006
     HOST_ENTRY_LOST = 7007
+    STORE_WATCH_CHANGED = 7008
     # 8000: usage
     USAGE_WRITTEN = 8001
     USAGE_WRITE_FAILED = 8002
@@ -228,6 +229,9 @@
     Event.HOST_ENTRY_LOST: EventType(
         Level.WARNING, "This host's entry in the store has lapsed or was not removed."
     ),
+    Event.STORE_WATCH_CHANGED: EventType(
+        Level.INFO, "A host began or ceased to watch the store by itself."
+    ),
     Event.USAGE_WRITTEN: EventType(Level.DEBUG, "Usage counters were written."),
     Event.USAGE_WRITE_FAILED: EventType(
         Level.WARNING, "Usage counters could not be written; they are kept."
--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -42,10 +42,19 @@
 
 
 class NoPlace(NamedTuple):
-    """No server fits; ``retry_seconds`` is when one should."""
+    """No server fits; ``retry_seconds`` is when one should.
+
+    The rest is what decided it: the shortest wait there is and the longest that was
+    allowed, how many servers there are, and how old the report of the one with the
+    shortest wait is (infinite where it never told its load); seconds.
+    """
 
     retry_seconds: float
     servers_known: bool
+    shortest_wait: float = 0.0
+    longest_wait: float = 0.0
+    servers: int = 0
+    report_age: float = float("inf")
 
 
 class Permissions(NamedTuple):
@@ -96,9 +105,16 @@
             return server
     if best is not None and _may_end_late(best, wanted, permissions, now):
         return best
-    shortest = min(server.expected_wait(now) for server in servers)
-    retry_seconds = max(RETRY_SECONDS_MIN, shortest - longest)
-    return NoPlace(retry_seconds=retry_seconds, servers_known=True)
+    freest = min(servers, key=lambda row: row.expected_wait(now))
+    shortest = freest.expected_wait(now)
+    return NoPlace(
+        retry_seconds=max(RETRY_SECONDS_MIN, shortest - longest),
+        servers_known=True,
+        shortest_wait=shortest,
+        longest_wait=longest,
+        servers=len(servers),
+        report_age=now - freest.reported_at,
+    )
 
 
 def _by_rank(
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -1,6 +1,7 @@
 """Follow the platform's store, and keep this host's entry in it."""
 
 import asyncio
+import math
 from typing import Final, Protocol
 
 from greengagepoint.errors import StoreError
@@ -35,6 +36,9 @@
 class News(Protocol):
     """Pass on what the store told, and know whether peers do so for this host."""
 
+    is_watcher: bool
+    peers_confirmed_at: float
+
     def must_watch(self) -> bool:
         """Tell whether this host has to ask the store itself."""
 
@@ -63,11 +67,13 @@
         self.lost_at: float | None = None
         self.reached_at: float | None = None
         self.needs_snapshot = True
+        self.watching = True
 
     async def async_run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self.needs_snapshot and not self.news.must_watch():
+            self._note_watching(self.needs_snapshot or self.news.must_watch())
+            if not self.watching:
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             try:
@@ -96,6 +102,20 @@
         if changes.changes:
             await asyncio.sleep(GATHER_SECONDS)
 
+    def _note_watching(self, watching: bool) -> None:
+        """Say when this host begins or ceases to ask the store itself."""
+        if watching == self.watching:
+            return
+        self.watching = watching
+        age = self.clock.monotonic() - self.news.peers_confirmed_at
+        self.events.record(
+            Event.STORE_WATCH_CHANGED,
+            watching=watching,
+            watcher=self.news.is_watcher,
+            news_age=round(age, 3) if math.isfinite(age) else None,
+            revision=self.view.revision,
+        )
+
     def _note_lost(self, error: StoreError) -> None:
         """Say once that the store is lost."""
         if self.lost_at is None:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -150,6 +150,9 @@
                 kind=refusal.kind,
                 reason=refusal.reason,
                 **_call_fields(call),
+                **refusal.inputs,
+                configuration=self.view.routes.version if self.view.routes else None,
+                revision=self.view.revision,
                 retry_after=refusal.retry_after,
                 seconds=round(self.clock.monotonic() - arrived_at, 3),
             )
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -1,5 +1,6 @@
 """Answers of this host's own, for requests that no server answers."""
 
+import math
 from typing import Final
 
 from aiohttp import web
@@ -38,7 +39,8 @@
     """End a request with an answer of this host's own.
 
     The status stands beside the kind: callers of this path take every 503 as a promise
-    that nothing ran, and 502 and 504 as none, whatever the kind.
+    that nothing ran, and 502 and 504 as none, whatever the kind. ``inputs`` are what
+    decided it, for the log.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         status: int,
         reason: str,
         retry_after: float | None = None,
+        inputs: dict[str, float | int | None] | None = None,
     ) -> None:
         super().__init__(reason)
         self.kind = kind
         self.status = status
         self.reason = reason
         self.retry_after = retry_after
+        self.inputs = inputs or {}
 
     @property
     def event(self) -> Event:
@@ -68,7 +72,14 @@
         kind, reason = ErrorKind.OVERLOADED, "all servers are busy"
     else:
         kind, reason = ErrorKind.NO_BACKEND_SERVER, "no server may be used"
-    return Refusal(kind, 503, f"{reason}: {service}", place.retry_seconds)
+    age = place.report_age
+    inputs = {
+        "servers": place.servers,
+        "shortest_wait": round(place.shortest_wait, 3),
+        "longest_wait": round(place.longest_wait, 3),
+        "report_age": round(age, 3) if math.isfinite(age) else None,
+    }
+    return Refusal(kind, 503, f"{reason}: {service}", place.retry_seconds, inputs)
 
 
 def no_answer(last: Exchange | None, *, may_have_run: bool) -> Refusal:
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -248,3 +248,19 @@
         assert float(headers["Retry-After"]) >= 0.3
         assert asyncio.get_running_loop().time() - began < 0.15
         assert world.ran() == 0
+
+
+async def test_a_refusal_tells_what_decided_it():
+    # A caller complains of a 503. On-call has the line of its id only, and must see
+    # from it whether servers were full, how sure that was, and by which configuration.
+    async with async_world(servers=2) as world:
+        now = world.daemon.clock.monotonic()
+        world.daemon.placer.waiting.tokens = 0.0
+        for row in world.daemon.view.servers.servers.values():
+            row.take_report(4, 30, now)
+        status, _, _ = await world.async_call("/safe/1")
+        (row,) = world.events.of(Event.REQUEST_REFUSED)
+        assert (status, row["kind"]) == (503, "overloaded")
+        assert (row["servers"], row["configuration"], row["revision"]) == (2, 1, 1)
+        assert row["shortest_wait"] > row["longest_wait"] > 0
+        assert 0 <= row["report_age"] < 1
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -60,6 +60,8 @@
 
     def __init__(self, must=True):
         self.must = must
+        self.is_watcher = must
+        self.peers_confirmed_at = 0.0
         self.confirmed = []
 
     def must_watch(self):
@@ -154,3 +156,5 @@
     await async_until(lambda: view.revision == 6)
     task.cancel()
     assert peers.confirmed == [0, 4, 5]
+    told = follower.events.of(Event.STORE_WATCH_CHANGED)
+    assert [row["watching"] for row in told] == [False, True]
