Write the metrics page without the exporter that needs TLS

Cause: the end-to-end test's scrape was answered 500: the daemon leaves the TLS module out, and the Prometheus exporter can't be imported without it. Ruled out: letting the module in at the first scrape (http.client and urllib are imported without it by then, and the exporter asks for their TLS parts). Change: OpenTelemetry's reader in memory, and the text format in 20 lines with escaped labels; an address that can't be used is logged and keeps no host from serving. The three daemons of the end-to-end test have metrics of their own. Tests: the scrape of a deployed daemon, escaping, an unusable address.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -25,6 +25,7 @@
     FENCED = 1006
     INTERNAL_ERROR = 1007
     SETTINGS_RELOADED = 1008
+    METRICS_UNAVAILABLE = 1009
     # 2000: requests
     REQUEST_ADMITTED = 2001
     REQUEST_REFUSED = 2002
@@ -113,6 +114,9 @@
     Event.INTERNAL_ERROR: EventType(Level.ERROR, "An unexpected error was caught."),
     Event.SETTINGS_RELOADED: EventType(Level.INFO, "The settings were read again."),
     Event.REQUEST_ADMITTED: EventType(Level.DEBUG, "A request was admitted."),
+    Event.METRICS_UNAVAILABLE: EventType(
+        Level.WARNING, "The metrics address cannot be used."
+    ),
     Event.REQUEST_REFUSED: EventType(
         Level.INFO, "A request was refused and has not run."
     ),
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -232,13 +232,26 @@
             settings.directory_address: self.create_lookup(self.directory),
             settings.peer_address: self._async_answer_peer,
         }
-        if settings.metrics_address:
-            handlers[settings.metrics_address] = self.metrics.async_answer
         self.listeners = [self.front]
         for address, handler in handlers.items():
             self.listeners.append(Listener(address, handler, self.events, limits))
         for listener in self.listeners:
             await listener.async_start()
+        if settings.metrics_address:
+            await self._async_listen_for_scrapes(limits)
+
+    async def _async_listen_for_scrapes(self, limits: ServerLimits) -> None:
+        """Serve metrics; callers are served all the same where that fails."""
+        address = self.settings.metrics_address
+        listener = Listener(address, self.metrics.async_answer, self.events, limits)
+        try:
+            await listener.async_start()
+        except (OSError, ValueError) as error:
+            self.events.record(
+                Event.METRICS_UNAVAILABLE, address=address, detail=str(error)
+            )
+            return
+        self.listeners.append(listener)
 
     async def _async_tick(self) -> None:
         """Run the periodic decisions."""
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -1,22 +1,24 @@
 """Render the request path's counters as Prometheus text.
 
-Imported at the first scrape: the exporter's libraries take 3.7 MB, which a host that
-nobody scrapes does not need.
+Imported at the first scrape: OpenTelemetry takes 2.1 MB, which a host that nobody
+scrapes does not need. Its Prometheus exporter needs the TLS module, which this daemon
+leaves out to save 3.6 MB, so the text is written here.
 """
 
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Meter, Observation
 from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader, Metric, Sum
 from opentelemetry.sdk.resources import Resource
-from prometheus_client import CollectorRegistry, generate_latest
 
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
 from greengagepoint_node.histogram import Histogram
 
 METER_NAME = "greengagepoint"
+# The parts of a histogram, which have no ending of their own as counters do.
+HISTOGRAM_PARTS = ("_bucket", "_sum")
 
 Rows = Iterable[tuple[float, dict[str, str]]]
 
@@ -35,12 +37,9 @@
     def __init__(self, counters: GatewayCounters, gauges: Callable[[], Gauges]) -> None:
         self.counters = counters
         self.gauges = gauges
-        self.registry = CollectorRegistry()
-        reader = PrometheusMetricReader(
-            disable_target_info=True, scope_info_enabled=False, registry=self.registry
-        )
+        self.reader = InMemoryMetricReader()
         self.provider = MeterProvider(
-            [reader], resource=Resource({}), shutdown_on_exit=False
+            [self.reader], resource=Resource({}), shutdown_on_exit=False
         )
         meter = self.provider.get_meter(METER_NAME)
         for instrument in self._instruments():
@@ -53,7 +52,15 @@
 
     def render(self) -> bytes:
         """Return all figures in the Prometheus text format."""
-        return generate_latest(self.registry)
+        data = self.reader.get_metrics_data()
+        lines = [
+            line
+            for resource in data.resource_metrics
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+            for line in _lines(metric)
+        ]
+        return ("\n".join(lines) + "\n").encode()
 
     def _instruments(self) -> Iterator[Instrument]:
         """Yield the counters and the parts of the histograms."""
@@ -134,3 +141,26 @@
 ) -> Callable[[CallbackOptions], Iterator[Observation]]:
     """Return an OpenTelemetry callback for rows."""
     return lambda options: (Observation(value, labels) for value, labels in read())
+
+
+def _lines(metric: Metric) -> Iterator[str]:
+    """Yield one metric's lines in the Prometheus text format."""
+    name, kind = metric.name, "gauge"
+    if isinstance(metric.data, Sum):
+        kind = "counter"
+        if not name.endswith(HISTOGRAM_PARTS):
+            name += "_total"
+    if metric.description:
+        yield f"# HELP {name} {metric.description}"
+    yield f"# TYPE {name} {kind}"
+    for point in metric.data.data_points:
+        labels = ",".join(
+            f'{label}="{_escaped(str(value))}"'
+            for label, value in (point.attributes or {}).items()
+        )
+        yield f"{name}{{{labels}}} {point.value}" if labels else f"{name} {point.value}"
+
+
+def _escaped(text: str) -> str:
+    """Return a label's value as the text format wants it."""
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/node/tests/test_gateway_metrics.py
+++ b/packages/node/tests/test_gateway_metrics.py
@@ -4,6 +4,7 @@
 from gateway_world import async_world
 
 from greengagepoint.errors import ErrorKind
+from greengagepoint.events import Event
 from greengagepoint_node.gateway.counters import (
     ANSWERED,
     OTHER,
@@ -12,9 +13,13 @@
     Gauges,
 )
 from greengagepoint_node.gateway.metrics_page import MetricsPage
+from greengagepoint_node.http.server import ServerLimits
 from greengagepoint_standins.users_platform.backend import Manner
 
 PREFIX = "greengagepoint_"
+LIMITS = ServerLimits(
+    header_bytes=8_192, headers=50, first_request_seconds=5.0, connections=10
+)
 
 
 async def async_scrape(world, path="/metrics"):
@@ -55,7 +60,7 @@
         series = {"service": "booking", "route": "/safe/"}
         assert value(lines, "requests_total", **series, outcome=outcome) == 1
         bucket = {**series, "le": "+Inf"}
-        assert value(lines, "request_duration_seconds_bucket_total", **bucket) == 1
+        assert value(lines, "request_duration_seconds_bucket", **bucket) == 1
         found = value(lines, "tries_total", service="booking", verdict=verdict)
         assert found == tries
         assert value(lines, "backend_servers") == 2
@@ -75,6 +80,14 @@
         assert not any("hostile" in line for line in lines)
 
 
+def test_labels_that_hold_quotes_and_line_breaks_are_escaped():
+    # Operators name routes; a raw line break would make the whole page unreadable.
+    counters = GatewayCounters()
+    counters.add_request("booking", 'a"b\\c\nd', ANSWERED, 0.1)
+    page = MetricsPage(counters, lambda: Gauges(*[0] * len(Gauges._fields)))
+    assert r'route="a\"b\\c\nd"' in page.render().decode()
+
+
 async def test_other_paths_of_the_address_are_not_found():
     async with async_world(metrics=True) as world:
         assert (await async_scrape(world, "/"))[0] == 404
@@ -89,3 +102,17 @@
     assert counters.requests["booking", OTHER, ANSWERED] == 10_000 - ROUTES_MAX
     page = MetricsPage(counters, lambda: Gauges(*[0] * len(Gauges._fields)))
     assert len(page.render().splitlines()) < 20 * (ROUTES_MAX + 10)
+
+
+@pytest.mark.parametrize("kind", ["taken", "malformed"])
+async def test_an_unusable_address_is_told_and_keeps_nobody_from_being_served(kind):
+    # Another process holds the port. A host that ended for that would serve nobody,
+    # and start again and again.
+    async with async_world() as world:
+        daemon = world.daemon
+        address = daemon.settings.front_address if kind == "taken" else "nowhere"
+        daemon.settings = daemon.settings._replace(metrics_address=address)
+        await daemon._async_listen_for_scrapes(LIMITS)
+        (row,) = world.events.of(Event.METRICS_UNAVAILABLE)
+        assert row["address"] == address
+        assert (await world.async_call("/safe/1"))[0] == 200
--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -55,6 +55,16 @@
     assert len(fleet.backends[0].received) == before
 
 
+async def test_metrics_are_served_where_the_environment_says(fleet):
+    n1 = fleet.nodes[0]
+    assert (await fleet.async_call(n1, "/bays/", "17"))[0] == 200
+    async with fleet.session.get(f"http://{n1.metrics}/metrics") as answer:
+        assert answer.status == 200
+        text = await answer.text()
+    assert 'outcome="answered"' in text
+    assert "greengagepoint_store_calls_total" in text
+
+
 async def test_a_host_that_starts_while_the_store_is_down(fleet):
     # The store is down when a host is replaced. It gets the configuration and the
     # servers from its peers and serves; a 404 would send its callers away for good.
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -18,6 +18,7 @@
 from greengagepoint_standins.users_platform.store import PlatformStore
 
 SETTINGS_VARIABLE: Final = "GREENGAGEPOINT_NODE_FILE"
+METRICS_VARIABLE: Final = "GREENGAGEPOINT_METRICS_ADDRESS"
 ZONES: Final = {"z-a": "north", "z-b": "south"}
 HOST: Final = "a.example"
 SERVICE: Final = "booking"
@@ -50,6 +51,7 @@
         self.root = root
         self.name = name
         self.listen = {kind: free_address() for kind in LISTENERS}
+        self.metrics = free_address()
         self.path = folder / f"{name}.json"
         self.lines: list[dict[str, Any]] = []
         self.document: dict[str, Any] = {
@@ -78,7 +80,11 @@
         self.process = await asyncio.create_subprocess_exec(
             *deployed_command(self.root),
             cwd=self.root,
-            env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+            env={
+                **os.environ,
+                SETTINGS_VARIABLE: str(self.path),
+                METRICS_VARIABLE: self.metrics,
+            },
             stdout=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.create_task(self._async_read())
