Take no answer of a store that served others for its return from an outage

Change: a host that stops asking no longer holds the store for lost; the line of that tells whether it did. The test fails without the change.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -113,8 +113,14 @@
             watching=watching,
             watcher=self.news.is_watcher,
             news_age=round(age, 3) if math.isfinite(age) else None,
+            store_lost=self.lost_at is not None,
             revision=self.view.revision,
         )
+        if not watching:
+            # Peers reach the store, so entries do not lapse there. Were its next answer
+            # to this host taken for its return, a server that leaves just then would
+            # go on getting requests, as one whose entry has only lapsed.
+            self.lost_at = None
 
     def _note_lost(self, error: StoreError) -> None:
         """Say once that the store is lost."""
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -158,3 +158,26 @@
     assert peers.confirmed == [0, 4, 5]
     told = follower.events.of(Event.STORE_WATCH_CHANGED)
     assert [row["watching"] for row in told] == [False, True]
+
+
+async def test_a_store_that_served_others_meanwhile_has_not_come_back(monkeypatch):
+    # The store turns this host away; its peers keep it up to date, so it stops asking.
+    # Later it asks again, and is answered. A server leaves in that moment: taken for an
+    # entry that lapsed in an outage, it would go on getting requests for two seconds.
+    monkeypatch.setattr(module, "LOOK_SECONDS", 0.001)
+    monkeypatch.setattr(module, "PAUSE_SECONDS", 0.001)
+    store = Script(Snapshot((), 4), *[StoreError("status 503")] * 5_000)
+    peers = Peers()
+    view = FleetView(ZONES, lambda item: None, Lines())
+    follower = StoreFollower(
+        store, view, SystemClock(), random.Random(1), Lines(), peers
+    )
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: follower.lost_at is not None)
+    peers.must = False
+    await async_until(lambda: not follower.watching)
+    store.answers = [Changes((), 5)]
+    peers.must = True
+    await async_until(lambda: view.revision == 5)
+    task.cancel()
+    assert view.lapses_until == float("-inf")
