Tell a peer whether it gets all items, so that it sees what is gone

Cause: a host at revision 217 asked one that had restarted meanwhile. Ruled out: the store's lost history (the removals came before it), lapses (no line of a lapse), gossip that stands still (the hosts took 30 later revisions from peers). Three tests that failed before.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -26,6 +26,7 @@
     Changes,
     HostEntry,
     RemovedKey,
+    Snapshot,
     StoredItem,
 )
 from greengagepoint_node.gateway.gossip_messages import (
@@ -255,9 +256,11 @@
         new_since = self.clock.monotonic() - ADDRESSES_SECONDS
         in_full = [row for row in others if full or row.first_heard_at >= new_since]
         in_short = [] if full else [row for row in others if row not in in_full]
-        changes = Changes((), self.view.revision)
+        news: Changes | Snapshot = Changes((), self.view.revision)
         if revision < self.view.revision:
-            changes = self.view.changes_after(revision)
+            news = self.view.changes_after(revision)
+        whole = isinstance(news, Snapshot)
+        rows = news.items if whole else news.changes
         confirmed_at = max(self.confirmed_at, self.peers_confirmed_at)
         age = self.clock.monotonic() - confirmed_at
         return Message(
@@ -267,9 +270,10 @@
             hosts=[self.own, *(row.state for row in in_full)],
             heartbeats=[heartbeat_of(row.state) for row in in_short],
             wants_addresses=self.lacks_addresses,
-            items=[row for row in changes.changes if isinstance(row, StoredItem)],
-            removed=[row for row in changes.changes if isinstance(row, RemovedKey)],
+            items=[row for row in rows if isinstance(row, StoredItem)],
+            removed=[row for row in rows if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
+            whole=whole,
         )
 
     def _take(self, message: Message, sent_after: float | None) -> None:
@@ -281,8 +285,7 @@
         self._take_hosts(message, now)
         before = self.view.revision
         if message.revision > before >= message.after:
-            changes = Changes((*message.items, *message.removed), message.revision)
-            self.view.apply(changes, now, message.lapsed)
+            self._take_news(message, now)
             self.events.record(
                 Event.CONFIGURATION_FROM_PEER, before=before, revision=message.revision
             )
@@ -291,6 +294,15 @@
             at = sent_after - message.age
             self.peers_confirmed_at = max(self.peers_confirmed_at, at)
 
+    def _take_news(self, message: Message, now: float) -> None:
+        """Take in the store's items that a peer passes on."""
+        if message.whole:
+            snapshot = Snapshot(tuple(message.items), message.revision)
+            self.view.replace(snapshot, now, message.lapsed)
+            return
+        changes = Changes((*message.items, *message.removed), message.revision)
+        self.view.apply(changes, now, message.lapsed)
+
     def _take_hosts(self, message: Message, now: float) -> None:
         """Keep what is news of hosts; ask for addresses that are not known here."""
         for state in message.hosts:
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -29,7 +29,8 @@
 class Message(msgspec.Struct, array_like=True):
     """Half of an exchange, or news.
 
-    The items are those after the revision ``after``. ``age`` is how many seconds ago
+    The items are those after the revision ``after``, or all where it is ``whole``: then
+    a key that is not among them has been removed. ``age`` is how many seconds ago
     the sender's view was known to be complete, None where it never was.
     ``wants_addresses`` asks for all hosts in full.
     """
@@ -43,6 +44,7 @@
     items: list[StoredItem]
     removed: list[RemovedKey]
     lapsed: list[str]
+    whole: bool = False
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -60,8 +60,13 @@
         """Take removals read in the next moments for lapses, not for departures."""
         self.lapses_until = now + RETURN_SECONDS
 
-    def replace(self, snapshot: Snapshot, now: float) -> None:
-        """Take in a snapshot: what it lacks has been removed."""
+    def replace(
+        self, snapshot: Snapshot, now: float, lapsed: Iterable[str] | None = None
+    ) -> None:
+        """Take in a snapshot: what it lacks has been removed.
+
+        ``lapsed`` as for changes.
+        """
         present = {item.key for item in snapshot.items}
         missing = [
             RemovedKey(key, snapshot.revision)
@@ -70,10 +75,10 @@
         ]
         if snapshot.revision < self.revision:
             return
-        first = not self.items
-        self.apply(Changes((*snapshot.items, *missing), snapshot.revision), now)
-        if first:
-            self.removed_complete_after = snapshot.revision
+        changes = Changes((*snapshot.items, *missing), snapshot.revision)
+        self.apply(changes, now, lapsed)
+        # Keys that were written and removed since the last news were never known here.
+        self.removed_complete_after = snapshot.revision
 
     def apply(
         self, changes: Changes, now: float, lapsed: Iterable[str] | None = None
@@ -99,10 +104,15 @@
         if rebuild:
             self._rebuild()
 
-    def changes_after(self, revision: int) -> Changes:
-        """Return what a peer at a revision lacks."""
+    def changes_after(self, revision: int) -> Changes | Snapshot:
+        """Return what a peer at a revision lacks.
+
+        That is everything where this host may not know all removals since. The items
+        alone would leave the peer with servers that left meanwhile: after a cut of some
+        hosts and a restart of others, two hosts sent to such servers 13 s later.
+        """
         if revision < self.removed_complete_after:
-            revision = 0
+            return Snapshot(tuple(self.items.values()), self.revision)
         items = [item for item in self.items.values() if item.revision > revision]
         removed = [
             RemovedKey(key, gone_at)
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -16,6 +16,7 @@
     Evacuation,
     HostEntry,
     RemovedKey,
+    Snapshot,
     StoredItem,
 )
 from greengagepoint_node.gateway.gossip import (
@@ -84,6 +85,38 @@
     assert len(away.events.of(Event.CONFIGURATION_FROM_PEER)) == 2
 
 
+async def async_read_after_start(teller):
+    teller.view.replace(Snapshot((StoredItem("zone-b", b"", 10),), 10), NOW)
+
+
+async def async_hear_from_a_peer(teller):
+    peer = host("h3")
+    await async_read_after_start(peer)
+    await async_exchange(teller, peer)
+
+
+async def async_read_after_lost_history(teller):
+    teller.view.replace(Snapshot((StoredItem("zone-c", b"", 5),), 5), NOW)
+    await async_read_after_start(teller)
+
+
+@pytest.mark.parametrize(
+    "async_learn",
+    [async_read_after_start, async_hear_from_a_peer, async_read_after_lost_history],
+)
+async def test_a_host_that_never_knew_a_key_does_not_hide_its_removal(async_learn):
+    # A key is written and removed while a host restarts or has lost the history, so it
+    # never hears of the key. A host that was cut off knows it and asks this one. Told
+    # all items but not that there are no others, it would send callers to a server
+    # that has left for as long as it runs.
+    behind, teller = host("h1"), host("h2")
+    behind.view.replace(Snapshot((StoredItem("zone-a", b"", 7),), 7), NOW)
+    await async_learn(teller)
+    await async_exchange(behind, teller)
+    assert behind.view.revision == 10
+    assert set(behind.view.evacuated_at) == {"zone-b"}
+
+
 async def test_news_of_hosts_travels_through_others():
     first, middle, last = host("h1"), host("h2"), host("h3")
     await async_exchange(first, middle)
