Serve keys in another region where theirs has no room and that one has

Change: a request that finds no place in time in its key's region is sent to another one, without bound while the region has lost room (servers gone, suspected, cold), else for 4 in 100 callers; only as far as hosts of that region tell of room, by key, so that the same keys run there; the way there counts as a wait. Gossip carries the regions' loads.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -27,7 +27,8 @@
 class Wanted(NamedTuple):
     """What is asked of the choice.
 
-    ``seconds_left`` bounds a late answer. ``regions`` is the order in which they may
+    ``away_seconds`` is the round trip to the regions; ``seconds_left`` bounds a late
+    answer. ``regions`` is the order in which they may
     be used; ``key`` None means any server. ``warm`` are the servers that have run the
     key lately.
     """
@@ -39,6 +40,7 @@
     seconds_left: float
     tried: frozenset[str] = frozenset()
     warm: Sequence[str] = ()
+    away_seconds: float = 0.0
 
 
 class NoPlace(NamedTuple):
@@ -92,7 +94,7 @@
         return NoPlace(retry_seconds=1.0, servers_known=False)
     ranked = _by_rank(table, ranks, wanted, servers, now)
     warm = _warm(ranked, servers, wanted, now)
-    longest = wanted.goal_seconds * WAIT_SHARE_OF_GOAL
+    longest = max(0.0, wanted.goal_seconds * WAIT_SHARE_OF_GOAL - wanted.away_seconds)
     best = min(warm, key=lambda row: row.expected_wait(now), default=None)
     moved = _moved(ranked, warm, permissions, now)
     if moved is not None:
--- a/packages/core/tests/placing_fleet.py
+++ b/packages/core/tests/placing_fleet.py
@@ -9,11 +9,15 @@
 from greengagepoint.placing.allowance import create_moving, create_waiting
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted, choose
 from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.region_loads import RegionLoad, RegionLoads
+from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_take_key
 from greengagepoint.placing.tables import Server, ServerTable
 from greengagepoint.placing.warm_keys import WarmKeys
 
 SERVICE = "booking"
 REGION = "attiki"
+FAR_REGION = "dytiki"
+FAR_SECONDS = 0.04
 GOAL = 0.4
 DEADLINE = 2.5
 COLD_SECONDS = 0.48
@@ -45,18 +49,20 @@
 class Host:
     """One entry host's view."""
 
-    def __init__(self, servers: int, slots: int, hosts: int) -> None:
+    def __init__(self, servers: int, slots: int, hosts: int, far: int = 0) -> None:
         self.table = ServerTable()
-        for index in range(servers):
+        for index in range(servers + far):
             name = f"i-{index}"
+            region = REGION if index < servers else FAR_REGION
             self.table.servers[name] = Server(
-                name, SERVICE, "", "zone", REGION, slots, senders=hosts
+                name, SERVICE, "", "zone", region, slots, senders=hosts
             )
         self.table.rebuild()
         self.ranks = RankCache()
         self.waiting = create_waiting()
         self.moving = create_moving()
         self.warm_keys = WarmKeys()
+        self.loads = RegionLoads(REGION)
 
 
 @dataclass
@@ -88,6 +94,25 @@
     return place
 
 
+def spilling(host: Host, key: str, now: float, _: random.Random) -> Server | NoPlace:
+    """Choose as the product does where another region may run the key as well."""
+    warm = host.warm_keys.instances(key, now)
+    wanted = Wanted(SERVICE, [REGION], key, GOAL, DEADLINE, warm=warm)
+    host.waiting.deposit()
+    permissions = Permissions(lambda _: True, host.waiting.withdraw, lambda: False)
+
+    def may_spill(server: Server) -> bool:
+        return may_take_key(key, host.loads.busy(SERVICE, server.region, now))
+
+    elsewhere = [Elsewhere(FAR_REGION, FAR_SECONDS)]
+    place = choose_with_spill(
+        host.table, host.ranks, wanted, elsewhere, permissions, may_spill, now
+    )
+    if isinstance(place, Server):
+        host.warm_keys.note(key, place.instance, now)
+    return place
+
+
 def least_loaded(host: Host, _key: str, now: float, rng: random.Random) -> Server:
     """Choose the less loaded of two at random: the simplest policy."""
     rows = rng.sample(list(host.table.servers.values()), 2)
@@ -114,11 +139,19 @@
     slots: int = 9,
     keys: int = 120,
     seed: int = 1,
+    far: int = 0,
+    far_rate: float = 0.0,
 ) -> Outcome:
-    """Let callers arrive at a rate and count how they fare."""
+    """Let callers arrive at a rate and count how they fare.
+
+    ``far`` servers stand in another region, where other callers take up ``far_rate``
+    of their slots all the time.
+    """
     rng = random.Random(seed)
-    fleet = [Host(servers, slots, hosts) for _ in range(hosts)]
-    machines = [Machine(slots) for _ in range(servers)]
+    fleet = [Host(servers, slots, hosts, far) for _ in range(hosts)]
+    machines = [Machine(slots) for _ in range(servers + far)]
+    for machine in machines[servers:]:
+        machine.slots = round(slots * (1 - far_rate))
     outcome, events, sequence = Outcome(), [], 0
     at = 0.0
     while at < seconds:
@@ -142,13 +175,18 @@
         now, _, kind, call, index = heapq.heappop(events)
         host = fleet[call[0]]
         if kind == "arrive":
+            if far:
+                taken = slots * far - sum(row.slots for row in machines[servers:])
+                held = taken + sum(row.busy for row in machines[servers:])
+                busy = RegionLoad(FAR_REGION, SERVICE, held / (slots * far), 0.0)
+                host.loads.take([busy], now)
             server = policy(host, call[1], now, rng)
             if isinstance(server, NoPlace):
                 count("refused", call)
                 continue
             index = int(server.instance[2:])
             machine = machines[index]
-            if machine.busy < slots:
+            if machine.busy < machine.slots:
                 server.in_flight += 1
                 start(machine, index, call, now)
             elif len(machine.queue) < QUEUE:
@@ -162,7 +200,9 @@
         machine.busy -= 1
         server = host.table.servers[f"i-{index}"]
         server.in_flight -= 1
-        server.take_report(machine.busy, len(machine.queue), now)
+        server.take_report(
+            slots - machine.slots + machine.busy, len(machine.queue), now
+        )
         if not machine.queue:
             server.take_service_time(now - call[2])
         count("in_time" if now - call[2] <= GOAL else "late", call)
--- /dev/null
+++ b/packages/core/tests/test_placing_spilling.py
@@ -0,0 +1,187 @@
+"""When a request may leave the region of its key."""
+
+import pytest
+
+from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
+from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.region_loads import (
+    AGE_MAX_SECONDS,
+    RegionLoad,
+    RegionLoads,
+)
+from greengagepoint.placing.room import MEMORY_SECONDS, RoomWatch
+from greengagepoint.placing.spilling import (
+    BUSY_CLOSED,
+    BUSY_OPEN,
+    Elsewhere,
+    choose_with_spill,
+    may_take_key,
+)
+from greengagepoint.placing.tables import Server, ServerTable
+
+NOW = 100.0
+SERVICE = "booking"
+
+
+def table_of(**regions):
+    table = ServerTable()
+    for region, count in regions.items():
+        for number in range(count):
+            name = f"{region}-{number}"
+            table.servers[name] = Server(name, SERVICE, "", region, region, 4)
+    table.rebuild()
+    return table
+
+
+def fill(table, region, waiting=40):
+    for row in table.find(SERVICE, region).servers:
+        row.take_report(4, waiting, NOW)
+
+
+def chosen(table, *, may_wait=False, may_spill=True, away=0.04):
+    wanted = Wanted(SERVICE, ["home"], "k", 0.4, 2.5)
+    permissions = Permissions(lambda _: True, lambda: may_wait, lambda: False)
+    place = choose_with_spill(
+        table,
+        RankCache(),
+        wanted,
+        [Elsewhere("far", away)],
+        permissions,
+        lambda _: may_spill,
+        NOW,
+    )
+    return place if isinstance(place, NoPlace) else place.region
+
+
+@pytest.mark.parametrize(
+    ("full", "may_wait", "may_spill", "expected"),
+    [
+        ((), False, True, "home"),
+        (("home",), False, True, "far"),
+        (("home",), True, True, "far"),
+        (("home", "far"), True, True, "home"),
+        (("home",), True, False, "home"),
+    ],
+    ids=["room", "full", "in time goes before late", "all full", "not allowed"],
+)
+def test_a_request_leaves_its_region_only_to_be_in_time(
+    full, may_wait, may_spill, expected
+):
+    table = table_of(home=2, far=2)
+    for region in full:
+        fill(table, region, waiting=12)
+    assert chosen(table, may_wait=may_wait, may_spill=may_spill) == expected
+
+
+def test_a_request_that_no_region_can_serve_is_refused_for_its_own_region():
+    table = table_of(home=2, far=3)
+    fill(table, "home")
+    fill(table, "far")
+    assert chosen(table).servers == 2
+
+
+def test_the_way_to_a_region_counts_as_a_wait():
+    # The queue there is as long as callers next to it may wait. With the way there and
+    # back on top, the answer would come after its goal.
+    table = table_of(home=1, far=1)
+    fill(table, "home")
+    fill(table, "far", waiting=1)
+    assert chosen(table, away=0.0) == "far"
+    assert isinstance(chosen(table, away=0.15), NoPlace)
+
+
+@pytest.mark.parametrize(
+    ("busy", "share"),
+    [(0.0, 1.0), (BUSY_OPEN, 1.0), (0.75, 0.5), (BUSY_CLOSED, 0.0), (1.0, 0.0)],
+)
+def test_a_region_takes_fewer_keys_the_busier_it_is(busy, share):
+    taken = sum(may_take_key(f"k{number}", busy) for number in range(2_000))
+    assert taken / 2_000 == pytest.approx(share, abs=0.04)
+
+
+def test_a_region_takes_no_keys_while_its_load_is_not_known():
+    assert not may_take_key("k", None)
+
+
+def test_a_busier_region_keeps_some_of_the_keys_that_it_took():
+    keys = [f"k{number}" for number in range(200)]
+    first = {key for key in keys if may_take_key(key, 0.65)}
+    later = {key for key in keys if may_take_key(key, 0.85)}
+    assert later < first
+
+
+@pytest.mark.parametrize("how", ["left", "suspected", "cold"])
+def test_a_region_that_lost_a_server_has_lost_room(how):
+    table = table_of(home=4)
+    watch = RoomWatch()
+    watch.tick(table, NOW)
+    assert not watch.has_lost(SERVICE, "home")
+    row = table.servers["home-0"]
+    if how == "left":
+        table.leaving.add("home-0")
+        table.rebuild()
+    elif how == "suspected":
+        row.suspect_until = NOW + 9
+    else:
+        row.cold_until = NOW + 9
+    watch.tick(table, NOW + 1)
+    assert watch.has_lost(SERVICE, "home")
+
+
+def test_a_region_that_lost_all_its_servers_has_lost_room():
+    table = table_of(home=1)
+    watch = RoomWatch()
+    watch.tick(table, NOW)
+    table.leaving.add("home-0")
+    table.rebuild()
+    watch.tick(table, NOW + 1)
+    assert watch.has_lost(SERVICE, "home")
+
+
+@pytest.mark.parametrize(("after", "lost"), [(1, True), (MEMORY_SECONDS + 1, False)])
+def test_a_loss_is_remembered_until_region_weights_have_followed_it(after, lost):
+    table = table_of(home=4)
+    watch = RoomWatch()
+    watch.tick(table, NOW)
+    table.leaving.add("home-0")
+    table.rebuild()
+    watch.tick(table, NOW + after)
+    assert watch.has_lost(SERVICE, "home") is lost
+
+
+def test_a_busy_region_has_lost_no_room():
+    table = table_of(home=4)
+    watch = RoomWatch()
+    watch.tick(table, NOW)
+    fill(table, "home")
+    watch.tick(table, NOW + 1)
+    assert not watch.has_lost(SERVICE, "home")
+
+
+def test_a_host_measures_its_own_region_and_believes_others_of_theirs():
+    table = table_of(home=2, far=2)
+    table.servers["home-0"].take_report(4, 9, NOW)
+    loads = RegionLoads("home")
+    loads.measure(table, NOW)
+    loads.take([RegionLoad("far", SERVICE, 0.7, 1.0)], NOW)
+    loads.take([RegionLoad("home", SERVICE, 0.9, 0.0)], NOW)
+    assert loads.busy(SERVICE, "home", NOW) == 0.5
+    assert loads.busy(SERVICE, "far", NOW) == 0.7
+    assert loads.busy(SERVICE, "far", NOW + AGE_MAX_SECONDS) is None
+    assert loads.busy(SERVICE, "unknown", NOW) is None
+
+
+def test_older_news_of_a_load_does_not_win():
+    loads = RegionLoads("home")
+    loads.take([RegionLoad("far", SERVICE, 0.7, 0.5)], NOW)
+    loads.take([RegionLoad("far", SERVICE, 0.1, 1.5)], NOW)
+    assert loads.busy(SERVICE, "far", NOW) == 0.7
+    assert loads.known(NOW) == [RegionLoad("far", SERVICE, 0.7, 0.5)]
+
+
+def test_a_region_without_a_usable_server_is_full():
+    table = table_of(home=1)
+    table.servers["home-0"].suspect_until = NOW + 9
+    loads = RegionLoads("home")
+    loads.measure(table, NOW)
+    assert loads.busy(SERVICE, "home", NOW) == 1.0
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -132,11 +132,14 @@
         )
         self.placer = Placer(
             settings.host,
+            settings.region,
             self.view,
             self.weights,
             self.clock.monotonic(),
             self.events,
+            self.gossip.distance_seconds,
         )
+        self.gossip.loads = self.placer.loads
         self.gateway = Gateway(
             settings.names,
             self.view,
@@ -268,7 +271,7 @@
             names = sorted(state.entry.name for state in hosts)
             self.placer.serving_hosts = names
             self.placer.round_trip_seconds = self.gossip.farthest_seconds()
-            self.placer.forget_gone()
+            self.placer.tick(now)
             self.retries.hosts = max(len(names), len(self.view.hosts))
             await asyncio.sleep(TICK_SECONDS)
             self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -20,6 +20,7 @@
 
 from greengagepoint.config.watchers import must_watch
 from greengagepoint.events import Event
+from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.facts import (
@@ -94,6 +95,7 @@
         self.session = session
         self.heard: dict[str, HeardHost] = {}
         self.round_trips: dict[str, float] = {}
+        self.loads = RegionLoads(own.entry.region)
         self.is_watcher = True
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
@@ -218,6 +220,12 @@
         """Return the round trip to the farthest region, 0 while none is known."""
         return max(self.round_trips.values(), default=0.0)
 
+    def distance_seconds(self, region: str) -> float:
+        """Return the round trip to a region, 0 to the own one or while not known."""
+        if region == self.own.entry.region:
+            return 0.0
+        return self.round_trips.get(region, 0.0)
+
     def encoded(self, revision: int) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
         return encode(self._message(revision, self._recent()))
@@ -274,6 +282,7 @@
             removed=[row for row in rows if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
             whole=whole,
+            loads=self.loads.known(self.clock.monotonic()),
         )
 
     def _take(self, message: Message, sent_after: float | None) -> None:
@@ -283,6 +292,7 @@
         """
         now = self.clock.monotonic()
         self._take_hosts(message, now)
+        self.loads.take(message.loads, now)
         before = self.view.revision
         if message.revision > before >= message.after:
             self._take_news(message, now)
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint_node.gateway.facts import HostEntry, RemovedKey, StoredItem
 
 
@@ -45,6 +46,7 @@
     removed: list[RemovedKey]
     lapsed: list[str]
     whole: bool = False
+    loads: list[RegionLoad] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -1,14 +1,22 @@
 """Place requests on backend servers, and learn from how they end there."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from greengagepoint.events import Event
 from greengagepoint.placing import suspicion
-from greengagepoint.placing.allowance import create_moving, create_waiting
-from greengagepoint.placing.choice import NoPlace, Permissions, Wanted, choose
+from greengagepoint.placing.allowance import (
+    create_moving,
+    create_spilling,
+    create_waiting,
+)
+from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
 from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
+from greengagepoint.placing.room import RoomWatch
+from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_take_key
 from greengagepoint.placing.tables import Server
 from greengagepoint.placing.warm_keys import WarmKeys
 from greengagepoint_node.context import EventSink
@@ -31,17 +39,23 @@
     def __init__(
         self,
         host: str,
+        home: str,
         view: FleetView,
         weights: RegionWeights,
         started_at: float,
         events: EventSink,
+        distance: Callable[[str], float] = lambda region: 0.0,
     ) -> None:
         self.view = view
         self.weights = weights
+        self.distance = distance
         self.events = events
         self.ranks = RankCache()
         self.waiting = create_waiting()
         self.moving = create_moving()
+        self.spilling = create_spilling()
+        self.loads = RegionLoads(home)
+        self.room = RoomWatch()
         self.warm_keys = WarmKeys()
         self.cold = ColdStartLimiter(host, started_at)
         self.serving_hosts: list[str] = [host]
@@ -49,22 +63,45 @@
 
     def place(self, call: Call, tried: frozenset[str], now: float) -> Server | NoPlace:
         """Choose a server for a request that has not been sent to ``tried``."""
+        weight_key = self._weight_key(call)
+        key = call.key or call.request_id
+        region = region_for_key(key, self.weights.current(weight_key))
+        if region is None:
+            return NoPlace(retry_seconds=1.0, servers_known=False)
         wanted = Wanted(
             call.service,
-            self._regions(call),
+            [region],
             call.key,
             call.route.goal_seconds,
             call.ends_at - now,
             tried,
             self.warm_keys.instances(call.key, now) if call.key else (),
+            self.distance(region),
         )
 
         def may_send(server: Server) -> bool:
             rate = self._cold_rate(call.service)
             return self.cold.may_send(server.instance, rate, self.serving_hosts, now)
 
-        permissions = Permissions(may_send, self.waiting.withdraw, self.moving.withdraw)
-        place = choose(self.view.servers, self.ranks, wanted, permissions, now)
+        def may_spill(server: Server) -> bool:
+            busy = self.loads.busy(call.service, server.region, now)
+            if not may_take_key(key, busy):
+                return False
+            lost = self.room.has_lost(call.service, region)
+            return lost or self.spilling.withdraw()
+
+        place = choose_with_spill(
+            self.view.servers,
+            self.ranks,
+            wanted,
+            [
+                Elsewhere(name, self.distance(name))
+                for name in self.weights.elsewhere(weight_key, key, region)
+            ],
+            Permissions(may_send, self.waiting.withdraw, self.moving.withdraw),
+            may_spill,
+            now,
+        )
         if call.key and isinstance(place, Server):
             # The server takes the key in as the run begins, so the next caller of the
             # key finds it warm before the first one is answered.
@@ -75,6 +112,7 @@
         """Count one caller toward what a part of them may use up."""
         self.waiting.deposit()
         self.moving.deposit()
+        self.spilling.deposit()
 
     def learn(
         self,
@@ -113,17 +151,16 @@
             seconds=round(server.suspect_until - now, 3),
         )
 
-    def forget_gone(self) -> None:
-        """Drop what is kept of servers that are gone."""
+    def tick(self, now: float) -> None:
+        """Look at the room there is, and drop what is kept of servers that are gone."""
+        self.room.tick(self.view.servers, now)
+        self.loads.measure(self.view.servers, now)
         self.cold.keep(set(self.view.servers.servers))
 
-    def _regions(self, call: Call) -> list[str]:
-        """Return the region of a request's key, if any may run it."""
+    def _weight_key(self, call: Call) -> WeightKey:
+        """Return which weights give a request's key its region."""
         near = runs_near(call.route, self.round_trip_seconds)
-        key = WeightKey(call.service, call.route.home_regions, near)
-        weights = self.weights.current(key)
-        region = region_for_key(call.key or call.request_id, weights)
-        return [region] if region is not None else []
+        return WeightKey(call.service, call.route.home_regions, near)
 
     def _cold_rate(self, service: str) -> float:
         """Return what a cold server of a service bears, in requests a second."""
--- a/packages/node/greengagepoint_node/gateway/region_weights.py
+++ b/packages/node/greengagepoint_node/gateway/region_weights.py
@@ -8,6 +8,7 @@
     Weights,
     moved_toward,
     near_weights,
+    regions_by_pull,
     wanted_weights,
 )
 from greengagepoint.placing.tables import ServerTable
@@ -51,6 +52,12 @@
             self.weights[key] = found
         return found
 
+    def elsewhere(self, key: WeightKey, text: str, region: str) -> list[str]:
+        """Return the other regions that may run ``text``, the best for it first."""
+        slots = self._slots(key)
+        slots.pop(region, None)
+        return regions_by_pull(text, wanted_weights(slots))
+
     def tick(self, now: float) -> None:
         """Move all weights."""
         elapsed = now - self.ticked_at if self.ticked_at is not None else 0.0
