Try a failing server with one request at a time, and none that was replaced

Change: a 421 tells that the server has ended, so it is no member from then on; a server whose pause is over gets one request until that is answered.

--- a/packages/core/greengagepoint/placing/suspicion.py
+++ b/packages/core/greengagepoint/placing/suspicion.py
@@ -1,4 +1,9 @@
-"""Spare backend servers that fail, without forgetting the keys that they hold."""
+"""Spare backend servers that fail, without forgetting the keys that they hold.
+
+Load answered: servers crash or fall silent while hosts send each of them tens of
+requests a second. Once the pause of one is over, a single request tries it; all others
+go elsewhere until that one is answered.
+"""
 
 from typing import Final
 
@@ -8,6 +13,9 @@
 # each time that a pause ends finds out. Doubling bounds what a dead one costs.
 PAUSE_SECONDS: Final = 0.5
 PAUSE_MAX_SECONDS: Final = 4.0
+# A trial at a silent server has failed by then, and note_failure sets the next pause: a
+# connection is given up after 0.6 s.
+TRIAL_SECONDS: Final = 1.0
 
 
 def note_failure(server: Server, now: float) -> None:
@@ -17,6 +25,16 @@
     server.suspect_until = now + pause
 
 
+def begin_trial(server: Server, now: float) -> None:
+    """Keep others off a server whose pause is over, while one request tries it.
+
+    A server that is silent shows it only after a timeout; without this, all requests of
+    that time would wait for it in vain.
+    """
+    if server.failures:
+        server.suspect_until = max(server.suspect_until, now + TRIAL_SECONDS)
+
+
 def note_answer(server: Server, now: float) -> None:
     """Trust a server again that has answered."""
     server.answered_at = now
--- a/packages/core/tests/test_placing_choice.py
+++ b/packages/core/tests/test_placing_choice.py
@@ -172,6 +172,20 @@
     assert chosen(table) == first
 
 
+def test_only_one_request_at_a_time_tries_a_server_that_failed():
+    # A server is silent. Each time that its pause ends, all requests of the next 0.6 s
+    # would wait for it until their connections time out; one is enough to find out.
+    row = server("i-1")
+    suspicion.note_failure(row, NOW)
+    after = NOW + suspicion.PAUSE_SECONDS
+    assert row.suspect_until <= after
+    suspicion.begin_trial(row, after)
+    assert row.suspect_until == after + suspicion.TRIAL_SECONDS
+    suspicion.note_answer(row, after)
+    suspicion.begin_trial(row, after)
+    assert row.suspect_until == 0.0
+
+
 def test_the_pause_of_a_failing_server_grows_to_its_bound():
     row = server("i-1")
     pauses = []
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -102,6 +102,8 @@
             may_spill,
             now,
         )
+        if isinstance(place, Server):
+            suspicion.begin_trial(place, now)
         if call.key and isinstance(place, Server):
             # The server takes the key in as the run begins, so the next caller of the
             # key finds it warm before the first one is answered.
@@ -137,6 +139,10 @@
             # queue twice as long as it is.
             if waited == 0 and (load is None or load.waiting == 0):
                 server.take_service_time(seconds)
+        elif exchange.verdict is Verdict.SHED:
+            suspicion.note_answer(server, now)
+        elif exchange.verdict is Verdict.OTHER_SERVER:
+            self.view.note_replaced(server.instance)
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.suspect(server, exchange.verdict, now)
 
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -121,6 +121,24 @@
         ]
         return Changes((*items, *removed), self.revision)
 
+    def note_replaced(self, instance: str) -> None:
+        """Take in that another server answers at the address of this one.
+
+        A server keeps its address for its lifetime, so this one has ended. Its entry
+        lapses seconds later; until then each of its requests would be turned away, and
+        sent again at the expense of the retry budget.
+        """
+        if instance in self.servers.leaving or instance not in self.servers.servers:
+            return
+        self.servers.leaving.add(instance)
+        self.events.record(
+            Event.BACKEND_SERVER_LEAVING,
+            instance=instance,
+            reason="another server answers at its address",
+            revision=self.revision,
+        )
+        self._rebuild()
+
     def tick(self, now: float) -> None:
         """Give up servers whose entries lapsed and did not come back."""
         over = [key for key, until in self.lapsed.items() if until <= now]
--- a/packages/node/tests/test_gateway_view.py
+++ b/packages/node/tests/test_gateway_view.py
@@ -157,6 +157,20 @@
     assert members(fleet) == left
 
 
+def test_a_server_whose_address_another_one_has_gets_nothing_more():
+    # A server ended and its address went to another service. Its entry lapses seconds
+    # later; until then each of its keys' requests would be turned away there.
+    fleet = started()
+    fleet.note_replaced("i-1")
+    fleet.note_replaced("i-1")
+    fleet.note_replaced("unknown")
+    assert members(fleet) == ["i-2"]
+    (line,) = fleet.events.of(Event.BACKEND_SERVER_LEAVING)
+    assert line["instance"] == "i-1"
+    fleet.apply(Changes((item("i-1", "server:zone-a", 4),), 4), NOW)
+    assert members(fleet) == ["i-2"]
+
+
 def test_a_peer_that_lags_gets_what_it_lacks_and_no_more():
     fleet = started()
     fleet.apply(Changes((RemovedKey("i-1", 4), item("op", "config:5", 5)), 5), NOW)
