Learn a server's service time from its first runs

Hypothesis: hosts that have just started hold each wait for three times what it is (0.3 s a run assumed, 0.1 s true), for the first 20 to 30 runs of each server. Change: the first runs count in full, later ones a tenth.

--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -12,7 +12,9 @@
 # Servers shed with two to three requests waiting for each slot.
 SHEDDING_QUEUE: Final = 2
 SERVICE_SECONDS_START: Final = 0.3
-SERVICE_SECONDS_WEIGHT: Final = 0.05
+# The first runs count in full, so that a host that has just started does not hold every
+# wait for three times as long as it is, and later ones so much.
+SERVICE_SECONDS_WEIGHT: Final = 0.1
 
 
 @dataclass(slots=True)
@@ -34,6 +36,7 @@
     failures: int = 0
     answered_at: float = float("-inf")
     service_seconds: float = SERVICE_SECONDS_START
+    runs_measured: int = 0
 
     def occupancy(self, now: float) -> float:
         """Return how many requests the server holds, as far as this host can tell.
@@ -61,8 +64,9 @@
 
     def take_service_time(self, seconds: float) -> None:
         """Take in how long a request ran, without its wait for a slot."""
-        difference = seconds - self.service_seconds
-        self.service_seconds += SERVICE_SECONDS_WEIGHT * difference
+        self.runs_measured += 1
+        weight = max(SERVICE_SECONDS_WEIGHT, 1 / self.runs_measured)
+        self.service_seconds += weight * (seconds - self.service_seconds)
 
 
 @dataclass(slots=True)
