Renew entries of hosts each 3 s, and exchange news with live hosts first

Cause: the renewals of 87 hosts, one a second each, took a fifth of all calls to the store, for an entry that only hosts need which start later; hosts hear of each other's end by gossip within 3.5 s.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -32,9 +32,11 @@
 # Changes that come together are read in one call. At a start every server and host
 # writes its entry, and each would otherwise wake every host.
 GATHER_SECONDS: Final = 0.4
-# A lost host leaves the answers of look-ups after this long.
-LEASE_SECONDS: Final = 3.0
-RENEW_SECONDS: Final = 1.0
+# Hosts hear of each other by gossip and drop a lost one within 3.5 s; its entry only
+# serves those that start later, who find it silent. Renewed each second, the entries of
+# 87 hosts took a fifth of all calls to the store.
+LEASE_SECONDS: Final = 10.0
+RENEW_SECONDS: Final = 3.0
 
 
 class News(Protocol):
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -381,7 +381,7 @@
         near = known & {
             row.state.entry.peer_address
             for row in self.heard.values()
-            if self._is_near(row.state.entry)
+            if self._is_near(row.state.entry) and now - row.heard_at <= ALIVE_SECONDS
         }
         chosen = near if near and self.random.random() < NEAR_SHARE else known
         ordered = sorted(chosen)
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -316,3 +316,17 @@
     await async_exchange(late, first)
     assert not late.lacks_addresses
     assert late.heard["h2"].state.entry.front_address == "h2:1"
+
+
+async def test_a_dead_host_of_the_region_is_asked_less_often_than_a_live_one():
+    # A host was killed and its entry stands in the store until its lease ends. Each
+    # exchange with it lasts until it times out, and no news comes meanwhile.
+    clock = Clock()
+    one, live, dead = host("h1", clock), host("h2"), host("h3")
+    await async_exchange(one, dead)
+    clock.now = NOW + ALIVE_SECONDS + 1
+    await async_exchange(one, live)
+    for row in (live, dead):
+        one.view.hosts[row.own.entry.name] = row.own.entry
+    asked = [one._next_address() for _ in range(400)]
+    assert asked.count("h3:2") < 0.15 * len(asked)
