Let no larger part of a region's keys leave than the part of its slots that it lost

Cause: keys of a region that had lost a tenth of its room could all spill. Change: the lost part bounds the keys that may leave, it is forgotten by 0.01 a second, and they go to the region with the most free slots only; the 4 in 100 callers who could leave a region that is only busy are gone.

--- a/packages/core/greengagepoint/placing/allowance.py
+++ b/packages/core/greengagepoint/placing/allowance.py
@@ -21,11 +21,6 @@
 # 200 requests a second in a fleet that is four keys a second.
 MOVING_RATIO: Final = 0.02
 MOVING_MOST: Final = 1.0
-# Of a hundred callers so many may run in another region than their key's for want of
-# room while no region has lost any. Users allow 0.15 of a region's requests to change
-# their region between two spans of 2 s, and region weights use 0.06 of that.
-SPILLING_RATIO: Final = 0.04
-SPILLING_MOST: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -56,8 +51,3 @@
 def create_moving() -> Allowance:
     """Return the allowance for keys that move to the server that should have them."""
     return Allowance(MOVING_RATIO, MOVING_MOST, 0.0)
-
-
-def create_spilling() -> Allowance:
-    """Return the allowance for requests that leave a region which is only busy."""
-    return Allowance(SPILLING_RATIO, SPILLING_MOST, 0.0)
--- a/packages/core/greengagepoint/placing/regions.py
+++ b/packages/core/greengagepoint/placing/regions.py
@@ -86,11 +86,6 @@
     return max(weights, key=lambda region: _pull(key, region, weights), default=None)
 
 
-def regions_by_pull(key: str, weights: Weights) -> list[str]:
-    """Return all regions, the one that should run a key first."""
-    return sorted(weights, key=lambda region: -_pull(key, region, weights))
-
-
 def _pull(key: str, region: str, weights: Weights) -> float:
     """Return how strongly a region draws a key."""
     draw = unit_hash(f"{key}\0{region}")
--- a/packages/core/greengagepoint/placing/room.py
+++ b/packages/core/greengagepoint/placing/room.py
@@ -12,21 +12,18 @@
 
 from greengagepoint.placing.tables import Server, ServerTable
 
-# A region counts as having lost room while it has less than this part of its former
-# slots. One suspected server of twelve is nothing that the others can't carry.
-LOST_SHARE: Final = 0.9
-# How long the former room is remembered; an evacuation lasts up to 11 s on users' days,
-# and region weights have followed a loss of a third after 11 s.
-MEMORY_SECONDS: Final = 30.0
+# Region weights settle on what is left, so a loss is forgotten by this part of the
+# former room a second. Forgotten at once after 30 s, it let 38 in 100 requests of a
+# region change their region within 2 s, where users allow 15.
+FORGOTTEN_PER_SECOND: Final = 0.01
 
 
 @dataclass(slots=True)
 class Room:
-    """The usable slots of one service in one region, now and at their most."""
+    """The usable slots of one service in one region, now and formerly."""
 
-    usable: int = 0
-    peak: int = 0
-    peak_at: float = 0.0
+    usable: float = 0.0
+    former: float = 0.0
 
 
 @dataclass(slots=True)
@@ -34,21 +31,24 @@
     """Rooms by service and region; times are monotonic seconds."""
 
     rooms: dict[tuple[str, str], Room] = field(default_factory=dict)
+    ticked_at: float | None = None
 
     def tick(self, table: ServerTable, now: float) -> None:
         """Take in what servers may be used now."""
+        elapsed = now - self.ticked_at if self.ticked_at is not None else 0.0
+        self.ticked_at = now
+        kept = max(0.0, 1 - FORGOTTEN_PER_SECOND * elapsed)
         for key in set(self.rooms) | set(table.members):
-            usable = _usable_slots(table.find(*key).servers, now)
             room = self.rooms.setdefault(key, Room())
-            room.usable = usable
-            if usable >= room.peak or now - room.peak_at > MEMORY_SECONDS:
-                room.peak = usable
-                room.peak_at = now
+            room.usable = _usable_slots(table.find(*key).servers, now)
+            room.former = max(room.usable, room.former * kept)
 
-    def has_lost(self, service: str, region: str) -> bool:
-        """Tell whether a region has clearly less room than it had lately."""
+    def lost_share(self, service: str, region: str) -> float:
+        """Return which part of its former slots a region has lost."""
         room = self.rooms.get((service, region))
-        return room is not None and room.usable < LOST_SHARE * room.peak
+        if room is None or not room.former:
+            return 0.0
+        return 1 - room.usable / room.former
 
 
 def _usable_slots(servers: Iterable[Server], now: float) -> int:
--- a/packages/core/greengagepoint/placing/spilling.py
+++ b/packages/core/greengagepoint/placing/spilling.py
@@ -19,17 +19,19 @@
 BUSY_CLOSED: Final = 0.95
 
 
-def may_take_key(key: str, busy: float | None) -> bool:
-    """Tell whether a region may take a key that finds no room in its own.
+def may_leave(key: str, lost: float, busy: float | None) -> bool:
+    """Tell whether a key that finds no room in its own region may run in another one.
 
-    ``busy`` is the part of the region's slots that are in use, None where it is not
-    known. The same keys are taken first by every host, so they are warm there when
-    their callers come again.
+    ``lost`` is the part of its own region's slots that were lost lately: no larger part
+    of the keys may leave, since each of them takes the place of another one in the
+    memory of a server there. ``busy`` is the part of the other region's slots in use,
+    None where it is not known. All hosts let the same keys go first, so that these are
+    warm there when their callers come again.
     """
     if busy is None:
         return False
-    share = (BUSY_CLOSED - busy) / (BUSY_CLOSED - BUSY_OPEN)
-    return unit_hash(f"spill\0{key}") < share
+    room = (BUSY_CLOSED - busy) / (BUSY_CLOSED - BUSY_OPEN)
+    return unit_hash(f"spill\0{key}") < min(lost, room)
 
 
 class Elsewhere(NamedTuple):
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -5,18 +5,14 @@
 
 from greengagepoint.events import Event
 from greengagepoint.placing import suspicion
-from greengagepoint.placing.allowance import (
-    create_moving,
-    create_spilling,
-    create_waiting,
-)
+from greengagepoint.placing.allowance import create_moving, create_waiting
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
 from greengagepoint.placing.room import RoomWatch
-from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_take_key
+from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_leave
 from greengagepoint.placing.tables import Server
 from greengagepoint.placing.warm_keys import WarmKeys
 from greengagepoint_node.context import EventSink
@@ -25,7 +21,6 @@
 from greengagepoint_node.gateway.region_weights import RegionWeights, WeightKey
 from greengagepoint_node.gateway.view import FleetView
 
-
 class Load(NamedTuple):
     """How many requests a server runs, and how many wait for a slot."""
 
@@ -53,7 +48,6 @@
         self.ranks = RankCache()
         self.waiting = create_waiting()
         self.moving = create_moving()
-        self.spilling = create_spilling()
         self.loads = RegionLoads(home)
         self.room = RoomWatch()
         self.warm_keys = WarmKeys()
@@ -85,19 +79,13 @@
 
         def may_spill(server: Server) -> bool:
             busy = self.loads.busy(call.service, server.region, now)
-            if not may_take_key(key, busy):
-                return False
-            lost = self.room.has_lost(call.service, region)
-            return lost or self.spilling.withdraw()
+            return may_leave(key, self.room.lost_share(call.service, region), busy)
 
         place = choose_with_spill(
             self.view.servers,
             self.ranks,
             wanted,
-            [
-                Elsewhere(name, self.distance(name))
-                for name in self.weights.elsewhere(weight_key, key, region)
-            ],
+            self._elsewhere(weight_key, region, now),
             Permissions(may_send, self.waiting.withdraw, self.moving.withdraw),
             may_spill,
             now,
@@ -114,7 +102,6 @@
         """Count one caller toward what a part of them may use up."""
         self.waiting.deposit()
         self.moving.deposit()
-        self.spilling.deposit()
 
     def learn(
         self,
@@ -163,6 +150,21 @@
         self.loads.measure(self.view.servers, now)
         self.cold.keep(set(self.view.servers.servers))
 
+    def _elsewhere(self, key: WeightKey, region: str, now: float) -> list[Elsewhere]:
+        """Return the other region with the most free slots, if any may run a key.
+
+        A small one next to it would be filled within a second by what a large one lost.
+        """
+        free = {
+            name: slots * (1 - (self.loads.busy(key.service, name, now) or 0.0))
+            for name, slots in self.weights.slots(key).items()
+            if name != region
+        }
+        if not free:
+            return []
+        name = max(free, key=free.__getitem__)
+        return [Elsewhere(name, self.distance(name))]
+
     def _weight_key(self, call: Call) -> WeightKey:
         """Return which weights give a request's key its region."""
         near = runs_near(call.route, self.round_trip_seconds)
--- a/packages/node/greengagepoint_node/gateway/region_weights.py
+++ b/packages/node/greengagepoint_node/gateway/region_weights.py
@@ -8,7 +8,6 @@
     Weights,
     moved_toward,
     near_weights,
-    regions_by_pull,
     wanted_weights,
 )
 from greengagepoint.placing.tables import ServerTable
@@ -48,23 +47,17 @@
         """Return the weights by which keys are given to regions now."""
         found = self.weights.get(key)
         if not found:
-            found = self._wanted(key, self._slots(key))
+            found = self._wanted(key, self.slots(key))
             self.weights[key] = found
         return found
 
-    def elsewhere(self, key: WeightKey, text: str, region: str) -> list[str]:
-        """Return the other regions that may run ``text``, the best for it first."""
-        slots = self._slots(key)
-        slots.pop(region, None)
-        return regions_by_pull(text, wanted_weights(slots))
-
     def tick(self, now: float) -> None:
         """Move all weights."""
         elapsed = now - self.ticked_at if self.ticked_at is not None else 0.0
         self.ticked_at = now
         most = CHANGE_PER_SECOND * min(elapsed, TICK_SECONDS_MAX)
         for key, weights in list(self.weights.items()):
-            slots = self._slots(key)
+            slots = self.slots(key)
             # A region without servers can't run anything, so its part moves at once.
             possible = {name: part for name, part in weights.items() if name in slots}
             wanted = self._wanted(key, slots)
@@ -78,7 +71,7 @@
             return wanted_weights(slots)
         return near_weights(slots, self.home, self.regions)
 
-    def _slots(self, key: WeightKey) -> dict[str, float]:
+    def slots(self, key: WeightKey) -> dict[str, float]:
         """Return the slots by region that requests may use."""
         return {
             region: float(self.servers.find(key.service, region).slots)
