--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -1,6 +1,7 @@
 """Backend servers as hosts know them: members, load, faults and coldness."""
 
 import math
+import statistics
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -90,6 +91,7 @@
     members: dict[tuple[str, str], Members] = field(default_factory=dict)
     regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
+    typical_seconds: dict[str, float] = field(default_factory=dict)
 
     def find(self, service: str, region: str) -> Members:
         """Return the members of a service in a region."""
@@ -104,6 +106,17 @@
         for server in self.servers.values():
             server.senders = senders
 
+    def measure_typical(self) -> None:
+        """Work out how long a run takes on the middle one of each service's servers."""
+        measured: dict[str, list[float]] = {}
+        for server in self.servers.values():
+            if server.runs_measured:
+                measured.setdefault(server.service, []).append(server.service_seconds)
+        self.typical_seconds = {
+            service: statistics.median_low(seconds)
+            for service, seconds in measured.items()
+        }
+
     def rebuild(self) -> None:
         """Work out the members again after a change."""
         self.version += 1
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -27,6 +27,7 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.overdue import OverdueWatch
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.refusals import (
     Refusal,
@@ -45,12 +46,6 @@
 NOT_READY_SECONDS: Final = 0.5
 # Below this a backend server could not run anything.
 SECONDS_LEFT_MIN: Final = 0.02
-# A server that has answered nobody for this part of a request's time is taken for dead,
-# and a request that may be repeated goes to another one while there is time. A server
-# that is only busy answers others meanwhile; where there are none, a run may well take
-# several times as long as most.
-SILENCE_SHARE: Final = 0.5
-SILENCE_RUNS: Final = 4.0
 
 
 class Gateway:
@@ -226,7 +221,7 @@
         server: Server | None = None
         for attempt in range(max(1, call.route.attempts_max)):
             if server is None:
-                server = self._next_server(call, tried)
+                server = self.next_server(call, tried, last and last.verdict)
             left = call.ends_at - self.clock.monotonic()
             if server is None or left < SECONDS_LEFT_MIN:
                 break
@@ -241,10 +236,13 @@
             server = sending.successor
         raise no_answer(last, may_have_run=may_have_run)
 
-    def _next_server(self, call: Call, tried: set[str]) -> Server | None:
+    def next_server(
+        self, call: Call, tried: set[str], last: Verdict | None
+    ) -> Server | None:
         """Return where to send a request next, None where it is not sent again.
 
-        Raise Refusal where it can't be sent even once.
+        ``last`` is how its last try ended. Raise Refusal where it can't be sent even
+        once.
         """
         place = self.placer.place(call, frozenset(tried), self.clock.monotonic())
         if not tried:
@@ -252,10 +250,14 @@
                 raise no_place(call.service, place)
             self.retries.deposit(call.service)
             return place
-        if isinstance(place, NoPlace) or not self.retries.withdraw(call.service):
+        if isinstance(place, NoPlace) or not self._may_send_again(call, last):
             return None
         return place
 
+    def _may_send_again(self, call: Call, last: Verdict | None) -> bool:
+        """Take what one more send uses up of the shared budget."""
+        return self.retries.withdraw(call.service)
+
     def _sending(
         self,
         request: web.BaseRequest,
@@ -286,16 +288,11 @@
         began = self.clock.monotonic()
         waited = server.expected_wait(began)
         server.in_flight += 1
-        silent_after = max(
-            sending.seconds * SILENCE_SHARE, SILENCE_RUNS * server.service_seconds
-        )
-        silence = asyncio.get_running_loop().call_later(
-            silent_after, self._note_silence, call, server, sending, tried, began
-        )
+        overdue = OverdueWatch(self, call, server, sending, tried)
         try:
             exchange = await async_exchange(self.sessions, self.names, server, sending)
         finally:
-            silence.cancel()
+            overdue.cancel()
             server.in_flight -= 1
         now = self.clock.monotonic()
         self.counters.tries[call.service, exchange.verdict] += 1
@@ -312,31 +309,6 @@
             )
         return exchange
 
-    def _note_silence(
-        self,
-        call: Call,
-        server: Server,
-        sending: Sending,
-        tried: set[str],
-        began: float,
-    ) -> None:
-        """Give up a server that has answered nobody since a request was sent to it.
-
-        It may only be slow, so it keeps a request that no other server would take: a
-        failure told while it works would lose its answer. A host that stops leaves it
-        all its time, since the second try may fail as well.
-        """
-        if server.answered_at >= began:
-            return
-        self.placer.suspect(server, Verdict.TIMED_OUT, self.clock.monotonic())
-        if self.leaving or not call.route.repeatable:
-            return
-        if len(tried) >= call.route.attempts_max:
-            return
-        successor = self._next_server(call, tried)
-        if successor is not None:
-            sending.give_up_for(successor)
-
     def _request_headers(
         self, request: web.BaseRequest, server: Server, left: float
     ) -> CIMultiDict[str]:
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -0,0 +1,80 @@
+"""Give up a try that takes too long for another server."""
+
+import asyncio
+from typing import Protocol
+
+from greengagepoint.placing.patience import lost_after, silent_after
+from greengagepoint.placing.tables import Server
+from greengagepoint.protocols import Clock
+from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.exchange import Sending, Verdict
+from greengagepoint_node.gateway.placing import Placer
+
+
+class Successors(Protocol):
+    """Know where a request may be sent once more."""
+
+    clock: Clock
+    placer: Placer
+    leaving: bool
+
+    def next_server(
+        self, call: Call, tried: set[str], last: Verdict | None
+    ) -> Server | None:
+        """Return the next server, or None where the request is not sent again."""
+
+
+class OverdueWatch:
+    """Watch one try from its start until it is cancelled."""
+
+    def __init__(
+        self,
+        successors: Successors,
+        call: Call,
+        server: Server,
+        sending: Sending,
+        tried: set[str],
+    ) -> None:
+        self.successors = successors
+        self.call = call
+        self.server = server
+        self.sending = sending
+        self.tried = tried
+        self.began = successors.clock.monotonic()
+        self.loop = asyncio.get_running_loop()
+        seconds = silent_after(sending.seconds, server.service_seconds)
+        self.timer = self.loop.call_later(seconds, self._note_silence)
+
+    def cancel(self) -> None:
+        """Stop watching."""
+        self.timer.cancel()
+
+    def _note_silence(self) -> None:
+        """Give up a server that has answered nobody; wait longer for any other."""
+        if self.server.answered_at < self.began:
+            now = self.successors.clock.monotonic()
+            self.successors.placer.suspect(self.server, Verdict.TIMED_OUT, now)
+            self._give_up()
+            return
+        limit = lost_after(self.successors.placer.typical_seconds(self.call.service))
+        if limit is None:
+            return
+        elapsed = self.successors.clock.monotonic() - self.began
+        self.timer = self.loop.call_later(max(0.0, limit - elapsed), self._give_up)
+
+    def _give_up(self) -> None:
+        """Send the request to another server if there is one that takes it.
+
+        The server may only be slow, so it keeps a request that no other server would
+        take: a failure told while it works would lose its answer. A host that stops
+        leaves it all its time, since the second try may fail as well.
+        """
+        if self.successors.leaving or not self.call.route.repeatable:
+            return
+        if len(self.tried) >= self.call.route.attempts_max:
+            return
+        successor = self.successors.next_server(
+            self.call, self.tried, Verdict.TIMED_OUT
+        )
+        if successor is not None:
+            self.sending.give_up_for(successor)
