--- a/packages/core/greengagepoint/overload/shared_retries.py
+++ b/packages/core/greengagepoint/overload/shared_retries.py
@@ -9,7 +9,12 @@
 from typing import Final
 
 # The budget may be looked at in any window; what a host saved before counts there too.
-USED_RATIO: Final = 0.7
+# The rest is for first tries that were counted here and never arrived.
+USED_RATIO: Final = 0.9
+# Of what a host may have saved, the part that only the most urgent requests use up.
+# While servers turn away half of what they get, all requests want more than there is,
+# and a reservation that is told to come back is worth two look-ups.
+URGENT_SHARE: Final = 0.5
 # Half of the slack is what all hosts may have saved up, the other half is for hosts
 # that started again with a new part.
 USED_SLACK: Final = 0.5
@@ -33,10 +38,14 @@
         saved = self.tokens.get(service, self.most())
         self.tokens[service] = min(self.most(), saved + self.ratio * USED_RATIO)
 
-    def withdraw(self, service: str) -> bool:
+    def withdraw(self, service: str, *, urgent: bool = True) -> bool:
         """Take the token for one more send; tell whether there was one."""
         saved = self.tokens.get(service, self.most())
-        if saved < 1:
+        if saved < 1 + (0.0 if urgent else self._kept_for_urgent()):
             return False
         self.tokens[service] = saved - 1
         return True
+
+    def _kept_for_urgent(self) -> float:
+        """Return what others have to leave; with many hosts each saves little more."""
+        return max(0.0, min(URGENT_SHARE * self.most(), self.most() - 1))
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -1,6 +1,7 @@
 """What operators say of routes, services and callers' limits."""
 
 from enum import StrEnum
+from itertools import chain
 from typing import Final
 
 import msgspec
@@ -75,6 +76,11 @@
     hosts: dict[str, tuple[Route, ...]]
     services: dict[str, ServicePolicy]
     limits: CallerLimits = CallerLimits()
+    urgent_ranks: dict[str, int] = {}
+
+    def is_urgent(self, route: Route, service: str) -> bool:
+        """Tell whether no request to a service comes before those of a route."""
+        return route.rank <= self.urgent_ranks.get(service, route.rank)
 
 
 def create_route_table(
@@ -89,7 +95,23 @@
         for host, routes in hosts.items()
     }
     by_name = {service.name: service for service in services}
-    return RouteTable(version=version, hosts=ordered, services=by_name, limits=limits)
+    return RouteTable(
+        version=version,
+        hosts=ordered,
+        services=by_name,
+        limits=limits,
+        urgent_ranks=_urgent_ranks(hosts),
+    )
+
+
+def _urgent_ranks(hosts: dict[str, list[Route]]) -> dict[str, int]:
+    """Return the first rank among the routes to each service."""
+    ranks: dict[str, int] = {}
+    for route in chain.from_iterable(hosts.values()):
+        for destination in route.destinations:
+            known = ranks.get(destination.service, route.rank)
+            ranks[destination.service] = min(known, route.rank)
+    return ranks
 
 
 def find_route(table: RouteTable, host: str, path: str) -> Route | None:
--- a/packages/core/tests/test_overload_shared_retries.py
+++ b/packages/core/tests/test_overload_shared_retries.py
@@ -50,3 +50,37 @@
     while row.withdraw("booking"):
         pass
     assert row.withdraw("records")
+
+
+def test_the_most_urgent_requests_find_a_token_when_there_are_too_few_for_all():
+    # Servers turn away half of what they get for seconds. Every request wants to be
+    # sent again and a sixth of them can be; reservations are a quarter of them.
+    row = budget(9)
+    urgent = [0, 0]
+    others = [0, 0]
+    for number in range(2_000):
+        row.deposit("booking")
+        if number % 2:
+            continue
+        counts = urgent if number % 8 == 0 else others
+        counts[0] += 1
+        counts[1] += row.withdraw("booking", urgent=counts is urgent)
+    assert urgent[1] > 0.95 * urgent[0], (urgent, others)
+    assert urgent[1] + others[1] > 0.9 * 0.18 * 2_000, (urgent, others)
+
+
+def test_all_requests_use_the_whole_budget_where_none_is_more_urgent():
+    row = budget(1)
+    while row.withdraw("booking"):
+        pass
+    assert row.tokens["booking"] < 1
+
+
+@pytest.mark.parametrize("hosts", [1, 9, 30, 87])
+def test_less_urgent_requests_find_a_token_however_many_hosts_there_are(hosts):
+    # With 87 hosts each may save 1.2 tokens. Were half of them kept for urgent ones,
+    # other requests would never be sent again.
+    row = SharedRetryBudget(RATIO, 214.0, hosts)
+    for _ in range(100):
+        row.deposit("booking")
+    assert row.withdraw("booking", urgent=False)
--- a/packages/core/tests/test_routing_match.py
+++ b/packages/core/tests/test_routing_match.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -90,3 +91,24 @@
     assert len(split.credits) == 2
     split.keep({"other"})
     assert not split.credits
+
+
+@pytest.mark.parametrize(
+    ("name", "service", "urgent"),
+    [
+        ("pay", "booking", True),
+        ("look", "booking", False),
+        ("look", "records", True),
+        ("look", "unknown", True),
+    ],
+)
+def test_the_first_rank_among_the_routes_to_a_service_is_urgent(name, service, urgent):
+    pay = route("pay", "/pay/", Destination("booking"))
+    look = route("look", "/look/", Destination("booking"), Destination("records"))
+    routes = [
+        msgspec.structs.replace(pay, rank=1),
+        msgspec.structs.replace(look, rank=2),
+    ]
+    table = create_route_table(8, {"a.example": routes}, [], CallerLimits())
+    chosen = {row.name: row for row in routes}[name]
+    assert table.is_urgent(chosen, service) is urgent
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -255,8 +255,17 @@
         return place
 
     def _may_send_again(self, call: Call, last: Verdict | None) -> bool:
-        """Take what one more send uses up of the shared budget."""
-        return self.retries.withdraw(call.service)
+        """Take what one more send uses up of the shared budget.
+
+        A try without a connection has reached no server, so one more is the first that
+        does. Counted all the same, the tries at a crashed server used up the budget in
+        the second in which it was needed most.
+        """
+        if last is Verdict.UNREACHABLE:
+            return True
+        assert self.view.routes is not None
+        urgent = self.view.routes.is_urgent(call.route, call.service)
+        return self.retries.withdraw(call.service, urgent=urgent)
 
     def _sending(
         self,
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -98,6 +98,21 @@
         assert [row["outcome"] for row in suspected] == ["timed_out"]
 
 
+@pytest.mark.parametrize(
+    ("path", "method"), [("/safe/1", "GET"), ("/unsafe/1", "POST")]
+)
+async def test_a_try_without_a_connection_uses_up_no_retry(path, method):
+    # A server crashes and refuses connections while the other ones turn away half of
+    # what they get, so the budget of retries is used up. Nothing of the first try has
+    # reached a server, and the caller is served by the next one.
+    async with async_world() as world:
+        world.daemon.retries.slack = world.daemon.retries.ratio = 0.0
+        await world.backends[0].async_stop()
+        results = [await world.async_call(path, method) for _ in range(4)]
+        assert {status for status, _, _ in results} == {200}
+        assert world.events.of(Event.REQUEST_RETRIED)
+
+
 async def async_call_all(world):
     """Send enough requests at once that each server answers some."""
     calls = [world.async_call(f"/safe/{number}") for number in range(8)]
