--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -63,11 +63,27 @@
     def place(self, call: Call, tried: frozenset[str], now: float) -> Server | NoPlace:
         """Choose a server for a request that has not been sent to ``tried``."""
         weight_key = self._weight_key(call)
-        key = call.key or call.request_id
-        region = region_for_key(key, self.weights.current(weight_key))
+        region = region_for_key(_key_of(call), self.weights.current(weight_key))
         if region is None:
             return NoPlace(retry_seconds=1.0, servers_known=False)
-        wanted = Wanted(
+        place = choose_with_spill(
+            self.view.servers,
+            self.ranks,
+            self._wanted(call, region, tried, now),
+            self._elsewhere(weight_key, region, now) if weight_key.near else (),
+            self._permissions(call, now),
+            lambda server: self._may_leave(call, region, server, now),
+            now,
+        )
+        if isinstance(place, Server):
+            self._note_place(call, place, now)
+        return place
+
+    def _wanted(
+        self, call: Call, region: str, tried: frozenset[str], now: float
+    ) -> Wanted:
+        """Return what a request asks of the choice."""
+        return Wanted(
             call.service,
             [region],
             call.key,
@@ -78,30 +94,28 @@
             self.distance(region),
         )
 
+    def _permissions(self, call: Call, now: float) -> Permissions:
+        """Return what the choice for a request may use up."""
+        rate = self._cold_rate(call.service)
+
         def may_send(server: Server) -> bool:
-            rate = self._cold_rate(call.service)
             return self.cold.may_send(server.instance, rate, self.serving_hosts, now)
 
-        def may_spill(server: Server) -> bool:
-            busy = self.loads.busy(call.service, server.region, now)
-            return may_leave(key, self.room.lost_share(call.service, region), busy)
+        return Permissions(may_send, self.waiting.withdraw, self.moving.withdraw)
 
-        place = choose_with_spill(
-            self.view.servers,
-            self.ranks,
-            wanted,
-            self._elsewhere(weight_key, region, now) if weight_key.near else (),
-            Permissions(may_send, self.waiting.withdraw, self.moving.withdraw),
-            may_spill,
-            now,
-        )
-        if isinstance(place, Server):
-            suspicion.begin_trial(place, now)
-        if call.key and isinstance(place, Server):
+    def _may_leave(self, call: Call, region: str, server: Server, now: float) -> bool:
+        """Tell whether a request may leave its region for a server in another one."""
+        lost = self.room.lost_share(call.service, region)
+        busy = self.loads.busy(call.service, server.region, now)
+        return may_leave(_key_of(call), lost, busy)
+
+    def _note_place(self, call: Call, server: Server, now: float) -> None:
+        """Take in that a request goes to a server."""
+        suspicion.begin_trial(server, now)
+        if call.key:
             # The server takes the key in as the run begins, so the next caller of the
             # key finds it warm before the first one is answered.
-            self.warm_keys.note(call.key, place.instance, now)
-        return place
+            self.warm_keys.note(call.key, server.instance, now)
 
     def take_caller(self) -> None:
         """Count one caller toward what a part of them may use up."""
@@ -198,6 +212,11 @@
         return policy.cold_requests_per_second if policy else 0.0
 
 
+def _key_of(call: Call) -> str:
+    """Return what decides the region of a request."""
+    return call.key or call.request_id
+
+
 def read_load(text: str | None) -> Load | None:
     """Return what a server says of its load, or None where it says nothing."""
     if text is None:
