--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -27,10 +27,9 @@
 class Wanted(NamedTuple):
     """What is asked of the choice.
 
-    ``away_seconds`` is the round trip to the regions; ``seconds_left`` bounds a late
-    answer. ``regions`` is the order in which they may
-    be used; ``key`` None means any server. ``warm`` are the servers that have run the
-    key lately.
+    ``regions`` is the order in which they may be used, ``away_seconds`` the round trip
+    to them. ``key`` None means any server; ``warm`` are the servers that have run the
+    key lately. ``seconds_left`` bounds a late answer.
     """
 
     service: str
