--- a/packages/core/greengagepoint/placing/suspicion.py
+++ b/packages/core/greengagepoint/placing/suspicion.py
@@ -40,9 +40,3 @@
     server.answered_at = now
     server.failures = 0
     server.suspect_until = 0.0
-
-
-def note_slow_answer(server: Server, now: float) -> None:
-    """Spare a server that answers, but far later than others do."""
-    server.answered_at = now
-    note_failure(server, now)
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -1,7 +1,6 @@
 """Backend servers as hosts know them: members, load, faults and coldness."""
 
 import math
-import statistics
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
@@ -35,7 +34,6 @@
     failures: int = 0
     answered_at: float = float("-inf")
     service_seconds: float = SERVICE_SECONDS_START
-    runs_measured: int = 0
 
     def occupancy(self, now: float) -> float:
         """Return how many requests the server holds, as far as this host can tell.
@@ -63,7 +61,6 @@
 
     def take_service_time(self, seconds: float) -> None:
         """Take in how long a request ran, without its wait for a slot."""
-        self.runs_measured += 1
         difference = seconds - self.service_seconds
         self.service_seconds += SERVICE_SECONDS_WEIGHT * difference
 
@@ -89,7 +86,6 @@
     members: dict[tuple[str, str], Members] = field(default_factory=dict)
     regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
-    typical_seconds: dict[str, float] = field(default_factory=dict)
 
     def find(self, service: str, region: str) -> Members:
         """Return the members of a service in a region."""
@@ -104,17 +100,6 @@
         for server in self.servers.values():
             server.senders = senders
 
-    def measure_typical(self) -> None:
-        """Work out how long a run takes on the middle one of each service's servers."""
-        measured: dict[str, list[float]] = {}
-        for server in self.servers.values():
-            if server.runs_measured:
-                measured.setdefault(server.service, []).append(server.service_seconds)
-        self.typical_seconds = {
-            service: statistics.median_low(seconds)
-            for service, seconds in measured.items()
-        }
-
     def rebuild(self) -> None:
         """Work out the members again after a change."""
         self.version += 1
--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -1,9 +1,9 @@
-"""Give up a try that takes too long for another server."""
+"""Give up a try at a silent server for another server."""
 
 import asyncio
 from typing import Protocol
 
-from greengagepoint.placing.patience import lost_after, silent_after
+from greengagepoint.placing.patience import silent_after
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.call import Call
@@ -41,26 +41,21 @@
         self.sending = sending
         self.tried = tried
         self.began = successors.clock.monotonic()
-        self.loop = asyncio.get_running_loop()
         seconds = silent_after(sending.seconds, server.service_seconds)
-        self.timer = self.loop.call_later(seconds, self._note_silence)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(seconds, self._note_silence)
 
     def cancel(self) -> None:
         """Stop watching."""
         self.timer.cancel()
 
     def _note_silence(self) -> None:
-        """Give up a server that has answered nobody; wait longer for any other."""
-        if self.server.answered_at < self.began:
-            now = self.successors.clock.monotonic()
-            self.successors.placer.suspect(self.server, Verdict.TIMED_OUT, now)
-            self._give_up()
+        """Give up a server that has answered nobody since the try began."""
+        if self.server.answered_at >= self.began:
             return
-        limit = lost_after(self.successors.placer.typical_seconds(self.call.service))
-        if limit is None:
-            return
-        elapsed = self.successors.clock.monotonic() - self.began
-        self.timer = self.loop.call_later(max(0.0, limit - elapsed), self._give_up)
+        now = self.successors.clock.monotonic()
+        self.successors.placer.suspect(self.server, Verdict.TIMED_OUT, now)
+        self._give_up()
 
     def _give_up(self) -> None:
         """Send the request to another server if there is one that takes it.
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -1,14 +1,13 @@
 """Place requests on backend servers, and learn from how they end there."""
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from greengagepoint.events import Event
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.allowance import create_moving, create_waiting
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
-from greengagepoint.placing.patience import is_slow
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
@@ -22,9 +21,6 @@
 from greengagepoint_node.gateway.region_weights import RegionWeights, WeightKey
 from greengagepoint_node.gateway.view import FleetView
 
-# The outcome under which a server is logged that answers, but far later than others do.
-SLOW: Final = "slow"
-
 
 class Load(NamedTuple):
     """How many requests a server runs, and how many wait for a slot."""
@@ -140,11 +136,7 @@
         elif exchange.verdict is Verdict.SHED:
             server.take_shedding(now)
         if exchange.verdict is Verdict.ANSWERED:
-            if is_slow(seconds, self.typical_seconds(call.service)):
-                suspicion.note_slow_answer(server, now)
-                self._record_suspicion(server, SLOW, now)
-            else:
-                suspicion.note_answer(server, now)
+            suspicion.note_answer(server, now)
             # A run that waited for its slot would make the server look slow, and its
             # queue twice as long as it is.
             if waited == 0 and (load is None or load.waiting == 0):
@@ -159,29 +151,20 @@
     def suspect(self, server: Server, verdict: Verdict, now: float) -> None:
         """Spare a server for a while."""
         suspicion.note_failure(server, now)
-        self._record_suspicion(server, verdict, now)
-
-    def _record_suspicion(self, server: Server, outcome: str, now: float) -> None:
-        """Tell that a server is spared, and until when."""
         self.events.record(
             Event.BACKEND_SERVER_SUSPECTED,
             instance=server.instance,
             failures=server.failures,
-            outcome=outcome,
+            outcome=verdict,
             seconds=round(server.suspect_until - now, 3),
         )
 
     def tick(self, now: float) -> None:
         """Look at the room there is, and drop what is kept of servers that are gone."""
-        self.view.servers.measure_typical()
         self.room.tick(self.view.servers, now)
         self.loads.measure(self.view.servers, now)
         self.cold.keep(set(self.view.servers.servers))
 
-    def typical_seconds(self, service: str) -> float | None:
-        """Return how long a run of a service takes on most servers, None if unknown."""
-        return self.view.servers.typical_seconds.get(service)
-
     def _elsewhere(self, key: WeightKey, region: str, now: float) -> list[Elsewhere]:
         """Return the other region with the most free slots, if any may run a key.
 
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -113,47 +113,6 @@
         assert world.events.of(Event.REQUEST_RETRIED)
 
 
-async def async_call_all(world):
-    """Send enough requests at once that each server answers some."""
-    calls = [world.async_call(f"/safe/{number}") for number in range(8)]
-    results = await asyncio.gather(*calls)
-    assert {status for status, _, _ in results} == {200}
-
-
-async def async_lose_answer(world, path, method):
-    """Return the answer to a request whose server answers all others meanwhile."""
-    await async_call_all(world)
-    # It takes tens of runs to learn how long one takes.
-    set_run_seconds(world, 0.02)
-    before = world.ran()
-    set_manner(world, Manner.SILENT)
-    lost = asyncio.create_task(world.async_call(path, method))
-    await async_until(lambda: world.ran() == before + 1)
-    await asyncio.sleep(0.1)
-    set_manner(world, Manner.GOOD)
-    while not lost.done():
-        await async_call_all(world)
-    return await lost
-
-
-async def test_a_lost_answer_is_asked_for_at_another_server():
-    # A server runs a request and its answer is lost; it answers all others. The caller
-    # would wait for the end of its time and get nothing, though no run takes that long
-    # and another server has a free slot.
-    async with async_world(seconds=0.02) as world:
-        status, body, _ = await async_lose_answer(world, "/safe/lost", "GET")
-        assert (status, body.endswith(b" /safe/lost")) == (200, True)
-        assert not world.events.of(Event.BACKEND_SERVER_SUSPECTED)
-
-
-async def test_a_lost_answer_of_what_may_run_once_is_not_asked_for_again():
-    async with async_world(seconds=0.02) as world:
-        status, _, _ = await async_lose_answer(world, "/unsafe/lost", "POST")
-        assert status == 504
-        ran = [row.target for backend in world.backends for row in backend.ran]
-        assert ran.count("/unsafe/lost") == 1
-
-
 async def test_a_silent_server_is_not_given_up_while_there_is_no_other():
     # The only server is slow, and has answered nobody for half of the request's time.
     # Giving it up then would tell the caller of a failure while the server is at work,
