--- a/packages/core/greengagepoint/placing/room.py
+++ b/packages/core/greengagepoint/placing/room.py
@@ -13,8 +13,8 @@
 from greengagepoint.placing.tables import Server, ServerTable
 
 # Region weights settle on what is left, so a loss is forgotten by this part of the
-# former room a second. Forgotten at once after 30 s, it let 38 in 100 requests of a
-# region change their region within 2 s, where users allow 15.
+# former room a second. Forgotten all at once, every key that left would come back in
+# the same moment, and run cold at home. The pace was chosen, not swept.
 FORGOTTEN_PER_SECOND: Final = 0.01
 
 
