Reproduce 404s on new routes: large values never cross a link of 5 Mbit/s

Cause, as far as shown: each way to a host (exchange, news, call to the store) has a fixed time limit, whatever the size of what it brings; a copy that takes longer is thrown away and begun again, and a watcher sends all hosts of its region a copy at once. Ruled out: the code as such.

--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 import contextlib
 
 import pytest
+from large_values import SLOW_BYTES_PER_SECOND, configuration
 
 from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
 from greengagepoint_node.gateway.facts import (
@@ -15,6 +16,7 @@
 )
 from greengagepoint_platform import store as module
 from greengagepoint_platform.store import StoreClient
+from greengagepoint_standins.relay import Relay, SlowLink
 from greengagepoint_standins.users_platform.store import PlatformStore
 
 ENTRY = HostEntry("h1", "north", "z", "10.0.0.1:1", "10.0.0.1:2")
@@ -112,3 +114,25 @@
         store.control.hangs = True
         with pytest.raises(StoreError, match="TimeoutError"):
             await client.async_snapshot()
+
+
+async def test_a_large_value_over_a_slow_link_is_read_to_its_end():
+    # The store answers at once with a large value, and the host's link carries 5
+    # Mbit/s. The answer comes without a pause, but takes longer than a call may last:
+    # given up and begun again, it never came, and the host took the store for lost.
+    store = PlatformStore()
+    await store.async_start()
+    relay = Relay(store.address, back=SlowLink(SLOW_BYTES_PER_SECOND))
+    await relay.async_open()
+    client = StoreClient(relay.address)
+    value = configuration(8)
+    try:
+        put(store, "op/config", value.decode())
+        snapshot = await client.async_snapshot()
+        assert [item.value for item in snapshot.items] == [value]
+        changes = await client.async_changes(0, 1.0)
+        assert [item.value for item in changes.changes] == [value]
+    finally:
+        await client.async_close()
+        await relay.async_cut()
+        await store.async_stop()
