Let a transfer last as long as it goes on

Cause: a call to the store ended after 1.5 s, a watch after 1.8 s and an exchange after 0.6 s, whatever the size of the answer; a link of 5 Mbit/s needs 1.9 s for 4,200 routes as the store sends them. Each copy was given up near its end and begun again. Ruled out: longer fixed limits; a silent store or peer would be noticed later. Change: the limits hold for the first byte and for each pause; 20 s in all. What is sent may take as long as a sixth of the smallest link needs for it.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -39,10 +39,12 @@
     heartbeat_of,
 )
 from greengagepoint_node.gateway.packing import ItemPacker
+from greengagepoint_node.gateway.transfer import async_read_whole, send_seconds
 from greengagepoint_node.gateway.view import FleetView
 
 PERIOD_SECONDS: Final = 0.5
-# Two regions are 40 ms apart there and back; a peer that takes longer is busy or gone.
+# Two regions are 40 ms apart there and back; a peer that takes longer to begin, or
+# pauses for as long, is busy or gone.
 EXCHANGE_SECONDS: Final = 0.6
 # Several rounds of exchanges; look-ups drop a dead host after it, under the 6 s that
 # users allow. How old news of a live host gets was not measured.
@@ -159,7 +161,7 @@
         """Send news to one peer; one that missed it finds its own news stale."""
         url = f"http://{entry.peer_address}{NEWS_PATH}"
         try:
-            async with asyncio.timeout(EXCHANGE_SECONDS):
+            async with asyncio.timeout(EXCHANGE_SECONDS + send_seconds(len(body))):
                 async with self.session.post(url, data=body) as answer:
                     await answer.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -188,11 +190,14 @@
         self.exchanges += 1
         began = self.clock.monotonic()
         try:
-            async with asyncio.timeout(EXCHANGE_SECONDS):
+            async with asyncio.timeout(EXCHANGE_SECONDS) as limit:
                 async with self.session.post(
                     f"http://{address}{PATH}", data=body
                 ) as answer:
-                    self._take(decode(await answer.read()), began)
+                    data = await async_read_whole(
+                        answer.content, limit, EXCHANGE_SECONDS
+                    )
+            self._take(decode(data), began)
             self.note_exchange(address, self.clock.monotonic() - began)
         except (
             TimeoutError,
--- /dev/null
+++ b/packages/node/tests/test_gateway_transfer.py
@@ -0,0 +1,71 @@
+"""Limits of transfers that go on, stand still, or trickle."""
+
+import asyncio
+
+import pytest
+
+from greengagepoint_node.gateway import transfer
+
+
+class Pieces:
+    """Give pieces after pauses, on a clock that is moved by hand."""
+
+    def __init__(self, loop_time, *rows):
+        self.loop_time = loop_time
+        self.rows = list(rows)
+
+    async def readany(self):
+        if not self.rows:
+            return b""
+        pause, piece = self.rows.pop(0)
+        self.loop_time[0] += pause
+        return piece
+
+
+class Limit:
+    """Keep the times that a limit was put off to."""
+
+    def __init__(self):
+        self.times = []
+
+    def expired(self):
+        return False
+
+    def reschedule(self, when):
+        self.times.append(when)
+
+
+@pytest.mark.parametrize(
+    ("rows", "times"),
+    [
+        ([(0.5, b"ab"), (0.5, b"c")], [1.1, 1.6]),
+        ([(19.0, b"a"), (0.9, b"b")], [19.6, 20.0]),
+    ],
+    ids=["goes on", "trickles"],
+)
+async def test_each_piece_puts_the_limit_off(monkeypatch, rows, times):
+    now = [0.0]
+    monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now[0])
+    limit = Limit()
+    data = await transfer.async_read_whole(Pieces(now, *rows), limit, 0.6)
+    assert data == b"".join(piece for _, piece in rows)
+    assert limit.times == pytest.approx(times)
+
+
+async def test_a_transfer_that_stands_still_ends():
+    # A link goes silent in the middle of an answer: without an end the host would never
+    # ask anybody else, and its callers would be served by an old configuration.
+    content = Pieces([0.0], (0.0, b"a"))
+    content.readany_once = content.readany
+
+    async def stand_still():
+        return await content.readany_once() or await asyncio.sleep(3600)
+
+    content.readany = stand_still
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.05) as limit:
+            await transfer.async_read_whole(content, limit, 0.05)
+
+
+def test_a_large_message_may_take_longer_to_send():
+    assert transfer.send_seconds(58_000) == pytest.approx(0.58)
