Move the table of hosts out of the exchange of news

Change: the table of hosts and its bounds stand in host_table.py; no change of behaviour. Tests name the table where they look into it.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -260,7 +260,7 @@
         """Run the periodic decisions."""
         while True:
             now = self.clock.monotonic()
-            hosts = self.gossip.alive(now)
+            hosts = self.gossip.table.alive(now)
             self.view.tick(now)
             self.weights.tick(now)
             region = self.settings.region
@@ -288,7 +288,7 @@
             store_revision=view.revision,
             backend_servers=len(known),
             backend_servers_suspected=sum(row.suspect_until > now for row in known),
-            hosts_alive=len(self.gossip.alive(now)),
+            hosts_alive=len(self.gossip.table.alive(now)),
             requests_in_flight=self.gateway.in_flight,
             log_lines_dropped=self.lines_dropped(),
         )
--- a/packages/node/greengagepoint_node/gateway/directory.py
+++ b/packages/node/greengagepoint_node/gateway/directory.py
@@ -20,7 +20,9 @@
     def addresses(self, region: str) -> list[str]:
         """Return host:port of the hosts that a caller of a region should use."""
         now = self.clock.monotonic()
-        entries = {state.entry.name: state.entry for state in self.gossip.alive(now)}
+        entries = {
+            state.entry.name: state.entry for state in self.gossip.table.alive(now)
+        }
         near = [entry for entry in entries.values() if entry.region == region]
         chosen = near or list(entries.values())
         return sorted(entry.front_address for entry in chosen)[:ADDRESSES_MAX]
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -31,13 +31,17 @@
     StoredItem,
 )
 from greengagepoint_node.gateway.gossip_messages import (
-    Heartbeat,
     HostState,
     Message,
     decode,
     encode,
     heartbeat_of,
 )
+from greengagepoint_node.gateway.host_table import (
+    ADDRESSES_SECONDS,
+    HeardHost,
+    HostTable,
+)
 from greengagepoint_node.gateway.packing import ItemPacker
 from greengagepoint_node.gateway.transfer import async_read_whole, send_seconds
 from greengagepoint_node.gateway.view import FleetView
@@ -46,16 +50,9 @@
 # Two regions are 40 ms apart there and back; a peer that takes longer to begin, or
 # pauses for as long, is busy or gone.
 EXCHANGE_SECONDS: Final = 0.6
-# Several rounds of exchanges; look-ups drop a dead host after it, under the 6 s that
-# users allow. How old news of a live host gets was not measured.
-ALIVE_SECONDS: Final = 3.5
-FORGET_SECONDS: Final = 30.0
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
-# A lifetime is passed on with its addresses for this long; who lacks them later asks.
-# A state in full takes 117 bytes with names of 15, a heartbeat 28.
-ADDRESSES_SECONDS: Final = 5.0
 # Of ten exchanges, so many are with hosts of the own region, where they cost less; news
 # still enters each other region several times a second.
 NEAR_SHARE: Final = 0.8
@@ -63,19 +60,6 @@
 NEWS_PATH: Final = "/v1/news"
 
 
-class HeardHost(msgspec.Struct):
-    """The newest state of another host and when news of it came; monotonic seconds.
-
-    ``first_heard_at`` is when this lifetime was heard of; ``ended_start`` is the start
-    of one that it has replaced.
-    """
-
-    state: HostState
-    heard_at: float
-    first_heard_at: float
-    ended_start: int | None = None
-
-
 class Gossip:
     """Keep the table of hosts by exchanging it with one peer after the other."""
 
@@ -97,25 +81,16 @@
         self.events = events
         self.session = session
         self.packer = ItemPacker()
-        self.heard: dict[str, HeardHost] = {}
+        self.table = HostTable(own, events)
         self.round_trips: dict[str, float] = {}
         self.loads = RegionLoads(own.entry.region)
         self.is_watcher = True
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
-        self.lacks_addresses = False
         self.under_way: dict[str, asyncio.Task[None]] = {}
         self.exchanges = 0
         self.failures = 0
 
-    def alive(self, now: float) -> list[HostState]:
-        """Return this host and those that news came of lately."""
-        rows = [self.own] if not self.own.leaving else []
-        for row in self.heard.values():
-            if now - row.heard_at <= ALIVE_SECONDS and not row.state.leaving:
-                rows.append(row.state)
-        return rows
-
     async def async_run(self) -> None:
         """Exchange with peers until cancelled."""
         while True:
@@ -139,15 +114,11 @@
         if not self.is_watcher or self.own.leaving:
             return
         body = encode(self._message(before, []))
-        for state in self.alive(self.confirmed_at):
+        for state in self.table.alive(self.confirmed_at):
             entry = state.entry
-            if entry.name != self.own.entry.name and self._is_near(entry):
+            if entry.name != self.own.entry.name and self.table.is_near(entry):
                 self._start(entry.peer_address, self._async_tell(entry, body))
 
-    def _is_near(self, entry: HostEntry) -> bool:
-        """Tell whether a host is in this one's region."""
-        return entry.region == self.own.entry.region
-
     def _start(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Run one task for a peer at a time; one that is behind asks by itself."""
         if address in self.under_way:
@@ -186,7 +157,7 @@
         body = self.encoded(self.view.revision)
         # Asked for with this half; should the answer be lost, the next heartbeat of a
         # host that is not known here asks again.
-        self.lacks_addresses = False
+        self.table.lacks_addresses = False
         self.exchanges += 1
         began = self.clock.monotonic()
         try:
@@ -216,7 +187,7 @@
 
     def note_exchange(self, address: str, seconds: float) -> None:
         """Learn from an exchange how far its peer's region is."""
-        for row in self.heard.values():
+        for row in self.table.heard.values():
             entry = row.state.entry
             if entry.peer_address == address:
                 known = self.round_trips.get(entry.region, math.inf)
@@ -235,7 +206,9 @@
 
     def encoded(self, revision: int) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
-        return encode(self._message(revision, self._recent()))
+        return encode(
+            self._message(revision, self.table.recent(self.clock.monotonic()))
+        )
 
     def take_encoded(self, body: bytes) -> None:
         """Take in a peer's half; raise MsgspecError where it can't be read."""
@@ -250,17 +223,10 @@
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
-        known = self._recent()
+        known = self.table.recent(self.clock.monotonic())
         answer = self._message(message.revision, known, full=message.wants_addresses)
         return web.Response(body=encode(answer))
 
-    def _recent(self) -> list[HeardHost]:
-        """Return the other hosts that news came of lately."""
-        now = self.clock.monotonic()
-        return [
-            row for row in self.heard.values() if now - row.heard_at <= ALIVE_SECONDS
-        ]
-
     def _message(
         self, revision: int, others: list[HeardHost], *, full: bool = False
     ) -> Message:
@@ -284,7 +250,7 @@
             age=age if math.isfinite(age) else None,
             hosts=[self.own, *(row.state for row in in_full)],
             heartbeats=[heartbeat_of(row.state) for row in in_short],
-            wants_addresses=self.lacks_addresses,
+            wants_addresses=self.table.lacks_addresses,
             items=[self.packer.pack(row) for row in rows if _is_item(row)],
             removed=[row for row in rows if isinstance(row, RemovedKey)],
             lapsed=list(self.view.lapsed),
@@ -298,7 +264,7 @@
         ``sent_after`` is a time before which it was not written, None if unknown.
         """
         now = self.clock.monotonic()
-        self._take_hosts(message, now)
+        self.table.take(message, now)
         self.loads.take(message.loads, now)
         before = self.view.revision
         if message.revision > before >= message.after:
@@ -321,65 +287,13 @@
         changes = Changes((*items, *message.removed), message.revision)
         self.view.apply(changes, now, message.lapsed)
 
-    def _take_hosts(self, message: Message, now: float) -> None:
-        """Keep what is news of hosts; ask for addresses that are not known here."""
-        for state in message.hosts:
-            self._take_host(state, now)
-        for beat in message.heartbeats:
-            entry = self._entry(beat)
-            if entry is not None:
-                state = HostState(entry, beat.started, beat.count, beat.leaving)
-                self._take_host(state, now)
-            elif beat.name != self.own.entry.name:
-                self.lacks_addresses = True
-
-    def _entry(self, beat: Heartbeat) -> HostEntry | None:
-        """Return the addresses of a lifetime, None where they are not known."""
-        known = self.heard.get(beat.name)
-        if known is not None and known.state.started == beat.started:
-            return known.state.entry
-        return None
-
-    def _take_host(self, state: HostState, now: float) -> None:
-        """Keep what is news of a host."""
-        name = state.entry.name
-        if name == self.own.entry.name:
-            return
-        known = self.heard.get(name)
-        if known is None:
-            self.heard[name] = HeardHost(state, now, now)
-            self.events.record(Event.HOST_ALIVE, host=name, region=state.entry.region)
-            return
-        newer = (state.started, state.count) > (known.state.started, known.state.count)
-        # A clock that went back makes a new lifetime look older than the one before it,
-        # which is over once nothing of it has come for so long. What other hosts still
-        # pass on of it must not bring it back.
-        restarted = state.started != known.state.started
-        replaced = restarted and now - known.heard_at > ALIVE_SECONDS
-        if state.started == known.ended_start:
-            return
-        if newer or replaced:
-            if state.leaving and not known.state.leaving:
-                self.events.record(Event.HOST_LEAVING, host=name)
-            ended = known.state.started if restarted else known.ended_start
-            first_heard_at = now if restarted else known.first_heard_at
-            self.heard[name] = HeardHost(state, now, first_heard_at, ended)
-
     def _next_address(self) -> str | None:
         """Return whom to exchange with: a host at random, or a seed while alone."""
         now = self.clock.monotonic()
-        for name in [
-            name
-            for name, row in self.heard.items()
-            if now - row.heard_at > FORGET_SECONDS
-        ]:
-            del self.heard[name]
+        self.table.forget_lost(now)
         own = self.own.entry.peer_address
-        known = {
-            row.state.entry.peer_address
-            for row in self.heard.values()
-            if now - row.heard_at <= ALIVE_SECONDS
-        }
+        entries = [row.state.entry for row in self.table.recent(now)]
+        known = {entry.peer_address for entry in entries}
         known |= {entry.peer_address for entry in self.view.hosts.values()}
         known.discard(own)
         if len(known) < 2:
@@ -387,9 +301,7 @@
         if not known:
             return None
         near = known & {
-            row.state.entry.peer_address
-            for row in self.heard.values()
-            if self._is_near(row.state.entry) and now - row.heard_at <= ALIVE_SECONDS
+            entry.peer_address for entry in entries if self.table.is_near(entry)
         }
         chosen = near if near and self.random.random() < NEAR_SHARE else known
         ordered = sorted(chosen)
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -19,13 +19,13 @@
     Snapshot,
     StoredItem,
 )
-from greengagepoint_node.gateway.gossip import (
+from greengagepoint_node.gateway.gossip import Gossip
+from greengagepoint_node.gateway.gossip_messages import HostState, encode
+from greengagepoint_node.gateway.host_table import (
     ADDRESSES_SECONDS,
     ALIVE_SECONDS,
-    Gossip,
     HeardHost,
 )
-from greengagepoint_node.gateway.gossip_messages import HostState, encode
 from greengagepoint_node.gateway.view import FleetView
 
 NOW = 10.0
@@ -64,7 +64,7 @@
     """Let one host exchange with another, without a network."""
     one.own.count += 1
     half = one.encoded(one.view.revision)
-    one.lacks_addresses = False
+    one.table.lacks_addresses = False
     answer = await other.async_answer(Request(half))
     assert answer.status == 200
     one.take_encoded(answer.body)
@@ -121,7 +121,7 @@
     first, middle, last = host("h1"), host("h2"), host("h3")
     await async_exchange(first, middle)
     await async_exchange(last, middle)
-    assert {row.entry.name for row in last.alive(NOW)} == {"h1", "h2", "h3"}
+    assert {row.entry.name for row in last.table.alive(NOW)} == {"h1", "h2", "h3"}
 
 
 @pytest.mark.parametrize(
@@ -134,7 +134,7 @@
     other.own.leaving = leaving
     await async_exchange(one, other)
     clock.now = NOW + seconds
-    assert ("h2" in {row.entry.name for row in one.alive(clock.now)}) is named
+    assert ("h2" in {row.entry.name for row in one.table.alive(clock.now)}) is named
 
 
 async def test_older_news_of_a_host_does_not_win():
@@ -144,7 +144,7 @@
     other.own.count += 1
     await async_exchange(one, other)
     await async_exchange(one, third)
-    assert {row.entry.name for row in one.alive(NOW)} == {"h1", "h3"}
+    assert {row.entry.name for row in one.table.alive(NOW)} == {"h1", "h3"}
 
 
 async def test_garbage_from_a_peer_is_refused():
@@ -284,17 +284,19 @@
     await async_exchange(one, other)
     one.own.started, one.own.count = 2_000, 0
     await async_exchange(one, other)
-    assert other.heard["h1"].state.started == 5_000
+    assert other.table.heard["h1"].state.started == 5_000
     other.clock.now += ALIVE_SECONDS + 0.1
     await async_exchange(one, other)
-    assert [state.started for state in other.alive(other.clock.now)][1:] == [2_000]
+    assert [state.started for state in other.table.alive(other.clock.now)][1:] == [
+        2_000
+    ]
     # A third host still passes the ended lifetime on.
     third = host("h3")
-    third.heard["h1"] = HeardHost(
+    third.table.heard["h1"] = HeardHost(
         HostState(one.own.entry, 5_000, 9, False), other.clock.now, NOW
     )
     await async_exchange(other, third)
-    assert other.heard["h1"].state.started == 2_000
+    assert other.table.heard["h1"].state.started == 2_000
 
 
 async def test_addresses_are_sent_for_some_seconds_and_then_on_demand():
@@ -311,11 +313,11 @@
     await async_exchange(second, first)
     assert len(first.encoded(0)) < in_full
     await async_exchange(late, first)
-    assert [state.entry.name for state in late.alive(clock.now)] == ["h3", "h1"]
-    assert late.lacks_addresses
+    assert [state.entry.name for state in late.table.alive(clock.now)] == ["h3", "h1"]
+    assert late.table.lacks_addresses
     await async_exchange(late, first)
-    assert not late.lacks_addresses
-    assert late.heard["h2"].state.entry.front_address == "h2:1"
+    assert not late.table.lacks_addresses
+    assert late.table.heard["h2"].state.entry.front_address == "h2:1"
 
 
 async def test_a_dead_host_of_the_region_is_asked_less_often_than_a_live_one():
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -11,8 +11,9 @@
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.gateway.daemon import create_peer_session
 from greengagepoint_node.gateway.facts import Changes, HostEntry, StoredItem
-from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip, HeardHost
+from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
+from greengagepoint_node.gateway.host_table import HeardHost
 from greengagepoint_node.gateway.listeners import Listener
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.server import ServerLimits
@@ -57,7 +58,7 @@
         entry = HostEntry(name, "north", "zone-a", f"{name}:1", address)
         now = self.gossip.clock.monotonic()
         state = HostState(entry, 1, 0, leaving=False)
-        self.gossip.heard[name] = HeardHost(state, now, now)
+        self.gossip.table.heard[name] = HeardHost(state, now, now)
 
 
 @contextlib.asynccontextmanager
