Ask one peer at a time for news, and send large news to a few at a time

Cause: a host that read a large value asked further peers for it, and a watcher sent it to all hosts of its region at once: copies side by side on one small link, none in time. An exchange that lasts also held up the host's heartbeat, and others drop a host after 3.5 s. A message of over 1 MB was refused by the library's bound on bodies, each time anew. Ruled out: waiting for the exchange under way (the heartbeat stands still). Change: exchanges begin each half second whatever becomes of the one before; only one of them brings news; four large sends at a time; news counts as confirmed as if it had been under way for as long as its sender waits; bodies of 8 MB. Result: two more tests. The one of 1.2 MB in one message failed before; the one of the heartbeat was written with the change.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -43,7 +43,7 @@
     HostTable,
 )
 from greengagepoint_node.gateway.packing import ItemPacker
-from greengagepoint_node.gateway.transfer import async_read_whole, send_seconds
+from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
 from greengagepoint_node.gateway.view import FleetView
 
 PERIOD_SECONDS: Final = 0.5
@@ -53,6 +53,10 @@
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
+# A message of this size is sent to a few peers at a time. Sent to twenty at once over a
+# link of 5 Mbit/s, 100 KB come through to none of them before the wait for it ends.
+LARGE_BYTES: Final = 16 * 1024
+LARGE_SENDS_MAX: Final = 4
 # Of ten exchanges, so many are with hosts of the own region, where they cost less; news
 # still enters each other region several times a second.
 NEAR_SHARE: Final = 0.8
@@ -88,17 +92,24 @@
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
         self.under_way: dict[str, asyncio.Task[None]] = {}
+        self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
+        self.asks_for_news = False
         self.exchanges = 0
         self.failures = 0
 
     async def async_run(self) -> None:
-        """Exchange with peers until cancelled."""
+        """Exchange with peers until cancelled.
+
+        The next one does not wait for the one before: while a large value came over a
+        small link, the host's heartbeat would stand still, and after 3.5 s others would
+        no longer name it to callers.
+        """
         while True:
             await asyncio.sleep(PERIOD_SECONDS * (0.8 + 0.4 * self.random.random()))
             self.own.count += 1
             address = self._next_address()
             if address is not None:
-                await self._async_exchange(address)
+                self._start(address, self._async_exchange(address))
 
     def must_watch(self) -> bool:
         """Tell whether this host has to ask the store itself."""
@@ -129,6 +140,14 @@
         task.add_done_callback(lambda _: self.under_way.pop(address, None))
 
     async def _async_tell(self, entry: HostEntry, body: bytes) -> None:
+        """Tell one peer, a few at a time where the news is large."""
+        if len(body) < LARGE_BYTES:
+            await self._async_send_news(entry, body)
+            return
+        async with self.large_sends:
+            await self._async_send_news(entry, body)
+
+    async def _async_send_news(self, entry: HostEntry, body: bytes) -> None:
         """Send news to one peer; one that missed it finds its own news stale."""
         url = f"http://{entry.peer_address}{NEWS_PATH}"
         try:
@@ -141,8 +160,10 @@
     async def async_take_news(self, request: web.BaseRequest) -> web.Response:
         """Take in what the watcher of this region tells."""
         try:
-            message = decode(await request.read())
-            self._take(message, self.clock.monotonic())
+            body = await request.read()
+            message = decode(body)
+            # As if it had been under way for as long as its sender waits.
+            self._take(message, self.clock.monotonic() - send_seconds(len(body)))
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
@@ -153,22 +174,17 @@
         return web.Response(status=204)
 
     async def _async_exchange(self, address: str) -> None:
-        """Exchange with one peer; a failure only means that its news gets older."""
-        body = self.encoded(self.view.revision)
-        # Asked for with this half; should the answer be lost, the next heartbeat of a
-        # host that is not known here asks again.
-        self.table.lacks_addresses = False
-        self.exchanges += 1
+        """Exchange with one peer; a failure only means that its news gets older.
+
+        One exchange at a time brings news, the others only heartbeats: copies of the
+        same large value side by side would each take several times as long.
+        """
+        wants_news = not self.asks_for_news
+        self.asks_for_news = True
         began = self.clock.monotonic()
         try:
-            async with asyncio.timeout(EXCHANGE_SECONDS) as limit:
-                async with self.session.post(
-                    f"http://{address}{PATH}", data=body
-                ) as answer:
-                    data = await async_read_whole(
-                        answer.content, limit, EXCHANGE_SECONDS
-                    )
-            self._take(decode(data), began)
+            message = await self._async_ask(address, wants_news=wants_news)
+            self._take(message, began)
             self.note_exchange(address, self.clock.monotonic() - began)
         except (
             TimeoutError,
@@ -177,6 +193,23 @@
             msgspec.MsgspecError,
         ) as error:
             self._note_failure(address, error)
+        finally:
+            if wants_news:
+                self.asks_for_news = False
+
+    async def _async_ask(self, address: str, *, wants_news: bool) -> Message:
+        """Send this host's half to a peer and return the peer's."""
+        body = self.encoded(self.view.revision, wants_news=wants_news)
+        # Asked for with this half; should the answer be lost, the next heartbeat of a
+        # host that is not known here asks again.
+        self.table.lacks_addresses = False
+        self.exchanges += 1
+        url = f"http://{address}{PATH}"
+        async with asyncio.timeout(EXCHANGE_SECONDS) as limit:
+            async with self.session.post(url, data=body) as answer:
+                content = answer.content
+                data = await async_read_answer(content, limit, EXCHANGE_SECONDS)
+        return decode(data)
 
     def _note_failure(self, address: str, error: BaseException) -> None:
         """Tell of an exchange that failed."""
@@ -204,11 +237,11 @@
             return 0.0
         return self.round_trips.get(region, 0.0)
 
-    def encoded(self, revision: int) -> bytes:
+    def encoded(self, revision: int, *, wants_news: bool = True) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
-        return encode(
-            self._message(revision, self.table.recent(self.clock.monotonic()))
-        )
+        message = self._message(revision, self.table.recent(self.clock.monotonic()))
+        message.wants_news = wants_news
+        return encode(message)
 
     def take_encoded(self, body: bytes) -> None:
         """Take in a peer's half; raise MsgspecError where it can't be read."""
@@ -224,7 +257,8 @@
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
         known = self.table.recent(self.clock.monotonic())
-        answer = self._message(message.revision, known, full=message.wants_addresses)
+        revision = message.revision if message.wants_news else self.view.revision
+        answer = self._message(revision, known, full=message.wants_addresses)
         return web.Response(body=encode(answer))
 
     def _message(
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -34,7 +34,8 @@
     The items are those after the revision ``after``, or all where it is ``whole``: then
     a key that is not among them has been removed. ``age`` is how many seconds ago
     the sender's view was known to be complete, None where it never was.
-    ``wants_addresses`` asks for all hosts in full.
+    ``wants_addresses`` asks for all hosts in full. ``wants_news`` is False where
+    another exchange already brings what the sender lacks.
     """
 
     revision: int
@@ -48,6 +49,7 @@
     lapsed: list[str]
     whole: bool = False
     loads: list[RegionLoad] = []
+    wants_news: bool = True
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/transfer.py
+++ b/packages/node/greengagepoint_node/gateway/transfer.py
@@ -13,7 +13,7 @@
 SEND_BYTES_PER_SECOND_MIN: Final = 100_000
 
 
-async def async_read_whole(
+async def async_read_answer(
     content: aiohttp.StreamReader, limit: asyncio.Timeout, idle_seconds: float
 ) -> bytes:
     """Read to the end, and put the limit off with each piece that comes.
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -5,7 +5,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
+import aiohttp
 from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 
 from greengagepoint.errors import (
     ErrorKind,
@@ -25,6 +28,9 @@
 SHUTDOWN_SECONDS: Final = 1.0
 # So many connections above the limit are kept until a request can be refused on them.
 REFUSED_CONNECTIONS_MAX: Final = 256
+# Of bodies that a handler reads whole; operators' records are well below it. All items
+# of the store in one message of a peer are 1.25 MB with 5,000 servers of 250 bytes.
+WHOLE_BODY_BYTES_MAX: Final = 8 * 1024 * 1024
 
 
 class ServerLimits(NamedTuple):
@@ -117,7 +123,9 @@
         limits: ServerLimits,
         connection: type[ProblemRequestHandler] = ProblemRequestHandler,
     ) -> None:
-        super().__init__(handler, handler_cancellation=True)
+        super().__init__(
+            handler, request_factory=_create_request, handler_cancellation=True
+        )
         self.events = events
         self.limits = limits
         self.open_connections = 0
@@ -143,6 +151,29 @@
         return connection
 
 
+def _create_request(
+    message: RawRequestMessage,
+    payload: aiohttp.StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request whose body may be larger than the library's 1 MB.
+
+    A host that was cut off is sent all that it lacks in one message; were that refused,
+    it would be refused again each time and hear nothing more of its peers.
+    """
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=WHOLE_BODY_BYTES_MAX,
+    )
+
+
 class ProblemServerRunner(web.ServerRunner):
     """Run a ``ProblemServer`` with the usual start and stop of aiohttp."""
 
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -113,3 +113,46 @@
         finally:
             for relay in relays:
                 await relay.async_cut()
+
+
+async def test_a_host_that_reads_a_large_value_stays_alive_for_the_others():
+    # A large value comes over a link that is slower still, which takes seconds. Were
+    # the host's heartbeat to wait for it, the others would take the host for dead and
+    # name it to no caller; were each exchange to ask for the value, none would end.
+    async with async_peers(2) as (teller, asker):
+        item = StoredItem(KEY, configuration(VERSION), 7)
+        teller.gossip.view.apply(Changes((item,), 7), 0.0)
+        relay = Relay(teller.entry.peer_address, back=SlowLink(30_000))
+        await relay.async_open()
+        asker.hears_of("h0", relay.address)
+        first = asyncio.create_task(asker.gossip._async_exchange(relay.address))
+        try:
+            await async_until(lambda: asker.gossip.asks_for_news)
+            asker.gossip.own.count += 1
+            await asker.gossip._async_exchange(teller.entry.peer_address)
+            assert teller.gossip.table.heard["h1"].state.count == 1
+            assert not asker.knows(VERSION)
+            assert asker.gossip.view.revision == 0
+            assert not first.done()
+            async with asyncio.timeout(PATIENCE_SECONDS):
+                await first
+            assert asker.knows(VERSION)
+        finally:
+            first.cancel()
+            await relay.async_cut()
+
+
+async def test_a_host_that_is_behind_learns_more_than_a_megabyte_at_once():
+    # A host was cut off while thousands of servers came. All of them in one message are
+    # more than the server's usual bound on a body; refused, the host would hear nothing
+    # of its watcher from then on.
+    async with async_peers(2) as (watcher, other):
+        items = tuple(
+            StoredItem(f"other/{number}", bytes(1_500), number + 1)
+            for number in range(800)
+        )
+        watcher.gossip.view.apply(Changes(items, 800), 0.0)
+        watcher.hears_of("h1", other.entry.peer_address)
+        watcher.gossip.confirm(0)
+        async with asyncio.timeout(PATIENCE_SECONDS):
+            await async_until(lambda: other.gossip.view.revision == 800)
--- a/packages/node/tests/test_gateway_transfer.py
+++ b/packages/node/tests/test_gateway_transfer.py
@@ -47,7 +47,7 @@
     now = [0.0]
     monkeypatch.setattr(asyncio.get_running_loop(), "time", lambda: now[0])
     limit = Limit()
-    data = await transfer.async_read_whole(Pieces(now, *rows), limit, 0.6)
+    data = await transfer.async_read_answer(Pieces(now, *rows), limit, 0.6)
     assert data == b"".join(piece for _, piece in rows)
     assert limit.times == pytest.approx(times)
 
@@ -64,7 +64,7 @@
     content.readany = stand_still
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.05) as limit:
-            await transfer.async_read_whole(content, limit, 0.05)
+            await transfer.async_read_answer(content, limit, 0.05)
 
 
 def test_a_large_message_may_take_longer_to_send():
