Let a host with a large link watch the store for its region

Cause: the watcher is chosen by hashing alone. Two of three regions had one with a link of 5 Mbit/s, which sent 18 copies of a configuration for seconds; the third had one with 100 Mbit/s, and its region had the version 0.8 s later. Ruled out: a tree of hosts; the regions of today have 30 hosts at most, and a value now takes 58 KB. Change: only hosts whose links are at least half of the largest known in the region can be watchers; hosts tell their links in their entries.

--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from typing import Final, Protocol
+from typing import Final, Protocol, TypeVar
 
 from greengagepoint.rendezvous import rank
 
@@ -30,6 +30,33 @@
         """Return the host's region."""
 
 
+class Linked(Located, Protocol):
+    """A host and what its link carries; Mbit/s, 0 where it is not known."""
+
+    @property
+    def link_mbps(self) -> float:
+        """Return what the host's link carries."""
+
+
+LinkedHost = TypeVar("LinkedHost", bound=Linked)
+
+# Hosts of one kind have equal links; half of the largest is told apart from the next
+# smaller kind, which has a twentieth on the deployments known.
+LINK_SHARE_MIN: Final = 0.5
+
+
+def well_linked(hosts: Iterable[LinkedHost]) -> list[LinkedHost]:
+    """Return the hosts whose links are about as large as the largest.
+
+    A watcher sends each change to all hosts of its region. One with a link of 5 Mbit/s
+    among others with 100 sent whole configurations for seconds, while its own callers
+    and the hosts that waited for its news got nothing.
+    """
+    known = list(hosts)
+    largest = max((host.link_mbps for host in known), default=0.0)
+    return [host for host in known if host.link_mbps >= LINK_SHARE_MIN * largest]
+
+
 def watchers_of(
     region: str, live: Iterable[Located], count: int = WATCHERS_A_REGION
 ) -> tuple[str, ...]:
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -9,7 +9,7 @@
 import aiohttp
 from aiohttp import web
 
-from greengagepoint.config.watchers import watchers_of
+from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.events import Event
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
@@ -97,6 +97,7 @@
             settings.zone,
             settings.front_address,
             settings.peer_address,
+            settings.link_mbps,
         )
         self.own = HostState(self.entry, time.time_ns(), 0, leaving=False)
         regions = len(set(settings.zones.values()))
@@ -265,7 +266,7 @@
             self.weights.tick(now)
             region = self.settings.region
             near = [row.entry for row in hosts if row.entry.region == region]
-            watchers = watchers_of(region, near, WATCHERS_HERE)
+            watchers = watchers_of(region, well_linked(near), WATCHERS_HERE)
             self.gossip.is_watcher = self.settings.host in watchers
             self.view.servers.set_senders(max(1, len(near)))
             names = sorted(state.entry.name for state in hosts)
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -62,13 +62,17 @@
 
 
 class HostEntry(msgspec.Struct, frozen=True):
-    """Where one entry host serves callers and peers; addresses are host:port."""
+    """Where one entry host serves callers and peers; addresses are host:port.
+
+    ``link_mbps`` is what its link carries, 0 where that is not known.
+    """
 
     name: str
     region: str
     zone: str
     front_address: str
     peer_address: str
+    link_mbps: float = 0.0
 
 
 Fact = Configuration | ServerEntry | Evacuation | HostEntry
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -10,7 +10,8 @@
 
     ``retry_ratio`` and ``retry_slack`` bound the retries of all hosts together.
     ``stop_seconds`` is what a graceful stop may take. Metrics are served where
-    ``metrics_address`` names an address.
+    ``metrics_address`` names an address. ``link_mbps`` is what the host's link carries,
+    0 where that is not known.
     """
 
     host: str
@@ -27,3 +28,4 @@
     retry_ratio: float
     retry_slack: float
     metrics_address: str = ""
+    link_mbps: float = 0.0
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -138,6 +138,17 @@
     assert (settings.host, settings.stop_seconds) == ("front-1", 6)
     assert (settings.retry_ratio, settings.retry_slack) == (0.2, 64)
     assert settings.peer_address == "a:4"
+    assert settings.link_mbps == 0
+
+
+@pytest.mark.parametrize(
+    ("limits", "link_mbps"),
+    [({"linkMbps": 5.0, "cpus": 1}, 5.0), ({"linkMbps": None}, 0.0), ({}, 0.0)],
+)
+def test_the_link_of_a_host_is_read_where_it_is_told(tmp_path, limits, link_mbps):
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode({**SETTINGS, "limits": limits}))
+    assert daemon_settings(read_settings_file(path)).link_mbps == link_mbps
 
 
 @pytest.mark.parametrize(
