Pass on removals of keys that were never known here

Cause: a host that is told of a removal, but missed that the key was written, dropped the removal. A third host that knows the key and asks this one got everything but that, took its view for complete, and would go on sending to a server that left. Ruled out: the removals that a restarted host lacks; it says so and sends all items. Change: such a removal is kept for peers like any other.

--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -230,7 +230,13 @@
     def _remove(self, change: RemovedKey, may_have_lapsed: bool, now: float) -> bool:
         """Take in a removal; tell whether membership may have changed."""
         known = self.items.get(change.key)
-        if known is None or known.revision >= change.revision:
+        if known is None:
+            # Written and removed while this host was behind. A peer that knows the key
+            # may ask here for what it lacks, and would keep a server that left.
+            if self.removed.get(change.key, 0) < change.revision:
+                self._note_removed(change)
+            return False
+        if known.revision >= change.revision:
             return False
         del self.items[change.key]
         self._note_removed(change)
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -332,3 +332,21 @@
         one.view.hosts[row.own.entry.name] = row.own.entry
     asked = [one._next_address() for _ in range(400)]
     assert asked.count("h3:2") < 0.15 * len(asked)
+
+
+async def test_a_host_that_was_behind_does_not_hide_a_removal_that_it_heard_of():
+    # A server comes and leaves again while a second host misses both. A third one knows
+    # the server and was cut off as it left. The second one is told of the removal, but
+    # never knew the server; asked by the third, it has to tell of it all the same, or
+    # callers go on being sent to a server that left.
+    first, second, third = host("h1"), host("h2"), host("h3")
+    for behind in (first, second, third):
+        behind.view.replace(Snapshot((StoredItem("zone-b", b"", 3),), 5), NOW)
+    item = StoredItem("zone-a", b"", 6)
+    for told in (first, third):
+        told.view.apply(Changes((item,), 6), NOW)
+    first.view.apply(Changes((RemovedKey("zone-a", 7),), 7), NOW)
+    await async_exchange(second, first)
+    await async_exchange(third, second)
+    assert third.view.revision == 7
+    assert "zone-a" not in third.view.evacuated_at
