Refuse as unknown only what news of this moment does not know

Cause: a host that had heard nothing for five seconds answered 404 on routes that had been added meanwhile. Callers take a 404 for the last word. Ruled out: not being ready while news is old; such a host serves all other routes well. Change: where no route matches and the news is older than 1.8 s, 503 with Retry-After; news is as old as the store's answer was under way.

--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -18,6 +18,11 @@
 STALE_SECONDS: Final = 1.4
 
 
+# A host that has heard nothing for longer may lack a configuration that users expect to
+# be in force everywhere after 2.0 s.
+CURRENT_SECONDS: Final = 1.8
+
+
 class Located(Protocol):
     """A host and its region."""
 
--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -1,5 +1,6 @@
 """One caller's request, as far as its headers tell."""
 
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from aiohttp import web
@@ -12,6 +13,8 @@
 # A caller's clock started 3 ms before the request came, and the answer needs as long.
 ANSWER_MARGIN_SECONDS: Final = 0.01
 DEADLINE_DEFAULT_SECONDS: Final = 10.0
+# A host with old news asks a peer each half second.
+OLD_NEWS_RETRY_SECONDS: Final = 0.5
 
 
 class Call(NamedTuple):
@@ -29,13 +32,22 @@
     ends_at: float
 
 
-def match_route(table: RouteTable, request: web.BaseRequest) -> Route:
-    """Return the route of a request, or raise Refusal."""
+def match_route(
+    table: RouteTable, request: web.BaseRequest, is_current: Callable[[], bool]
+) -> Route:
+    """Return the route of a request, or raise Refusal.
+
+    A host whose news is old can't tell a wrong request from a route that it has yet to
+    hear of. Callers do not send a 404 again; after a 503 they try another host.
+    """
     route = find_route(table, request.host, request.rel_url.raw_path)
-    if route is None:
-        reason = f"no route, configuration {table.version}"
-        raise Refusal(ErrorKind.UNKNOWN_SERVICE, 404, reason)
-    return route
+    if route is not None:
+        return route
+    reason = f"no route, configuration {table.version}"
+    if not is_current():
+        reason += ", which may be old"
+        raise Refusal(ErrorKind.NOT_READY, 503, reason, OLD_NEWS_RETRY_SECONDS)
+    raise Refusal(ErrorKind.UNKNOWN_SERVICE, 404, reason)
 
 
 def create_call(
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -150,6 +150,7 @@
             self.counters,
             self.clock,
             self.events,
+            self.gossip.is_current,
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -24,17 +24,22 @@
 
 
 class Snapshot(NamedTuple):
-    """All keys, none older than ``revision``."""
+    """All keys, none older than ``revision``.
+
+    It may be ``arriving_seconds`` old: its answer took as long to come.
+    """
 
     items: tuple[StoredItem, ...]
     revision: int
+    arriving_seconds: float = 0.0
 
 
 class Changes(NamedTuple):
-    """What changed up to ``revision``."""
+    """What changed up to ``revision``; ``arriving_seconds`` as for a snapshot."""
 
     changes: tuple[StoredItem | RemovedKey, ...]
     revision: int
+    arriving_seconds: float = 0.0
 
 
 class Configuration(NamedTuple):
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -49,8 +49,8 @@
     def must_watch(self) -> bool:
         """Tell whether this host has to ask the store itself."""
 
-    def confirm(self, before: int) -> None:
-        """Take in that the view is complete; ``before`` is its former revision."""
+    def confirm(self, before: int, seconds_ago: float) -> None:
+        """Take in that the view was complete; ``before`` is its former revision."""
 
 
 class StoreFollower:
@@ -122,12 +122,12 @@
             self._note_reached()
             view.replace(snapshot, self.clock.monotonic())
             self.needs_snapshot = False
-            self.news.confirm(before)
+            self.news.confirm(before, snapshot.arriving_seconds)
             return
         changes = await self.store.async_changes(before, WATCH_SECONDS)
         self._note_reached()
         view.apply(changes, self.clock.monotonic())
-        self.news.confirm(before)
+        self.news.confirm(before, changes.arriving_seconds)
         if changes.changes:
             await asyncio.sleep(GATHER_SECONDS)
 
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -18,7 +18,7 @@
 import msgspec
 from aiohttp import web
 
-from greengagepoint.config.watchers import must_watch
+from greengagepoint.config.watchers import CURRENT_SECONDS, must_watch
 from greengagepoint.events import Event
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
@@ -119,13 +119,19 @@
             now=self.clock.monotonic(),
         )
 
-    def confirm(self, before: int) -> None:
+    def is_current(self) -> bool:
+        """Tell whether this host would know a configuration that must be in force."""
+        confirmed_at = max(self.confirmed_at, self.peers_confirmed_at)
+        return self.clock.monotonic() - confirmed_at <= CURRENT_SECONDS
+
+    def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
-        self.confirmed_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        self.confirmed_at = now - seconds_ago
         if not self.is_watcher or self.own.leaving:
             return
         body = encode(self._message(before, []))
-        for state in self.table.alive(self.confirmed_at):
+        for state in self.table.alive(now):
             entry = state.entry
             if entry.name != self.own.entry.name and self.table.is_near(entry):
                 self._start(entry.peer_address, self._async_tell(entry, body))
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -1,6 +1,7 @@
 """One request from its first byte to its last."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 import aiohttp
@@ -61,6 +62,7 @@
         counters: GatewayCounters,
         clock: Clock,
         events: EventSink,
+        is_current: Callable[[], bool],
     ) -> None:
         self.names = names
         self.view = view
@@ -70,6 +72,7 @@
         self.counters = counters
         self.clock = clock
         self.events = events
+        self.is_current = is_current
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -179,7 +182,7 @@
             raise Refusal(ErrorKind.NOT_READY, 503, reason, NOT_READY_SECONDS)
         if not request_id:
             raise Refusal(ErrorKind.BAD_REQUEST, 400, "the request has no id")
-        route = match_route(table, request)
+        route = match_route(table, request, self.is_current)
         service = self.split.choose(route)
         return create_call(request, self.names, route, service, arrived_at)
 
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -15,6 +15,8 @@
 from deployment import async_until
 from gateway_world import HOST, NAMES, async_world
 
+from greengagepoint.config.watchers import CURRENT_SECONDS
+from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint_standins.users_platform.backend import SIGNATURE, Manner
 
@@ -209,6 +211,23 @@
         assert (status, "Retry-After" in headers) == (503, True)
 
 
+async def test_a_host_with_old_news_says_come_back_not_unknown():
+    # Operators add a route, and one host is cut off or slow to hear of it. Its 404
+    # would be the last word to a caller of that route; after a 503 it tries a host that
+    # knows.
+    async with async_world(servers=1) as world:
+        await async_until(world.daemon.gossip.is_current)
+        following = world.daemon.tasks[0]
+        following.cancel()
+        await asyncio.wait({following})
+        world.daemon.gossip.confirmed_at -= CURRENT_SECONDS
+        status, _, headers = await world.async_call("/nowhere/")
+        assert (status, "Retry-After" in headers) == (503, True)
+        refused = world.events.of(Event.REQUEST_REFUSED)[-1]
+        assert (refused["kind"], refused["configuration"]) == (ErrorKind.NOT_READY, 1)
+        assert (await world.async_call("/safe/1"))[0] == 200
+
+
 async def test_a_route_timeout_is_answered_when_it_is_over():
     async with async_world(servers=1, timeout_seconds=0.2) as world:
         set_manner(world, Manner.SILENT)
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -75,7 +75,7 @@
     def must_watch(self):
         return self.must
 
-    def confirm(self, before):
+    def confirm(self, before, seconds_ago):
         self.confirmed.append(before)
 
 
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -203,7 +203,7 @@
     watcher, other = host("h1"), host("h2", Clock())
     item = StoredItem("zone-a", b"", 7)
     watcher.view.apply(Changes((item,), 7), NOW)
-    watcher.confirm(0)
+    watcher.confirm(0, 0.0)
     other.is_watcher = False
     assert other.must_watch()
     answer = await other.async_take_news(Request(told(watcher, 0)))
@@ -228,7 +228,7 @@
     other.is_watcher = False
     watcher.view.apply(Changes((StoredItem("zone-a", b"", 7),), 7), NOW)
     watcher.view.apply(Changes((StoredItem("zone-b", b"", 9),), 9), NOW)
-    watcher.confirm(7)
+    watcher.confirm(7, 0.0)
     await other.async_take_news(Request(told(watcher, 7)))
     await asyncio.sleep(0)
     assert other.view.revision == 0
@@ -243,7 +243,7 @@
     one.is_watcher = other.is_watcher = False
     for each in (one, other):
         each.clock = watcher.clock
-    watcher.confirm(0)
+    watcher.confirm(0, 0.0)
     await one.async_take_news(Request(told(watcher, 0)))
     for _ in range(4):
         watcher.clock.now += STALE_SECONDS / 3
@@ -266,11 +266,11 @@
         await asyncio.sleep(0.01)
 
     watcher._async_tell = async_tell
-    watcher.confirm(0)
-    watcher.confirm(0)
+    watcher.confirm(0, 0.0)
+    watcher.confirm(0, 0.0)
     await asyncio.sleep(0.03)
     watcher.is_watcher = False
-    watcher.confirm(0)
+    watcher.confirm(0, 0.0)
     await asyncio.sleep(0)
     assert sent == ["h2"]
 
@@ -350,3 +350,16 @@
     await async_exchange(third, second)
     assert third.view.revision == 7
     assert "zone-a" not in third.view.evacuated_at
+
+
+async def test_news_is_as_old_as_the_answer_that_brought_it():
+    # The watcher's link carries a large answer of the store for seconds. Newer changes
+    # may have come meanwhile; told that its news is fresh, the other hosts would not
+    # ask and would answer 404 on routes that were added in that time.
+    watcher, other = host("h1"), host("h2")
+    watcher.is_watcher = False
+    watcher.confirm(0, 2.5)
+    assert not watcher.is_current()
+    await async_exchange(other, watcher)
+    assert other.peers_confirmed_at == NOW - 2.5
+    assert other.must_watch()
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -106,7 +106,7 @@
             watcher.hears_of(peer.entry.name, relay.address)
         item = StoredItem(KEY, configuration(VERSION), 7)
         watcher.gossip.view.apply(Changes((item,), 7), 0.0)
-        watcher.gossip.confirm(0)
+        watcher.gossip.confirm(0, 0.0)
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
                 await async_until(lambda: all(peer.knows(VERSION) for peer in others))
@@ -153,6 +153,6 @@
         )
         watcher.gossip.view.apply(Changes(items, 800), 0.0)
         watcher.hears_of("h1", other.entry.peer_address)
-        watcher.gossip.confirm(0)
+        watcher.gossip.confirm(0, 0.0)
         async with asyncio.timeout(PATIENCE_SECONDS):
             await async_until(lambda: other.gossip.view.revision == 800)
