Count the bytes of messages between hosts by way and direction

Cause: the monitoring of the machines told that links were full, the hosts' own metrics did not tell of what. Change: a counter peer_bytes by way (exchange, news) and direction.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -141,6 +141,7 @@
             self.gossip.distance_seconds,
         )
         self.gossip.loads = self.placer.loads
+        self.gossip.bytes = self.counters.peer_bytes
         self.gateway = Gateway(
             settings.names,
             self.view,
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import math
+from collections import Counter
 from collections.abc import Coroutine
 from typing import Any, Final
 
@@ -62,6 +63,8 @@
 NEAR_SHARE: Final = 0.8
 PATH: Final = "/v1/gossip"
 NEWS_PATH: Final = "/v1/news"
+SENT: Final = "sent"
+RECEIVED: Final = "received"
 
 
 class Gossip:
@@ -85,6 +88,7 @@
         self.events = events
         self.session = session
         self.packer = ItemPacker()
+        self.bytes: Counter[tuple[str, str]] = Counter()
         self.table = HostTable(own, events)
         self.round_trips: dict[str, float] = {}
         self.loads = RegionLoads(own.entry.region)
@@ -155,6 +159,7 @@
 
     async def _async_send_news(self, entry: HostEntry, body: bytes) -> None:
         """Send news to one peer; one that missed it finds its own news stale."""
+        self.bytes["news", SENT] += len(body)
         url = f"http://{entry.peer_address}{NEWS_PATH}"
         try:
             async with asyncio.timeout(EXCHANGE_SECONDS + send_seconds(len(body))):
@@ -167,6 +172,7 @@
         """Take in what the watcher of this region tells."""
         try:
             body = await request.read()
+            self.bytes["news", RECEIVED] += len(body)
             message = decode(body)
             # As if it had been under way for as long as its sender waits.
             self._take(message, self.clock.monotonic() - send_seconds(len(body)))
@@ -210,11 +216,13 @@
         # host that is not known here asks again.
         self.table.lacks_addresses = False
         self.exchanges += 1
+        self.bytes["exchange", SENT] += len(body)
         url = f"http://{address}{PATH}"
         async with asyncio.timeout(EXCHANGE_SECONDS) as limit:
             async with self.session.post(url, data=body) as answer:
                 content = answer.content
                 data = await async_read_answer(content, limit, EXCHANGE_SECONDS)
+        self.bytes["exchange", RECEIVED] += len(data)
         return decode(data)
 
     def _note_failure(self, address: str, error: BaseException) -> None:
@@ -256,7 +264,9 @@
     async def async_answer(self, request: web.BaseRequest) -> web.Response:
         """Answer a peer's half of an exchange."""
         try:
-            message = decode(await request.read())
+            body = await request.read()
+            self.bytes["exchange", RECEIVED] += len(body)
+            message = decode(body)
             # How long this half was under way is not known, so its age is left aside.
             self._take(message, None)
         except msgspec.MsgspecError as error:
@@ -265,7 +275,9 @@
         known = self.table.recent(self.clock.monotonic())
         revision = message.revision if message.wants_news else self.view.revision
         answer = self._message(revision, known, full=message.wants_addresses)
-        return web.Response(body=encode(answer))
+        body = encode(answer)
+        self.bytes["exchange", SENT] += len(body)
+        return web.Response(body=body)
 
     def _message(
         self, revision: int, others: list[HeardHost], *, full: bool = False
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -85,6 +85,11 @@
             "Calls to the platform's store, by how they ended.",
             lambda: _rows(counters.store_calls, "operation", "outcome"),
         )
+        yield Instrument(
+            "peer_bytes",
+            "Bytes of messages between hosts, by way and direction.",
+            lambda: _rows(counters.peer_bytes, "way", "direction"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -11,7 +11,7 @@
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.gateway.daemon import create_peer_session
 from greengagepoint_node.gateway.facts import Changes, HostEntry, StoredItem
-from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip
+from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, RECEIVED, SENT, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.host_table import HeardHost
 from greengagepoint_node.gateway.listeners import Listener
@@ -110,6 +110,9 @@
         try:
             async with asyncio.timeout(PATIENCE_SECONDS):
                 await async_until(lambda: all(peer.knows(VERSION) for peer in others))
+            sent = watcher.gossip.bytes["news", SENT]
+            assert len(others) * 50_000 < sent < len(others) * 100_000
+            assert others[0].gossip.bytes["news", RECEIVED] == sent / len(others)
         finally:
             for relay in relays:
                 await relay.async_cut()
