--- a/measure/runner.py
+++ b/measure/runner.py
@@ -23,6 +23,7 @@
     "packages/node",
     "packages/cli",
     "packages/standins",
+    "platform",
 )
 ERROR_LINES: Final = 3
 
