Read a large configuration in short steps, the newest version first

Cause: a configuration was decoded and built in one step of the event loop, in which a host answers nobody: with 5,000 routes 29 to 45 ms here, 70 to 100 ms on the smallest host (0.43 of a core). Several versions that came together were each read whole, one after the other. A document nested too deep raised RecursionError, which nothing caught: it ended the task that follows the store.

Change: the adapter reads a configuration as an iterator of parts (the document with its rules and clusters left undecoded, then one rule or cluster each). The gateway's loader takes values from 40 KB on, reads 200 parts a step and lets the loop turn in between; the newest version goes first, older ones are given up once it is in force, and read on if it turns out bad. Smaller ones are read at once, as before. A rule that can't be read is named by its place. RecursionError is a refusal as any other.

Ruled out: dropping an older version as soon as a newer one comes. If the newer one is bad, the last good one would never come in force. A worker thread: it would hold the interpreter's lock for as long.

--- a/measure/large_configuration.py
+++ b/measure/large_configuration.py
@@ -1,15 +1,18 @@
 """Measure what a configuration of many routes costs one host of the platform.
 
 Names and prefixes are made up, 7 letters each, a route in about 200 bytes, half of the
-routes under each of two host names. The baseline of each size is the smallest one.
+routes under each of two host names. A version takes the place of another one of its
+size. The baseline of costs is to read it whole in one step of the event loop, that of
+look-ups the smallest size.
 """
 
 import asyncio
+import gc
 import random
 import string
 import time
 import tracemalloc
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from statistics import median
 from typing import Any, Final, NamedTuple
@@ -18,8 +21,11 @@
 
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import RouteTable, find_route
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.facts import Changes, StoredItem
 from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_platform.configuration import read_in_parts
 from greengagepoint_platform.decoding import decode_item
 from greengagepoint_platform.names import KEY_CONFIGURATION
 from measure.capacity_slopes import Slope
@@ -37,6 +43,13 @@
 MICROSECONDS: Final = 1e6
 KILOBYTE: Final = 1e3
 ROUTES_A_SLOPE: Final = 1_000
+# The smallest host has 0.43 of one core; there a step may take 20 ms, and 5,000 routes
+# one second.
+SMALLEST_CORE: Final = 0.43
+LIMITS: Final = {
+    ("longest step of the loop", 5_000): 20 * SMALLEST_CORE,
+    ("until in force", 5_000): 1_000 * SMALLEST_CORE,
+}
 
 
 class Lines:
@@ -58,7 +71,7 @@
     longest_step: float
 
 
-def configuration(routes: int) -> bytes:
+def configuration(routes: int, version: int = 1) -> bytes:
     """Return a configuration as an operator would write it."""
     draw = random.Random(SEED)
     names = [_word(draw) for _ in range(routes)]
@@ -70,7 +83,7 @@
     ]
     clusters = [{"name": name, "maxConns": 390, "coldStartS": 3} for name in services]
     return msgspec.json.encode(
-        {"version": "r12", "listeners": listeners, "clusters": clusters}
+        {"version": f"r{version}", "listeners": listeners, "clusters": clusters}
     )
 
 
@@ -114,37 +127,58 @@
         asyncio.Handle._run = run
 
 
-async def async_put_in_force(view: FleetView, value: bytes) -> None:
-    """Give a host a configuration, and wait until it is in force."""
-    item = StoredItem(KEY_CONFIGURATION, value, 1)
-    # In a step of its own, so that no start of the event loop counts as part of it.
-    await asyncio.sleep(0)
-    view.apply(Changes((item,), 1), 0.0)
-    await view.events.in_force.wait()
+def view_of(*, in_steps: bool) -> FleetView:
+    """Return what a host believes before its first configuration."""
+    loader = ConfigurationLoader(read_in_parts, SystemClock()) if in_steps else None
+    return FleetView({}, decode_item, Lines(), loader)
+
+
+async def async_put_in_force(
+    view: FleetView, values: Sequence[bytes], steps: list[float]
+) -> None:
+    """Put one version after another in force; leave the steps of the last one."""
+    reading = None
+    if view.loader is not None:
+        reading = asyncio.create_task(view.loader.async_run(view))
+    for revision, value in enumerate(values, 1):
+        view.events.in_force.clear()
+        # The step that ends here, and the one that began this, aren't the version's.
+        await asyncio.sleep(0)
+        steps.clear()
+        await asyncio.sleep(0)
+        item = StoredItem(KEY_CONFIGURATION, value, revision)
+        view.apply(Changes((item,), revision), 0.0)
+        await view.events.in_force.wait()
+    if reading is not None:
+        reading.cancel()
 
 
 def table_of(value: bytes) -> RouteTable:
     """Return a configuration's table."""
-    view = FleetView({}, decode_item, Lines())
-    asyncio.run(async_put_in_force(view, value))
+    view = view_of(in_steps=False)
+    asyncio.run(async_put_in_force(view, [value], []))
     assert view.routes is not None
     return view.routes
 
 
-def cost(value: bytes) -> Cost:
-    """Return what a configuration costs, the median of several rounds each."""
+def cost(size: int, *, in_steps: bool) -> Cost:
+    """Return what a version costs, the median of several rounds each."""
+    values = [configuration(size, version) for version in (1, 2)]
     found = []
     for _ in range(ROUNDS):
+        view = view_of(in_steps=in_steps)
+        gc.collect()
         with timed_steps() as steps:
-            table_of(value)
+            asyncio.run(async_put_in_force(view, values, steps))
         found.append(Cost(sum(steps), max(steps)))
     return Cost(*(median(column) for column in zip(*found, strict=True)))
 
 
-def peak_kilobytes(value: bytes) -> float:
+def peak_kilobytes(value: bytes, *, in_steps: bool) -> float:
     """Return the most memory that a configuration takes beside its own bytes."""
+    view = view_of(in_steps=in_steps)
     tracemalloc.start()
-    table_of(value)
+    asyncio.run(async_put_in_force(view, [value], []))
     peak = tracemalloc.get_traced_memory()[1]
     tracemalloc.stop()
     return peak / KILOBYTE
@@ -170,31 +204,38 @@
     return min(found)
 
 
-def slopes() -> list[Slope]:
-    """Return each cost over the number of routes."""
-    points: dict[tuple[str, str], list[tuple[float, float]]] = {}
+def look_up_slopes() -> list[Slope]:
+    """Return the cost of a look-up over the number of routes."""
+    hits, misses = [], []
     for size in SIZES:
         value = configuration(size)
-        whole = cost(value)
         table = table_of(value)
         middle = msgspec.json.decode(value)["listeners"][0]["rules"][size // 4]
-        values = {
-            ("until in force", "ms"): whole.whole * MILLISECONDS,
-            ("longest step of the loop", "ms"): whole.longest_step * MILLISECONDS,
-            ("look-up, a hit in the middle", "us"): look_up_microseconds(
-                table, f"{middle['match']['pathPrefix']}x"
-            ),
-            ("look-up, a miss", "us"): look_up_microseconds(table, "/unknown/x"),
-            ("peak memory", "kB"): peak_kilobytes(value),
-        }
-        for key, found in values.items():
-            points.setdefault(key, []).append((size, found))
+        path = f"{middle['match']['pathPrefix']}x"
+        hits.append((size, look_up_microseconds(table, path)))
+        misses.append((size, look_up_microseconds(table, "/unknown/x")))
     return [
-        Slope(name, "routes", unit, tuple(row)) for (name, unit), row in points.items()
+        Slope("look-up, a hit in the middle", "routes", "us", tuple(hits)),
+        Slope("look-up, a miss", "routes", "us", tuple(misses)),
     ]
 
 
-def figures(slope: Slope) -> list[Figure]:
+def reading_slopes(*, in_steps: bool) -> list[Slope]:
+    """Return what a version costs over the number of routes."""
+    whole, longest, peak = [], [], []
+    for size in SIZES:
+        found = cost(size, in_steps=in_steps)
+        whole.append((size, found.whole * MILLISECONDS))
+        longest.append((size, found.longest_step * MILLISECONDS))
+        peak.append((size, peak_kilobytes(configuration(size), in_steps=in_steps)))
+    return [
+        Slope("until in force", "routes", "ms", tuple(whole)),
+        Slope("longest step of the loop", "routes", "ms", tuple(longest)),
+        Slope("peak memory", "routes", "kB", tuple(peak)),
+    ]
+
+
+def look_up_figures(slope: Slope) -> list[Figure]:
     """Return a figure for each size, and the slope."""
     smallest, first = slope.points[0]
     rows = [
@@ -211,6 +252,37 @@
     return [*rows, Figure(f"{slope.name}, 1,000 routes more", each, slope.unit)]
 
 
+def reading_figures(slope: Slope, at_once: Slope) -> list[Figure]:
+    """Return a figure for each size, and the slope, against one step for all."""
+    rows = [
+        Figure(
+            f"{slope.name}, {size:,.0f} routes",
+            value,
+            slope.unit,
+            other,
+            "in one step",
+            limit=LIMITS.get((slope.name, size)),
+        )
+        for (size, value), (_, other) in zip(slope.points, at_once.points, strict=True)
+    ]
+    more = Figure(
+        f"{slope.name}, 1,000 routes more",
+        slope.each * ROUTES_A_SLOPE,
+        slope.unit,
+        at_once.each * ROUTES_A_SLOPE,
+        "in one step",
+    )
+    return [*rows, more]
+
+
 def run() -> list[Figure]:
     """Return the figures."""
-    return [figure for slope in slopes() for figure in figures(slope)]
+    figures = []
+    pairs = zip(
+        reading_slopes(in_steps=True), reading_slopes(in_steps=False), strict=True
+    )
+    for slope, at_once in pairs:
+        figures += reading_figures(slope, at_once)
+    for slope in look_up_slopes():
+        figures += look_up_figures(slope)
+    return figures
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -14,9 +14,15 @@
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
 from greengagepoint_node.gateway.directory import HostDirectory
-from greengagepoint_node.gateway.facts import DecodeItem, HostEntry, PlatformStore
+from greengagepoint_node.gateway.facts import (
+    DecodeItem,
+    HostEntry,
+    PlatformStore,
+    ReadParts,
+)
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
 from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
@@ -79,6 +85,7 @@
         clock: Clock,
         events: EventSink,
         lines_dropped: Callable[[], int] = lambda: 0,
+        read_parts: ReadParts = lambda item: None,
     ) -> None:
         self.settings = settings
         self.counters = GatewayCounters()
@@ -90,7 +97,8 @@
         self.ready_path = ready_path
         self.random = random.Random()
         self.stop_wanted = asyncio.Event()
-        self.view = FleetView(settings.zones, decode, events)
+        self.loader = ConfigurationLoader(read_parts, clock)
+        self.view = FleetView(settings.zones, decode, events, self.loader)
         self.entry = HostEntry(
             settings.host,
             settings.region,
@@ -168,6 +176,7 @@
             self.registration.async_run(),
             self.gossip.async_run(),
             self._async_tick(),
+            self.loader.async_run(self.view),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -1,6 +1,6 @@
 """What a platform's store tells, decoded into the product's own words."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple, Protocol
 
 import msgspec
@@ -73,6 +73,17 @@
 
 Fact = Configuration | ServerEntry | Evacuation | HostEntry
 DecodeItem = Callable[[StoredItem], Fact | None]
+# None after each small part, the configuration after the last; RecordError is raised
+# where a part can't be read.
+ConfigurationParts = Iterator[Configuration | None]
+ReadParts = Callable[[StoredItem], ConfigurationParts | None]
+
+
+class Loader(Protocol):
+    """Read items that are too large for one step of the event loop."""
+
+    def takes(self, item: StoredItem) -> bool:
+        """Tell whether an item's facts will be told later."""
 
 
 class HistoryLostError(Exception):
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -15,6 +15,7 @@
     Evacuation,
     Fact,
     HostEntry,
+    Loader,
     RemovedKey,
     ServerEntry,
     Snapshot,
@@ -38,11 +39,16 @@
     """
 
     def __init__(
-        self, zones: dict[str, str], decode: DecodeItem, events: EventSink
+        self,
+        zones: dict[str, str],
+        decode: DecodeItem,
+        events: EventSink,
+        loader: Loader | None = None,
     ) -> None:
         self.zones = zones
         self.decode = decode
         self.events = events
+        self.loader = loader
         self.revision = 0
         self.items: dict[str, StoredItem] = {}
         self.facts: dict[str, Fact] = {}
@@ -157,22 +163,32 @@
             return False
         self.items[item.key] = item
         self.lapsed.pop(item.key, None)
+        if self.loader is not None and self.loader.takes(item):
+            return False
         try:
             fact = self.decode(item)
         except RecordError as error:
-            # The last good one stays in force, as an operator would expect.
-            self.events.record(
-                Event.RECORD_REFUSED,
-                key=item.key,
-                field=error.field,
-                detail=error.detail,
-            )
+            self.refuse(item, error)
             return False
         if fact is None:
             return False
         self.facts[item.key] = fact
         return self._take(fact, now)
 
+    def take_loaded(self, item: StoredItem, fact: Configuration, now: float) -> None:
+        """Put in force what the loader has read."""
+        self.facts[item.key] = fact
+        self._take(fact, now)
+
+    def refuse(self, item: StoredItem, error: RecordError) -> None:
+        """Say that an item can't be read.
+
+        The last good one stays in force, as an operator would expect.
+        """
+        self.events.record(
+            Event.RECORD_REFUSED, key=item.key, field=error.field, detail=error.detail
+        )
+
     def _take(self, fact: Fact, now: float) -> bool:
         """Put a fact in force; tell whether membership may have changed."""
         if isinstance(fact, Configuration):
--- /dev/null
+++ b/packages/node/tests/test_gateway_configuration_loader.py
@@ -0,0 +1,229 @@
+"""How a large configuration comes in force, and what callers see meanwhile.
+
+Read whole in one step of the event loop, 5,000 routes kept every caller of a host of
+0.43 of a core waiting for a tenth of a second, whenever an operator changed one route.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+from gateway_world import ZONES, Lines
+
+from greengagepoint.errors import RecordError
+from greengagepoint.events import Event
+from greengagepoint.routing.tables import CallerLimits, create_route_table
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway.configuration_loader import (
+    LARGE_BYTES,
+    PARTS_A_STEP,
+    WAITING_MAX,
+    ConfigurationLoader,
+)
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    Configuration,
+    RemovedKey,
+    ServerEntry,
+    Snapshot,
+    StoredItem,
+)
+from greengagepoint_node.gateway.view import FleetView
+
+KEY = "op"
+PARTS = 5 * PARTS_A_STEP
+NOW = 50.0
+
+
+class Reader:
+    """Read values such as b"7", or b"7 bad 300", whose part 300 can't be read."""
+
+    def __init__(self):
+        self.parts_read = {}
+
+    def in_parts(self, item):
+        return self.read(item) if item.key == KEY else None
+
+    def read(self, item):
+        version, _, bad_at = item.value.decode().strip().partition(" bad ")
+        for part in range(PARTS):
+            self.parts_read[version] = part + 1
+            if bad_at and part == int(bad_at):
+                raise RecordError("no service", field=KEY)
+            yield None
+        table = create_route_table(int(version), {}, [], CallerLimits())
+        yield Configuration(table)
+
+    def decode(self, item):
+        if item.key != KEY:
+            return ServerEntry(item.key, "s", "10.0.0.1:1", "zone-a", 4, False, 0.0)
+        return next(whole for whole in self.read(item) if whole is not None)
+
+
+class Host:
+    """A view with its loader, running."""
+
+    def __init__(self):
+        self.reader = Reader()
+        self.loader = ConfigurationLoader(self.reader.in_parts, SystemClock())
+        self.view = FleetView(ZONES, self.reader.decode, Lines(), self.loader)
+
+    @property
+    def version(self):
+        return self.view.routes.version if self.view.routes else None
+
+    @property
+    def refused(self):
+        return len(self.view.events.of(Event.RECORD_REFUSED))
+
+    def apply(self, *changes):
+        self.view.apply(Changes(changes, changes[-1].revision), NOW)
+
+    async def async_turns(self, turns):
+        for _ in range(turns):
+            await asyncio.sleep(0)
+
+    async def async_read_all(self):
+        # Nothing but the loader runs; each of its steps takes one turn.
+        for _ in range(100):
+            await asyncio.sleep(0)
+            if not self.loader.waiting:
+                return
+        raise AssertionError("The loader has not come to an end.")
+
+
+@pytest.fixture
+async def host():
+    running = Host()
+    task = asyncio.create_task(running.loader.async_run(running.view))
+    yield running
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+def large(value, revision):
+    return StoredItem(KEY, value.encode().ljust(LARGE_BYTES), revision)
+
+
+def small(value, revision):
+    return StoredItem(KEY, value.encode(), revision)
+
+
+async def test_a_small_version_is_in_force_at_once(host):
+    host.apply(small("1", 1))
+    assert host.version == 1
+
+
+async def test_a_large_version_is_read_in_short_steps(host):
+    host.apply(small("1", 1), large("2", 2))
+    before, steps = 0, 0
+    while host.version == 1:
+        await asyncio.sleep(0)
+        read = host.reader.parts_read.get("2", 0)
+        assert read - before <= PARTS_A_STEP
+        before, steps = read, steps + 1
+    assert host.version == 2
+    assert steps >= PARTS // PARTS_A_STEP
+    assert len(host.view.events.of(Event.CONFIGURATION_IN_FORCE)) == 2
+
+
+@pytest.mark.parametrize("begun", [0, 1, 3], ids="{} steps done".format)
+async def test_the_newest_version_goes_first_and_older_ones_are_given_up(host, begun):
+    # An operator corrects a version while hosts read it. Read in their order, both
+    # would take their time, and the faulty one would be in force in between.
+    host.apply(large("1", 1), large("2", 2))
+    await host.async_turns(begun)
+    host.apply(large("3", 3))
+    await host.async_read_all()
+    assert host.version == 3
+    assert len(host.view.events.of(Event.CONFIGURATION_IN_FORCE)) == 1
+    assert host.reader.parts_read.get("1", 0) == 0
+    assert host.reader.parts_read.get("2", 0) <= begun * PARTS_A_STEP
+
+
+@pytest.mark.parametrize("bad_at", [0, 1, PARTS // 2, PARTS - 1])
+async def test_a_bad_version_leaves_the_last_good_one_in_force_whole(host, bad_at):
+    host.apply(large("1", 1))
+    await host.async_read_all()
+    table = host.view.routes
+    host.apply(large(f"2 bad {bad_at}", 2))
+    await host.async_read_all()
+    assert host.view.routes is table
+    assert host.refused == 1
+
+
+@pytest.mark.parametrize("begun", [0, 3], ids="{} steps done".format)
+async def test_a_bad_version_does_not_take_a_good_one_with_it(host, begun):
+    # A good version is being read when a bad one comes. The bad one goes first, and is
+    # refused; callers then need the good one, not the one before it.
+    host.apply(small("1", 1), large("2", 2))
+    await host.async_turns(begun)
+    host.apply(large("3 bad 700", 3))
+    await host.async_read_all()
+    assert host.version == 2
+    assert host.refused == 1
+    assert host.reader.parts_read["2"] == PARTS
+
+
+async def test_a_small_version_waits_its_turn_behind_a_large_one(host):
+    host.apply(large("1", 1))
+    host.apply(small("2", 2))
+    await host.async_read_all()
+    assert host.version == 2
+    assert host.reader.parts_read.get("1", 0) == 0
+
+
+async def test_other_entries_do_not_wait_for_a_large_version(host):
+    host.apply(large("1", 1), StoredItem("i-1", b"", 2))
+    assert list(host.view.servers.servers) == ["i-1"]
+    assert host.version is None
+
+
+async def test_a_version_that_comes_by_another_path_is_not_read_again(host):
+    # The watcher tells its region of a version, and so do gossip and a snapshot.
+    version = large("1", 1)
+    host.apply(version)
+    await host.async_turns(2)
+    read = host.reader.parts_read["1"]
+    host.apply(version)
+    host.view.replace(Snapshot((version,), 1), NOW)
+    await host.async_turns(1)
+    assert host.reader.parts_read["1"] > read
+    await host.async_read_all()
+    host.apply(version)
+    assert not host.loader.waiting
+    assert len(host.view.events.of(Event.CONFIGURATION_IN_FORCE)) == 1
+
+
+async def test_a_version_whose_key_is_removed_meanwhile_comes_in_force(host):
+    # As one that was read at once does: a removal ends no configuration.
+    host.apply(large("1", 1))
+    host.apply(RemovedKey(KEY, 2))
+    await host.async_read_all()
+    assert host.version == 1
+
+
+async def test_versions_that_wait_are_bounded(host):
+    host.apply(*(large(f"{number} bad 0", number) for number in range(1, 10)))
+    assert len(host.loader.waiting) == WAITING_MAX
+    await host.async_read_all()
+    assert host.refused == WAITING_MAX
+
+
+async def test_a_stop_in_the_middle_is_no_error():
+    host = Host()
+    told = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: told.append(context))
+    task = asyncio.create_task(host.loader.async_run(host.view))
+    host.apply(large("1", 1))
+    await host.async_turns(3)
+    task.cancel()
+    await asyncio.wait([task])
+    assert task.cancelled()
+    del task
+    await host.async_turns(2)
+    assert 0 < host.reader.parts_read["1"] < PARTS
+    assert not told
+    assert not host.view.events.rows
--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -55,6 +55,25 @@
     assert len(fleet.backends[0].received) == before
 
 
+async def test_a_configuration_of_many_routes(fleet):
+    # Hosts read it in steps, and a bad one after it leaves it in force.
+    prefixes = [f"/many-{number}/" for number in range(1_000)]
+    fleet.configure("/bays/", *prefixes)
+
+    async def async_answered(path):
+        answers = [await fleet.async_call(node, path) for node in fleet.nodes]
+        return {status for status, _, _ in answers} == {200}
+
+    await fleet.async_until(lambda: async_answered(prefixes[-1]))
+    fleet.put("op/config", {"version": "r999", "listeners": prefixes, "clusters": []})
+
+    async def async_refused():
+        return all("record_refused" in node.events() for node in fleet.nodes)
+
+    await fleet.async_until(async_refused)
+    assert await async_answered(prefixes[0])
+
+
 async def test_metrics_are_served_where_the_environment_says(fleet):
     n1 = fleet.nodes[0]
     assert (await fleet.async_call(n1, "/bays/", "17"))[0] == 200
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -4,6 +4,7 @@
 from greengagepoint.errors import RecordError, SettingError
 from greengagepoint.routing.tables import RequestKind, find_route
 from greengagepoint_node.gateway.facts import Evacuation, HostEntry, StoredItem
+from greengagepoint_platform.configuration import read_in_parts
 from greengagepoint_platform.decoding import decode_item, encode_host
 from greengagepoint_platform.settings import daemon_settings, read_settings_file
 
@@ -83,6 +84,71 @@
     assert caught.value.field == "op/config"
 
 
+def rules(*changes):
+    """Return a configuration of three rules, some of them changed."""
+    rows = [
+        {
+            "name": f"r-{index}",
+            "match": {"pathPrefix": f"/p-{index}/"},
+            "action": {"service": "one"},
+        }
+        for index in range(3)
+    ]
+    for index, change in changes:
+        rows[index] = {**rows[index], **change}
+    return {**CONFIGURATION, "listeners": [{"host": "a.example", "rules": rows}]}
+
+
+def test_parts_give_what_the_whole_gives():
+    stored = item("op/config", CONFIGURATION)
+    *before, last = read_in_parts(stored)
+    assert last == decode_item(stored)
+    # The document, two rules and a cluster.
+    assert before == [None] * 4
+
+
+def test_only_a_configuration_has_parts():
+    assert read_in_parts(item("servers/i-1", CONFIGURATION)) is None
+
+
+@pytest.mark.parametrize(
+    ("document", "said", "parts"),
+    [
+        (rules((2, {"match": {}})), r"pathPrefix.*listeners\[0\]\.rules\[2\]", 3),
+        (rules((1, {"kind": "odd"})), r"odd.*listeners\[0\]\.rules\[1\]", 2),
+        (rules((0, {"action": {}})), "r-0 names no service", 1),
+        ({**CONFIGURATION, "clusters": [{}]}, r"name.*clusters\[0\]", 3),
+        ({**CONFIGURATION, "version": 5}, "version", 0),
+    ],
+)
+def test_a_part_that_can_not_be_read_is_named(document, said, parts):
+    reading = read_in_parts(item("op/config", document))
+    for _ in range(parts):
+        assert next(reading) is None
+    with pytest.raises(RecordError, match=said) as caught:
+        next(reading)
+    assert caught.value.field == "op/config"
+
+
+def test_a_configuration_nested_too_deep_is_refused():
+    # Its error is none of the decoder's own, and ended the task that follows the store.
+    value = b'{"new":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    with pytest.raises(RecordError, match="recursion"):
+        decode_item(StoredItem("op/config", value, 1))
+
+
+def test_host_names_that_differ_in_case_only_are_one():
+    listeners = [
+        {"host": host, "rules": [{**rule, "match": {"pathPrefix": f"/{host}/"}}]}
+        for host, rule in zip(
+            ("a.example", "A.Example"), rules()["listeners"][0]["rules"], strict=False
+        )
+    ]
+    table = decode_item(item("op/config", {**CONFIGURATION, "listeners": listeners}))
+    for host in ("a.example", "A.Example"):
+        assert find_route(table.table, "A.EXAMPLE", f"/{host}/") is not None
+
+
 @pytest.mark.parametrize(
     ("state", "leaving"), [("ready", False), ("draining", True), ("new", True)]
 )
