--- a/measure/large_configuration.py
+++ b/measure/large_configuration.py
@@ -162,16 +162,17 @@
 
 
 def cost(size: int, *, in_steps: bool) -> Cost:
-    """Return what a version costs, the median of several rounds each."""
+    """Return what a version costs, and its longest step of several rounds."""
     values = [configuration(size, version) for version in (1, 2)]
     found = []
     for _ in range(ROUNDS):
         view = view_of(in_steps=in_steps)
-        gc.collect()
         with timed_steps() as steps:
             asyncio.run(async_put_in_force(view, values, steps))
         found.append(Cost(sum(steps), max(steps)))
-    return Cost(*(median(column) for column in zip(*found, strict=True)))
+    return Cost(
+        median(row.whole for row in found), max(row.longest_step for row in found)
+    )
 
 
 def peak_kilobytes(value: bytes, *, in_steps: bool) -> float:
@@ -277,6 +278,8 @@
 
 def run() -> list[Figure]:
     """Return the figures."""
+    # As the daemon does once it has started.
+    gc.freeze()
     figures = []
     pairs = zip(
         reading_slopes(in_steps=True), reading_slopes(in_steps=False), strict=True
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -1,6 +1,7 @@
 """Compose the request path of one host, run it, and stop it without a cut."""
 
 import asyncio
+import gc
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -118,6 +119,11 @@
     async def async_run(self) -> None:
         """Serve until a stop is wanted, then stop gracefully."""
         await self.async_start()
+        # What was loaded so far lasts as long as the process. In each full collection
+        # of garbage, one step of the event loop, the walk through its 40,000 objects
+        # took 21 ms of processor time; frozen, it takes none (``gc.collect`` timed
+        # after the imports, and after the call).
+        gc.freeze()
         await self.stop_wanted.wait()
         await self.async_stop()
 
--- a/packages/node/tests/test_gateway_configuration_loader.py
+++ b/packages/node/tests/test_gateway_configuration_loader.py
@@ -6,9 +6,11 @@
 
 import asyncio
 import contextlib
+import gc
 
 import pytest
-from gateway_world import ZONES, Lines
+from deployment import async_until
+from gateway_world import ZONES, Lines, async_world
 
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
@@ -227,3 +229,39 @@
     assert 0 < host.reader.parts_read["1"] < PARTS
     assert not told
     assert not host.view.events.rows
+
+
+async def test_callers_are_answered_while_a_version_is_read_and_a_stop_ends_it():
+    def endless(item):
+        if item.key == KEY:
+            while True:
+                yield None
+
+    async with async_world() as world:
+        daemon = world.daemon
+        daemon.loader.read = endless
+        daemon.view.apply(Changes((large("2", 2),), 2), NOW)
+        assert daemon.loader.waiting
+        assert (await world.async_call("/safe/1"))[0] == 200
+        await daemon.async_stop()
+        await asyncio.wait(daemon.tasks)
+        assert all(task.cancelled() for task in daemon.tasks)
+        assert daemon.view.routes.version == 1
+        assert not world.events.of(Event.RECORD_REFUSED)
+
+
+async def test_a_running_host_spares_the_collector_what_it_has_loaded():
+    # A full collection in the middle of a version walked through all that the process
+    # has imported, and no caller was answered meanwhile.
+    async with async_world(servers=1) as world:
+        running = asyncio.create_task(world.daemon.stop_wanted.wait())
+        world.daemon.async_start = lambda: asyncio.sleep(0)
+        world.daemon.async_stop = lambda: running
+        before = gc.get_freeze_count()
+        run = asyncio.create_task(world.daemon.async_run())
+        try:
+            await async_until(lambda: gc.get_freeze_count() > before + 1_000)
+        finally:
+            gc.unfreeze()
+            world.daemon.stop_wanted.set()
+            await run
