Look for a request's route once where none waits behind it

Cause: at each turn the route of the current request was looked up to decide whether those behind it may begin, also where there are none; the usual caller sends none. Ruled out: keeping the route with the request; it is looked up by the table in force. Change: nothing is looked up where no request waits that has not begun. The order and number of requests begun early are as they were (test_gateway_pipelining).

--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -87,7 +87,9 @@
 
     def begin_early(self) -> None:
         """Begin the waiting requests up to the first one that has to wait its turn."""
-        if self.current is None or not self.work.may_begin_early(self.current):
+        if self.current is None or len(self._messages) <= len(self.early):
+            return
+        if not self.work.may_begin_early(self.current):
             return
         loop = asyncio.get_running_loop()
         waiting = zip(self._messages, self._messages.times, strict=True)
