Split what is told and what is passed on from the gateway's handler

Cause: handler.py had 391 lines, with one class for matching, sending, logging, headers and bodies; the parts could be read and changed only together. Ruled out: a part for each step of a request, which would hand the same six things from one to the next. Change: outcomes.py logs and counts how requests and tries end, passing.py holds headers, bodies and answers; handler.py keeps the order of the steps, in 272 lines. No behaviour was meant to change, and no test did. Result: the tests of the gateway, of the platform and of hostile callers pass.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -3,13 +3,9 @@
 import asyncio
 from typing import Final
 
-import aiohttp
-import xxhash
 from aiohttp import web
-from multidict import CIMultiDict
 
 from greengagepoint.errors import ErrorKind
-from greengagepoint.events import Event
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.placing.choice import NoPlace
 from greengagepoint.placing.tables import Server
@@ -29,7 +25,13 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
+from greengagepoint_node.gateway.passing import (
+    RequestHeaders,
+    answer_response,
+    async_read_body,
+)
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.refusals import (
     Refusal,
@@ -38,13 +40,8 @@
     refusal_response,
 )
 from greengagepoint_node.gateway.view import FleetView
-from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
-from greengagepoint_node.proxy.headers import connection_headers
 from greengagepoint_node.proxy.sessions import BackendSessions
 
-# One request in so many is logged when all went well; which ones depends on the id
-# alone, so all hosts keep the same requests.
-SAMPLED_ONE_IN: Final = 64
 NOT_READY_SECONDS: Final = 0.5
 
 
@@ -67,21 +64,14 @@
         self.sessions = sessions
         self.placer = placer
         self.retries = retries
-        self.counters = counters
         self.clock = clock
-        self.events = events
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
         self.refusing = False
         self.last_request_at = clock.monotonic()
-        self.dropped_headers = HOP_BY_HOP_HEADERS | {
-            "host",
-            "expect",
-            "content-length",
-            names.deadline_ms.lower(),
-            names.target_instance.lower(),
-        }
+        self.outcomes = Outcomes(view, counters, clock, events)
+        self.request_headers = RequestHeaders(names)
 
     async def async_handle(self, request: web.BaseRequest) -> web.Response:
         """Answer the request of a connection whose turn it is."""
@@ -148,36 +138,14 @@
             return response
         except Refusal as refusal:
             outcome = refusal.kind
-            self.events.record(
-                refusal.event,
-                request_id=request_id,
-                status=refusal.status,
-                kind=refusal.kind,
-                reason=refusal.reason,
-                **_call_fields(call),
-                **refusal.inputs,
-                configuration=self.view.routes.version if self.view.routes else None,
-                revision=self.view.revision,
-                retry_after=refusal.retry_after,
-                seconds=round(self.clock.monotonic() - arrived_at, 3),
-            )
+            self.outcomes.note_refused(request_id, call, refusal, arrived_at)
             return refusal_response(refusal, self.names, request_id)
         except asyncio.CancelledError:
             outcome = ErrorKind.CALLER_CANCELLED
-            self.events.record(
-                Event.REQUEST_CANCELLED,
-                request_id=request_id,
-                **_call_fields(call),
-                seconds=round(self.clock.monotonic() - arrived_at, 3),
-            )
+            self.outcomes.note_cancelled(request_id, call, arrived_at)
             raise
         finally:
-            self.counters.add_request(
-                call.service if call is not None else "",
-                call.route.name if call is not None else "",
-                outcome,
-                self.clock.monotonic() - arrived_at,
-            )
+            self.outcomes.note_end(call, outcome, arrived_at)
 
     def _parse(
         self, request: web.BaseRequest, request_id: str, arrived_at: float
@@ -194,31 +162,12 @@
         return create_call(request, self.names, route, service, arrived_at)
 
     async def _async_body(self, request: web.BaseRequest, call: Call) -> bytes | None:
-        """Read the caller's body whole."""
+        """Return the caller's body whole, None where there is none."""
         if not request.can_read_body:
             return None
         assert self.view.routes is not None
-        limits = self.view.routes.limits
-        if (request.content_length or 0) > limits.body_bytes:
-            raise Refusal(ErrorKind.BODY_TOO_LARGE, 413, "the body is too long")
-        pieces: list[bytes] = []
-        size = 0
-        try:
-            async with asyncio.timeout(call.ends_at - self.clock.monotonic()):
-                while piece := await request.content.readany():
-                    pieces.append(piece)
-                    size += len(piece)
-                    if size > limits.body_bytes:
-                        raise Refusal(
-                            ErrorKind.BODY_TOO_LARGE, 413, "the body is too long"
-                        )
-        except TimeoutError as error:
-            reason = "the body did not end before the deadline"
-            raise Refusal(ErrorKind.SLOW_SENDER, 408, reason) from error
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            reason = "the body broke off"
-            raise Refusal(ErrorKind.BAD_REQUEST, 400, reason) from error
-        return b"".join(pieces)
+        left = call.ends_at - self.clock.monotonic()
+        return await async_read_body(request, left, self.view.routes.limits.body_bytes)
 
     async def _async_serve(
         self, request: web.BaseRequest, call: Call, body: bytes | None
@@ -241,7 +190,8 @@
             sending = self._sending(request, call, body, server, left)
             last = await self._async_try(call, server, sending, tried, attempt)
             if last.verdict is Verdict.ANSWERED:
-                return self._answered(call, last, server, attempt)
+                self.outcomes.note_answered(call, last, server, attempt)
+                return answer_response(last)
             may_have_run = may_have_run or last.verdict not in NOT_RUN
             if may_have_run and not call.route.repeatable:
                 break
@@ -291,7 +241,7 @@
         return Sending(
             request.method,
             call.target,
-            self._request_headers(request, server),
+            self.request_headers.passed_on(request, server),
             body,
             call.request_id,
             left,
@@ -317,75 +267,6 @@
             overdue.cancel()
             server.in_flight -= 1
         now = self.clock.monotonic()
-        self.counters.tries[call.service, exchange.verdict] += 1
         self.placer.learn(call, server, exchange, now - began, waited, now)
-        if exchange.verdict is not Verdict.ANSWERED:
-            self.events.record(
-                Event.REQUEST_RETRIED,
-                request_id=call.request_id,
-                instance=server.instance,
-                attempt=attempt + 1,
-                outcome=exchange.verdict,
-                detail=exchange.detail,
-                seconds=round(now - began, 3),
-            )
+        self.outcomes.note_try(call, server, exchange, attempt, now - began)
         return exchange
-
-    def _request_headers(
-        self, request: web.BaseRequest, server: Server
-    ) -> CIMultiDict[str]:
-        """Return the headers for the backend server."""
-        dropped = self.dropped_headers | connection_headers(request.headers)
-        headers: CIMultiDict[str] = CIMultiDict()
-        headers["Host"] = request.headers.get("Host", "")
-        for name, value in request.headers.items():
-            if name.lower() not in dropped:
-                headers.add(name, value)
-        headers[self.names.target_instance] = server.instance
-        return headers
-
-    def _answered(
-        self, call: Call, exchange: Exchange, server: Server, attempt: int
-    ) -> web.Response:
-        """Return the backend server's answer."""
-        self.counters.regions[call.service, server.region] += 1
-        if attempt or _is_sampled(call.request_id):
-            now = self.clock.monotonic()
-            self.events.record(
-                Event.REQUEST_ANSWERED,
-                request_id=call.request_id,
-                route=call.route.name,
-                service=call.service,
-                instance=server.instance,
-                region=server.region,
-                attempts=attempt + 1,
-                load=exchange.load,
-                in_flight=server.in_flight,
-                run_seconds=round(server.service_seconds, 3),
-                status=exchange.status,
-                seconds=round(now - call.arrived_at, 3),
-            )
-        assert exchange.headers is not None
-        dropped = HOP_BY_HOP_HEADERS | connection_headers(exchange.headers)
-        headers: CIMultiDict[str] = CIMultiDict()
-        for name, value in exchange.headers.items():
-            if name.lower() not in dropped and name.lower() != "content-length":
-                headers.add(name, value)
-        return web.Response(
-            status=exchange.status,
-            reason=exchange.reason,
-            headers=headers,
-            body=exchange.body,
-        )
-
-
-def _call_fields(call: Call | None) -> dict[str, str]:
-    """Return what a log line says of a request that was matched to a route."""
-    if call is None:
-        return {}
-    return {"route": call.route.name, "service": call.service}
-
-
-def _is_sampled(request_id: str) -> bool:
-    """Tell whether an ordinary success is logged."""
-    return xxhash.xxh3_64_intdigest(request_id.encode()) % SAMPLED_ONE_IN == 0
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -0,0 +1,140 @@
+"""Log and count how requests and their tries end."""
+
+from typing import Final
+
+import xxhash
+
+from greengagepoint.errors import ErrorKind
+from greengagepoint.events import Event
+from greengagepoint.placing.tables import Server
+from greengagepoint.protocols import Clock
+from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.counters import GatewayCounters
+from greengagepoint_node.gateway.exchange import Exchange, Verdict
+from greengagepoint_node.gateway.refusals import Refusal
+from greengagepoint_node.gateway.view import FleetView
+
+# One request in so many is logged when all went well; which ones depends on the id
+# alone, so all hosts keep the same requests.
+SAMPLED_ONE_IN: Final = 64
+
+
+class Outcomes:
+    """Tell of each request and try what an operator needs.
+
+    ``arrived_at`` are the monotonic seconds at which a request's first byte came.
+    """
+
+    def __init__(
+        self,
+        view: FleetView,
+        counters: GatewayCounters,
+        clock: Clock,
+        events: EventSink,
+    ) -> None:
+        self.view = view
+        self.counters = counters
+        self.clock = clock
+        self.events = events
+
+    def note_refused(
+        self, request_id: str, call: Call | None, refusal: Refusal, arrived_at: float
+    ) -> None:
+        """Log what decided that a request was refused or failed."""
+        routes = self.view.routes
+        self.events.record(
+            refusal.event,
+            request_id=request_id,
+            status=refusal.status,
+            kind=refusal.kind,
+            reason=refusal.reason,
+            **_call_fields(call),
+            **refusal.inputs,
+            configuration=routes.version if routes else None,
+            revision=self.view.revision,
+            retry_after=refusal.retry_after,
+            seconds=self._seconds_since(arrived_at),
+        )
+
+    def note_cancelled(
+        self, request_id: str, call: Call | None, arrived_at: float
+    ) -> None:
+        """Log that a caller has gone."""
+        self.events.record(
+            Event.REQUEST_CANCELLED,
+            request_id=request_id,
+            **_call_fields(call),
+            seconds=self._seconds_since(arrived_at),
+        )
+
+    def note_end(
+        self, call: Call | None, outcome: ErrorKind | str, arrived_at: float
+    ) -> None:
+        """Count the end of a request, whatever it was."""
+        self.counters.add_request(
+            call.service if call is not None else "",
+            call.route.name if call is not None else "",
+            outcome,
+            self.clock.monotonic() - arrived_at,
+        )
+
+    def note_try(
+        self,
+        call: Call,
+        server: Server,
+        exchange: Exchange,
+        attempt: int,
+        seconds: float,
+    ) -> None:
+        """Count a try, and log it where it gave no answer."""
+        self.counters.tries[call.service, exchange.verdict] += 1
+        if exchange.verdict is Verdict.ANSWERED:
+            return
+        self.events.record(
+            Event.REQUEST_RETRIED,
+            request_id=call.request_id,
+            instance=server.instance,
+            attempt=attempt + 1,
+            outcome=exchange.verdict,
+            detail=exchange.detail,
+            seconds=round(seconds, 3),
+        )
+
+    def note_answered(
+        self, call: Call, exchange: Exchange, server: Server, attempt: int
+    ) -> None:
+        """Count where a request ran, and log some of those that were answered."""
+        self.counters.regions[call.service, server.region] += 1
+        if not attempt and not _is_sampled(call.request_id):
+            return
+        self.events.record(
+            Event.REQUEST_ANSWERED,
+            request_id=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            instance=server.instance,
+            region=server.region,
+            attempts=attempt + 1,
+            load=exchange.load,
+            in_flight=server.in_flight,
+            run_seconds=round(server.service_seconds, 3),
+            status=exchange.status,
+            seconds=self._seconds_since(call.arrived_at),
+        )
+
+    def _seconds_since(self, arrived_at: float) -> float:
+        """Return how long a request has taken until now."""
+        return round(self.clock.monotonic() - arrived_at, 3)
+
+
+def _call_fields(call: Call | None) -> dict[str, str]:
+    """Return what a log line says of a request that was matched to a route."""
+    if call is None:
+        return {}
+    return {"route": call.route.name, "service": call.service}
+
+
+def _is_sampled(request_id: str) -> bool:
+    """Tell whether an ordinary success is logged."""
+    return xxhash.xxh3_64_intdigest(request_id.encode()) % SAMPLED_ONE_IN == 0
