Test the time of a request that comes behind a long body

Cause: the host stops reading within a chunk while a body is longer than its buffer; what follows is parsed later, from the same chunk. No test said from when it counts. Change: a test with a body of 400,000 bytes and a request behind it in one chunk. Result: passes; both are handed on with what is left since that chunk.

--- a/packages/node/tests/test_gateway_arrival.py
+++ b/packages/node/tests/test_gateway_arrival.py
@@ -20,6 +20,7 @@
 
 RUN_SECONDS = 0.1
 REQUESTS = 20
+LONG_BODY_BYTES = 400_000
 # What really passes in a test is told apart from what its clock was set ahead by.
 SLACK_SECONDS = 1.0
 
@@ -142,6 +143,22 @@
     return current is not None and current._payload.is_eof()
 
 
+async def test_what_comes_behind_a_long_body_counts_from_its_chunk():
+    # The host stops reading while the body is longer than its buffer, and reads what
+    # follows only when the handler has taken that.
+    async with async_world(servers=1, timeout_seconds=None) as world:
+        async with async_connection(world) as (reader, _):
+            connection = await async_accepted(world)
+            body = b"x" * LONG_BODY_BYTES
+            connection.data_received(request(1, "POST", "/unsafe/", 9000, body) + SAFE)
+            world.clock.ahead += 2.0
+            for _ in range(2):
+                await async_read_answer(reader)
+        found = handed_on(world)
+        assert len(world.backends[0].ran[0].body) == LONG_BODY_BYTES
+        assert [7 - SLACK_SECONDS < seconds <= 7 for seconds in found] == [True, True]
+
+
 async def test_one_that_is_begun_early_counts_from_its_first_byte():
     async with (
         async_world(servers=1, seconds=90, timeout_seconds=None) as world,
