--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -4,13 +4,9 @@
 from collections.abc import Callable
 from typing import Final
 
-import aiohttp
-import xxhash
 from aiohttp import web
-from multidict import CIMultiDict
 
 from greengagepoint.errors import ErrorKind
-from greengagepoint.events import Event
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.placing.choice import NoPlace
 from greengagepoint.placing.tables import Server
@@ -22,13 +18,21 @@
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
 from greengagepoint_node.gateway.exchange import (
     NOT_RUN,
+    SECONDS_LEFT_MIN,
     Exchange,
     Sending,
+    TimeLeft,
     Verdict,
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
+from greengagepoint_node.gateway.passing import (
+    RequestHeaders,
+    answer_response,
+    async_read_body,
+)
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.refusals import (
     Refusal,
@@ -37,16 +41,9 @@
     refusal_response,
 )
 from greengagepoint_node.gateway.view import FleetView
-from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
-from greengagepoint_node.proxy.headers import connection_headers
 from greengagepoint_node.proxy.sessions import BackendSessions
 
-# One request in so many is logged when all went well; which ones depends on the id
-# alone, so all hosts keep the same requests.
-SAMPLED_ONE_IN: Final = 64
 NOT_READY_SECONDS: Final = 0.5
-# Below this a backend server could not run anything.
-SECONDS_LEFT_MIN: Final = 0.02
 
 
 class Gateway:
@@ -69,22 +66,15 @@
         self.sessions = sessions
         self.placer = placer
         self.retries = retries
-        self.counters = counters
         self.clock = clock
-        self.events = events
         self.is_current = is_current
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
         self.refusing = False
         self.last_request_at = clock.monotonic()
-        self.dropped_headers = HOP_BY_HOP_HEADERS | {
-            "host",
-            "expect",
-            "content-length",
-            names.deadline_ms.lower(),
-            names.target_instance.lower(),
-        }
+        self.outcomes = Outcomes(view, counters, clock, events)
+        self.request_headers = RequestHeaders(names)
 
     async def async_handle(self, request: web.BaseRequest) -> web.Response:
         """Answer the request of a connection whose turn it is."""
@@ -109,11 +99,17 @@
         route = find_route(table, request.host, request.rel_url.raw_path)
         return route is not None and route.repeatable
 
-    async def async_answer(self, request: web.BaseRequest) -> web.Response:
-        """Return the answer to a request, counted as one in flight meanwhile."""
+    async def async_answer(
+        self, request: web.BaseRequest, arrived_at: float
+    ) -> web.Response:
+        """Return the answer to a request, counted as one in flight meanwhile.
+
+        ``arrived_at`` are the monotonic seconds at which its first byte came; its
+        deadline and all that is told of its duration count from there.
+        """
         self.in_flight += 1
         try:
-            return await self._async_answer(request)
+            return await self._async_answer(request, arrived_at)
         finally:
             self.in_flight -= 1
 
@@ -124,10 +120,12 @@
             and self.clock.monotonic() - self.last_request_at >= seconds
         )
 
-    async def _async_answer(self, request: web.BaseRequest) -> web.Response:
+    async def _async_answer(
+        self, request: web.BaseRequest, arrived_at: float
+    ) -> web.Response:
         """Answer a request, also where it fails."""
         request_id = request.headers.get(self.names.request_id, "")
-        arrived_at = self.last_request_at = self.clock.monotonic()
+        now = self.last_request_at = self.clock.monotonic()
         call: Call | None = None
         outcome: ErrorKind | str = ErrorKind.INTERNAL
         try:
@@ -135,42 +133,22 @@
                 reason = "this host is about to exit"
                 raise Refusal(ErrorKind.HOST_LEAVING, 503, reason, 0.0)
             call = self._parse(request, request_id, arrived_at)
+            if call.ends_at - now < SECONDS_LEFT_MIN:
+                raise no_answer(None, may_have_run=False)
             body = await self._async_body(request, call)
             response = await self._async_serve(request, call, body)
             outcome = ANSWERED
             return response
         except Refusal as refusal:
             outcome = refusal.kind
-            self.events.record(
-                refusal.event,
-                request_id=request_id,
-                status=refusal.status,
-                kind=refusal.kind,
-                reason=refusal.reason,
-                **_call_fields(call),
-                **refusal.inputs,
-                configuration=self.view.routes.version if self.view.routes else None,
-                revision=self.view.revision,
-                retry_after=refusal.retry_after,
-                seconds=round(self.clock.monotonic() - arrived_at, 3),
-            )
+            self.outcomes.note_refused(request_id, call, refusal, arrived_at)
             return refusal_response(refusal, self.names, request_id)
         except asyncio.CancelledError:
             outcome = ErrorKind.CALLER_CANCELLED
-            self.events.record(
-                Event.REQUEST_CANCELLED,
-                request_id=request_id,
-                **_call_fields(call),
-                seconds=round(self.clock.monotonic() - arrived_at, 3),
-            )
+            self.outcomes.note_cancelled(request_id, call, arrived_at)
             raise
         finally:
-            self.counters.add_request(
-                call.service if call is not None else "",
-                call.route.name if call is not None else "",
-                outcome,
-                self.clock.monotonic() - arrived_at,
-            )
+            self.outcomes.note_end(call, outcome, arrived_at)
 
     def _parse(
         self, request: web.BaseRequest, request_id: str, arrived_at: float
@@ -187,31 +165,12 @@
         return create_call(request, self.names, route, service, arrived_at)
 
     async def _async_body(self, request: web.BaseRequest, call: Call) -> bytes | None:
-        """Read the caller's body whole."""
+        """Return the caller's body whole, None where there is none."""
         if not request.can_read_body:
             return None
         assert self.view.routes is not None
-        limits = self.view.routes.limits
-        if (request.content_length or 0) > limits.body_bytes:
-            raise Refusal(ErrorKind.BODY_TOO_LARGE, 413, "the body is too long")
-        pieces: list[bytes] = []
-        size = 0
-        try:
-            async with asyncio.timeout(call.ends_at - self.clock.monotonic()):
-                while piece := await request.content.readany():
-                    pieces.append(piece)
-                    size += len(piece)
-                    if size > limits.body_bytes:
-                        raise Refusal(
-                            ErrorKind.BODY_TOO_LARGE, 413, "the body is too long"
-                        )
-        except TimeoutError as error:
-            reason = "the body did not end before the deadline"
-            raise Refusal(ErrorKind.SLOW_SENDER, 408, reason) from error
-        except (aiohttp.ClientError, web.RequestPayloadError) as error:
-            reason = "the body broke off"
-            raise Refusal(ErrorKind.BAD_REQUEST, 400, reason) from error
-        return b"".join(pieces)
+        left = call.ends_at - self.clock.monotonic()
+        return await async_read_body(request, left, self.view.routes.limits.body_bytes)
 
     async def _async_serve(
         self, request: web.BaseRequest, call: Call, body: bytes | None
@@ -223,16 +182,19 @@
         may_have_run = False
         server: Server | None = None
         for attempt in range(max(1, call.route.attempts_max)):
+            left = call.ends_at - self.clock.monotonic()
+            if left < SECONDS_LEFT_MIN:
+                break
             if server is None:
                 server = self.next_server(call, tried, last and last.verdict)
-            left = call.ends_at - self.clock.monotonic()
-            if server is None or left < SECONDS_LEFT_MIN:
+            if server is None:
                 break
             tried.add(server.instance)
             sending = self._sending(request, call, body, server, left)
             last = await self._async_try(call, server, sending, tried, attempt)
             if last.verdict is Verdict.ANSWERED:
-                return self._answered(call, last, server, attempt)
+                self.outcomes.note_answered(call, last, server, attempt)
+                return answer_response(last)
             may_have_run = may_have_run or last.verdict not in NOT_RUN
             if may_have_run and not call.route.repeatable:
                 break
@@ -282,10 +244,11 @@
         return Sending(
             request.method,
             call.target,
-            self._request_headers(request, server, left),
+            self.request_headers.passed_on(request, server),
             body,
             call.request_id,
             left,
+            TimeLeft(self.names.deadline_ms, self.clock, call.ends_at),
         )
 
     async def _async_try(
@@ -307,76 +270,6 @@
             overdue.cancel()
             server.in_flight -= 1
         now = self.clock.monotonic()
-        self.counters.tries[call.service, exchange.verdict] += 1
         self.placer.learn(call, server, exchange, now - began, waited, now)
-        if exchange.verdict is not Verdict.ANSWERED:
-            self.events.record(
-                Event.REQUEST_RETRIED,
-                request_id=call.request_id,
-                instance=server.instance,
-                attempt=attempt + 1,
-                outcome=exchange.verdict,
-                detail=exchange.detail,
-                seconds=round(now - began, 3),
-            )
+        self.outcomes.note_try(call, server, exchange, attempt, now - began)
         return exchange
-
-    def _request_headers(
-        self, request: web.BaseRequest, server: Server, left: float
-    ) -> CIMultiDict[str]:
-        """Return the headers for the backend server."""
-        dropped = self.dropped_headers | connection_headers(request.headers)
-        headers: CIMultiDict[str] = CIMultiDict()
-        headers["Host"] = request.headers.get("Host", "")
-        for name, value in request.headers.items():
-            if name.lower() not in dropped:
-                headers.add(name, value)
-        headers[self.names.deadline_ms] = str(max(1, int(left * 1000)))
-        headers[self.names.target_instance] = server.instance
-        return headers
-
-    def _answered(
-        self, call: Call, exchange: Exchange, server: Server, attempt: int
-    ) -> web.Response:
-        """Return the backend server's answer."""
-        self.counters.regions[call.service, server.region] += 1
-        if attempt or _is_sampled(call.request_id):
-            now = self.clock.monotonic()
-            self.events.record(
-                Event.REQUEST_ANSWERED,
-                request_id=call.request_id,
-                route=call.route.name,
-                service=call.service,
-                instance=server.instance,
-                region=server.region,
-                attempts=attempt + 1,
-                load=exchange.load,
-                in_flight=server.in_flight,
-                run_seconds=round(server.service_seconds, 3),
-                status=exchange.status,
-                seconds=round(now - call.arrived_at, 3),
-            )
-        assert exchange.headers is not None
-        dropped = HOP_BY_HOP_HEADERS | connection_headers(exchange.headers)
-        headers: CIMultiDict[str] = CIMultiDict()
-        for name, value in exchange.headers.items():
-            if name.lower() not in dropped and name.lower() != "content-length":
-                headers.add(name, value)
-        return web.Response(
-            status=exchange.status,
-            reason=exchange.reason,
-            headers=headers,
-            body=exchange.body,
-        )
-
-
-def _call_fields(call: Call | None) -> dict[str, str]:
-    """Return what a log line says of a request that was matched to a route."""
-    if call is None:
-        return {}
-    return {"route": call.route.name, "service": call.service}
-
-
-def _is_sampled(request_id: str) -> bool:
-    """Tell whether an ordinary success is logged."""
-    return xxhash.xxh3_64_intdigest(request_id.encode()) % SAMPLED_ONE_IN == 0
