--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -15,6 +15,8 @@
 DEADLINE_DEFAULT_SECONDS: Final = 10.0
 # A host with old news asks a peer each half second.
 OLD_NEWS_RETRY_SECONDS: Final = 0.5
+# Of a name or path that no route knows; callers choose how long they are.
+LOGGED_CHARACTERS_MAX: Final = 100
 
 
 class Call(NamedTuple):
@@ -44,10 +46,15 @@
     if route is not None:
         return route
     reason = f"no route, configuration {table.version}"
+    inputs = {
+        "name": request.host[:LOGGED_CHARACTERS_MAX],
+        "path": request.rel_url.raw_path[:LOGGED_CHARACTERS_MAX],
+    }
     if not is_current():
         reason += ", which may be old"
-        raise Refusal(ErrorKind.NOT_READY, 503, reason, OLD_NEWS_RETRY_SECONDS)
-    raise Refusal(ErrorKind.UNKNOWN_SERVICE, 404, reason)
+        retry_after = OLD_NEWS_RETRY_SECONDS
+        raise Refusal(ErrorKind.NOT_READY, 503, reason, retry_after, inputs)
+    raise Refusal(ErrorKind.UNKNOWN_SERVICE, 404, reason, inputs=inputs)
 
 
 def create_call(
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -25,11 +25,12 @@
     ReadParts,
 )
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
-from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, Gossip
+from greengagepoint_node.gateway.gossip import PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
+from greengagepoint_node.gateway.news_teller import NEWS_PATH
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.region_weights import RegionWeights
@@ -155,7 +156,7 @@
             self.gossip.distance_seconds,
         )
         self.gossip.loads = self.placer.loads
-        self.gossip.bytes = self.counters.peer_bytes
+        self.counters.peer_bytes = self.gossip.bytes
         self.gateway = Gateway(
             settings.names,
             self.view,
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from functools import partial
 from typing import Final, Protocol
 
 from greengagepoint.config.watchers import (
@@ -87,8 +88,10 @@
                 await asyncio.sleep(LOOK_SECONDS)
                 continue
             try:
+                began = self.clock.monotonic()
                 step = self._async_step()
-                await async_run_while(step, self._needs_store, LOOK_SECONDS)
+                wanted = partial(self._still_needs_store, began)
+                await async_run_while(step, wanted, LOOK_SECONDS)
             except HistoryLostError:
                 self.needs_snapshot = True
             except StoreError as error:
@@ -96,16 +99,20 @@
                 await asyncio.sleep(self._pause() * (0.5 + self.random.random()))
 
     def _needs_store(self) -> bool:
-        """Tell whether peers do not keep this host up to date.
-
-        An answer of the store that is under way is given up once they do: it brings
-        nothing new, and on a small link it holds up what peers and callers send. 4,200
-        routes are 1.1 MB from the store and 58 KB from a peer.
-        """
+        """Tell whether peers do not keep this host up to date."""
         if self.news.must_watch():
             return True
         return self.needs_snapshot and self.view.revision == 0
 
+    def _still_needs_store(self, began: float) -> bool:
+        """Tell whether a call that began at a time may bring what peers did not.
+
+        An answer that peers have made needless is given up: on a small link it holds up
+        what they and callers send. 4,200 routes are 1.1 MB from the store and 58 KB
+        from a peer. Word of peers from before the call is older than its answer.
+        """
+        return self._needs_store() or self.news.peers_confirmed_at <= began
+
     def _pause(self) -> float:
         """Return the mean pause after one more failed call."""
         self.failures += 1
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -24,9 +24,9 @@
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.delays import MessageDelays
 from greengagepoint_node.gateway.facts import (
     Changes,
-    HostEntry,
     RemovedKey,
     Snapshot,
     StoredItem,
@@ -43,6 +43,7 @@
     HeardHost,
     HostTable,
 )
+from greengagepoint_node.gateway.news_teller import NewsTeller
 from greengagepoint_node.gateway.packing import ItemPacker
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
 from greengagepoint_node.gateway.view import FleetView
@@ -54,15 +55,13 @@
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
-# A message of this size is sent to a few peers at a time. Sent to twenty at once over a
-# link of 5 Mbit/s, 100 KB come through to none of them before the wait for it ends.
-LARGE_BYTES: Final = 16 * 1024
-LARGE_SENDS_MAX: Final = 4
+# A peer that sends its news byte by byte keeps no others from bringing it for longer;
+# 100 KB over a link of 5 Mbit/s take 0.2 s.
+NEWS_SECONDS: Final = 2.0
 # Of ten exchanges, so many are with hosts of the own region, where they cost less; news
 # still enters each other region several times a second.
 NEAR_SHARE: Final = 0.8
 PATH: Final = "/v1/gossip"
-NEWS_PATH: Final = "/v1/news"
 SENT: Final = "sent"
 RECEIVED: Final = "received"
 
@@ -96,8 +95,15 @@
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
         self.under_way: dict[str, asyncio.Task[None]] = {}
-        self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
-        self.asks_for_news = False
+        self.teller = NewsTeller(
+            session,
+            clock,
+            lambda before: self._message(before, []),
+            self._note_failure,
+            self.bytes,
+        )
+        self.asked_for_news_at: float | None = None
+        self.delays = MessageDelays()
         self.exchanges = 0
         self.failures = 0
 
@@ -134,11 +140,10 @@
         self.confirmed_at = now - seconds_ago
         if not self.is_watcher or self.own.leaving:
             return
-        body = encode(self._message(before, []))
         for state in self.table.alive(now):
             entry = state.entry
             if entry.name != self.own.entry.name and self.table.is_near(entry):
-                self._start(entry.peer_address, self._async_tell(entry, body))
+                self.teller.tell(entry.peer_address, before)
 
     def _start(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Run one task for a peer at a time; one that is behind asks by itself."""
@@ -149,33 +154,13 @@
         self.under_way[address] = task
         task.add_done_callback(lambda _: self.under_way.pop(address, None))
 
-    async def _async_tell(self, entry: HostEntry, body: bytes) -> None:
-        """Tell one peer, a few at a time where the news is large."""
-        if len(body) < LARGE_BYTES:
-            await self._async_send_news(entry, body)
-            return
-        async with self.large_sends:
-            await self._async_send_news(entry, body)
-
-    async def _async_send_news(self, entry: HostEntry, body: bytes) -> None:
-        """Send news to one peer; one that missed it finds its own news stale."""
-        self.bytes["news", SENT] += len(body)
-        url = f"http://{entry.peer_address}{NEWS_PATH}"
-        try:
-            async with asyncio.timeout(EXCHANGE_SECONDS + send_seconds(len(body))):
-                async with self.session.post(url, data=body) as answer:
-                    await answer.read()
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
-            self._note_failure(entry.peer_address, error)
-
     async def async_take_news(self, request: web.BaseRequest) -> web.Response:
         """Take in what the watcher of this region tells."""
         try:
             body = await request.read()
             self.bytes["news", RECEIVED] += len(body)
             message = decode(body)
-            # As if it had been under way for as long as its sender waits.
-            self._take(message, self.clock.monotonic() - send_seconds(len(body)))
+            self._take(message, self._sent_after(message, len(body)))
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
@@ -191,11 +176,14 @@
         One exchange at a time brings news, the others only heartbeats: copies of the
         same large value side by side would each take several times as long.
         """
-        wants_news = not self.asks_for_news
-        self.asks_for_news = True
         began = self.clock.monotonic()
+        asked_at = self.asked_for_news_at
+        wants_news = asked_at is None or began - asked_at > NEWS_SECONDS
+        if wants_news:
+            self.asked_for_news_at = began
         try:
             message = await self._async_ask(address, wants_news=wants_news)
+            self._sent_after(message, 0)
             self._take(message, began)
             self.note_exchange(address, self.clock.monotonic() - began)
         except (
@@ -206,8 +194,8 @@
         ) as error:
             self._note_failure(address, error)
         finally:
-            if wants_news:
-                self.asks_for_news = False
+            if wants_news and self.asked_for_news_at == began:
+                self.asked_for_news_at = None
 
     async def _async_ask(self, address: str, *, wants_news: bool) -> Message:
         """Send this host's half to a peer and return the peer's."""
@@ -308,8 +296,22 @@
             lapsed=list(self.view.lapsed),
             whole=whole,
             loads=self.loads.known(self.clock.monotonic()),
+            sent_at=self.clock.monotonic(),
         )
 
+    def _sent_after(self, message: Message, size: int) -> float:
+        """Return a time before which news was not written, as far as can be told."""
+        now = self.clock.monotonic()
+        sender = message.hosts[0] if message.hosts else None
+        delay = None
+        if sender is not None and message.sent_at is not None:
+            name = sender.entry.name
+            delay = self.delays.note(name, sender.started, message.sent_at, now)
+        if delay is None:
+            # Nothing to compare with: as long as its sender would have waited.
+            delay = EXCHANGE_SECONDS + send_seconds(size)
+        return now - delay
+
     def _take(self, message: Message, sent_after: float | None) -> None:
         """Take in a peer's half, or news.
 
@@ -343,6 +345,7 @@
         """Return whom to exchange with: a host at random, or a seed while alone."""
         now = self.clock.monotonic()
         self.table.forget_lost(now)
+        self.delays.keep(self.table.heard)
         own = self.own.entry.peer_address
         entries = [row.state.entry for row in self.table.recent(now)]
         known = {entry.peer_address for entry in entries}
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -35,7 +35,8 @@
     a key that is not among them has been removed. ``age`` is how many seconds ago
     the sender's view was known to be complete, None where it never was.
     ``wants_addresses`` asks for all hosts in full. ``wants_news`` is False where
-    another exchange already brings what the sender lacks.
+    another exchange already brings what the sender lacks. ``sent_at`` is by the
+    sender's steady clock.
     """
 
     revision: int
@@ -50,6 +51,7 @@
     whole: bool = False
     loads: list[RegionLoad] = []
     wants_news: bool = True
+    sent_at: float | None = None
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/news_teller.py
@@ -0,0 +1,113 @@
+"""Tell the hosts of a region what the store told the one that watches it."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+import aiohttp
+
+from greengagepoint.protocols import Clock
+from greengagepoint_node.gateway.gossip_messages import Message, encode
+from greengagepoint_node.gateway.transfer import send_seconds
+
+NEWS_PATH: Final = "/v1/news"
+# A peer that takes longer, beside the time for the bytes, is busy or gone.
+TELL_SECONDS: Final = 0.6
+# A peer that is gone takes no place among the large sends for longer.
+CONNECT_TIMEOUT: Final = aiohttp.ClientTimeout(sock_connect=0.3)
+# A message of this size is sent to a few peers at a time. Sent to twenty at once over a
+# link of 5 Mbit/s, 100 KB come through to none of them before the wait for it ends.
+LARGE_BYTES: Final = 16 * 1024
+LARGE_SENDS_MAX: Final = 8
+# Peers that are told the same within this time get the same message.
+SAME_NEWS_SECONDS: Final = 0.05
+
+
+class EncodedNews(NamedTuple):
+    """A message for several peers: what it was made of, when, and its bytes."""
+
+    before: int
+    at: float
+    body: bytes
+
+
+class NewsTeller:
+    """Send each peer one message at a time, always the newest.
+
+    ``message`` makes the one for peers that were told all up to a revision; ``failed``
+    hears of those that could not be sent.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        clock: Clock,
+        message: Callable[[int], Message],
+        failed: Callable[[str, BaseException], None],
+        sent_bytes: Counter[tuple[str, str]],
+    ) -> None:
+        self.session = session
+        self.clock = clock
+        self.message = message
+        self.failed = failed
+        self.sent_bytes = sent_bytes
+        self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
+        self.untold: dict[str, int] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.encoded: EncodedNews | None = None
+
+    def tell(self, address: str, before: int) -> None:
+        """Tell a peer what is new since a revision.
+
+        What comes while a send to it is under way goes with the next one. Dropped, the
+        peer would have an old version, and no word that there is a newer one.
+        """
+        self.untold[address] = min(before, self.untold.get(address, before))
+        # What was encoded before is older than what there is to tell now.
+        self.encoded = None
+        if address in self.tasks:
+            return
+        task = asyncio.get_running_loop().create_task(self._async_tell(address))
+        self.tasks[address] = task
+        task.add_done_callback(lambda _: self.tasks.pop(address, None))
+
+    async def _async_tell(self, address: str) -> None:
+        """Send until the peer has been told the newest."""
+        while address in self.untold:
+            if len(self._body(self.untold[address])) < LARGE_BYTES:
+                await self.async_send(address)
+                continue
+            async with self.large_sends:
+                await self.async_send(address)
+
+    async def async_send(self, address: str) -> None:
+        """Send a peer what it was not told; one that misses it finds its news stale.
+
+        It is encoded only now: after a wait for its turn it would seem fresher to the
+        peer than it is.
+        """
+        body = self._body(self.untold.pop(address))
+        self.sent_bytes["news", "sent"] += len(body)
+        limit_seconds = TELL_SECONDS + send_seconds(len(body))
+        try:
+            async with asyncio.timeout(limit_seconds):
+                async with self.session.post(
+                    f"http://{address}{NEWS_PATH}", data=body, timeout=CONNECT_TIMEOUT
+                ) as answer:
+                    await answer.read()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            self.failed(address, error)
+
+    def _body(self, before: int) -> bytes:
+        """Return the message for peers that were told all up to a revision."""
+        now = self.clock.monotonic()
+        known = self.encoded
+        if (
+            known is None
+            or known.before != before
+            or now - known.at > SAME_NEWS_SECONDS
+        ):
+            known = EncodedNews(before, now, encode(self.message(before)))
+            self.encoded = known
+        return known.body
--- a/packages/node/greengagepoint_node/gateway/packing.py
+++ b/packages/node/greengagepoint_node/gateway/packing.py
@@ -19,7 +19,11 @@
 
 
 class PackedItem(msgspec.Struct, array_like=True, frozen=True):
-    """One key of the store on its way; ``value`` is deflated where it is ``packed``."""
+    """One key of the store on its way; ``value`` is deflated where it is ``packed``.
+
+    A small item travels without the last field, as hosts of the former version send and
+    read it. They refuse a message with a packed one, and ask the store themselves.
+    """
 
     key: str
     value: bytes
@@ -37,10 +41,10 @@
     def __init__(self) -> None:
         self.cached: dict[str, PackedItem] = {}
 
-    def pack(self, item: StoredItem) -> PackedItem:
+    def pack(self, item: StoredItem) -> PackedItem | StoredItem:
         """Return an item as it is sent."""
         if len(item.value) < PACK_BYTES_MIN:
-            return PackedItem(item.key, item.value, item.revision)
+            return item
         known = self.cached.get(item.key)
         if known is None or known.revision != item.revision:
             value = zlib.compress(item.value, LEVEL)
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -50,7 +50,7 @@
         status: int,
         reason: str,
         retry_after: float | None = None,
-        inputs: dict[str, float | int | None] | None = None,
+        inputs: dict[str, float | int | str | None] | None = None,
     ) -> None:
         super().__init__(reason)
         self.kind = kind
--- a/packages/node/greengagepoint_node/gateway/transfer.py
+++ b/packages/node/greengagepoint_node/gateway/transfer.py
@@ -9,8 +9,8 @@
 # Mbit/s and some times that beside the answers to callers. A peer or store that sends a
 # byte now and then is given up after this all the same.
 TRANSFER_SECONDS_MAX: Final = 20.0
-# A sixth of a link of 5 Mbit/s, the smallest that hosts have.
-SEND_BYTES_PER_SECOND_MIN: Final = 100_000
+# A twelfth of a link of 5 Mbit/s, the smallest that hosts have.
+SEND_BYTES_PER_SECOND_MIN: Final = 50_000
 
 
 async def async_read_answer(
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -267,7 +267,8 @@
         self.removed[change.key] = change.revision
         if len(self.removed) > REMOVED_KEPT:
             oldest = next(iter(self.removed))
-            self.removed_complete_after = self.removed.pop(oldest)
+            forgotten = self.removed.pop(oldest)
+            self.removed_complete_after = max(self.removed_complete_after, forgotten)
 
     def _forget(self, key: str, now: float) -> bool:
         """Drop what a removed key said; tell whether membership has changed."""
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -184,6 +184,9 @@
     await async_until(lambda: store.calls == [("snapshot",)])
     view.replace(Snapshot((), 7), 0.0)
     peers.must = False
+    await asyncio.sleep(0.02)
+    assert not counts, "what peers knew before the call may be older than its answer"
+    peers.peers_confirmed_at = follower.clock.monotonic()
     await async_until(lambda: counts["snapshot", "given_up"] == 1)
     # The peers are lost: the host goes on from what they brought.
     peers.must = True
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -259,20 +259,26 @@
     for each in (near, far):
         each.own.count += 1
         await async_exchange(watcher, each)
-    sent = []
+    sent, open_sends = [], [0]
 
-    async def async_tell(entry, body):
-        sent.append(entry.name)
+    async def async_send(address):
+        open_sends[0] += 1
+        assert open_sends[0] == 1
+        sent.append((address, watcher.teller.untold.pop(address)))
         await asyncio.sleep(0.01)
+        open_sends[0] -= 1
 
-    watcher._async_tell = async_tell
-    watcher.confirm(0, 0.0)
-    watcher.confirm(0, 0.0)
-    await asyncio.sleep(0.03)
+    watcher.teller.async_send = async_send
+    watcher.confirm(3, 0.0)
+    await asyncio.sleep(0)
+    # What comes while a send is under way goes with the next one, and only once.
+    watcher.confirm(5, 0.0)
+    watcher.confirm(4, 0.0)
+    await asyncio.sleep(0.05)
     watcher.is_watcher = False
     watcher.confirm(0, 0.0)
-    await asyncio.sleep(0)
-    assert sent == ["h2"]
+    await asyncio.sleep(0.02)
+    assert sent == [("h2:2", 3), ("h2:2", 4)]
 
 
 async def test_a_host_that_starts_again_after_its_clock_went_back_is_heard():
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -11,10 +11,11 @@
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.gateway.daemon import create_peer_session
 from greengagepoint_node.gateway.facts import Changes, HostEntry, StoredItem
-from greengagepoint_node.gateway.gossip import NEWS_PATH, PATH, RECEIVED, SENT, Gossip
+from greengagepoint_node.gateway.gossip import PATH, RECEIVED, SENT, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.host_table import HeardHost
 from greengagepoint_node.gateway.listeners import Listener
+from greengagepoint_node.gateway.news_teller import NEWS_PATH
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.server import ServerLimits
 from greengagepoint_platform.decoding import decode_item
@@ -130,7 +131,7 @@
         asker.hears_of("h0", relay.address)
         first = asyncio.create_task(asker.gossip._async_exchange(relay.address))
         try:
-            await async_until(lambda: asker.gossip.asks_for_news)
+            await async_until(lambda: asker.gossip.asked_for_news_at is not None)
             asker.gossip.own.count += 1
             await asker.gossip._async_exchange(teller.entry.peer_address)
             assert teller.gossip.table.heard["h1"].state.count == 1
--- /dev/null
+++ b/packages/node/tests/test_gateway_news_teller.py
@@ -0,0 +1,165 @@
+"""News for many peers, of which some are gone, slow or behind a full link."""
+
+import asyncio
+import random
+
+import pytest
+from deployment import async_until
+from test_gateway_gossip import NOW, Request, host
+from test_gateway_large_values import async_peers
+
+from greengagepoint_node.gateway.delays import FLOOR_RISE_PER_SECOND, MessageDelays
+from greengagepoint_node.gateway.facts import Changes, StoredItem
+from greengagepoint_node.gateway.gossip import NEWS_SECONDS
+from greengagepoint_node.gateway.gossip_messages import HostState, decode
+from greengagepoint_node.gateway.host_table import HeardHost
+from greengagepoint_node.gateway.news_teller import LARGE_SENDS_MAX, TELL_SECONDS
+from greengagepoint_standins.relay import Relay, SlowLink
+
+LARGE = random.Random(2).randbytes(60_000)
+
+
+class Sending:
+    """One message on its way; peers named dead never take it."""
+
+    def __init__(self, session, url, data):
+        self.session = session
+        self.url = url
+        self.data = data
+
+    async def __aenter__(self):
+        if "dead" in self.url:
+            await asyncio.sleep(3600)
+        self.session.sent.append(self.data)
+        return self
+
+    async def __aexit__(self, *error):
+        return None
+
+    async def read(self):
+        return b""
+
+
+class Session:
+    """Keep what peers took."""
+
+    def __init__(self):
+        self.sent = []
+
+    def post(self, url, data, timeout):
+        return Sending(self, url, data)
+
+
+def watcher_of(*peers):
+    session = Session()
+    watcher = host("w", session=session)
+    for name in peers:
+        state = HostState(host(name).own.entry, 1, 0, leaving=False)
+        watcher.table.heard[name] = HeardHost(state, NOW, NOW)
+    return watcher, session
+
+
+def learn(watcher, revision, before=0):
+    item = StoredItem("x", LARGE, revision)
+    watcher.view.apply(Changes((item,), revision), NOW)
+    watcher.confirm(before, 0.0)
+
+
+async def test_news_that_waited_for_its_turn_is_not_taken_for_fresh():
+    # A configuration is large, and the peers before this one are slow. What it is told
+    # at last was true seconds ago: taken for fresh, routes that were added since would
+    # be refused with 404.
+    watcher, session = watcher_of("p")
+    for _ in range(LARGE_SENDS_MAX):
+        await watcher.teller.large_sends.acquire()
+    learn(watcher, 5)
+    await asyncio.sleep(0)
+    confirmed_at = watcher.confirmed_at
+    watcher.clock.now += 5.0
+    watcher.teller.large_sends.release()
+    await async_until(lambda: session.sent)
+    peer = host("p")
+    peer.clock.now = watcher.clock.now
+    await peer.async_take_news(Request(session.sent[0]))
+    assert peer.view.revision == 5
+    assert peer.peers_confirmed_at <= confirmed_at
+    assert not peer.is_current()
+
+
+async def test_peers_that_are_gone_do_not_keep_a_living_one_from_a_newer_version():
+    # A zone is cut off with eight hosts, and two large versions follow each other. A
+    # host that lives has to get the newer one, not the older one only.
+    watcher, session = watcher_of(*(f"dead{number}" for number in range(8)), "p")
+    learn(watcher, 5)
+    await asyncio.sleep(0.01)
+    learn(watcher, 6, before=5)
+    await async_until(lambda: session.sent)
+    await async_until(lambda: decode(session.sent[-1]).revision == 6)
+    for task in watcher.teller.tasks.values():
+        task.cancel()
+
+
+async def test_a_tick_that_lay_in_a_full_link_is_not_taken_for_fresh():
+    # The watcher's link is full of answers to callers. Word that there is nothing new
+    # lies in it for seconds, long after its sender gave it up. Its receiver would take
+    # itself for up to date, answer 404 on new routes, and not ask the store.
+    async with async_peers(2) as (watcher, peer):
+        link = SlowLink(610_000)
+        relay = Relay(peer.entry.peer_address, there=link)
+        await relay.async_open()
+        watcher.hears_of("h1", relay.address)
+        try:
+            for _ in range(2):
+                watcher.gossip.confirm(0, 0.0)
+                await async_until(lambda: not watcher.gossip.teller.tasks)
+            assert peer.gossip.is_current()
+            link.free_at = asyncio.get_running_loop().time() + 2.5
+            sent_at = watcher.gossip.clock.monotonic()
+            before = peer.gossip.bytes["news", "received"]
+            watcher.gossip.confirm(0, 0.0)
+            await async_until(lambda: peer.gossip.bytes["news", "received"] > before)
+            assert watcher.gossip.failures == 1
+            assert peer.gossip.peers_confirmed_at <= sent_at + TELL_SECONDS
+            assert not peer.gossip.is_current()
+        finally:
+            await relay.async_cut()
+
+
+@pytest.mark.parametrize(("seconds", "revision"), [(0.5, 0), (NEWS_SECONDS + 0.1, 7)])
+async def test_a_peer_that_trickles_keeps_others_from_telling_for_two_seconds_only(
+    seconds, revision
+):
+    # A peer sends its news byte by byte, for as long as it likes. While it was waited
+    # for, no other peer was asked, and the host knew nothing of changes.
+    async with async_peers(2) as (peer, asker):
+        peer.gossip.view.apply(Changes((StoredItem("x", LARGE, 7),), 7), NOW)
+        asker.gossip.asked_for_news_at = asker.gossip.clock.monotonic() - seconds
+        await asker.gossip._async_exchange(peer.entry.peer_address)
+        assert asker.gossip.view.revision == revision
+
+
+@pytest.mark.parametrize(
+    ("messages", "delay"),
+    [
+        ([(1, 5.0, 105.0)], None),
+        ([(1, 5.0, 105.0), (1, 6.0, 106.0)], 0.0),
+        ([(1, 5.0, 105.0), (1, 6.0, 108.0)], 2.0 - 3 * FLOOR_RISE_PER_SECOND),
+        ([(1, 5.0, 105.0), (1, 6.0, 105.5), (1, 7.0, 107.0)], 0.5 - 0.075),
+        ([(1, 5.0, 105.0), (2, 0.0, 106.0)], None),
+        ([(1, 5.0, 105.0), (1, 5.0, 147.0), (1, 45.0, 147.1)], 0.0),
+    ],
+    ids=["first", "alike", "late", "a quicker one", "restarted", "was suspended"],
+)
+def test_a_message_is_compared_with_the_quickest_of_its_sender(messages, delay):
+    delays = MessageDelays()
+    for started, sent_at, now in messages:
+        found = delays.note("h1", started, sent_at, now)
+    assert found == (None if delay is None else pytest.approx(delay))
+
+
+def test_delays_of_peers_that_are_gone_are_forgotten():
+    delays = MessageDelays()
+    delays.note("h1", 1, 0.0, 0.0)
+    delays.note("h2", 1, 0.0, 0.0)
+    delays.keep({"h2"})
+    assert set(delays.quickest) == {"h2"}
--- a/packages/node/tests/test_gateway_packing.py
+++ b/packages/node/tests/test_gateway_packing.py
@@ -16,7 +16,9 @@
 @given(st.binary(max_size=5_000), st.integers(1, 2**40))
 def test_what_is_packed_comes_out_as_it_was(value, revision):
     item = StoredItem("key", value, revision)
-    assert ItemPacker().unpack(ItemPacker().pack(item)) == item
+    sent = msgspec.msgpack.encode(ItemPacker().pack(item))
+    received = msgspec.msgpack.decode(sent, type=PackedItem)
+    assert ItemPacker().unpack(received) == item
 
 
 def test_a_large_configuration_takes_a_tenth_of_its_size():
@@ -39,6 +41,16 @@
     assert packer.pack(packer.unpack(sent)) is sent
 
 
+def test_a_host_of_the_former_version_reads_small_items_only():
+    # A fleet is upgraded host by host. A former host that refused each message with an
+    # item would drop heartbeats with it, and take the new hosts for dead.
+    small = msgspec.msgpack.encode(ItemPacker().pack(StoredItem("key", b"x", 5)))
+    assert msgspec.msgpack.decode(small, type=StoredItem) == ("key", b"x", 5)
+    large = ItemPacker().pack(StoredItem("key", b"x" * 10_000, 5))
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.msgpack.decode(msgspec.msgpack.encode(large), type=StoredItem)
+
+
 def test_packed_values_that_are_kept_have_a_bound():
     packer = ItemPacker()
     for number in range(2 * packing.CACHED_MAX):
--- a/packages/node/tests/test_gateway_transfer.py
+++ b/packages/node/tests/test_gateway_transfer.py
@@ -68,4 +68,4 @@
 
 
 def test_a_large_message_may_take_longer_to_send():
-    assert transfer.send_seconds(58_000) == pytest.approx(0.58)
+    assert transfer.send_seconds(58_000) == pytest.approx(1.16)
--- a/packages/node/tests/test_gateway_view.py
+++ b/packages/node/tests/test_gateway_view.py
@@ -17,6 +17,7 @@
     ServicePolicy,
     create_route_table,
 )
+from greengagepoint_node.gateway import view as module
 from greengagepoint_node.gateway.facts import (
     Changes,
     Configuration,
@@ -203,3 +204,15 @@
         assert fleet.routes.version >= before
     assert members(fleet) == ["i-5"]
     assert fleet.routes.version == 9
+
+
+def test_what_is_not_known_of_removals_stays_so(monkeypatch):
+    # A host read everything anew, so it does not know what was removed before. As many
+    # removals follow as it keeps. A peer that asks from before must be sent all items,
+    # or it would keep servers that left.
+    monkeypatch.setattr(module, "REMOVED_KEPT", 2)
+    view = FleetView(ZONES, lambda item: Evacuation(item.key), Lines())
+    view.apply(Changes((RemovedKey("a", 10), RemovedKey("b", 11)), 11), 0.0)
+    view.replace(Snapshot((), 100), 0.0)
+    view.apply(Changes((RemovedKey("c", 101),), 101), 0.0)
+    assert isinstance(view.changes_after(50), Snapshot)
--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -136,3 +136,16 @@
         await client.async_close()
         await relay.async_cut()
         await store.async_stop()
+
+
+async def test_a_snapshot_is_as_old_as_the_first_of_its_pages():
+    # The store is slow, and the second page begins late. A configuration on the first
+    # one may have been replaced meanwhile: taken for fresh, it would be passed on to
+    # the whole region as the newest.
+    async with async_client() as (client, store):
+        for number in range(600):
+            put(store, f"servers/i-{number}", str(number))
+        store.control.page_seconds = 0.3
+        snapshot = await client.async_snapshot()
+        assert len(snapshot.items) == 600
+        assert snapshot.arriving_seconds >= 0.3
--- a/packages/standins/greengagepoint_standins/users_platform/store.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store.py
@@ -82,6 +82,7 @@
 
     async def _async_range(self, request: web.Request) -> web.Response:
         """Return a page of items."""
+        await asyncio.sleep(self.control.page_seconds)
         prefix = request.query.get("pathPrefix", "")
         after = request.query.get("after", "")
         keys = sorted(
--- a/packages/standins/greengagepoint_standins/users_platform/store_items.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store_items.py
@@ -21,13 +21,15 @@
     """What is out of order; may be changed while the store runs.
 
     ``status`` answers every call with that status; ``hangs`` answers none.
-    ``lost_writes`` are done and not answered; ``silent_watches`` hear nothing.
+    ``lost_writes`` are done and not answered; ``silent_watches`` hear nothing. A page
+    of items begins after ``page_seconds``.
     """
 
     status: int = 0
     hangs: bool = False
     lost_writes: bool = False
     silent_watches: bool = False
+    page_seconds: float = 0.0
     calls: int = 0
 
 
