Hold each run of a backend server apart, and refuse entries that name none

Cause: an id stood for a server. One that starts again under its id kept the former run's address, load, failures, warm keys, leaving mark and kept connections. A bad entry left the former good one in force, and a state that nobody knows counted as leaving.

Ruled out: a table keyed by id and born (every reader of an id would have to know which is the newer); taking a missing `born` for a bad entry (nothing shows that today's servers write it); keeping only the newest write of a key (news that comes late, of a removal between two runs, then ended in no server at all).

Change: a newer run is a new row; what ends at the former row changes that row alone. Incarnation (id, born, address) is the key of the leaving set, tried servers, warm keys, cold-start allowance and kept connections; ranks stay by id. KeyWrites orders the writes of a key: the newer born goes first where both are known, else the store's revision. Entries of servers, hosts and evacuations are checked whole; a refused one ends what its key said. An unnamed service waits for the configuration that names it. Removals of keys that are not known yet are kept too, so a late write does not bring them back.

The row `new` of test_only_a_ready_server_gets_requests said that an unknown state counts as leaving; the users' text says that such an entry is bad. It is replaced by the rows `state` of test_platform_entries.py, which demand that nothing of the key is used. Tests that named servers by id in leaving, tried and warm name the incarnation now.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.placing.ranking import RankCache
-from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.placing.tables import Incarnation, Server, ServerTable
 
 # A warm run takes about 0.4 of the response-time goal, so a wait of half of it still
 # ends in time. A queue that is let grow beyond makes every answer late, at the same
@@ -37,8 +37,8 @@
     key: str | None
     goal_seconds: float
     seconds_left: float
-    tried: frozenset[str] = frozenset()
-    warm: Sequence[str] = ()
+    tried: frozenset[Incarnation] = frozenset()
+    warm: Sequence[Incarnation] = ()
     away_seconds: float = 0.0
 
 
@@ -87,7 +87,7 @@
         server
         for region in wanted.regions
         for server in table.find(wanted.service, region).servers
-        if server.instance not in wanted.tried
+        if server.incarnation not in wanted.tried
     ]
     if not servers:
         return NoPlace(retry_seconds=1.0, servers_known=False)
@@ -132,7 +132,7 @@
         server
         for region in wanted.regions
         for server in ranks.rank(table, wanted.service, region, wanted.key)
-        if server.instance not in wanted.tried
+        if server.incarnation not in wanted.tried
     ]
 
 
@@ -148,7 +148,7 @@
     if wanted.key is None:
         return sound
     usable = [row for row in servers if row.suspect_until <= now]
-    known = [row for row in usable if row.instance in wanted.warm]
+    known = [row for row in usable if row.incarnation in wanted.warm]
     first_known = [row for row in sound if row in known]
     return first_known + [row for row in known if row not in sound] or sound[:1]
 
--- a/packages/core/greengagepoint/placing/cold_start.py
+++ b/packages/core/greengagepoint/placing/cold_start.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from greengagepoint.overload.token_bucket import TokenBucket, take
+from greengagepoint.placing.tables import Incarnation
 from greengagepoint.rendezvous import rank
 
 # Of the rate that a cold server bears, the part that hosts use; the rest is for hosts
@@ -29,10 +30,10 @@
     def __init__(self, host: str, started_at: float) -> None:
         self.host = host
         self.started_at = started_at
-        self.buckets: dict[str, TokenBucket] = {}
+        self.buckets: dict[Incarnation, TokenBucket] = {}
 
     def may_send(
-        self, instance: str, rate: float, hosts: Sequence[str], now: float
+        self, server: Incarnation, rate: float, hosts: Sequence[str], now: float
     ) -> bool:
         """Take a send from this host's part of a cold server's rate.
 
@@ -41,14 +42,14 @@
         if now - self.started_at < START_SECONDS:
             return False
         wanted = max(1, min(SENDERS_MAX, math.floor(rate * USED_SHARE)))
-        senders = rank(instance, hosts)[:wanted]
+        senders = rank(server.instance, hosts)[:wanted]
         if self.host not in senders:
             return False
         own_rate = rate * USED_SHARE / len(senders)
-        bucket = self.buckets.setdefault(instance, TokenBucket(1.0, now))
+        bucket = self.buckets.setdefault(server, TokenBucket(1.0, now))
         return take(bucket, own_rate, 1.0, now) == 0.0
 
-    def keep(self, instances: set[str]) -> None:
+    def keep(self, servers: set[Incarnation]) -> None:
         """Forget servers that are gone."""
-        for instance in [name for name in self.buckets if name not in instances]:
-            del self.buckets[instance]
+        for server in [row for row in self.buckets if row not in servers]:
+            del self.buckets[server]
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Final, NamedTuple
 
 # How fast a load report loses its weight. A server's queue turns over in half a second,
 # and a host hears of each server about once a second; dropped at a fixed age instead, a
@@ -15,9 +15,25 @@
 SERVICE_SECONDS_WEIGHT: Final = 0.05
 
 
+class Incarnation(NamedTuple):
+    """One run of a backend server, which may start again under its id.
+
+    ``born`` is the Unix millisecond of its start, 0 where it does not say. A server
+    keeps its address for a run, so another address is another run as well.
+    """
+
+    instance: str
+    born: int
+    address: str
+
+
 @dataclass(slots=True)
 class Server:
-    """One lifetime of a backend server; times are monotonic seconds."""
+    """One incarnation of a backend server; times are monotonic seconds.
+
+    A newer incarnation is a new row. What is still in flight at the older one is held
+    by its own row, which is in no table any more.
+    """
 
     instance: str
     service: str
@@ -34,6 +50,12 @@
     failures: int = 0
     answered_at: float = float("-inf")
     service_seconds: float = SERVICE_SECONDS_START
+    born: int = 0
+    incarnation: Incarnation = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the name of this run, which is looked up for each request."""
+        self.incarnation = Incarnation(self.instance, self.born, self.address)
 
     def occupancy(self, now: float) -> float:
         """Return how many requests the server holds, as far as this host can tell.
@@ -77,12 +99,15 @@
 class ServerTable:
     """All backend servers, and which of them may get requests.
 
-    ``version`` changes whenever membership does, so that ranks can be kept by it.
+    ``servers`` holds the newest incarnation of each id. ``services`` are those that
+    may have members, None while that is not known. ``version`` changes whenever
+    membership does, so that ranks can be kept by it.
     """
 
     servers: dict[str, Server] = field(default_factory=dict)
-    leaving: set[str] = field(default_factory=set)
+    leaving: set[Incarnation] = field(default_factory=set)
     evacuated_zones: frozenset[str] = frozenset()
+    services: frozenset[str] | None = None
     members: dict[tuple[str, str], Members] = field(default_factory=dict)
     regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
@@ -95,6 +120,10 @@
         """Return the regions in which a service has members, in order of name."""
         return self.regions.get(service, ())
 
+    def holds(self, server: Server) -> bool:
+        """Tell whether a server is the newest incarnation of its id."""
+        return self.servers.get(server.instance) is server
+
     def set_senders(self, senders: int) -> None:
         """Take in how many hosts send to the same servers as this one."""
         for server in self.servers.values():
@@ -116,11 +145,14 @@
         self.regions = {service: tuple(names) for service, names in regions.items()}
 
     def _eligible(self) -> Iterable[Server]:
-        """Yield servers that neither leave nor stand in an evacuated zone."""
-        for instance, server in self.servers.items():
-            if instance in self.leaving or server.zone in self.evacuated_zones:
+        """Yield servers that have a service, stay, and stand in no evacuated zone."""
+        for server in self.servers.values():
+            if self.services is not None and server.service not in self.services:
+                continue
+            if server.incarnation in self.leaving:
                 continue
-            yield server
+            if server.zone not in self.evacuated_zones:
+                yield server
 
 
 NO_MEMBERS: Final = Members()
--- a/packages/core/greengagepoint/placing/warm_keys.py
+++ b/packages/core/greengagepoint/placing/warm_keys.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from greengagepoint.placing.tables import Incarnation
+
 # 10,000 keys of 25 bytes with two servers each take 3.5 MB.
 KEYS_MAX: Final = 10_000
 # Servers keep the last 29 to 67 objects that they worked on. Where each has a few times
@@ -18,28 +20,28 @@
 
 @dataclass(slots=True)
 class WarmKeys:
-    """Instances by key, with the time of the last run; monotonic seconds."""
+    """Servers by key, with the time of the last run; monotonic seconds."""
 
-    runs: dict[str, dict[str, float]] = field(default_factory=dict)
+    runs: dict[str, dict[Incarnation, float]] = field(default_factory=dict)
 
-    def note(self, key: str, instance: str, now: float) -> None:
+    def note(self, key: str, server: Incarnation, now: float) -> None:
         """Take in that a key runs on a server."""
-        instances = self.runs.pop(key, {})
-        instances[instance] = now
-        self.runs[key] = instances
+        servers = self.runs.pop(key, {})
+        servers[server] = now
+        self.runs[key] = servers
         if len(self.runs) > KEYS_MAX:
             del self.runs[next(iter(self.runs))]
 
-    def forget(self, key: str, instance: str) -> None:
+    def forget(self, key: str, server: Incarnation) -> None:
         """Take in that a key did not run on a server after all."""
-        self.runs.get(key, {}).pop(instance, None)
+        self.runs.get(key, {}).pop(server, None)
 
-    def instances(self, key: str, now: float) -> tuple[str, ...]:
+    def servers(self, key: str, now: float) -> tuple[Incarnation, ...]:
         """Return where a key is warm, in the order of its first runs there."""
         found = self.runs.get(key)
         if not found:
             return ()
         oldest = now - WARM_SECONDS
-        for instance in [name for name, at in found.items() if at < oldest]:
-            del found[instance]
+        for server in [row for row, at in found.items() if at < oldest]:
+            del found[server]
         return tuple(found)
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -32,7 +32,8 @@
     """Totals since the start.
 
     Keys are (service, route, outcome) for requests, (service, verdict) for tries,
-    (service, region) for where requests ran, (operation, outcome) for store calls.
+    (service, region) for where requests ran, (operation, outcome) for store calls,
+    (reason,) for items of the store that were refused.
     """
 
     def __init__(self) -> None:
@@ -40,6 +41,7 @@
         self.tries: Counter[tuple[str, str]] = Counter()
         self.regions: Counter[tuple[str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str]] = Counter()
+        self.refused_items: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.routes: set[str] = set()
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -90,7 +90,9 @@
         self.ready_path = ready_path
         self.random = random.Random()
         self.stop_wanted = asyncio.Event()
-        self.view = FleetView(settings.zones, decode, events)
+        self.view = FleetView(
+            settings.zones, decode, events, self.counters.refused_items
+        )
         self.entry = HostEntry(
             settings.host,
             settings.region,
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -92,7 +92,7 @@
                 headers=sending.headers,
                 data=sending.body,
                 allow_redirects=False,
-                middlewares=(SendOnce(lambda: True),),
+                middlewares=(SendOnce(lambda: True, server.incarnation),),
             )
             try:
                 return await _async_read(names, answer, sending)
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -1,10 +1,13 @@
 """What a platform's store tells, decoded into the product's own words."""
 
 from collections.abc import Callable
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 import msgspec
 
+from greengagepoint.errors import RecordError
+from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 
 
@@ -44,7 +47,10 @@
 
 
 class ServerEntry(NamedTuple):
-    """What a backend server says of itself; ``cold_seconds`` are left of its start."""
+    """What a backend server says of itself; ``cold_seconds`` are left of its start.
+
+    ``born`` is the Unix millisecond of its start, 0 where it does not say.
+    """
 
     instance: str
     service: str
@@ -53,6 +59,12 @@
     slots: int
     leaving: bool
     cold_seconds: float
+    born: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return which run of the server the entry is of."""
+        return Incarnation(self.instance, self.born, self.address)
 
 
 class Evacuation(NamedTuple):
@@ -72,6 +84,28 @@
 
 
 Fact = Configuration | ServerEntry | Evacuation | HostEntry
+
+
+class RefusedFor(StrEnum):
+    """What is wrong with an item that is refused."""
+
+    UNREADABLE = "unreadable"
+    KEY = "key"
+    FIELD = "field"
+    STATE = "state"
+    ADDRESS = "address"
+    ZONE = "zone"
+    SERVICE = "service"
+
+
+class ItemRefusedError(RecordError):
+    """Refuse an item of the store; ``field`` is its key."""
+
+    def __init__(self, detail: str, reason: RefusedFor, key: str) -> None:
+        super().__init__(detail, field=key)
+        self.reason = reason
+
+
 DecodeItem = Callable[[StoredItem], Fact | None]
 
 
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -12,7 +12,7 @@
 from greengagepoint.events import Event
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.placing.choice import NoPlace
-from greengagepoint.placing.tables import Server
+from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
 from greengagepoint.routing.split import WeightedSplit
 from greengagepoint.routing.tables import find_route
@@ -215,7 +215,7 @@
     ) -> web.Response:
         """Try servers until one answers or the request may not be sent again."""
         self.placer.take_caller()
-        tried: set[str] = set()
+        tried: set[Incarnation] = set()
         last: Exchange | None = None
         may_have_run = False
         server: Server | None = None
@@ -225,7 +225,7 @@
             left = call.ends_at - self.clock.monotonic()
             if server is None or left < SECONDS_LEFT_MIN:
                 break
-            tried.add(server.instance)
+            tried.add(server.incarnation)
             sending = self._sending(request, call, body, server, left)
             last = await self._async_try(call, server, sending, tried, attempt)
             if last.verdict is Verdict.ANSWERED:
@@ -237,7 +237,7 @@
         raise no_answer(last, may_have_run=may_have_run)
 
     def next_server(
-        self, call: Call, tried: set[str], last: Verdict | None
+        self, call: Call, tried: set[Incarnation], last: Verdict | None
     ) -> Server | None:
         """Return where to send a request next, None where it is not sent again.
 
@@ -290,7 +290,7 @@
         call: Call,
         server: Server,
         sending: Sending,
-        tried: set[str],
+        tried: set[Incarnation],
         attempt: int,
     ) -> Exchange:
         """Send the request to one server and learn from how that ends."""
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -85,6 +85,11 @@
             "Calls to the platform's store, by how they ended.",
             lambda: _rows(counters.store_calls, "operation", "outcome"),
         )
+        yield Instrument(
+            "store_items_refused",
+            "Items of the platform's store that were refused, by reason.",
+            lambda: _rows(counters.refused_items, "reason"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from greengagepoint.placing.patience import silent_after
-from greengagepoint.placing.tables import Server
+from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.exchange import Sending, Verdict
@@ -19,7 +19,7 @@
     leaving: bool
 
     def next_server(
-        self, call: Call, tried: set[str], last: Verdict | None
+        self, call: Call, tried: set[Incarnation], last: Verdict | None
     ) -> Server | None:
         """Return the next server, or None where the request is not sent again."""
 
@@ -33,7 +33,7 @@
         call: Call,
         server: Server,
         sending: Sending,
-        tried: set[str],
+        tried: set[Incarnation],
     ) -> None:
         self.successors = successors
         self.call = call
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -13,7 +13,7 @@
 from greengagepoint.placing.regions import region_for_key, runs_near
 from greengagepoint.placing.room import RoomWatch
 from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_leave
-from greengagepoint.placing.tables import Server
+from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.placing.warm_keys import WarmKeys
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call
@@ -56,7 +56,9 @@
         self.serving_hosts: list[str] = [host]
         self.round_trip_seconds = 0.0
 
-    def place(self, call: Call, tried: frozenset[str], now: float) -> Server | NoPlace:
+    def place(
+        self, call: Call, tried: frozenset[Incarnation], now: float
+    ) -> Server | NoPlace:
         """Choose a server for a request that has not been sent to ``tried``."""
         weight_key = self._weight_key(call)
         region = region_for_key(_key_of(call), self.weights.current(weight_key))
@@ -76,7 +78,7 @@
         return place
 
     def _wanted(
-        self, call: Call, region: str, tried: frozenset[str], now: float
+        self, call: Call, region: str, tried: frozenset[Incarnation], now: float
     ) -> Wanted:
         """Return what a request asks of the choice."""
         return Wanted(
@@ -86,7 +88,7 @@
             call.route.goal_seconds,
             call.ends_at - now,
             tried,
-            self.warm_keys.instances(call.key, now) if call.key else (),
+            self.warm_keys.servers(call.key, now) if call.key else (),
             self.distance(region),
         )
 
@@ -95,7 +97,7 @@
         rate = self._cold_rate(call.service)
 
         def may_send(server: Server) -> bool:
-            return self.cold.may_send(server.instance, rate, self.serving_hosts, now)
+            return self.cold.may_send(server.incarnation, rate, self.serving_hosts, now)
 
         return Permissions(may_send, self.waiting.withdraw, self.moving.withdraw)
 
@@ -111,7 +113,7 @@
         if call.key:
             # The server takes the key in as the run begins, so the next caller of the
             # key finds it warm before the first one is answered.
-            self.warm_keys.note(call.key, server.instance, now)
+            self.warm_keys.note(call.key, server.incarnation, now)
 
     def take_caller(self) -> None:
         """Count one caller toward what a part of them may use up."""
@@ -129,7 +131,9 @@
     ) -> None:
         """Keep what a try says of its server; ``waited`` is what was expected."""
         if call.key and exchange.verdict in NOT_RUN:
-            self.warm_keys.forget(call.key, server.instance)
+            self.warm_keys.forget(call.key, server.incarnation)
+        if not self.view.servers.holds(server):
+            return
         load = read_load(exchange.load)
         if load is not None:
             server.take_report(load.running, load.waiting, now)
@@ -144,12 +148,14 @@
         elif exchange.verdict is Verdict.SHED:
             suspicion.note_answer(server, now)
         elif exchange.verdict is Verdict.OTHER_SERVER:
-            self.view.note_replaced(server.instance)
+            self.view.note_replaced(server.incarnation)
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.suspect(server, exchange.verdict, now)
 
     def suspect(self, server: Server, verdict: Verdict, now: float) -> None:
-        """Spare a server for a while."""
+        """Spare a server for a while, unless a newer one has its id."""
+        if not self.view.servers.holds(server):
+            return
         suspicion.note_failure(server, now)
         self.events.record(
             Event.BACKEND_SERVER_SUSPECTED,
@@ -163,7 +169,7 @@
         """Look at the room there is, and drop what is kept of servers that are gone."""
         self.room.tick(self.view.servers, now)
         self.loads.measure(self.view.servers, now)
-        self.cold.keep(set(self.view.servers.servers))
+        self.cold.keep({row.incarnation for row in self.view.servers.servers.values()})
 
     def _elsewhere(self, key: WeightKey, region: str, now: float) -> list[Elsewhere]:
         """Return the other region with the most free slots, if any may run a key.
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -1,11 +1,12 @@
 """What this host believes of the fleet, from the store and from peers."""
 
+from collections import Counter
 from collections.abc import Iterable
 from typing import Final
 
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
-from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.facts import (
@@ -15,11 +16,16 @@
     Evacuation,
     Fact,
     HostEntry,
+    ItemRefusedError,
+    RefusedFor,
     RemovedKey,
     ServerEntry,
     Snapshot,
     StoredItem,
 )
+from greengagepoint_node.gateway.known_servers import KnownServers
+from greengagepoint_node.gateway.refused import RefusedItems
+from greengagepoint_node.gateway.writes import KeyWrites, Write
 
 # Peers that lag further behind get everything instead of the removed keys.
 REMOVED_KEPT: Final = 2_000
@@ -34,24 +40,33 @@
     """Keep the newest items of the store, and what they say, in tables.
 
     The store's revision orders all that comes in, whether from a watch, a snapshot or
-    a peer, so nothing that is in force ever goes back.
+    a peer, so nothing that is in force ever goes back. Of two runs of a server that
+    say when they were born, the newer one goes first. An item that is refused says
+    nothing, and ends what its key said before; only a configuration stays.
     """
 
     def __init__(
-        self, zones: dict[str, str], decode: DecodeItem, events: EventSink
+        self,
+        zones: dict[str, str],
+        decode: DecodeItem,
+        events: EventSink,
+        refused: Counter[tuple[str]] | None = None,
     ) -> None:
         self.zones = zones
         self.decode = decode
         self.events = events
         self.revision = 0
-        self.items: dict[str, StoredItem] = {}
+        self.writes: dict[str, KeyWrites] = {}
         self.facts: dict[str, Fact] = {}
         self.removed: dict[str, int] = {}
         self.removed_complete_after = 0
         self.lapsed: dict[str, float] = {}
         self.routes: RouteTable | None = None
         self.configured_at: float | None = None
-        self.servers = ServerTable()
+        self.known = KnownServers(zones, events)
+        self.servers = self.known.table
+        self.refused = RefusedItems(events, Counter() if refused is None else refused)
+        self.unnamed: dict[str, ServerEntry] = {}
         self.hosts: dict[str, HostEntry] = {}
         self.evacuated_at: dict[str, float] = {}
         self.lapses_until = float("-inf")
@@ -70,8 +85,8 @@
         present = {item.key for item in snapshot.items}
         missing = [
             RemovedKey(key, snapshot.revision)
-            for key, item in self.items.items()
-            if key not in present and item.revision <= snapshot.revision
+            for key, writes in self.writes.items()
+            if key not in present and writes.newest.item.revision <= snapshot.revision
         ]
         if snapshot.revision < self.revision:
             return
@@ -102,7 +117,7 @@
                 rebuild |= self._remove(change, change.key in may_have_lapsed, now)
         self.revision = max(self.revision, changes.revision)
         if rebuild:
-            self._rebuild()
+            self._rebuild(now)
 
     def changes_after(self, revision: int) -> Changes | Snapshot:
         """Return what a peer at a revision lacks.
@@ -112,8 +127,8 @@
         hosts and a restart of others, two hosts sent to such servers 13 s later.
         """
         if revision < self.removed_complete_after:
-            return Snapshot(tuple(self.items.values()), self.revision)
-        items = [item for item in self.items.values() if item.revision > revision]
+            return Snapshot(tuple(self._items()), self.revision)
+        items = [item for item in self._items() if item.revision > revision]
         removed = [
             RemovedKey(key, gone_at)
             for key, gone_at in self.removed.items()
@@ -121,63 +136,93 @@
         ]
         return Changes((*items, *removed), self.revision)
 
-    def note_replaced(self, instance: str) -> None:
+    def _items(self) -> Iterable[StoredItem]:
+        """Yield all writes that count, so that a peer comes to the same belief."""
+        for writes in self.writes.values():
+            for write in writes.writes:
+                yield write.item
+
+    def note_replaced(self, incarnation: Incarnation) -> None:
         """Take in that another server answers at the address of this one.
 
         A server keeps its address for its lifetime, so this one has ended. Its entry
         lapses seconds later; until then each of its requests would be turned away, and
         sent again at the expense of the retry budget.
         """
-        if instance in self.servers.leaving or instance not in self.servers.servers:
-            return
-        self.servers.leaving.add(instance)
-        self.events.record(
-            Event.BACKEND_SERVER_LEAVING,
-            instance=instance,
-            reason="another server answers at its address",
-            revision=self.revision,
-        )
-        self._rebuild()
+        if self.known.note_replaced(incarnation, self.revision):
+            self._work_out_members()
 
     def tick(self, now: float) -> None:
         """Give up servers whose entries lapsed and did not come back."""
         over = [key for key, until in self.lapsed.items() if until <= now]
         for key in over:
             del self.lapsed[key]
-            self._forget(key, now)
+            self._settle(key, now)
         if over:
-            self._rebuild()
+            self._rebuild(now)
 
     def _store(self, item: StoredItem, now: float) -> bool:
         """Take in one item; tell whether the servers' membership may have changed."""
-        known = self.items.get(item.key)
-        if known is not None and known.revision >= item.revision:
+        key = item.key
+        writes = self.writes.get(key) or KeyWrites(self.removed.get(key, 0))
+        if not writes.lacks(item.revision):
             return False
-        if self.removed.get(item.key, 0) > item.revision:
+        write = self._read(item)
+        counts = writes.take(write)
+        if writes.floor > self.removed.get(key, 0):
+            # Peers that have what came before it can't tell that it counts no more.
+            self._note_removed(RemovedKey(key, writes.floor))
+        if not counts:
             return False
-        self.items[item.key] = item
-        self.lapsed.pop(item.key, None)
+        self.writes[key] = writes
+        if write.error is not None:
+            self.refused.note(key, write.error, now)
+        return self._settle(key, now)
+
+    def _read(self, item: StoredItem) -> Write:
+        """Return an item with what it says, or why it is refused."""
         try:
             fact = self.decode(item)
+            self._check_zone(item.key, fact)
         except RecordError as error:
-            # The last good one stays in force, as an operator would expect.
-            self.events.record(
-                Event.RECORD_REFUSED,
-                key=item.key,
-                field=error.field,
-                detail=error.detail,
-            )
-            return False
-        if fact is None:
+            return Write(item, error=error)
+        return Write(item, fact)
+
+    def _check_zone(self, key: str, fact: Fact | None) -> None:
+        """Raise ItemRefusedError where a fact names a zone that the settings do not."""
+        stands = isinstance(fact, ServerEntry | HostEntry | Evacuation)
+        if stands and fact.zone not in self.zones:
+            detail = f"no zone is called {fact.zone!r}"
+            raise ItemRefusedError(detail, RefusedFor.ZONE, key)
+
+    def _settle(self, key: str, now: float) -> bool:
+        """Put in force what a key says now; tell whether membership may have changed.
+
+        A server whose entry lapsed stays until the lapse is over or it is replaced,
+        which a run that was born before it can't do.
+        """
+        writes = self.writes.get(key)
+        wanted = writes.in_force.fact if writes is not None else None
+        known = self.facts.get(key)
+        if key in self.lapsed:
+            if writes is None or _is_older(wanted, known):
+                return False
+            del self.lapsed[key]
+        if wanted is known:
             return False
-        self.facts[item.key] = fact
-        return self._take(fact, now)
+        if wanted is None:
+            return self._forget(
+                key, "entry removed" if writes is None else "refused", now
+            )
+        self.facts[key] = wanted
+        return self._take(wanted, now)
 
     def _take(self, fact: Fact, now: float) -> bool:
         """Put a fact in force; tell whether membership may have changed."""
         if isinstance(fact, Configuration):
+            before = self.routes
             self._take_configuration(fact.table, now)
-            return False
+            return self.routes is not before
         if isinstance(fact, HostEntry):
             self.hosts[fact.name] = fact
             return False
@@ -187,7 +232,8 @@
                 Event.ZONE_EVACUATED, zone=fact.zone, revision=self.revision
             )
             return True
-        return self._take_server(fact, now)
+        self.known.take(fact, self.revision, now)
+        return True
 
     def _take_configuration(self, table: RouteTable, now: float) -> None:
         """Put a configuration in force unless a newer one is."""
@@ -201,64 +247,35 @@
             revision=self.revision,
         )
 
-    def _take_server(self, entry: ServerEntry, now: float) -> bool:
-        """Take in a backend server's entry."""
-        table = self.servers
-        server = table.servers.get(entry.instance)
-        if server is None:
-            server = Server(
-                instance=entry.instance,
-                service=entry.service,
-                address=entry.address,
-                zone=entry.zone,
-                region=self.zones.get(entry.zone, ""),
-                slots=max(1, entry.slots),
-            )
-            table.servers[entry.instance] = server
-        if entry.cold_seconds > 0:
-            server.cold_until = max(server.cold_until, now + entry.cold_seconds)
-        if entry.leaving and entry.instance not in table.leaving:
-            table.leaving.add(entry.instance)
-            self.events.record(
-                Event.BACKEND_SERVER_LEAVING,
-                instance=entry.instance,
-                reason="draining",
-                revision=self.revision,
-            )
-        return True
-
     def _remove(self, change: RemovedKey, may_have_lapsed: bool, now: float) -> bool:
         """Take in a removal; tell whether membership may have changed."""
-        known = self.items.get(change.key)
-        if known is None or known.revision >= change.revision:
-            return False
-        del self.items[change.key]
+        key = change.key
         self._note_removed(change)
-        if may_have_lapsed and isinstance(self.facts.get(change.key), ServerEntry):
-            self.lapsed[change.key] = now + LAPSED_SECONDS
+        writes = self.writes.get(key)
+        if writes is None:
             return False
-        return self._forget(change.key, now)
+        writes.remove(change.revision)
+        if writes.writes:
+            return self._settle(key, now)
+        del self.writes[key]
+        if may_have_lapsed and isinstance(self.facts.get(key), ServerEntry):
+            self.lapsed[key] = now + LAPSED_SECONDS
+            return False
+        return self._settle(key, now)
 
     def _note_removed(self, change: RemovedKey) -> None:
         """Keep a removal for peers that have yet to hear of it."""
-        self.removed.pop(change.key, None)
-        self.removed[change.key] = change.revision
+        known = self.removed.pop(change.key, 0)
+        self.removed[change.key] = max(known, change.revision)
         if len(self.removed) > REMOVED_KEPT:
-            oldest = next(iter(self.removed))
-            self.removed_complete_after = self.removed.pop(oldest)
+            oldest = self.removed.pop(next(iter(self.removed)))
+            self.removed_complete_after = max(self.removed_complete_after, oldest)
 
-    def _forget(self, key: str, now: float) -> bool:
-        """Drop what a removed key said; tell whether membership has changed."""
+    def _forget(self, key: str, reason: str, now: float) -> bool:
+        """Drop what a key said; tell whether membership has changed."""
         fact = self.facts.pop(key, None)
         if isinstance(fact, ServerEntry):
-            self.servers.servers.pop(fact.instance, None)
-            self.servers.leaving.discard(fact.instance)
-            self.events.record(
-                Event.BACKEND_SERVER_LEAVING,
-                instance=fact.instance,
-                reason="entry removed",
-                revision=self.revision,
-            )
+            self.known.forget(fact, reason, self.revision)
             return True
         if isinstance(fact, Evacuation):
             self._end_evacuation(fact.zone, now)
@@ -283,7 +300,39 @@
         policy = self.routes.services.get(service) if self.routes else None
         return policy.cold_seconds if policy else 0.0
 
-    def _rebuild(self) -> None:
+    def _rebuild(self, now: float) -> None:
+        """Work out the servers' membership again, and tell of unnamed services.
+
+        An entry may be read before the configuration that names its service, so it is
+        kept, and its server is a member once one does.
+        """
+        if self.routes is not None:
+            self.servers.services = frozenset(self.routes.services)
+            self._note_unnamed(self.servers.services, now)
+        self._work_out_members()
+
+    def _note_unnamed(self, services: frozenset[str], now: float) -> None:
+        """Tell of the entries whose service the configuration does not name."""
+        unnamed = {
+            key: fact
+            for key, fact in self.facts.items()
+            if isinstance(fact, ServerEntry) and fact.service not in services
+        }
+        for key, fact in unnamed.items():
+            if self.unnamed.get(key) is not fact:
+                detail = f"no service is called {fact.service!r}"
+                error = ItemRefusedError(detail, RefusedFor.SERVICE, key)
+                self.refused.note(key, error, now)
+        self.unnamed = unnamed
+
+    def _work_out_members(self) -> None:
         """Work out the servers' membership again."""
         self.servers.evacuated_zones = frozenset(self.evacuated_at)
         self.servers.rebuild()
+
+
+def _is_older(wanted: Fact | None, known: Fact | None) -> bool:
+    """Tell whether an entry is of a run that was born before the known one."""
+    if not isinstance(wanted, ServerEntry) or not isinstance(known, ServerEntry):
+        return False
+    return bool(wanted.born) and wanted.born < known.born
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -1,10 +1,11 @@
 """HTTP client session towards backend servers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 from typing import Final, NamedTuple
 
 import aiohttp
 from aiohttp import ClientHandlerType, SocketFactoryType
+from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
 CONNECT_SECONDS: Final = 2.0
@@ -30,6 +31,18 @@
     """A request that goes out only in time, on a connection with nothing left on it."""
 
     may_start: Callable[[], bool]
+    server: Hashable = None
+
+    @property
+    def connection_key(self) -> ConnectionKey:
+        """Return what connections are kept by, the run of the server included.
+
+        A server that starts again at its address leaves connections that nobody reads.
+        Whatever went out on one would end as a request that may have run, and most may
+        not be sent again. The field is unused without a proxy.
+        """
+        key = super().connection_key
+        return key._replace(proxy_headers_hash=hash(self.server))
 
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Send the request, or raise an error before its first byte."""
@@ -84,20 +97,24 @@
 class SendOnce:
     """Send a request at most once, while ``may_start`` allows, on a clean connection.
 
+    Only connections to the same ``server`` are used again.
+
     The client sends GET, PUT, DELETE and others again by itself when a connection
     breaks, also a new one, and the backend server would run them twice. It does so
     for its own errors only, so those are raised as another kind; whether to send
     again is decided by the table of outcomes.
     """
 
-    def __init__(self, may_start: Callable[[], bool]) -> None:
+    def __init__(self, may_start: Callable[[], bool], server: Hashable = None) -> None:
         self.may_start = may_start
+        self.server = server
 
     async def __call__(
         self, request: BackendRequest, handler: ClientHandlerType
     ) -> aiohttp.ClientResponse:
         """Send the request through the rest of the client."""
         request.may_start = self.may_start
+        request.server = self.server
         return await _async_send_once(request, handler)
 
 
