Prove with callers that a server may start again under its id

Change: the stand-in server starts again under its id, on the socket that it listened on (so no other process gets its port meanwhile) or at another address. Tests on loopback of one gateway and of three daemons, with another writer's entries beside it.

One flaky failure seen on a scratch copy beside other test runs: test_a_planned_stop_and_a_reload, as a daemon found its port taken (free_address gives ports back before they are used); not mended here.

--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -55,6 +55,84 @@
     assert len(fleet.backends[0].received) == before
 
 
+async def async_answers(fleet, keys=24):
+    """Ask all hosts for many keys; return the status and the server of each answer."""
+    calls = [
+        fleet.async_call(node, "/bays/", str(key))
+        for node in fleet.nodes
+        for key in range(keys)
+    ]
+    return [row[:2] for row in await asyncio.gather(*calls)]
+
+
+@pytest.mark.parametrize("same_address", [True, False])
+async def test_a_server_that_starts_again_under_its_id(fleet, same_address):
+    # A server of the first zone is drained, exits, and starts again under its id, at
+    # its address or at another one. Callers of all hosts are served the whole time, and
+    # by the newer run once its entry is there. A late write of the older run, which
+    # would drain it again, is told to all and changes nothing.
+    born = 1_765_000_000_000
+    older = fleet.backends[0]
+    fleet.enter(older, "z-a", born=born)
+    assert {status for status, _ in await async_answers(fleet)} == {200}
+    fleet.enter(older, "z-a", "draining", born=born)
+
+    async def async_left():
+        answers = await async_answers(fleet)
+        assert {status for status, _ in answers} == {200}
+        return "i-0" not in {server for _, server in answers}
+
+    await fleet.async_until(async_left, 5.0)
+    newer = await older.async_start_again(same_address=same_address)
+    await older.async_crash()
+    fleet.backends.append(newer)
+    fleet.enter(newer, "z-a", born=born + 9_000)
+
+    async def async_back():
+        answers = await async_answers(fleet)
+        assert {status for status, _ in answers} == {200}
+        return len(newer.ran) > 0
+
+    await fleet.async_until(async_back, 5.0)
+    fleet.enter(older, "z-a", "draining", born=born)
+    await asyncio.sleep(2.0)
+    before = len(newer.ran)
+    answers = await async_answers(fleet)
+    assert {status for status, _ in answers} == {200}
+    assert len(newer.ran) > before
+
+
+async def test_entries_of_another_writer(fleet):
+    # Another writer puts entries that name no server: one in place of a server's own,
+    # others at keys of their own. No caller notices; each host logs and counts them.
+    n1 = fleet.nodes[0]
+    fleet.enter(fleet.backends[0], "z-a", "new")
+    fleet.enter(fleet.backends[0], "z-a", service="mystery")
+    fleet.store.items.put("servers/i-9", "/w==")
+    fleet.put("servers/", {})
+    fleet.put("servers/a/b", {})
+
+    async def async_told():
+        lines = [row for row in n1.lines if row["name"] == "record_refused"]
+        return {"servers/i-9", "servers/", "servers/a/b", "servers/i-0"} <= {
+            row["key"] for row in lines
+        }
+
+    await fleet.async_until(async_told, 5.0)
+    answers = await async_answers(fleet)
+    assert {status for status, _ in answers} == {200}
+    assert {server for _, server in answers} == {"i-1", "i-2", "i-3"}
+    async with fleet.session.get(f"http://{n1.metrics}/metrics") as answer:
+        text = await answer.text()
+    assert 'greengagepoint_store_items_refused_total{reason="key"} 2' in text
+    fleet.enter(fleet.backends[0], "z-a")
+
+    async def async_back():
+        return "i-0" in {server for _, server in await async_answers(fleet)}
+
+    await fleet.async_until(async_back, 5.0)
+
+
 async def test_metrics_are_served_where_the_environment_says(fleet):
     n1 = fleet.nodes[0]
     assert (await fleet.async_call(n1, "/bays/", "17"))[0] == 200
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -52,10 +52,13 @@
         self.cancelled: list[Received] = []
         self.address = ""
         self.stopped = asyncio.Event()
+        self.connections: set[asyncio.StreamWriter] = set()
 
-    async def async_start(self) -> None:
-        """Listen on loopback."""
-        self.server = await asyncio.start_server(self._async_serve, LOOPBACK, 0)
+    async def async_start(self, listening: socket.socket | None = None) -> None:
+        """Listen on loopback, or on a socket that listens already."""
+        if listening is None:
+            listening = socket.create_server((LOOPBACK, 0))
+        self.server = await asyncio.start_server(self._async_serve, sock=listening)
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
@@ -64,16 +67,38 @@
         self.server.close()
         self.stopped.set()
 
+    async def async_crash(self) -> None:
+        """Stop listening and reset all connections."""
+        await self.async_stop()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def async_start_again(
+        self, *, same_address: bool = True
+    ) -> "PlatformBackend":
+        """Return a new run under the same id; this one gets no new connections.
+
+        The newer run takes over the socket for the same address, so that no other
+        process gets its port meanwhile.
+        """
+        newer = type(self)(self.instance, seconds=self.seconds)
+        listening = self.server.sockets[0].dup() if same_address else None
+        self.server.close()
+        await newer.async_start(listening)
+        return newer
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of one connection."""
+        self.connections.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
                 request = await _async_read(reader)
                 self.received.append(request)
                 if not await self._async_answer(request, reader, writer):
                     break
+        self.connections.discard(writer)
         writer.close()
 
     async def _async_answer(
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -150,8 +150,14 @@
         }
         self.put("op/config", document)
 
-    def enter(self, backend: PlatformBackend, zone: str, state: str = "ready") -> None:
-        """Write a server's entry."""
+    def enter(
+        self,
+        backend: PlatformBackend,
+        zone: str,
+        state: str = "ready",
+        **fields: Any,
+    ) -> None:
+        """Write a server's entry; ``fields`` go before the ordinary ones."""
         document = {
             "service": SERVICE,
             "address": backend.address,
@@ -160,6 +166,7 @@
             "state": state,
             "coldLeftS": 0,
             "sequence": 1,
+            **fields,
         }
         self.put(f"servers/{backend.instance}", document)
 
