Keep the stand-ins' ports for the daemons that are to listen on them

Change: a bound socket keeps each port until the fleet ends.

Ruled out: trying again after a failed start; it would hide a daemon that can't start.

--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from greengagepoint.errors import RecordError
+from greengagepoint.errors import ErrorKind, RecordError
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 
@@ -102,7 +102,9 @@
     """Refuse an item of the store; ``field`` is its key."""
 
     def __init__(self, detail: str, reason: RefusedFor, key: str) -> None:
-        super().__init__(detail, field=key)
+        readable = reason not in (RefusedFor.UNREADABLE, RefusedFor.FIELD)
+        kind = ErrorKind.RECORD_INVALID if readable else ErrorKind.RECORD_MALFORMED
+        super().__init__(detail, kind, field=key)
         self.reason = reason
 
 
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -211,9 +211,8 @@
         if wanted is known:
             return False
         if wanted is None:
-            return self._forget(
-                key, "entry removed" if writes is None else "refused", now
-            )
+            reason = "entry removed" if writes is None else "entry refused"
+            return self._forget(key, reason, now)
         self.facts[key] = wanted
         return self._take(wanted, now)
 
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -23,16 +23,25 @@
 HOST: Final = "a.example"
 SERVICE: Final = "booking"
 LISTENERS: Final = ("front", "readiness", "directory", "control")
+METRICS: Final = "metrics"
 READY_SECONDS: Final = 20.0
 LOOK_SECONDS: Final = 0.05
 GRACE_SECONDS: Final = 3
 
 
-def free_address() -> str:
-    """Return an address on loopback that nothing listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+class Address:
+    """An address on loopback that is kept for one daemon until it is given back.
+
+    A port that is only looked up may be given out again, or become the port of some
+    connection, before the daemon listens; that start fails with "Address already in
+    use". A bound socket keeps both off, and lets a daemon listen that shares it.
+    """
+
+    def __init__(self) -> None:
+        self.holder = socket.socket()
+        self.holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.holder.bind(("127.0.0.1", 0))
+        self.text = f"127.0.0.1:{self.holder.getsockname()[1]}"
 
 
 def deployed_command(root: Path) -> list[str]:
@@ -50,8 +59,9 @@
     ) -> None:
         self.root = root
         self.name = name
-        self.listen = {kind: free_address() for kind in LISTENERS}
-        self.metrics = free_address()
+        self.held = {kind: Address() for kind in (*LISTENERS, METRICS)}
+        self.listen = {kind: self.held[kind].text for kind in LISTENERS}
+        self.metrics = self.held[METRICS].text
         self.path = folder / f"{name}.json"
         self.lines: list[dict[str, Any]] = []
         self.document: dict[str, Any] = {
@@ -96,6 +106,11 @@
         await self.process.wait()
         await self.reading
 
+    def give_back(self) -> None:
+        """Give back the addresses; the daemon is not started again."""
+        for address in self.held.values():
+            address.holder.close()
+
     def events(self) -> list[str]:
         """Return the names of the events so far."""
         return [row["name"] for row in self.lines]
@@ -239,6 +254,7 @@
         finally:
             for node in nodes:
                 await node.async_kill()
+                node.give_back()
             for backend in backends:
                 await backend.async_stop()
             await store.async_stop()
