--- /dev/null
+++ b/packages/node/tests/gateway_runs.py
@@ -0,0 +1,76 @@
+"""Views that are told what the store holds of one server's runs."""
+
+from gateway_world import ZONES, Lines
+
+from greengagepoint.errors import RecordError
+from greengagepoint.placing.tables import Incarnation
+from greengagepoint.routing.tables import (
+    CallerLimits,
+    ServicePolicy,
+    create_route_table,
+)
+from greengagepoint_node.gateway.facts import (
+    Changes,
+    Configuration,
+    ServerEntry,
+    StoredItem,
+)
+from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
+
+NOW = 50.0
+LATER = NOW + 10 * LAPSED_SECONDS
+HERE, THERE = "10.0.0.1:1", "10.0.0.2:1"
+POLICY = ServicePolicy(name="booking", cold_seconds=3.0, cold_requests_per_second=16)
+
+
+def decode(item):
+    """Read "born,address,state,cold seconds"; anything else is refused."""
+    if item.key == "op":
+        table = create_route_table(1, {}, [POLICY], CallerLimits())
+        return Configuration(table)
+    parts = item.value.decode().split(",")
+    if len(parts) != 4:
+        raise RecordError("no entry", field=item.key)
+    born, address, state, cold = parts
+    return ServerEntry(
+        item.key,
+        "booking",
+        address,
+        "zone-a",
+        4,
+        state == "draining",
+        float(cold),
+        int(born),
+    )
+
+
+def view():
+    return FleetView(ZONES, decode, Lines())
+
+
+def write(revision, born, address=HERE, state="ready", cold=0, key="i-1"):
+    return StoredItem(key, f"{born},{address},{state},{cold}".encode(), revision)
+
+
+def bad(revision, key="i-1"):
+    return StoredItem(key, b"?", revision)
+
+
+def tell(fleet, *changes, now=NOW, lapsed=()):
+    for change in changes:
+        fleet.apply(Changes((change,), change.revision), now, lapsed)
+
+
+def members(fleet):
+    found = fleet.servers.members.values()
+    return {row.incarnation for group in found for row in group.servers}
+
+
+def run(born, address=HERE, key="i-1"):
+    return Incarnation(key, born, address)
+
+
+def started(born=100, **fields):
+    fleet = view()
+    tell(fleet, StoredItem("op", b"", 1), write(2, born, **fields))
+    return fleet
--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -0,0 +1,178 @@
+"""What other writers' keys and bytes of any kind do: nothing beyond their own key."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from told_entries import BORN, ENTRY, HOST, Told, changed, configuration, told
+
+from greengagepoint.events import Event
+from greengagepoint_node.gateway.refused import LINES_AT_ONCE, TEXT_MAX
+
+
+@pytest.mark.parametrize(
+    "key",
+    [
+        "servers/",
+        "servers/a/b",
+        "servers//a",
+        "servers/a/",
+        "servers/i 3",
+        "servers/i\r\n3",
+        "servers/ι-3",
+        "servers/" + "i" * 300,
+    ],
+)
+def test_a_key_of_another_shape_names_no_server(key):
+    # A server's id goes into a header of each request to it. With a line break in it
+    # every request that was placed there would fail.
+    fleet = told()
+    fleet.put(key, ENTRY)
+    assert fleet.members() == ["i-1", "i-2"]
+    assert fleet.refused() == [(key[:TEXT_MAX], "key")]
+
+
+def test_an_entry_that_comes_before_the_configuration_that_names_its_service():
+    # Operators add a service; its servers' entries come first. Forgotten, they would
+    # get nothing when the configuration is in force, since they do not change.
+    fleet = told()
+    fleet.put("servers/i-3", changed(ENTRY, service="lifts"))
+    assert fleet.members() == ["i-1", "i-2"]
+    fleet.put("op/config", configuration(2, "booking", "lifts"))
+    assert fleet.members() == ["i-1", "i-2", "i-3"]
+    fleet.put("op/config", configuration(3, "lifts"))
+    assert fleet.members() == ["i-3"]
+    assert fleet.refused() == [
+        ("servers/i-3", "service"),
+        ("servers/i-1", "service"),
+        ("servers/i-2", "service"),
+    ]
+    fleet.put("op/config", b"{")
+    assert fleet.view.routes.version == 3
+    assert fleet.members() == ["i-3"]
+
+
+def test_entries_that_come_before_any_configuration():
+    fleet = Told()
+    fleet.put("servers/i-1", ENTRY)
+    fleet.put("servers/i-2", changed(ENTRY, service="mystery"))
+    fleet.put("op/config", configuration(1, "booking"))
+    assert fleet.members() == ["i-1"]
+    assert fleet.refused() == [("servers/i-2", "service")]
+
+
+@pytest.mark.parametrize(
+    ("key", "document", "reason"),
+    [
+        ("hosts/h1", changed(HOST, name="h2"), "key"),
+        ("hosts/", changed(HOST, name=""), "key"),
+        ("hosts/h1/x", HOST, "key"),
+        ("hosts/h1", changed(HOST, zone="zone-z"), "zone"),
+        ("hosts/h1", changed(HOST, region=None), "field"),
+        ("hosts/h1", changed(HOST, front_address=7), "field"),
+        ("hosts/h1", changed(HOST, front_address="h1:1"), "address"),
+        ("hosts/h1", changed(HOST, peer_address="10.0.0.1:0"), "address"),
+        ("hosts/h1", b"\xff", "unreadable"),
+        ("hosts/h1", b"", "unreadable"),
+    ],
+)
+def test_a_bad_entry_of_a_host_names_none(key, document, reason):
+    # Exchanges with such a host would fail, and take the place of good ones.
+    fleet = told()
+    fleet.put("hosts/h1", HOST)
+    fleet.put("hosts/h2", changed(HOST, name="h2"))
+    assert set(fleet.view.hosts) == {"h1", "h2"}
+    fleet.put(key, document)
+    left = {"h2"} if key == "hosts/h1" else {"h1", "h2"}
+    assert set(fleet.view.hosts) == left
+    assert fleet.refused() == [(key, reason)]
+    fleet.put("hosts/h1", HOST)
+    assert set(fleet.view.hosts) == {"h1", "h2"}
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"null", b"{}", b'{"zone": "zone-b"}'])
+def test_an_evacuation_holds_whatever_its_value(value):
+    fleet = told()
+    fleet.put("op/evacuate/zone-a", value)
+    assert fleet.members() == []
+    fleet.remove("op/evacuate/zone-a")
+    assert fleet.members() == ["i-1", "i-2"]
+
+
+@pytest.mark.parametrize("zone", ["zone-z", "", "zone-a/x", "zone a", "ZONE-A"])
+def test_an_evacuation_of_no_zone_empties_none(zone):
+    fleet = told()
+    fleet.put(f"op/evacuate/{zone}", {})
+    fleet.remove(f"op/evacuate/{zone}")
+    assert fleet.members() == ["i-1", "i-2"]
+    assert fleet.view.evacuated_at == {}
+    assert len(fleet.refused()) == 1
+
+
+def test_lines_of_a_writer_that_never_ends_are_bounded_and_counts_are_not():
+    fleet = told()
+    for number in range(2 * int(LINES_AT_ONCE)):
+        fleet.put(f"servers/{number}" + "x" * 999, b"x" * 999)
+    lines = fleet.view.events.of(Event.RECORD_REFUSED)
+    assert len(lines) == LINES_AT_ONCE
+    assert all(len(line["key"]) <= TEXT_MAX for line in lines)
+    assert sum(fleet.counted().values()) == 2 * LINES_AT_ONCE
+
+
+@given(
+    key=st.sampled_from(
+        ["servers/i-1", "servers/", "servers/a/b", "hosts/h1", "op/evacuate/x", "other"]
+    ),
+    value=st.binary(max_size=64),
+)
+def test_any_bytes_leave_all_other_keys_as_they_were(key, value):
+    fleet = told()
+    fleet.put(key, value)
+    assert "i-2" in fleet.members()
+    assert set(fleet.members()) <= {"i-1", "i-2"}
+    assert fleet.view.routes.version == 1
+
+
+@given(value=st.binary(max_size=64))
+def test_any_bytes_leave_the_configuration_in_force(value):
+    fleet = told()
+    fleet.put("op/config", value)
+    assert fleet.view.routes.version == 1
+    assert fleet.members() == ["i-1", "i-2"]
+
+
+JSON = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False, allow_infinity=False)
+    | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(fields=st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON, max_size=3))
+def test_an_entry_of_any_fields_is_good_as_a_whole_or_names_nothing(fields):
+    fleet = told()
+    fleet.put("servers/i-1", {**ENTRY, **fields})
+    assert "i-2" in fleet.members()
+    refused = fleet.refused()
+    row = fleet.view.servers.servers.get("i-1")
+    if refused:
+        assert fleet.members() == ["i-2"]
+    else:
+        assert row is not None
+        assert (row.service, row.zone) == ("booking", fields.get("zone", "zone-a"))
+        assert row.slots == fields.get("slots", 8)
+        assert row.born == fields.get("born", BORN)
+
+
+@given(value=JSON)
+def test_any_document_leaves_all_other_keys_as_they_were(value):
+    fleet = told()
+    fleet.put("servers/i-1", msgspec.json.encode(value))
+    assert fleet.members() == ["i-2"]
