--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/addresses.py
@@ -0,0 +1,20 @@
+"""Tell addresses from other texts."""
+
+import re
+from ipaddress import IPv4Address
+from typing import Final
+
+PORT: Final = re.compile(r"[1-9][0-9]{0,4}")
+PORT_MAX: Final = 65_535
+
+
+def is_address(text: str) -> bool:
+    """Tell whether a text is an IPv4 number and a port."""
+    host, _, port = text.rpartition(":")
+    if not PORT.fullmatch(port) or int(port) > PORT_MAX:
+        return False
+    try:
+        IPv4Address(host)
+    except ValueError:
+        return False
+    return True
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -100,7 +100,9 @@
         self.random = random.Random()
         self.stop_wanted = asyncio.Event()
         self.loader = ConfigurationLoader(read_parts, clock)
-        self.view = FleetView(settings.zones, decode, events, self.loader)
+        self.view = FleetView(
+            settings.zones, decode, events, self.counters.refused_items, self.loader
+        )
         self.entry = HostEntry(
             settings.host,
             settings.region,
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from greengagepoint.placing.tables import Server
+from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.proxy.relay import is_framed
@@ -124,8 +124,8 @@
     would work on for a caller who has given up.
     """
 
-    def __init__(self, sending: Sending) -> None:
-        super().__init__(sending.may_start)
+    def __init__(self, sending: Sending, server: Incarnation) -> None:
+        super().__init__(sending.may_start, server)
         self.sending = sending
 
     async def __call__(
@@ -148,7 +148,7 @@
                 headers=sending.headers,
                 data=sending.body,
                 allow_redirects=False,
-                middlewares=(SendInTime(sending),),
+                middlewares=(SendInTime(sending, server.incarnation),),
             )
             try:
                 return await _async_read(names, answer, sending)
--- a/packages/node/tests/test_gateway_configuration_loader.py
+++ b/packages/node/tests/test_gateway_configuration_loader.py
@@ -68,7 +68,7 @@
     def __init__(self):
         self.reader = Reader()
         self.loader = ConfigurationLoader(self.reader.in_parts, SystemClock())
-        self.view = FleetView(ZONES, self.reader.decode, Lines(), self.loader)
+        self.view = FleetView(ZONES, self.reader.decode, Lines(), loader=self.loader)
 
     @property
     def version(self):
