Check the services of those entries only that have changed

Cause: each change of an entry looked at all entries for a service that isn't named.

Change: all are looked at when the services of the configuration in force change, else those whose entries changed. An entry is told of once, also when the configuration is written again; the test says so now.

--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -67,6 +67,7 @@
         self.servers = self.known.table
         self.refused = RefusedItems(events, Counter() if refused is None else refused)
         self.unnamed: dict[str, ServerEntry] = {}
+        self.unchecked: set[str] = set()
         self.hosts: dict[str, HostEntry] = {}
         self.evacuated_at: dict[str, float] = {}
         self.lapses_until = float("-inf")
@@ -210,6 +211,8 @@
             del self.lapsed[key]
         if wanted is known:
             return False
+        if isinstance(wanted or known, ServerEntry):
+            self.unchecked.add(key)
         if wanted is None:
             reason = "entry removed" if writes is None else "entry refused"
             return self._forget(key, reason, now)
@@ -306,23 +309,25 @@
         kept, and its server is a member once one does.
         """
         if self.routes is not None:
-            self.servers.services = frozenset(self.routes.services)
-            self._note_unnamed(self.servers.services, now)
+            services = frozenset(self.routes.services)
+            if services != self.servers.services:
+                self.unchecked.update(self.facts)
+            self.servers.services = services
+            for key in sorted(self.unchecked):
+                self._check_service(key, services, now)
+            self.unchecked.clear()
         self._work_out_members()
 
-    def _note_unnamed(self, services: frozenset[str], now: float) -> None:
-        """Tell of the entries whose service the configuration does not name."""
-        unnamed = {
-            key: fact
-            for key, fact in self.facts.items()
-            if isinstance(fact, ServerEntry) and fact.service not in services
-        }
-        for key, fact in unnamed.items():
-            if self.unnamed.get(key) is not fact:
-                detail = f"no service is called {fact.service!r}"
-                error = ItemRefusedError(detail, RefusedFor.SERVICE, key)
-                self.refused.note(key, error, now)
-        self.unnamed = unnamed
+    def _check_service(self, key: str, services: frozenset[str], now: float) -> None:
+        """Tell once of an entry whose service the configuration does not name."""
+        fact = self.facts.get(key)
+        if not isinstance(fact, ServerEntry) or fact.service in services:
+            self.unnamed.pop(key, None)
+        elif self.unnamed.get(key) is not fact:
+            self.unnamed[key] = fact
+            detail = f"no service is called {fact.service!r}"
+            error = ItemRefusedError(detail, RefusedFor.SERVICE, key)
+            self.refused.note(key, error, now)
 
     def _work_out_members(self) -> None:
         """Work out the servers' membership again."""
--- a/packages/platform_tests/tests/test_platform_refused_items.py
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -47,8 +47,13 @@
         ("servers/i-1", "service"),
         ("servers/i-2", "service"),
     ]
+    fleet.put("op/config", configuration(4, "lifts"))
+    assert len(fleet.refused()) == 3
+    fleet.remove("servers/i-1")
+    fleet.put("servers/i-1", ENTRY)
+    assert len(fleet.refused()) == 4
     fleet.put("op/config", b"{")
-    assert fleet.view.routes.version == 3
+    assert fleet.view.routes.version == 4
     assert fleet.members() == ["i-3"]
 
 
