Empty a zone of any name that the settings give

Cause: the shape that ids of servers must have was asked of zones too, though a zone's name goes into no header; one with a blank or a letter beyond ASCII could not be emptied.

The test of unknown zones demands the reason now.

--- a/packages/node/tests/told_entries.py
+++ b/packages/node/tests/told_entries.py
@@ -52,7 +52,7 @@
     """A host's view that is told one change after the other."""
 
     def __init__(self) -> None:
-        self.view = FleetView(ZONES, decode_item, Lines())
+        self.view = FleetView(dict(ZONES), decode_item, Lines())
         self.revision = 0
 
     def put(self, key, document):
--- a/packages/platform_tests/tests/test_platform_refused_items.py
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -111,7 +111,14 @@
     fleet.remove(f"op/evacuate/{zone}")
     assert fleet.members() == ["i-1", "i-2"]
     assert fleet.view.evacuated_at == {}
-    assert len(fleet.refused()) == 1
+    assert fleet.refused() == [(f"op/evacuate/{zone}", "zone")]
+
+
+def test_a_zone_of_any_name_that_the_settings_give_can_be_emptied():
+    fleet = told()
+    fleet.view.zones["zone ζ/1"] = "north"
+    fleet.put("op/evacuate/zone ζ/1", {})
+    assert list(fleet.view.evacuated_at) == ["zone ζ/1"]
 
 
 def test_lines_of_a_writer_that_never_ends_are_bounded_and_counts_are_not():
