--- a/packages/platform_tests/tests/test_platform_refused_items.py
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -47,8 +47,13 @@
         ("servers/i-1", "service"),
         ("servers/i-2", "service"),
     ]
+    fleet.put("op/config", configuration(4, "lifts"))
+    assert len(fleet.refused()) == 3
+    fleet.remove("servers/i-1")
+    fleet.put("servers/i-1", ENTRY)
+    assert len(fleet.refused()) == 4
     fleet.put("op/config", b"{")
-    assert fleet.view.routes.version == 3
+    assert fleet.view.routes.version == 4
     assert fleet.members() == ["i-3"]
 
 
@@ -106,7 +111,14 @@
     fleet.remove(f"op/evacuate/{zone}")
     assert fleet.members() == ["i-1", "i-2"]
     assert fleet.view.evacuated_at == {}
-    assert len(fleet.refused()) == 1
+    assert fleet.refused() == [(f"op/evacuate/{zone}", "zone")]
+
+
+def test_a_zone_of_any_name_that_the_settings_give_can_be_emptied():
+    fleet = told()
+    fleet.view.zones["zone ζ/1"] = "north"
+    fleet.put("op/evacuate/zone ζ/1", {})
+    assert list(fleet.view.evacuated_at) == ["zone ζ/1"]
 
 
 def test_lines_of_a_writer_that_never_ends_are_bounded_and_counts_are_not():
