Give no address of the tests out twice

Cause: the kernel may give a free port again at once; two listeners of one daemon then had the same address. Change: ports that were given out are remembered for the run of the tests.

--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -34,6 +34,7 @@
 NAMES = HEADERS
 HOST = "a.example"
 ZONES = {"zone-a": "north", "zone-b": "south"}
+GIVEN_PORTS: set[int] = set()
 
 
 class Lines:
@@ -92,9 +93,18 @@
 
 
 def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address on loopback that was given out to nobody else here.
+
+    The kernel may give a port again as soon as it is free; two listeners of one daemon
+    would then have the same address, and the second could not start.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return f"127.0.0.1:{port}"
 
 
 def routes(**changes: Any) -> list[Route]:
