Split the measurement of the configuration into fleet, changes and figures

Change: measure/configuration_fleet.py and configuration_changes.py; no figure is worked out otherwise.

--- a/measure/configuration.py
+++ b/measure/configuration.py
@@ -15,136 +15,41 @@
 from greengagepoint.config.messages import ConfigDigest, ConfigEntries
 from greengagepoint.config.preparing import prepare
 from greengagepoint.config.state import Exchange
-from greengagepoint.hosts import HostIdentity
-from greengagepoint.records.loading import RecordDocument
 from greengagepoint.records.versions import decode
-from greengagepoint_node.context import Context
-from greengagepoint_node.coordinators.config import ConfigCoordinator
 from greengagepoint_node.peer_codec import MESSAGE_TYPES, PeerCodec
 from greengagepoint_standins import virtual_time
 from greengagepoint_standins.memory_fleet import (
-    Delivery,
     FleetStore,
-    MemoryBus,
-    MemoryEvents,
     make_host,
 )
+from measure.configuration_changes import (
+    BLOCKS_A_RECORD,
+    CALLERS,
+    SEED,
+    SERVERS_A_SITE,
+    SITES,
+    caller_changes,
+    region_change,
+    service_change,
+    site_change,
+    team_change,
+)
+from measure.configuration_fleet import (
+    POLL_SECONDS,
+    STORE_SECONDS,
+    WAIT_SECONDS,
+    Fleet,
+)
 from measure.figure import Figure
 
 SIZES: Final = ((12, 3), (50, 3), (200, 3), (1000, 15))
 FULL_HOSTS: Final = 4900
 FULL_REGIONS: Final = 15
 IN_FORCE_SECONDS_LIMIT: Final = 9.0
-NEAR_SECONDS: Final = 0.001
-FAR_SECONDS: Final = 0.020
-STORE_SECONDS: Final = 0.005
 SLOW_STORE_SECONDS: Final = 2.0
 LOSS: Final = 0.2
-TICK_SECONDS: Final = 0.5
-WARM_UP_SECONDS: Final = 12.0
 REST_SECONDS: Final = 60.0
-WAIT_SECONDS: Final = 60.0
-POLL_SECONDS: Final = 0.001
-SITES: Final = 130
-SERVERS_A_SITE: Final = 30
-CALLERS: Final = 20
-BLOCKS_A_RECORD: Final = 1000
 CHANGES: Final = 20
-SEED: Final = 7
-
-
-class DelayedBus(MemoryBus):
-    """Carry messages with the delays between regions, losing some."""
-
-    def __init__(self, seed: int) -> None:
-        super().__init__()
-        self.random = random.Random(seed)
-        self.loss = 0.0
-        self.regions: dict[str, str] = {}
-
-    def deliver_later(self, delivery: Delivery) -> None:
-        """Deliver one message after its link's delay."""
-        if self.random.random() < self.loss:
-            return
-        near = self.regions[delivery.sender] == self.regions[delivery.recipient]
-        delay = NEAR_SECONDS if near else FAR_SECONDS
-        asyncio.get_running_loop().call_later(delay, self._deliver, delivery)
-
-
-class DelayedQueue:
-    """Hand each queued message to the bus's timers at once."""
-
-    def __init__(self, bus: DelayedBus) -> None:
-        self.bus = bus
-
-    def append(self, delivery: Delivery) -> None:
-        """Send one message."""
-        self.bus.deliver_later(delivery)
-
-
-class Fleet:
-    """Coordinators of many hosts in one process, in virtual time."""
-
-    def __init__(self, count: int, regions: int) -> None:
-        self.store = FleetStore(lambda: STORE_SECONDS)
-        self.bus = DelayedBus(SEED)
-        self.bus.queue = DelayedQueue(self.bus)
-        self.clock = virtual_time.VirtualClock()
-        self.hosts = [
-            make_host(f"host-{index}", f"region-{index % regions}")
-            for index in range(count)
-        ]
-        self.nodes: list[ConfigCoordinator] = []
-
-    def add(self, host: HostIdentity) -> ConfigCoordinator:
-        """Build the coordinator of one host."""
-        self.bus.regions[host.name] = host.region
-        context = Context(
-            host,
-            self.clock,
-            random.Random(host.name),
-            self.store,
-            self.bus.port(host.name),
-            MemoryEvents(),
-        )
-        node = ConfigCoordinator(context, lambda: self.hosts)
-        self.nodes.append(node)
-        return node
-
-    async def async_start(self) -> None:
-        """Start all hosts and let them settle."""
-        for host in self.hosts:
-            await self.add(host).async_start()
-        await self.async_run(WARM_UP_SECONDS)
-
-    async def async_stop(self) -> None:
-        """Stop all hosts."""
-        for node in self.nodes:
-            await node.async_stop()
-
-    async def async_run(self, seconds: float) -> None:
-        """Let virtual time pass with all ticks, which hosts take at odd moments."""
-        end = self.clock.monotonic() + seconds
-        while self.clock.monotonic() < end:
-            for node in self.nodes:
-                node.tick(self.clock.monotonic())
-            await asyncio.sleep(TICK_SECONDS)
-
-    async def async_change(self, number: int) -> float:
-        """Apply a change; return seconds from accepted to in force everywhere."""
-        writer = self.nodes[number % len(self.nodes)]
-        await writer.async_apply([_team(number)], "operator")
-        accepted = self.clock.monotonic()
-        ticks_at = accepted
-        while any(node.log.digest != writer.log.digest for node in self.nodes):
-            if self.clock.monotonic() >= ticks_at:
-                ticks_at += TICK_SECONDS
-                for node in self.nodes:
-                    node.tick(self.clock.monotonic())
-            if self.clock.monotonic() > accepted + WAIT_SECONDS:
-                break
-            await asyncio.sleep(POLL_SECONDS)
-        return self.clock.monotonic() - accepted
 
 
 class ChangeCost(NamedTuple):
@@ -243,7 +148,7 @@
     tasks = [asyncio.create_task(async_watch(log)) for log in logs]
     await asyncio.sleep(1)
     writer = ConfigLog()
-    entry = prepare(writer, [_team(0)], "operator", "w", 0)
+    entry = prepare(writer, [team_change(0)], "operator", "w", 0)
     await store.create_next(f"{LOG_PREFIX}{1:012d}", entry.encoded, after=None)
     accepted = asyncio.get_running_loop().time()
     for _ in range(int(WAIT_SECONDS / POLL_SECONDS)):
@@ -319,7 +224,7 @@
     ]
     exchange = Exchange(hosts[0], ConfigLog())
     rng = random.Random(SEED)
-    entry = prepare(exchange.log, [_team(0)], "operator", "w", 0)
+    entry = prepare(exchange.log, [team_change(0)], "operator", "w", 0)
     started = time.process_time()
     ticks = 50
     for now in range(ticks):
@@ -345,15 +250,19 @@
 
 def _held() -> list[Figure]:
     """Measure what records of sites and of caller blocks take."""
-    sites = [_region(), *(_site(index) for index in range(SITES)), _service()]
-    blocks = [_region(), *_callers()]
+    sites = [
+        region_change(),
+        *(site_change(index) for index in range(SITES)),
+        service_change(),
+    ]
+    blocks = [region_change(), *caller_changes()]
     count = CALLERS * BLOCKS_A_RECORD
     log, site_bytes = _held_by(sites, _log_of)
     _, block_bytes = _held_by(blocks, _log_of)
     _, simple_site_bytes = _held_by(sites, _objects_of)
     _, simple_block_bytes = _held_by(blocks, _objects_of)
     started = time.process_time()
-    prepare(log, [_team(1)], "operator", "w2", 0)
+    prepare(log, [team_change(1)], "operator", "w2", 0)
     checked_ms = 1000 * (time.process_time() - started)
     name = f"configuration, {SITES} sites of {SERVERS_A_SITE} backend servers"
     simplest = "documents and records as objects"
@@ -408,62 +317,3 @@
 def _size(codec: PeerCodec, message: object) -> int:
     """Return the bytes of an envelope with one message."""
     return len(codec.encode("host-1", (1_800_000_000_000, 0), [message]))
-
-
-def _change(kind: str, name: str, fields: dict[str, Any]) -> Change:
-    """Return a change of one record."""
-    document = RecordDocument(kind=kind, name=name, schema_version=1, fields=fields)
-    return Change(kind=kind, name=name, document=document)
-
-
-def _team(number: int) -> Change:
-    """Return a change of one team."""
-    return _change(
-        "team",
-        f"team-{number % 7}",
-        {"requests_per_second": 100.0, "burst": number + 1, "weight": 1.0},
-    )
-
-
-def _region() -> Change:
-    """Return the region of all sites."""
-    return _change("region", "region", {"zones": ["zone"], "capacity": 100_000})
-
-
-def _service() -> Change:
-    """Return the service of all sites."""
-    return _change("service", "booking", {"sites": [f"site-{i}" for i in range(SITES)]})
-
-
-def _callers() -> list[Change]:
-    """Return records of random caller blocks."""
-    numbers = random.Random(SEED).sample(range(1 << 24), CALLERS * BLOCKS_A_RECORD)
-    blocks = [f"{n >> 16}.{n >> 8 & 255}.{n & 255}.0/24" for n in numbers]
-    return [
-        _change(
-            "callers",
-            f"callers-{index}",
-            {"blocks": blocks[index::CALLERS], "regions": ["region"]},
-        )
-        for index in range(CALLERS)
-    ]
-
-
-def _site(index: int) -> Change:
-    """Return one site with its backend servers."""
-    servers = [
-        {
-            "name": f"booking-{index}-{number}",
-            "service": "booking",
-            "address": f"10.{index // 256}.{index % 256}.{number + 1}:8080",
-            "slots": 10,
-        }
-        for number in range(SERVERS_A_SITE)
-    ]
-    fields = {
-        "region": "region",
-        "zone": "zone",
-        "capacity": 300,
-        "backend_servers": servers,
-    }
-    return _change("site", f"site-{index}", fields)
