Tell at once what comes as a send of news ends

Cause: the task that tells a peer took itself off the list in a callback, after its last look for more. What was to be told in between waited for the next change, a second. Ruled out: a loss of the change; the next one brings it, and exchanges do. Change: the task takes itself off as it ends. The short wait for a connection holds for large news only; word that there is nothing new may take as long as before. Result: a test that failed on the code before (timed out) and passes.

--- a/packages/node/greengagepoint_node/gateway/news_teller.py
+++ b/packages/node/greengagepoint_node/gateway/news_teller.py
@@ -15,7 +15,8 @@
 # A peer that takes longer, beside the time for the bytes, is busy or gone.
 TELL_SECONDS: Final = 0.6
 # A peer that is gone takes no place among the large sends for longer.
-CONNECT_TIMEOUT: Final = aiohttp.ClientTimeout(sock_connect=0.3)
+LARGE_CONNECT: Final = aiohttp.ClientTimeout(sock_connect=0.3)
+CONNECT: Final = aiohttp.ClientTimeout(sock_connect=TELL_SECONDS)
 # A message of this size is sent to a few peers at a time. Sent to twenty at once over a
 # link of 5 Mbit/s, 100 KB come through to none of them before the wait for it ends.
 LARGE_BYTES: Final = 16 * 1024
@@ -70,16 +71,20 @@
             return
         task = asyncio.get_running_loop().create_task(self._async_tell(address))
         self.tasks[address] = task
-        task.add_done_callback(lambda _: self.tasks.pop(address, None))
 
     async def _async_tell(self, address: str) -> None:
         """Send until the peer has been told the newest."""
-        while address in self.untold:
-            if len(self._body(self.untold[address])) < LARGE_BYTES:
-                await self.async_send(address)
-                continue
-            async with self.large_sends:
-                await self.async_send(address)
+        try:
+            while address in self.untold:
+                if len(self._body(self.untold[address])) < LARGE_BYTES:
+                    await self.async_send(address)
+                    continue
+                async with self.large_sends:
+                    await self.async_send(address)
+        finally:
+            # At once, not in a callback: what is to be told in between would find a
+            # task that no longer looks for it, and wait for the next change.
+            self.tasks.pop(address, None)
 
     async def async_send(self, address: str) -> None:
         """Send a peer what it was not told; one that misses it finds its news stale.
@@ -89,12 +94,11 @@
         """
         body = self._body(self.untold.pop(address))
         self.sent_bytes["news", "sent"] += len(body)
-        limit_seconds = TELL_SECONDS + send_seconds(len(body))
+        url = f"http://{address}{NEWS_PATH}"
+        connect = LARGE_CONNECT if len(body) >= LARGE_BYTES else CONNECT
         try:
-            async with asyncio.timeout(limit_seconds):
-                async with self.session.post(
-                    f"http://{address}{NEWS_PATH}", data=body, timeout=CONNECT_TIMEOUT
-                ) as answer:
+            async with asyncio.timeout(TELL_SECONDS + send_seconds(len(body))):
+                async with self.session.post(url, data=body, timeout=connect) as answer:
                     await answer.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.failed(address, error)
--- a/packages/node/tests/test_gateway_news_teller.py
+++ b/packages/node/tests/test_gateway_news_teller.py
@@ -86,6 +86,23 @@
     assert not peer.is_current()
 
 
+async def test_what_is_to_be_told_as_a_send_ends_is_told_at_once():
+    # A change is read in the very step in which the send before it has ended. Left for
+    # the next change, the peer would hear of it a second later.
+    watcher, _ = watcher_of("p")
+    teller, sent = watcher.teller, []
+
+    async def async_send(address):
+        sent.append(teller.untold.pop(address))
+        if len(sent) == 1:
+            asyncio.get_running_loop().call_soon(teller.tell, address, 6)
+
+    teller.async_send = async_send
+    teller.tell("p:2", 5)
+    await async_until(lambda: len(sent) == 2)
+    assert sent == [5, 6]
+
+
 async def test_peers_that_are_gone_do_not_keep_a_living_one_from_a_newer_version():
     # A zone is cut off with eight hosts, and two large versions follow each other. A
     # host that lives has to get the newer one, not the older one only.
