--- a/measure/large_configuration.py
+++ b/measure/large_configuration.py
@@ -130,7 +130,7 @@
 def view_of(*, in_steps: bool) -> FleetView:
     """Return what a host believes before its first configuration."""
     loader = ConfigurationLoader(read_in_parts, SystemClock()) if in_steps else None
-    return FleetView({}, decode_item, Lines(), loader)
+    return FleetView({}, decode_item, Lines(), loader=loader)
 
 
 async def async_put_in_force(
--- a/packages/node/greengagepoint_node/gateway/configuration_loader.py
+++ b/packages/node/greengagepoint_node/gateway/configuration_loader.py
@@ -24,10 +24,10 @@
 class LoadedConfigurations(Protocol):
     """Take what was read."""
 
-    def take_loaded(self, item: StoredItem, fact: Configuration, now: float) -> None:
+    def take_loaded(self, fact: Configuration, now: float) -> None:
         """Put a version in force that was read to its end."""
 
-    def refuse(self, item: StoredItem, error: RecordError) -> None:
+    def refuse(self, item: StoredItem, error: RecordError, now: float) -> None:
         """Say that a version can't be read."""
 
 
@@ -80,7 +80,7 @@
             for whole in islice(parts, PARTS_A_STEP):
                 if whole is not None:
                     self.waiting.clear()
-                    view.take_loaded(item, whole, self.clock.monotonic())
+                    view.take_loaded(whole, self.clock.monotonic())
         except RecordError as error:
             self.waiting.pop()
-            view.refuse(item, error)
+            view.refuse(item, error, self.clock.monotonic())
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -33,7 +33,8 @@
 
     Keys are (service, route, outcome) for requests, (service, verdict) for tries,
     (service, region) for where requests ran, (operation, outcome) for store calls,
-    (path, direction) for the bytes of messages between hosts.
+    (path, direction) for the bytes of messages between hosts, (reason,) for items of
+    the store that were refused.
     """
 
     def __init__(self) -> None:
@@ -42,6 +43,7 @@
         self.regions: Counter[tuple[str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.peer_bytes: Counter[tuple[str, str]] = Counter()
+        self.refused_items: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.routes: set[str] = set()
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -1,10 +1,13 @@
 """What a platform's store tells, decoded into the product's own words."""
 
 from collections.abc import Callable, Iterator
+from enum import StrEnum
 from typing import NamedTuple, Protocol
 
 import msgspec
 
+from greengagepoint.errors import ErrorKind, RecordError
+from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 
 
@@ -49,7 +52,10 @@
 
 
 class ServerEntry(NamedTuple):
-    """What a backend server says of itself; ``cold_seconds`` are left of its start."""
+    """What a backend server says of itself; ``cold_seconds`` are left of its start.
+
+    ``born`` is the Unix millisecond of its start, 0 where it does not say.
+    """
 
     instance: str
     service: str
@@ -58,6 +64,12 @@
     slots: int
     leaving: bool
     cold_seconds: float
+    born: int = 0
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return which run of the server the entry is of."""
+        return Incarnation(self.instance, self.born, self.address)
 
 
 class Evacuation(NamedTuple):
@@ -81,6 +93,30 @@
 
 
 Fact = Configuration | ServerEntry | Evacuation | HostEntry
+
+
+class RefusedFor(StrEnum):
+    """What is wrong with an item that is refused."""
+
+    UNREADABLE = "unreadable"
+    KEY = "key"
+    FIELD = "field"
+    STATE = "state"
+    ADDRESS = "address"
+    ZONE = "zone"
+    SERVICE = "service"
+
+
+class ItemRefusedError(RecordError):
+    """Refuse an item of the store; ``field`` is its key."""
+
+    def __init__(self, detail: str, reason: RefusedFor, key: str) -> None:
+        readable = reason not in (RefusedFor.UNREADABLE, RefusedFor.FIELD)
+        kind = ErrorKind.RECORD_INVALID if readable else ErrorKind.RECORD_MALFORMED
+        super().__init__(detail, kind, field=key)
+        self.reason = reason
+
+
 DecodeItem = Callable[[StoredItem], Fact | None]
 # None after each small part, the configuration after the last; RecordError is raised
 # where a part can't be read.
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -90,6 +90,11 @@
             "Bytes of messages between hosts, by way and direction.",
             lambda: _rows(counters.peer_bytes, "way", "direction"),
         )
+        yield Instrument(
+            "store_items_refused",
+            "Items of the platform's store that were refused, by reason.",
+            lambda: _rows(counters.refused_items, "reason"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -34,6 +34,7 @@
 NAMES = HEADERS
 HOST = "a.example"
 ZONES = {"zone-a": "north", "zone-b": "south"}
+GIVEN_PORTS: set[int] = set()
 
 
 class Lines:
@@ -50,13 +51,18 @@
 
 
 class MovedClock(SystemClock):
-    """The host's clocks, set ahead by some seconds."""
+    """The host's clocks, set ahead by some seconds, and stopped where a test says."""
 
     def __init__(self) -> None:
         self.ahead = 0.0
+        self.stopped_at: float | None = None
+
+    def stop(self) -> None:
+        self.stopped_at = super().monotonic()
 
     def monotonic(self) -> float:
-        return super().monotonic() + self.ahead
+        now = super().monotonic() if self.stopped_at is None else self.stopped_at
+        return now + self.ahead
 
 
 class FixedStore:
@@ -87,9 +93,18 @@
 
 
 def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address on loopback that was given out to nobody else here.
+
+    The kernel may give a port again as soon as it is free; two listeners of one daemon
+    would then have the same address, and the second could not start.
+    """
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return f"127.0.0.1:{port}"
 
 
 def routes(**changes: Any) -> list[Route]:
