Name other hosts to other callers where a region has more than 64

Cause: an answer names at most 64 hosts, and each caller of a region was told the same first 64 by address. Of 100 hosts of a region 36 got no request, of 65 one. Ruled out: another sample each time (callers close their connections to hosts that a new answer leaves out); the hosts of the caller's zone first (callers that move to one zone would overload its hosts). Change: hosts are ranked by the caller's address, so shares are even and a caller keeps its hosts when another one comes or goes. Regions of up to 64 hosts are named as before.

--- a/packages/node/greengagepoint_node/gateway/directory.py
+++ b/packages/node/greengagepoint_node/gateway/directory.py
@@ -1,28 +1,45 @@
 """Tell callers which entry hosts to use."""
 
+from typing import Final, Protocol
+
 from greengagepoint.protocols import Clock
-from greengagepoint_node.gateway.gossip import Gossip
+from greengagepoint.rendezvous import rank
+from greengagepoint_node.gateway.host_table import HostTable
 from greengagepoint_node.gateway.view import FleetView
 
-ADDRESSES_MAX = 64
+# What callers take of one answer.
+ADDRESSES_MAX: Final = 64
 # Callers leave a host that stops within three times this at worst.
-TTL_SECONDS = 1.0
+TTL_SECONDS: Final = 1.0
+
+
+class KnownHosts(Protocol):
+    """Know which hosts are alive."""
+
+    table: HostTable
 
 
 class HostDirectory:
     """Name the hosts of a caller's region, or others when it has none."""
 
-    def __init__(self, view: FleetView, gossip: Gossip, clock: Clock) -> None:
+    def __init__(self, view: FleetView, hosts: KnownHosts, clock: Clock) -> None:
         self.view = view
-        self.gossip = gossip
+        self.hosts = hosts
         self.clock = clock
 
-    def addresses(self, region: str) -> list[str]:
-        """Return host:port of the hosts that a caller of a region should use."""
+    def addresses(self, region: str, caller: str = "") -> list[str]:
+        """Return host:port of the hosts that a caller of a region should use.
+
+        Where there are more than one answer may name, ``caller``, its address, decides
+        which. All callers were told the same ones otherwise, and of 100 hosts of a
+        region 36 would get no request. Ranked by the caller's address, a host's share
+        of the callers is even, and a caller keeps the hosts that it has connections to
+        when another host comes or goes.
+        """
         now = self.clock.monotonic()
-        entries = {
-            state.entry.name: state.entry for state in self.gossip.table.alive(now)
-        }
-        near = [entry for entry in entries.values() if entry.region == region]
-        chosen = near or list(entries.values())
-        return sorted(entry.front_address for entry in chosen)[:ADDRESSES_MAX]
+        alive = [state.entry for state in self.hosts.table.alive(now)]
+        near = [entry for entry in alive if entry.region == region]
+        named = near or alive
+        if len(named) > ADDRESSES_MAX:
+            named = rank(caller, named, lambda entry: entry.name)[:ADDRESSES_MAX]
+        return sorted(entry.front_address for entry in named)
