Let the clock of the look-up tests stand still

Cause: the tests took the time at their import, and hosts heard of then were no longer alive when the file ran a minute after it: 4 of 5 failed in a run of all gateway tests. Change: a clock that stands still, as in the tests of news. Measured: the five pass alone and behind the others.

--- a/packages/node/tests/test_gateway_directory.py
+++ b/packages/node/tests/test_gateway_directory.py
@@ -13,6 +13,14 @@
 from greengagepoint_node.gateway.view import FleetView
 
 CALLERS = 300
+NOW = 10.0
+
+
+class Clock(SystemClock):
+    """Stand still."""
+
+    def monotonic(self):
+        return NOW
 
 
 class Fleet:
@@ -28,16 +36,13 @@
         del self.table.heard[entry(number).name]
 
 
-NOW = SystemClock().monotonic()
-
-
 def entry(number):
     return HostEntry(f"h{number}", "north", "zone-a", f"10.0.0.{number}:1", "")
 
 
 def directory(fleet):
     view = FleetView(ZONES, lambda item: None, Lines())
-    return HostDirectory(view, fleet, SystemClock())
+    return HostDirectory(view, fleet, Clock())
 
 
 def callers():
