Let a host spend ahead of its retries where its last window has room

Cause: what a host may save of the shared budget is its part of the slack, one token with 195 hosts, and less than none were the slack smaller. Ruled out: a larger part of the slack (two of these in a window pass the bound), half of the ratio as a reserve (less in a lasting overload, where all of it is used now). Change: requests that broke or met another server may spend tokens of later first tries, as far as the last window has room; a host that has just started may not, and uses 0.5 of the ratio in its first window. Requests turned away by full servers as before. The window comes from the settings.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -66,7 +66,7 @@
 WATCHERS_HERE: Final = 1
 
 APPLIED_AT_ONCE: Final = frozenset(
-    {"retry_ratio", "retry_slack", "seeds", "stop_seconds"}
+    {"retry_ratio", "retry_slack", "retry_window_seconds", "seeds", "stop_seconds"}
 )
 
 LookupHandler = Callable[
@@ -116,7 +116,12 @@
         self.weights = RegionWeights(
             settings.region, regions, self.view.servers, events
         )
-        self.retries = SharedRetryBudget(settings.retry_ratio, settings.retry_slack)
+        self.retries = SharedRetryBudget(
+            settings.retry_ratio,
+            settings.retry_slack,
+            window_seconds=settings.retry_window_seconds,
+            started_at=clock.monotonic(),
+        )
         self.create_lookup = create_lookup
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -221,6 +226,7 @@
         """Take in changed settings; return the names of those that need a restart."""
         self.retries.ratio = settings.retry_ratio
         self.retries.slack = settings.retry_slack
+        self.retries.window_seconds = settings.retry_window_seconds
         self.gossip.seeds = list(settings.seeds)
         changed = [
             name
@@ -232,6 +238,7 @@
             stop_seconds=settings.stop_seconds,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
+            retry_window_seconds=settings.retry_window_seconds,
         )
         return [name for name in changed if name not in APPLIED_AT_ONCE]
 
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -216,7 +216,7 @@
         if not tried:
             if isinstance(place, NoPlace):
                 raise no_place(call.service, place)
-            self.retries.deposit(call.service)
+            self.retries.deposit(call.service, self.clock.monotonic())
             return place
         if isinstance(place, NoPlace) or not self._may_send_again(call, last):
             return None
@@ -233,7 +233,12 @@
             return True
         assert self.view.routes is not None
         urgent = self.view.routes.is_urgent(call.route, call.service)
-        return self.retries.withdraw(call.service, urgent=urgent)
+        return self.retries.withdraw(
+            call.service,
+            self.clock.monotonic(),
+            urgent=urgent,
+            shed=last is Verdict.SHED,
+        )
 
     def _sending(
         self,
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -8,7 +8,8 @@
 class GatewaySettings(NamedTuple):
     """Addresses are host:port; ``zones`` maps each zone to its region.
 
-    ``retry_ratio`` and ``retry_slack`` bound the retries of all hosts together.
+    ``retry_ratio`` and ``retry_slack`` bound the retries of all hosts together in any
+    ``retry_window_seconds``.
     ``stop_seconds`` is what a graceful stop may take. Metrics are served where
     ``metrics_address`` names an address. ``link_mbps`` is what the host's link carries,
     0 where that is not known.
@@ -29,3 +30,4 @@
     retry_slack: float
     metrics_address: str = ""
     link_mbps: float = 0.0
+    retry_window_seconds: float = 10.0
