Take silence for a sign only where a server would have been heard of

Cause: a request that may be repeated was given up once its server had answered this host nothing for half of the time left. A host of 87 or 195 meets each server once in 8 to 24 s, so any run longer than that counted as silence: a cold run with a short queue. The run was thrown away, the key ran cold elsewhere, and the sound server was spared. Change: silence counts after the mean time in which the host would have heard of the server twice, or one and a half times the longest answer, whichever is less; and no request is given up for a run that can't end in time.

--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Protocol
 
-from greengagepoint.placing.patience import silent_after
+from greengagepoint.placing.patience import may_still_end
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.call import Call
@@ -42,7 +42,8 @@
         self.sending = sending
         self.tries = tries
         self.began = successors.clock.monotonic()
-        seconds = silent_after(sending.seconds, server.service_seconds)
+        placer = successors.placer
+        seconds = placer.silent_after(server, sending.seconds, self.began)
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(seconds, self._note_silence)
 
@@ -69,6 +70,9 @@
             return
         if not self.tries.may_go_on(self.call.route.attempts_max):
             return
+        left = self.sending.time_left.seconds()
+        if not may_still_end(left, self.successors.placer.answer_times(self.server)):
+            return
         successor = self.successors.next_server(
             self.call, self.tries, Verdict.TIMED_OUT
         )
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -8,6 +8,7 @@
 from greengagepoint.placing.allowance import create_moving, create_waiting
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
+from greengagepoint.placing.patience import AnswerTimes, silent_after
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
@@ -52,6 +53,7 @@
         self.loads = RegionLoads(home)
         self.room = RoomWatch()
         self.warm_keys = WarmKeys()
+        self.answers: dict[tuple[str, str], AnswerTimes] = {}
         self.cold = ColdStartLimiter(host, started_at)
         self.serving_hosts: list[str] = [host]
         self.round_trip_seconds = 0.0
@@ -141,6 +143,7 @@
             server.take_shedding(now)
         if exchange.verdict is Verdict.ANSWERED:
             suspicion.note_answer(server, now)
+            self.answer_times(server).take(seconds, now)
             # A run that waited for its slot would make the server look slow, and its
             # queue twice as long as it is.
             if waited == 0 and (load is None or load.waiting == 0):
@@ -152,6 +155,18 @@
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.suspect(server, exchange.verdict, now)
 
+    def answer_times(self, server: Server) -> AnswerTimes:
+        """Return how servers like this one have answered this host."""
+        return self.answers.setdefault((server.service, server.region), AnswerTimes())
+
+    def silent_after(self, server: Server, seconds_left: float, now: float) -> float:
+        """Return after how many seconds a server that answers nobody counts as dead."""
+        members = self.view.servers.find(server.service, server.region).servers
+        answers = self.answer_times(server)
+        return silent_after(
+            seconds_left, server.service_seconds, answers, len(members), now
+        )
+
     def suspect(self, server: Server, verdict: Verdict, now: float) -> None:
         """Spare a server for a while, unless a newer one has its id."""
         if not self.view.servers.holds(server):
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -18,6 +18,7 @@
 from greengagepoint.config.watchers import CURRENT_SECONDS
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
+from greengagepoint.placing.patience import AnswerTimes
 from greengagepoint_node.gateway.tries import UNREACHED_MAX
 from greengagepoint_standins.users_platform.backend import SIGNATURE, Manner
 
@@ -116,6 +117,18 @@
         assert world.events.of(Event.REQUEST_RETRIED)
 
 
+async def test_a_server_that_is_seldom_heard_of_is_left_to_end_a_long_run():
+    # A host of a large fleet meets each server once in many seconds. A run that is cold
+    # for its key takes seven tenths of the caller's time. Given up at half of it, the
+    # run would be thrown away, and its repeat elsewhere could not end in time.
+    async with async_world(seconds=0.7) as world:
+        set_run_seconds(world, 0.05)
+        world.daemon.placer.answers["booking", "north"] = AnswerTimes(0.1, 0.8)
+        status, _, _ = await world.async_call("/safe/1")
+        assert (status, world.ran()) == (200, 1)
+        assert not world.events.of(Event.BACKEND_SERVER_SUSPECTED)
+
+
 async def test_a_silent_server_is_not_given_up_while_there_is_no_other():
     # The only server is slow, and has answered nobody for half of the request's time.
     # Giving it up then would tell the caller of a failure while the server is at work,
