Tell of full servers by run

Cause: news was known by a server's id, and a server may start again under it: for up to two seconds the new run would be taken for as full as the former one. Change: news carries the birth of the run, as all else that is kept of servers.

--- a/packages/core/tests/placing_fleet.py
+++ b/packages/core/tests/placing_fleet.py
@@ -216,7 +216,7 @@
             return
         for number in range(hosts):
             at = now + news_seconds * rng.uniform(0.3, 1.7)
-            news = BusyServer(f"i-{index}", held, round((at - now) * 1000))
+            news = BusyServer(f"i-{index}", 0, held, round((at - now) * 1000))
             sequence += 1
             heapq.heappush(events, (at, sequence, "news", (number,), news))
 
--- a/packages/core/tests/test_placing_busy_servers.py
+++ b/packages/core/tests/test_placing_busy_servers.py
@@ -40,14 +40,14 @@
     rows[0].note(table().servers["i-0"], 20, NOW)
     rows[1].take(rows[0].shared(NOW + 0.5), table(), NOW + 0.5)
     rows[2].take(rows[1].shared(NOW + 1.0), table(), NOW + 1.0)
-    assert rows[2].shared(NOW + 1.5) == [BusyServer("i-0", 20, 1500)]
+    assert rows[2].shared(NOW + 1.5) == [BusyServer("i-0", 0, 20, 1500)]
 
 
 def test_a_host_believes_its_own_newer_report():
     servers = table()
     mine = servers.servers["i-0"]
     mine.take_report(2, 0, NOW)
-    BusyServers().take([BusyServer("i-0", 27, 300)], servers, NOW)
+    BusyServers().take([BusyServer("i-0", 0, 27, 300)], servers, NOW)
     assert mine.occupancy(NOW) == 2
 
 
@@ -72,5 +72,13 @@
 
 def test_news_of_servers_that_are_not_known_is_passed_over():
     busy = BusyServers()
-    busy.take([BusyServer("i-9", 20, 100)], table(), NOW)
+    busy.take([BusyServer("i-9", 0, 20, 100)], table(), NOW)
     assert busy.shared(NOW) == []
+
+
+def test_news_of_a_former_run_says_nothing_of_the_present_one():
+    # A full server ends and starts again under its id. Taken for full, it would get no
+    # request of the keys that it is to have.
+    servers = table()
+    BusyServers().take([BusyServer("i-0", 5, 27, 300)], servers, NOW)
+    assert servers.servers["i-0"].occupancy(NOW) == 0
