--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -34,7 +34,8 @@
 
     A newer incarnation is a new row. What is still in flight at the older one is held
     by its own row, which is in no table any more. ``typical`` is shared by the members
-    of a service in a region.
+    of a service in a region. ``service_unknown`` is the part of its fixed beginning
+    that ``service_seconds`` still has.
     """
 
     instance: str
@@ -65,8 +66,7 @@
     def run_seconds(self) -> float:
         """Return how long a run takes here, as far as this host can tell.
 
-        ``service_seconds`` is the mean that began with a fixed value; the part of that
-        value which is still in it is replaced by what servers like this one take.
+        What is not known of this server yet is taken from servers like it.
         """
         begun = self.typical.cautious_run_seconds() - RUN_SECONDS_START
         return self.service_seconds + self.service_unknown * begun
