--- a/packages/core/greengagepoint/placing/typical_load.py
+++ b/packages/core/greengagepoint/placing/typical_load.py
@@ -19,7 +19,11 @@
 SHAPE: Final = 4.0
 # Before any run is known.
 RUN_SECONDS_START: Final = 0.3
-RUN_WEIGHT: Final = 0.1
+# Runs that are cold for their key take up to four times as long, and an overload has
+# more of them. A mean would follow them, queues would look longer, keys would leave
+# their servers, and more runs be cold; a quarter of the runs stays among the warm.
+QUICK_PART: Final = 0.25
+RUN_STEP: Final = 0.1
 # A server that a host knows little of is taken for slower than most. A queue held for
 # shorter than it is makes callers late; one held for longer sends them to the other
 # server of their key. Played with 195 hosts, 0.998 were in time with 2, 0.984 with 1.
@@ -31,7 +35,8 @@
     """How busy the servers of one service in one region are.
 
     ``busy`` is the mean part of their slots in use, None while none has told.
-    ``run_seconds`` is the mean run without a wait, None while there was none.
+    ``run_seconds`` is what a quarter of the runs without a wait take less than, None
+    while there was none.
     """
 
     busy: float | None = None
@@ -52,7 +57,8 @@
         """Take in how long a request ran, without its wait for a slot."""
         if self.run_seconds is None:
             self.run_seconds = seconds
-        self.run_seconds += (seconds - self.run_seconds) * RUN_WEIGHT
+        part = QUICK_PART if seconds > self.run_seconds else QUICK_PART - 1
+        self.run_seconds *= 1 + RUN_STEP * part
 
     def cautious_run_seconds(self) -> float:
         """Return what a run may take at a server of which nothing is known."""
