Tell how long a request waits for its first byte, and how old the news was

Callers' requests reached servers that had left seconds before. The logs could not tell a host that did not know from one that knew and sent all the same: nothing said when the first byte went out, nor on how old news. A line for tries that wait over 0.5 s, for those whose server had left by then and for sampled ones, two histograms, and how long a peer's news took to be put in force. No decision is changed.

--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -1,7 +1,6 @@
 """Backend servers as hosts know them: members, load, faults and coldness."""
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
@@ -157,7 +156,7 @@
         """Work out the members again after a change."""
         self.version += 1
         grouped: dict[tuple[str, str], list[Server]] = {}
-        for server in self._eligible():
+        for server in filter(self._is_eligible, self.servers.values()):
             key = (server.service, server.region)
             server.typical = self.typical.setdefault(key, TypicalLoad())
             grouped.setdefault(key, []).append(server)
@@ -170,15 +169,17 @@
             regions.setdefault(service, []).append(region)
         self.regions = {service: tuple(names) for service, names in regions.items()}
 
-    def _eligible(self) -> Iterable[Server]:
-        """Yield servers that have a service, stay, and stand in no evacuated zone."""
-        for server in self.servers.values():
-            if self.services is not None and server.service not in self.services:
-                continue
-            if server.incarnation in self.leaving:
-                continue
-            if server.zone not in self.evacuated_zones:
-                yield server
+    def is_member(self, server: Server) -> bool:
+        """Tell whether a server may get requests now, as far as this host knows."""
+        return self.holds(server) and self._is_eligible(server)
+
+    def _is_eligible(self, server: Server) -> bool:
+        """Tell whether a server has a service, stays, and is in no evacuated zone."""
+        if self.services is not None and server.service not in self.services:
+            return False
+        if server.incarnation in self.leaving:
+            return False
+        return server.zone not in self.evacuated_zones
 
 
 NO_MEMBERS: Final = Members()
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -34,7 +34,8 @@
     Keys are (service, route, outcome) for requests, (service, verdict) for tries,
     (service, region) for where requests ran, (operation, outcome) for store calls,
     (path, direction) for the bytes of messages between hosts, (reason,) for items of
-    the store that were refused.
+    the store that were refused. ``send_delay`` are the seconds from the choice of a
+    server to the first byte, ``news_age`` how old the host's news was then.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,8 @@
         self.refused_items: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
+        self.send_delay = Histogram(SECONDS_BOUNDS)
+        self.news_age = Histogram(SECONDS_BOUNDS)
         self.routes: set[str] = set()
 
     def add_request(
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -174,7 +174,7 @@
             self.counters,
             self.clock,
             self.events,
-            self.gossip.is_current,
+            self.gossip,
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -11,6 +11,7 @@
 from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.proxy.relay import is_framed
 from greengagepoint_node.proxy.sessions import (
     BackendRequest,
@@ -75,10 +76,7 @@
 
 
 class Sending:
-    """What is sent, and the time for it in seconds.
-
-    ``is_sent`` tells whether a server may have got any of it.
-    """
+    """What is sent, and the time for it in seconds."""
 
     def __init__(
         self,
@@ -89,6 +87,7 @@
         request_id: str,
         seconds: float,
         time_left: TimeLeft,
+        times: SendTimes,
     ) -> None:
         self.method = method
         self.target = target
@@ -97,7 +96,7 @@
         self.request_id = request_id
         self.seconds = seconds
         self.time_left = time_left
-        self.is_sent = False
+        self.times = times
         self.limit: asyncio.Timeout | None = None
         self.successor: Server | None = None
 
@@ -107,9 +106,14 @@
         if left < SECONDS_LEFT_MIN:
             return False
         self.headers[self.time_left.header] = str(int(left * 1000))
-        self.is_sent = True
+        self.times.note_sent()
         return True
 
+    @property
+    def is_sent(self) -> bool:
+        """Tell whether a server may have got any of it."""
+        return self.times.sent_at is not None
+
     def give_up_for(self, successor: Server) -> None:
         """End the exchange now, as if its time were over, for another server."""
         if self.limit is not None and not self.limit.expired():
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -133,8 +133,11 @@
 
     def is_current(self) -> bool:
         """Tell whether this host would know a configuration that must be in force."""
-        confirmed_at = max(self.confirmed_at, self.peers_confirmed_at)
-        return self.clock.monotonic() - confirmed_at <= CURRENT_SECONDS
+        return self.clock.monotonic() - self.news_confirmed_at() <= CURRENT_SECONDS
+
+    def news_confirmed_at(self) -> float:
+        """Return when the view was last known to be complete, by whatever way."""
+        return max(self.confirmed_at, self.peers_confirmed_at)
 
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
@@ -284,8 +287,7 @@
             news = self.view.changes_after(revision)
         whole = isinstance(news, Snapshot)
         rows = news.items if whole else news.changes
-        confirmed_at = max(self.confirmed_at, self.peers_confirmed_at)
-        age = self.clock.monotonic() - confirmed_at
+        age = self.clock.monotonic() - self.news_confirmed_at()
         return Message(
             revision=self.view.revision,
             after=min(revision, self.view.revision),
@@ -328,7 +330,11 @@
         if message.revision > before >= message.after:
             self._take_news(message, now)
             self.events.record(
-                Event.CONFIGURATION_FROM_PEER, before=before, revision=message.revision
+                Event.CONFIGURATION_FROM_PEER,
+                before=before,
+                revision=message.revision,
+                age=message.age and round(message.age, 3),
+                seconds=round(self.clock.monotonic() - now, 3),
             )
         complete = self.view.revision >= message.revision
         if complete and message.age is not None and sent_after is not None:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -1,7 +1,6 @@
 """One request from its first byte to its last."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -40,6 +39,7 @@
     no_place,
     refusal_response,
 )
+from greengagepoint_node.gateway.send_times import News, SendTimes
 from greengagepoint_node.gateway.tries import Tries
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.proxy.sessions import BackendSessions
@@ -60,7 +60,7 @@
         counters: GatewayCounters,
         clock: Clock,
         events: EventSink,
-        is_current: Callable[[], bool],
+        news: News,
     ) -> None:
         self.names = names
         self.view = view
@@ -68,7 +68,7 @@
         self.placer = placer
         self.retries = retries
         self.clock = clock
-        self.is_current = is_current
+        self.news = news
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -161,7 +161,7 @@
             raise Refusal(ErrorKind.NOT_READY, 503, reason, NOT_READY_SECONDS)
         if not request_id:
             raise Refusal(ErrorKind.BAD_REQUEST, 400, "the request has no id")
-        route = match_route(table, request, self.is_current)
+        route = match_route(table, request, self.news.is_current)
         service = self.split.choose(route)
         return create_call(request, self.names, route, service, arrived_at)
 
@@ -257,6 +257,7 @@
             call.request_id,
             left,
             TimeLeft(self.names.deadline_ms, self.clock, call.ends_at),
+            SendTimes(self.clock, self.news, self.view.servers, server),
         )
 
     async def _async_try(
@@ -279,5 +280,6 @@
         now = self.clock.monotonic()
         self.placer.learn(call, server, exchange, now - began, waited, now)
         number = len(tries.servers)
+        self.outcomes.note_sent(call, server, sending.times)
         self.outcomes.note_try(call, server, exchange, number, now - began)
         return exchange
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -106,16 +106,18 @@
             "Seconds that requests took together.",
             lambda: _sums(durations, "service", "route"),
         )
-        lag = {(): counters.loop_lag}
-        yield Instrument(
-            "loop_lag_seconds_bucket",
-            "Ticks that came at most le seconds late.",
-            lambda: _buckets(lag),
+        yield from _histogram(
+            "loop_lag", "Ticks by how late they came", counters.loop_lag
         )
-        yield Instrument(
-            "loop_lag_seconds_sum",
-            "Seconds that ticks came late together.",
-            lambda: _sums(lag),
+        yield from _histogram(
+            "send_delay",
+            "Tries by the time from the choice of a server to the first byte",
+            counters.send_delay,
+        )
+        yield from _histogram(
+            "news_age",
+            "Tries by how old the host's news was at the first byte",
+            counters.news_age,
         )
 
     def _declare_gauges(self, meter: Meter) -> None:
@@ -127,6 +129,21 @@
             )
 
 
+def _histogram(
+    name: str, description: str, histogram: Histogram
+) -> Iterator[Instrument]:
+    """Yield the parts of a histogram of seconds that has no labels."""
+    table = {(): histogram}
+    yield Instrument(
+        f"{name}_seconds_bucket", f"{description}.", lambda: _buckets(table)
+    )
+    yield Instrument(
+        f"{name}_seconds_sum",
+        f"{description}, in seconds together.",
+        lambda: _sums(table),
+    )
+
+
 def _rows(table: dict[tuple[str, ...], int], *labels: str) -> Rows:
     """Yield a table's counts with its keys as labels."""
     for key, count in list(table.items()):
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -1,5 +1,6 @@
 """Log and count how requests and their tries end."""
 
+import math
 from typing import Final
 
 import xxhash
@@ -13,11 +14,15 @@
 from greengagepoint_node.gateway.counters import GatewayCounters
 from greengagepoint_node.gateway.exchange import Exchange, Verdict
 from greengagepoint_node.gateway.refusals import Refusal
+from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
 
 # One request in so many is logged when all went well; which ones depends on the id
 # alone, so all hosts keep the same requests.
 SAMPLED_ONE_IN: Final = 64
+# A first byte that waits longer takes a good part of the time in which a leaving server
+# still serves.
+SLOW_SEND_SECONDS: Final = 0.5
 
 
 class Outcomes:
@@ -79,6 +84,31 @@
             self.clock.monotonic() - arrived_at,
         )
 
+    def note_sent(self, call: Call, server: Server, times: SendTimes) -> None:
+        """Count how late a try's first byte went out, and on how old news.
+
+        Logged are those that waited long, those whose server had left before, and the
+        sampled ones: they tell news that came late from news that was not looked at.
+        """
+        seconds = times.seconds_until_sent
+        if seconds is None:
+            return
+        self.counters.send_delay.add(seconds)
+        self.counters.news_age.add(times.news_age_at_send)
+        slow = seconds > SLOW_SEND_SECONDS
+        if times.was_member and not slow and not _is_sampled(call.request_id):
+            return
+        self.events.record(
+            Event.REQUEST_SENT,
+            request_id=call.request_id,
+            instance=server.instance,
+            member=times.was_member,
+            seconds=round(seconds, 3),
+            news_age_at_choice=_rounded(times.news_age_at_choice),
+            news_age=_rounded(times.news_age_at_send),
+            revision=self.view.revision,
+        )
+
     def note_try(
         self,
         call: Call,
@@ -138,6 +168,11 @@
     return {"route": call.route.name, "service": call.service}
 
 
+def _rounded(seconds: float) -> float | None:
+    """Return seconds for a log line, None where they are not finite."""
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def _is_sampled(request_id: str) -> bool:
     """Tell whether an ordinary success is logged."""
     return xxhash.xxh3_64_intdigest(request_id.encode()) % SAMPLED_ONE_IN == 0
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/send_times.py
@@ -0,0 +1,48 @@
+"""Note how long a request waits between the choice of its server and its first byte."""
+
+from typing import Protocol
+
+from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.protocols import Clock
+
+
+class News(Protocol):
+    """Know when this host's news of the fleet was last complete."""
+
+    def news_confirmed_at(self) -> float:
+        """Return monotonic seconds, minus infinity where it never was."""
+
+    def is_current(self) -> bool:
+        """Tell whether this host would know a configuration that must be in force."""
+
+
+class SendTimes:
+    """The times of one try, in monotonic seconds; ages of news in seconds.
+
+    An age is that of the oldest fact that may have changed without this host's knowing.
+    ``was_member`` tells whether the server could still have been chosen at the send.
+    """
+
+    def __init__(
+        self, clock: Clock, news: News, servers: ServerTable, server: Server
+    ) -> None:
+        self.clock = clock
+        self.news = news
+        self.servers = servers
+        self.server = server
+        self.was_member = True
+        self.chosen_at = clock.monotonic()
+        self.news_age_at_choice = self.chosen_at - news.news_confirmed_at()
+        self.sent_at: float | None = None
+        self.news_age_at_send = self.news_age_at_choice
+
+    def note_sent(self) -> None:
+        """Take in that the first byte goes out now."""
+        self.sent_at = self.clock.monotonic()
+        self.was_member = self.servers.is_member(self.server)
+        self.news_age_at_send = self.sent_at - self.news.news_confirmed_at()
+
+    @property
+    def seconds_until_sent(self) -> float | None:
+        """Return how long the request waited for its first byte, None if unsent."""
+        return None if self.sent_at is None else self.sent_at - self.chosen_at
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -158,6 +158,27 @@
         ) as answer:
             return answer.status, await answer.read(), dict(answer.headers)
 
+    @contextlib.contextmanager
+    def held_connections(self):
+        """Let no new connection to a server come about until the block has ended."""
+        may_go_on = asyncio.Event()
+        waiting = asyncio.Event()
+
+        async def async_hold(*_: Any) -> None:
+            waiting.set()
+            await may_go_on.wait()
+
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_start.append(async_hold)
+        trace.freeze()
+        traces = self.daemon.sessions.session.trace_configs
+        traces.append(trace)
+        try:
+            yield waiting
+        finally:
+            traces.remove(trace)
+            may_go_on.set()
+
     def ran(self) -> int:
         return sum(len(backend.ran) for backend in self.backends)
 
--- a/packages/node/tests/test_gateway_metrics.py
+++ b/packages/node/tests/test_gateway_metrics.py
@@ -1,5 +1,7 @@
 """What a scrape tells of the request path, and what it must not cost."""
 
+import asyncio
+
 import pytest
 from gateway_world import async_world
 
@@ -116,3 +118,24 @@
         (row,) = world.events.of(Event.METRICS_UNAVAILABLE)
         assert row["address"] == address
         assert (await world.async_call("/safe/1"))[0] == 200
+
+
+async def test_a_request_that_leaves_late_is_told_with_the_age_of_the_news():
+    # A request reached a server that had said seconds before that it leaves. On-call
+    # engineers ask whether the host did not know yet when it chose the server, or knew
+    # at the first byte, half a second later, and did not look.
+    async with async_world(metrics=True) as world:
+        world.clock.stop()
+        with world.held_connections() as waiting:
+            call = asyncio.create_task(world.async_call("/safe/1"))
+            await waiting.wait()
+            world.clock.ahead += 0.7
+        await call
+        (line,) = world.events.of(Event.REQUEST_SENT)
+        assert line["seconds"] == 0.7
+        assert line["member"] is True
+        assert line["news_age"] == pytest.approx(line["news_age_at_choice"] + 0.7)
+        _, lines = await async_scrape(world)
+        assert value(lines, "send_delay_seconds_bucket", le="0.6") == 0
+        assert value(lines, "send_delay_seconds_bucket", le="1") == 1
+        assert value(lines, "news_age_seconds_bucket", le="+Inf") == 1
