--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -96,7 +96,11 @@
                 self.needs_snapshot = True
             except StoreError as error:
                 self._note_lost(error)
-                await asyncio.sleep(self._pause() * (0.5 + self.random.random()))
+                await self._async_pause(self._pause())
+
+    async def _async_pause(self, seconds: float) -> None:
+        """Wait about so long, each host for another time."""
+        await asyncio.sleep(seconds * (0.5 + self.random.random()))
 
     def _needs_store(self) -> bool:
         """Tell whether peers do not keep this host up to date."""
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -7,7 +7,7 @@
 
 import pytest
 from deployment import async_until
-from gateway_world import ZONES, Lines
+from gateway_world import ZONES, Lines, MovedClock
 
 from greengagepoint.config import watchers
 from greengagepoint.errors import StoreError
@@ -218,6 +218,36 @@
     assert view.lapses_until == float("-inf")
 
 
+@pytest.mark.parametrize(
+    ("peers_confirmed_ago", "doubted"),
+    [(0.5, False), (2.9, False), (3.1, True), (20.0, True)],
+    ids=["just now", "entries last as long", "entries may be gone", "before the loss"],
+)
+async def test_a_watcher_that_alone_was_turned_away_trusts_what_it_reads_then(
+    monkeypatch, peers_confirmed_ago, doubted
+):
+    # The store turns a region's watcher away for nine seconds and serves all others. As
+    # it lets the watcher in again, a server's entry is removed. The watcher took that for
+    # a lapse in an outage, told its region so, and callers were sent to that server for
+    # two more seconds, 3.0 s after it had left. Only where nobody reached the store for
+    # as long as entries last without it can one have lapsed.
+    monkeypatch.setattr(module, "GATHER_SECONDS", 0)
+    store = Script(Snapshot((), 4), StoreError("status 429"), Changes((), 5))
+    peers, clock = Peers(), MovedClock()
+    view = FleetView(ZONES, lambda item: None, Lines())
+    follower = StoreFollower(store, view, clock, random.Random(1), Lines(), peers)
+
+    async def async_pause(_):
+        clock.ahead = 9.0
+        peers.peers_confirmed_at = clock.monotonic() - peers_confirmed_ago
+
+    monkeypatch.setattr(follower, "_async_pause", async_pause)
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: view.revision == 5)
+    task.cancel()
+    assert (view.lapses_until > float("-inf")) is doubted
+
+
 @pytest.mark.parametrize(("watcher", "most"), [(True, 22), (False, 14)])
 async def test_hosts_ask_less_often_the_longer_the_store_is_away(
     monkeypatch, watcher, most
