Let one entry of known red tests stand for a table of cases

Each case still has to fail, or the run does. The tests' gateway closes its sessions, whose warnings hid the summary.

--- a/packages/core/tests/test_known_red.py
+++ b/packages/core/tests/test_known_red.py
@@ -88,3 +88,31 @@
     assert result.ret == exit_code
     output = result.outlines + result.errlines
     LineMatcher(output).fnmatch_lines_random(shown)
+
+
+@pytest.mark.parametrize(
+    ("cases", "exit_code", "shown"),
+    [
+        ("False, False", pytest.ExitCode.OK, ["*2 xfailed*"]),
+        ("False, True", pytest.ExitCode.TESTS_FAILED, ["*XPASS(strict)*"]),
+    ],
+    ids=["all fail", "one passes"],
+)
+def test_an_entry_for_a_table_stands_for_all_its_cases(
+    pytester, cases, exit_code, shown
+):
+    pytester.makeini(INI)
+    pytester.makeconftest(CONFTEST)
+    pytester.makepyfile(
+        test_a=f"""
+            import pytest
+
+            @pytest.mark.parametrize("good", [{cases}])
+            def test_red(good):
+                assert good
+            """
+    )
+    (pytester.path / FILE_NAME).write_text(LINE)
+    result = pytester.runpytest_inprocess()
+    assert result.ret == exit_code
+    LineMatcher(result.outlines).fnmatch_lines_random(shown)
--- a/packages/known_red.py
+++ b/packages/known_red.py
@@ -1,7 +1,8 @@
 """Expect the tests of KNOWN-RED.txt to fail, and nothing else.
 
 The file stands at the root only while a test fails for a real fault that is not mended
-yet. Each line is ``test id | cause | issue``.
+yet. Each line is ``test id | cause | issue``; the id of a table of cases without a case
+stands for all of them, and each has to fail.
 """
 
 from pathlib import Path
@@ -56,14 +57,17 @@
 ) -> None:
     """Mark the listed tests as failing; one that passes fails the run."""
     entries = read_known_red(config.rootpath / FILE_NAME)
-    by_id = {item.nodeid: item for item in items}
+    by_id: dict[str, list[pytest.Item]] = {}
+    for item in items:
+        for test_id in {item.nodeid, item.nodeid.partition("[")[0]}:
+            by_id.setdefault(test_id, []).append(item)
     whole_run = config.args_source is pytest.Config.ArgsSource.TESTPATHS
     for entry in entries:
-        item = by_id.get(entry.test_id)
-        if item is not None:
-            reason = f"{entry.cause} ({entry.issue})"
+        listed = by_id.get(entry.test_id, [])
+        reason = f"{entry.cause} ({entry.issue})"
+        for item in listed:
             item.add_marker(pytest.mark.xfail(reason=reason, strict=True))
-        elif whole_run:
+        if not listed and whole_run:
             # A renamed or deleted test would otherwise stay on the list unseen.
             raise pytest.UsageError(f"{FILE_NAME}: there is no test {entry.test_id}")
 
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -245,5 +245,7 @@
             task.cancel()
         for listener in daemon.listeners:
             await listener.async_close(0.02)
+        await daemon.sessions.async_close()
+        await daemon.gossip.session.close()
         for backend in backends:
             await backend.async_stop()
