Look again whether a server stays before the first byte of a request

Callers' requests reached servers of which their host had heard 0.2 to 0.3 s before that they leave: between the choice of a server and the first byte lies a connection, up to 0.6 s on a full link, and only the time that was left was looked at again. The same held for an emptied zone, a newer run under the id, and another server at the address.

A request whose server is no member any more at its first byte is not sent; it goes to another server, without using up a try or a retry, as nothing got it. Why it holds: the look and the first write are one step of the event loop, on new and on kept connections.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -1,6 +1,7 @@
 """One try at a backend server: send the request, read and check the whole answer."""
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -40,10 +41,17 @@
     FOREIGN = "foreign"
     TIMED_OUT = "timed_out"
     LAPSED = "lapsed"
+    LEFT = "left"
 
 
 NOT_RUN: Final = frozenset(
-    {Verdict.SHED, Verdict.UNREACHABLE, Verdict.OTHER_SERVER, Verdict.LAPSED}
+    {
+        Verdict.SHED,
+        Verdict.UNREACHABLE,
+        Verdict.OTHER_SERVER,
+        Verdict.LAPSED,
+        Verdict.LEFT,
+    }
 )
 
 
@@ -76,7 +84,11 @@
 
 
 class Sending:
-    """What is sent, and the time for it in seconds."""
+    """What is sent, and the time for it in seconds.
+
+    ``stays`` tells whether the server may still get it. ``withheld`` is why nothing was
+    sent, None otherwise.
+    """
 
     def __init__(
         self,
@@ -88,6 +100,7 @@
         seconds: float,
         time_left: TimeLeft,
         times: SendTimes,
+        stays: Callable[[], bool],
     ) -> None:
         self.method = method
         self.target = target
@@ -97,13 +110,24 @@
         self.seconds = seconds
         self.time_left = time_left
         self.times = times
+        self.stays = stays
+        self.withheld: Exchange | None = None
         self.limit: asyncio.Timeout | None = None
         self.successor: Server | None = None
 
     def may_start(self) -> bool:
-        """Write what is left into the headers; tell whether it is enough."""
+        """Write what is left into the headers; tell whether to send at all.
+
+        On a full link a connection takes up to its limit of 0.6 s. The host may hear
+        meanwhile that the server leaves or that its zone is emptied; sent all the same,
+        the request would come too late and be cut off with the server's exit.
+        """
         left = self.time_left.seconds()
         if left < SECONDS_LEFT_MIN:
+            self.withheld = Exchange(Verdict.LAPSED, "no time was left to send")
+        elif not self.stays():
+            self.withheld = Exchange(Verdict.LEFT, "the server left while connecting")
+        if self.withheld is not None:
             return False
         self.headers[self.time_left.header] = str(int(left * 1000))
         self.times.note_sent()
@@ -162,7 +186,8 @@
     except aiohttp.ConnectionTimeoutError as error:
         return Exchange(Verdict.UNREACHABLE, type(error).__name__)
     except LapsedError:
-        return Exchange(Verdict.LAPSED, "no time was left to send")
+        assert sending.withheld is not None
+        return sending.withheld
     except TimeoutError:
         if not sending.is_sent:
             return Exchange(Verdict.LAPSED, "the time ended while connecting")
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -40,7 +40,7 @@
     refusal_response,
 )
 from greengagepoint_node.gateway.send_times import News, SendTimes
-from greengagepoint_node.gateway.tries import Tries
+from greengagepoint_node.gateway.tries import UNSENT, Tries
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.proxy.sessions import BackendSessions
 
@@ -225,11 +225,11 @@
     def _may_send_again(self, call: Call, last: Verdict | None) -> bool:
         """Take what one more send uses up of the shared budget.
 
-        A try without a connection has reached no server, so one more is the first that
-        does. Counted all the same, the tries at a crashed server used up the budget in
-        the second in which it was needed most.
+        A try of which no server got anything has used up nothing, so one more is the
+        first that does. Counted all the same, the tries at a crashed server used up the
+        budget in the second in which it was needed most.
         """
-        if last is Verdict.UNREACHABLE:
+        if last in UNSENT:
             return True
         assert self.view.routes is not None
         urgent = self.view.routes.is_urgent(call.route, call.service)
@@ -257,7 +257,8 @@
             call.request_id,
             left,
             TimeLeft(self.names.deadline_ms, self.clock, call.ends_at),
-            SendTimes(self.clock, self.news, self.view.servers, server),
+            SendTimes(self.clock, self.news),
+            lambda: self.view.servers.is_member(server),
         )
 
     async def _async_try(
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -87,22 +87,19 @@
     def note_sent(self, call: Call, server: Server, times: SendTimes) -> None:
         """Count how late a try's first byte went out, and on how old news.
 
-        Logged are those that waited long, those whose server had left before, and the
-        sampled ones: they tell news that came late from news that was not looked at.
+        Logged are those that waited long and the sampled ones.
         """
         seconds = times.seconds_until_sent
         if seconds is None:
             return
         self.counters.send_delay.add(seconds)
         self.counters.news_age.add(times.news_age_at_send)
-        slow = seconds > SLOW_SEND_SECONDS
-        if times.was_member and not slow and not _is_sampled(call.request_id):
+        if seconds <= SLOW_SEND_SECONDS and not _is_sampled(call.request_id):
             return
         self.events.record(
             Event.REQUEST_SENT,
             request_id=call.request_id,
             instance=server.instance,
-            member=times.was_member,
             seconds=round(seconds, 3),
             news_age_at_choice=_rounded(times.news_age_at_choice),
             news_age=_rounded(times.news_age_at_send),
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -33,6 +33,7 @@
     Verdict.FOREIGN: ErrorKind.BACKEND_PROTOCOL,
     Verdict.TIMED_OUT: ErrorKind.BACKEND_TIMEOUT,
     Verdict.LAPSED: ErrorKind.DEADLINE_TOO_SHORT,
+    Verdict.LEFT: ErrorKind.NO_BACKEND_SERVER,
 }
 
 
--- a/packages/node/greengagepoint_node/gateway/send_times.py
+++ b/packages/node/greengagepoint_node/gateway/send_times.py
@@ -2,7 +2,6 @@
 
 from typing import Protocol
 
-from greengagepoint.placing.tables import Server, ServerTable
 from greengagepoint.protocols import Clock
 
 
@@ -20,17 +19,11 @@
     """The times of one try, in monotonic seconds; ages of news in seconds.
 
     An age is that of the oldest fact that may have changed without this host's knowing.
-    ``was_member`` tells whether the server could still have been chosen at the send.
     """
 
-    def __init__(
-        self, clock: Clock, news: News, servers: ServerTable, server: Server
-    ) -> None:
+    def __init__(self, clock: Clock, news: News) -> None:
         self.clock = clock
         self.news = news
-        self.servers = servers
-        self.server = server
-        self.was_member = True
         self.chosen_at = clock.monotonic()
         self.news_age_at_choice = self.chosen_at - news.news_confirmed_at()
         self.sent_at: float | None = None
@@ -39,7 +32,6 @@
     def note_sent(self) -> None:
         """Take in that the first byte goes out now."""
         self.sent_at = self.clock.monotonic()
-        self.was_member = self.servers.is_member(self.server)
         self.news_age_at_send = self.sent_at - self.news.news_confirmed_at()
 
     @property
--- a/packages/node/greengagepoint_node/gateway/tries.py
+++ b/packages/node/greengagepoint_node/gateway/tries.py
@@ -6,6 +6,8 @@
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint_node.gateway.exchange import Verdict
 
+# How tries end of which their server got nothing, while there is time for another one.
+UNSENT: Final = frozenset({Verdict.UNREACHABLE, Verdict.LEFT})
 # Servers that could not be reached are tried beside those that a route allows. Of ten
 # servers three may be lost at once with their zone; then one request in 37 meets three
 # such servers in a row. Each takes up to 0.6 s, so more would use up short deadlines.
@@ -16,7 +18,8 @@
 class Tries:
     """The servers of one request so far, the present one included.
 
-    ``unreached`` is how many of them got nothing since no connection was made.
+    ``unreached`` is how many of them got nothing: no connection was made, or they left
+    while one was made.
     """
 
     servers: set[Incarnation] = field(default_factory=set)
@@ -28,7 +31,7 @@
 
     def end(self, verdict: Verdict) -> None:
         """Take in how the try at the present server ended."""
-        self.unreached += verdict is Verdict.UNREACHABLE
+        self.unreached += verdict in UNSENT
 
     def may_go_on(self, servers_max: int) -> bool:
         """Tell whether one more server may get the request.
