--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -16,6 +16,7 @@
     Evacuation,
     HostEntry,
     RemovedKey,
+    ServerEntry,
     Snapshot,
     StoredItem,
 )
@@ -26,7 +27,7 @@
     ALIVE_SECONDS,
     HeardHost,
 )
-from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
 
 NOW = 10.0
 
@@ -60,6 +61,10 @@
     )
 
 
+def decode_server(item):
+    return ServerEntry(item.key, "booking", "10.0.0.1:1", "zone-a", 4, False, 0.0)
+
+
 async def async_exchange(one, other):
     """Let one host exchange with another, without a network."""
     one.own.count += 1
@@ -369,3 +374,27 @@
     await async_exchange(other, watcher)
     assert other.peers_confirmed_at == NOW - 2.5
     assert other.must_watch()
+
+
+async def test_a_doubt_about_a_removal_ends_for_all_hosts_at_once():
+    # The store returns from an outage, and a host reads that a server's entry is gone. It
+    # doubts that for two seconds, as live servers write theirs again by then, and tells
+    # the others so. Each of them doubted for two seconds from when it heard: the third
+    # host sent to a server that is gone for 3.9 s.
+    clock = Clock()
+    hosts = [host(f"h{number}", clock) for number in range(3)]
+    for one in hosts:
+        one.view.decode = decode_server
+        one.view.apply(Changes((StoredItem("i-1", b"", 4),), 4), NOW)
+    first, second, third = hosts
+    first.view.store_returned(NOW)
+    first.view.apply(Changes((RemovedKey("i-1", 5),), 5), NOW)
+    for seconds, one, other in [(1.5, second, first), (0.4, third, second)]:
+        clock.now += seconds
+        await async_exchange(one, other)
+        assert one.view.revision == 5
+        assert one.view.servers.servers
+    clock.now = NOW + LAPSED_SECONDS + 0.01
+    for one in hosts:
+        one.view.tick(clock.now)
+        assert not one.view.servers.servers
