End the doubt about a removal for all hosts at the same time

After an outage of the store callers were sent to a server that is gone for up to 3.9 s with two hops between hosts (by the test), in place of the two seconds in which users promise that live entries are back: each host that heard of the doubt began its own two seconds. Hosts now tell how long a removal is doubted yet. A host of the former version names the keys only, and gets the full time as before. The view takes a table of seconds where it took keys; tests that gave none give an empty table.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -13,6 +13,7 @@
 import math
 from collections import Counter
 from collections.abc import Coroutine
+from itertools import zip_longest
 from typing import Any, Final
 
 import aiohttp
@@ -47,7 +48,7 @@
 from greengagepoint_node.gateway.news_teller import NewsTeller
 from greengagepoint_node.gateway.packing import ItemPacker
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
-from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
 
 PERIOD_SECONDS: Final = 0.5
 # Two regions are 40 ms apart there and back; a peer that takes longer to begin, or
@@ -288,6 +289,7 @@
         whole = isinstance(news, Snapshot)
         rows = news.items if whole else news.changes
         age = self.clock.monotonic() - self.news_confirmed_at()
+        doubts = self.view.doubts(self.clock.monotonic())
         return Message(
             revision=self.view.revision,
             after=min(revision, self.view.revision),
@@ -297,11 +299,12 @@
             wants_addresses=self.table.lacks_addresses,
             items=[self.packer.pack(row) for row in rows if _is_item(row)],
             removed=[row for row in rows if isinstance(row, RemovedKey)],
-            lapsed=list(self.view.lapsed),
+            lapsed=list(doubts),
             whole=whole,
             loads=self.loads.known(self.clock.monotonic()),
             sent_at=self.clock.monotonic(),
             busy_servers=self.busy_servers.shared(self.clock.monotonic()),
+            lapsed_seconds=list(doubts.values()),
         )
 
     def _sent_after(self, message: Message, size: int) -> float:
@@ -344,12 +347,13 @@
     def _take_news(self, message: Message, now: float) -> None:
         """Take in the store's items that a peer passes on."""
         items = [self.packer.unpack(item) for item in message.items]
+        lapsed = _doubts(message)
         if message.whole:
             snapshot = Snapshot(tuple(items), message.revision)
-            self.view.replace(snapshot, now, message.lapsed)
+            self.view.replace(snapshot, now, lapsed)
             return
         changes = Changes((*items, *message.removed), message.revision)
-        self.view.apply(changes, now, message.lapsed)
+        self.view.apply(changes, now, lapsed)
 
     def _next_address(self) -> str | None:
         """Return whom to exchange with: a host at random, or a seed while alone."""
@@ -373,6 +377,15 @@
         return ordered[self.random.randrange(len(ordered))]
 
 
+def _doubts(message: Message) -> dict[str, float]:
+    """Return how many seconds the removals that a peer doubts are doubted yet.
+
+    A peer of the former version names them only.
+    """
+    rows = zip_longest(message.lapsed, message.lapsed_seconds, fillvalue=LAPSED_SECONDS)
+    return {str(key): float(seconds) for key, seconds in rows}
+
+
 def _is_item(row: StoredItem | RemovedKey) -> bool:
     """Tell a change from a removal."""
     return isinstance(row, StoredItem)
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -38,6 +38,7 @@
     ``wants_addresses`` asks for all hosts in full. ``wants_news`` is False where
     another exchange already brings what the sender lacks. ``sent_at`` is by the
     sender's steady clock. ``busy_servers`` are backend servers that are full.
+    ``lapsed_seconds`` are how long the removals of ``lapsed`` are doubted yet.
     """
 
     revision: int
@@ -54,6 +55,7 @@
     wants_news: bool = True
     sent_at: float | None = None
     busy_servers: list[BusyServer] = []
+    lapsed_seconds: list[float] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -1,7 +1,7 @@
 """What this host believes of the fleet, from the store and from peers."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from greengagepoint.errors import RecordError
@@ -80,7 +80,10 @@
         self.lapses_until = now + RETURN_SECONDS
 
     def replace(
-        self, snapshot: Snapshot, now: float, lapsed: Iterable[str] | None = None
+        self,
+        snapshot: Snapshot,
+        now: float,
+        lapsed: Mapping[str, float] | None = None,
     ) -> None:
         """Take in a snapshot: what it lacks has been removed.
 
@@ -100,25 +103,23 @@
         self.removed_complete_after = snapshot.revision
 
     def apply(
-        self, changes: Changes, now: float, lapsed: Iterable[str] | None = None
+        self, changes: Changes, now: float, lapsed: Mapping[str, float] | None = None
     ) -> None:
         """Take in changes; ``lapsed`` are the removals that a peer does not trust yet.
 
-        None means that the changes come from the store itself.
+        It tells for how many seconds more. None means that the changes come from the
+        store itself.
         """
         if lapsed is None:
             doubtful = now < self.lapses_until
-            may_have_lapsed = (
-                {change.key for change in changes.changes} if doubtful else set()
-            )
-        else:
-            may_have_lapsed = set(lapsed)
+            keys = [change.key for change in changes.changes] if doubtful else []
+            lapsed = dict.fromkeys(keys, LAPSED_SECONDS)
         rebuild = False
         for change in changes.changes:
             if isinstance(change, StoredItem):
                 rebuild |= self._store(change, now)
             else:
-                rebuild |= self._remove(change, change.key in may_have_lapsed, now)
+                rebuild |= self._remove(change, lapsed.get(change.key, 0.0), now)
         self.revision = max(self.revision, changes.revision)
         if rebuild:
             self._rebuild(now)
@@ -156,6 +157,10 @@
         if self.known.note_replaced(incarnation, self.revision):
             self._work_out_members()
 
+    def doubts(self, now: float) -> dict[str, float]:
+        """Return for how many seconds more each doubted removal is not believed."""
+        return {key: max(0.0, until - now) for key, until in self.lapsed.items()}
+
     def tick(self, now: float) -> None:
         """Give up servers whose entries lapsed and did not come back."""
         over = [key for key, until in self.lapsed.items() if until <= now]
@@ -266,8 +271,13 @@
             revision=self.revision,
         )
 
-    def _remove(self, change: RemovedKey, may_have_lapsed: bool, now: float) -> bool:
-        """Take in a removal; tell whether membership may have changed."""
+    def _remove(self, change: RemovedKey, doubted: float, now: float) -> bool:
+        """Take in a removal; tell whether membership may have changed.
+
+        ``doubted`` are the seconds for which the entry may only have lapsed. They go
+        down from host to host: begun anew at each, a server that is gone would be used
+        for as much longer as the news took.
+        """
         key = change.key
         self._note_removed(change)
         writes = self.writes.get(key)
@@ -277,8 +287,8 @@
         if writes.writes:
             return self._settle(key, now)
         del self.writes[key]
-        if may_have_lapsed and isinstance(self.facts.get(key), ServerEntry):
-            self.lapsed[key] = now + LAPSED_SECONDS
+        if doubted > 0 and isinstance(self.facts.get(key), ServerEntry):
+            self.lapsed[key] = now + min(doubted, LAPSED_SECONDS)
             return False
         return self._settle(key, now)
 
--- a/packages/node/tests/gateway_runs.py
+++ b/packages/node/tests/gateway_runs.py
@@ -58,7 +58,8 @@
 
 def tell(fleet, *changes, now=NOW, lapsed=()):
     for change in changes:
-        fleet.apply(Changes((change,), change.revision), now, lapsed)
+        doubts = dict.fromkeys(lapsed, LAPSED_SECONDS)
+        fleet.apply(Changes((change,), change.revision), now, doubts)
 
 
 def members(fleet):
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -377,10 +377,10 @@
 
 
 async def test_a_doubt_about_a_removal_ends_for_all_hosts_at_once():
-    # The store returns from an outage, and a host reads that a server's entry is gone. It
-    # doubts that for two seconds, as live servers write theirs again by then, and tells
-    # the others so. Each of them doubted for two seconds from when it heard: the third
-    # host sent to a server that is gone for 3.9 s.
+    # The store returns from an outage, and a host reads that a server's entry is gone.
+    # It doubts that for two seconds, as live servers write theirs again by then, and
+    # tells the others so. Each of them doubted for two seconds from when it heard, and
+    # the third host sent callers to a server that is gone for 3.9 s.
     clock = Clock()
     hosts = [host(f"h{number}", clock) for number in range(3)]
     for one in hosts:
--- a/packages/node/tests/test_gateway_news_orders.py
+++ b/packages/node/tests/test_gateway_news_orders.py
@@ -118,7 +118,7 @@
     if news:
         seen.update(news)
         most = max(change.revision for change in news)
-        fleet.apply(Changes(tuple(news), most), NOW, ())
+        fleet.apply(Changes(tuple(news), most), NOW, {})
 
 
 @given(rows=st.lists(CHANGE, max_size=9), steps=st.lists(STEP, max_size=8))
@@ -153,10 +153,10 @@
     tell(teller, *changes)
     tell(asker, *changes[:behind])
     news = teller.changes_after(asker.revision)
-    asker.apply(news, NOW, ())
+    asker.apply(news, NOW, {})
     assert in_force(asker) == in_force(teller) == believed(changes)
     starting = view()
     whole = Snapshot(tuple(teller.changes_after(0).changes), teller.revision)
     items = tuple(row for row in whole.items if isinstance(row, StoredItem))
-    starting.replace(Snapshot(items, whole.revision), NOW, ())
+    starting.replace(Snapshot(items, whole.revision), NOW, {})
     assert in_force(starting) == believed(changes)
--- a/packages/node/tests/test_gateway_view.py
+++ b/packages/node/tests/test_gateway_view.py
@@ -150,7 +150,8 @@
 
 
 @pytest.mark.parametrize(
-    ("lapsed", "left"), [((), ["i-2"]), (("i-1",), ["i-1", "i-2"])]
+    ("lapsed", "left"),
+    [({}, ["i-2"]), ({"i-1": 0.0}, ["i-2"]), ({"i-1": 0.5}, ["i-1", "i-2"])],
 )
 def test_a_peer_says_which_removals_it_does_not_trust(lapsed, left):
     fleet = started()
@@ -179,7 +180,7 @@
     changes = fleet.changes_after(3)
     assert [row.key for row in changes.changes] == ["op", "i-1"]
     other = started()
-    other.apply(changes, NOW, ())
+    other.apply(changes, NOW, {})
     assert members(other) == members(fleet)
     assert other.routes.version == 5
 
@@ -201,7 +202,7 @@
     for index in [*order, *doubled]:
         before = fleet.routes.version
         row = news[index]
-        fleet.apply(Changes((row,), row.revision), NOW, ())
+        fleet.apply(Changes((row,), row.revision), NOW, {})
         assert fleet.routes.version >= before
     assert members(fleet) == ["i-5"]
     assert fleet.routes.version == 9
