Show that a host on a full link sends on news that is too old

Whatever makes news quicker, a host that knows its news to be that old must not send; but neither must a store that is away make hosts refuse. The settings carry how long a leaving server may be used. (The case of a peer that is no better off fails for a field that messages do not have yet.)

--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -5,6 +5,7 @@
 from greengagepoint_node.gateway.names import HeaderNames
 
 HEARTBEAT_SECONDS: Final = 1.5
+DRAIN_SECONDS: Final = 2.0
 
 
 class GatewaySettings(NamedTuple):
@@ -15,7 +16,8 @@
     ``stop_seconds`` is what a graceful stop may take. Metrics are served where
     ``metrics_address`` names an address. ``link_mbps`` is what the host's link carries,
     0 where that is not known. Backend servers renew their entries each
-    ``heartbeat_seconds``.
+    ``heartbeat_seconds``; one that has said that it leaves may get requests for
+    ``drain_seconds`` more.
     """
 
     host: str
@@ -35,3 +37,4 @@
     link_mbps: float = 0.0
     retry_window_seconds: float = 10.0
     heartbeat_seconds: float = HEARTBEAT_SECONDS
+    drain_seconds: float = DRAIN_SECONDS
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -27,7 +27,7 @@
     Snapshot,
     StoredItem,
 )
-from greengagepoint_node.gateway.settings import GatewaySettings
+from greengagepoint_node.gateway.settings import DRAIN_SECONDS, GatewaySettings
 from greengagepoint_platform.names import HEADERS
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 
@@ -158,6 +158,15 @@
         ) as answer:
             return answer.status, await answer.read(), dict(answer.headers)
 
+    async def async_stop_news(self) -> None:
+        """Let the host hear nothing more of the store or of peers."""
+        await async_until(self.daemon.gossip.is_current)
+        self.clock.stop()
+        following = self.daemon.tasks[:3]
+        for task in following:
+            task.cancel()
+        await asyncio.wait(following)
+
     @contextlib.contextmanager
     def held_connections(self):
         """Let no new connection to a server come about until the block has ended."""
@@ -223,7 +232,12 @@
 
 @contextlib.asynccontextmanager
 async def async_world(
-    servers: int = 2, seconds: float = 0.0, *, metrics: bool = False, **changes: Any
+    servers: int = 2,
+    seconds: float = 0.0,
+    *,
+    metrics: bool = False,
+    drain_seconds: float = DRAIN_SECONDS,
+    **changes: Any,
 ):
     random.seed(1)
     backends = [
@@ -233,7 +247,9 @@
         await backend.async_start()
     metrics_address = free_address() if metrics else ""
     facts = facts_of(backends, routes(**changes))
-    daemon = create_daemon(facts, metrics_address=metrics_address)
+    daemon = create_daemon(
+        facts, metrics_address=metrics_address, drain_seconds=drain_seconds
+    )
     await daemon.async_start()
     world = World(daemon, backends)
     try:
--- a/packages/node/tests/test_gateway_leaving_servers.py
+++ b/packages/node/tests/test_gateway_leaving_servers.py
@@ -3,8 +3,10 @@
 import asyncio
 
 import pytest
+from deployment import async_until
 from gateway_world import async_world
 
+from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint_node.gateway.facts import (
     Changes,
@@ -12,6 +14,7 @@
     RemovedKey,
     StoredItem,
 )
+from greengagepoint_node.gateway.gossip_messages import decode, encode
 
 ZONE = "zone-a"
 
@@ -100,3 +103,96 @@
         drain(world, await anext(steps))
         assert (await anext(steps))[0] == 200
         assert not world.daemon.retries.services["booking"].repeats
+
+
+CONNECTIONS = 4
+
+
+async def async_connect(world, seconds):
+    """Make connections that take so long each, by the host's clock."""
+    with world.held_connections():
+        calls = [
+            asyncio.create_task(world.async_call("/safe/1")) for _ in range(CONNECTIONS)
+        ]
+        await async_until(lambda: world.daemon.gateway.in_flight == CONNECTIONS)
+        await asyncio.sleep(0)
+        world.clock.ahead += seconds
+    await asyncio.gather(*calls)
+
+
+def age_news(world, seconds):
+    gossip = world.daemon.gossip
+    gossip.confirmed_at = world.clock.monotonic() - seconds
+    gossip.peers_confirmed_at = float("-inf")
+
+
+def hear_peer(world, age, *, full_link=False):
+    """Take in a peer's half of an exchange whose own news is so old."""
+    gossip = world.daemon.gossip
+    message = decode(gossip.encoded(gossip.view.revision))
+    message.age = age
+    if full_link:
+        message.full_link = True
+    gossip.take_encoded(encode(message))
+
+
+@pytest.mark.parametrize(
+    ("connect_seconds", "news_age", "peer", "status"),
+    [
+        (0.5, 2.8, {}, 503),
+        (0.5, 1.0, {}, 200),
+        (0.01, 2.8, {}, 200),
+        (0.5, 8.5, {"age": 8.0}, 200),
+        (0.5, 2.8, {"age": 2.7}, 200),
+        (0.5, 2.8, {"age": 1.0}, 200),
+        (0.5, 2.8, {"age": 2.7, "full_link": True}, 503),
+    ],
+    ids=[
+        "full link",
+        "fresh news",
+        "quick link",
+        "store away",
+        "store just away",
+        "told by a peer",
+        "peer no better off",
+    ],
+)
+async def test_a_host_on_a_full_link_does_not_send_on_old_news(
+    connect_seconds, news_age, peer, status
+):
+    # A host's link is full of answers: connections take half a second, and no news has
+    # come through for 2.8 s. A server that has left in the meantime would get a payment
+    # 3.3 s after its word, and cut it off as it exits; users allow 3 s. The caller is
+    # told to come back, to a host that knows. A store that is away for all hosts, as
+    # peers tell, or a cut from all peers, fills no link: callers are served on.
+    async with async_world(drain_seconds=3.0) as world:
+        await world.async_stop_news()
+        await async_connect(world, connect_seconds)
+        age_news(world, news_age)
+        if peer:
+            hear_peer(world, **peer)
+        ran = world.ran()
+        found, _, headers = await world.async_call("/unsafe/1", "POST")
+        assert (found, world.ran() - ran) == (status, status == 200)
+        if status == 503:
+            assert float(headers["Retry-After"]) > 0
+            (row,) = world.events.of(Event.REQUEST_REFUSED)
+            assert (row["kind"], row["news_age"]) == (ErrorKind.NOT_READY, news_age)
+
+
+async def test_news_that_gets_too_old_while_connecting_is_looked_at_again():
+    # A payment's server is chosen in time. Its connection then takes half a second more
+    # on a full link, and the news is too old when its first byte could go.
+    async with async_world(drain_seconds=3.0) as world:
+        await world.async_stop_news()
+        await async_connect(world, 0.3)
+        age_news(world, 2.5)
+        ran = world.ran()
+        for server in world.daemon.view.servers.servers.values():
+            # A new connection for each run of a server.
+            server.incarnation = server.incarnation._replace(born=7)
+        steps = async_choose(world, "/unsafe/1", "POST")
+        await anext(steps)
+        world.clock.ahead += 0.5
+        status, _, headers = await anext(steps)
+        assert (status, "Retry-After" in headers, world.ran()) == (503, True, ran)
