Send nothing over a full link on news that would be too old on arrival

Callers' requests reached servers 3.06 to 3.45 s after their word to leave. Hosts whose links were full of answers chose on news of up to 4.15 s, which they knew, and connections took up to 0.6 s more.

A host now refuses, at the choice or at the first byte, where the age of its news and the delay of its link together exceed what the settings name as the time for which a leaving server may be used. The delay is the least of all connections of the last 1.5 s, so servers of a lost zone, a slow server or a cut from the store are not taken for it; with a free link, and while peers that are no worse off have no news either, it serves on as before: a store that is away makes no host refuse. Callers get 503 with Retry-After, kind not_ready, and come back to a host that knows.

Why it holds: age counts from when the store began the answer, and what is written now arrives within the time that a connection, a way and back, took just before.

--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -8,13 +8,11 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.routing.tables import Route, RouteTable, find_route
 from greengagepoint_node.gateway.names import HeaderNames
-from greengagepoint_node.gateway.refusals import Refusal
+from greengagepoint_node.gateway.refusals import OLD_NEWS_RETRY_SECONDS, Refusal
 
 # A caller's clock started 3 ms before the request came, and the answer needs as long.
 ANSWER_MARGIN_SECONDS: Final = 0.01
 DEADLINE_DEFAULT_SECONDS: Final = 10.0
-# A host with old news asks a peer each half second.
-OLD_NEWS_RETRY_SECONDS: Final = 0.5
 # Of a name or path that no route knows; callers choose how long they are.
 LOGGED_CHARACTERS_MAX: Final = 100
 
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -25,6 +25,7 @@
     backend_servers_suspected: int
     hosts_alive: int
     requests_in_flight: int
+    link_delay_seconds: float
     log_lines_dropped: int
 
 
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -12,10 +12,12 @@
 
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.events import Event
+from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
+from greengagepoint_node.gateway.connect_times import trace_connections
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
 from greengagepoint_node.gateway.directory import HostDirectory
 from greengagepoint_node.gateway.facts import (
@@ -30,6 +32,7 @@
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
+from greengagepoint_node.gateway.news_guard import NewsGuard
 from greengagepoint_node.gateway.news_teller import NEWS_PATH
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
@@ -122,6 +125,7 @@
             window_seconds=settings.retry_window_seconds,
             started_at=clock.monotonic(),
         )
+        self.link = LinkDelay()
         self.create_lookup = create_lookup
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -143,6 +147,7 @@
             connect_seconds=CONNECT_SECONDS,
             keepalive_seconds=KEEPALIVE_SECONDS,
             socket_factory=lambda info: create_socket(*info[:3]),
+            trace=trace_connections(self.link, self.clock),
         )
         self.gossip = Gossip(
             self.own,
@@ -151,8 +156,9 @@
             self.clock,
             self.random,
             self.events,
-            create_peer_session(),
+            create_peer_session(trace_connections(self.link, self.clock)),
         )
+        self.gossip.link = self.link
         self.placer = Placer(
             settings.host,
             settings.region,
@@ -175,6 +181,7 @@
             self.clock,
             self.events,
             self.gossip,
+            NewsGuard(self.clock, self.gossip, self.link, settings.drain_seconds),
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
@@ -320,6 +327,7 @@
             backend_servers_suspected=sum(row.suspect_until > now for row in known),
             hosts_alive=len(self.gossip.table.alive(now)),
             requests_in_flight=self.gateway.in_flight,
+            link_delay_seconds=round(self.link.seconds(now), 3),
             log_lines_dropped=self.lines_dropped(),
         )
 
@@ -347,7 +355,9 @@
     return round(now - since, 3) if since is not None else -1.0
 
 
-def create_peer_session() -> aiohttp.ClientSession:
+def create_peer_session(
+    trace: aiohttp.TraceConfig | None = None,
+) -> aiohttp.ClientSession:
     """Return the session towards other hosts.
 
     Each exchange opens its connection anew. After a cut, kept connections may stand
@@ -360,5 +370,7 @@
         socket_factory=lambda info: create_socket(*info[:3]),
     )
     return aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[trace] if trace is not None else None,
     )
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -42,6 +42,7 @@
     TIMED_OUT = "timed_out"
     LAPSED = "lapsed"
     LEFT = "left"
+    OLD_NEWS = "old_news"
 
 
 NOT_RUN: Final = frozenset(
@@ -51,6 +52,7 @@
         Verdict.OTHER_SERVER,
         Verdict.LAPSED,
         Verdict.LEFT,
+        Verdict.OLD_NEWS,
     }
 )
 
@@ -86,8 +88,8 @@
 class Sending:
     """What is sent, and the time for it in seconds.
 
-    ``stays`` tells whether the server may still get it. ``withheld`` is why nothing was
-    sent, None otherwise.
+    ``withhold`` returns why the server may not get it any more, ``withheld`` is why it
+    got nothing; None otherwise.
     """
 
     def __init__(
@@ -100,7 +102,7 @@
         seconds: float,
         time_left: TimeLeft,
         times: SendTimes,
-        stays: Callable[[], bool],
+        withhold: Callable[[], Exchange | None],
     ) -> None:
         self.method = method
         self.target = target
@@ -110,7 +112,7 @@
         self.seconds = seconds
         self.time_left = time_left
         self.times = times
-        self.stays = stays
+        self.withhold = withhold
         self.withheld: Exchange | None = None
         self.limit: asyncio.Timeout | None = None
         self.successor: Server | None = None
@@ -125,8 +127,8 @@
         left = self.time_left.seconds()
         if left < SECONDS_LEFT_MIN:
             self.withheld = Exchange(Verdict.LAPSED, "no time was left to send")
-        elif not self.stays():
-            self.withheld = Exchange(Verdict.LEFT, "the server left while connecting")
+        else:
+            self.withheld = self.withhold()
         if self.withheld is not None:
             return False
         self.headers[self.time_left.header] = str(int(left * 1000))
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -22,6 +22,7 @@
 
 from greengagepoint.config.watchers import CURRENT_SECONDS, must_watch
 from greengagepoint.events import Event
+from greengagepoint.overload.full_link import STORE_AWAY_SECONDS, LinkDelay
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
@@ -97,6 +98,8 @@
         self.is_watcher = True
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
+        self.as_informed_at = float("-inf")
+        self.link = LinkDelay()
         self.under_way: dict[str, asyncio.Task[None]] = {}
         self.teller = NewsTeller(
             session,
@@ -140,6 +143,14 @@
         """Return when the view was last known to be complete, by whatever way."""
         return max(self.confirmed_at, self.peers_confirmed_at)
 
+    def informed_at(self) -> float:
+        """Return when this host last knew all that any host could know.
+
+        That is all that the store had said; or, while it tells nobody anything, all
+        that a peer knew.
+        """
+        return max(self.news_confirmed_at(), self.as_informed_at)
+
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
         now = self.clock.monotonic()
@@ -305,6 +316,7 @@
             sent_at=self.clock.monotonic(),
             busy_servers=self.busy_servers.shared(self.clock.monotonic()),
             lapsed_seconds=list(doubts.values()),
+            full_link=self.link.is_full(self.clock.monotonic()),
         )
 
     def _sent_after(self, message: Message, size: int) -> float:
@@ -343,6 +355,9 @@
         if complete and message.age is not None and sent_after is not None:
             at = sent_after - message.age
             self.peers_confirmed_at = max(self.peers_confirmed_at, at)
+            # A peer on a full link may know less than others do.
+            if message.age > STORE_AWAY_SECONDS and not message.full_link:
+                self.as_informed_at = max(self.as_informed_at, sent_after)
 
     def _take_news(self, message: Message, now: float) -> None:
         """Take in the store's items that a peer passes on."""
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -39,6 +39,7 @@
     another exchange already brings what the sender lacks. ``sent_at`` is by the
     sender's steady clock. ``busy_servers`` are backend servers that are full.
     ``lapsed_seconds`` are how long the removals of ``lapsed`` are doubted yet.
+    ``full_link`` tells that all that the sender sends and gets has to wait.
     """
 
     revision: int
@@ -56,6 +57,7 @@
     sent_at: float | None = None
     busy_servers: list[BusyServer] = []
     lapsed_seconds: list[float] = []
+    full_link: bool = False
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -25,6 +25,7 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.news_guard import NewsGuard
 from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
 from greengagepoint_node.gateway.passing import (
@@ -61,6 +62,7 @@
         clock: Clock,
         events: EventSink,
         news: News,
+        guard: NewsGuard,
     ) -> None:
         self.names = names
         self.view = view
@@ -69,6 +71,7 @@
         self.retries = retries
         self.clock = clock
         self.news = news
+        self.guard = guard
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -212,6 +215,10 @@
         once.
         """
         tried = frozenset(tries.servers)
+        if not self.guard.may_send():
+            if tried:
+                return None
+            raise self.guard.refusal()
         place = self.placer.place(call, tried, self.clock.monotonic())
         if not tried:
             if isinstance(place, NoPlace):
@@ -249,6 +256,7 @@
         left: float,
     ) -> Sending:
         """Return what is sent to a server."""
+        times = SendTimes(self.clock, self.news)
         return Sending(
             request.method,
             call.target,
@@ -257,10 +265,18 @@
             call.request_id,
             left,
             TimeLeft(self.names.deadline_ms, self.clock, call.ends_at),
-            SendTimes(self.clock, self.news),
-            lambda: self.view.servers.is_member(server),
+            times,
+            lambda: self._withheld(server, times),
         )
 
+    def _withheld(self, server: Server, times: SendTimes) -> Exchange | None:
+        """Return why a server may not get a request whose first byte could go now."""
+        if not self.view.servers.is_member(server):
+            return Exchange(Verdict.LEFT, "the server left while connecting")
+        if not self.guard.may_send(self.clock.monotonic() - times.chosen_at):
+            return Exchange(Verdict.OLD_NEWS, "the news got too old while connecting")
+        return None
+
     async def _async_try(
         self,
         call: Call,
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -13,6 +13,8 @@
 from greengagepoint_node.gateway.names import HeaderNames
 
 RETRY_AFTER_MIN_SECONDS: Final = 0.05
+# A host with old news asks a peer each half second.
+OLD_NEWS_RETRY_SECONDS: Final = 0.5
 # Servers that shed everything are looked at again after this, where they don't say.
 SHED_RETRY_SECONDS: Final = 0.1
 # Callers who were refused together come back spread over a quarter of the time on
@@ -34,6 +36,7 @@
     Verdict.TIMED_OUT: ErrorKind.BACKEND_TIMEOUT,
     Verdict.LAPSED: ErrorKind.DEADLINE_TOO_SHORT,
     Verdict.LEFT: ErrorKind.NO_BACKEND_SERVER,
+    Verdict.OLD_NEWS: ErrorKind.NOT_READY,
 }
 
 
@@ -94,6 +97,8 @@
         status = 504 if last.verdict is Verdict.TIMED_OUT else 502
         return Refusal(kind, status, f"may have run: {last.verdict}")
     seconds = SHED_RETRY_SECONDS if last.retry_after is None else last.retry_after
+    if last.verdict is Verdict.OLD_NEWS:
+        seconds = OLD_NEWS_RETRY_SECONDS
     return Refusal(kind, 503, f"not run: {last.verdict}", seconds)
 
 
--- a/packages/node/greengagepoint_node/gateway/send_times.py
+++ b/packages/node/greengagepoint_node/gateway/send_times.py
@@ -11,6 +11,9 @@
     def news_confirmed_at(self) -> float:
         """Return monotonic seconds, minus infinity where it never was."""
 
+    def informed_at(self) -> float:
+        """Return when this host last knew all that any host could know."""
+
     def is_current(self) -> bool:
         """Tell whether this host would know a configuration that must be in force."""
 
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -74,6 +74,7 @@
     connect_seconds: float = CONNECT_SECONDS,
     keepalive_seconds: float = KEEPALIVE_SECONDS,
     socket_factory: SocketFactoryType | None = None,
+    trace: aiohttp.TraceConfig | None = None,
 ) -> BackendSessions:
     """Return the session; the number in flight is bounded by the balancing tables."""
     connector = aiohttp.TCPConnector(
@@ -90,6 +91,7 @@
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_seconds),
         trust_env=False,
+        trace_configs=[trace] if trace is not None else None,
     )
     return BackendSessions(session)
 
--- a/packages/node/tests/test_gateway_leaving_servers.py
+++ b/packages/node/tests/test_gateway_leaving_servers.py
@@ -131,8 +131,7 @@
     gossip = world.daemon.gossip
     message = decode(gossip.encoded(gossip.view.revision))
     message.age = age
-    if full_link:
-        message.full_link = True
+    message.full_link = full_link
     gossip.take_encoded(encode(message))
 
 
@@ -143,9 +142,9 @@
         (0.5, 1.0, {}, 200),
         (0.01, 2.8, {}, 200),
         (0.5, 8.5, {"age": 8.0}, 200),
-        (0.5, 2.8, {"age": 2.7}, 200),
+        (0.5, 2.8, {"age": 2.9}, 200),
         (0.5, 2.8, {"age": 1.0}, 200),
-        (0.5, 2.8, {"age": 2.7, "full_link": True}, 503),
+        (0.5, 2.8, {"age": 2.9, "full_link": True}, 503),
     ],
     ids=[
         "full link",
