Ask the store for servers alone while the host's link is full

Callers' requests reached servers up to 3.4 s after their word. A host whose link is full hears no peer in time and asks the store itself after 1.4 s; where the operators had just added routes, the answer held the whole configuration, 1.1 MB and more, came 1.7 to 3.7 s later over the same link of 10 Mbit/s, and with it word of the servers that leave. So the way out of a full link filled it. Ruled out: the store (it answers others in milliseconds) and the host's processor (0.07 of a core at most; news is in force within 13 ms).

Such a host now watches the servers' entries alone. The configuration comes from peers, packed; after 3 s without it everything is read as before. Its view does not count as complete meanwhile, so an unknown path still gets 503, not 404. The test failed before.

--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -83,6 +83,24 @@
     return watcher or now - confirmed_at > STALE_SECONDS
 
 
+# Peers bring a configuration packed, also over a full link. Where none has for so long,
+# it is read from the store, whatever that costs the link; users expect it in force
+# after 2 to 4 s.
+WHOLE_NEWS_SECONDS: Final = 3.0
+
+
+def must_read_all(
+    *, watcher: bool, full_link: bool, confirmed_at: float, now: float
+) -> bool:
+    """Tell whether a host that asks the store asks for everything.
+
+    On a full link the answer may begin with a configuration, and hold up word of the
+    servers that leave for seconds; without it, servers' entries come at once.
+    ``confirmed_at`` is when the host last knew that it missed nothing.
+    """
+    return watcher or not full_link or now - confirmed_at > WHOLE_NEWS_SECONDS
+
+
 # An entry lasts for three heartbeats without a renewal. The last one came about one
 # before an outage at most, so the entry lasts for most of two more.
 HEARTBEATS_OUTLIVED: Final = 1.5
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -148,6 +148,9 @@
     async def async_changes(self, after: int, wait_seconds: float) -> Changes:
         """Return changes after a revision, waiting for one; raise HistoryLostError."""
 
+    async def async_server_changes(self, after: int, wait_seconds: float) -> Changes:
+        """Return those of backend servers' entries; the rest as for changes."""
+
     async def async_grant_lease(self, seconds: float) -> int:
         """Return a new lease."""
 
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -10,6 +10,7 @@
     PAUSE_MAX_SECONDS,
     PAUSE_MAX_WATCHER_SECONDS,
     may_have_lapsed,
+    must_read_all,
     pause_seconds,
 )
 from greengagepoint.errors import StoreError
@@ -17,6 +18,7 @@
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.facts import (
+    Changes,
     HistoryLostError,
     HostEntry,
     LeaseLostError,
@@ -55,9 +57,15 @@
     def news_confirmed_at(self) -> float:
         """Return when the view was last known to be complete, in monotonic seconds."""
 
+    def link_is_full(self) -> bool:
+        """Tell whether all that this host sends and gets has to wait."""
+
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the view was complete; ``before`` is its former revision."""
 
+    def confirm_servers(self, seconds_ago: float) -> None:
+        """Take in that it was complete as far as servers' entries go."""
+
 
 class StoreFollower:
     """Keep the view up to date from the store."""
@@ -82,6 +90,7 @@
         self.lost_at: float | None = None
         self.reached_at: float | None = None
         self.needs_snapshot = True
+        self.servers_revision = 0
         self.watching = True
         self.failures = 0
 
@@ -142,6 +151,9 @@
             self.needs_snapshot = False
             self.news.confirm(before, snapshot.arriving_seconds)
             return
+        if not self._must_read_all():
+            await self._async_read_servers()
+            return
         changes = await self.store.async_changes(before, WATCH_SECONDS)
         self._note_reached()
         view.apply(changes, self.clock.monotonic())
@@ -149,6 +161,27 @@
         if changes.changes:
             await asyncio.sleep(GATHER_SECONDS)
 
+    def _must_read_all(self) -> bool:
+        """Tell whether to ask for everything, not for servers' entries alone."""
+        return must_read_all(
+            watcher=self.news.is_watcher,
+            full_link=self.news.link_is_full(),
+            confirmed_at=self.news.news_confirmed_at(),
+            now=self.clock.monotonic(),
+        )
+
+    async def _async_read_servers(self) -> None:
+        """Wait for what changes of servers' entries; the view stays incomplete."""
+        after = max(self.view.revision, self.servers_revision)
+        changes = await self.store.async_server_changes(after, WATCH_SECONDS)
+        self._note_reached()
+        partial = Changes(changes.changes, self.view.revision)
+        self.view.apply(partial, self.clock.monotonic())
+        self.servers_revision = changes.revision
+        self.news.confirm_servers(changes.arriving_seconds)
+        if changes.changes:
+            await asyncio.sleep(GATHER_SECONDS)
+
     def _note_watching(self, watching: bool) -> None:
         """Say when this host begins or ceases to ask the store itself."""
         if watching == self.watching:
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -98,6 +98,7 @@
         self.is_watcher = True
         self.confirmed_at = float("-inf")
         self.peers_confirmed_at = float("-inf")
+        self.servers_confirmed_at = float("-inf")
         self.as_informed_at = float("-inf")
         self.link = LinkDelay()
         self.under_way: dict[str, asyncio.Task[None]] = {}
@@ -144,12 +145,22 @@
         return max(self.confirmed_at, self.peers_confirmed_at)
 
     def informed_at(self) -> float:
-        """Return when this host last knew all that any host could know.
+        """Return when this host last knew all that any host could know of servers.
 
-        That is all that the store had said; or, while it tells nobody anything, all
-        that a peer knew.
+        That is all that the store had said of them; or, while it tells nobody anything,
+        all that a peer knew.
         """
-        return max(self.news_confirmed_at(), self.as_informed_at)
+        return max(
+            self.news_confirmed_at(), self.servers_confirmed_at, self.as_informed_at
+        )
+
+    def link_is_full(self) -> bool:
+        """Tell whether all that this host sends and gets has to wait."""
+        return self.link.is_full(self.clock.monotonic())
+
+    def confirm_servers(self, seconds_ago: float) -> None:
+        """Take in that the store told everything of backend servers."""
+        self.servers_confirmed_at = self.clock.monotonic() - seconds_ago
 
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
@@ -316,7 +327,7 @@
             sent_at=self.clock.monotonic(),
             busy_servers=self.busy_servers.shared(self.clock.monotonic()),
             lapsed_seconds=list(doubts.values()),
-            full_link=self.link.is_full(self.clock.monotonic()),
+            full_link=self.link_is_full(),
         )
 
     def _sent_after(self, message: Message, size: int) -> float:
--- a/packages/node/greengagepoint_node/gateway/send_times.py
+++ b/packages/node/greengagepoint_node/gateway/send_times.py
@@ -12,7 +12,7 @@
         """Return monotonic seconds, minus infinity where it never was."""
 
     def informed_at(self) -> float:
-        """Return when this host last knew all that any host could know."""
+        """Return when this host last knew all that any host could know of servers."""
 
     def is_current(self) -> bool:
         """Tell whether this host would know a configuration that must be in force."""
--- a/packages/node/greengagepoint_node/gateway/store_counts.py
+++ b/packages/node/greengagepoint_node/gateway/store_counts.py
@@ -33,6 +33,11 @@
         call = self.store.async_changes(after, wait_seconds)
         return await self._async_counted("changes", call)
 
+    async def async_server_changes(self, after: int, wait_seconds: float) -> Changes:
+        """Return those of backend servers' entries; the rest as for changes."""
+        call = self.store.async_server_changes(after, wait_seconds)
+        return await self._async_counted("server_changes", call)
+
     async def async_grant_lease(self, seconds: float) -> int:
         """Return a new lease."""
         call = self.store.async_grant_lease(seconds)
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -19,7 +19,9 @@
     HistoryLostError,
     HostEntry,
     LeaseLostError,
+    ServerEntry,
     Snapshot,
+    StoredItem,
 )
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
 from greengagepoint_node.gateway.store_counts import CountedStore
@@ -53,6 +55,9 @@
     async def async_changes(self, after, wait_seconds):
         return await self.answer("changes", after)
 
+    async def async_server_changes(self, after, wait_seconds):
+        return await self.answer("servers", after)
+
     async def async_grant_lease(self, seconds):
         return await self.answer("grant")
 
@@ -71,6 +76,8 @@
         self.is_watcher = must
         self.peers_confirmed_at = 0.0
         self.confirmed = []
+        self.full_link = False
+        self.servers_confirmed = []
 
     def must_watch(self):
         return self.must
@@ -78,10 +85,21 @@
     def news_confirmed_at(self):
         return self.peers_confirmed_at
 
+    def link_is_full(self):
+        return self.full_link
+
+    def confirm_servers(self, seconds_ago):
+        self.servers_confirmed.append(seconds_ago)
+
     def confirm(self, before, seconds_ago):
         self.confirmed.append(before)
 
 
+def decode_server(item):
+    leaving = item.value == b"draining"
+    return ServerEntry(item.key, "booking", "10.0.0.1:1", "zone-a", 4, leaving, 0.0)
+
+
 async def async_follow(monkeypatch, *answers):
     monkeypatch.setattr(module, "GATHER_SECONDS", 0)
     monkeypatch.setattr(watchers, "PAUSE_SECONDS", 0.001)
@@ -253,6 +271,40 @@
     assert (view.lapses_until > float("-inf")) is doubted
 
 
+async def test_on_a_full_link_the_store_is_asked_for_servers_alone(monkeypatch):
+    # A host's link is full of answers, so no peer's news comes through, and the host
+    # asks the store. The operators have just added 1,400 routes: the answer held them
+    # all, came after 1.7 to 3.7 s over the same link, and with it word of five servers
+    # that leave. Callers were sent there for 3.1 s. Peers bring the configuration
+    # packed, in a twentieth of the bytes; only where they have not for three seconds it
+    # is read from the store.
+    monkeypatch.setattr(module, "LOOK_SECONDS", 0.001)
+    monkeypatch.setattr(module, "GATHER_SECONDS", 0)
+    store = Script(Snapshot((), 4))
+    peers, clock = Peers(), MovedClock()
+    peers.peers_confirmed_at = clock.monotonic()
+    view = FleetView(ZONES, decode_server, Lines())
+    follower = StoreFollower(store, view, clock, random.Random(1), Lines(), peers)
+    peers.is_watcher = False
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: store.calls == [("snapshot",), ("changes", 4)])
+    task.cancel()
+    peers.full_link = True
+    leaving = StoredItem("i-1", b"draining", 9)
+    store.answers = [Changes((leaving,), 9, 0.2), Changes((), 11, 0.1)]
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: len(store.calls) == 5)
+    assert store.calls[2:] == [("servers", 4), ("servers", 9), ("servers", 11)]
+    assert view.servers.servers["i-1"].incarnation in view.servers.leaving
+    assert (view.revision, peers.confirmed) == (4, [0])
+    assert peers.servers_confirmed == [0.2, 0.1]
+    task.cancel()
+    clock.ahead += 3.1
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: store.calls[-1] == ("changes", 4))
+    task.cancel()
+
+
 @pytest.mark.parametrize(("watcher", "most"), [(True, 22), (False, 14)])
 async def test_hosts_ask_less_often_the_longer_the_store_is_away(
     monkeypatch, watcher, most
--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -65,6 +65,15 @@
         assert changes.changes == (RemovedKey("op/config", 3),)
 
 
+async def test_servers_are_watched_without_what_lies_before_them():
+    async with async_client() as (client, store):
+        put(store, "op/config", "large")
+        put(store, "servers/i-1", "draining")
+        changes = await client.async_server_changes(0, 5.0)
+        assert [row.key for row in changes.changes] == ["servers/i-1"]
+        assert changes.revision == 2
+
+
 async def test_a_watch_without_changes_ends_by_itself():
     async with async_client() as (client, _):
         assert (await client.async_changes(0, 0.1)).changes == ()
