Wait longer for peers while the host's own link is full

A host with a full link heard nothing of its peers for seconds, and its callers' requests reached servers that had left: each exchange, on a connection of its own, ended by its limit of 0.6 s, eleven in a row in one traced case, each with another peer, and all that they moved was thrown away. The limit is there for peers that are gone, and on a full link it takes every one of them for gone. By the delay of its own connections a host can tell; it then waits 2.5 s.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -55,6 +55,10 @@
 # Two regions are 40 ms apart there and back; a peer that takes longer to begin, or
 # pauses for as long, is busy or gone.
 EXCHANGE_SECONDS: Final = 0.6
+# On a full link every peer takes longer: two ways to connect, two for the messages, and
+# half a second of queue on each. Given up before, each exchange is begun anew with
+# another peer, in vain.
+FULL_LINK_EXCHANGE_SECONDS: Final = 2.5
 # One to open the connection, one for the exchange. The shortest exchange counts: the
 # others hold the time in which a peer or this host was busy.
 ROUND_TRIPS_OF_EXCHANGE: Final = 2
@@ -234,10 +238,11 @@
         self.exchanges += 1
         self.bytes["exchange", SENT] += len(body)
         url = f"http://{address}{PATH}"
-        async with asyncio.timeout(EXCHANGE_SECONDS) as limit:
+        full = self.link_is_full()
+        idle_seconds = FULL_LINK_EXCHANGE_SECONDS if full else EXCHANGE_SECONDS
+        async with asyncio.timeout(idle_seconds) as limit:
             async with self.session.post(url, data=body) as answer:
-                content = answer.content
-                data = await async_read_answer(content, limit, EXCHANGE_SECONDS)
+                data = await async_read_answer(answer.content, limit, idle_seconds)
         self.bytes["exchange", RECEIVED] += len(data)
         return decode(data)
 
--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -8,6 +8,7 @@
 from gateway_world import ZONES, Lines, free_address
 from large_values import SLOW_BYTES_PER_SECOND, configuration
 
+from greengagepoint.overload.full_link import SAMPLES_MIN
 from greengagepoint_node.clock import SystemClock
 from greengagepoint_node.gateway.daemon import create_peer_session
 from greengagepoint_node.gateway.facts import Changes, HostEntry, StoredItem
@@ -95,6 +96,31 @@
             await relay.async_cut()
 
 
+async def test_a_host_on_a_full_link_waits_for_what_a_peer_tells():
+    # A host's link is full of answers: what a peer writes comes 0.8 s later. Each
+    # exchange was given up after 0.6 s, as one with a dead peer, and begun anew with
+    # another one, eleven in a row. Meanwhile the host sent callers to servers that had
+    # left.
+    async with async_peers(2) as (teller, asker):
+        item = StoredItem(KEY, configuration(VERSION, 10), 7)
+        teller.gossip.view.apply(Changes((item,), 7), 0.0)
+        link = SlowLink(SLOW_BYTES_PER_SECOND)
+        relay = Relay(teller.entry.peer_address, back=link)
+        await relay.async_open()
+        gossip = asker.gossip
+        try:
+            link.free_at = asyncio.get_running_loop().time() + 0.8
+            await gossip._async_exchange(relay.address)
+            assert not asker.knows(VERSION), "a free link: the peer may be dead"
+            for _ in range(SAMPLES_MIN):
+                gossip.link.note(0.5, gossip.clock.monotonic())
+            link.free_at = asyncio.get_running_loop().time() + 0.8
+            await gossip._async_exchange(relay.address)
+            assert asker.knows(VERSION)
+        finally:
+            await relay.async_cut()
+
+
 async def test_a_watcher_on_a_slow_link_tells_its_region_of_a_large_configuration():
     # The host that watches the store for its region has a link of 5 Mbit/s. It reads a
     # large configuration and tells ten hosts at once. Ten whole copies take far longer
