Tell small news at once, beside the large value that waits for its turn

Every later change waited as well until the large send had ended.

The watcher now sends all but large values at once, in a message of its own, and again with each change until the large one is through. Its receiver is then informed about servers, but does not count as complete, so unknown paths still get 503. Hosts of the former version ask for what is new, as after any message that they can't take. The test failed before (nothing was sent beside eight hosts that hold their turn); of the test of news that waits, the message in question is now the second one.

--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from enum import StrEnum
-from typing import NamedTuple, Protocol
+from typing import Final, NamedTuple, Protocol
 
 import msgspec
 
@@ -10,6 +10,9 @@
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 
+# Smaller ones fit into two packets. Configurations are the only large values known.
+LARGE_VALUE_BYTES: Final = 2_048
+
 
 class StoredItem(NamedTuple):
     """One key of the store; ``revision`` is the one of its last change."""
@@ -19,6 +22,11 @@
     revision: int
 
 
+def is_large(item: StoredItem) -> bool:
+    """Tell whether a value takes more than a few packets on its way."""
+    return len(item.value) >= LARGE_VALUE_BYTES
+
+
 class RemovedKey(NamedTuple):
     """A key that was removed at a revision."""
 
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -104,6 +104,7 @@
         self.peers_confirmed_at = float("-inf")
         self.servers_confirmed_at = float("-inf")
         self.as_informed_at = float("-inf")
+        self.partial_revision = 0
         self.link = LinkDelay()
         self.under_way: dict[str, asyncio.Task[None]] = {}
         self.teller = NewsTeller(
@@ -113,6 +114,9 @@
             self._note_failure,
             self.bytes,
         )
+        self.early_teller = NewsTeller(
+            session, clock, self._partial_message, self._note_failure, self.bytes
+        )
         self.asked_for_news_at: float | None = None
         self.delays = MessageDelays()
         self.exchanges = 0
@@ -164,7 +168,8 @@
 
     def confirm_servers(self, seconds_ago: float) -> None:
         """Take in that the store told everything of backend servers."""
-        self.servers_confirmed_at = self.clock.monotonic() - seconds_ago
+        at = self.clock.monotonic() - seconds_ago
+        self.servers_confirmed_at = max(self.servers_confirmed_at, at)
 
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
@@ -175,7 +180,20 @@
         for state in self.table.alive(now):
             entry = state.entry
             if entry.name != self.own.entry.name and self.table.is_near(entry):
-                self.teller.tell(entry.peer_address, before)
+                self._tell(entry.peer_address, before)
+
+    def _tell(self, address: str, before: int) -> None:
+        """Tell a peer what is new, and what is small at once.
+
+        A large value waits for its turn, and for full links. Told of with it, a server
+        that leaves would be used for as long.
+        """
+        self.teller.tell(address, before)
+        if before < self.view.removed_complete_after:
+            # What was removed since then is told by all that is left, large or not.
+            return
+        if address in self.teller.large or self.view.has_large_after(before):
+            self.early_teller.tell(address, before)
 
     def _start(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Run one task for a peer at a time; one that is behind asks by itself."""
@@ -196,7 +214,10 @@
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
-        if self.view.revision < message.revision and message.hosts:
+        known = self.view.revision
+        if message.partial_after is not None:
+            known = self._partial_revision()
+        if known < message.revision and message.hosts:
             # News before this one got lost, and this one can't stand without it.
             address = message.hosts[0].entry.peer_address
             self._start(address, self._async_exchange(address))
@@ -335,6 +356,15 @@
             full_link=self.link_is_full(),
         )
 
+    def _partial_message(self, revision: int) -> Message:
+        """Return what a peer at a revision lacks but large values."""
+        message = self._message(self.view.revision, [])
+        rows = self.view.small_changes_after(revision)
+        message.items = [self.packer.pack(row) for row in rows if _is_item(row)]
+        message.removed = [row for row in rows if isinstance(row, RemovedKey)]
+        message.partial_after = revision
+        return message
+
     def _sent_after(self, message: Message, size: int) -> float:
         """Return a time before which news was not written, as far as can be told."""
         now = self.clock.monotonic()
@@ -357,6 +387,9 @@
         self.table.take(message, now)
         self.loads.take(message.loads, now)
         self.busy_servers.take(message.busy_servers, self.view.servers, now)
+        if message.partial_after is not None:
+            self._take_partial(message, message.partial_after, sent_after)
+            return
         before = self.view.revision
         if message.revision > before >= message.after:
             self._take_news(message, now)
@@ -375,6 +408,24 @@
             if message.age > STORE_AWAY_SECONDS and not message.full_link:
                 self.as_informed_at = max(self.as_informed_at, sent_after)
 
+    def _take_partial(
+        self, message: Message, after: int, sent_after: float | None
+    ) -> None:
+        """Take in the small items of a message; the view stays incomplete."""
+        items = [self.packer.unpack(item) for item in message.items]
+        changes = Changes((*items, *message.removed), self.view.revision)
+        self.view.apply(changes, self.clock.monotonic(), _doubts(message))
+        if after > self._partial_revision():
+            return
+        self.partial_revision = max(self.partial_revision, message.revision)
+        if message.age is not None and sent_after is not None:
+            at = sent_after - message.age
+            self.servers_confirmed_at = max(self.servers_confirmed_at, at)
+
+    def _partial_revision(self) -> int:
+        """Return up to which revision this host knows all but large values."""
+        return max(self.view.revision, self.partial_revision)
+
     def _take_news(self, message: Message, now: float) -> None:
         """Take in the store's items that a peer passes on."""
         items = [self.packer.unpack(item) for item in message.items]
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -40,6 +40,8 @@
     sender's steady clock. ``busy_servers`` are backend servers that are full.
     ``lapsed_seconds`` are how long the removals of ``lapsed`` are doubted yet.
     ``full_link`` tells that all that the sender sends and gets has to wait.
+    Where ``partial_after`` is set, the items are all after it but large values, which
+    come by themselves; ``after`` is then as high as ``revision``.
     """
 
     revision: int
@@ -58,6 +60,7 @@
     busy_servers: list[BusyServer] = []
     lapsed_seconds: list[float] = []
     full_link: bool = False
+    partial_after: int | None = None
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/news_teller.py
+++ b/packages/node/greengagepoint_node/gateway/news_teller.py
@@ -37,7 +37,8 @@
     """Send each peer one message at a time, always the newest.
 
     ``message`` makes the one for peers that were told all up to a revision; ``failed``
-    hears of those that could not be sent.
+    hears of those that could not be sent. ``large`` are the peers that wait for a large
+    message, or for its end.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
         self.untold: dict[str, int] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.large: set[str] = set()
         self.encoded: EncodedNews | None = None
 
     def tell(self, address: str, before: int) -> None:
@@ -79,9 +81,12 @@
                 if len(self._body(self.untold[address])) < LARGE_BYTES:
                     await self.async_send(address)
                     continue
+                self.large.add(address)
                 async with self.large_sends:
                     await self.async_send(address)
+                self.large.discard(address)
         finally:
+            self.large.discard(address)
             # At once, not in a callback: what is to be told in between would find a
             # task that no longer looks for it, and wait for the next change.
             self.tasks.pop(address, None)
--- a/packages/node/greengagepoint_node/gateway/packing.py
+++ b/packages/node/greengagepoint_node/gateway/packing.py
@@ -5,10 +5,8 @@
 
 import msgspec
 
-from greengagepoint_node.gateway.facts import StoredItem
+from greengagepoint_node.gateway.facts import StoredItem, is_large
 
-# A smaller value fits into two packets as it is.
-PACK_BYTES_MIN: Final = 2_048
 # The fastest level: 848 KB of 4,200 routes became 58 KB in 3.9 ms of processor time,
 # and 56 KB at the usual level 6.
 LEVEL: Final = 1
@@ -43,7 +41,7 @@
 
     def pack(self, item: StoredItem) -> PackedItem | StoredItem:
         """Return an item as it is sent."""
-        if len(item.value) < PACK_BYTES_MIN:
+        if not is_large(item):
             return item
         known = self.cached.get(item.key)
         if known is None or known.revision != item.revision:
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -23,6 +23,7 @@
     ServerEntry,
     Snapshot,
     StoredItem,
+    is_large,
 )
 from greengagepoint_node.gateway.known_servers import KnownServers
 from greengagepoint_node.gateway.refused import RefusedItems
@@ -133,13 +134,32 @@
         """
         if revision < self.removed_complete_after:
             return Snapshot(tuple(self._items()), self.revision)
-        items = [item for item in self._items() if item.revision > revision]
+        large = [
+            item
+            for item in self._items()
+            if item.revision > revision and is_large(item)
+        ]
+        return Changes((*large, *self.small_changes_after(revision)), self.revision)
+
+    def has_large_after(self, revision: int) -> bool:
+        """Tell whether a large value was written after a revision."""
+        return any(
+            item.revision > revision and is_large(item) for item in self._items()
+        )
+
+    def small_changes_after(self, revision: int) -> list[StoredItem | RemovedKey]:
+        """Return what changed after a revision but large values."""
+        items = [
+            item
+            for item in self._items()
+            if item.revision > revision and not is_large(item)
+        ]
         removed = [
             RemovedKey(key, gone_at)
             for key, gone_at in self.removed.items()
             if gone_at > revision
         ]
-        return Changes((*items, *removed), self.revision)
+        return [*items, *removed]
 
     def _items(self) -> Iterable[StoredItem]:
         """Yield all writes that count, so that a peer comes to the same belief."""
--- a/packages/node/tests/test_gateway_news_teller.py
+++ b/packages/node/tests/test_gateway_news_teller.py
@@ -77,10 +77,12 @@
     confirmed_at = watcher.confirmed_at
     watcher.clock.now += 5.0
     watcher.teller.large_sends.release()
-    await async_until(lambda: session.sent)
+    await async_until(lambda: len(session.sent) == 2)
+    early, whole = session.sent
+    assert decode(early).partial_after == 0
     peer = host("p")
     peer.clock.now = watcher.clock.now
-    await peer.async_take_news(Request(session.sent[0]))
+    await peer.async_take_news(Request(whole))
     assert peer.view.revision == 5
     assert peer.peers_confirmed_at <= confirmed_at
     assert not peer.is_current()
@@ -116,6 +118,53 @@
         task.cancel()
 
 
+async def async_tell_beside_a_large_value(watcher, session):
+    """Let a configuration wait for dead peers, and a zone be emptied meanwhile."""
+    learn(watcher, 5)
+    await asyncio.sleep(0.01)
+    watcher.view.apply(Changes((StoredItem("zone-a", b"", 6),), 6), NOW)
+    watcher.confirm(5, 0.0)
+    await asyncio.sleep(0.01)
+    for task in [*watcher.teller.tasks.values(), *watcher.early_teller.tasks.values()]:
+        task.cancel()
+    return session.sent
+
+
+async def test_word_of_a_server_does_not_wait_for_a_large_value():
+    # The operators add 1,400 routes, and a watcher tells thirty hosts, eight at a time;
+    # some have full links, and hold their turn for seconds. A server that leaves in the
+    # meantime was told of in the same message, so hosts that wait for their turn sent
+    # callers there until it came.
+    dead = [f"dead{number}" for number in range(LARGE_SENDS_MAX)]
+    watcher, session = watcher_of(*dead, "p")
+    peer = host("p")
+    for body in await async_tell_beside_a_large_value(watcher, session):
+        await peer.async_take_news(Request(body))
+    assert peer.view.evacuated_at == {"zone-a": NOW}
+    assert peer.informed_at() == NOW
+    # The large value is still to come: unknown paths may be known to others.
+    assert peer.view.revision == 0
+    assert not peer.is_current()
+    assert not peer.under_way, "what is lacking is on its way already"
+    learned = watcher.encoded(0)
+    peer.take_encoded(learned)
+    assert peer.view.revision == 6
+    assert peer.is_current()
+
+
+async def test_word_that_was_missed_is_asked_for():
+    # The first word beside a large value got lost. The next one does not hold it, so
+    # the host must not take itself for informed.
+    watcher, session = watcher_of(*(f"dead{n}" for n in range(LARGE_SENDS_MAX)), "p")
+    peer = host("p", session=Session())
+    bodies = await async_tell_beside_a_large_value(watcher, session)
+    await peer.async_take_news(Request(bodies[-1]))
+    assert peer.informed_at() < NOW
+    assert set(peer.under_way) == {"w:2"}
+    for task in peer.under_way.values():
+        task.cancel()
+
+
 async def test_a_tick_that_lay_in_a_full_link_is_not_taken_for_fresh():
     # The watcher's link is full of answers to callers. Word that there is nothing new
     # lies in it for seconds, long after its sender gave it up. Its receiver would take
