Keep the ages of news in a module of their own

No change of behaviour but one: the ages in the lines and the histogram of sends are those of news about servers, which decide whether to send.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -171,6 +171,7 @@
         self.gossip.loads = self.placer.loads
         self.gossip.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
+        ages = self.gossip.ages
         self.gateway = Gateway(
             settings.names,
             self.view,
@@ -180,8 +181,8 @@
             self.counters,
             self.clock,
             self.events,
-            self.gossip,
-            NewsGuard(self.clock, self.gossip, self.link, settings.drain_seconds),
+            ages,
+            NewsGuard(self.clock, ages, self.link, settings.drain_seconds),
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -24,6 +24,7 @@
     LeaseLostError,
     PlatformStore,
 )
+from greengagepoint_node.gateway.news_ages import NewsAges
 from greengagepoint_node.gateway.settings import HEARTBEAT_SECONDS
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.gateway.while_wanted import async_run_while
@@ -49,23 +50,17 @@
     """Pass on what the store told, and know whether peers do so for this host."""
 
     is_watcher: bool
-    peers_confirmed_at: float
+    ages: NewsAges
 
     def must_watch(self) -> bool:
         """Tell whether this host has to ask the store itself."""
 
-    def news_confirmed_at(self) -> float:
-        """Return when the view was last known to be complete, in monotonic seconds."""
-
     def link_is_full(self) -> bool:
         """Tell whether all that this host sends and gets has to wait."""
 
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the view was complete; ``before`` is its former revision."""
 
-    def confirm_servers(self, seconds_ago: float) -> None:
-        """Take in that it was complete as far as servers' entries go."""
-
 
 class StoreFollower:
     """Keep the view up to date from the store."""
@@ -131,7 +126,7 @@
         what they and callers send. 4,200 routes are 1.1 MB from the store and 58 KB
         from a peer. Word of peers from before the call is older than its answer.
         """
-        return self._needs_store() or self.news.peers_confirmed_at <= began
+        return self._needs_store() or self.news.ages.peers_at <= began
 
     def _pause(self) -> float:
         """Return the mean pause after one more failed call."""
@@ -166,7 +161,7 @@
         return must_read_all(
             watcher=self.news.is_watcher,
             full_link=self.news.link_is_full(),
-            confirmed_at=self.news.news_confirmed_at(),
+            confirmed_at=self.news.ages.complete_at(),
             now=self.clock.monotonic(),
         )
 
@@ -178,7 +173,8 @@
         partial = Changes(changes.changes, self.view.revision)
         self.view.apply(partial, self.clock.monotonic())
         self.servers_revision = changes.revision
-        self.news.confirm_servers(changes.arriving_seconds)
+        told_at = self.clock.monotonic() - changes.arriving_seconds
+        self.news.ages.note_servers(told_at)
         if changes.changes:
             await asyncio.sleep(GATHER_SECONDS)
 
@@ -187,7 +183,7 @@
         if watching == self.watching:
             return
         self.watching = watching
-        age = self.clock.monotonic() - self.news.peers_confirmed_at
+        age = self.clock.monotonic() - self.news.ages.peers_at
         self.events.record(
             Event.STORE_WATCH_CHANGED,
             watching=watching,
@@ -219,7 +215,7 @@
         if self.lost_at is None:
             return
         doubtful = may_have_lapsed(
-            confirmed_at=self.news.news_confirmed_at(),
+            confirmed_at=self.news.ages.complete_at(),
             heartbeat_seconds=self.heartbeat_seconds,
             now=now,
         )
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -20,9 +20,9 @@
 import msgspec
 from aiohttp import web
 
-from greengagepoint.config.watchers import CURRENT_SECONDS, must_watch
+from greengagepoint.config.watchers import must_watch
 from greengagepoint.events import Event
-from greengagepoint.overload.full_link import STORE_AWAY_SECONDS, LinkDelay
+from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
@@ -46,6 +46,7 @@
     HeardHost,
     HostTable,
 )
+from greengagepoint_node.gateway.news_ages import NewsAges
 from greengagepoint_node.gateway.news_teller import NewsTeller
 from greengagepoint_node.gateway.packing import ItemPacker
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
@@ -100,10 +101,7 @@
         self.loads = RegionLoads(own.entry.region)
         self.busy_servers = BusyServers()
         self.is_watcher = True
-        self.confirmed_at = float("-inf")
-        self.peers_confirmed_at = float("-inf")
-        self.servers_confirmed_at = float("-inf")
-        self.as_informed_at = float("-inf")
+        self.ages = NewsAges(clock)
         self.partial_revision = 0
         self.link = LinkDelay()
         self.under_way: dict[str, asyncio.Task[None]] = {}
@@ -140,41 +138,18 @@
         """Tell whether this host has to ask the store itself."""
         return must_watch(
             watcher=self.is_watcher,
-            confirmed_at=self.peers_confirmed_at,
+            confirmed_at=self.ages.peers_at,
             now=self.clock.monotonic(),
         )
 
-    def is_current(self) -> bool:
-        """Tell whether this host would know a configuration that must be in force."""
-        return self.clock.monotonic() - self.news_confirmed_at() <= CURRENT_SECONDS
-
-    def news_confirmed_at(self) -> float:
-        """Return when the view was last known to be complete, by whatever way."""
-        return max(self.confirmed_at, self.peers_confirmed_at)
-
-    def informed_at(self) -> float:
-        """Return when this host last knew all that any host could know of servers.
-
-        That is all that the store had said of them; or, while it tells nobody anything,
-        all that a peer knew.
-        """
-        return max(
-            self.news_confirmed_at(), self.servers_confirmed_at, self.as_informed_at
-        )
-
     def link_is_full(self) -> bool:
         """Tell whether all that this host sends and gets has to wait."""
         return self.link.is_full(self.clock.monotonic())
 
-    def confirm_servers(self, seconds_ago: float) -> None:
-        """Take in that the store told everything of backend servers."""
-        at = self.clock.monotonic() - seconds_ago
-        self.servers_confirmed_at = max(self.servers_confirmed_at, at)
-
     def confirm(self, before: int, seconds_ago: float) -> None:
         """Take in that the store told everything, and pass on what is new."""
         now = self.clock.monotonic()
-        self.confirmed_at = now - seconds_ago
+        self.ages.note_store(seconds_ago)
         if not self.is_watcher or self.own.leaving:
             return
         for state in self.table.alive(now):
@@ -336,7 +311,7 @@
             news = self.view.changes_after(revision)
         whole = isinstance(news, Snapshot)
         rows = news.items if whole else news.changes
-        age = self.clock.monotonic() - self.news_confirmed_at()
+        age = self.clock.monotonic() - self.ages.complete_at()
         doubts = self.view.doubts(self.clock.monotonic())
         return Message(
             revision=self.view.revision,
@@ -402,11 +377,8 @@
             )
         complete = self.view.revision >= message.revision
         if complete and message.age is not None and sent_after is not None:
-            at = sent_after - message.age
-            self.peers_confirmed_at = max(self.peers_confirmed_at, at)
-            # A peer on a full link may know less than others do.
-            if message.age > STORE_AWAY_SECONDS and not message.full_link:
-                self.as_informed_at = max(self.as_informed_at, sent_after)
+            full_link = message.full_link
+            self.ages.note_peer(sent_after, message.age, full_link=full_link)
 
     def _take_partial(
         self, message: Message, after: int, sent_after: float | None
@@ -419,8 +391,7 @@
             return
         self.partial_revision = max(self.partial_revision, message.revision)
         if message.age is not None and sent_after is not None:
-            at = sent_after - message.age
-            self.servers_confirmed_at = max(self.servers_confirmed_at, at)
+            self.ages.note_servers(sent_after - message.age)
 
     def _partial_revision(self) -> int:
         """Return up to which revision this host knows all but large values."""
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -25,6 +25,7 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.news_ages import News
 from greengagepoint_node.gateway.news_guard import NewsGuard
 from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
@@ -40,7 +41,7 @@
     no_place,
     refusal_response,
 )
-from greengagepoint_node.gateway.send_times import News, SendTimes
+from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.tries import UNSENT, Tries
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.proxy.sessions import BackendSessions
--- a/packages/node/greengagepoint_node/gateway/news_guard.py
+++ b/packages/node/greengagepoint_node/gateway/news_guard.py
@@ -5,8 +5,8 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.overload.full_link import LinkDelay, may_send
 from greengagepoint.protocols import Clock
+from greengagepoint_node.gateway.news_ages import News
 from greengagepoint_node.gateway.refusals import OLD_NEWS_RETRY_SECONDS, Refusal
-from greengagepoint_node.gateway.send_times import News
 
 REASON: Final = "this host's link is full and its news too old"
 
--- a/packages/node/greengagepoint_node/gateway/send_times.py
+++ b/packages/node/greengagepoint_node/gateway/send_times.py
@@ -1,21 +1,7 @@
 """Note how long a request waits between the choice of its server and its first byte."""
 
-from typing import Protocol
-
 from greengagepoint.protocols import Clock
-
-
-class News(Protocol):
-    """Know when this host's news of the fleet was last complete."""
-
-    def news_confirmed_at(self) -> float:
-        """Return monotonic seconds, minus infinity where it never was."""
-
-    def informed_at(self) -> float:
-        """Return when this host last knew all that any host could know of servers."""
-
-    def is_current(self) -> bool:
-        """Tell whether this host would know a configuration that must be in force."""
+from greengagepoint_node.gateway.news_ages import News
 
 
 class SendTimes:
@@ -28,14 +14,14 @@
         self.clock = clock
         self.news = news
         self.chosen_at = clock.monotonic()
-        self.news_age_at_choice = self.chosen_at - news.news_confirmed_at()
+        self.news_age_at_choice = self.chosen_at - news.informed_at()
         self.sent_at: float | None = None
         self.news_age_at_send = self.news_age_at_choice
 
     def note_sent(self) -> None:
         """Take in that the first byte goes out now."""
         self.sent_at = self.clock.monotonic()
-        self.news_age_at_send = self.sent_at - self.news.news_confirmed_at()
+        self.news_age_at_send = self.sent_at - self.news.informed_at()
 
     @property
     def seconds_until_sent(self) -> float | None:
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -160,7 +160,7 @@
 
     async def async_stop_news(self) -> None:
         """Let the host hear nothing more of the store or of peers."""
-        await async_until(self.daemon.gossip.is_current)
+        await async_until(self.daemon.gossip.ages.is_current)
         self.clock.stop()
         following = self.daemon.tasks[:3]
         for task in following:
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -230,11 +230,11 @@
     # would be the last word to a caller of that route; after a 503 it tries a host that
     # knows.
     async with async_world(servers=1) as world:
-        await async_until(world.daemon.gossip.is_current)
+        await async_until(world.daemon.gossip.ages.is_current)
         following = world.daemon.tasks[0]
         following.cancel()
         await asyncio.wait({following})
-        world.daemon.gossip.confirmed_at -= CURRENT_SECONDS
+        world.daemon.gossip.ages.store_at -= CURRENT_SECONDS
         status, _, headers = await world.async_call("/nowhere/")
         assert (status, "Retry-After" in headers) == (503, True)
         refused = world.events.of(Event.REQUEST_REFUSED)[-1]
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -24,6 +24,7 @@
     StoredItem,
 )
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
+from greengagepoint_node.gateway.news_ages import NewsAges
 from greengagepoint_node.gateway.store_counts import CountedStore
 from greengagepoint_node.gateway.view import FleetView
 
@@ -74,23 +75,17 @@
     def __init__(self, must=True):
         self.must = must
         self.is_watcher = must
-        self.peers_confirmed_at = 0.0
+        self.ages = NewsAges(MovedClock())
+        self.ages.peers_at = 0.0
         self.confirmed = []
         self.full_link = False
-        self.servers_confirmed = []
 
     def must_watch(self):
         return self.must
 
-    def news_confirmed_at(self):
-        return self.peers_confirmed_at
-
     def link_is_full(self):
         return self.full_link
 
-    def confirm_servers(self, seconds_ago):
-        self.servers_confirmed.append(seconds_ago)
-
     def confirm(self, before, seconds_ago):
         self.confirmed.append(before)
 
@@ -207,7 +202,7 @@
     peers.must = False
     await asyncio.sleep(0.02)
     assert not counts, "what peers knew before the call may be older than its answer"
-    peers.peers_confirmed_at = follower.clock.monotonic()
+    peers.ages.peers_at = follower.clock.monotonic()
     await async_until(lambda: counts["snapshot", "given_up"] == 1)
     # The peers are lost: the host goes on from what they brought.
     peers.must = True
@@ -262,7 +257,7 @@
 
     async def async_pause(_):
         clock.ahead = 9.0
-        peers.peers_confirmed_at = clock.monotonic() - peers_confirmed_ago
+        peers.ages.peers_at = clock.monotonic() - peers_confirmed_ago
 
     monkeypatch.setattr(follower, "_async_pause", async_pause)
     task = asyncio.create_task(follower.async_run())
@@ -282,7 +277,8 @@
     monkeypatch.setattr(module, "GATHER_SECONDS", 0)
     store = Script(Snapshot((), 4))
     peers, clock = Peers(), MovedClock()
-    peers.peers_confirmed_at = clock.monotonic()
+    clock.stop()
+    peers.ages.peers_at = clock.monotonic()
     view = FleetView(ZONES, decode_server, Lines())
     follower = StoreFollower(store, view, clock, random.Random(1), Lines(), peers)
     peers.is_watcher = False
@@ -297,7 +293,7 @@
     assert store.calls[2:] == [("servers", 4), ("servers", 9), ("servers", 11)]
     assert view.servers.servers["i-1"].incarnation in view.servers.leaving
     assert (view.revision, peers.confirmed) == (4, [0])
-    assert peers.servers_confirmed == [0.2, 0.1]
+    assert peers.ages.servers_at == pytest.approx(clock.monotonic() - 0.1)
     task.cancel()
     clock.ahead += 3.1
     task = asyncio.create_task(follower.async_run())
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -370,9 +370,9 @@
     watcher, other = host("h1"), host("h2")
     watcher.is_watcher = False
     watcher.confirm(0, 2.5)
-    assert not watcher.is_current()
+    assert not watcher.ages.is_current()
     await async_exchange(other, watcher)
-    assert other.peers_confirmed_at == NOW - 2.5
+    assert other.ages.peers_at == NOW - 2.5
     assert other.must_watch()
 
 
--- a/packages/node/tests/test_gateway_leaving_servers.py
+++ b/packages/node/tests/test_gateway_leaving_servers.py
@@ -122,8 +122,8 @@
 
 def age_news(world, seconds):
     gossip = world.daemon.gossip
-    gossip.confirmed_at = world.clock.monotonic() - seconds
-    gossip.peers_confirmed_at = float("-inf")
+    gossip.ages.store_at = world.clock.monotonic() - seconds
+    gossip.ages.peers_at = float("-inf")
 
 
 def hear_peer(world, age, *, full_link=False):
--- a/packages/node/tests/test_gateway_news_teller.py
+++ b/packages/node/tests/test_gateway_news_teller.py
@@ -74,7 +74,7 @@
         await watcher.teller.large_sends.acquire()
     learn(watcher, 5)
     await asyncio.sleep(0)
-    confirmed_at = watcher.confirmed_at
+    confirmed_at = watcher.ages.store_at
     watcher.clock.now += 5.0
     watcher.teller.large_sends.release()
     await async_until(lambda: len(session.sent) == 2)
@@ -84,8 +84,8 @@
     peer.clock.now = watcher.clock.now
     await peer.async_take_news(Request(whole))
     assert peer.view.revision == 5
-    assert peer.peers_confirmed_at <= confirmed_at
-    assert not peer.is_current()
+    assert peer.ages.peers_at <= confirmed_at
+    assert not peer.ages.is_current()
 
 
 async def test_what_is_to_be_told_as_a_send_ends_is_told_at_once():
@@ -141,15 +141,15 @@
     for body in await async_tell_beside_a_large_value(watcher, session):
         await peer.async_take_news(Request(body))
     assert peer.view.evacuated_at == {"zone-a": NOW}
-    assert peer.informed_at() == NOW
+    assert peer.ages.informed_at() == NOW
     # The large value is still to come: unknown paths may be known to others.
     assert peer.view.revision == 0
-    assert not peer.is_current()
+    assert not peer.ages.is_current()
     assert not peer.under_way, "what is lacking is on its way already"
     learned = watcher.encoded(0)
     peer.take_encoded(learned)
     assert peer.view.revision == 6
-    assert peer.is_current()
+    assert peer.ages.is_current()
 
 
 async def test_word_that_was_missed_is_asked_for():
@@ -159,7 +159,7 @@
     peer = host("p", session=Session())
     bodies = await async_tell_beside_a_large_value(watcher, session)
     await peer.async_take_news(Request(bodies[-1]))
-    assert peer.informed_at() < NOW
+    assert peer.ages.informed_at() < NOW
     assert set(peer.under_way) == {"w:2"}
     for task in peer.under_way.values():
         task.cancel()
@@ -178,15 +178,15 @@
             for _ in range(2):
                 watcher.gossip.confirm(0, 0.0)
                 await async_until(lambda: not watcher.gossip.teller.tasks)
-            assert peer.gossip.is_current()
+            assert peer.gossip.ages.is_current()
             link.free_at = asyncio.get_running_loop().time() + 2.5
             sent_at = watcher.gossip.clock.monotonic()
             before = peer.gossip.bytes["news", "received"]
             watcher.gossip.confirm(0, 0.0)
             await async_until(lambda: peer.gossip.bytes["news", "received"] > before)
             assert watcher.gossip.failures == 1
-            assert peer.gossip.peers_confirmed_at <= sent_at + TELL_SECONDS
-            assert not peer.gossip.is_current()
+            assert peer.gossip.ages.peers_at <= sent_at + TELL_SECONDS
+            assert not peer.gossip.ages.is_current()
         finally:
             await relay.async_cut()
 
