Look again whether a drain has begun before the first byte of the product's own path

The caller's request would still be there when a drained server goes. It is not sent now; the outcome is that of a connection that broke before sending, so it goes to another server, or the caller hears that it has not run. The test failed before: the server got the request.

--- a/packages/node/greengagepoint_node/proxy/attempts.py
+++ b/packages/node/greengagepoint_node/proxy/attempts.py
@@ -32,6 +32,7 @@
 from greengagepoint_node.proxy.parts import Parts
 from greengagepoint_node.proxy.placement import Placement, async_place, give_back
 from greengagepoint_node.proxy.relay import is_small
+from greengagepoint_node.proxy.sessions import LeftError
 
 ATTEMPTS_MAX: Final = 3
 BACK_OFF_SHARE: Final = 0.1
@@ -193,6 +194,10 @@
     permit = placement.permit
 
     def may_start() -> bool:
+        # A drain may have begun while the connection was made; the request would still
+        # be there when the server goes.
+        if placement.row.leaving:
+            raise LeftError
         # The process may have been paused since it got the permit, and the lender
         # may count the unit as free by now.
         return clock.monotonic() <= permit.start_by
--- a/packages/node/greengagepoint_node/proxy/exchange.py
+++ b/packages/node/greengagepoint_node/proxy/exchange.py
@@ -26,6 +26,7 @@
     BackendSessions,
     BrokenOffError,
     LapsedError,
+    LeftError,
     SendOnce,
     SpoiltConnectionError,
 )
@@ -179,7 +180,7 @@
         return WireOutcome.CONNECT_REFUSED
     if isinstance(error, LapsedError):
         return WireOutcome.DEADLINE_BEFORE_SENDING
-    if isinstance(error, SpoiltConnectionError):
+    if isinstance(error, SpoiltConnectionError | LeftError):
         return WireOutcome.RESET_BEFORE_SENDING
     if isinstance(error, BrokenOffError):
         return WireOutcome.RESET_AFTER_SENDING
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -27,6 +27,10 @@
     """Tell that the right to send ended while connecting; nothing was sent."""
 
 
+class LeftError(aiohttp.ClientError):
+    """Tell that the server began to leave while connecting; nothing was sent."""
+
+
 class BackendRequest(aiohttp.ClientRequest):
     """A request that goes out only in time, on a connection with nothing left on it."""
 
--- a/packages/node/tests/test_hostile_sending.py
+++ b/packages/node/tests/test_hostile_sending.py
@@ -18,6 +18,7 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
+from greengagepoint.balancing.tables import LeavingSource
 from greengagepoint.errors import RequestError
 from greengagepoint_node.proxy.checks import check_path, plain_path
 from greengagepoint_node.proxy.sessions import BackendRequest
@@ -63,6 +64,27 @@
         await async_until(lambda: not held(running.deployment))
 
 
+async def test_a_server_that_is_drained_while_connecting_gets_nothing(monkeypatch):
+    """Operators drain a server while a request's connection to it is being made.
+
+    Sent all the same, the request would still be there when the server goes. It has
+    not run, so the caller is told so, and where there is another server it goes there.
+    """
+    async with async_raw_deployment() as running:
+        _, daemon, backend, _ = running
+        send = BackendRequest.send
+
+        async def async_send_late(self, connection):
+            for row in daemon.backends.table.rows.values():
+                row.leaving.add(LeavingSource.DRAIN_RECORD)
+            return await send(self, connection)
+
+        monkeypatch.setattr(BackendRequest, "send", async_send_late)
+        answer = await async_raw(daemon, raw_request())
+        assert answer.problem["ran"] == "not_run"
+        assert backend.requests == []
+
+
 @pytest.mark.parametrize(("body", "copies"), [(b"", 2), (b"1\r\nx\r\n0\r\n\r\n", 1)])
 async def test_a_body_that_is_read_once_goes_to_one_server(body, copies) -> None:
     """A slow read, whose copies may be hedged, carries a body in chunks.
