Ask for emptied zones as well while only servers are asked for

Both are asked for now, emptied zones first, without waiting. The adapter's watch takes which part of the keys is meant, in place of a second method.

--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -147,18 +147,25 @@
     """Tell that a lease has ended."""
 
 
+class Part(StrEnum):
+    """Which keys of the store are asked for."""
+
+    ALL = "all"
+    SERVERS = "servers"
+    EVACUATIONS = "evacuations"
+
+
 class PlatformStore(Protocol):
     """Reach the platform's store; every call raises StoreError when it fails."""
 
     async def async_snapshot(self) -> Snapshot:
         """Return all keys."""
 
-    async def async_changes(self, after: int, wait_seconds: float) -> Changes:
+    async def async_changes(
+        self, after: int, wait_seconds: float, part: Part = Part.ALL
+    ) -> Changes:
         """Return changes after a revision, waiting for one; raise HistoryLostError."""
 
-    async def async_server_changes(self, after: int, wait_seconds: float) -> Changes:
-        """Return those of backend servers' entries; the rest as for changes."""
-
     async def async_grant_lease(self, seconds: float) -> int:
         """Return a new lease."""
 
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -22,6 +22,7 @@
     HistoryLostError,
     HostEntry,
     LeaseLostError,
+    Part,
     PlatformStore,
 )
 from greengagepoint_node.gateway.news_ages import NewsAges
@@ -34,6 +35,7 @@
 # different times, so the first one learns within a part of this and tells its peers.
 # Each end of a wait also tells the other hosts that there was nothing to hear.
 WATCH_SECONDS: Final = 1.0
+NO_WAIT: Final = 0.0
 # How soon a host that others keep up to date sees that they no longer do.
 LOOK_SECONDS: Final = 0.1
 # Changes that come together are read in one call. At a start every server and host
@@ -166,16 +168,21 @@
         )
 
     async def _async_read_servers(self) -> None:
-        """Wait for what changes of servers' entries; the view stays incomplete."""
+        """Wait for what changes of servers' entries; the view stays incomplete.
+
+        Emptied zones are asked for first and without waiting, as they may be a second
+        old where a leaving server may not.
+        """
         after = max(self.view.revision, self.servers_revision)
-        changes = await self.store.async_server_changes(after, WATCH_SECONDS)
+        zones = await self.store.async_changes(after, NO_WAIT, Part.EVACUATIONS)
+        servers = await self.store.async_changes(after, WATCH_SECONDS, Part.SERVERS)
         self._note_reached()
-        partial = Changes(changes.changes, self.view.revision)
-        self.view.apply(partial, self.clock.monotonic())
-        self.servers_revision = changes.revision
-        told_at = self.clock.monotonic() - changes.arriving_seconds
+        rows = (*zones.changes, *servers.changes)
+        self.view.apply(Changes(rows, self.view.revision), self.clock.monotonic())
+        self.servers_revision = min(zones.revision, servers.revision)
+        told_at = self.clock.monotonic() - servers.arriving_seconds
         self.news.ages.note_servers(told_at)
-        if changes.changes:
+        if rows:
             await asyncio.sleep(GATHER_SECONDS)
 
     def _note_watching(self, watching: bool) -> None:
--- a/packages/node/greengagepoint_node/gateway/store_counts.py
+++ b/packages/node/greengagepoint_node/gateway/store_counts.py
@@ -10,6 +10,7 @@
     HistoryLostError,
     HostEntry,
     LeaseLostError,
+    Part,
     PlatformStore,
     Snapshot,
 )
@@ -28,15 +29,15 @@
         """Return all keys."""
         return await self._async_counted("snapshot", self.store.async_snapshot())
 
-    async def async_changes(self, after: int, wait_seconds: float) -> Changes:
+    async def async_changes(
+        self, after: int, wait_seconds: float, part: Part = Part.ALL
+    ) -> Changes:
         """Return changes after a revision, waiting for one; raise HistoryLostError."""
-        call = self.store.async_changes(after, wait_seconds)
-        return await self._async_counted("changes", call)
-
-    async def async_server_changes(self, after: int, wait_seconds: float) -> Changes:
-        """Return those of backend servers' entries; the rest as for changes."""
-        call = self.store.async_server_changes(after, wait_seconds)
-        return await self._async_counted("server_changes", call)
+        if part is Part.ALL:
+            call = self.store.async_changes(after, wait_seconds)
+            return await self._async_counted("changes", call)
+        call = self.store.async_changes(after, wait_seconds, part)
+        return await self._async_counted(f"changes_of_{part}", call)
 
     async def async_grant_lease(self, seconds: float) -> int:
         """Return a new lease."""
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -23,6 +23,7 @@
 from greengagepoint_node.gateway.facts import (
     Changes,
     Configuration,
+    Part,
     ServerEntry,
     Snapshot,
     StoredItem,
@@ -75,7 +76,9 @@
         items = tuple(StoredItem(key, b"", 1) for key in self.facts)
         return Snapshot(items, 1)
 
-    async def async_changes(self, after: int, wait_seconds: float) -> Changes:
+    async def async_changes(
+        self, after: int, wait_seconds: float, part: Part = Part.ALL
+    ) -> Changes:
         await asyncio.sleep(wait_seconds)
         return Changes((), after)
 
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -16,9 +16,11 @@
 from greengagepoint_node.gateway import follower as module
 from greengagepoint_node.gateway.facts import (
     Changes,
+    Evacuation,
     HistoryLostError,
     HostEntry,
     LeaseLostError,
+    Part,
     ServerEntry,
     Snapshot,
     StoredItem,
@@ -53,11 +55,9 @@
     async def async_snapshot(self):
         return await self.answer("snapshot")
 
-    async def async_changes(self, after, wait_seconds):
-        return await self.answer("changes", after)
-
-    async def async_server_changes(self, after, wait_seconds):
-        return await self.answer("servers", after)
+    async def async_changes(self, after, wait_seconds, part=Part.ALL):
+        kind = "changes" if part is Part.ALL else str(part)
+        return await self.answer(kind, after)
 
     async def async_grant_lease(self, seconds):
         return await self.answer("grant")
@@ -91,6 +91,8 @@
 
 
 def decode_server(item):
+    if item.value == b"evacuated":
+        return Evacuation(item.key)
     leaving = item.value == b"draining"
     return ServerEntry(item.key, "booking", "10.0.0.1:1", "zone-a", 4, leaving, 0.0)
 
@@ -287,10 +289,23 @@
     task.cancel()
     peers.full_link = True
     leaving = StoredItem("i-1", b"draining", 9)
-    store.answers = [Changes((leaving,), 9, 0.2), Changes((), 11, 0.1)]
+    emptied = StoredItem("zone-a", b"evacuated", 8)
+    store.answers = [
+        Changes((emptied,), 8, 0.3),
+        Changes((leaving,), 9, 0.2),
+        Changes((), 11, 0.1),
+        Changes((), 11, 0.1),
+    ]
     task = asyncio.create_task(follower.async_run())
-    await async_until(lambda: len(store.calls) == 5)
-    assert store.calls[2:] == [("servers", 4), ("servers", 9), ("servers", 11)]
+    await async_until(lambda: len(store.calls) == 7)
+    assert store.calls[2:] == [
+        ("evacuations", 4),
+        ("servers", 4),
+        ("evacuations", 8),
+        ("servers", 8),
+        ("evacuations", 11),
+    ]
+    assert set(view.evacuated_at) == {"zone-a"}
     assert view.servers.servers["i-1"].incarnation in view.servers.leaving
     assert (view.revision, peers.confirmed) == (4, [0])
     assert peers.ages.servers_at == pytest.approx(clock.monotonic() - 0.1)
--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -12,6 +12,7 @@
     HistoryLostError,
     HostEntry,
     LeaseLostError,
+    Part,
     RemovedKey,
 )
 from greengagepoint_platform import store as module
@@ -65,13 +66,19 @@
         assert changes.changes == (RemovedKey("op/config", 3),)
 
 
-async def test_servers_are_watched_without_what_lies_before_them():
+@pytest.mark.parametrize(
+    ("part", "key"),
+    [(Part.SERVERS, "servers/i-1"), (Part.EVACUATIONS, "op/evacuate/zone-a")],
+)
+async def test_a_part_is_watched_without_what_lies_before_it(part, key):
     async with async_client() as (client, store):
         put(store, "op/config", "large")
         put(store, "servers/i-1", "draining")
-        changes = await client.async_server_changes(0, 5.0)
-        assert [row.key for row in changes.changes] == ["servers/i-1"]
-        assert changes.revision == 2
+        put(store, "op/evacuate/zone-a", "")
+        changes = await client.async_changes(0, 0.0, part)
+        assert [row.key for row in changes.changes] == [key]
+        assert changes.revision == 3
+        assert not (await client.async_changes(3, 0.0, part)).changes
 
 
 async def test_a_watch_without_changes_ends_by_itself():
