Keep the event's name in the line of an unknown path

On-call engineers who look for lines named request_refused missed those of unknown paths: the caller's host name was written under the same key. It stands under authority now.

--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -45,7 +45,7 @@
         return route
     reason = f"no route, configuration {table.version}"
     inputs = {
-        "name": request.host[:LOGGED_CHARACTERS_MAX],
+        "authority": request.host[:LOGGED_CHARACTERS_MAX],
         "path": request.rel_url.raw_path[:LOGGED_CHARACTERS_MAX],
     }
     if not is_current():
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -216,6 +216,16 @@
         assert not world.backends[0].received
 
 
+async def test_the_line_of_an_unknown_path_keeps_the_name_of_its_event():
+    # A caller complains of a 404. On-call looks for lines called request_refused, and
+    # found none: the name that the caller had asked for stood in its place.
+    async with async_world(servers=1) as world:
+        await world.async_call("/safe/1", headers={"Host": "b.example"})
+        (row,) = world.events.of(Event.REQUEST_REFUSED)
+        assert (row["authority"], row["path"]) == ("b.example", "/safe/1")
+        assert not row.keys() & {"time", "host", "level", "event", "name"}
+
+
 async def test_a_host_that_knows_no_configuration_says_come_back_not_unknown():
     # A host starts while the store is down. A 404 would tell callers that their route
     # does not exist, and they would give up.
