Doubt no removal for a store that only seemed away over a full link

A server whose entry had been removed, without a word of draining before, would get its callers for two more seconds. Where the link is full the loss says nothing.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -221,7 +221,8 @@
         self.failures = 0
         if self.lost_at is None:
             return
-        doubtful = may_have_lapsed(
+        # On a full link a store that serves all others seems to be away.
+        doubtful = not self.news.link_is_full() and may_have_lapsed(
             confirmed_at=self.news.ages.complete_at(),
             heartbeat_seconds=self.heartbeat_seconds,
             now=now,
