Check the guard against old news over all orders of word, leave and send

A property over when a host was told, a server left and a request was sent, with any delay of a full link: what the guard lets through arrives while the server may still get it.

--- a/packages/core/tests/test_overload_full_link.py
+++ b/packages/core/tests/test_overload_full_link.py
@@ -1,6 +1,8 @@
 """Old news on a full link: when a host must not send, and when it must all the same."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from greengagepoint.overload.full_link import (
     FULL_SECONDS,
@@ -62,3 +64,23 @@
 )
 def test_nothing_is_sent_that_may_come_after_a_server_left(age, link, connect, sent):
     assert may_send(age, link, connect, DRAIN) is sent
+
+
+@given(
+    age=st.floats(0, 10),
+    left_after=st.floats(0, 10),
+    link=st.floats(FULL_SECONDS, 3),
+    connect=st.floats(0, 3),
+    way_share=st.floats(0, 1),
+    drain=st.floats(1, 6),
+)
+def test_no_server_gets_a_request_later_than_it_may(
+    age, left_after, link, connect, way_share, drain
+):
+    # Whenever after the host's last word a server left, and however old that word is at
+    # a send: over a full link, where a send takes no longer than a connection, a server
+    # that the host does not know to have left gets nothing after its time.
+    if not may_send(age, link, connect, drain):
+        return
+    arrives_after = age + way_share * max(link, connect)
+    assert arrives_after - left_after <= drain + 1e-9
