Take no caller that leaves for a quick connection

Callers leave most where links are full, so the guard against old news was off when it was needed. A connection that is given up counts only where it has taken long by then.

--- a/packages/node/greengagepoint_node/gateway/connect_times.py
+++ b/packages/node/greengagepoint_node/gateway/connect_times.py
@@ -1,11 +1,12 @@
 """Measure how long a client session's connections take."""
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
 
-from greengagepoint.overload.full_link import LinkDelay
+from greengagepoint.overload.full_link import FULL_SECONDS, LinkDelay
 from greengagepoint.protocols import Clock
 
 
@@ -16,15 +17,28 @@
         context.began_at = clock.monotonic()
 
     async def async_end(_: Any, context: SimpleNamespace, __: Any) -> None:
+        now = clock.monotonic()
+        link.note(now - context.began_at, now)
+        context.began_at = None
+
+    async def async_fail(
+        _: Any,
+        context: SimpleNamespace,
+        params: aiohttp.TraceRequestExceptionParams,
+    ) -> None:
         began_at = getattr(context, "began_at", None)
-        if began_at is not None:
-            now = clock.monotonic()
-            link.note(now - began_at, now)
-            context.began_at = None
+        if began_at is None:
+            return
+        now = clock.monotonic()
+        given_up = isinstance(params.exception, asyncio.CancelledError)
+        if given_up and now - began_at < FULL_SECONDS:
+            # A caller has left. On a full link the connection would have taken longer;
+            # taken for a quick one, it would make the link look free.
+            return
+        link.note(now - began_at, now)
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(async_begin)
     trace.on_connection_create_end.append(async_end)
-    # A connection that is refused or given up tells as much about the link.
-    trace.on_request_exception.append(async_end)
+    trace.on_request_exception.append(async_fail)
     return trace
