--- a/packages/node/tests/test_gateway_large_values.py
+++ b/packages/node/tests/test_gateway_large_values.py
@@ -99,8 +99,8 @@
 async def test_a_host_on_a_full_link_waits_for_what_a_peer_tells():
     # A host's link is full of answers: what a peer writes comes 0.8 s later. Each
     # exchange was given up after 0.6 s, as one with a dead peer, and begun anew with
-    # another one, eleven in a row. Meanwhile the host sent callers to servers that had
-    # left.
+    # another one, nine times in 3.3 s. Meanwhile the host sent callers to servers that
+    # had left.
     async with async_peers(2) as (teller, asker):
         item = StoredItem(KEY, configuration(VERSION, 10), 7)
         teller.gossip.view.apply(Changes((item,), 7), 0.0)
