Log which request was in flight at a server that ended

What operators saw: lines of broken tries under ever new request ids, with nothing that tells whether they are one request, and nothing that tells a broken connection from a server that has ended.

Each request that was in flight is logged (backend_server_ended) with a hash of its content and one of its caller, and counted by service.

Nothing is decided by it yet.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -75,6 +75,7 @@
     ZONE_TAKEN_BACK = 6008
     BACKEND_SERVER_SUSPECTED = 6009
     SPILL_CHANGED = 6010
+    BACKEND_SERVER_ENDED = 6011
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -209,6 +210,9 @@
     Event.BACKEND_SERVER_SUSPECTED: EventType(
         Level.INFO, "A backend server failed a request and is spared for a while."
     ),
+    Event.BACKEND_SERVER_ENDED: EventType(
+        Level.INFO, "A backend server ended with a request in flight."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- /dev/null
+++ b/packages/core/greengagepoint/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the backend servers that run them."""
--- /dev/null
+++ b/packages/core/tests/test_quarantine_fingerprint.py
@@ -0,0 +1,35 @@
+"""Fingerprints of requests."""
+
+import pytest
+
+from greengagepoint.quarantine.fingerprint import hash_caller, hash_content
+
+SAME = ("a.example", "POST", "/bays/1?x=2", b"body")
+
+
+@pytest.mark.parametrize(
+    ("other", "same"),
+    [
+        (SAME, True),
+        (("A.Example", *SAME[1:]), True),
+        (("b.example", *SAME[1:]), False),
+        ((SAME[0], "GET", *SAME[2:]), False),
+        ((*SAME[:2], "/bays/1?x=3", SAME[3]), False),
+        ((*SAME[:2], "/bays/1", b"?x=2body"), False),
+        ((*SAME[:3], b"bodY"), False),
+        ((*SAME[:3], None), False),
+    ],
+)
+def test_content_is_what_a_server_answers_from(other, same):
+    assert (hash_content(*SAME) == hash_content(*other)) is same
+
+
+def test_no_body_and_an_empty_one_are_alike():
+    assert hash_content(*SAME[:3], None) == hash_content(*SAME[:3], b"")
+
+
+@pytest.mark.parametrize(
+    "other", [("10.0.0.2", "k=1"), ("10.0.0.1", "k=2"), ("10.0.0.1k", "=1")]
+)
+def test_callers_differ_by_address_and_credentials(other):
+    assert hash_caller("10.0.0.1", "k=1") != hash_caller(*other)
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -35,8 +35,9 @@
     Keys are (service, route, outcome) for requests, (service, verdict) for tries,
     (service, region) for where requests ran, (operation, outcome) for store calls,
     (path, direction) for the bytes of messages between hosts, (reason,) for items of
-    the store that were refused. ``send_delay`` are the seconds from the choice of a
-    server to the first byte, ``news_age`` how old the host's news was then.
+    the store that were refused, (service,) for requests in flight at a server that
+    ended. ``send_delay`` are the seconds from the choice of a server to the first byte,
+    ``news_age`` how old the host's news was then.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.peer_bytes: Counter[tuple[str, str]] = Counter()
         self.refused_items: Counter[tuple[str]] = Counter()
+        self.servers_ended: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -15,6 +15,7 @@
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call, create_call, match_route
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
+from greengagepoint_node.gateway.end_checks import EndChecks
 from greengagepoint_node.gateway.exchange import (
     NOT_RUN,
     SECONDS_LEFT_MIN,
@@ -24,6 +25,7 @@
     Verdict,
     async_exchange,
 )
+from greengagepoint_node.gateway.identity import RequestIdentity
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.news_ages import News
 from greengagepoint_node.gateway.news_guard import NewsGuard
@@ -80,6 +82,7 @@
         self.last_request_at = clock.monotonic()
         self.outcomes = Outcomes(view, counters, clock, events)
         self.request_headers = RequestHeaders(names)
+        self.end_checks = EndChecks()
 
     async def async_handle(self, request: web.BaseRequest) -> web.Response:
         """Answer the request of a connection whose turn it is."""
@@ -182,6 +185,7 @@
     ) -> web.Response:
         """Try servers until one answers or the request may not be sent again."""
         self.placer.take_caller()
+        identity = RequestIdentity(request, body)
         tries = Tries()
         last: Exchange | None = None
         may_have_run = False
@@ -197,6 +201,8 @@
             tries.begin(server.incarnation)
             sending = self._sending(request, call, body, server, left)
             last = await self._async_try(call, server, sending, tries)
+            if last.verdict is Verdict.BROKEN:
+                await self._async_note_broken(call, identity, server)
             tries.end(last.verdict)
             if last.verdict is Verdict.ANSWERED:
                 self.outcomes.note_answered(call, last, server, len(tries.servers))
@@ -301,3 +307,10 @@
         self.outcomes.note_sent(call, server, sending.times)
         self.outcomes.note_try(call, server, exchange, number, now - began)
         return exchange
+
+    async def _async_note_broken(
+        self, call: Call, identity: RequestIdentity, server: Server
+    ) -> None:
+        """Find out whether a server ended with a request in flight."""
+        if await self.end_checks.async_has_ended(server):
+            self.outcomes.note_ended(call, server, identity.fingerprint)
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -0,0 +1,35 @@
+"""Tell one caller's request from all others, over attempts and hosts."""
+
+from functools import cached_property
+
+from aiohttp import hdrs, web
+
+from greengagepoint.quarantine.fingerprint import (
+    Fingerprint,
+    hash_caller,
+    hash_content,
+)
+
+CREDENTIALS = (hdrs.AUTHORIZATION, hdrs.COOKIE)
+
+
+class RequestIdentity:
+    """Compute a request's fingerprint only where it is asked for."""
+
+    def __init__(self, request: web.BaseRequest, body: bytes | None) -> None:
+        self.request = request
+        self.body = body
+
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Return what the request has in common with its other attempts."""
+        request = self.request
+        content = hash_content(
+            request.host, request.method, request.rel_url.raw_path_qs, self.body
+        )
+        values = [
+            value for name in CREDENTIALS for value in request.headers.getall(name, ())
+        ]
+        return Fingerprint(
+            content, hash_caller(request.remote or "", "\n".join(values))
+        )
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -95,6 +95,11 @@
             "Items of the platform's store that were refused, by reason.",
             lambda: _rows(counters.refused_items, "reason"),
         )
+        yield Instrument(
+            "requests_in_flight_at_server_end",
+            "Requests that a backend server had when it ended, by service.",
+            lambda: _rows(counters.servers_ended, "service"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -9,6 +9,7 @@
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
+from greengagepoint.quarantine.fingerprint import Fingerprint
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.counters import GatewayCounters
@@ -128,6 +129,21 @@
             seconds=round(seconds, 3),
         )
 
+    def note_ended(self, call: Call, server: Server, fingerprint: Fingerprint) -> None:
+        """Log that a server ended with a request in flight.
+
+        The same fingerprint under other request ids is the same request.
+        """
+        self.counters.servers_ended[(call.service,)] += 1
+        self.events.record(
+            Event.BACKEND_SERVER_ENDED,
+            request_id=call.request_id,
+            **_call_fields(call),
+            instance=server.instance,
+            content=fingerprint.content,
+            caller=fingerprint.caller,
+        )
+
     def note_answered(
         self, call: Call, exchange: Exchange, server: Server, tries: int
     ) -> None:
