Show that a request that ends servers is sent to one after the other

What callers see: one request ends each server that runs it, and its caller sends it again at any host. The hosts pass it on for as long as it comes; innocent callers of the same key are refused or cut off.

The tests play it at three real daemons, beside innocent callers: a request that may be repeated and one that may not, hosts that all lose power, with and without a store that was away, a host that starts while the store is away. Bounds are the users': at most three sends later than 3 s after the third end. A sixth passes and guards the mend: a request that is answered between kills of its servers has to stay served.

The stand-in server also closed each connection after one answer where runs take time: it read from it while the reading before was still being cancelled; mended, with async_all_know in one place.

--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_crash_loops.py
@@ -0,0 +1,139 @@
+"""Requests that end each server that runs them, at three real daemons."""
+
+import asyncio
+import time
+from pathlib import Path
+
+import pytest
+
+from greengagepoint_standins.users_platform.crash_loop import (
+    Caller,
+    async_calling,
+    async_crash_loop,
+)
+from greengagepoint_standins.users_platform.daemons import async_fleet
+
+ROOT = Path(__file__).parents[3]
+FATAL = "/bays/fatal"
+SERVERS = 12
+# Users allow so many sends once so long has passed since the third end.
+ENDS_MAX = 3
+CONTACT_SECONDS = 3.0
+LATE_SENDS_MAX = 3
+# The last server lost is back after 1.5 s and no longer cold a second later.
+BACK_SECONDS = 3.0
+KEYS = ("1", "2", "3")
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with async_fleet(ROOT, tmp_path) as running:
+        yield running
+
+
+def fatal_caller(fleet, **fields):
+    return Caller(fleet, fleet.nodes, lambda number: FATAL, "1", 0.2, **fields)
+
+
+def innocent_callers(fleet):
+    """Callers of three keys; the first key is that of the fatal request."""
+    return [
+        Caller(fleet, fleet.nodes, lambda number: f"/bays/{number}", key, 0.1)
+        for key in KEYS
+    ]
+
+
+def late_sends(loop):
+    return loop.sent_after(ENDS_MAX, CONTACT_SECONDS)
+
+
+async def async_third_end(fleet, loop):
+    """Wait for the third end, and return when it was."""
+
+    async def async_ended():
+        return len(loop.ends) >= ENDS_MAX
+
+    await fleet.async_until(async_ended)
+    return sorted(loop.ends)[ENDS_MAX - 1]
+
+
+async def async_restart_all(fleet):
+    """Kill all hosts at once, and start them again."""
+    await asyncio.gather(*(node.async_kill() for node in fleet.nodes))
+    for node in fleet.nodes:
+        await node.async_start()
+    for node in fleet.nodes:
+        await fleet.async_until(lambda node=node: fleet.async_is_ready(node))
+
+
+@pytest.mark.parametrize(
+    ("kind", "method", "body"), [("safe", "GET", None), ("unsafe", "POST", b"order")]
+)
+async def test_a_request_that_ends_servers_does_not_go_on_to_all_of_them(
+    fleet, kind, method, body
+):
+    fleet.configure("/bays/", kind=kind)
+    async with async_crash_loop(fleet, SERVERS, {FATAL}, 0.1) as loop:
+        innocent = innocent_callers(fleet)
+        fatal = fatal_caller(fleet, method=method, body=body)
+        async with async_calling(fatal, *innocent):
+            third = await async_third_end(fleet, loop)
+            await asyncio.sleep(CONTACT_SECONDS + BACK_SECONDS + 4.0)
+        assert late_sends(loop) <= LATE_SENDS_MAX
+        since = third + CONTACT_SECONDS + BACK_SECONDS
+        assert all(caller.outcomes for caller in innocent)
+        assert not [
+            caller.unserved_since(since)
+            for caller in innocent
+            if caller.unserved_since(since)
+        ]
+
+
+@pytest.mark.parametrize("store_away", [False, True])
+async def test_hosts_that_all_lose_power_still_know_the_request(fleet, store_away):
+    async with async_crash_loop(fleet, SERVERS, {FATAL}, same_id=store_away) as loop:
+        fleet.store.control.status = 503 if store_away else 0
+        async with async_calling(fatal_caller(fleet)):
+            await async_third_end(fleet, loop)
+            await asyncio.sleep(CONTACT_SECONDS)
+            fleet.store.control.status = 0
+            await asyncio.sleep(4.0 if store_away else 0.0)
+            await async_restart_all(fleet)
+            await asyncio.sleep(4.0)
+        assert late_sends(loop) <= LATE_SENDS_MAX
+
+
+async def test_a_host_that_starts_without_the_store_hears_of_it_from_peers(fleet):
+    async with async_crash_loop(fleet, SERVERS, {FATAL}, same_id=True) as loop:
+        fleet.store.control.status = 503
+        async with async_calling(fatal_caller(fleet)):
+            await async_third_end(fleet, loop)
+            await asyncio.sleep(CONTACT_SECONDS)
+            node = fleet.nodes[0]
+            await node.async_kill()
+            await node.async_start()
+            await fleet.async_until(lambda: fleet.async_is_ready(node))
+            await asyncio.sleep(2.0)
+        assert late_sends(loop) <= LATE_SENDS_MAX
+
+
+async def test_a_request_is_served_though_servers_are_killed_while_they_run_it(fleet):
+    target = "/bays/popular"
+    async with async_crash_loop(fleet, SERVERS, set(), 0.3) as loop:
+        caller = Caller(fleet, fleet.nodes, lambda number: target, "1", 0.25)
+        async with async_calling(caller):
+            for _ in range(8):
+                await asyncio.sleep(1.0)
+                running = [
+                    backend
+                    for backend in fleet.backends
+                    if any(row.target == target for row in backend.ran[-1:])
+                ]
+                for backend in running[:1]:
+                    await loop.async_end(backend)
+            killed_at = time.monotonic()
+            await asyncio.sleep(BACK_SECONDS)
+        assert len(loop.ends) > ENDS_MAX
+        statuses = [row.status for row in caller.outcomes]
+        assert statuses.count(200) > 0.8 * len(statuses)
+        assert not caller.unserved_since(killed_at + 1.0)
--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -84,16 +84,6 @@
     return [row[:2] for row in await asyncio.gather(*calls)]
 
 
-async def async_all_know(fleet):
-    """Tell whether each host has taken in all that the store holds."""
-    line = f"greengagepoint_store_revision {fleet.store.items.revision}"
-    for node in fleet.nodes:
-        async with fleet.session.get(f"http://{node.metrics}/metrics") as answer:
-            if line not in (await answer.text()).splitlines():
-                return False
-    return True
-
-
 @pytest.mark.parametrize("same_address", [True, False])
 async def test_a_server_that_starts_again_under_its_id(fleet, same_address):
     # A server of the first zone is drained, exits, and starts again under its id, at
@@ -124,7 +114,7 @@
 
     await fleet.async_until(async_back, 5.0)
     fleet.enter(older, "z-a", "draining", born=born)
-    await fleet.async_until(lambda: async_all_know(fleet), 5.0)
+    await fleet.async_until(fleet.async_all_know, 5.0)
     before = len(newer.ran)
     answers = await async_answers(fleet)
     assert {status for status, _ in answers} == {200}
@@ -148,7 +138,7 @@
         }
 
     await fleet.async_until(async_told, 5.0)
-    await fleet.async_until(lambda: async_all_know(fleet), 5.0)
+    await fleet.async_until(fleet.async_all_know, 5.0)
     answers = await async_answers(fleet)
     assert {status for status, _ in answers} == {200}
     assert {server for _, server in answers} == {"i-1", "i-2", "i-3"}
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -132,6 +132,8 @@
             self.cancelled.append(request)
             return False
         closed.cancel()
+        # Until it has ended, nothing else may read from the connection.
+        await asyncio.wait({closed})
         return True
 
     def head(
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -144,13 +144,13 @@
         value = base64.b64encode(msgspec.json.encode(document)).decode()
         self.store.items.put(key, value)
 
-    def configure(self, *prefixes: str) -> None:
-        """Put a configuration with these routes."""
+    def configure(self, *prefixes: str, kind: str = "safe") -> None:
+        """Put a configuration with these routes, all of one kind."""
         self.version += 3
         rules = [
             {
                 "name": f"r{prefix}",
-                "kind": "safe",
+                "kind": kind,
                 "targetLatencyS": 0.4,
                 "sticky": True,
                 "match": {"pathPrefix": prefix},
@@ -186,7 +186,12 @@
         self.put(f"servers/{backend.instance}", document)
 
     async def async_call(
-        self, node: Node, path: str, key: str = "1"
+        self,
+        node: Node,
+        path: str,
+        key: str = "1",
+        method: str = "GET",
+        body: bytes | None = None,
     ) -> tuple[int, str, str]:
         """Send a request; return its status, the server that ran it, and its id."""
         self.count += 1
@@ -198,7 +203,9 @@
             "Cookie": f"X-Greengagepoint-Affinity-Key={key}",
         }
         url = f"http://{node.listen['front']}{path}"
-        async with self.session.get(url, headers=headers) as answer:
+        async with self.session.request(
+            method, url, headers=headers, data=body
+        ) as answer:
             server = (await answer.read()).decode().split(" ")[0]
             return answer.status, server, request_id
 
@@ -218,6 +225,15 @@
                 return answer.status == 200
         return False
 
+    async def async_all_know(self) -> bool:
+        """Tell whether each host has taken in all that the store holds."""
+        line = f"greengagepoint_store_revision {self.store.items.revision}"
+        for node in self.nodes:
+            async with self.session.get(f"http://{node.metrics}/metrics") as answer:
+                if line not in (await answer.text()).splitlines():
+                    return False
+        return True
+
     async def async_named(self, node: Node, region: str) -> list[str]:
         """Ask a daemon for the hosts that callers of a region should use."""
         url = f"http://{node.listen['directory']}/api/resolve"
