Refuse a request that has ended three backend servers, on all hosts

Callers of the same key were refused or cut off: 92 of 149 got 503.

Cause: a try that breaks counts against the server, at one host, and nothing remembers the request beyond its own tries (the log shows one fingerprint in flight at every end, from all hosts, as often with one try an attempt as with two).

Change: each host keeps, by the request's content and caller, the servers that ended with it in flight, confirmed by a refused connection, and tells peers at once (four each, who pass it on). Three ends without an answer in between refuse it with 503, not run, with Retry-After until the refusal lapses; after that one copy is tried. Ends of one caller count against that caller, ends of several against all. From the second end on its copies run one at a time, on servers that others of its key do not use, so that an answer tells bystanders from the culprit. Servers that end together count once for a request with copies on several. What is refused is written to the store under a lease by the first of three hosts that gets there, and read at the start; exchanges of tables carry it too, for hosts that start while the store is away. An operator sees it at /quarantine on the metrics address, and lifts it there.

503, not 4xx: a request that is refused by mistake must be able to come back, and its caller is told when.

Why it works: ends merge to the same whatever the order and loss of messages (property test), so all hosts come to the same verdict within a few hops.

--- a/packages/core/greengagepoint/errors.py
+++ b/packages/core/greengagepoint/errors.py
@@ -42,6 +42,7 @@
     BACKEND_TIMEOUT = "backend_timeout"
     BACKEND_TRUNCATED = "backend_truncated"
     BACKEND_PROTOCOL = "backend_protocol"
+    QUARANTINED = "quarantined"
     CALLER_CANCELLED = "caller_cancelled"
     RECORD_MALFORMED = "record_malformed"
     RECORD_INVALID = "record_invalid"
@@ -142,6 +143,9 @@
     ErrorKind.BACKEND_PROTOCOL: _answer(
         502, "The backend server's answer is malformed.", Ran.UNKNOWN
     ),
+    ErrorKind.QUARANTINED: _answer(
+        503, "The request ended backend servers.", retry_after_seconds=30
+    ),
     ErrorKind.CALLER_CANCELLED: _answer(
         CLIENT_CLOSED_REQUEST, "The caller went away.", Ran.UNKNOWN
     ),
--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -40,6 +40,8 @@
     KEY_CLAIMED = 2011
     KEY_REFUSED = 2012
     KEY_RELEASED = 2013
+    REQUEST_QUARANTINED = 2014
+    REQUEST_RELEASED = 2015
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -85,6 +87,7 @@
     HOST_LIST_INVALID = 7006
     HOST_ENTRY_LOST = 7007
     STORE_WATCH_CHANGED = 7008
+    QUARANTINE_NOT_STORED = 7009
     # 8000: usage
     USAGE_WRITTEN = 8001
     USAGE_WRITE_FAILED = 8002
@@ -142,6 +145,12 @@
     Event.KEY_RELEASED: EventType(
         Level.DEBUG, "A claim was released because the request has not run."
     ),
+    Event.REQUEST_QUARANTINED: EventType(
+        Level.WARNING, "A request is refused, as servers ended beneath it."
+    ),
+    Event.REQUEST_RELEASED: EventType(
+        Level.INFO, "A request that was refused may be sent again."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
@@ -240,6 +249,9 @@
     Event.STORE_WATCH_CHANGED: EventType(
         Level.INFO, "A host began or ceased to watch the store by itself."
     ),
+    Event.QUARANTINE_NOT_STORED: EventType(
+        Level.WARNING, "Refused requests could not be written to the store yet."
+    ),
     Event.USAGE_WRITTEN: EventType(Level.DEBUG, "Usage counters were written."),
     Event.USAGE_WRITE_FAILED: EventType(
         Level.WARNING, "Usage counters could not be written; they are kept."
--- a/packages/core/greengagepoint/quarantine/fingerprint.py
+++ b/packages/core/greengagepoint/quarantine/fingerprint.py
@@ -1,10 +1,12 @@
 """Recognise a request that comes again under another request id."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 import xxhash
 
-SEPARATOR = b"\0"
+SEPARATOR: Final = b"\0"
+# The hexadecimal digits of a content that do not depend on the body.
+HEAD_LENGTH: Final = 16
 
 
 class Fingerprint(NamedTuple):
@@ -17,20 +19,21 @@
     caller: str
 
 
-def hash_content(authority: str, method: str, target: str, body: bytes | None) -> str:
-    """Return the hash of a request's host name, method, path, query and body."""
-    digest = xxhash.xxh3_128()
-    for text in (authority.lower(), method, target):
-        digest.update(text.encode())
-        digest.update(SEPARATOR)
-    digest.update(body or b"")
-    return digest.hexdigest()
+def hash_head(authority: str, method: str, target: str) -> str:
+    """Return the hash of a request's host name, method, path and query."""
+    return _digest(authority.lower(), method, target).hexdigest()
+
+
+def hash_content(head: str, body: bytes | None) -> str:
+    """Return the hash of a request whose first part has a hash already."""
+    return head + xxhash.xxh3_64(body or b"").hexdigest()
 
 
 def hash_caller(address: str, credentials: str) -> str:
     """Return the hash of a caller's network address and credentials."""
-    digest = xxhash.xxh3_64()
-    digest.update(address.encode())
-    digest.update(SEPARATOR)
-    digest.update(credentials.encode())
-    return digest.hexdigest()
+    return _digest(address, credentials).hexdigest()
+
+
+def _digest(*texts: str) -> xxhash.xxh3_64:
+    """Return the hash of some texts, none of which holds a zero byte."""
+    return xxhash.xxh3_64(SEPARATOR.join(text.encode() for text in texts))
--- a/packages/core/tests/test_quarantine_fingerprint.py
+++ b/packages/core/tests/test_quarantine_fingerprint.py
@@ -2,7 +2,16 @@
 
 import pytest
 
-from greengagepoint.quarantine.fingerprint import hash_caller, hash_content
+from greengagepoint.quarantine.fingerprint import (
+    hash_caller,
+    hash_content,
+    hash_head,
+)
+
+
+def content(authority, method, target, body):
+    return hash_content(hash_head(authority, method, target), body)
+
 
 SAME = ("a.example", "POST", "/bays/1?x=2", b"body")
 
@@ -21,11 +30,11 @@
     ],
 )
 def test_content_is_what_a_server_answers_from(other, same):
-    assert (hash_content(*SAME) == hash_content(*other)) is same
+    assert (content(*SAME) == content(*other)) is same
 
 
 def test_no_body_and_an_empty_one_are_alike():
-    assert hash_content(*SAME[:3], None) == hash_content(*SAME[:3], b"")
+    assert content(*SAME[:3], None) == content(*SAME[:3], b"")
 
 
 @pytest.mark.parametrize(
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -23,6 +23,8 @@
     store_revision: int
     backend_servers: int
     backend_servers_suspected: int
+    requests_suspected: int
+    requests_quarantined: int
     hosts_alive: int
     requests_in_flight: int
     link_delay_seconds: float
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -15,6 +15,7 @@
 from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.protocols import Clock
+from greengagepoint.quarantine.quarantine import Quarantine
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.connect_times import trace_connections
@@ -36,7 +37,14 @@
 from greengagepoint_node.gateway.news_teller import NEWS_PATH
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
+from greengagepoint_node.gateway.quarantine_page import PAGE_PATH, QuarantinePage
+from greengagepoint_node.gateway.quarantine_store import QuarantineStore
+from greengagepoint_node.gateway.quarantine_sync import (
+    QUARANTINE_PATH,
+    QuarantineSync,
+)
 from greengagepoint_node.gateway.region_weights import RegionWeights
+from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.settings import GatewaySettings
 from greengagepoint_node.gateway.store_counts import CountedStore
 from greengagepoint_node.gateway.view import FleetView
@@ -126,6 +134,8 @@
             started_at=clock.monotonic(),
         )
         self.link = LinkDelay()
+        self.quarantine = RequestQuarantine(Quarantine(), clock, events)
+        self.quarantine_page = QuarantinePage(self.quarantine)
         self.create_lookup = create_lookup
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -170,6 +180,7 @@
         self.gossip.loads = self.placer.loads
         self.gossip.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
+        self._connect_quarantine()
         ages = self.gossip.ages
         self.gateway = Gateway(
             settings.names,
@@ -182,6 +193,7 @@
             self.events,
             ages,
             NewsGuard(self.clock, ages, self.link, settings.drain_seconds),
+            self.quarantine,
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
@@ -203,10 +215,34 @@
             self.gossip.async_run(),
             self._async_tick(),
             self.loader.async_run(self.view),
+            self.quarantine_sync.async_run(),
+            self.quarantine_store.async_run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
 
+    def _connect_quarantine(self) -> None:
+        """Let peers and the store tell what this host knows of fatal requests."""
+        self.quarantine_sync = QuarantineSync(
+            self.quarantine,
+            self.gossip.peer_addresses,
+            self.gossip.session,
+            self.random,
+            self.events,
+            self.gossip.bytes,
+        )
+        self.quarantine_store = QuarantineStore(
+            self.store,
+            self.view,
+            self.quarantine_sync,
+            self.settings.host,
+            lambda: self.placer.serving_hosts,
+            self.events,
+        )
+        self.quarantine.notify = self.quarantine_sync.notify
+        self.gossip.suspects = self.quarantine_sync
+        self.view.on_quarantined = self.quarantine_store.take
+
     async def async_stop(self) -> None:
         """Leave look-ups, let all in flight end, and close."""
         began = self.clock.monotonic()
@@ -283,7 +319,7 @@
     async def _async_listen_for_scrapes(self, limits: ServerLimits) -> None:
         """Serve metrics; callers are served all the same where that fails."""
         address = self.settings.metrics_address
-        listener = Listener(address, self.metrics.async_answer, self.events, limits)
+        listener = Listener(address, self._async_answer_operator, self.events, limits)
         try:
             await listener.async_start()
         except (OSError, ValueError) as error:
@@ -309,6 +345,7 @@
             self.placer.serving_hosts = names
             self.placer.round_trip_seconds = self.gossip.farthest_seconds()
             self.placer.tick(now)
+            self.quarantine.tick()
             self.retries.hosts = max(len(names), len(self.view.hosts))
             await asyncio.sleep(TICK_SECONDS)
             self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
@@ -325,6 +362,8 @@
             store_revision=view.revision,
             backend_servers=len(known),
             backend_servers_suspected=sum(row.suspect_until > now for row in known),
+            requests_suspected=len(self.quarantine.table.suspects),
+            requests_quarantined=len(self.quarantine.refused),
             hosts_alive=len(self.gossip.table.alive(now)),
             requests_in_flight=self.gateway.in_flight,
             link_delay_seconds=round(self.link.seconds(now), 3),
@@ -347,8 +386,16 @@
             return await self.gossip.async_answer(request)
         if request.rel_url.raw_path == NEWS_PATH:
             return await self.gossip.async_take_news(request)
+        if request.rel_url.raw_path == QUARANTINE_PATH:
+            return await self.quarantine_sync.async_take(request)
         return web.Response(status=404)
 
+    async def _async_answer_operator(self, request: web.BaseRequest) -> web.Response:
+        """Answer a scrape or an operator."""
+        if request.rel_url.raw_path.startswith(PAGE_PATH):
+            return self.quarantine_page.answer(request)
+        return await self.metrics.async_answer(request)
+
 
 def _age(since: float | None, now: float) -> float:
     """Return the seconds since something happened, -1 where it has not yet."""
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -1,6 +1,6 @@
 """What a platform's store tells, decoded into the product's own words."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from enum import StrEnum
 from typing import Final, NamedTuple, Protocol
 
@@ -8,6 +8,7 @@
 
 from greengagepoint.errors import ErrorKind, RecordError
 from greengagepoint.placing.tables import Incarnation
+from greengagepoint.quarantine.messages import SharedEnd
 from greengagepoint.routing.tables import RouteTable
 
 # Smaller ones fit into two packets. Configurations are the only large values known.
@@ -100,7 +101,20 @@
     link_mbps: float = 0.0
 
 
-Fact = Configuration | ServerEntry | Evacuation | HostEntry
+class QuarantineEntry(msgspec.Struct, frozen=True):
+    """A request that is refused for so many seconds from its writing.
+
+    ``ends`` are the servers that ended beneath it.
+    """
+
+    content: str
+    seconds: float
+    ends: tuple[SharedEnd, ...]
+
+
+Fact = Configuration | ServerEntry | Evacuation | HostEntry | QuarantineEntry
+# What hosts write themselves.
+OwnEntry = HostEntry | QuarantineEntry
 
 
 class RefusedFor(StrEnum):
@@ -175,5 +189,8 @@
     async def async_end_lease(self, lease: int) -> None:
         """End a lease, which removes its keys."""
 
-    async def async_put_host(self, entry: HostEntry, lease: int) -> None:
-        """Write where this host serves, for as long as the lease lasts."""
+    async def async_put(self, entries: Sequence[OwnEntry], lease: int) -> None:
+        """Write entries of this host's, for as long as the lease lasts."""
+
+    async def async_remove(self, entries: Sequence[OwnEntry]) -> None:
+        """Remove entries."""
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -277,7 +277,7 @@
             await self.store.async_renew_lease(self.lease)
             return
         lease = await self.store.async_grant_lease(LEASE_SECONDS)
-        await self.store.async_put_host(self.entry, lease)
+        await self.store.async_put([self.entry], lease)
         self.lease = lease
 
     async def async_withdraw(self) -> None:
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from collections.abc import Coroutine
 from itertools import zip_longest
-from typing import Any, Final
+from typing import Any, Final, Protocol
 
 import aiohttp
 import msgspec
@@ -26,6 +26,7 @@
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
+from greengagepoint.quarantine.messages import SharedSuspect
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.delays import MessageDelays
 from greengagepoint_node.gateway.facts import (
@@ -74,6 +75,27 @@
 RECEIVED: Final = "received"
 
 
+class SuspectNews(Protocol):
+    """Know of requests that end backend servers."""
+
+    def shared(self) -> list[SharedSuspect]:
+        """Return what peers may have missed."""
+
+    def take(self, rows: list[SharedSuspect]) -> None:
+        """Take in what a peer knows."""
+
+
+class NoSuspects:
+    """Know of no such request."""
+
+    def shared(self) -> list[SharedSuspect]:
+        """Return nothing."""
+        return []
+
+    def take(self, rows: list[SharedSuspect]) -> None:
+        """Leave what a peer knows aside."""
+
+
 class Gossip:
     """Keep the table of hosts by exchanging it with one peer after the other."""
 
@@ -98,6 +120,7 @@
         self.bytes: Counter[tuple[str, str]] = Counter()
         self.table = HostTable(own, events)
         self.round_trips: dict[str, float] = {}
+        self.suspects: SuspectNews = NoSuspects()
         self.loads = RegionLoads(own.entry.region)
         self.busy_servers = BusyServers()
         self.is_watcher = True
@@ -134,6 +157,11 @@
                 self._start(address, self._async_exchange(address))
             await asyncio.sleep(PERIOD_SECONDS * (0.8 + 0.4 * self.random.random()))
 
+    def peer_addresses(self) -> list[str]:
+        """Return where the other hosts that are alive take messages."""
+        alive = self.table.alive(self.clock.monotonic())
+        return [row.entry.peer_address for row in alive if row is not self.own]
+
     def must_watch(self) -> bool:
         """Tell whether this host has to ask the store itself."""
         return must_watch(
@@ -267,6 +295,7 @@
         """Return this host's half of an exchange with a peer at a revision."""
         message = self._message(revision, self.table.recent(self.clock.monotonic()))
         message.wants_news = wants_news
+        message.suspects = self.suspects.shared()
         return encode(message)
 
     def take_encoded(self, body: bytes) -> None:
@@ -287,6 +316,7 @@
         known = self.table.recent(self.clock.monotonic())
         revision = message.revision if message.wants_news else self.view.revision
         answer = self._message(revision, known, full=message.wants_addresses)
+        answer.suspects = self.suspects.shared()
         body = encode(answer)
         self.bytes["exchange", SENT] += len(body)
         return web.Response(body=body)
@@ -357,6 +387,7 @@
         self.table.take(message, now)
         self.loads.take(message.loads, now)
         self.busy_servers.take(message.busy_servers, self.view.servers, now)
+        self.suspects.take(message.suspects)
         if message.partial_after is not None:
             self._take_partial(message, message.partial_after, sent_after)
             return
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -4,6 +4,7 @@
 
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
+from greengagepoint.quarantine.messages import SharedSuspect
 from greengagepoint_node.gateway.facts import HostEntry, RemovedKey
 from greengagepoint_node.gateway.packing import PackedItem
 
@@ -41,7 +42,8 @@
     ``lapsed_seconds`` are how long the removals of ``lapsed`` are doubted yet.
     ``full_link`` tells that all that the sender sends and gets has to wait.
     Where ``partial_after`` is set, the items are all after it but large values, which
-    come by themselves; ``after`` is then as high as ``revision``.
+    come by themselves; ``after`` is then as high as ``revision``. ``suspects`` are
+    requests that end backend servers.
     """
 
     revision: int
@@ -61,6 +63,7 @@
     lapsed_seconds: list[float] = []
     full_link: bool = False
     partial_after: int | None = None
+    suspects: list[SharedSuspect] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -43,6 +43,7 @@
     no_place,
     refusal_response,
 )
+from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.tries import UNSENT, Tries
 from greengagepoint_node.gateway.view import FleetView
@@ -66,6 +67,7 @@
         events: EventSink,
         news: News,
         guard: NewsGuard,
+        quarantine: RequestQuarantine,
     ) -> None:
         self.names = names
         self.view = view
@@ -75,6 +77,7 @@
         self.clock = clock
         self.news = news
         self.guard = guard
+        self.quarantine = quarantine
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -194,15 +197,25 @@
             left = call.ends_at - self.clock.monotonic()
             if left < SECONDS_LEFT_MIN:
                 break
+            standing = self.quarantine.standing(identity)
+            if not standing.may_run:
+                if not tries.servers:
+                    raise self.quarantine.refusal(identity, standing)
+                break
+            if standing.alone:
+                # Other requests of its key use other servers, so the next end or answer
+                # tells it from them.
+                call = call._replace(key=identity.fingerprint.content)
+                server = None
             if server is None:
                 server = self.next_server(call, tries, last and last.verdict)
             if server is None:
                 break
             tries.begin(server.incarnation)
             sending = self._sending(request, call, body, server, left)
-            last = await self._async_try(call, server, sending, tries)
-            if last.verdict is Verdict.BROKEN:
-                await self._async_note_broken(call, identity, server)
+            with self.quarantine.trial(identity, standing):
+                last = await self._async_try(call, server, sending, tries)
+                await self._async_learn_end(call, identity, server, last.verdict)
             tries.end(last.verdict)
             if last.verdict is Verdict.ANSWERED:
                 self.outcomes.note_answered(call, last, server, len(tries.servers))
@@ -308,9 +321,14 @@
         self.outcomes.note_try(call, server, exchange, number, now - began)
         return exchange
 
-    async def _async_note_broken(
-        self, call: Call, identity: RequestIdentity, server: Server
+    async def _async_learn_end(
+        self, call: Call, identity: RequestIdentity, server: Server, verdict: Verdict
     ) -> None:
-        """Find out whether a server ended with a request in flight."""
+        """Learn from how a try ended whether the request ends servers."""
+        if verdict is Verdict.ANSWERED:
+            self.quarantine.note_answer(identity)
+        if verdict is not Verdict.BROKEN:
+            return
         if await self.end_checks.async_has_ended(server):
             self.outcomes.note_ended(call, server, identity.fingerprint)
+            self.quarantine.note_end(identity, server)
--- a/packages/node/greengagepoint_node/gateway/identity.py
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -8,6 +8,7 @@
     Fingerprint,
     hash_caller,
     hash_content,
+    hash_head,
 )
 
 CREDENTIALS = (hdrs.AUTHORIZATION, hdrs.COOKIE)
@@ -20,16 +21,18 @@
         self.request = request
         self.body = body
 
+    @cached_property
+    def head(self) -> str:
+        """Return the hash of all of the content but the body."""
+        request = self.request
+        return hash_head(request.host, request.method, request.rel_url.raw_path_qs)
+
     @cached_property
     def fingerprint(self) -> Fingerprint:
         """Return what the request has in common with its other attempts."""
         request = self.request
-        content = hash_content(
-            request.host, request.method, request.rel_url.raw_path_qs, self.body
-        )
         values = [
             value for name in CREDENTIALS for value in request.headers.getall(name, ())
         ]
-        return Fingerprint(
-            content, hash_caller(request.remote or "", "\n".join(values))
-        )
+        caller = hash_caller(request.remote or "", "\n".join(values))
+        return Fingerprint(hash_content(self.head, self.body), caller)
--- a/packages/node/greengagepoint_node/gateway/store_counts.py
+++ b/packages/node/greengagepoint_node/gateway/store_counts.py
@@ -2,14 +2,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Sequence
 from typing import TypeVar
 
 from greengagepoint_node.gateway.facts import (
     Changes,
     HistoryLostError,
-    HostEntry,
     LeaseLostError,
+    OwnEntry,
     Part,
     PlatformStore,
     Snapshot,
@@ -52,9 +52,13 @@
         """End a lease, which removes its keys."""
         await self._async_counted("end_lease", self.store.async_end_lease(lease))
 
-    async def async_put_host(self, entry: HostEntry, lease: int) -> None:
-        """Write where this host serves, for as long as the lease lasts."""
-        await self._async_counted("put_host", self.store.async_put_host(entry, lease))
+    async def async_put(self, entries: Sequence[OwnEntry], lease: int) -> None:
+        """Write entries of this host's, for as long as the lease lasts."""
+        await self._async_counted("put", self.store.async_put(entries, lease))
+
+    async def async_remove(self, entries: Sequence[OwnEntry]) -> None:
+        """Remove entries."""
+        await self._async_counted("remove", self.store.async_remove(entries))
 
     async def _async_counted(self, operation: str, call: Awaitable[Result]) -> Result:
         """Await a call and count its end."""
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -1,7 +1,7 @@
 """What this host believes of the fleet, from the store and from peers."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from greengagepoint.errors import RecordError
@@ -18,6 +18,7 @@
     HostEntry,
     ItemRefusedError,
     Loader,
+    QuarantineEntry,
     RefusedFor,
     RemovedKey,
     ServerEntry,
@@ -75,6 +76,8 @@
         self.hosts: dict[str, HostEntry] = {}
         self.evacuated_at: dict[str, float] = {}
         self.lapses_until = float("-inf")
+        self.quarantined: dict[str, QuarantineEntry] = {}
+        self.on_quarantined: Callable[[QuarantineEntry], None] = lambda entry: None
 
     def store_returned(self, now: float) -> None:
         """Take removals read in the next moments for lapses, not for departures."""
@@ -270,6 +273,10 @@
         if isinstance(fact, HostEntry):
             self.hosts[fact.name] = fact
             return False
+        if isinstance(fact, QuarantineEntry):
+            self.quarantined[fact.content] = fact
+            self.on_quarantined(fact)
+            return False
         if isinstance(fact, Evacuation):
             self.evacuated_at.setdefault(fact.zone, now)
             self.events.record(
@@ -331,6 +338,8 @@
             return True
         if isinstance(fact, HostEntry):
             self.hosts.pop(fact.name, None)
+        if isinstance(fact, QuarantineEntry):
+            self.quarantined.pop(fact.content, None)
         return False
 
     def _end_evacuation(self, zone: str, now: float) -> None:
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -91,7 +91,7 @@
     async def async_end_lease(self, lease: int) -> None:
         return None
 
-    async def async_put_host(self, entry: Any, lease: int) -> None:
+    async def async_put(self, entries: Any, lease: int) -> None:
         return None
 
 
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -65,7 +65,7 @@
     async def async_renew_lease(self, lease):
         return await self.answer("renew", lease)
 
-    async def async_put_host(self, entry, lease):
+    async def async_put(self, entries, lease):
         return await self.answer("put", lease)
 
 
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -5,7 +5,7 @@
 from greengagepoint.routing.tables import RequestKind, find_route
 from greengagepoint_node.gateway.facts import Evacuation, HostEntry, StoredItem
 from greengagepoint_platform.configuration import read_in_parts
-from greengagepoint_platform.decoding import decode_item, encode_host
+from greengagepoint_platform.decoding import decode_item, key_of
 from greengagepoint_platform.settings import daemon_settings, read_settings_file
 
 CONFIGURATION = {
@@ -175,7 +175,7 @@
     assert decode_item(item("op/evacuate/z-1", {})) == Evacuation("z-1")
     assert decode_item(item("other/1", {})) is None
     host = HostEntry("h", "north", "z", "10.0.0.1:1", "10.0.0.1:2")
-    assert decode_item(StoredItem("hosts/h", encode_host(host), 1)) == host
+    assert decode_item(StoredItem(key_of(host), msgspec.json.encode(host), 1)) == host
 
 
 SETTINGS = {
--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -97,7 +97,7 @@
 async def test_a_host_entry_lasts_as_long_as_its_lease():
     async with async_client() as (client, store):
         lease = await client.async_grant_lease(3.0)
-        await client.async_put_host(ENTRY, lease)
+        await client.async_put([ENTRY], lease)
         await client.async_renew_lease(lease)
         assert "hosts/h1" in store.items.items
         await client.async_end_lease(lease)
@@ -105,7 +105,7 @@
         with pytest.raises(LeaseLostError):
             await client.async_renew_lease(lease)
         with pytest.raises(LeaseLostError):
-            await client.async_put_host(ENTRY, lease)
+            await client.async_put([ENTRY], lease)
 
 
 @pytest.mark.parametrize("status", [503, 429, 500])
