Keep suspected requests in the store for longer than they are refused

What callers would have seen: after a restart of all hosts more than 30 s after a request was refused for the first time, three more servers end beneath it; and where regions reach the store but not each other, each of them loses up to two servers before it looks.

Cause: the store held a request for as long as it was refused, and only once it was.

Change: an entry lasts 300 s beyond the refusal, so that one more end is enough; a request with two ends is written as well, unless an answer clears it within a second; exchanges of tables tell of both. What is cleared is removed from the store.

--- a/packages/core/greengagepoint/quarantine/quarantine.py
+++ b/packages/core/greengagepoint/quarantine/quarantine.py
@@ -113,18 +113,23 @@
             suspect.trials = max(0, suspect.trials - 1)
             suspect.trial_until = now
 
-    def refused(self, now: float) -> dict[str, float]:
-        """Return the seconds for which contents are refused to some caller yet."""
-        rows = {content: self.refused_until(content) for content in self.suspects}
-        return {content: at - now for content, at in rows.items() if at > now}
+    def held(self, now: float) -> dict[str, float]:
+        """Return the contents that may not run freely for some caller.
+
+        With each come the seconds for which it is refused, 0 where it may be tried.
+        """
+        return {
+            content: max(0.0, self.refused_until(content) - now)
+            for content, suspect in self.suspects.items()
+            if self._most_ends(suspect) >= ENDS_ALONE
+        }
 
     def refused_until(self, content: str) -> float:
         """Return until when a content is refused to some caller."""
         suspect = self.suspects.get(content)
-        unsettled = suspect.unsettled() if suspect is not None else {}
-        if suspect is None or len(unsettled) < ENDS_MAX:
+        if suspect is None or len(suspect.unsettled()) < ENDS_MAX:
             return float("-inf")
-        callers = {key.caller for key in unsettled}
+        callers = {key.caller for key in suspect.unsettled()}
         return max(refused_until(self._counted(suspect, caller)) for caller in callers)
 
     def merge(self, rows: Iterable[SharedSuspect], now: float) -> list[str]:
@@ -146,12 +151,12 @@
         ]
 
     def recent(self, count: int, seconds: float, now: float) -> list[str]:
-        """Return what a peer may have missed: refused contents and the latest news."""
-        refused = self.refused(now)
+        """Return what a peer may have missed: held contents and the latest news."""
+        held = self.held(now)
         rows = [
-            (content in refused, suspect.changed_at, content)
+            (content in held, suspect.changed_at, content)
             for content, suspect in self.suspects.items()
-            if content in refused or now - suspect.changed_at <= seconds
+            if content in held or now - suspect.changed_at <= seconds
         ]
         return [content for _, _, content in sorted(rows, reverse=True)[:count]]
 
@@ -180,6 +185,14 @@
             suspect.changed_at = now
         return news
 
+    def _most_ends(self, suspect: Suspect) -> int:
+        """Return how many ends count against a request of the caller with most."""
+        unsettled = suspect.unsettled()
+        if len(unsettled) < ENDS_ALONE:
+            return len(unsettled)
+        callers = {key.caller for key in unsettled}
+        return max(len(self._counted(suspect, caller)) for caller in callers)
+
     def _counted(self, suspect: Suspect, caller: str) -> list[float]:
         """Return the times of the ends that count against a caller's request.
 
--- a/packages/node/greengagepoint_node/gateway/quarantine_store.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_store.py
@@ -1,4 +1,4 @@
-"""Keep refused requests in the platform's store for hosts that start later."""
+"""Keep suspected requests in the platform's store for hosts that start later."""
 
 import asyncio
 from collections.abc import Callable
@@ -22,9 +22,14 @@
 # So many hosts keep an entry; each later one steps in where those before it did not.
 WRITERS: Final = 3
 STEP_IN_SECONDS: Final = 0.75
+# A request that may still be tried is mostly answered, and so cleared, within this.
+UNDECIDED_SECONDS: Final = 1.0
 # Of one write; a caller with thousands of such requests fills one a look.
 ENTRIES_MAX: Final = 16
 STORED_MAX: Final = 512
+# An entry outlasts the refusal, so that after a restart of all hosts a single end is
+# enough to refuse the request again.
+KEEP_SECONDS: Final = 300.0
 LEASE_SECONDS_MAX: Final = 600.0
 # What an entry may lack of the whole time before it is written again.
 SLACK_SECONDS: Final = 5.0
@@ -32,14 +37,15 @@
 
 
 class Stored(NamedTuple):
-    """An entry of the store, and until when it refuses; monotonic seconds."""
+    """An entry of the store, until when it refuses, and is kept; monotonic seconds."""
 
     entry: QuarantineEntry
-    until: float
+    refused_until: float
+    kept_until: float
 
 
 class QuarantineStore:
-    """Write what is refused and remove what is cleared, a few hosts for each request.
+    """Write what is held and remove what is cleared, a few hosts for each request.
 
     ``hosts`` are the names of those that serve.
     """
@@ -67,7 +73,7 @@
     def take(self, entry: QuarantineEntry) -> None:
         """Take in an entry of the store."""
         now = self.quarantine.clock.monotonic()
-        self.stored[entry.content] = Stored(entry, now + entry.seconds)
+        self._note_stored(entry, now)
         self.sync.take([SharedSuspect(entry.content, entry.ends)])
 
     async def async_run(self) -> None:
@@ -86,16 +92,16 @@
         """Write and remove what is this host's turn."""
         now = self.quarantine.clock.monotonic()
         self.stored = {
-            content: row for content, row in self.stored.items() if row.until > now
+            content: row for content, row in self.stored.items() if row.kept_until > now
         }
-        refused = self.quarantine.table.refused(now)
-        missing = [row for row in refused if self._is_missing(row, refused[row], now)]
-        cleared = [row for row in self.stored if row not in refused]
+        held = self.quarantine.table.held(now)
+        missing = [row for row in held if self._is_missing(row, held[row], now)]
+        cleared = [row for row in self.stored if row not in held]
         self.due_at = {
-            row: self.due_at.get(row, now + self._turn(row) * STEP_IN_SECONDS)
+            row: self.due_at.get(row, now + self._delay(row, held.get(row, 0.0)))
             for row in (*missing, *cleared)
         }
-        await self._async_write(self._due(missing, now), refused, now)
+        await self._async_write(self._due(missing, now), held, now)
         await self._async_remove(self._due(cleared, now))
 
     def _is_missing(self, content: str, seconds: float, now: float) -> bool:
@@ -103,7 +109,12 @@
         row = self.stored.get(content)
         if row is None:
             return len(self.stored) < STORED_MAX
-        return row.until + SLACK_SECONDS < now + seconds
+        return row.refused_until + SLACK_SECONDS < now + seconds
+
+    def _delay(self, content: str, refused_seconds: float) -> float:
+        """Return how long this host leaves a request to others, or undecided."""
+        undecided = 0.0 if refused_seconds else UNDECIDED_SECONDS
+        return undecided + self._turn(content) * STEP_IN_SECONDS
 
     def _turn(self, content: str) -> int:
         """Return how many hosts come before this one for a request."""
@@ -119,25 +130,32 @@
         return rows[:ENTRIES_MAX]
 
     async def _async_write(
-        self, contents: list[str], refused: dict[str, float], now: float
+        self, contents: list[str], held: dict[str, float], now: float
     ) -> None:
-        """Write refused requests for as long as they are."""
+        """Write what is held against requests."""
         if not contents:
             return
-        seconds = min(LEASE_SECONDS_MAX, max(refused[row] for row in contents))
+        longest = max(held[content] for content in contents)
+        seconds = min(LEASE_SECONDS_MAX, longest + KEEP_SECONDS)
         lease = await self.store.async_grant_lease(seconds)
-        rows = self.quarantine.table.shared(contents, now)
         entries = [
             QuarantineEntry(
                 row.content,
-                refused[row.content],
+                held[row.content],
                 tuple(end for end in row.ends if not end.settled),
             )
-            for row in rows
+            for row in self.quarantine.table.shared(contents, now)
         ]
         await self.store.async_put(entries, lease)
         for entry in entries:
-            self.stored[entry.content] = Stored(entry, now + entry.seconds)
+            self._note_stored(entry, now)
+
+    def _note_stored(self, entry: QuarantineEntry, now: float) -> None:
+        """Keep what the store holds of a request."""
+        refused_until = now + entry.seconds
+        self.stored[entry.content] = Stored(
+            entry, refused_until, refused_until + KEEP_SECONDS
+        )
 
     async def _async_remove(self, contents: list[str]) -> None:
         """Remove requests that are refused no more."""
--- a/packages/platform_tests/tests/test_platform_crash_loops.py
+++ b/packages/platform_tests/tests/test_platform_crash_loops.py
@@ -57,6 +57,13 @@
     return sorted(loop.ends)[ENDS_MAX - 1]
 
 
+async def async_quarantine(fleet, node):
+    """Return what a host shows operators of suspected requests."""
+    async with fleet.session.get(f"http://{node.metrics}/quarantine") as answer:
+        assert answer.status == 200
+        return await answer.json()
+
+
 async def async_restart_all(fleet):
     """Kill all hosts at once, and start them again."""
     await asyncio.gather(*(node.async_kill() for node in fleet.nodes))
@@ -117,6 +124,43 @@
         assert late_sends(loop) <= LATE_SENDS_MAX
 
 
+async def test_hosts_that_reach_the_store_alone_hear_of_it_from_there(tmp_path):
+    async with (
+        async_fleet(ROOT, tmp_path, strangers=True) as fleet,
+        async_crash_loop(fleet, SERVERS, {FATAL}) as loop,
+    ):
+        async with async_calling(fatal_caller(fleet)):
+            await async_third_end(fleet, loop)
+            await asyncio.sleep(CONTACT_SECONDS + 4.0)
+        assert late_sends(loop) <= LATE_SENDS_MAX
+
+
+async def test_an_operator_sees_and_lifts_a_refusal(fleet):
+    async with async_crash_loop(fleet, SERVERS, {FATAL}) as loop:
+        async with async_calling(fatal_caller(fleet)):
+            await async_third_end(fleet, loop)
+            await asyncio.sleep(1.0)
+        loop.fatal.clear()
+        shown = await async_quarantine(fleet, fleet.nodes[0])
+        content = next(row["content"] for row in shown if row["refused_seconds"])
+        assert (await fleet.async_call(fleet.nodes[1], FATAL))[0] == 503
+        url = f"http://{fleet.nodes[0].metrics}/quarantine/{content}"
+        async with fleet.session.delete(url) as answer:
+            assert answer.status == 204
+
+        async def async_served():
+            answers = [await fleet.async_call(node, FATAL) for node in fleet.nodes]
+            return {status for status, _, _ in answers} == {200}
+
+        async def async_forgotten():
+            return f"quarantine/{content}" not in fleet.store.items.items
+
+        await fleet.async_until(async_served, CONTACT_SECONDS)
+        await fleet.async_until(async_forgotten, CONTACT_SECONDS)
+        async with fleet.session.delete(url) as answer:
+            assert answer.status == 404
+
+
 async def test_a_request_is_served_though_servers_are_killed_while_they_run_it(fleet):
     target = "/bays/popular"
     async with async_crash_loop(fleet, SERVERS, set(), 0.3) as loop:
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -29,6 +29,7 @@
     SILENT = "silent"
     FAILED = "failed"
     GOOD_RESET = "good_reset"
+    FATAL = "fatal"
 
 
 class Received(NamedTuple):
@@ -295,6 +296,14 @@
     return True
 
 
+async def _async_fatal(
+    backend: PlatformBackend, request: Received, writer: asyncio.StreamWriter
+) -> bool:
+    """End with the request."""
+    await backend.async_crash()
+    return False
+
+
 ANSWERS: Final[dict[Manner, Answer]] = {
     Manner.TRUNCATED: _async_truncated,
     Manner.RESET: _async_reset,
@@ -308,6 +317,7 @@
     Manner.SILENT: _async_silent,
     Manner.FAILED: _async_failed,
     Manner.GOOD_RESET: _async_good_reset,
+    Manner.FATAL: _async_fatal,
 }
 
 
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -245,10 +245,16 @@
 
 
 @contextlib.asynccontextmanager
-async def async_fleet(root: Path, folder: Path) -> AsyncIterator[Fleet]:
-    """Run three daemons and four servers in two regions until the block ends."""
+async def async_fleet(
+    root: Path, folder: Path, *, strangers: bool = False
+) -> AsyncIterator[Fleet]:
+    """Run three daemons and four servers in two regions until the block ends.
+
+    Daemons that are ``strangers`` never hear of each other, but all reach the store.
+    """
     store = PlatformStore()
     await store.async_start()
+    store.control.lost_prefix = "hosts/" if strangers else None
     backends = [PlatformBackend(f"i-{number}") for number in range(4)]
     nodes = [
         Node(root, folder, name, zone, store.address)
@@ -261,7 +267,8 @@
             fleet.enter(backend, "z-a" if number < 2 else "z-b")
         fleet.configure("/bays/")
         for node in nodes:
-            node.document["seeds"] = [row.listen["control"] for row in nodes]
+            if not strangers:
+                node.document["seeds"] = [row.listen["control"] for row in nodes]
             await node.async_start()
         try:
             for node in nodes:
--- a/packages/standins/greengagepoint_standins/users_platform/store.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store.py
@@ -129,7 +129,10 @@
         leases = [put.get("lease", 0) for put in puts]
         if any(lease and lease not in self.items.leases for lease in leases):
             return _json({"error": "no such lease"}, 404)
+        lost = self.control.lost_prefix
         for put in puts:
+            if lost is not None and put["key"].startswith(lost):
+                continue
             self.items.put(put["key"], put["value"], put.get("lease", 0))
         for key in deletes:
             self.items.remove(key)
--- a/packages/standins/greengagepoint_standins/users_platform/store_items.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store_items.py
@@ -22,7 +22,8 @@
 
     ``status`` answers every call with that status; ``hangs`` answers none.
     ``lost_writes`` are done and not answered; ``silent_watches`` hear nothing. A page
-    of items begins after ``page_seconds``.
+    of items begins after ``page_seconds``. Writes under ``lost_prefix`` are answered
+    and not done.
     """
 
     status: int = 0
@@ -30,6 +31,7 @@
     lost_writes: bool = False
     silent_watches: bool = False
     page_seconds: float = 0.0
+    lost_prefix: str | None = None
     calls: int = 0
 
 
