Bound what entries and messages on suspected requests may say

A writer out of order could have refused a request until long after: ages below zero, or seconds without a bound. Both are refused as any other entry that can't be right, with a table of cases. The keeper of the store's entries also hears when one is gone, so hosts that step in remove nothing twice; admission raises its refusal itself.

--- a/packages/core/greengagepoint/quarantine/messages.py
+++ b/packages/core/greengagepoint/quarantine/messages.py
@@ -1,6 +1,12 @@
 """What hosts tell each other of requests that end backend servers."""
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
+
+# What came from the future would be refused until long after it.
+Milliseconds = Annotated[int, Meta(ge=0)]
 
 
 class SharedEnd(msgspec.Struct, array_like=True, frozen=True):
@@ -12,7 +18,7 @@
     instance: str
     born: int
     caller: str
-    age_ms: int
+    age_ms: Milliseconds
     settled: bool = False
 
 
@@ -24,4 +30,4 @@
 
     content: str
     ends: tuple[SharedEnd, ...]
-    trial_ms: int = 0
+    trial_ms: Milliseconds = 0
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -233,7 +233,6 @@
         )
         self.quarantine_store = QuarantineStore(
             self.store,
-            self.view,
             self.quarantine_sync,
             self.settings.host,
             lambda: self.placer.serving_hosts,
@@ -241,7 +240,7 @@
         )
         self.quarantine.notify = self.quarantine_sync.notify
         self.gossip.suspects = self.quarantine_sync
-        self.view.on_quarantined = self.quarantine_store.take
+        self.view.quarantine = self.quarantine_store
 
     async def async_stop(self) -> None:
         """Leave look-ups, let all in flight end, and close."""
--- a/packages/node/greengagepoint_node/gateway/facts.py
+++ b/packages/node/greengagepoint_node/gateway/facts.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from enum import StrEnum
-from typing import Final, NamedTuple, Protocol
+from typing import Annotated, Final, NamedTuple, Protocol
 
 import msgspec
+from msgspec import Meta
 
 from greengagepoint.errors import ErrorKind, RecordError
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint.quarantine.messages import SharedEnd
+from greengagepoint.quarantine.rules import REFUSED_SECONDS
 from greengagepoint.routing.tables import RouteTable
 
 # Smaller ones fit into two packets. Configurations are the only large values known.
@@ -108,7 +110,7 @@
     """
 
     content: str
-    seconds: float
+    seconds: Annotated[float, Meta(ge=0, le=REFUSED_SECONDS[-1])]
     ends: tuple[SharedEnd, ...]
 
 
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -14,7 +14,7 @@
 from collections import Counter
 from collections.abc import Coroutine
 from itertools import zip_longest
-from typing import Any, Final, Protocol
+from typing import Any, Final
 
 import aiohttp
 import msgspec
@@ -26,7 +26,6 @@
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
-from greengagepoint.quarantine.messages import SharedSuspect
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.delays import MessageDelays
 from greengagepoint_node.gateway.facts import (
@@ -50,6 +49,7 @@
 from greengagepoint_node.gateway.news_ages import NewsAges
 from greengagepoint_node.gateway.news_teller import NewsTeller
 from greengagepoint_node.gateway.packing import ItemPacker
+from greengagepoint_node.gateway.suspect_news import NoSuspects, SuspectNews
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
 from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
 
@@ -75,27 +75,6 @@
 RECEIVED: Final = "received"
 
 
-class SuspectNews(Protocol):
-    """Know of requests that end backend servers."""
-
-    def shared(self) -> list[SharedSuspect]:
-        """Return what peers may have missed."""
-
-    def take(self, rows: list[SharedSuspect]) -> None:
-        """Take in what a peer knows."""
-
-
-class NoSuspects:
-    """Know of no such request."""
-
-    def shared(self) -> list[SharedSuspect]:
-        """Return nothing."""
-        return []
-
-    def take(self, rows: list[SharedSuspect]) -> None:
-        """Leave what a peer knows aside."""
-
-
 class Gossip:
     """Keep the table of hosts by exchanging it with one peer after the other."""
 
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -197,14 +197,12 @@
             left = call.ends_at - self.clock.monotonic()
             if left < SECONDS_LEFT_MIN:
                 break
-            standing = self.quarantine.standing(identity)
+            standing = self.quarantine.admit(identity, first=not tries.servers)
             if not standing.may_run:
-                if not tries.servers:
-                    raise self.quarantine.refusal(identity, standing)
                 break
             if standing.alone:
-                # Other requests of its key use other servers, so the next end or answer
-                # tells it from them.
+                # Requests of its key use other servers, so the next end or answer tells
+                # it from them.
                 call = call._replace(key=identity.fingerprint.content)
                 server = None
             if server is None:
--- a/packages/node/greengagepoint_node/gateway/quarantine_store.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_store.py
@@ -16,7 +16,6 @@
     QuarantineEntry,
 )
 from greengagepoint_node.gateway.quarantine_sync import QuarantineSync
-from greengagepoint_node.gateway.view import FleetView
 
 LOOK_SECONDS: Final = 0.25
 # So many hosts keep an entry; each later one steps in where those before it did not.
@@ -53,14 +52,12 @@
     def __init__(
         self,
         store: PlatformStore,
-        view: FleetView,
         sync: QuarantineSync,
         host: str,
         hosts: Callable[[], list[str]],
         events: EventSink,
     ) -> None:
         self.store = store
-        self.view = view
         self.sync = sync
         self.quarantine = sync.quarantine
         self.host = host
@@ -76,6 +73,14 @@
         self._note_stored(entry, now)
         self.sync.take([SharedSuspect(entry.content, entry.ends)])
 
+    def drop(self, entry: QuarantineEntry) -> None:
+        """Take in that an entry has lapsed or was removed.
+
+        What this host holds against the request stays: the lease may have ended in an
+        outage.
+        """
+        self.stored.pop(entry.content, None)
+
     async def async_run(self) -> None:
         """Keep the store's entries until cancelled."""
         while True:
--- a/packages/node/greengagepoint_node/gateway/request_quarantine.py
+++ b/packages/node/greengagepoint_node/gateway/request_quarantine.py
@@ -30,23 +30,19 @@
         self.notify: Callable[[list[str]], None] = lambda contents: None
         self.refused: set[str] = set()
 
-    def standing(self, identity: RequestIdentity) -> Standing:
-        """Return whether a request may be sent to a server now."""
+    def admit(self, identity: RequestIdentity, *, first: bool) -> Standing:
+        """Return whether a request may be sent to a server now.
+
+        Raise Refusal where it may not and has not run: ``first`` is before its first
+        try.
+        """
         if not self.table.may_know(identity.head):
             return FREE
-        return self.table.standing(identity.fingerprint, self.clock.monotonic())
-
-    def refusal(self, identity: RequestIdentity, standing: Standing) -> Refusal:
-        """Return what a caller is told whose request has not run."""
-        inputs = {
-            "content": identity.fingerprint.content,
-            "caller": identity.fingerprint.caller,
-            "ends": standing.ends,
-            "last_end_age": round(standing.last_end_seconds, 3),
-        }
-        reason = REASONS[standing.verdict]
-        seconds = standing.retry_seconds
-        return Refusal(ErrorKind.QUARANTINED, 503, reason, seconds, inputs)
+        now = self.clock.monotonic()
+        standing = self.table.standing(identity.fingerprint, now)
+        if first and not standing.may_run:
+            raise _refusal(identity, standing)
+        return standing
 
     @contextlib.contextmanager
     def trial(self, identity: RequestIdentity, standing: Standing) -> Iterator[None]:
@@ -119,3 +115,16 @@
             end_ages=[round(now - end.at, 3) for end in ends.values()],
             seconds=seconds,
         )
+
+
+def _refusal(identity: RequestIdentity, standing: Standing) -> Refusal:
+    """Return what a caller is told whose request has not run."""
+    inputs = {
+        "content": identity.fingerprint.content,
+        "caller": identity.fingerprint.caller,
+        "ends": standing.ends,
+        "last_end_age": round(standing.last_end_seconds, 3),
+    }
+    reason = REASONS[standing.verdict]
+    seconds = standing.retry_seconds
+    return Refusal(ErrorKind.QUARANTINED, 503, reason, seconds, inputs)
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -1,7 +1,7 @@
 """What this host believes of the fleet, from the store and from peers."""
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Final
 
 from greengagepoint.errors import RecordError
@@ -27,6 +27,10 @@
     is_large,
 )
 from greengagepoint_node.gateway.known_servers import KnownServers
+from greengagepoint_node.gateway.quarantine_entries import (
+    NoQuarantine,
+    QuarantineEntries,
+)
 from greengagepoint_node.gateway.refused import RefusedItems
 from greengagepoint_node.gateway.writes import KeyWrites, Write
 
@@ -76,8 +80,7 @@
         self.hosts: dict[str, HostEntry] = {}
         self.evacuated_at: dict[str, float] = {}
         self.lapses_until = float("-inf")
-        self.quarantined: dict[str, QuarantineEntry] = {}
-        self.on_quarantined: Callable[[QuarantineEntry], None] = lambda entry: None
+        self.quarantine: QuarantineEntries = NoQuarantine()
 
     def store_returned(self, now: float) -> None:
         """Take removals read in the next moments for lapses, not for departures."""
@@ -274,8 +277,7 @@
             self.hosts[fact.name] = fact
             return False
         if isinstance(fact, QuarantineEntry):
-            self.quarantined[fact.content] = fact
-            self.on_quarantined(fact)
+            self.quarantine.take(fact)
             return False
         if isinstance(fact, Evacuation):
             self.evacuated_at.setdefault(fact.zone, now)
@@ -339,7 +341,7 @@
         if isinstance(fact, HostEntry):
             self.hosts.pop(fact.name, None)
         if isinstance(fact, QuarantineEntry):
-            self.quarantined.pop(fact.content, None)
+            self.quarantine.drop(fact)
         return False
 
     def _end_evacuation(self, zone: str, now: float) -> None:
--- a/packages/node/tests/test_gateway_quarantine_news.py
+++ b/packages/node/tests/test_gateway_quarantine_news.py
@@ -169,11 +169,8 @@
         self.keepers = {name: self.keeper(name) for name in HOSTS}
 
     def keeper(self, name):
-        view = FleetView(ZONES, lambda item: None, Lines())
         sync = self.network.syncs[name]
-        return QuarantineStore(
-            self.store, view, sync, name, lambda: self.hosts, Lines()
-        )
+        return QuarantineStore(self.store, sync, name, lambda: self.hosts, Lines())
 
     async def async_step(self, seconds=0.0):
         """Let all hosts look, with what the store told them by then."""
@@ -182,7 +179,7 @@
         for name in self.hosts:
             keeper = self.keepers[name]
             for content in set(keeper.stored) - set(told):
-                del keeper.stored[content]
+                keeper.drop(keeper.stored[content].entry)
             for entry in told.values():
                 if entry.content not in keeper.stored:
                     keeper.take(entry)
@@ -240,14 +237,7 @@
     await keepers.async_refused()
     await keepers.async_step()
     fresh = Network(["h9"])
-    keeper = QuarantineStore(
-        keepers.store,
-        FleetView(ZONES, lambda item: None, Lines()),
-        fresh.syncs["h9"],
-        "h9",
-        list,
-        Lines(),
-    )
+    keeper = QuarantineStore(keepers.store, fresh.syncs["h9"], "h9", list, Lines())
     keeper.take(keepers.store.entries[FATAL.content])
     assert fresh.refusing() == 1
 
@@ -298,13 +288,23 @@
     assert rows[0].ends[0].instance == "i-1"
 
 
+class Heard:
+    """Keep what a view tells."""
+
+    def __init__(self):
+        self.rows = []
+
+    def take(self, entry):
+        self.rows.append(("take", entry))
+
+    def drop(self, entry):
+        self.rows.append(("drop", entry))
+
+
 def test_a_view_tells_of_entries_as_they_come_and_go():
-    heard = []
-    view = FleetView(ZONES, lambda item: None, Lines())
     fact = QuarantineEntry("c", 30.0, ())
-    view.decode = lambda item: fact
-    view.on_quarantined = heard.append
+    view = FleetView(ZONES, lambda item: fact, Lines())
+    view.quarantine = heard = Heard()
     view.apply(Changes((StoredItem("q", b"", 5),), 5), 1.0)
-    assert heard == [fact] and view.quarantined == {"c": fact}
     view.apply(Changes((RemovedKey("q", 6),), 6), 1.0)
-    assert view.quarantined == {}
+    assert heard.rows == [("take", fact), ("drop", fact)]
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -235,3 +235,31 @@
 def test_a_missing_settings_file_is_named(tmp_path):
     with pytest.raises(SettingError, match="absent.json"):
         read_settings_file(tmp_path / "absent.json")
+
+
+ENDS = [["i-1", 5, "caller", 200, False]]
+
+
+@pytest.mark.parametrize(
+    ("key", "document", "good"),
+    [
+        ("quarantine/c", {"content": "c", "seconds": 30, "ends": ENDS}, True),
+        ("quarantine/d", {"content": "c", "seconds": 30, "ends": ENDS}, False),
+        ("quarantine/c", {"content": "c", "seconds": -1, "ends": ENDS}, False),
+        ("quarantine/c", {"content": "c", "seconds": 1e9, "ends": ENDS}, False),
+        ("quarantine/c", {"content": "c", "seconds": 30}, False),
+        (
+            "quarantine/c",
+            {"content": "c", "seconds": 30, "ends": [["i-1", 5, "caller", -9, False]]},
+            False,
+        ),
+    ],
+)
+def test_quarantine_entries_that_another_writer_may_have_put(key, document, good):
+    if not good:
+        with pytest.raises(RecordError):
+            decode_item(item(key, document))
+        return
+    entry = decode_item(item(key, document))
+    assert (entry.content, entry.ends[0].instance) == ("c", "i-1")
+    assert key_of(entry) == key
