Attribute a server's end to a request whose caller has just left

What callers would see: a request that ends servers and whose caller gives up a moment before each end is never held against it, as the try is cancelled and nothing learns how it went on.

Change: half a second after such a cancellation, if anything else tells of trouble at that server (a broken or refused connection here, or a peer's word that it ended), the host looks whether it has ended. A sound server is not asked, so callers who leave cost no connections.

Tests: beside a bystander in flight, and with only the next request to tell; both fail without the change; a sound server leaves no suspicion.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -15,7 +15,6 @@
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call, create_call, match_route
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
-from greengagepoint_node.gateway.end_checks import EndChecks
 from greengagepoint_node.gateway.exchange import (
     NOT_RUN,
     SECONDS_LEFT_MIN,
@@ -45,6 +44,7 @@
 )
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.send_times import SendTimes
+from greengagepoint_node.gateway.server_ends import ServerEnds
 from greengagepoint_node.gateway.tries import UNSENT, Tries
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.proxy.sessions import BackendSessions
@@ -85,7 +85,7 @@
         self.last_request_at = clock.monotonic()
         self.outcomes = Outcomes(view, counters, clock, events)
         self.request_headers = RequestHeaders(names)
-        self.end_checks = EndChecks()
+        self.server_ends = ServerEnds(quarantine, self.outcomes)
 
     async def async_handle(self, request: web.BaseRequest) -> web.Response:
         """Answer the request of a connection whose turn it is."""
@@ -212,8 +212,7 @@
             tries.begin(server.incarnation)
             sending = self._sending(request, call, body, server, left)
             with self.quarantine.trial(identity, standing):
-                last = await self._async_try(call, server, sending, tries)
-                await self._async_learn_end(call, identity, server, last.verdict)
+                last = await self._async_send(call, identity, server, sending, tries)
             tries.end(last.verdict)
             if last.verdict is Verdict.ANSWERED:
                 self.outcomes.note_answered(call, last, server, len(tries.servers))
@@ -295,6 +294,27 @@
             return Exchange(Verdict.OLD_NEWS, "the news got too old while connecting")
         return None
 
+    async def _async_send(
+        self,
+        call: Call,
+        identity: RequestIdentity,
+        server: Server,
+        sending: Sending,
+        tries: Tries,
+    ) -> Exchange:
+        """Send the request to one server and learn what that says of the request."""
+        try:
+            exchange = await self._async_try(call, server, sending, tries)
+        except asyncio.CancelledError:
+            if sending.is_sent:
+                self.server_ends.note_abandoned(call, identity, server)
+            raise
+        if exchange.verdict is Verdict.ANSWERED:
+            self.quarantine.note_answer(identity)
+        elif exchange.verdict is Verdict.BROKEN:
+            await self.server_ends.async_note_broken(call, identity, server)
+        return exchange
+
     async def _async_try(
         self,
         call: Call,
@@ -318,15 +338,3 @@
         self.outcomes.note_sent(call, server, sending.times)
         self.outcomes.note_try(call, server, exchange, number, now - began)
         return exchange
-
-    async def _async_learn_end(
-        self, call: Call, identity: RequestIdentity, server: Server, verdict: Verdict
-    ) -> None:
-        """Learn from how a try ended whether the request ends servers."""
-        if verdict is Verdict.ANSWERED:
-            self.quarantine.note_answer(identity)
-        if verdict is not Verdict.BROKEN:
-            return
-        if await self.end_checks.async_has_ended(server):
-            self.outcomes.note_ended(call, server, identity.fingerprint)
-            self.quarantine.note_end(identity, server)
--- a/packages/node/tests/test_gateway_quarantine.py
+++ b/packages/node/tests/test_gateway_quarantine.py
@@ -143,6 +143,37 @@
         assert [key.endswith("\0" + "7") for key in chosen] == [False, True]
 
 
+@pytest.mark.parametrize("bystander", [True, False])
+async def test_a_caller_that_leaves_before_its_server_ends_is_found_out(bystander):
+    async with async_world(servers=1, seconds=0.3) as world:
+        server = world.backends[0]
+        paths = [FATAL, "/safe/other"] if bystander else [FATAL]
+        calls = [asyncio.create_task(world.async_call(path)) for path in paths]
+        await async_until(lambda: len(server.ran) == len(paths))
+        calls[0].cancel()
+        await async_until(lambda: server.cancelled)
+        await server.async_crash()
+        if not bystander:
+            # The next request finds nobody at the server's address.
+            assert (await world.async_call("/safe/next"))[0] == 503
+        await asyncio.wait(calls)
+        suspects = world.daemon.quarantine.table.suspects
+        await async_until(lambda: len(suspects) == len(paths))
+
+
+async def test_a_caller_that_leaves_a_sound_server_is_not_suspected():
+    async with async_world(servers=1, seconds=0.3) as world:
+        server = world.backends[0]
+        call = asyncio.create_task(world.async_call(FATAL))
+        await async_until(lambda: server.ran)
+        call.cancel()
+        await async_until(lambda: server.cancelled)
+        watches = world.daemon.gateway.server_ends.watches
+        await async_until(lambda: watches)
+        await async_until(lambda: not watches)
+        assert not world.daemon.quarantine.table.suspects
+
+
 async def test_peers_messages_that_can_not_be_read_are_rejected():
     async with async_world(servers=1) as world:
         url = f"http://{world.daemon.settings.peer_address}/v1/quarantine"
