Leave ends that a refused request accounts for out of later news

What callers would see: an innocent request of the same key as a fatal one is in flight at the same servers; where word of that comes after the fatal one is refused, three such ends refuse the innocent one as well.

Cause: bystanders were cleared as a request became refused, not when word of them came later. Change: the ends that a refused request accounts for are kept, and a new end of another request at one of those servers counts as settled from the start. A test in each direction, and one that what is kept is forgotten. The host name in a fingerprint leaves out its port, as routes do.

--- a/packages/core/greengagepoint/quarantine/messages.py
+++ b/packages/core/greengagepoint/quarantine/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta
 
-# What came from the future would be refused until long after it.
+# With a negative age, a request would be refused until long after its last end.
 Milliseconds = Annotated[int, Meta(ge=0)]
 
 
--- a/packages/core/greengagepoint/quarantine/quarantine.py
+++ b/packages/core/greengagepoint/quarantine/quarantine.py
@@ -31,7 +31,7 @@
 )
 
 SUSPECTS_MAX: Final = 2_048
-# Long after the longest refusal, a single end is enough to refuse a request again.
+# Ends are kept for long after the longest refusal, so that a single one more is enough.
 FORGET_SECONDS: Final = 1_200.0
 # While one host tries a request, others wait for what comes of it.
 TRIAL_SECONDS: Final = 1.0
@@ -44,6 +44,8 @@
         self.suspects: dict[str, Suspect] = {}
         self.heads: Counter[str] = Counter()
         self.lost = LostServers()
+        # The ends that a refused request accounts for, and which one it is.
+        self.explained: dict[ServerRun, str] = {}
 
     def may_know(self, head: str) -> bool:
         """Tell whether a content with this head may be under suspicion."""
@@ -68,12 +70,11 @@
 
     def note_end(self, fingerprint: Fingerprint, run: ServerRun, now: float) -> bool:
         """Take in that a server ended with a request in flight; tell if it is news."""
-        suspect = self._suspect(fingerprint.content)
-        news = suspect.add(EndKey(run, fingerprint.caller), now)
-        self.lost.note(run, now)
+        content = fingerprint.content
+        news = self._add(content, EndKey(run, fingerprint.caller), now)
         if news:
-            suspect.changed_at = now
-            self._clear_bystanders(fingerprint.content, now)
+            self.suspects[content].changed_at = now
+            self._clear_bystanders(content, now)
         return news
 
     def note_answer(self, fingerprint: Fingerprint, now: float) -> bool:
@@ -167,16 +168,17 @@
             if now - newest > FORGET_SECONDS:
                 self._forget(content)
         self.lost.forget_before(now - FORGET_SECONDS)
+        for run in self.explained.keys() - self.lost.ends.keys():
+            del self.explained[run]
 
     def _merge_one(self, row: SharedSuspect, now: float) -> bool:
         """Take in what a peer knows of one content; tell whether that was news."""
-        suspect = self._suspect(row.content)
         news = False
         for end in row.ends[:ENDS_KEPT]:
-            run = ServerRun(end.instance, end.born)
+            key = EndKey(ServerRun(end.instance, end.born), end.caller)
             at = now - end.age_ms / 1000
-            news |= suspect.add(EndKey(run, end.caller), at, settled=end.settled)
-            self.lost.note(run, at)
+            news |= self._add(row.content, key, at, settled=end.settled)
+        suspect = self.suspects[row.content]
         trial_until = now + min(row.trial_ms / 1000, TRIAL_SECONDS)
         if row.trial_ms and trial_until > suspect.trial_until + TRIAL_SECONDS / 2:
             suspect.trial_until = trial_until
@@ -185,6 +187,16 @@
             suspect.changed_at = now
         return news
 
+    def _add(
+        self, content: str, key: EndKey, at: float, *, settled: bool = False
+    ) -> bool:
+        """Take in an end beneath a request; tell whether that is news."""
+        self.lost.note(key.run, at)
+        suspect = self._suspect(content)
+        if key not in suspect.ends:
+            settled = settled or self.explained.get(key.run, content) != content
+        return suspect.add(key, at, settled=settled)
+
     def _most_ends(self, suspect: Suspect) -> int:
         """Return how many ends count against a request of the caller with most."""
         unsettled = suspect.unsettled()
@@ -222,6 +234,8 @@
         if self.refused_until(content) <= now:
             return
         runs = {key.run for key in self.suspects[content].unsettled()}
+        for run in runs:
+            self.explained.setdefault(run, content)
         for other, suspect in self.suspects.items():
             if other != content and self.refused_until(other) <= now:
                 self._settle(suspect, lambda key: key.run in runs, now)
@@ -230,9 +244,9 @@
         self, suspect: Suspect, wanted: Callable[[EndKey], bool], now: float
     ) -> bool:
         """Clear a request of some ends; tell whether that is news."""
-        cleared = [end for key, end in suspect.unsettled().items() if wanted(key)]
-        for end in cleared:
-            end.settled = True
+        cleared = [key for key in suspect.unsettled() if wanted(key)]
+        for key in cleared:
+            suspect.ends[key].settled = True
         if cleared:
             suspect.changed_at = now
         return bool(cleared)
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -181,11 +181,11 @@
 
 def find_route(table: RouteTable, host: str, path: str) -> Route | None:
     """Return the route with the longest prefix that begins the path."""
-    rows = table.hosts.get(_without_port(host).lower())
+    rows = table.hosts.get(host_name(host).lower())
     return rows.find(path) if rows is not None else None
 
 
-def _without_port(host: str) -> str:
-    """Return the name of a Host header."""
+def host_name(host: str) -> str:
+    """Return the name in a Host header, which may be followed by a port."""
     name, colon, port = host.rpartition(":")
     return name if colon and port.isdigit() else host
--- a/packages/core/tests/test_quarantine_table.py
+++ b/packages/core/tests/test_quarantine_table.py
@@ -128,6 +128,21 @@
     assert verdict(table, INNOCENT, last) is Verdict.FREE
 
 
+def test_ends_of_a_bystander_that_are_told_later_do_not_count():
+    table = Quarantine()
+    last = end(table, FATAL, 1, 2, 3)
+    last = end(table, INNOCENT, 1, 2, 3, at=last + 0.1)
+    assert verdict(table, INNOCENT, last) is Verdict.FREE
+    assert verdict(table, FATAL, last) is Verdict.QUARANTINED
+
+
+def test_a_request_that_ends_servers_of_its_own_is_no_bystander():
+    table = Quarantine()
+    last = end(table, FATAL, 1, 2, 3)
+    last = end(table, INNOCENT, 1, 2, 3, 4, 5, 6, at=last + 0.1)
+    assert verdict(table, INNOCENT, last) is Verdict.QUARANTINED
+
+
 def test_a_suspected_request_is_tried_one_at_a_time():
     table = Quarantine()
     last = end(table, FATAL, 1, 2)
@@ -232,6 +247,14 @@
     assert not table.suspects and not table.lost.ends and not table.lost.ordered
 
 
+def test_what_a_refused_request_explains_is_forgotten():
+    table = Quarantine()
+    last = end(table, FATAL, 1, 2, 3)
+    assert table.explained
+    table.tick(last + FORGET_SECONDS + 1)
+    assert not table.explained
+
+
 rows = st.builds(
     SharedSuspect,
     st.sampled_from([FATAL.content, INNOCENT.content]),
--- a/packages/node/greengagepoint_node/gateway/identity.py
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -10,6 +10,7 @@
     hash_content,
     hash_head,
 )
+from greengagepoint.routing.tables import host_name
 
 CREDENTIALS = (hdrs.AUTHORIZATION, hdrs.COOKIE)
 
@@ -25,7 +26,8 @@
     def head(self) -> str:
         """Return the hash of all of the content but the body."""
         request = self.request
-        return hash_head(request.host, request.method, request.rel_url.raw_path_qs)
+        authority = host_name(request.host)
+        return hash_head(authority, request.method, request.rel_url.raw_path_qs)
 
     @cached_property
     def fingerprint(self) -> Fingerprint:
