--- a/packages/node/greengagepoint_node/gateway/request_quarantine.py
+++ b/packages/node/greengagepoint_node/gateway/request_quarantine.py
@@ -130,5 +130,5 @@
         "last_end_age": round(standing.last_end_seconds, 3),
     }
     reason = REASONS[standing.verdict]
-    seconds = standing.retry_seconds
+    seconds = round(standing.retry_seconds, 3)
     return Refusal(ErrorKind.QUARANTINED, 503, reason, seconds, inputs)
