--- a/packages/platform_tests/tests/test_platform_crash_loops.py
+++ b/packages/platform_tests/tests/test_platform_crash_loops.py
@@ -44,7 +44,7 @@
 
 
 def late_sends(loop):
-    return loop.sent_after(ENDS_MAX, CONTACT_SECONDS)
+    return len(loop.sent_after(ENDS_MAX, CONTACT_SECONDS, FATAL))
 
 
 async def async_third_end(fleet, loop):
@@ -54,7 +54,7 @@
         return len(loop.ends) >= ENDS_MAX
 
     await fleet.async_until(async_ended)
-    return sorted(loop.ends)[ENDS_MAX - 1]
+    return sorted(loop.ends)[ENDS_MAX - 1][0]
 
 
 async def async_quarantine(fleet, node):
--- a/packages/standins/greengagepoint_standins/users_platform/crash_loop.py
+++ b/packages/standins/greengagepoint_standins/users_platform/crash_loop.py
@@ -9,7 +9,11 @@
 
 import aiohttp
 
-from greengagepoint_standins.users_platform.backend import PlatformBackend, Received
+from greengagepoint_standins.users_platform.backend import (
+    PlatformBackend,
+    Received,
+    request_id,
+)
 from greengagepoint_standins.users_platform.daemons import Address, Fleet, Node
 
 ZONE_OF: Final = ("z-a", "z-b")
@@ -24,10 +28,20 @@
 
 
 class Outcome(NamedTuple):
-    """When a request was sent, monotonic seconds, and the status that it got."""
+    """When a request was sent, monotonic seconds, to whom, and the status it got."""
 
     sent_at: float
     status: int
+    host: str
+    request_id: str
+
+
+class Arrival(NamedTuple):
+    """When a fatal request came to a server, monotonic seconds, and which it was."""
+
+    at: float
+    target: str
+    request_id: str
 
 
 class MortalBackend(PlatformBackend):
@@ -56,18 +70,19 @@
         named = request.headers.get("x-greengagepoint-target-instance")
         if request.target not in self.loop.fatal or named != self.instance:
             return await super()._async_answer(request, reader, writer)
-        self.loop.arrivals.append(time.monotonic())
+        arrival = Arrival(time.monotonic(), request.target, request_id(request))
+        self.loop.arrivals.append(arrival)
         await asyncio.sleep(FATAL_RUN_SECONDS)
-        await self.loop.async_end(self)
+        await self.loop.async_end(self, request.target)
         return False
 
 
 class CrashLoop:
     """The servers of a fleet; ``fatal`` are the targets that end them.
 
-    ``arrivals`` and ``ends`` are the monotonic seconds of each fatal request at a
-    server, and of each end. With ``same_id`` a server starts again under its id, and
-    its entry stays as it is.
+    ``ends`` are the monotonic seconds of each end, and what ended the server, if a
+    request did. With ``same_id`` a server starts again under its id, and its entry
+    stays as it is.
     """
 
     def __init__(
@@ -77,8 +92,8 @@
         self.fatal = fatal
         self.seconds = seconds
         self.same_id = same_id
-        self.arrivals: list[float] = []
-        self.ends: list[float] = []
+        self.arrivals: list[Arrival] = []
+        self.ends: list[tuple[float, str | None]] = []
         self.count = 0
         self.places: list[Address] = []
         self.restarts: set[asyncio.Task[None]] = set()
@@ -91,12 +106,14 @@
         await self._async_begin(backend)
         self.fleet.enter(backend, zone)
 
-    async def async_end(self, backend: MortalBackend) -> None:
+    async def async_end(
+        self, backend: MortalBackend, target: str | None = None
+    ) -> None:
         """End a run, and start the next one of that server some time later."""
         if backend not in self.fleet.backends:
             return
         self.fleet.backends.remove(backend)
-        self.ends.append(time.monotonic())
+        self.ends.append((time.monotonic(), target))
         await backend.async_crash()
         task = asyncio.create_task(self._async_restart(backend))
         self.restarts.add(task)
@@ -124,12 +141,13 @@
         self.count += 1
         return f"i-{self.count:03}"
 
-    def sent_after(self, ends: int, seconds: float) -> int:
-        """Return how many fatal requests came later than so long after an end."""
-        if len(self.ends) < ends:
-            return 0
-        since = sorted(self.ends)[ends - 1] + seconds
-        return sum(at > since for at in self.arrivals)
+    def sent_after(self, ends: int, seconds: float, target: str) -> list[Arrival]:
+        """Return which fatal requests came later than so long after an end."""
+        times = sorted(at for at, fatal in self.ends if fatal == target)
+        if len(times) < ends:
+            return []
+        since = times[ends - 1] + seconds
+        return [row for row in self.arrivals if row.target == target and row.at > since]
 
     def stop(self) -> None:
         """Start no run any more."""
@@ -201,14 +219,15 @@
     async def _async_send(self, node: Node, target: str) -> None:
         """Send one request and keep how it ended."""
         sent_at = time.monotonic()
+        request_id = self.fleet.next_id()
         try:
             async with asyncio.timeout(CALL_SECONDS):
                 status, _, _ = await self.fleet.async_call(
-                    node, target, self.key, self.method, self.body
+                    node, target, self.key, self.method, self.body, request_id
                 )
         except (aiohttp.ClientError, TimeoutError):
             status = NO_HOST
-        self.outcomes.append(Outcome(sent_at, status))
+        self.outcomes.append(Outcome(sent_at, status, node.name, request_id))
 
     def unserved_since(self, since: float) -> list[Outcome]:
         """Return what was sent after a time and got no good answer."""
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -185,6 +185,11 @@
         }
         self.put(f"servers/{backend.instance}", document)
 
+    def next_id(self) -> str:
+        """Return the id of a new request."""
+        self.count += 1
+        return f"id-{self.count}"
+
     async def async_call(
         self,
         node: Node,
@@ -192,10 +197,10 @@
         key: str = "1",
         method: str = "GET",
         body: bytes | None = None,
+        request_id: str | None = None,
     ) -> tuple[int, str, str]:
         """Send a request; return its status, the server that ran it, and its id."""
-        self.count += 1
-        request_id = f"id-{self.count}"
+        request_id = request_id or self.next_id()
         headers = {
             "Host": HOST,
             "X-Greengagepoint-Request-Id": request_id,
