Call what tells peers a notifier, as the field does

NewsTeller, its module and its methods: PeerNotifier, peer_notifier, notify, pending. No behaviour changes; the path on the wire stays. The soak no longer asks for more servers than are left.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -33,7 +33,7 @@
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
 from greengagepoint_node.gateway.news_guard import NewsGuard
-from greengagepoint_node.gateway.news_teller import NEWS_PATH
+from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
 from greengagepoint_node.gateway.peer_session import create_peer_session
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -47,8 +47,8 @@
     HostTable,
 )
 from greengagepoint_node.gateway.news_ages import NewsAges
-from greengagepoint_node.gateway.news_teller import NewsTeller
 from greengagepoint_node.gateway.packing import ItemPacker
+from greengagepoint_node.gateway.peer_notifier import PeerNotifier
 from greengagepoint_node.gateway.suspect_news import NoSuspects, SuspectNews
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
 from greengagepoint_node.gateway.view import LAPSED_SECONDS, FleetView
@@ -107,14 +107,14 @@
         self.partial_revision = 0
         self.link = LinkDelay()
         self.under_way: dict[str, asyncio.Task[None]] = {}
-        self.teller = NewsTeller(
+        self.notifier = PeerNotifier(
             session,
             clock,
             lambda before: self._message(before, []),
             self._note_failure,
             self.bytes,
         )
-        self.early_teller = NewsTeller(
+        self.early_notifier = PeerNotifier(
             session, clock, self._partial_message, self._note_failure, self.bytes
         )
         self.asked_for_news_at: float | None = None
@@ -166,11 +166,11 @@
             entry = state.entry
             if entry.name == self.own.entry.name or not self.table.is_near(entry):
                 continue
-            self.teller.tell(entry.peer_address, before)
+            self.notifier.notify(entry.peer_address, before)
             # A large value waits for its turn, and for full links. Told of with it, a
             # server that leaves would be used for as long.
-            if large or (splits and entry.peer_address in self.teller.large):
-                self.early_teller.tell(entry.peer_address, before)
+            if large or (splits and entry.peer_address in self.notifier.large):
+                self.early_notifier.notify(entry.peer_address, before)
 
     def _start(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Run one task for a peer at a time; one that is behind asks by itself."""
--- a/packages/node/greengagepoint_node/gateway/news_teller.py
+++ b/packages/node/greengagepoint_node/gateway/peer_notifier.py
@@ -13,10 +13,10 @@
 
 NEWS_PATH: Final = "/v1/news"
 # A peer that takes longer, beside the time for the bytes, is busy or gone.
-TELL_SECONDS: Final = 0.6
+NOTIFY_SECONDS: Final = 0.6
 # A peer that is gone takes no place among the large sends for longer.
 LARGE_CONNECT: Final = aiohttp.ClientTimeout(sock_connect=0.3)
-CONNECT: Final = aiohttp.ClientTimeout(sock_connect=TELL_SECONDS)
+CONNECT: Final = aiohttp.ClientTimeout(sock_connect=NOTIFY_SECONDS)
 # A message of this size is sent to a few peers at a time. Sent to twenty at once over a
 # link of 5 Mbit/s, 100 KB come through to none of them before the wait for it ends.
 LARGE_BYTES: Final = 16 * 1024
@@ -25,7 +25,7 @@
 SAME_NEWS_SECONDS: Final = 0.05
 
 
-class EncodedNews(NamedTuple):
+class EncodedUpdate(NamedTuple):
     """A message for several peers: what it was made of, when, and its bytes."""
 
     before: int
@@ -33,7 +33,7 @@
     body: bytes
 
 
-class NewsTeller:
+class PeerNotifier:
     """Send each peer one message at a time, always the newest.
 
     ``message`` makes the one for peers that were told all up to a revision; ``failed``
@@ -55,30 +55,30 @@
         self.failed = failed
         self.sent_bytes = sent_bytes
         self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
-        self.untold: dict[str, int] = {}
+        self.pending: dict[str, int] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.large: set[str] = set()
-        self.encoded: EncodedNews | None = None
+        self.encoded: EncodedUpdate | None = None
 
-    def tell(self, address: str, before: int) -> None:
+    def notify(self, address: str, before: int) -> None:
         """Tell a peer what is new since a revision.
 
         What comes while a send to it is under way goes with the next one. Dropped, the
         peer would have an old version, and no word that there is a newer one.
         """
-        self.untold[address] = min(before, self.untold.get(address, before))
+        self.pending[address] = min(before, self.pending.get(address, before))
         # What was encoded before is older than what there is to tell now.
         self.encoded = None
         if address in self.tasks:
             return
-        task = asyncio.get_running_loop().create_task(self._async_tell(address))
+        task = asyncio.get_running_loop().create_task(self._async_notify(address))
         self.tasks[address] = task
 
-    async def _async_tell(self, address: str) -> None:
+    async def _async_notify(self, address: str) -> None:
         """Send until the peer has been told the newest."""
         try:
-            while address in self.untold:
-                if len(self._body(self.untold[address])) < LARGE_BYTES:
+            while address in self.pending:
+                if len(self._body(self.pending[address])) < LARGE_BYTES:
                     await self.async_send(address)
                     continue
                 self.large.add(address)
@@ -97,12 +97,12 @@
         It is encoded only now: after a wait for its turn it would seem fresher to the
         peer than it is.
         """
-        body = self._body(self.untold.pop(address))
+        body = self._body(self.pending.pop(address))
         self.sent_bytes["news", "sent"] += len(body)
         url = f"http://{address}{NEWS_PATH}"
         connect = LARGE_CONNECT if len(body) >= LARGE_BYTES else CONNECT
         try:
-            async with asyncio.timeout(TELL_SECONDS + send_seconds(len(body))):
+            async with asyncio.timeout(NOTIFY_SECONDS + send_seconds(len(body))):
                 async with self.session.post(url, data=body, timeout=connect) as answer:
                     await answer.read()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
@@ -117,6 +117,6 @@
             or known.before != before
             or now - known.at > SAME_NEWS_SECONDS
         ):
-            known = EncodedNews(before, now, encode(self.message(before)))
+            known = EncodedUpdate(before, now, encode(self.message(before)))
             self.encoded = known
         return known.body
--- a/packages/node/greengagepoint_node/gateway/quarantine_sync.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_sync.py
@@ -54,13 +54,13 @@
         self.random = random
         self.events = events
         self.transferred = transferred
-        self.untold: dict[str, None] = {}
+        self.pending: dict[str, None] = {}
         self.wake = asyncio.Event()
         self.sends: set[asyncio.Task[None]] = set()
 
     def notify(self, contents: list[str]) -> None:
         """Tell peers soon what is known of some contents."""
-        self.untold.update(dict.fromkeys(contents))
+        self.pending.update(dict.fromkeys(contents))
         self.wake.set()
 
     def shared(self) -> list[SharedSuspect]:
@@ -75,7 +75,7 @@
             await self.wake.wait()
             await asyncio.sleep(GATHER_SECONDS)
             self._send_some()
-            if not self.untold:
+            if not self.pending:
                 self.wake.clear()
             await asyncio.sleep(PAUSE_SECONDS)
 
@@ -103,10 +103,10 @@
     def _send_some(self) -> None:
         """Send the contents with most against them to a few peers."""
         table = self.quarantine.table
-        known = [content for content in self.untold if content in table.suspects]
+        known = [content for content in self.pending if content in table.suspects]
         known.sort(key=lambda row: -len(table.suspects[row].unsettled()))
         chosen, rest = known[:ROWS_MAX], known[ROWS_MAX:]
-        self.untold = dict.fromkeys(rest)
+        self.pending = dict.fromkeys(rest)
         if not chosen:
             return
         now = self.quarantine.clock.monotonic()
--- a/packages/standins/greengagepoint_standins/users_platform/crash_loop_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/crash_loop_soak.py
@@ -123,7 +123,7 @@
             await asyncio.sleep(fault.seconds)
             self.fleet.store.control.status = 0
         else:
-            count = 1 + fault.place % 4
+            count = min(1 + fault.place % 4, len(self.fleet.backends))
             lost = self.draw.sample(self.fleet.backends, count)
             await asyncio.gather(*(self.loop.async_end(row) for row in lost))
 
