Do not let two fatal requests that come together hide each other

What callers see: two requests that end servers come at the same pace; 10 and 11 servers are lost before both are refused, and one refusal is taken back in between.

Cause: a server that ended at the same moment without the request counted as a sign that all of them were lost together, as with a zone, and such ends count once a second. The servers that another fatal request ended were such signs.

Ruled out: late news (both requests' ends were known to all within the second), the paused host and the store's outage (all but four ends came before them).

Change: servers beneath a request that has ended more than one are no such sign. A lost zone leaves requests with one end each, so there the rule holds as before. Two and five requests together in a table of cases, which fail without the change.

--- a/packages/core/greengagepoint/quarantine/lost_servers.py
+++ b/packages/core/greengagepoint/quarantine/lost_servers.py
@@ -1,7 +1,7 @@
 """Know which runs of servers have ended, and which ended together."""
 
 from bisect import bisect_left, insort
-from collections.abc import Container
+from collections.abc import Callable
 from typing import Final
 
 from greengagepoint.quarantine.tables import ServerRun
@@ -31,13 +31,13 @@
             oldest, first = self.ordered[0]
             self._remove(first, oldest)
 
-    def any_near(self, at: float, but: Container[ServerRun]) -> bool:
-        """Tell whether another run ended at the same moment."""
+    def any_near(self, at: float, wanted: Callable[[ServerRun], bool]) -> bool:
+        """Tell whether one of the runs that are wanted ended at the same moment."""
         start = bisect_left(self.ordered, (at - TOGETHER_SECONDS,))
         for ended_at, run in self.ordered[start:]:
             if ended_at > at + TOGETHER_SECONDS:
                 return False
-            if run not in but:
+            if wanted(run):
                 return True
         return False
 
--- a/packages/core/greengagepoint/quarantine/quarantine.py
+++ b/packages/core/greengagepoint/quarantine/quarantine.py
@@ -46,6 +46,8 @@
         self.lost = LostServers()
         # The ends that a refused request accounts for, and which one it is.
         self.explained: dict[ServerRun, str] = {}
+        # The ends beneath requests that have more than one.
+        self.repeated: set[ServerRun] = set()
 
     def may_know(self, head: str) -> bool:
         """Tell whether a content with this head may be under suspicion."""
@@ -170,6 +172,7 @@
         self.lost.forget_before(now - FORGET_SECONDS)
         for run in self.explained.keys() - self.lost.ends.keys():
             del self.explained[run]
+        self.repeated &= self.lost.ends.keys()
 
     def _merge_one(self, row: SharedSuspect, now: float) -> bool:
         """Take in what a peer knows of one content; tell whether that was news."""
@@ -195,7 +198,11 @@
         suspect = self._suspect(content)
         if key not in suspect.ends:
             settled = settled or self.explained.get(key.run, content) != content
-        return suspect.add(key, at, settled=settled)
+        news = suspect.add(key, at, settled=settled)
+        runs = {known.run for known in suspect.ends}
+        if len(runs) >= ENDS_ALONE:
+            self.repeated |= runs
+        return news
 
     def _most_ends(self, suspect: Suspect) -> int:
         """Return how many ends count against a request of the caller with most."""
@@ -219,15 +226,24 @@
         return max(own, together, key=lambda times: (refused_until(times), len(times)))
 
     def _counted_of(self, suspect: Suspect, caller: str | None) -> list[float]:
-        """Return the times of the ends beneath one caller, or beneath all of them."""
+        """Return the times of the ends beneath one caller, or beneath all of them.
+
+        A server that ended at the same moment without the request speaks for a cause
+        that they share, unless another request has ended more than that one.
+        """
         runs = {
             key.run: end.at
             for key, end in suspect.unsettled().items()
             if caller is None or key.caller == caller
         }
         own = {key.run for key in suspect.ends}
-        moments = [EndMoment(at, self.lost.any_near(at, own)) for at in runs.values()]
-        return counted_ends(moments)
+
+        def is_other(lost: ServerRun) -> bool:
+            return lost not in own and lost not in self.repeated
+
+        return counted_ends(
+            EndMoment(at, self.lost.any_near(at, is_other)) for at in runs.values()
+        )
 
     def _clear_bystanders(self, content: str, now: float) -> None:
         """Clear others of the ends that a refused request explains."""
--- a/packages/core/tests/test_quarantine_table.py
+++ b/packages/core/tests/test_quarantine_table.py
@@ -120,6 +120,19 @@
     assert verdict(table, FATAL, last) is Verdict.QUARANTINED
 
 
+@pytest.mark.parametrize("count", [2, 5])
+def test_fatal_requests_that_come_together_do_not_hide_each_other(count):
+    table = Quarantine()
+    fatal = [Fingerprint(f"{number:032}", "caller") for number in range(count)]
+    for step in range(3):
+        for number, request in enumerate(fatal):
+            at = NOW + 0.3 * step + 0.01 * number
+            table.note_end(request, run(step * count + number), at)
+    assert {verdict(table, request, NOW + 1) for request in fatal} == {
+        Verdict.QUARANTINED
+    }
+
+
 def test_a_bystander_of_a_refused_request_is_cleared():
     table = Quarantine()
     end(table, INNOCENT, 1, 2)
@@ -250,9 +263,9 @@
 def test_what_a_refused_request_explains_is_forgotten():
     table = Quarantine()
     last = end(table, FATAL, 1, 2, 3)
-    assert table.explained
+    assert table.explained and table.repeated
     table.tick(last + FORGET_SECONDS + 1)
-    assert not table.explained
+    assert not table.explained and not table.repeated
 
 
 rows = st.builds(
