Write a refused request to the store at once, though it was left undecided

Cause: a request with two ends is left undecided for a second before it is written, and the time at which it was due stayed as it was when the third end came. At any ordinary pace, two ends come before the third, so each refusal was written a second late.

Change: what is due sooner by what is known now is due then. Test: fails without it.

--- a/packages/node/greengagepoint_node/gateway/quarantine_store.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_store.py
@@ -102,10 +102,14 @@
         held = self.quarantine.table.held(now)
         missing = [row for row in held if self._is_missing(row, held[row], now)]
         cleared = [row for row in self.stored if row not in held]
-        self.due_at = {
-            row: self.due_at.get(row, now + self._delay(row, held.get(row, 0.0)))
+        due_at = {
+            row: now + self._delay(row, held.get(row, 0.0))
             for row in (*missing, *cleared)
         }
+        # What is decided meanwhile is due at once, though it was left to be decided.
+        self.due_at = {
+            row: min(at, self.due_at.get(row, at)) for row, at in due_at.items()
+        }
         await self._async_write(self._due(missing, now), held, now)
         await self._async_remove(self._due(cleared, now))
 
--- a/packages/node/tests/test_gateway_quarantine_news.py
+++ b/packages/node/tests/test_gateway_quarantine_news.py
@@ -278,6 +278,18 @@
     assert list(keepers.store.entries) == [FATAL.content]
 
 
+async def test_a_third_end_is_written_though_two_were_left_undecided():
+    keepers = Keepers()
+    for number in range(2):
+        keepers.network.end("h0", number)
+    await keepers.network.async_settle()
+    await keepers.async_step()
+    keepers.network.end("h0", 2)
+    await keepers.network.async_settle()
+    await keepers.async_step()
+    assert list(keepers.store.entries) == [FATAL.content]
+
+
 async def test_thousands_of_fatal_requests_are_written_in_parts():
     keepers = Keepers()
     keepers.hosts = ["h0"]
