Pass on no news that a full table has dropped at once

A message of many requests at a host whose table is full of worse ones named contents that it no longer kept; looking up how many ends they have failed, and the peer's message with it. Found by reading; the test fails without the change.

--- a/packages/core/greengagepoint/quarantine/quarantine.py
+++ b/packages/core/greengagepoint/quarantine/quarantine.py
@@ -141,6 +141,8 @@
         for row in rows:
             if row.ends and self._merge_one(row, now):
                 changed.append(row.content)
+        # A full table may have dropped some for others.
+        changed = [content for content in changed if content in self.suspects]
         for content in changed:
             self._clear_bystanders(content, now)
         return changed
