Count each end of a server that starts again unheard

What callers would see: while the store is away, a service of two servers is ended by the same request again and again: hosts know no newer run of either, so its ends counted as two.

Change: an end of a run that ended over a second ago counts as another run's. Hosts that tell of one end do so within that second, or with its age.

--- a/packages/core/greengagepoint/quarantine/quarantine.py
+++ b/packages/core/greengagepoint/quarantine/quarantine.py
@@ -33,6 +33,8 @@
 SUSPECTS_MAX: Final = 2_048
 # Ends are kept for long after the longest refusal, so that a single one more is enough.
 FORGET_SECONDS: Final = 1_200.0
+# Hosts that tell of the same end do so within this.
+SAME_END_SECONDS: Final = 1.0
 # While one host tries a request, others wait for what comes of it.
 TRIAL_SECONDS: Final = 1.0
 
@@ -73,6 +75,7 @@
     def note_end(self, fingerprint: Fingerprint, run: ServerRun, now: float) -> bool:
         """Take in that a server ended with a request in flight; tell if it is news."""
         content = fingerprint.content
+        run = self._distinct(run, now)
         news = self._add(content, EndKey(run, fingerprint.caller), now)
         if news:
             self.suspects[content].changed_at = now
@@ -176,6 +179,17 @@
             del self.explained[run]
         self.repeated &= self.lost.ends.keys()
 
+    def _distinct(self, run: ServerRun, now: float) -> ServerRun:
+        """Return another run in place of one that has ended before.
+
+        While the store is away a server starts again unheard, and its ends would count
+        as one.
+        """
+        ended_at = self.lost.ends.get(run)
+        if ended_at is None or now - ended_at < SAME_END_SECONDS:
+            return run
+        return run._replace(born=run.born + int(now - ended_at))
+
     def _merge_one(self, row: SharedSuspect, now: float) -> bool:
         """Take in what a peer knows of one content; tell whether that was news."""
         news = False
--- a/packages/platform_tests/tests/test_platform_crash_loops.py
+++ b/packages/platform_tests/tests/test_platform_crash_loops.py
@@ -144,6 +144,16 @@
         assert late_sends(loop) <= LATE_SENDS_MAX
 
 
+async def test_two_servers_do_not_end_again_and_again_while_the_store_is_away(fleet):
+    async with async_crash_loop(fleet, 2, {FATAL}, same_id=True) as loop:
+        fleet.store.control.status = 503
+        fatal = Caller(fleet, fleet.nodes, lambda number: FATAL, "1", 0.5)
+        async with async_calling(fatal):
+            await async_third_end(fleet, loop)
+            await asyncio.sleep(CONTACT_SECONDS + 9.0)
+        assert late_sends(loop) <= LATE_SENDS_MAX
+
+
 async def test_an_operator_sees_and_lifts_a_refusal(fleet):
     async with async_crash_loop(fleet, SERVERS, {FATAL}) as loop:
         async with async_calling(fatal_caller(fleet)):
