--- a/packages/core/greengagepoint/placing/allowance.py
+++ b/packages/core/greengagepoint/placing/allowance.py
@@ -12,13 +12,11 @@
 from dataclasses import dataclass
 from typing import Final
 
-# Saved while all is well; a start with cold servers makes about 300 callers of a region
-# wait, on three hosts or four.
+# Saved while all is well, for a start at which all servers are cold.
 WAITING_MOST: Final = 60.0
-# In an overload that lasts, of a hundred callers so many may wait for a late answer.
+# In an overload that lasts, the share of callers that may wait for a late answer.
 WAITING_RATIO: Final = 0.08
-# Of a hundred callers so many may move their key to the server that should have it. At
-# 200 requests a second in a fleet that is four keys a second.
+# The share of callers that may move their key to the server that should have it.
 MOVING_RATIO: Final = 0.02
 MOVING_MOST: Final = 1.0
 
--- a/packages/core/greengagepoint/placing/typical_load.py
+++ b/packages/core/greengagepoint/placing/typical_load.py
@@ -11,8 +11,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-# Reports come with answers; so many tell the mean to 0.1 of a server's slots where
-# servers differ by a third. A host with two requests a second has them in 5 s.
+# Reports come with answers; so many tell the mean of servers that differ, and even a
+# quiet host has them within seconds.
 REPORTS_REMEMBERED: Final = 10
 # Loads of servers that differ by about half of their mean have a Gamma distribution of
 # this shape.
--- a/packages/core/greengagepoint/placing/warm_keys.py
+++ b/packages/core/greengagepoint/placing/warm_keys.py
@@ -11,10 +11,10 @@
 
 from greengagepoint.placing.tables import Incarnation
 
-# 10,000 keys of 25 bytes with two servers each take 3.5 MB.
+# Bounds the memory for keys and the servers of each.
 KEYS_MAX: Final = 10_000
-# Servers keep the last 29 to 67 objects that they worked on. Where each has a few times
-# fewer keys, one that was used this lately is still among them.
+# Servers keep the last few dozen objects that they worked on; one that was used this
+# lately is still among them.
 WARM_SECONDS: Final = 20.0
 
 
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -29,10 +29,8 @@
     """How requests under one path prefix of one host are treated.
 
     ``rank`` is the order under overload, 0 first. ``home_regions`` empty means any.
-    Nothing in a route leads back to it, so the garbage collector need not know it:
-    5,000 that it knew made each full collection 10 ms of processor time longer, in one
-    step of the event loop; unknown, they make it 1 ms longer (``gc.collect`` timed
-    with such a table and without).
+    Nothing in a route leads back to it, so the garbage collector need not know it; a
+    full collection would walk through thousands of them in one step of the event loop.
     """
 
     name: str
--- a/packages/node/greengagepoint_node/gateway/delays.py
+++ b/packages/node/greengagepoint_node/gateway/delays.py
@@ -4,7 +4,7 @@
 from typing import Final, NamedTuple
 
 # A peer that was suspended is behind by that time for good, and all it sends looks
-# late. At this rate a pause of 2 s is forgotten after 40 s.
+# late. This lets it catch up slowly.
 FLOOR_RISE_PER_SECOND: Final = 0.05
 
 
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -125,8 +125,8 @@
         """Tell whether a call that began at a time may bring what peers did not.
 
         An answer that peers have made needless is given up: on a small link it holds up
-        what they and callers send. 4,200 routes are 1.1 MB from the store and 58 KB
-        from a peer. Word of peers from before the call is older than its answer.
+        what they and callers send, and a large configuration is many times smaller from
+        a peer. Word of peers from before the call is older than its answer.
         """
         return self._needs_store() or self.news.ages.peers_at <= began
 
--- a/packages/node/greengagepoint_node/gateway/tries.py
+++ b/packages/node/greengagepoint_node/gateway/tries.py
@@ -8,9 +8,9 @@
 
 # How tries end of which their server got nothing, while there is time for another one.
 UNSENT: Final = frozenset({Verdict.UNREACHABLE, Verdict.LEFT})
-# Servers that could not be reached are tried beside those that a route allows. Of ten
-# servers three may be lost at once with their zone; then one request in 37 meets three
-# such servers in a row. Each takes up to 0.6 s, so more would use up short deadlines.
+# Servers that could not be reached are tried beside those that a route allows. With a
+# lost zone, few requests meet more of them in a row, and each uses up part of a short
+# deadline.
 UNREACHED_MAX: Final = 3
 
 
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -135,8 +135,8 @@
         """Return what a peer at a revision lacks.
 
         That is everything where this host may not know all removals since. The items
-        alone would leave the peer with servers that left meanwhile: after a cut of some
-        hosts and a restart of others, two hosts sent to such servers 13 s later.
+        alone would leave the peer with servers that left meanwhile, as after a cut of
+        some hosts and a restart of others.
         """
         if revision < self.removed_complete_after:
             return Snapshot(tuple(self._items()), self.revision)
