Take the bound on spread news from the aim, not from what was measured

Change: all hosts must refuse the request after the exchanges of tables that fit into the 3 s in which users allow any sends; stricter, and it holds. The test of a request that is answered between kills also looks that no host refused it, in place of its share of answers alone.

--- a/packages/core/tests/test_quarantine_table.py
+++ b/packages/core/tests/test_quarantine_table.py
@@ -254,12 +254,12 @@
 
 
 def test_news_that_a_full_table_drops_at_once_is_no_news():
-    table, teller = Quarantine(), Quarantine()
+    table, peer = Quarantine(), Quarantine()
     for number in range(SUSPECTS_MAX):
         end(table, Fingerprint(f"{number:032}", "c"), 2 * number, 2 * number + 1)
     for number in range(3):
-        end(teller, Fingerprint(f"{number:031}x", "c"), number)
-    changed = table.merge(teller.shared(teller.suspects, NOW), NOW)
+        end(peer, Fingerprint(f"{number:031}x", "c"), number)
+    changed = table.merge(peer.shared(peer.suspects, NOW), NOW)
     assert set(changed) <= set(table.suspects)
     assert len(table.suspects) == SUSPECTS_MAX
 
--- a/packages/node/tests/test_gateway_quarantine_news.py
+++ b/packages/node/tests/test_gateway_quarantine_news.py
@@ -19,6 +19,7 @@
     RemovedKey,
     StoredItem,
 )
+from greengagepoint_node.gateway.gossip import PERIOD_SECONDS
 from greengagepoint_node.gateway.quarantine_store import (
     ENTRIES_MAX,
     KEEP_SECONDS,
@@ -37,6 +38,8 @@
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.view import FleetView
 
+# Users allow three more sends from then on.
+CONTACT_SECONDS = 3.0
 FATAL = Fingerprint("f" * 32, "caller")
 HOSTS = [f"h{number}" for number in range(6)]
 
@@ -87,6 +90,15 @@
         verdicts = [table.standing(FATAL, now).verdict for table in tables]
         return verdicts.count(Verdict.QUARANTINED)
 
+    def exchange(self):
+        """Let each host exchange tables with another one."""
+        for sync in self.syncs.values():
+            peers = sync.peers()
+            other = self.syncs[peers[self.random.randrange(len(peers))]]
+            told = other.shared()
+            other.take(sync.shared())
+            sync.take(told)
+
     async def async_settle(self):
         """Let all hosts send until nobody has anything left to tell."""
         for _ in range(40):
@@ -102,9 +114,11 @@
     for number in range(3):
         network.end(f"h{number}", number)
     await network.async_settle()
-    # Passed on once by each, news misses a few of many; the next exchange brings it.
-    assert network.refusing() >= 0.97 * count
     assert network.sent <= 3 * FANOUT * count
+    # Passed on once by each, news misses a few of many; exchanges bring it in time.
+    for _ in range(int(CONTACT_SECONDS / PERIOD_SECONDS)):
+        network.exchange()
+    assert network.refusing() == count
 
 
 async def test_an_exchange_brings_what_lost_messages_did_not():
--- a/packages/platform_tests/tests/test_platform_crash_loops.py
+++ b/packages/platform_tests/tests/test_platform_crash_loops.py
@@ -200,3 +200,5 @@
         statuses = [row.status for row in caller.outcomes]
         assert statuses.count(200) > 0.8 * len(statuses)
         assert not caller.unserved_since(killed_at + 1.0)
+        for node in fleet.nodes:
+            assert "request_quarantined" not in node.events()
