--- /dev/null
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -0,0 +1,215 @@
+"""Add up what all hosts admit of each account, and say which share may go on.
+
+Load answered: one account asks several times its limit through all hosts at once, or
+its limit is lowered below what it asks, beside accounts so small that a host sees one
+of their requests a minute. An even part of a small account's limit is less than one
+request, so no host may be held to its part while the whole is within the limit: all is
+admitted until the sum nears the limit, and from then on each request with the same
+probability, whichever host it comes to.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Final
+
+from greengagepoint.accounts.messages import LimitRow, UsageReport, UsageRow
+from greengagepoint.accounts.rates import Rate
+from greengagepoint.accounts.tables import Account
+
+# What is asked of an account is averaged over this; a surge shows within half of it.
+ASKED_SECONDS: Final = 0.5
+# What the bucket holds beyond the rate is given out over this.
+LEVEL_SECONDS: Final = 1.0
+# A host that has not reported for so long goes on with its part of the limit.
+SILENT_SECONDS: Final = 0.6
+# Hosts that were over the limit for longer had been told so before they fell silent.
+HELD_SECONDS: Final = 2 * SILENT_SECONDS
+# After which nothing is known of what was admitted meanwhile.
+UNINFORMED_SECONDS: Final = 1.5
+RATE_MIN: Final = 1e-3
+PART_MIN: Final = 1e-3
+PART_SECONDS: Final = 2.0
+# Requests a second below which an account is small: they tell too little of where they
+# are asked, and no host that is cut off gets enough of them to matter.
+SMALL_RATE: Final = 10.0
+
+
+@dataclass(slots=True)
+class AccountUse:
+    """What is known of one account; ``level`` is what its bucket holds.
+
+    ``heard_part`` is the part of the limit that hosts use which are heard of; the rest
+    is left to those that are not. ``over_since`` is infinite while all is admitted.
+    """
+
+    level: float
+    filled_at: float
+    heard_part: float = 1.0
+    over_since: float = math.inf
+    asked: Rate = field(default_factory=lambda: Rate(ASKED_SECONDS))
+    asked_of_late: Rate = field(default_factory=lambda: Rate(PART_SECONDS))
+
+    def fill(self, account: Account, now: float) -> None:
+        """Add what the rate has given since the last time, up to the burst."""
+        gained = self.rate(account) * max(0.0, now - self.filled_at)
+        self.level = min(account.burst, self.level + gained)
+        self.filled_at = now
+
+    def leave(self, silent_part: float, account: Account, now: float) -> None:
+        """Leave a part of the rate to hosts that are silent, and once of the burst.
+
+        They hold none of the burst that were told that the account is over its limit.
+        """
+        part = max(PART_MIN, 1.0 - silent_part)
+        if now - self.over_since < HELD_SECONDS:
+            self.level -= max(0.0, self.heard_part - part) * account.burst
+        self.heard_part = part
+
+    def rate(self, account: Account) -> float:
+        """Return the requests a second of the hosts that are heard of."""
+        return account.requests_per_second * self.heard_part
+
+
+@dataclass(slots=True)
+class Reporter:
+    """A host, or another region's ledger, with what it told last.
+
+    ``parts`` are its parts of what was asked of each account then, ``silent_parts``
+    those of hosts that it no longer hears.
+    """
+
+    started: int
+    heard_at: float
+    rows: dict[str, UsageRow] = field(default_factory=dict)
+    asked: dict[str, Rate] = field(default_factory=dict)
+    parts: dict[str, float] = field(default_factory=dict)
+    silent_parts: dict[str, float] = field(default_factory=dict)
+
+
+class UsageLedger:
+    """Sum up reports; ``silent_seconds_max`` is how long a cut-off host may admit.
+
+    A ledger that begins to hear reports does not know what was admitted before, so its
+    buckets start empty: for a moment only the rate is given out.
+    """
+
+    def __init__(self, silent_seconds_max: float) -> None:
+        self.silent_seconds_max = silent_seconds_max
+        self.reporters: dict[str, Reporter] = {}
+        self.uses: dict[str, AccountUse] = {}
+        self.sums: dict[str, UsageRow] = {}
+        self.silent_parts: Counter[str] = Counter()
+        self.informed_since = 0.0
+        self.heard_at = -math.inf
+
+    def take(
+        self, report: UsageReport, accounts: Mapping[str, Account], now: float
+    ) -> None:
+        """Take in a report.
+
+        The first one of a host that others answered before only tells where it stands.
+        """
+        if now - self.heard_at > UNINFORMED_SECONDS:
+            self.uses.clear()
+            self.informed_since = now
+        if not report.summed:
+            self.heard_at = now
+        reporter = self.reporters.get(report.host)
+        known = reporter is not None and reporter.started == report.started
+        if reporter is None or not known:
+            reporter = Reporter(report.started, now)
+            self.reporters[report.host] = reporter
+        reporter.heard_at = now
+        reporter.silent_parts = report.silent_parts
+        for row in report.rows:
+            counts = known or report.unanswered
+            self._take_row(reporter, row, accounts, now, counts, report.summed)
+
+    def _take_row(
+        self,
+        reporter: Reporter,
+        row: UsageRow,
+        accounts: Mapping[str, Account],
+        now: float,
+        counts: bool,
+        summed: bool,
+    ) -> None:
+        """Count what is new of one account."""
+        before = reporter.rows.get(row.account)
+        reporter.rows[row.account] = row
+        account = accounts.get(row.account)
+        if account is None or (before is None and not counts):
+            return
+        asked = row.asked - (before.asked if before else 0)
+        admitted = row.admitted - (before.admitted if before else 0)
+        if asked < 0 or admitted < 0:
+            return
+        use = self._use(account, now)
+        use.fill(account, now)
+        use.level -= admitted
+        use.asked.add(asked, now)
+        use.asked_of_late.add(asked, now)
+        rate = reporter.asked.setdefault(row.account, Rate(PART_SECONDS))
+        rate.add(asked, now)
+        total_rate = max(RATE_MIN, use.asked_of_late.read(now))
+        reporter.parts[row.account] = rate.read(now) / total_rate
+        if not summed:
+            total = self.sums.setdefault(row.account, UsageRow(row.account, 0, 0))
+            total.asked += asked
+            total.admitted += admitted
+
+    def _use(self, account: Account, now: float) -> AccountUse:
+        """Return what is known of an account's use."""
+        use = self.uses.get(account.name)
+        if use is None:
+            # Nothing of it was asked since the ledger began to hear.
+            gained = account.requests_per_second * (now - self.informed_since)
+            use = AccountUse(min(account.burst, gained), now)
+            self.uses[account.name] = use
+        return use
+
+    def limit(self, account: Account, now: float) -> LimitRow:
+        """Return which share of an account's requests may be admitted now."""
+        use = self._use(account, now)
+        use.fill(account, now)
+        asked = use.asked.read(now)
+        if not account.limited or asked < RATE_MIN:
+            return LimitRow(account.name, 1.0, asked)
+        room = use.rate(account) + use.level / LEVEL_SECONDS
+        share = min(1.0, max(0.0, room / asked))
+        use.over_since = min(use.over_since, now) if share < 1.0 else math.inf
+        return LimitRow(account.name, share, asked / use.heard_part)
+
+    def limits(
+        self, accounts: Mapping[str, Account], reported: Iterable[str], now: float
+    ) -> list[LimitRow]:
+        """Return all accounts that are over their limits, and those reported."""
+        wanted = set(reported)
+        rows = []
+        for name in self.uses.keys() | wanted:
+            account = accounts.get(name)
+            if account is None or not account.limited:
+                continue
+            row = self.limit(account, now)
+            if row.share < 1.0 or name in wanted:
+                rows.append(row)
+        return rows
+
+    def tick(self, accounts: Mapping[str, Account], now: float) -> None:
+        """Leave their parts to hosts that are silent, until they can't use them."""
+        self.silent_parts.clear()
+        for name, reporter in list(self.reporters.items()):
+            if now - reporter.heard_at > self.silent_seconds_max:
+                del self.reporters[name]
+            elif now - reporter.heard_at > SILENT_SECONDS:
+                self.silent_parts.update(reporter.parts)
+        silent = Counter(self.silent_parts)
+        for reporter in self.reporters.values():
+            silent.update(reporter.silent_parts)
+        for name, use in self.uses.items():
+            account = accounts.get(name)
+            if account is not None and account.requests_per_second >= SMALL_RATE:
+                use.fill(account, now)
+                use.leave(silent[name], account, now)
--- /dev/null
+++ b/packages/core/greengagepoint/accounts/rates.py
@@ -0,0 +1,22 @@
+"""Average a rate over the last moments."""
+
+import math
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Rate:
+    """Events a second, where each counts less the longer ago it was."""
+
+    seconds: float
+    value: float = 0.0
+    at: float = 0.0
+
+    def add(self, count: int, now: float) -> None:
+        """Count what came just now."""
+        self.value = self.read(now) + count / self.seconds
+        self.at = now
+
+    def read(self, now: float) -> float:
+        """Return the rate now."""
+        return self.value * math.exp(-max(0.0, now - self.at) / self.seconds)
--- /dev/null
+++ b/packages/core/tests/test_accounts_limits.py
@@ -0,0 +1,151 @@
+"""Play accounts over many hosts and check their limits, and what is refused inside."""
+
+import random
+
+import pytest
+
+from greengagepoint.accounts.gate import AccountGate
+from greengagepoint.accounts.ledger import UsageLedger
+from greengagepoint.accounts.messages import LimitRow, UsageReport, UsageRow
+from greengagepoint.accounts.tables import Account
+from greengagepoint_standins.accounts_world import (
+    EVEN,
+    PARTS,
+    SHARES,
+    AccountsWorld,
+    Fault,
+    long_tail,
+    total,
+)
+
+USUAL = long_tail(20, 300.0)
+SECONDS = 14.0
+
+
+def hot(account, factor=7.5, at=6.0):
+    return lambda name, now: factor if name == account and now >= at else 1.0
+
+
+def lowered(name, rate, now):
+    return rate / 8 if name == "account-0" and now > 5 else rate
+
+
+def moved(now):
+    return [1.0, 1.0, 1.0] if now < 6 else [0.2, 1.8, 1.0]
+
+
+CASES = {
+    "calm": {},
+    "the largest floods": {"factor": hot("account-0")},
+    "a middling one floods": {"factor": hot("account-5")},
+    "a small one floods": {"factor": hot("account-19")},
+    "lowered far below what is asked": {"rate": lowered},
+    "callers move to another region": {"moves": moved},
+    "a third cut off beside a flood": {
+        "factor": hot("account-0"),
+        "faults": (Fault("cut", 6.0, 9.0, 0.3),),
+    },
+    "all killed in a flood": {
+        "factor": hot("account-0"),
+        "faults": (Fault("restart", 8.0, 1.0, 1.0),),
+    },
+    "half killed in a flood": {
+        "factor": hot("account-5"),
+        "faults": (Fault("restart", 8.0, 2.0, 0.55),),
+    },
+}
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_no_account_runs_more_than_its_limit_over_all_hosts(case):
+    """Guards against hosts that each keep a limit and break it together."""
+    outcomes = AccountsWorld(USUAL, hosts=30, **CASES[case]).run(SECONDS)
+    assert total(outcomes)["over"] <= 0
+
+
+@pytest.mark.parametrize("case", ["calm", "callers move to another region"])
+@pytest.mark.parametrize("seed", [1, 2])
+def test_what_lies_inside_the_limits_is_admitted(case, seed):
+    """Guards against parts too small for the request that comes to a host."""
+    outcomes = AccountsWorld(USUAL, hosts=30, seed=seed, **CASES[case]).run(SECONDS)
+    assert total(outcomes)["refused"] < 0.002
+
+
+def test_told_shares_refuse_less_inside_than_parts_of_each_host():
+    refused = {
+        way: total(AccountsWorld(USUAL, hosts=30, way=way).run(SECONDS))["refused"]
+        for way in (SHARES, PARTS, EVEN)
+    }
+    assert refused[SHARES] < refused[PARTS] < refused[EVEN]
+
+
+SMALL = Account(name="a", requests_per_second=10.0, burst=10.0)
+ACCOUNTS = {"a": SMALL}
+
+
+def reported(ledger, now, asked, admitted, host="h", started=1, *, summed=False):
+    rows = [UsageRow("a", asked, admitted)]
+    ledger.take(UsageReport(host, started, rows, summed), ACCOUNTS, now)
+
+
+@pytest.mark.parametrize(
+    ("reports", "share"),
+    [
+        # A ledger does not know what was admitted before its first report.
+        ([(0.0, 500, 500)], 1.0),
+        ([(0.0, 0, 0), (1.0, 5, 5)], 1.0),
+        ([(0.0, 0, 0), (1.0, 100, 10)], 0.05),
+        ([(0.0, 0, 0), (1.0, 100, 100)], 0.0),
+    ],
+)
+def test_a_share_follows_what_was_admitted(reports, share):
+    ledger = UsageLedger(5.0)
+    for now, asked, admitted in reports:
+        reported(ledger, now, asked, admitted)
+    assert ledger.limit(SMALL, now).share == pytest.approx(share, abs=0.01)
+
+
+def test_a_host_that_falls_silent_keeps_its_part_of_the_limit():
+    """Guards against the others using what a host that is cut off goes on using."""
+    ledger = UsageLedger(5.0)
+    for host in ("h", "silent"):
+        reported(ledger, 0.0, 0, 0, host)
+    for step in range(1, 20):
+        now = step * 0.2
+        ledger.tick(ACCOUNTS, now)
+        reported(ledger, now, 8 * step, step, "h")
+        if now < 2:
+            reported(ledger, now, 8 * step, step, "silent")
+    given = ledger.limit(SMALL, now).share * 8 / 0.2
+    assert 1.0 < given <= SMALL.requests_per_second / 2 * 1.1
+
+
+def test_rows_that_were_not_answered_are_reported_again():
+    gate = AccountGate(random.Random(1))
+    gate.admit(SMALL, 1.0)
+    rows = gate.report()
+    assert gate.report() == []
+    gate.take_back(rows)
+    gate.admit(SMALL, 1.1)
+    assert [row.asked for row in gate.report()] == [2]
+
+
+@pytest.mark.parametrize(
+    ("told", "now", "admitted"),
+    [
+        ([LimitRow("a", 1.0, 20.0)], 1.5, 20),
+        ([LimitRow("a", 0.0, 20.0)], 1.5, 0),
+        ([], 1.5, 20),
+        # Told too long ago: the host keeps to its part of the limit.
+        ([LimitRow("a", 1.0, 200.0)], 9.0, 1),
+    ],
+)
+def test_a_host_admits_what_it_was_told(told, now, admitted):
+    gate = AccountGate(random.Random(1))
+    gate.hosts = 50
+    gate.told([], 0.8, 0.8)
+    gate.admit(SMALL, 0.9)
+    gate.told(told, 1.0, 1.0)
+    results = [gate.admit(SMALL, now) for _ in range(20)]
+    assert sum(row.admitted for row in results) == admitted
+    assert all(row.retry_seconds > 0 for row in results if not row.admitted)
