Serve client accounts: identify callers, hide keys, keep caps and home regions

What callers saw: none (the contracts are new).

Change: accounts are read in parts beside routes. A request on a route that is not public needs a key that an account holds: 401 else, 503 where this host's news is too old to know. The account's name is set by the host whatever the caller sent; its key goes no further than the check. Rank and home regions of the account bind. One host a region, the one that watches the store, adds up the use of accounts; reports to it also bring proofs of the newest configuration, so certainty costs no calls to the store.

--- a/packages/core/greengagepoint/errors.py
+++ b/packages/core/greengagepoint/errors.py
@@ -24,6 +24,7 @@
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_TEAM = "unknown_team"
     TEAM_LIMIT = "team_limit"
+    ACCOUNT_LIMIT = "account_limit"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     NO_HEADROOM = "no_headroom"
@@ -86,6 +87,9 @@
     ErrorKind.TEAM_LIMIT: _answer(
         429, "The team is over its limit.", retry_after_seconds=1
     ),
+    ErrorKind.ACCOUNT_LIMIT: _answer(
+        429, "The client account is over its limit.", retry_after_seconds=1
+    ),
     ErrorKind.OVERLOADED: _answer(
         503, "The service is overloaded.", retry_after_seconds=1
     ),
--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -66,6 +66,7 @@
     SHIFT_HELD_BACK = 5007
     SHIFT_FINISHED = 5008
     SHIFT_REVERSED = 5009
+    ACCOUNT_LIMIT_CHANGED = 5010
     # 6000: backend servers
     BACKEND_SERVER_EJECTED = 6001
     BACKEND_SERVER_READMITTED = 6002
@@ -192,6 +193,9 @@
     ),
     Event.SHIFT_FINISHED: EventType(Level.INFO, "A shift reached its target."),
     Event.SHIFT_REVERSED: EventType(Level.INFO, "A shift was reversed."),
+    Event.ACCOUNT_LIMIT_CHANGED: EventType(
+        Level.INFO, "A client account went over its limit, or is within it again."
+    ),
     Event.BACKEND_SERVER_EJECTED: EventType(
         Level.WARNING, "A backend server was ejected for its failures."
     ),
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -1,11 +1,14 @@
 """What operators say of routes, services and callers' limits."""
 
 from bisect import bisect_left
+from collections.abc import Iterable
 from enum import StrEnum
 from typing import Final
 
 import msgspec
 
+from greengagepoint.accounts.tables import Account, AccountTable
+
 
 class RequestKind(StrEnum):
     """What a request's kind says of repeating it."""
@@ -29,6 +32,7 @@
     """How requests under one path prefix of one host are treated.
 
     ``rank`` is the order under overload, 0 first. ``home_regions`` empty means any.
+    Callers of a ``public`` route need no key of an account.
     Nothing in a route leads back to it, so the garbage collector need not know it; a
     full collection would walk through thousands of them in one step of the event loop.
     """
@@ -43,6 +47,7 @@
     rank: int = 0
     affinity: bool = False
     home_regions: frozenset[str] = frozenset()
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -119,10 +124,11 @@
     services: dict[str, ServicePolicy]
     limits: CallerLimits = CallerLimits()
     urgent_ranks: dict[str, int] = {}
+    accounts: AccountTable = msgspec.field(default_factory=AccountTable)
 
-    def is_urgent(self, route: Route, service: str) -> bool:
-        """Tell whether no request to a service comes before those of a route."""
-        return route.rank <= self.urgent_ranks.get(service, route.rank)
+    def is_urgent(self, rank: int, service: str) -> bool:
+        """Tell whether no request to a service comes before those of a rank."""
+        return rank <= self.urgent_ranks.get(service, rank)
 
 
 class RouteTableBuilder:
@@ -138,6 +144,11 @@
         self.hosts: dict[str, HostRoutes] = {}
         self.services: dict[str, ServicePolicy] = {}
         self.urgent_ranks: dict[str, int] = {}
+        self.accounts = AccountTable()
+
+    def add_account(self, account: Account, keys: Iterable[str]) -> None:
+        """Add a client account with its keys; raise ValueError that names no key."""
+        self.accounts.add(account, keys)
 
     def add_route(self, host: str, route: Route) -> None:
         """Add a route of a host name, whatever the case of the name's letters."""
@@ -158,6 +169,7 @@
             services=self.services,
             limits=self.limits,
             urgent_ranks=self.urgent_ranks,
+            accounts=self.accounts,
         )
 
 
--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from greengagepoint.accounts.tables import Account
 from greengagepoint.errors import ErrorKind
 from greengagepoint.routing.tables import Route, RouteTable, find_route
 from greengagepoint_node.gateway.names import HeaderNames
@@ -15,12 +16,15 @@
 DEADLINE_DEFAULT_SECONDS: Final = 10.0
 # Of a name or path that no route knows; callers choose how long they are.
 LOGGED_CHARACTERS_MAX: Final = 100
+# Only another configuration can give such a request a place.
+NO_REGION_SECONDS: Final = 5.0
 
 
 class Call(NamedTuple):
     """One caller's request; times are monotonic seconds.
 
     ``key`` names the object that the request concerns, for routes with affinity.
+    ``account`` is None for a caller that needs none, and has not shown one.
     """
 
     request_id: str
@@ -30,6 +34,15 @@
     target: str
     arrived_at: float
     ends_at: float
+    account: Account | None = None
+    home_regions: frozenset[str] = frozenset()
+
+    @property
+    def rank(self) -> int:
+        """Return the order under overload, 0 first; an account's goes first."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
 
 
 def match_route(
@@ -61,6 +74,7 @@
     route: Route,
     service: str,
     arrived_at: float,
+    account: Account | None = None,
 ) -> Call:
     """Return the call that a request makes on a route."""
     key = read_cookie(request, names.affinity_cookie) if route.affinity else None
@@ -78,9 +92,24 @@
         target=request.rel_url.raw_path_qs,
         arrived_at=arrived_at,
         ends_at=ends_at,
+        account=account,
+        home_regions=home_regions(route, account),
     )
 
 
+def home_regions(route: Route, account: Account | None) -> frozenset[str]:
+    """Return where a request has to stay; raise Refusal where no region is left."""
+    if account is None or not account.home_regions:
+        return route.home_regions
+    if not route.home_regions:
+        return account.home_regions
+    both = route.home_regions & account.home_regions
+    if not both:
+        reason = "the route and the account have no region in common"
+        raise Refusal(ErrorKind.NO_BACKEND_SERVER, 503, reason, NO_REGION_SECONDS)
+    return both
+
+
 def read_cookie(request: web.BaseRequest, name: str) -> str | None:
     """Return a cookie's value, read without building all cookies."""
     for header in request.headers.getall("Cookie", ()):
--- a/packages/node/greengagepoint_node/gateway/configuration_loader.py
+++ b/packages/node/greengagepoint_node/gateway/configuration_loader.py
@@ -27,6 +27,9 @@
     def take_loaded(self, fact: Configuration, now: float) -> None:
         """Put a version in force that was read to its end."""
 
+    def note_all_loaded(self) -> None:
+        """Take in that no version waits to be read any more."""
+
     def refuse(self, item: StoredItem, error: RecordError, now: float) -> None:
         """Say that a version can't be read."""
 
@@ -71,6 +74,8 @@
             self.arrived.clear()
             while self.waiting:
                 self._step(view)
+                if not self.waiting:
+                    view.note_all_loaded()
                 await asyncio.sleep(0)
 
     def _step(self, view: LoadedConfigurations) -> None:
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from greengagepoint.accounts.gate import AccountGate
+from greengagepoint.accounts.ledger import UsageLedger
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
@@ -16,6 +18,8 @@
 from greengagepoint.protocols import Clock
 from greengagepoint.quarantine.quarantine import Quarantine
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.account_limits import LIMITS_PATH, AccountLimits
+from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.connect_times import trace_connections
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
@@ -34,7 +38,10 @@
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
 from greengagepoint_node.gateway.news_guard import NewsGuard
 from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
-from greengagepoint_node.gateway.peer_session import create_peer_session
+from greengagepoint_node.gateway.peer_session import (
+    create_peer_session,
+    create_report_session,
+)
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.quarantine_page import PAGE_PATH, QuarantinePage
@@ -178,6 +185,7 @@
         self.gossip.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
         self._connect_quarantine()
+        self._create_limits()
         ages = self.gossip.ages
         self.gateway = Gateway(
             settings.names,
@@ -191,6 +199,13 @@
             ages,
             NewsGuard(self.clock, ages, self.link, settings.drain_seconds),
             self.quarantine,
+            CallerAccounts(
+                self.view.certainty,
+                self.gate,
+                self.clock,
+                ages.is_current,
+                settings.revoke_seconds if settings.revoke_strictly else None,
+            ),
         )
         self.directory = HostDirectory(self.view, self.gossip, self.clock)
         self.follower = StoreFollower(
@@ -214,6 +229,7 @@
             self.loader.async_run(self.view),
             self.quarantine_sync.async_run(),
             self.quarantine_store.async_run(),
+            self.limits.async_run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
@@ -239,6 +255,21 @@
         self.gossip.suspects = self.quarantine_sync
         self.view.quarantine = self.quarantine_store
 
+    def _create_limits(self) -> None:
+        """Hold client accounts to their limits over all hosts together."""
+        self.gate = AccountGate(self.random)
+        self.limits = AccountLimits(
+            self.own,
+            self.view,
+            self.gossip.table,
+            self.gate,
+            UsageLedger(self.settings.revoke_seconds),
+            create_report_session(),
+            self.clock,
+            self.events,
+            self.gossip.bytes,
+        )
+
     async def async_stop(self) -> None:
         """Leave look-ups, let all in flight end, and close."""
         began = self.clock.monotonic()
@@ -343,6 +374,8 @@
             self.placer.tick(now)
             self.quarantine.tick()
             self.retries.hosts = max(len(names), len(self.view.hosts))
+            self.gate.hosts = self.retries.hosts
+            self.limits.link_is_full = self.gossip.link_is_full()
             await asyncio.sleep(TICK_SECONDS)
             self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
 
@@ -384,6 +417,8 @@
             return await self.gossip.async_take_news(request)
         if request.rel_url.raw_path == QUARANTINE_PATH:
             return await self.quarantine_sync.async_take(request)
+        if request.rel_url.raw_path == LIMITS_PATH:
+            return await self.limits.async_take(request)
         return web.Response(status=404)
 
     async def _async_answer_operator(self, request: web.BaseRequest) -> web.Response:
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -141,11 +141,13 @@
         """Read everything once, then wait for what changes."""
         view = self.view
         before = view.revision
+        asked_at = self.clock.monotonic()
         if self.needs_snapshot:
             snapshot = await self.store.async_snapshot()
             self._note_reached()
             view.replace(snapshot, self.clock.monotonic())
             self.needs_snapshot = False
+            view.certainty.note_complete(asked_at)
             self.news.confirm(before, snapshot.arriving_seconds)
             return
         if not self._must_read_all():
@@ -154,6 +156,7 @@
         changes = await self.store.async_changes(before, WATCH_SECONDS)
         self._note_reached()
         view.apply(changes, self.clock.monotonic())
+        view.certainty.note_complete(asked_at)
         self.news.confirm(before, changes.arriving_seconds)
         if changes.changes:
             await asyncio.sleep(GATHER_SECONDS)
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -215,6 +215,8 @@
             message = await self._async_ask(address, wants_news=wants_news)
             self._sent_after(message, 0)
             self._take(message, began)
+            if message.proof is not None:
+                self.view.certainty.take(message.proof, began)
             self.note_exchange(address, self.clock.monotonic() - began)
         except (
             TimeoutError,
@@ -333,6 +335,7 @@
             busy_servers=self.busy_servers.shared(self.clock.monotonic()),
             lapsed_seconds=list(doubts.values()),
             full_link=self.link_is_full(),
+            proof=self.view.certainty.proof(self.clock.monotonic()),
         )
 
     def _partial_message(self, revision: int) -> Message:
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from greengagepoint.accounts.certainty import Proof
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.quarantine.messages import SharedSuspect
@@ -43,7 +44,8 @@
     ``full_link`` tells that all that the sender sends and gets has to wait.
     Where ``partial_after`` is set, the items are all after it but large values, which
     come by themselves; ``after`` is then as high as ``revision``. ``suspects`` are
-    requests that end backend servers.
+    requests that end backend servers. ``proof`` is what the sender knows of the newest
+    configuration.
     """
 
     revision: int
@@ -64,6 +66,7 @@
     full_link: bool = False
     partial_after: int | None = None
     suspects: list[SharedSuspect] = []
+    proof: Proof | None = None
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -14,6 +14,7 @@
 from greengagepoint.routing.tables import find_route
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call, create_call, match_route
+from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
 from greengagepoint_node.gateway.exchange import (
     NOT_RUN,
@@ -68,6 +69,7 @@
         news: News,
         guard: NewsGuard,
         quarantine: RequestQuarantine,
+        accounts: CallerAccounts,
     ) -> None:
         self.names = names
         self.view = view
@@ -78,6 +80,7 @@
         self.news = news
         self.guard = guard
         self.quarantine = quarantine
+        self.accounts = accounts
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -172,8 +175,11 @@
         if not request_id:
             raise Refusal(ErrorKind.BAD_REQUEST, 400, "the request has no id")
         route = match_route(table, request, self.news.is_current)
+        account = self.accounts.identify(request, route, table)
+        if account is not None:
+            self.accounts.admit(account)
         service = self.split.choose(route)
-        return create_call(request, self.names, route, service, arrived_at)
+        return create_call(request, self.names, route, service, arrived_at, account)
 
     async def _async_body(self, request: web.BaseRequest, call: Call) -> bytes | None:
         """Return the caller's body whole, None where there is none."""
@@ -181,14 +187,18 @@
             return None
         assert self.view.routes is not None
         left = call.ends_at - self.clock.monotonic()
-        return await async_read_body(request, left, self.view.routes.limits.body_bytes)
+        limit_bytes = self.view.routes.limits.body_bytes
+        body = await async_read_body(request, left, limit_bytes)
+        # A key may have been taken away while a slow body came.
+        self.accounts.identify(request, call.route, self.view.routes)
+        return body
 
     async def _async_serve(
         self, request: web.BaseRequest, call: Call, body: bytes | None
     ) -> web.Response:
         """Try servers until one answers or the request may not be sent again."""
         self.placer.take_caller()
-        identity = RequestIdentity(request, body)
+        identity = RequestIdentity(request, body, call.account)
         tries = Tries()
         last: Exchange | None = None
         may_have_run = False
@@ -256,7 +266,7 @@
         if last in UNSENT:
             return True
         assert self.view.routes is not None
-        urgent = self.view.routes.is_urgent(call.route, call.service)
+        urgent = self.view.routes.is_urgent(call.rank, call.service)
         return self.retries.withdraw(
             call.service,
             self.clock.monotonic(),
@@ -273,11 +283,13 @@
         left: float,
     ) -> Sending:
         """Return what is sent to a server."""
+        assert self.view.routes is not None
         times = SendTimes(self.clock, self.news)
+        keyed = bool(self.view.routes.accounts)
         return Sending(
             request.method,
             call.target,
-            self.request_headers.passed_on(request, server),
+            self.request_headers.passed_on(request, server, call, keyed=keyed),
             body,
             call.request_id,
             left,
--- a/packages/node/greengagepoint_node/gateway/identity.py
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -4,6 +4,7 @@
 
 from aiohttp import hdrs, web
 
+from greengagepoint.accounts.tables import Account
 from greengagepoint.quarantine.fingerprint import (
     Fingerprint,
     hash_caller,
@@ -18,9 +19,15 @@
 class RequestIdentity:
     """Compute a request's fingerprint only where it is asked for."""
 
-    def __init__(self, request: web.BaseRequest, body: bytes | None) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        body: bytes | None,
+        account: Account | None = None,
+    ) -> None:
         self.request = request
         self.body = body
+        self.account = account
 
     @cached_property
     def head(self) -> str:
@@ -33,8 +40,14 @@
     def fingerprint(self) -> Fingerprint:
         """Return what the request has in common with its other attempts."""
         request = self.request
-        values = [
-            value for name in CREDENTIALS for value in request.headers.getall(name, ())
+        names = CREDENTIALS
+        values = []
+        if self.account is not None:
+            # The hash is logged and told to peers, and may be searched for a key.
+            names = (hdrs.COOKIE,)
+            values = [self.account.name]
+        values += [
+            value for name in names for value in request.headers.getall(name, ())
         ]
         caller = hash_caller(request.remote or "", "\n".join(values))
         return Fingerprint(hash_content(self.head, self.body), caller)
--- a/packages/node/greengagepoint_node/gateway/names.py
+++ b/packages/node/greengagepoint_node/gateway/names.py
@@ -6,7 +6,8 @@
 class HeaderNames(NamedTuple):
     """Header names; ``affinity_cookie`` is the name of a cookie.
 
-    ``signature`` is on whole answers only; ``not_executed`` on those that tell that
+    ``account`` tells backend servers whose request it is. ``signature`` is on whole
+    answers only; ``not_executed`` on those that tell that
     nothing ran; ``load`` holds running, waiting, slots.
     """
 
@@ -18,3 +19,4 @@
     instance: str
     load: str
     not_executed: str
+    account: str
--- a/packages/node/greengagepoint_node/gateway/passing.py
+++ b/packages/node/greengagepoint_node/gateway/passing.py
@@ -1,6 +1,7 @@
 """What of a request and its answer is passed on."""
 
 import asyncio
+from typing import Final
 
 import aiohttp
 from aiohttp import web
@@ -8,12 +9,15 @@
 
 from greengagepoint.errors import ErrorKind
 from greengagepoint.placing.tables import Server
+from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.exchange import Exchange
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.refusals import Refusal
 from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
 from greengagepoint_node.proxy.headers import connection_headers
 
+CREDENTIALS: Final = frozenset({"authorization"})
+
 
 class RequestHeaders:
     """Write the headers of requests to backend servers."""
@@ -26,20 +30,29 @@
             "content-length",
             names.deadline_ms.lower(),
             names.target_instance.lower(),
+            names.account.lower(),
         }
 
-    def passed_on(self, request: web.BaseRequest, server: Server) -> CIMultiDict[str]:
+    def passed_on(
+        self, request: web.BaseRequest, server: Server, call: Call, *, keyed: bool
+    ) -> CIMultiDict[str]:
         """Return a caller's headers and the server's name, without the time left.
 
-        That is written right before the first byte goes out.
+        That is written right before the first byte goes out. Where callers are
+        ``keyed``, their keys stay here.
         """
         dropped = self.dropped | connection_headers(request.headers)
+        if keyed:
+            dropped = dropped | CREDENTIALS
         headers: CIMultiDict[str] = CIMultiDict()
         headers["Host"] = request.headers.get("Host", "")
         for name, value in request.headers.items():
-            if name.lower() not in dropped:
+            # Servers behind some gateways read an underscore as a hyphen.
+            if name.lower().replace("_", "-") not in dropped:
                 headers.add(name, value)
         headers[self.names.target_instance] = server.instance
+        if call.account is not None:
+            headers[self.names.account] = call.account.name
         return headers
 
 
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -211,7 +211,7 @@
     def _weight_key(self, call: Call) -> WeightKey:
         """Return which weights give a request's key its region."""
         near = runs_near(call.route, self.round_trip_seconds)
-        return WeightKey(call.service, call.route.home_regions, near)
+        return WeightKey(call.service, call.home_regions, near)
 
     def _cold_rate(self, service: str) -> float:
         """Return what a cold server of a service bears, in requests a second."""
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -21,7 +21,7 @@
 # either side, not as the same burst.
 RETRY_SPREAD: Final = 0.5
 # These say that the request has not run and will not.
-NOT_RUN_STATUSES: Final = frozenset({400, 404, 408, 413, 503})
+NOT_RUN_STATUSES: Final = frozenset({400, 401, 404, 408, 413, 429, 503})
 # What is left of such a request on its connection would be read as the next one.
 UNREAD_STATUSES: Final = frozenset({400, 408, 413})
 
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -6,6 +6,7 @@
 
 HEARTBEAT_SECONDS: Final = 1.5
 DRAIN_SECONDS: Final = 2.0
+REVOKE_SECONDS: Final = 5.0
 
 
 class GatewaySettings(NamedTuple):
@@ -17,7 +18,9 @@
     ``metrics_address`` names an address. ``link_mbps`` is what the host's link carries,
     0 where that is not known. Backend servers renew their entries each
     ``heartbeat_seconds``; one that has said that it leaves may get requests for
-    ``drain_seconds`` more.
+    ``drain_seconds`` more. An account's key that was taken away may work for
+    ``revoke_seconds`` more; where ``revoke_strictly`` is set, that also binds a host
+    that hears of nothing.
     """
 
     host: str
@@ -38,3 +41,5 @@
     retry_window_seconds: float = 10.0
     heartbeat_seconds: float = HEARTBEAT_SECONDS
     drain_seconds: float = DRAIN_SECONDS
+    revoke_seconds: float = REVOKE_SECONDS
+    revoke_strictly: bool = False
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Final
 
+from greengagepoint.accounts.certainty import NEVER, Certainty
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation
@@ -81,6 +82,7 @@
         self.evacuated_at: dict[str, float] = {}
         self.lapses_until = float("-inf")
         self.quarantine: QuarantineEntries = NoQuarantine()
+        self.certainty = Certainty()
 
     def store_returned(self, now: float) -> None:
         """Take removals read in the next moments for lapses, not for departures."""
@@ -212,7 +214,11 @@
         self.writes[key] = writes
         if write.error is not None:
             self.refused.note(key, write.error, now)
-        return self._settle(key, now)
+        changed = self._settle(key, now)
+        if isinstance(write.fact, Configuration):
+            self.certainty.note(item.revision, NEVER)
+            self.certainty.note_in_force(item.revision)
+        return changed
 
     def _read(self, item: StoredItem) -> Write:
         """Return an item with what it says, or why it is refused.
@@ -220,6 +226,7 @@
         What a large configuration says is told later, by ``take_loaded``.
         """
         if self.loader is not None and self.loader.takes(item):
+            self.certainty.note(item.revision, NEVER)
             return Write(item)
         try:
             fact = self.decode(item)
@@ -233,6 +240,10 @@
         if self._take(fact, now):
             self._rebuild(now)
 
+    def note_all_loaded(self) -> None:
+        """Take in that no version waits any more; the last good one is in force."""
+        self.certainty.note_in_force(self.certainty.newest)
+
     def refuse(self, item: StoredItem, error: RecordError, now: float) -> None:
         """Say that the loader could not read a version; the last good one stays."""
         self.refused.note(item.key, error, now)
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -4,11 +4,13 @@
 import contextlib
 import random
 import socket
+from collections.abc import Sequence
 from typing import Any
 
 import aiohttp
 from deployment import async_until
 
+from greengagepoint.accounts.tables import Account
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import (
     CallerLimits,
@@ -36,6 +38,7 @@
 HOST = "a.example"
 ZONES = {"zone-a": "north", "zone-b": "south"}
 GIVEN_PORTS: set[int] = set()
+Accounts = Sequence[tuple[Account, list[str]]]
 
 
 class Lines:
@@ -222,9 +225,15 @@
     )
 
 
-def facts_of(backends: list[PlatformBackend], rows: list[Route]) -> dict[str, Any]:
+def facts_of(
+    backends: list[PlatformBackend],
+    rows: list[Route],
+    accounts: Accounts = (),
+) -> dict[str, Any]:
     policy = ServicePolicy(name="booking", cold_seconds=3, cold_requests_per_second=16)
     table = create_route_table(1, {HOST: rows}, [policy], CallerLimits())
+    for account, keys in accounts:
+        table.accounts.add(account, keys)
     facts: dict[str, Any] = {"config": Configuration(table)}
     for backend in backends:
         facts[backend.instance] = ServerEntry(
@@ -240,6 +249,8 @@
     *,
     metrics: bool = False,
     drain_seconds: float = DRAIN_SECONDS,
+    accounts: Accounts = (),
+    rows: list[Route] | None = None,
     **changes: Any,
 ):
     random.seed(1)
@@ -249,9 +260,12 @@
     for backend in backends:
         await backend.async_start()
     metrics_address = free_address() if metrics else ""
-    facts = facts_of(backends, routes(**changes))
+    facts = facts_of(backends, rows or routes(**changes), accounts)
     daemon = create_daemon(
-        facts, metrics_address=metrics_address, drain_seconds=drain_seconds
+        facts,
+        metrics_address=metrics_address,
+        drain_seconds=drain_seconds,
+        revoke_strictly=True,
     )
     await daemon.async_start()
     world = World(daemon, backends)
@@ -266,5 +280,6 @@
             await listener.async_close(0.02)
         await daemon.sessions.async_close()
         await daemon.gossip.session.close()
+        await daemon.limits.session.close()
         for backend in backends:
             await backend.async_stop()
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -84,6 +84,61 @@
     assert caught.value.field == "op/config"
 
 
+ACCOUNTS = [
+    {
+        "name": "one",
+        "apiKeys": ["secret-1", "secret-2"],
+        "priority": 1,
+        "ratePerS": 172,
+        "burst": 90,
+        "allowedRegions": ["attiki"],
+    },
+    {"name": "two", "apiKeys": ["secret-3"]},
+    {"name": "three"},
+]
+
+
+def test_accounts_are_found_by_each_of_their_keys():
+    table = decode_item(item("op/config", {**CONFIGURATION, "tenants": ACCOUNTS}))
+    accounts = table.table.accounts
+    names = {key: account.name for key, account in accounts.by_key.items()}
+    assert names == {"secret-1": "one", "secret-2": "one", "secret-3": "two"}
+    one, two, _ = accounts.by_name.values()
+    assert (one.rank, one.requests_per_second, one.burst) == (1, 172, 90)
+    assert one.home_regions == frozenset({"attiki"})
+    assert (two.rank, two.limited) == (None, False)
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ({"apiKeys": ["secret-3"]}, "one and two hold the same key"),
+        ({"name": "two"}, "two accounts are called two"),
+        ({"name": ""}, "no usable name"),
+        ({"name": "a b"}, "no usable name"),
+        ({"name": "a\r\nX: 1"}, "no usable name"),
+        ({"name": "a" * 300}, "too long"),
+        ({"ratePerS": -1}, "negative"),
+        ({"burst": -0.5}, "negative"),
+        ({"apiKeys": [""]}, "empty key"),
+        ({"apiKeys": "secret-1"}, r"tenants\[0\]"),
+        ({"ratePerS": "secret-1"}, r"tenants\[0\]"),
+    ],
+)
+def test_accounts_that_can_not_be_served_are_refused_and_no_key_is_named(change, said):
+    rows = [{**ACCOUNTS[0], **change}, *ACCOUNTS[1:]]
+    with pytest.raises(RecordError, match=said) as caught:
+        decode_item(item("op/config", {**CONFIGURATION, "tenants": rows}))
+    assert "secret" not in caught.value.detail
+
+
+def test_a_part_of_a_configuration_is_one_account_however_many_there_are():
+    rows = [{"name": f"a-{number}"} for number in range(500)]
+    stored = item("op/config", {**CONFIGURATION, "tenants": rows})
+    *before, _ = read_in_parts(stored)
+    assert len(before) == 4 + len(rows)
+
+
 def rules(*changes):
     """Return a configuration of three rules, some of them changed."""
     rows = [
