Show operators what accounts ask, and leave hosts that can't know their keys out of look-ups

Cause: an operator could not tell a 401, a 429 and a 503 of a keyed request apart by account, and a host that hears of nothing named itself to callers whom it then refused.

--- a/packages/core/tests/test_routing_match.py
+++ b/packages/core/tests/test_routing_match.py
@@ -171,4 +171,4 @@
     ]
     table = create_route_table(8, {"a.example": routes}, [], CallerLimits())
     chosen = {row.name: row for row in routes}[name]
-    assert table.is_urgent(chosen, service) is urgent
+    assert table.is_urgent(chosen.rank, service) is urgent
--- a/packages/node/greengagepoint_node/gateway/caller_accounts.py
+++ b/packages/node/greengagepoint_node/gateway/caller_accounts.py
@@ -11,6 +11,7 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.protocols import Clock
 from greengagepoint.routing.tables import Route, RouteTable
+from greengagepoint_node.gateway.counters import GatewayCounters
 from greengagepoint_node.gateway.refusals import OLD_NEWS_RETRY_SECONDS, Refusal
 
 SCHEME: Final = "bearer"
@@ -31,12 +32,16 @@
         clock: Clock,
         is_current: Callable[[], bool],
         revoke_seconds: float | None,
+        counters: GatewayCounters,
+        has_accounts: Callable[[], bool],
     ) -> None:
         self.certainty = certainty
         self.gate = gate
         self.clock = clock
         self.is_current = is_current
         self.revoke_seconds = revoke_seconds
+        self.counters = counters
+        self.has_accounts = has_accounts
 
     def identify(
         self, request: web.BaseRequest, route: Route, table: RouteTable
@@ -61,6 +66,7 @@
     def admit(self, account: Account) -> None:
         """Count a request of an account; raise Refusal where it is over its limit."""
         admission = self.gate.admit(account, self.clock.monotonic())
+        self.counters.add_account(account.name, admitted=admission.admitted)
         if admission.admitted:
             return
         inputs = {
@@ -74,6 +80,10 @@
         retry_after = admission.retry_seconds
         raise Refusal(ErrorKind.ACCOUNT_LIMIT, 429, reason, retry_after, inputs)
 
+    def serves_keys(self) -> bool:
+        """Tell whether callers that need a key are served here."""
+        return not self.has_accounts() or self._is_certain()
+
     def _is_certain(self) -> bool:
         """Tell whether no key of the configuration was taken away too long ago."""
         if self.revoke_seconds is None:
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -7,9 +7,12 @@
 from greengagepoint_node.histogram import Histogram
 
 ANSWERED: Final = "answered"
+ADMITTED: Final = "admitted"
+REFUSED: Final = "refused"
 OTHER: Final = "other"
 # Operators add routes by the thousand; a series for each would outgrow the host.
 ROUTES_MAX: Final = 100
+ACCOUNTS_MAX: Final = 100
 SECONDS_BOUNDS: Final = (0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8)
 LAG_BOUNDS: Final = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1, 5)
 
@@ -19,6 +22,7 @@
 
     configuration_version: int
     configuration_age_seconds: float
+    configuration_certainty_age_seconds: float
     store_contact_age_seconds: float
     store_revision: int
     backend_servers: int
@@ -38,8 +42,9 @@
     (service, region) for where requests ran, (operation, outcome) for store calls,
     (path, direction) for the bytes of messages between hosts, (reason,) for items of
     the store that were refused, (service,) for requests in flight at a server that
-    ended. ``send_delay`` are the seconds from the choice of a server to the first byte,
-    ``news_age`` how old the host's news was then.
+    ended, (account, admitted or refused) for ``accounts``. ``send_delay`` are the
+    seconds from the choice of a server to the first byte, ``news_age`` how old the
+    host's news was then.
     """
 
     def __init__(self) -> None:
@@ -55,6 +60,8 @@
         self.send_delay = Histogram(SECONDS_BOUNDS)
         self.news_age = Histogram(SECONDS_BOUNDS)
         self.routes: set[str] = set()
+        self.accounts: Counter[tuple[str, str]] = Counter()
+        self.account_names: set[str] = set()
 
     def add_request(
         self, service: str, route: str, outcome: ErrorKind | str, seconds: float
@@ -67,6 +74,15 @@
             duration = self.durations[service, route] = Histogram(SECONDS_BOUNDS)
         duration.add(seconds)
 
+    def add_account(self, name: str, *, admitted: bool) -> None:
+        """Count a request of an account, under one label for all beyond the bound."""
+        if name not in self.account_names:
+            if len(self.account_names) < ACCOUNTS_MAX:
+                self.account_names.add(name)
+            else:
+                name = OTHER
+        self.accounts[name, ADMITTED if admitted else REFUSED] += 1
+
     def _known(self, route: str) -> str:
         """Return the label of a route, one label for all beyond the bound."""
         if route not in self.routes:
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -205,9 +206,13 @@
                 self.clock,
                 ages.is_current,
                 settings.revoke_seconds if settings.revoke_strictly else None,
+                self.counters,
+                lambda: bool(self.limits.accounts()),
             ),
         )
-        self.directory = HostDirectory(self.view, self.gossip, self.clock)
+        self.directory = HostDirectory(
+            self.view, self.gossip, self.clock, self.gateway.accounts.serves_keys
+        )
         self.follower = StoreFollower(
             self.store,
             self.view,
@@ -384,9 +389,11 @@
         now = self.clock.monotonic()
         view = self.view
         known = view.servers.servers.values()
+        certain_at = view.certainty.certain_at
         return Gauges(
             configuration_version=view.routes.version if view.routes else 0,
             configuration_age_seconds=_age(view.configured_at, now),
+            configuration_certainty_age_seconds=_age(certain_at, now),
             store_contact_age_seconds=_age(self.follower.reached_at, now),
             store_revision=view.revision,
             backend_servers=len(known),
@@ -430,4 +437,6 @@
 
 def _age(since: float | None, now: float) -> float:
     """Return the seconds since something happened, -1 where it has not yet."""
-    return round(now - since, 3) if since is not None else -1.0
+    if since is None or math.isinf(since):
+        return -1.0
+    return round(now - since, 3)
--- a/packages/node/greengagepoint_node/gateway/directory.py
+++ b/packages/node/greengagepoint_node/gateway/directory.py
@@ -1,5 +1,6 @@
 """Tell callers which entry hosts to use."""
 
+from collections.abc import Callable
 from typing import Final, Protocol
 
 from greengagepoint.protocols import Clock
@@ -22,10 +23,17 @@
 class HostDirectory:
     """Name the hosts of a caller's region, or others when it has none."""
 
-    def __init__(self, view: FleetView, hosts: KnownHosts, clock: Clock) -> None:
+    def __init__(
+        self,
+        view: FleetView,
+        hosts: KnownHosts,
+        clock: Clock,
+        serves_keys: Callable[[], bool] = lambda: True,
+    ) -> None:
         self.view = view
         self.hosts = hosts
         self.clock = clock
+        self.serves_keys = serves_keys
 
     def addresses(self, region: str, caller: str = "") -> list[str]:
         """Return host:port of the hosts that a caller of a region should use.
@@ -38,6 +46,10 @@
         """
         now = self.clock.monotonic()
         alive = [state.entry for state in self.hosts.table.alive(now)]
+        if not self.serves_keys():
+            # Callers that need a key would be refused here.
+            own = self.hosts.table.own.entry.name
+            alive = [entry for entry in alive if entry.name != own]
         near = [entry for entry in alive if entry.region == region]
         named = near or alive
         if len(named) > ADDRESSES_MAX:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -100,6 +100,11 @@
             "Requests that a backend server had when it ended, by service.",
             lambda: _rows(counters.servers_ended, "service"),
         )
+        yield Instrument(
+            "account_requests",
+            "Requests of client accounts, admitted or over a limit.",
+            lambda: _rows(counters.accounts, "account", "outcome"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/tests/test_gateway_accounts.py
+++ b/packages/node/tests/test_gateway_accounts.py
@@ -119,6 +119,7 @@
         address = world.daemon.settings.metrics_address
         async with world.session.get(f"http://{address}/metrics") as answer:
             shown = await answer.text()
+        assert 'account="small",outcome="refused"' in shown
         shown += repr(world.events.rows)
         assert not [key for key in (KEY, "nobody's", small) if key in shown]
 
@@ -142,6 +143,15 @@
         )
 
 
+async def test_look_ups_do_not_name_a_host_that_can_serve_no_keys():
+    async with async_world(accounts=ACCOUNTS) as world:
+        own = world.daemon.settings.front_address
+        assert world.daemon.directory.addresses("north") == [own]
+        await world.async_stop_news()
+        world.clock.ahead += world.daemon.settings.revoke_seconds
+        assert world.daemon.directory.addresses("north") == []
+
+
 async def test_a_key_that_an_old_configuration_lacks_is_tried_elsewhere():
     """Guards against a final 401 from a host that has yet to hear of a new key."""
     async with async_world(accounts=ACCOUNTS) as world:
