Deflate messages between hosts, and build tables of hosts in one pass

Cause: at 300 hosts each exchange carries 300 heartbeats both ways, 9.9 KB, and news carries servers' entries as JSON, 8.4 KB for 40. In the first seconds after a host was heard of, the list of those told in short was made by comparing each row with each other. Ruled out: leaving heartbeats out (what is left goes round too slowly for 3.5 s). Change: messages of 512 bytes to 64 KB are deflated, at the fastest level.

--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -310,8 +310,11 @@
         Their addresses are left out where peers should have them, unless ``full``.
         """
         new_since = self.clock.monotonic() - ADDRESSES_SECONDS
-        in_full = [row for row in others if full or row.first_heard_at >= new_since]
-        in_short = [] if full else [row for row in others if row not in in_full]
+        in_full: list[HeardHost] = []
+        in_short: list[HeardHost] = []
+        for row in others:
+            chosen = in_full if full or row.first_heard_at >= new_since else in_short
+            chosen.append(row)
         news: Changes | Snapshot = Changes((), self.view.revision)
         if revision < self.view.revision:
             news = self.view.changes_after(revision)
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -1,5 +1,8 @@
 """What hosts send each other, and its encoding."""
 
+import zlib
+from typing import Final
+
 import msgspec
 
 from greengagepoint.accounts.certainty import Proof
@@ -9,6 +12,12 @@
 from greengagepoint_node.gateway.facts import HostEntry, RemovedKey
 from greengagepoint_node.gateway.packing import PackedItem
 
+# No message begins with this byte, which MessagePack leaves unused.
+DEFLATED: Final = b"\xc1"
+DEFLATED_MIN: Final = 512
+DEFLATED_MAX: Final = 64 * 1024
+LEVEL: Final = 1
+
 
 class HostState(msgspec.Struct, array_like=True):
     """What a host tells of itself.
@@ -74,5 +83,36 @@
     return Heartbeat(state.entry.name, state.started, state.count, state.leaving)
 
 
-encode = msgspec.msgpack.Encoder().encode
-decode = msgspec.msgpack.Decoder(Message).decode
+ENCODER: Final = msgspec.msgpack.Encoder()
+DECODER: Final = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """Return a message as it is sent, deflated where that saves much.
+
+    A table of 300 hosts and the entries of servers take a third of their bytes then.
+    Large values are packed already, and dwarf what is beside them.
+    """
+    body = ENCODER.encode(message)
+    if DEFLATED_MIN <= len(body) <= DEFLATED_MAX:
+        return DEFLATED + zlib.compress(body, LEVEL)
+    return body
+
+
+def decode(body: bytes) -> Message:
+    """Return a message as it was written; raise msgspec.MsgspecError."""
+    if body.startswith(DEFLATED):
+        body = _inflate(body[len(DEFLATED) :])
+    return DECODER.decode(body)
+
+
+def _inflate(data: bytes) -> bytes:
+    """Return a deflated message; raise msgspec.ValidationError."""
+    stream = zlib.decompressobj()
+    try:
+        body = stream.decompress(data, DEFLATED_MAX)
+    except zlib.error as error:
+        raise msgspec.ValidationError(f"message: {error}") from error
+    if not stream.eof:
+        raise msgspec.ValidationError("message: cut short or too long")
+    return body
