Let some hosts of a large region pass the watcher's news on

Ruled out: a second watcher a region (as many calls to the store again). Change: above 32 hosts a watcher tells as many as the root of their number, those with large links, and each passes its own message on to its part. One that can't be reached, or lacks older news itself, leaves its part to the watcher; smaller regions are told directly as before.

--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -4,6 +4,7 @@
 watch makes calls by the product of hosts and changes.
 """
 
+import math
 from collections.abc import Iterable
 from typing import Final, Protocol, TypeVar
 
@@ -74,6 +75,26 @@
     return tuple(rank(region, names)[:count])
 
 
+# A watcher tells so many hosts itself. In larger regions some of them pass its news on,
+# or it would send each change as often as the region has hosts.
+TOLD_DIRECTLY_MAX: Final = 32
+
+
+def relays_of(region: str, hosts: Iterable[LinkedHost]) -> dict[str, list[str]]:
+    """Return which hosts a watcher tells, and to which others each passes that on.
+
+    The most that one host tells grows with the root of their number.
+    """
+    known = list(hosts)
+    if len(known) <= TOLD_DIRECTLY_MAX:
+        return {host.name: [] for host in known}
+    count = math.isqrt(len(known))
+    linked = rank(region, well_linked(known), lambda host: host.name)
+    relays = [host.name for host in linked[:count]]
+    others = sorted({host.name for host in known} - set(relays))
+    return {name: others[place :: len(relays)] for place, name in enumerate(relays)}
+
+
 def must_watch(*, watcher: bool, confirmed_at: float, now: float) -> bool:
     """Tell whether a host has to ask the store itself.
 
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -20,7 +20,7 @@
 import msgspec
 from aiohttp import web
 
-from greengagepoint.config.watchers import must_watch
+from greengagepoint.config.watchers import must_watch, relays_of
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.placing.busy_servers import BusyServers
@@ -162,11 +162,15 @@
         # What was removed before then is told by all that is left, large or not.
         splits = before >= self.view.removed_complete_after
         large = splits and self.view.has_large_after(before)
-        for state in self.table.alive(now):
-            entry = state.entry
-            if entry.name == self.own.entry.name or not self.table.is_near(entry):
-                continue
-            self.notifier.notify(entry.peer_address, before)
+        near = {
+            state.entry.name: state.entry
+            for state in self.table.alive(now)
+            if state is not self.own and self.table.is_near(state.entry)
+        }
+        for name, members in relays_of(self.own.entry.region, near.values()).items():
+            relay = tuple(near[member].peer_address for member in members)
+            self.notifier.notify(near[name].peer_address, before, relay)
+        for entry in near.values():
             # A large value waits for its turn, and for full links. Told of with it, a
             # server that leaves would be used for as long.
             if large or (splits and entry.peer_address in self.notifier.large):
@@ -191,6 +195,8 @@
         except msgspec.MsgspecError as error:
             self.events.record(Event.PEER_MESSAGE_REJECTED, detail=str(error))
             return web.Response(status=400)
+        if not self._pass_on(message):
+            return web.Response(status=409)
         known = self.view.revision
         if message.partial_after is not None:
             known = self._partial_revision()
@@ -200,6 +206,17 @@
             self._start(address, self._async_exchange(address))
         return web.Response(status=204)
 
+    def _pass_on(self, message: Message) -> bool:
+        """Tell other hosts what the watcher told; False where it is not known here.
+
+        The watcher tells them itself then.
+        """
+        if message.relay and self.view.revision < message.revision:
+            return False
+        for address in message.relay:
+            self.notifier.notify(address, message.after)
+        return True
+
     async def _async_exchange(self, address: str) -> None:
         """Exchange with one peer; a failure only means that its news gets older.
 
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -54,7 +54,8 @@
     Where ``partial_after`` is set, the items are all after it but large values, which
     come by themselves; ``after`` is then as high as ``revision``. ``suspects`` are
     requests that end backend servers. ``proof`` is what the sender knows of the newest
-    configuration.
+    configuration. ``relay`` are the addresses of hosts to which the receiver passes the
+    news on.
     """
 
     revision: int
@@ -76,6 +77,7 @@
     partial_after: int | None = None
     suspects: list[SharedSuspect] = []
     proof: Proof | None = None
+    relay: list[str] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/peer_notifier.py
+++ b/packages/node/greengagepoint_node/gateway/peer_notifier.py
@@ -56,17 +56,19 @@
         self.sent_bytes = sent_bytes
         self.large_sends = asyncio.Semaphore(LARGE_SENDS_MAX)
         self.pending: dict[str, int] = {}
+        self.relays: dict[str, tuple[str, ...]] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.large: set[str] = set()
         self.encoded: EncodedUpdate | None = None
 
-    def notify(self, address: str, before: int) -> None:
-        """Tell a peer what is new since a revision.
+    def notify(self, address: str, before: int, relay: tuple[str, ...] = ()) -> None:
+        """Tell a peer what is new since a revision, and let it tell some others.
 
         What comes while a send to it is under way goes with the next one. Dropped, the
         peer would have an old version, and no word that there is a newer one.
         """
         self.pending[address] = min(before, self.pending.get(address, before))
+        self.relays[address] = relay
         # What was encoded before is older than what there is to tell now.
         self.encoded = None
         if address in self.tasks:
@@ -97,7 +99,9 @@
         It is encoded only now: after a wait for its turn it would seem fresher to the
         peer than it is.
         """
-        body = self._body(self.pending.pop(address))
+        before = self.pending.pop(address)
+        relay = self.relays.pop(address, ())
+        body = self._relayed_body(before, relay) if relay else self._body(before)
         self.sent_bytes["news", "sent"] += len(body)
         url = f"http://{address}{NEWS_PATH}"
         connect = LARGE_CONNECT if len(body) >= LARGE_BYTES else CONNECT
@@ -105,8 +109,18 @@
             async with asyncio.timeout(NOTIFY_SECONDS + send_seconds(len(body))):
                 async with self.session.post(url, data=body, timeout=connect) as answer:
                     await answer.read()
+                    if relay:
+                        answer.raise_for_status()
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             self.failed(address, error)
+            for member in relay:
+                self.notify(member, before)
+
+    def _relayed_body(self, before: int, relay: tuple[str, ...]) -> bytes:
+        """Return the message for a peer that passes it on."""
+        message = self.message(before)
+        message.relay = list(relay)
+        return encode(message)
 
     def _body(self, before: int) -> bytes:
         """Return the message for peers that were told all up to a revision."""
--- /dev/null
+++ b/packages/node/tests/test_gateway_relayed_news.py
@@ -0,0 +1,111 @@
+"""News that some hosts of a large region pass on to the others."""
+
+import pytest
+from deployment import async_until
+from test_gateway_gossip import NOW, Request, host
+
+from greengagepoint.config.watchers import TOLD_DIRECTLY_MAX
+from greengagepoint_node.gateway.facts import Changes, StoredItem
+from greengagepoint_node.gateway.gossip_messages import HostState
+from greengagepoint_node.gateway.host_table import HeardHost
+from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
+
+HOSTS = 2 * TOLD_DIRECTLY_MAX
+
+
+class Answer:
+    """What a host answers to news, after it has taken it in."""
+
+    def __init__(self, region, url, data):
+        self.region = region
+        self.name = url.removeprefix("http://").split(":")[0]
+        self.data = data
+
+    async def __aenter__(self):
+        self.region.messages.append(self.name)
+        if self.name in self.region.dead:
+            raise ConnectionRefusedError
+        receiver = self.region.hosts[self.name]
+        self.answer = await receiver.async_take_news(Request(self.data))
+        return self
+
+    async def __aexit__(self, *error):
+        return None
+
+    async def read(self):
+        return b""
+
+    def raise_for_status(self):
+        if self.answer.status >= 400:
+            raise ConnectionAbortedError
+
+
+class Region:
+    """Hosts that know of each other and reach each other without a network."""
+
+    def __init__(self, dead=()):
+        self.dead = set(dead)
+        self.messages = []
+        self.hosts = {f"h{number}": None for number in range(HOSTS)}
+        for name in self.hosts:
+            self.hosts[name] = host(name, session=self)
+        for one in self.hosts.values():
+            for other in self.hosts.values():
+                if other is not one:
+                    state = HostState(other.own.entry, 1, 0, leaving=False)
+                    one.table.heard[other.own.entry.name] = HeardHost(state, NOW, NOW)
+
+    def post(self, url, data, **_):
+        assert url.endswith(NEWS_PATH)
+        return Answer(self, url, data)
+
+    def learn(self, name, before, revision):
+        watcher = self.hosts[name]
+        item = StoredItem("zone-a", b"", revision)
+        watcher.view.apply(Changes((item,), revision), NOW)
+        watcher.confirm(before, 0.0)
+
+    def informed(self):
+        return [name for name, row in self.hosts.items() if row.view.revision == 5]
+
+
+@pytest.mark.parametrize("lost", [0, 1, 3])
+async def test_all_hosts_hear_of_a_change_though_some_that_pass_it_on_are_gone(lost):
+    """Guards against a part of a region that goes on with old news."""
+    region = Region()
+    region.learn("h0", 0, 5)
+    await async_until(lambda: len(region.informed()) == HOSTS)
+    relays = region.messages[:lost]
+    region = Region(dead=relays)
+    region.learn("h0", 0, 5)
+    await async_until(lambda: len(region.informed()) == HOSTS - len(relays))
+    assert not set(relays) & set(region.informed())
+
+
+async def test_a_host_that_lacks_older_news_leaves_passing_on_to_the_watcher():
+    """Guards against a host that has just started and tells others nothing."""
+    region = Region()
+    for one in region.hosts.values():
+        one.view.apply(Changes((StoredItem("zone-b", b"", 2),), 2), NOW)
+    region.learn("h0", 2, 5)
+    await async_until(lambda: len(region.informed()) == HOSTS)
+    relay = region.messages[0]
+    region = Region()
+    for name, one in region.hosts.items():
+        if name != relay:
+            one.view.apply(Changes((StoredItem("zone-b", b"", 2),), 2), NOW)
+    region.learn("h0", 2, 5)
+    await async_until(lambda: len(region.informed()) >= HOSTS - 1)
+
+
+async def test_the_watcher_sends_a_change_to_a_few_hosts():
+    region = Region()
+    sent = []
+    notify = region.hosts["h0"].notifier.notify
+    region.hosts["h0"].notifier.notify = lambda *words: (
+        sent.append(words) or notify(*words)
+    )
+    region.learn("h0", 0, 5)
+    await async_until(lambda: len(region.informed()) == HOSTS)
+    assert len(sent) <= 1.2 * HOSTS**0.5
+    assert len(region.messages) == HOSTS - 1
