Split the writing of messages and distances out of the gossip, and call things by usual names

No change of behaviour. One test gave two hosts another clock after they were made; all hosts share one from the start now, their ages too, so it checks no less.

--- a/packages/core/greengagepoint/config/watchers.py
+++ b/packages/core/greengagepoint/config/watchers.py
@@ -134,7 +134,7 @@
 
     ``confirmed_at`` is when the store last answered this host or one that told it so;
     monotonic seconds. A host that was turned away alone, or for a moment, would else
-    doubt what leaves just as it is let in again, and others would send there for two
+    take what leaves just then for a lapse, and others would send there for two
     more seconds.
     """
     return now - confirmed_at > HEARTBEATS_OUTLIVED * heartbeat_seconds
--- a/packages/core/tests/test_placing_patience.py
+++ b/packages/core/tests/test_placing_server_silence.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from greengagepoint.placing.patience import (
+from greengagepoint.placing.server_silence import (
     AnswerTimes,
     may_still_end,
     silent_after,
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -180,10 +180,10 @@
             self.weights,
             self.clock.monotonic(),
             self.events,
-            self.gossip.distance_seconds,
+            self.gossip.distances.to,
         )
-        self.gossip.loads = self.placer.loads
-        self.gossip.busy_servers = self.placer.busy_servers
+        self.gossip.writer.loads = self.placer.loads
+        self.gossip.writer.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
         self._connect_quarantine()
         self._create_limits()
@@ -375,7 +375,7 @@
             self.view.servers.set_senders(max(1, len(near)))
             names = sorted(state.entry.name for state in hosts)
             self.placer.serving_hosts = names
-            self.placer.round_trip_seconds = self.gossip.farthest_seconds()
+            self.placer.round_trip_seconds = self.gossip.distances.farthest()
             self.placer.tick(now)
             self.quarantine.tick()
             self.retries.hosts = max(len(names), len(self.view.hosts))
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -225,7 +225,7 @@
         if self.lost_at is None:
             return
         # On a full link a store that serves all others seems to be away.
-        doubtful = not self.news.link_is_full() and may_have_lapsed(
+        unconfirmed = not self.news.link_is_full() and may_have_lapsed(
             confirmed_at=self.news.ages.complete_at(),
             heartbeat_seconds=self.heartbeat_seconds,
             now=now,
@@ -233,11 +233,11 @@
         self.events.record(
             Event.STORE_AVAILABLE,
             seconds=round(now - self.lost_at, 3),
-            entries_doubted=doubtful,
+            removals_unconfirmed=unconfirmed,
             revision=self.view.revision,
         )
         self.lost_at = None
-        if doubtful:
+        if unconfirmed:
             self.view.store_returned(now)
 
 
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -10,7 +10,6 @@
 """
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Coroutine
 from itertools import zip_longest
@@ -23,31 +22,25 @@
 from greengagepoint.config.watchers import must_watch, relays_of
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
-from greengagepoint.placing.busy_servers import BusyServers
-from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.delays import MessageDelays
+from greengagepoint_node.gateway.distances import RegionDistances
 from greengagepoint_node.gateway.facts import (
     Changes,
-    RemovedKey,
     Snapshot,
-    StoredItem,
 )
 from greengagepoint_node.gateway.gossip_messages import (
     HostState,
     Message,
     decode,
     encode,
-    heartbeat_of,
 )
 from greengagepoint_node.gateway.host_table import (
-    ADDRESSES_SECONDS,
-    HeardHost,
     HostTable,
 )
+from greengagepoint_node.gateway.message_writer import MessageWriter
 from greengagepoint_node.gateway.news_ages import NewsAges
-from greengagepoint_node.gateway.packing import ItemPacker
 from greengagepoint_node.gateway.peer_notifier import PeerNotifier
 from greengagepoint_node.gateway.suspect_news import NoSuspects, SuspectNews
 from greengagepoint_node.gateway.transfer import async_read_answer, send_seconds
@@ -61,9 +54,6 @@
 # half a second of queue on each. Given up before, each exchange is begun anew with
 # another peer, in vain.
 FULL_LINK_EXCHANGE_SECONDS: Final = 2.5
-# One to open the connection, one for the exchange. The shortest exchange counts: the
-# others hold the time in which a peer or this host was busy.
-ROUND_TRIPS_OF_EXCHANGE: Final = 2
 # A peer that sends its news byte by byte keeps no others from bringing it for longer;
 # 100 KB over a link of 5 Mbit/s take 0.2 s.
 NEWS_SECONDS: Final = 2.0
@@ -95,27 +85,27 @@
         self.random = random
         self.events = events
         self.session = session
-        self.packer = ItemPacker()
         self.bytes: Counter[tuple[str, str]] = Counter()
         self.table = HostTable(own, events)
-        self.round_trips: dict[str, float] = {}
+        self.distances = RegionDistances(own.entry.region)
         self.suspects: SuspectNews = NoSuspects()
-        self.loads = RegionLoads(own.entry.region)
-        self.busy_servers = BusyServers()
         self.is_watcher = True
         self.ages = NewsAges(clock)
         self.partial_revision = 0
         self.link = LinkDelay()
+        self.writer = MessageWriter(
+            own, view, self.table, self.ages, clock, self.link_is_full
+        )
         self.under_way: dict[str, asyncio.Task[None]] = {}
         self.notifier = PeerNotifier(
             session,
             clock,
-            lambda before: self._message(before, []),
+            lambda before: self.writer.message(before, []),
             self._note_failure,
             self.bytes,
         )
         self.early_notifier = PeerNotifier(
-            session, clock, self._partial_message, self._note_failure, self.bytes
+            session, clock, self.writer.partial, self._note_failure, self.bytes
         )
         self.asked_for_news_at: float | None = None
         self.delays = MessageDelays()
@@ -234,7 +224,8 @@
             self._take(message, began)
             if message.proof is not None:
                 self.view.certainty.take(message.proof, began)
-            self.note_exchange(address, self.clock.monotonic() - began)
+            seconds = self.clock.monotonic() - began
+            self.distances.note(self.table.region_of(address), seconds)
         except (
             TimeoutError,
             aiohttp.ClientError,
@@ -270,28 +261,10 @@
             Event.PEER_MESSAGE_DROPPED, address=address, detail=type(error).__name__
         )
 
-    def note_exchange(self, address: str, seconds: float) -> None:
-        """Learn from an exchange how far its peer's region is."""
-        for row in self.table.heard.values():
-            entry = row.state.entry
-            if entry.peer_address == address:
-                known = self.round_trips.get(entry.region, math.inf)
-                round_trip = seconds / ROUND_TRIPS_OF_EXCHANGE
-                self.round_trips[entry.region] = min(known, round_trip)
-
-    def farthest_seconds(self) -> float:
-        """Return the round trip to the farthest region, 0 while none is known."""
-        return max(self.round_trips.values(), default=0.0)
-
-    def distance_seconds(self, region: str) -> float:
-        """Return the round trip to a region, 0 to the own one or while not known."""
-        if region == self.own.entry.region:
-            return 0.0
-        return self.round_trips.get(region, 0.0)
-
     def encoded(self, revision: int, *, wants_news: bool = True) -> bytes:
         """Return this host's half of an exchange with a peer at a revision."""
-        message = self._message(revision, self.table.recent(self.clock.monotonic()))
+        known = self.table.recent(self.clock.monotonic())
+        message = self.writer.message(revision, known)
         message.wants_news = wants_news
         message.suspects = self.suspects.shared()
         return encode(message)
@@ -313,60 +286,12 @@
             return web.Response(status=400)
         known = self.table.recent(self.clock.monotonic())
         revision = message.revision if message.wants_news else self.view.revision
-        answer = self._message(revision, known, full=message.wants_addresses)
+        answer = self.writer.message(revision, known, full=message.wants_addresses)
         answer.suspects = self.suspects.shared()
         body = encode(answer)
         self.bytes["exchange", SENT] += len(body)
         return web.Response(body=body)
 
-    def _message(
-        self, revision: int, others: list[HeardHost], *, full: bool = False
-    ) -> Message:
-        """Return what a peer at a revision lacks, with the states of other hosts.
-
-        Their addresses are left out where peers should have them, unless ``full``.
-        """
-        new_since = self.clock.monotonic() - ADDRESSES_SECONDS
-        in_full: list[HeardHost] = []
-        in_short: list[HeardHost] = []
-        for row in others:
-            chosen = in_full if full or row.first_heard_at >= new_since else in_short
-            chosen.append(row)
-        news: Changes | Snapshot = Changes((), self.view.revision)
-        if revision < self.view.revision:
-            news = self.view.changes_after(revision)
-        whole = isinstance(news, Snapshot)
-        rows = news.items if whole else news.changes
-        age = self.clock.monotonic() - self.ages.complete_at()
-        doubts = self.view.doubts(self.clock.monotonic())
-        return Message(
-            revision=self.view.revision,
-            after=min(revision, self.view.revision),
-            age=age if math.isfinite(age) else None,
-            hosts=[self.own, *(row.state for row in in_full)],
-            heartbeats=[heartbeat_of(row.state) for row in in_short],
-            wants_addresses=self.table.lacks_addresses,
-            items=[self.packer.pack(row) for row in rows if _is_item(row)],
-            removed=[row for row in rows if isinstance(row, RemovedKey)],
-            lapsed=list(doubts),
-            whole=whole,
-            loads=self.loads.known(self.clock.monotonic()),
-            sent_at=self.clock.monotonic(),
-            busy_servers=self.busy_servers.shared(self.clock.monotonic()),
-            lapsed_seconds=list(doubts.values()),
-            full_link=self.link_is_full(),
-            proof=self.view.certainty.proof(self.clock.monotonic()),
-        )
-
-    def _partial_message(self, revision: int) -> Message:
-        """Return what a peer at a revision lacks but large values."""
-        message = self._message(self.view.revision, [])
-        rows = self.view.small_changes_after(revision)
-        message.items = [self.packer.pack(row) for row in rows if _is_item(row)]
-        message.removed = [row for row in rows if isinstance(row, RemovedKey)]
-        message.partial_after = revision
-        return message
-
     def _sent_after(self, message: Message, size: int) -> float:
         """Return a time before which news was not written, as far as can be told."""
         now = self.clock.monotonic()
@@ -387,8 +312,8 @@
         """
         now = self.clock.monotonic()
         self.table.take(message, now)
-        self.loads.take(message.loads, now)
-        self.busy_servers.take(message.busy_servers, self.view.servers, now)
+        self.writer.loads.take(message.loads, now)
+        self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
         self.suspects.take(message.suspects)
         if message.partial_after is not None:
             self._take_partial(message, message.partial_after, sent_after)
@@ -412,9 +337,9 @@
         self, message: Message, after: int, sent_after: float | None
     ) -> None:
         """Take in the small items of a message; the view stays incomplete."""
-        items = [self.packer.unpack(item) for item in message.items]
+        items = [self.writer.packer.unpack(item) for item in message.items]
         changes = Changes((*items, *message.removed), self.view.revision)
-        self.view.apply(changes, self.clock.monotonic(), _doubts(message))
+        self.view.apply(changes, self.clock.monotonic(), _unconfirmed(message))
         if after > self._partial_revision():
             return
         self.partial_revision = max(self.partial_revision, message.revision)
@@ -427,8 +352,8 @@
 
     def _take_news(self, message: Message, now: float) -> None:
         """Take in the store's items that a peer passes on."""
-        items = [self.packer.unpack(item) for item in message.items]
-        lapsed = _doubts(message)
+        items = [self.writer.packer.unpack(item) for item in message.items]
+        lapsed = _unconfirmed(message)
         if message.whole:
             snapshot = Snapshot(tuple(items), message.revision)
             self.view.replace(snapshot, now, lapsed)
@@ -458,15 +383,10 @@
         return ordered[self.random.randrange(len(ordered))]
 
 
-def _doubts(message: Message) -> dict[str, float]:
-    """Return how many seconds the removals that a peer doubts are doubted yet.
+def _unconfirmed(message: Message) -> dict[str, float]:
+    """Return for how many seconds more removals of a message may be lapses.
 
     A peer of the former version names them only.
     """
     rows = zip_longest(message.lapsed, message.lapsed_seconds, fillvalue=LAPSED_SECONDS)
     return {str(key): float(seconds) for key, seconds in rows}
-
-
-def _is_item(row: StoredItem | RemovedKey) -> bool:
-    """Tell a change from a removal."""
-    return isinstance(row, StoredItem)
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -49,7 +49,7 @@
     ``wants_addresses`` asks for all hosts in full. ``wants_news`` is False where
     another exchange already brings what the sender lacks. ``sent_at`` is by the
     sender's steady clock. ``busy_servers`` are backend servers that are full.
-    ``lapsed_seconds`` are how long the removals of ``lapsed`` are doubted yet.
+    ``lapsed_seconds`` are how long the removals of ``lapsed`` stay unconfirmed.
     ``full_link`` tells that all that the sender sends and gets has to wait.
     Where ``partial_after`` is set, the items are all after it but large values, which
     come by themselves; ``after`` is then as high as ``revision``. ``suspects`` are
--- a/packages/node/greengagepoint_node/gateway/host_table.py
+++ b/packages/node/greengagepoint_node/gateway/host_table.py
@@ -52,6 +52,13 @@
             row for row in self.heard.values() if now - row.heard_at <= ALIVE_SECONDS
         ]
 
+    def region_of(self, address: str) -> str | None:
+        """Return the region of the host that takes messages at an address."""
+        for row in self.heard.values():
+            if row.state.entry.peer_address == address:
+                return row.state.entry.region
+        return None
+
     def is_near(self, entry: HostEntry) -> bool:
         """Tell whether a host is in this one's region."""
         return entry.region == self.own.entry.region
--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -3,7 +3,7 @@
 import asyncio
 from typing import Protocol
 
-from greengagepoint.placing.patience import may_still_end
+from greengagepoint.placing.server_silence import may_still_end
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.call import Call
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -9,11 +9,11 @@
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
-from greengagepoint.placing.patience import AnswerTimes, silent_after
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
 from greengagepoint.placing.room import RoomWatch
+from greengagepoint.placing.server_silence import AnswerTimes, silent_after
 from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_leave
 from greengagepoint.placing.tables import SHEDDING_QUEUE, Incarnation, Server
 from greengagepoint.placing.warm_keys import WarmKeys
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -120,8 +120,8 @@
         store itself.
         """
         if lapsed is None:
-            doubtful = now < self.lapses_until
-            keys = [change.key for change in changes.changes] if doubtful else []
+            unconfirmed = now < self.lapses_until
+            keys = [change.key for change in changes.changes] if unconfirmed else []
             lapsed = dict.fromkeys(keys, LAPSED_SECONDS)
         rebuild = False
         for change in changes.changes:
@@ -185,8 +185,8 @@
         if self.known.note_replaced(incarnation, self.revision):
             self._work_out_members()
 
-    def doubts(self, now: float) -> dict[str, float]:
-        """Return for how many seconds more each doubted removal is not believed."""
+    def unconfirmed_removals(self, now: float) -> dict[str, float]:
+        """Return for how many seconds more each removal may be a lapse."""
         return {key: max(0.0, until - now) for key, until in self.lapsed.items()}
 
     def tick(self, now: float) -> None:
@@ -311,12 +311,12 @@
             revision=self.revision,
         )
 
-    def _remove(self, change: RemovedKey, doubted: float, now: float) -> bool:
+    def _remove(self, change: RemovedKey, unconfirmed: float, now: float) -> bool:
         """Take in a removal; tell whether membership may have changed.
 
-        ``doubted`` are the seconds for which the entry may only have lapsed. They go
-        down from host to host: begun anew at each, a server that is gone would be used
-        for as much longer as the news took.
+        ``unconfirmed`` are the seconds for which the entry may only have lapsed. They
+        go down from host to host: begun anew at each, a server that is gone would be
+        used for as much longer as the news took.
         """
         key = change.key
         self._note_removed(change)
@@ -327,8 +327,8 @@
         if writes.writes:
             return self._settle(key, now)
         del self.writes[key]
-        if doubted > 0 and isinstance(self.facts.get(key), ServerEntry):
-            self.lapsed[key] = now + min(doubted, LAPSED_SECONDS)
+        if unconfirmed > 0 and isinstance(self.facts.get(key), ServerEntry):
+            self.lapsed[key] = now + min(unconfirmed, LAPSED_SECONDS)
             return False
         return self._settle(key, now)
 
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -18,7 +18,7 @@
 from greengagepoint.config.watchers import CURRENT_SECONDS
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
-from greengagepoint.placing.patience import AnswerTimes
+from greengagepoint.placing.server_silence import AnswerTimes
 from greengagepoint_node.gateway.tries import UNREACHED_MAX
 from greengagepoint_standins.users_platform.backend import SIGNATURE, Manner
 
--- a/packages/node/tests/test_gateway_gossip.py
+++ b/packages/node/tests/test_gateway_gossip.py
@@ -191,17 +191,17 @@
     # change their region, and run cold there, whenever a peer is busy.
     near, far = host("h1"), host("h2")
     far.own.entry = HostEntry("h2", "south", "zone-b", "h2:1", "h2:2")
-    assert near.farthest_seconds() == 0.0
+    assert near.distances.farthest() == 0.0
     await async_exchange(near, far)
     for seconds in (0.3, 0.08, 0.2):
-        near.note_exchange("h2:2", seconds)
-    near.note_exchange("unknown:2", 9.0)
-    assert near.farthest_seconds() == 0.04
+        near.distances.note(near.table.region_of("h2:2"), seconds)
+    near.distances.note(near.table.region_of("unknown:2"), 9.0)
+    assert near.distances.farthest() == 0.04
 
 
 def told(host, before):
     """Return the news that a watcher sends after its view was at a revision."""
-    return encode(host._message(before, []))
+    return encode(host.writer.message(before, []))
 
 
 async def test_news_of_the_watcher_arrives_at_once_and_keeps_others_from_asking():
@@ -244,10 +244,9 @@
 async def test_what_is_passed_on_keeps_its_age():
     # The watcher is gone. Two hosts that tell each other how new their news is must not
     # take each other's word for the store's, or neither would ever ask again.
-    watcher, one, other = host("h1"), host("h2"), host("h3")
+    clock = Clock()
+    watcher, one, other = (host(name, clock) for name in ("h1", "h2", "h3"))
     one.is_watcher = other.is_watcher = False
-    for each in (one, other):
-        each.clock = watcher.clock
     watcher.confirm(0, 0.0)
     await one.async_take_news(Request(told(watcher, 0)))
     for _ in range(4):
