Keep the adapter small, and deflate no message that holds a packed value

Change: making calls over HTTP is gateway/store_http.py, which knows no path or format; messages with a packed value go as they are.

--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -96,7 +96,8 @@
     Large values are packed already, and dwarf what is beside them.
     """
     body = ENCODER.encode(message)
-    if DEFLATED_MIN <= len(body) <= DEFLATED_MAX:
+    has_large = any(isinstance(row, PackedItem) and row.packed for row in message.items)
+    if not has_large and DEFLATED_MIN <= len(body) <= DEFLATED_MAX:
         return DEFLATED + zlib.compress(body, LEVEL)
     return body
 
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/store_http.py
@@ -0,0 +1,69 @@
+"""Call a store over HTTP, whatever its paths and formats are."""
+
+import asyncio
+import time
+from typing import Final, NamedTuple
+
+import aiohttp
+
+from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
+from greengagepoint_node.gateway.listeners import create_socket
+from greengagepoint_node.gateway.transfer import async_read_answer
+
+KEEPALIVE_SECONDS: Final = 30.0
+JSON_HEADERS: Final = {"Content-Type": "application/json"}
+
+
+class HttpAnswer(NamedTuple):
+    """A whole answer; its first byte came at ``began_at``, in monotonic seconds."""
+
+    status: int
+    body: bytes
+    began_at: float
+
+
+class HttpCaller:
+    """Make calls to one address; an answer may pause for ``idle_seconds``."""
+
+    def __init__(self, address: str, idle_seconds: float) -> None:
+        self.base = f"http://{address}"
+        self.idle_seconds = idle_seconds
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=KEEPALIVE_SECONDS,
+            socket_factory=lambda info: create_socket(*info[:3]),
+        )
+        self.session = aiohttp.ClientSession(
+            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
+        )
+
+    async def async_call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None,
+        data: bytes | None,
+        seconds: float,
+    ) -> HttpAnswer:
+        """Return a call's answer, whatever its status; raise StoreError without one.
+
+        A call that may have changed something raises StoreOutcomeUnknownError.
+        """
+        headers = JSON_HEADERS if data is not None else None
+        try:
+            async with asyncio.timeout(seconds) as limit:
+                async with self.session.request(
+                    method, self.base + path, params=query, data=data, headers=headers
+                ) as answer:
+                    began_at = time.monotonic()
+                    body = await async_read_answer(
+                        answer.content, limit, self.idle_seconds
+                    )
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            kind = StoreOutcomeUnknownError if method != "GET" else StoreError
+            raise kind(f"{method} {path}: {type(error).__name__}") from error
+        return HttpAnswer(answer.status, body, began_at)
+
+    async def async_close(self) -> None:
+        """Close all connections."""
+        await self.session.close()
