--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -51,7 +51,7 @@
 from greengagepoint_node.gateway.region_reports import REPORTS_PATH, RegionReports
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
-from greengagepoint_node.gateway.settings import GatewaySettings
+from greengagepoint_node.gateway.settings import REVOKE_SECONDS, GatewaySettings
 from greengagepoint_node.gateway.store_counts import CountedStore
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.server import ServerLimits
@@ -206,7 +206,7 @@
                 self.gate,
                 self.clock,
                 ages.is_current,
-                settings.revoke_seconds if settings.revoke_strictly else None,
+                settings.revoke_seconds,
                 self.counters,
                 lambda: bool(self.reports.accounts()),
             ),
@@ -273,7 +273,7 @@
             self.view,
             self.gossip.table,
             self.gate,
-            UsageLedger(self.settings.revoke_seconds),
+            UsageLedger(self.settings.revoke_seconds or REVOKE_SECONDS),
             keys,
             create_report_session(),
             self.clock,
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -19,8 +19,8 @@
     0 where that is not known. Backend servers renew their entries each
     ``heartbeat_seconds``; one that has said that it leaves may get requests for
     ``drain_seconds`` more. An account's key that was taken away may work for
-    ``revoke_seconds`` more; where ``revoke_strictly`` is set, that also binds a host
-    that hears of nothing.
+    ``revoke_seconds`` more, also on a host that hears of nothing; where that is None,
+    such a host goes on serving all keys that it knows.
     """
 
     host: str
@@ -41,5 +41,4 @@
     retry_window_seconds: float = 10.0
     heartbeat_seconds: float = HEARTBEAT_SECONDS
     drain_seconds: float = DRAIN_SECONDS
-    revoke_seconds: float = REVOKE_SECONDS
-    revoke_strictly: bool = False
+    revoke_seconds: float | None = None
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -30,7 +30,11 @@
     Snapshot,
     StoredItem,
 )
-from greengagepoint_node.gateway.settings import DRAIN_SECONDS, GatewaySettings
+from greengagepoint_node.gateway.settings import (
+    DRAIN_SECONDS,
+    REVOKE_SECONDS,
+    GatewaySettings,
+)
 from greengagepoint_platform.names import HEADERS
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 
@@ -265,7 +269,7 @@
         facts,
         metrics_address=metrics_address,
         drain_seconds=drain_seconds,
-        revoke_strictly=True,
+        revoke_seconds=REVOKE_SECONDS,
     )
     await daemon.async_start()
     world = World(daemon, backends)
