Give out to accounts what the bound on their windows allows, and round parts at random

Cause: a limit of one request a second was kept to the letter, where the users' bound allows 20 requests more in a window: several times what a small account asks. Beside it: a host that is told nothing has a part of a small account's burst of less than one request; rounded up everywhere, 200 hosts admitted 200 where 60 are allowed. It is rounded at random now.

--- a/packages/core/greengagepoint/accounts/gate.py
+++ b/packages/core/greengagepoint/accounts/gate.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
+from greengagepoint.accounts.bounds import STRICT, LimitBounds
 from greengagepoint.accounts.messages import LimitRow, UsageRow
 from greengagepoint.accounts.rates import Rate
 from greengagepoint.accounts.tables import Account
@@ -54,8 +55,9 @@
     the ledger leaves to it meanwhile.
     """
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, bounds: LimitBounds = STRICT) -> None:
         self.random = random
+        self.bounds = bounds
         self.hosts = 1
         self.told_at = float("-inf")
         self.uses: dict[str, HostUse] = {}
@@ -90,16 +92,22 @@
     def _decide_alone(self, account: Account, use: HostUse, now: float) -> Admission:
         """Keep to this host's part of the limit."""
         part = use.part if use.part is not None else 1 / max(1, self.hosts)
-        burst = max(1.0, part * account.burst)
+        burst = part * account.burst
         if use.alone is None:
             # One that was never told knows nothing of what was used before it started.
             # While all is admitted, part of what the whole bucket holds is left to it.
-            full = 1.0 if use.part is None or use.share < 1 else burst
-            use.alone = TokenBucket(full - use.admitted_since_told, now)
-        rate = part * account.requests_per_second
+            full = 0.0 if use.part is None or use.share < 1 else burst
+            reserve = part * self.bounds.reserve(account)
+            tokens = self._rounded(full + reserve) - use.admitted_since_told
+            use.alone = TokenBucket(tokens, now)
+        rate = part * self.bounds.rate(account)
         wait = take(use.alone, rate, burst, now)
         return Admission(not wait, None, part, now - self.told_at, _bounded(wait))
 
+    def _rounded(self, tokens: float) -> int:
+        """Round up or down at random, so that many hosts round to the right sum."""
+        return int(tokens + self.random.random())
+
     @property
     def unanswered(self) -> bool:
         """Tell whether no report was answered in this lifetime."""
--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from greengagepoint.accounts.bounds import STRICT, LimitBounds
 from greengagepoint.accounts.messages import LimitRow, UsageReport, UsageRow
 from greengagepoint.accounts.rates import Rate
 from greengagepoint.accounts.tables import Account
@@ -31,8 +32,6 @@
 RATE_MIN: Final = 1e-3
 PART_MIN: Final = 1e-3
 PART_SECONDS: Final = 2.0
-# What hosts admit before they are told otherwise has to fit into the limit as well.
-GIVEN_SHARE: Final = 0.97
 # Requests a second below which an account is small: they tell too little of where they
 # are asked, and no host that is cut off gets enough of them to matter.
 SMALL_RATE: Final = 10.0
@@ -48,6 +47,7 @@
 
     level: float
     filled_at: float
+    full_rate: float
     heard_part: float = 1.0
     over_since: float = math.inf
     asked: Rate = field(default_factory=lambda: Rate(ASKED_SECONDS))
@@ -55,7 +55,7 @@
 
     def fill(self, account: Account, now: float) -> None:
         """Add what the rate has given since the last time, up to the burst."""
-        gained = self.rate(account) * max(0.0, now - self.filled_at)
+        gained = self.rate * max(0.0, now - self.filled_at)
         self.level = min(account.burst, self.level + gained)
         self.filled_at = now
 
@@ -71,9 +71,10 @@
         if heard > 0 or now - self.over_since < HELD_SECONDS:
             self.level = min(account.burst, self.level + heard * account.burst)
 
-    def rate(self, account: Account) -> float:
+    @property
+    def rate(self) -> float:
         """Return the requests a second of the hosts that are heard of."""
-        return account.requests_per_second * self.heard_part * GIVEN_SHARE
+        return self.full_rate * self.heard_part
 
 
 @dataclass(slots=True)
@@ -104,8 +105,9 @@
     buckets start empty: for a moment only the rate is given out.
     """
 
-    def __init__(self, silent_seconds_max: float) -> None:
+    def __init__(self, silent_seconds_max: float, bounds: LimitBounds = STRICT) -> None:
         self.silent_seconds_max = silent_seconds_max
+        self.bounds = bounds
         self.reporters: dict[str, Reporter] = {}
         self.uses: dict[str, AccountUse] = {}
         self.sums: dict[str, UsageRow] = {}
@@ -185,9 +187,12 @@
         use = self.uses.get(account.name)
         if use is None:
             # Nothing of it was asked since the ledger began to hear.
-            gained = account.requests_per_second * (now - self.informed_since)
-            use = AccountUse(min(account.burst, gained), now)
+            rate = self.bounds.rate(account)
+            gained = rate * (now - self.informed_since)
+            use = AccountUse(min(account.burst, gained), now, rate)
             self.uses[account.name] = use
+        else:
+            use.full_rate = self.bounds.rate(account)
         return use
 
     def limit(self, account: Account, now: float) -> LimitRow:
@@ -197,7 +202,7 @@
         asked = use.asked.read(now)
         if not account.limited or asked < RATE_MIN:
             return LimitRow(account.name, 1.0, asked)
-        room = use.rate(account) + use.level / LEVEL_SECONDS
+        room = use.rate + use.level / LEVEL_SECONDS
         share = min(1.0, max(0.0, room / asked))
         use.over_since = min(use.over_since, now) if share < 1.0 else math.inf
         return LimitRow(account.name, share, asked / use.heard_part)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -264,7 +264,7 @@
     def _create_reports(self) -> None:
         """Let all hosts together keep limits of accounts, and balance keys."""
         entry = self.entry
-        self.gate = AccountGate(self.random)
+        self.gate = AccountGate(self.random, self.settings.limit_bounds)
         keys = KeyMoves(entry.name, self.own.started, entry.region, self.view)
         self.placer.seen_keys = keys.seen
         keys.take_moves = self.placer.take_moves
@@ -273,7 +273,10 @@
             self.view,
             self.gossip.table,
             self.gate,
-            UsageLedger(self.settings.revoke_seconds or REVOKE_SECONDS),
+            UsageLedger(
+                self.settings.revoke_seconds or REVOKE_SECONDS,
+                self.settings.limit_bounds,
+            ),
             keys,
             create_report_session(),
             self.clock,
--- a/packages/node/greengagepoint_node/gateway/entry_checks.py
+++ b/packages/node/greengagepoint_node/gateway/entry_checks.py
@@ -6,6 +6,13 @@
 from greengagepoint_node.gateway.facts import HostEntry, ItemRefusedError, RefusedFor
 
 NAME_LENGTH_MAX: Final = 255
+# No server has so many slots, or is cold for so long; what an entry of another writer
+# says beyond it would draw all requests, or keep a server out for good.
+SLOTS_MAX: Final = 100_000
+COLD_SECONDS_MAX: Final = 3_600
+# The last Unix millisecond of the year 9999; a run that was born then would go before
+# all that follow it.
+BORN_MAX: Final = 253_402_300_799_999
 
 
 def name_in(key: str, prefix: str) -> str:
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -2,6 +2,7 @@
 
 from typing import Final, NamedTuple
 
+from greengagepoint.accounts.bounds import LimitBounds
 from greengagepoint_node.gateway.names import HeaderNames
 
 HEARTBEAT_SECONDS: Final = 1.5
@@ -20,7 +21,8 @@
     ``heartbeat_seconds``; one that has said that it leaves may get requests for
     ``drain_seconds`` more. An account's key that was taken away may work for
     ``revoke_seconds`` more, also on a host that hears of nothing; where that is None,
-    such a host goes on serving all keys that it knows.
+    such a host goes on serving all keys that it knows. ``limit_bounds`` tell how
+    closely accounts have to keep their limits.
     """
 
     host: str
@@ -42,3 +44,4 @@
     heartbeat_seconds: float = HEARTBEAT_SECONDS
     drain_seconds: float = DRAIN_SECONDS
     revoke_seconds: float | None = None
+    limit_bounds: LimitBounds = LimitBounds()
--- a/packages/node/greengagepoint_node/gateway/settings_reload.py
+++ b/packages/node/greengagepoint_node/gateway/settings_reload.py
@@ -1,6 +1,7 @@
 """Read the settings again while the daemon runs."""
 
 import asyncio
+import signal
 from collections.abc import Callable
 from pathlib import Path
 from typing import Final
@@ -61,3 +62,11 @@
         except OSError:
             # Reading it again will say what is wrong.
             return 0
+
+
+def handle_signals(*, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+    """Let the running loop stop on SIGTERM and SIGINT, and reload on SIGHUP."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
