--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -144,7 +144,7 @@
         reporter.heard_at = now
         self.regions_heard_at[report.region] = now
         reporter.silent_parts = report.silent_parts
-        counts = report.unanswered or (known and answered_here)
+        counts = report.unanswered or (known and (answered_here or report.summed))
         for row in report.rows:
             self._take_row(reporter, row, accounts, now, counts, report.summed)
 
--- a/packages/core/greengagepoint/accounts/messages.py
+++ b/packages/core/greengagepoint/accounts/messages.py
@@ -20,7 +20,7 @@
     hosts that report to the sender. ``unanswered`` tells that no report of this
     lifetime was answered, so all of it is news. ``silent_parts`` are the parts of each
     account's requests that hosts got which the sender no longer hears. ``region`` is
-    the sender's.
+    the sender's, ``answered_by`` the ledger that answered its last report.
     """
 
     host: str
@@ -30,6 +30,7 @@
     unanswered: bool = False
     silent_parts: dict[str, float] = {}
     region: str = ""
+    answered_by: str = ""
 
 
 class LimitRow(msgspec.Struct, array_like=True, gc=False):
@@ -46,8 +47,9 @@
 class UsageAnswer(msgspec.Struct, array_like=True):
     """All accounts over their limits, and those of the report.
 
-    ``proof`` is what the sender knows of the newest configuration.
+    ``proof`` is what the sender knows of the newest configuration, ``ledger`` its name.
     """
 
     limits: list[LimitRow]
     proof: Proof | None = None
+    ledger: str = ""
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -1,6 +1,5 @@
 """Rank the backend servers of a region by a key, the same on every host."""
 
-from collections.abc import Sequence
 from typing import Final
 
 import xxhash
@@ -21,57 +20,32 @@
     return xxhash.xxh3_64_intdigest(text.encode()) / HASH_RANGE
 
 
-def digest_of(key: str) -> int:
-    """Return the number that stands for a key in messages and ranks."""
-    return xxhash.xxh3_64_intdigest(key.encode())
-
-
-def rank_servers(digest: int, members: Sequence[Server]) -> list[Server]:
-    """Return servers in the order of their weight for a key.
-
-    Rendezvous hashing needs no agreement: hosts that know the same members rank them
-    alike, so a key stays on the server that is warm for it.
-    """
-    prefix = f"{digest:016x}\0"
-
-    def weight(server: Server) -> float:
-        return unit_hash(prefix + server.instance)
-
-    return sorted(members, key=weight, reverse=True)
-
-
 class RankCache:
-    """Ranks by service, region and key for one version of the table.
-
-    ``moves`` are keys that belong on another server than the first of their rank, by
-    service and digest.
-    """
+    """Ranks by service, region and key for one version of the table."""
 
     def __init__(self) -> None:
         self.version = -1
         self.ranks: dict[tuple[str, str, str], tuple[Server, ...]] = {}
-        self.moves: dict[tuple[str, int], str] = {}
 
     def rank(
         self, table: ServerTable, service: str, region: str, key: str
     ) -> tuple[Server, ...]:
-        """Return the first servers of a region for a key, where it belongs at first."""
+        """Return the first servers of a region in the order of their weight for a key.
+
+        Rendezvous hashing needs no agreement: hosts that know the same members rank
+        them alike, so a key stays on the server that is warm for it.
+        """
         if self.version != table.version or len(self.ranks) > KEPT_RANKS_MAX:
             self.ranks.clear()
             self.version = table.version
         found = self.ranks.get((service, region, key))
         if found is None:
-            digest = digest_of(key)
-            ranked = rank_servers(digest, table.find(service, region).servers)
-            place = self.moves.get((service, digest))
-            # The sort is stable: the others keep their order.
-            ranked.sort(key=lambda server: server.instance != place)
-            found = tuple(ranked[:RANK_LENGTH])
+            members = table.find(service, region).servers
+            weights = {
+                server.instance: unit_hash(f"{key}\0{server.instance}")
+                for server in members
+            }
+            ordered = sorted(members, key=lambda row: -weights[row.instance])
+            found = tuple(ordered[:RANK_LENGTH])
             self.ranks[(service, region, key)] = found
         return found
-
-    def take_moves(self, moves: dict[tuple[str, int], str]) -> None:
-        """Take in where keys belong by now."""
-        if moves:
-            self.moves.update(moves)
-            self.ranks.clear()
--- a/packages/core/greengagepoint/placing/warm_keys.py
+++ b/packages/core/greengagepoint/placing/warm_keys.py
@@ -9,7 +9,6 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from greengagepoint.placing.ranking import digest_of
 from greengagepoint.placing.tables import Incarnation
 
 # Bounds the memory for keys and the servers of each.
@@ -21,30 +20,25 @@
 
 @dataclass(slots=True)
 class WarmKeys:
-    """Servers by a key's digest, with the time of the last run; monotonic seconds."""
+    """Servers by key, with the time of the last run; monotonic seconds."""
 
-    runs: dict[int, dict[Incarnation, float]] = field(default_factory=dict)
+    runs: dict[str, dict[Incarnation, float]] = field(default_factory=dict)
 
     def note(self, key: str, server: Incarnation, now: float) -> None:
         """Take in that a key runs on a server."""
-        digest = digest_of(key)
-        servers = self.runs.pop(digest, {})
+        servers = self.runs.pop(key, {})
         servers[server] = now
-        self.runs[digest] = servers
+        self.runs[key] = servers
         if len(self.runs) > KEYS_MAX:
             del self.runs[next(iter(self.runs))]
 
     def forget(self, key: str, server: Incarnation) -> None:
         """Take in that a key did not run on a server after all."""
-        self.runs.get(digest_of(key), {}).pop(server, None)
-
-    def drop(self, digest: int) -> None:
-        """Take in that a key belongs elsewhere from now on."""
-        self.runs.pop(digest, None)
+        self.runs.get(key, {}).pop(server, None)
 
     def servers(self, key: str, now: float) -> tuple[Incarnation, ...]:
         """Return where a key is warm, in the order of its first runs there."""
-        found = self.runs.get(digest_of(key))
+        found = self.runs.get(key)
         if not found:
             return ()
         oldest = now - WARM_SECONDS
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -34,7 +34,6 @@
 from greengagepoint_node.gateway.gossip import PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
-from greengagepoint_node.gateway.key_moves import KeyMoves
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
 from greengagepoint_node.gateway.news_guard import NewsGuard
@@ -262,12 +261,8 @@
         self.view.quarantine = self.quarantine_store
 
     def _create_reports(self) -> None:
-        """Let all hosts together keep limits of accounts, and balance keys."""
-        entry = self.entry
+        """Let all hosts together keep the limits of accounts."""
         self.gate = AccountGate(self.random, self.settings.limit_bounds)
-        keys = KeyMoves(entry.name, self.own.started, entry.region, self.view)
-        self.placer.seen_keys = keys.seen
-        keys.take_moves = self.placer.take_moves
         self.reports = RegionReports(
             self.own,
             self.view,
@@ -277,7 +272,6 @@
                 self.settings.revoke_seconds or REVOKE_SECONDS,
                 self.settings.limit_bounds,
             ),
-            keys,
             create_report_session(),
             self.clock,
             self.events,
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -9,12 +9,10 @@
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.choice import NoPlace, Permissions, Wanted
 from greengagepoint.placing.cold_start import ColdStartLimiter
-from greengagepoint.placing.key_balance import KeyPlace
-from greengagepoint.placing.ranking import RankCache, digest_of
+from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, runs_near
 from greengagepoint.placing.room import RoomWatch
-from greengagepoint.placing.seen_keys import SeenKeys
 from greengagepoint.placing.server_silence import AnswerTimes, silent_after
 from greengagepoint.placing.spilling import Elsewhere, choose_with_spill, may_leave
 from greengagepoint.placing.tables import SHEDDING_QUEUE, Incarnation, Server
@@ -60,7 +58,6 @@
         self.busy_servers = BusyServers()
         self.room = RoomWatch()
         self.warm_keys = WarmKeys()
-        self.seen_keys = SeenKeys()
         self.answers: dict[tuple[str, str], AnswerTimes] = {}
         self.cold = ColdStartLimiter(host, started_at)
         self.serving_hosts: list[str] = [host]
@@ -125,15 +122,6 @@
             # The server takes the key in as the run begins, so the next caller of the
             # key finds it warm before the first one is answered.
             self.warm_keys.note(call.key, server.incarnation, now)
-            digest = digest_of(call.key)
-            self.seen_keys.note(call.service, digest, server.instance, now)
-
-    def take_moves(self, moves: list[KeyPlace]) -> None:
-        """Send keys to the servers on which they belong from now on."""
-        places = {(row.service, row.digest): row.instance for row in moves}
-        self.ranks.take_moves(places)
-        for _, digest in places:
-            self.warm_keys.drop(digest)
 
     def take_caller(self) -> None:
         """Count one caller toward what a part of them may use up."""
--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -1,9 +1,8 @@
 """Report to one host of the region, its ledger, and hear what all hosts did together.
 
 The host that watches the store for its region also adds up what the region's hosts
-admit of each account, and balances their keys over the servers. It tells the ledgers of
-other regions, and answers each report with the accounts that are over their limits, the
-keys that belong on another server, and a proof of the newest configuration.
+admit of each account. It tells the ledgers of other regions, and answers each report
+with the accounts that are over their limits and a proof of the newest configuration.
 """
 
 import asyncio
@@ -26,21 +25,11 @@
 from greengagepoint_node.gateway.facts import HostEntry
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.host_table import HostTable
-from greengagepoint_node.gateway.key_moves import KeyMoves
-from greengagepoint_node.gateway.report_messages import (
-    Report,
-    ReportAnswer,
-    decode_answer,
-    decode_report,
-    encode,
-)
 from greengagepoint_node.gateway.view import FleetView
 
 REPORTS_PATH: Final = "/v1/region-reports"
 # An account that floods goes on for about two of these before all hosts know.
 PERIOD_SECONDS: Final = 0.2
-# Where there are no accounts, nothing is in a hurry.
-CALM_PERIOD_SECONDS: Final = 0.5
 # In a region of more hosts each one reports less often, so that its ledger has no more
 # to answer.
 HOSTS_AT_PERIOD: Final = 60
@@ -55,6 +44,10 @@
 # Hosts that are in the store, but not heard of, may be about to start with this one.
 STARTING_SECONDS: Final = 5.0
 
+encode = msgspec.msgpack.Encoder().encode
+decode_report = msgspec.msgpack.Decoder(UsageReport).decode
+decode_answer = msgspec.msgpack.Decoder(UsageAnswer).decode
+
 
 class RegionReports:
     """Tell the region's ledger what this host does, and be that ledger if chosen."""
@@ -66,7 +59,6 @@
         table: HostTable,
         gate: AccountGate,
         ledger: UsageLedger,
-        keys: KeyMoves,
         session: aiohttp.ClientSession,
         clock: Clock,
         events: EventSink,
@@ -77,7 +69,7 @@
         self.table = table
         self.gate = gate
         self.ledger = ledger
-        self.keys = keys
+        self.answered_by = ""
         self.session = session
         self.clock = clock
         self.events = events
@@ -86,31 +78,29 @@
         self.heard_at = float("-inf")
         self.failed_until: dict[str, float] = {}
         self.told_sums: dict[str, dict[str, int]] = {}
-        self.told_moves: dict[str, int] = {}
         self.link_is_full = False
         self.near_hosts = 1
         self.over: set[str] = set()
         self.sends: dict[str, asyncio.Task[None]] = {}
 
     async def async_run(self) -> None:
-        """Report until cancelled; where nothing is asked for there are no reports."""
+        """Report until cancelled; where there are no accounts there are no reports."""
         reported_at = float("-inf")
         while True:
             await asyncio.sleep(self.period_seconds())
-            now = self.clock.monotonic()
             accounts = self.accounts()
+            if not accounts:
+                continue
+            now = self.clock.monotonic()
             self.ledger.tick(accounts, now)
-            self.keys.balance.tick(now)
-            asked = self.gate.changed or self.keys.seen.pending
-            if asked or (accounts and now - reported_at >= REPORT_IDLE_SECONDS):
+            if self.gate.changed or now - reported_at >= REPORT_IDLE_SECONDS:
                 reported_at = now
-                await self._async_report(now)
+                await self._async_report()
             self._tell_others()
 
     def period_seconds(self) -> float:
         """Return how often to report."""
-        period = PERIOD_SECONDS if self.accounts() else CALM_PERIOD_SECONDS
-        return period * max(1.0, self.near_hosts / HOSTS_AT_PERIOD)
+        return PERIOD_SECONDS * max(1.0, self.near_hosts / HOSTS_AT_PERIOD)
 
     def accounts(self) -> dict[str, Account]:
         """Return the accounts in force by name."""
@@ -132,22 +122,17 @@
         self.transferred["reports", "sent"] += len(answer)
         return web.Response(body=answer)
 
-    def _answer(self, report: Report, now: float) -> ReportAnswer:
+    def _answer(self, report: UsageReport, now: float) -> UsageAnswer:
         """Take in a report and return what its host is told."""
         accounts = self.accounts()
-        usage = report.usage
-        cursor = report.cursor
-        here = cursor is None or cursor.ledger == self.own.entry.name
-        self.ledger.take(usage, accounts, now, answered_here=here)
-        self.keys.see(report.keys, now)
-        self.keys.learn(report.moves)
-        if usage.summed:
-            return ReportAnswer(UsageAnswer([]))
-        names = [row.account for row in usage.rows]
+        own = self.own.entry.name
+        self.ledger.take(report, accounts, now, answered_here=report.answered_by == own)
+        if report.summed:
+            return UsageAnswer([])
+        names = [row.account for row in report.rows]
         limits = self.ledger.limits(accounts, names, now)
         self._note_limits({row.account for row in limits if row.share < 1.0})
-        answer = UsageAnswer(limits, self.view.certainty.proof(now))
-        return ReportAnswer(answer, self.keys.since(report.cursor), self.keys.end())
+        return UsageAnswer(limits, self.view.certainty.proof(now), own)
 
     def _note_limits(self, over: set[str]) -> None:
         """Log accounts that have come to be over their limits, or to be within."""
@@ -167,17 +152,16 @@
             )
         self.over = over
 
-    async def _async_report(self, now: float) -> None:
+    async def _async_report(self) -> None:
         """Report to the first host that answers."""
         rows = self.gate.report()
-        keys = self.keys.seen.take(now)
-        usage = UsageReport(
+        report = UsageReport(
             self.own.entry.name,
             self.own.started,
             rows,
             unanswered=self.gate.unanswered,
+            answered_by=self.answered_by,
         )
-        report = Report(usage, keys, self.keys.cursor)
         for entry in self._ledgers()[:TRIES]:
             asked_at = self.clock.monotonic()
             answer = await self._async_ask(entry, report)
@@ -185,16 +169,17 @@
                 self._take_answer(answer, asked_at)
                 return
         self.gate.take_back(rows)
-        self.keys.seen.take_back(keys)
 
-    def _take_answer(self, answer: ReportAnswer, asked_at: float) -> None:
+    def _take_answer(self, answer: UsageAnswer, asked_at: float) -> None:
         """Take in what the ledger told."""
-        self.gate.told(answer.usage.limits, asked_at, self.clock.monotonic())
-        if answer.usage.proof is not None:
-            self.view.certainty.take(answer.usage.proof, asked_at)
-        self.keys.take_answer(answer.moves, answer.cursor)
+        self.answered_by = answer.ledger
+        self.gate.told(answer.limits, asked_at, self.clock.monotonic())
+        if answer.proof is not None:
+            self.view.certainty.take(answer.proof, asked_at)
 
-    async def _async_ask(self, entry: HostEntry, report: Report) -> ReportAnswer | None:
+    async def _async_ask(
+        self, entry: HostEntry, report: UsageReport
+    ) -> UsageAnswer | None:
         """Return a host's answer to a report, None where it gives none."""
         now = self.clock.monotonic()
         if entry.name != self.own.entry.name:
@@ -205,7 +190,9 @@
             return None
         return self._answer(report, now)
 
-    async def _async_send(self, address: str, report: Report) -> ReportAnswer | None:
+    async def _async_send(
+        self, address: str, report: UsageReport
+    ) -> UsageAnswer | None:
         """Send a report to another host; None where it does not answer in time."""
         body = encode(report)
         self.transferred["reports", "sent"] += len(body)
@@ -275,33 +262,25 @@
                 if self.failed_until.get(entry.peer_address, 0.0) <= now
             ]
             if ranked and ranked[0].name != self.own.entry.name:
-                self._start(ranked[0])
+                self._start(ranked[0].peer_address)
 
-    def _start(self, entry: HostEntry) -> None:
+    def _start(self, address: str) -> None:
         """Tell one ledger, one message at a time."""
-        address = entry.peer_address
         if address in self.sends:
             return
-        task = asyncio.create_task(self._async_tell(entry))
+        task = asyncio.create_task(self._async_tell(address))
         self.sends[address] = task
         task.add_done_callback(lambda _: self.sends.pop(address, None))
 
-    async def _async_tell(self, entry: HostEntry) -> None:
-        """Send what a ledger was not told yet."""
-        address = entry.peer_address
+    async def _async_tell(self, address: str) -> None:
+        """Send the sums that a ledger was not told; it keeps what it was told last."""
         told = self.told_sums.setdefault(address, {})
         rows = [
             UsageRow(row.account, row.asked, row.admitted)
             for row in self.ledger.sums.values()
             if told.get(row.account) != row.asked
         ]
-        keys = self.keys.take_forwarded(entry.region)
-        own_moves = self.keys.balance.moves
-        first = self.told_moves.get(address, 0)
-        moves = own_moves[first if first <= len(own_moves) else 0 :]
-        if not (rows or keys or moves or self.accounts()):
-            return
-        usage = UsageReport(
+        report = UsageReport(
             self.own.entry.name,
             self.own.started,
             rows,
@@ -309,8 +288,5 @@
             silent_parts=dict(self.ledger.silent_parts),
             region=self.own.entry.region,
         )
-        end = len(own_moves)
-        report = Report(usage, keys, None, list(moves))
         if await self._async_send(address, report) is not None:
             told.update({row.account: row.asked for row in rows})
-            self.told_moves[address] = end
