Keep a ledger's own reports apart from its sums, and look only at accounts that are over

Found by reading: a host that is a region's ledger and falls back to another one for its own reports was taken for one reporter with two counts, so its account's use jumped up and down; and each answer worked out the limit of every account, which thousands of accounts would not bear. A test for each; both fail on the commit before.

--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -83,7 +83,6 @@
 
     ``region`` is that of a ledger, "" for a host. ``complete`` tells that it has been
     heard since its start, so that a row which was not there before is all news.
-
     ``parts`` are its parts of what was asked of each account then, ``silent_parts``
     those of hosts that it no longer hears.
     """
@@ -108,7 +107,8 @@
     def __init__(self, silent_seconds_max: float, bounds: LimitBounds = STRICT) -> None:
         self.silent_seconds_max = silent_seconds_max
         self.bounds = bounds
-        self.reporters: dict[str, Reporter] = {}
+        self.reporters: dict[tuple[str, bool], Reporter] = {}
+        self.over: set[str] = set()
         self.uses: dict[str, AccountUse] = {}
         self.sums: dict[str, UsageRow] = {}
         self.silent_parts: Counter[str] = Counter()
@@ -134,13 +134,15 @@
             self.informed_since = now
         if not report.summed:
             self.heard_at = now
-        reporter = self.reporters.get(report.host)
+        # A ledger may report what it was asked itself beside its sums.
+        key = report.host, report.summed
+        reporter = self.reporters.get(key)
         known = reporter is not None and reporter.started == report.started
         if reporter is None or not known:
             region = report.region if report.summed else ""
             complete = report.unanswered
             reporter = Reporter(report.started, now, region, complete)
-            self.reporters[report.host] = reporter
+            self.reporters[key] = reporter
         reporter.heard_at = now
         self.regions_heard_at[report.region] = now
         reporter.silent_parts = report.silent_parts
@@ -204,32 +206,34 @@
             return LimitRow(account.name, 1.0, asked)
         room = use.rate + use.level / LEVEL_SECONDS
         share = min(1.0, max(0.0, room / asked))
-        use.over_since = min(use.over_since, now) if share < 1.0 else math.inf
+        if share < 1.0:
+            use.over_since = min(use.over_since, now)
+            self.over.add(account.name)
+        else:
+            use.over_since = math.inf
         return LimitRow(account.name, share, asked / use.heard_part)
 
     def limits(
         self, accounts: Mapping[str, Account], reported: Iterable[str], now: float
     ) -> list[LimitRow]:
         """Return all accounts that are over their limits, and those reported."""
-        wanted = set(reported)
-        rows = []
-        for name in self.uses.keys() | wanted:
-            account = accounts.get(name)
-            if account is None or not account.limited:
-                continue
-            row = self.limit(account, now)
-            if row.share < 1.0 or name in wanted:
-                rows.append(row)
-        return rows
+        names = {*reported, *self.over}
+        self.over.clear()
+        limited = [
+            account
+            for name in names
+            if (account := accounts.get(name)) is not None and account.limited
+        ]
+        return [self.limit(account, now) for account in limited]
 
     def tick(self, accounts: Mapping[str, Account], now: float) -> None:
         """Leave their parts to hosts that are silent, until they can't use them."""
         self.silent_parts.clear()
         silent: Counter[str] = Counter()
-        for name, reporter in list(self.reporters.items()):
+        for key, reporter in list(self.reporters.items()):
             silent.update(reporter.silent_parts)
             if now - reporter.heard_at > self.silent_seconds_max:
-                del self.reporters[name]
+                del self.reporters[key]
             elif now - reporter.heard_at > SILENT_SECONDS:
                 self._count_silent(reporter, silent, now)
         silent.update(self.silent_parts)
--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -154,6 +154,26 @@
     assert ledger.uses["a"].level == pytest.approx(9.0)
 
 
+def test_a_ledger_that_reports_for_itself_too_is_counted_twice_over_never():
+    """Guards against sums that are taken for what their ledger was asked itself."""
+    ledger = UsageLedger(5.0)
+    reported(ledger, 0.0, 0, 0, summed=True)
+    reported(ledger, 0.0, 0, 0)
+    reported(ledger, 1.0, 3, 3, summed=True)
+    reported(ledger, 1.0, 1, 1)
+    assert ledger.uses["a"].asked.read(1.0) == pytest.approx(4 / 0.5)
+
+
+def test_an_account_that_is_over_is_told_to_hosts_that_were_not_asked_for_it():
+    ledger = UsageLedger(5.0)
+    reported(ledger, 0.0, 0, 0)
+    reported(ledger, 1.0, 100, 100)
+    assert [row.share < 1 for row in ledger.limits(ACCOUNTS, ["a"], 1.0)] == [True]
+    assert [row.account for row in ledger.limits(ACCOUNTS, [], 1.1)] == ["a"]
+    assert [row.share for row in ledger.limits(ACCOUNTS, [], 60.0)] == [1.0]
+    assert ledger.limits(ACCOUNTS, [], 60.1) == []
+
+
 def test_rows_that_were_not_answered_are_reported_again():
     gate = AccountGate(random.Random(1))
     gate.admit(SMALL, 1.0)
