Let hosts that have just started, or have a full link, go on by what they know

Cause, by reading and the model, not by a log: a host that was told nothing kept to its part of each limit, which for a small account is less than a request, also in the moment before its first answer and while its link was full. Change: until its first answer, for a second at most, a host admits and reports all; on a full link an answer counts for 2.5 s, and the ledger leaves such a host its part. Between two answers no host alone admits more than the whole bucket: before, 60 requests at once at one host were admitted for an account of 5 a second.

--- a/packages/core/greengagepoint/accounts/gate.py
+++ b/packages/core/greengagepoint/accounts/gate.py
@@ -13,6 +13,12 @@
 
 # What was told longer ago does not hold; the host goes on with its own part.
 TOLD_SECONDS: Final = 0.7
+# On a full link an answer takes longer. The ledger leaves its part to a host that it
+# hears too seldom, so what that one admits meanwhile is accounted for.
+FULL_LINK_TOLD_SECONDS: Final = 2.5
+# A host that has started is told within this. What it admits until then is reported,
+# and less than the hosts that were lost with what they knew had left in the window.
+START_SECONDS: Final = 1.0
 # A host's part of what is asked is averaged over this, and kept while it hears nothing.
 PART_SECONDS: Final = 2.0
 # A host that is asked for nothing reports this often, or it would be taken for one that
@@ -59,6 +65,8 @@
         self.random = random
         self.bounds = bounds
         self.hosts = 1
+        self.told_seconds = TOLD_SECONDS
+        self.first_asked_at: float | None = None
         self.told_at = float("-inf")
         self.uses: dict[str, HostUse] = {}
         self.changed: set[str] = set()
@@ -81,16 +89,21 @@
         if not account.limited:
             return Admission(admitted=True)
         age = now - self.told_at
-        if age > TOLD_SECONDS:
+        if age > self.told_seconds:
             return self._decide_alone(account, use, now)
         use.alone = None
-        admitted = use.share >= 1.0 or self.random.random() < use.share
+        # Until it is told again, one host alone must not use more than all may.
+        most = account.burst + self.bounds.reserve(account)
+        in_time = use.admitted_since_told < most
+        admitted = in_time and self.random.random() < use.share
         # So much longer than they come do the requests of a moment take to fit.
         retry = 1 / use.share - 1 if use.share else RETRY_MAX_SECONDS
         return Admission(admitted, use.share, None, age, _bounded(retry))
 
     def _decide_alone(self, account: Account, use: HostUse, now: float) -> Admission:
         """Keep to this host's part of the limit."""
+        if self.unanswered and self._has_just_started(now):
+            return Admission(admitted=True)
         part = use.part if use.part is not None else 1 / max(1, self.hosts)
         burst = part * account.burst
         if use.alone is None:
@@ -104,6 +117,12 @@
         wait = take(use.alone, rate, burst, now)
         return Admission(not wait, None, part, now - self.told_at, _bounded(wait))
 
+    def _has_just_started(self, now: float) -> bool:
+        """Tell whether the first request came so lately that no answer is late."""
+        if self.first_asked_at is None:
+            self.first_asked_at = now
+        return now - self.first_asked_at <= START_SECONDS
+
     def _rounded(self, tokens: float) -> int:
         """Round up or down at random, so that many hosts round to the right sum."""
         return int(tokens + self.random.random())
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -10,7 +10,11 @@
 
 from aiohttp import web
 
-from greengagepoint.accounts.gate import AccountGate
+from greengagepoint.accounts.gate import (
+    FULL_LINK_TOLD_SECONDS,
+    TOLD_SECONDS,
+    AccountGate,
+)
 from greengagepoint.accounts.ledger import UsageLedger
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.events import Event
@@ -383,7 +387,8 @@
             self.quarantine.tick()
             self.retries.hosts = max(len(names), len(self.view.hosts))
             self.gate.hosts = self.retries.hosts
-            self.reports.link_is_full = self.gossip.link_is_full()
+            full = self.reports.link_is_full = self.gossip.link_is_full()
+            self.gate.told_seconds = FULL_LINK_TOLD_SECONDS if full else TOLD_SECONDS
             self.reports.near_hosts = len(near)
             await asyncio.sleep(TICK_SECONDS)
             self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
