--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -147,7 +147,7 @@
                 over=name in over,
                 limit=account.requests_per_second,
                 burst=account.burst,
-                level=round(use.level, 1),
+                left=round(use.level, 1),
                 asked=round(use.asked.read(self.clock.monotonic()), 1),
             )
         self.over = over
