--- a/packages/core/greengagepoint/accounts/bounds.py
+++ b/packages/core/greengagepoint/accounts/bounds.py
@@ -6,7 +6,7 @@
 
 # The rest is for what hosts admit before they are told otherwise, and for hosts that
 # are told nothing.
-GIVEN_SHARE: Final = 0.88
+GIVEN_SHARE: Final = 0.82
 
 
 class LimitBounds(NamedTuple):
--- a/packages/core/greengagepoint/accounts/gate.py
+++ b/packages/core/greengagepoint/accounts/gate.py
@@ -16,9 +16,6 @@
 # On a full link an answer takes longer. The ledger leaves its part to a host that it
 # hears too seldom, so what that one admits meanwhile is accounted for.
 FULL_LINK_TOLD_SECONDS: Final = 2.5
-# A host that has started is told within this. What it admits until then is reported,
-# and less than the hosts that were lost with what they knew had left in the window.
-START_SECONDS: Final = 1.0
 # A host's part of what is asked is averaged over this, and kept while it hears nothing.
 PART_SECONDS: Final = 2.0
 # A host that is asked for nothing reports this often, or it would be taken for one that
@@ -66,7 +63,6 @@
         self.bounds = bounds
         self.hosts = 1
         self.told_seconds = TOLD_SECONDS
-        self.first_asked_at: float | None = None
         self.told_at = float("-inf")
         self.uses: dict[str, HostUse] = {}
         self.changed: set[str] = set()
@@ -102,8 +98,6 @@
 
     def _decide_alone(self, account: Account, use: HostUse, now: float) -> Admission:
         """Keep to this host's part of the limit."""
-        if self.unanswered and self._has_just_started(now):
-            return Admission(admitted=True)
         part = use.part if use.part is not None else 1 / max(1, self.hosts)
         burst = part * account.burst
         if use.alone is None:
@@ -117,12 +111,6 @@
         wait = take(use.alone, rate, burst, now)
         return Admission(not wait, None, part, now - self.told_at, _bounded(wait))
 
-    def _has_just_started(self, now: float) -> bool:
-        """Tell whether the first request came so lately that no answer is late."""
-        if self.first_asked_at is None:
-            self.first_asked_at = now
-        return now - self.first_asked_at <= START_SECONDS
-
     def _rounded(self, tokens: float) -> int:
         """Round up or down at random, so that many hosts round to the right sum."""
         return int(tokens + self.random.random())
