List that a limit breaks while its ledgers are killed twice in a flood

Cause, by reading and the model: a ledger that has just begun counts the first report of each host as where it stands only, sees no request yet, and tells hosts to admit all. Tried and taken back: keeping its answers back for 0.6 s.

--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -69,6 +69,19 @@
     assert total(outcomes)["over"] <= 0
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_limit_holds_while_its_ledgers_are_killed_twice_in_a_flood(seed):
+    """Guards against ledgers that have just begun and tell hosts to admit all."""
+    faults = (
+        Fault("restart last", 8.0, 1.0, 0.55),
+        Fault("restart last", 12.0, 0.7, 1.0),
+    )
+    world = AccountsWorld(
+        USUAL, hosts=30, seed=seed, faults=faults, factor=hot("account-1", at=7.0)
+    )
+    assert total(world.run(15.0))["over"] <= 0
+
+
 @pytest.mark.parametrize("case", ["calm", "callers move to another region"])
 @pytest.mark.parametrize("seed", [1, 2])
 def test_what_lies_inside_the_limits_is_admitted(case, seed):
