--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -170,7 +170,7 @@
     assert ledger.uses["a"].level == pytest.approx(9.0)
 
 
-def test_a_ledger_that_reports_for_itself_too_is_counted_twice_over_never():
+def test_sums_and_own_reports_of_a_ledger_are_counted_apart():
     """Guards against sums that are taken for what their ledger was asked itself."""
     ledger = UsageLedger(5.0)
     reported(ledger, 0.0, 0, 0, summed=True)
