Keep the request limit that a backend server names over all hosts

What callers' servers saw: a server that named 1.7 requests a second got 25 in 4 s from hosts that had told their callers so; 15 are allowed.

Change: the first host of a server's rendezvous ranking issues quota, the right to send one request within 0.25 s; a host with a request for a limited server asks for it before it chooses. A host that can't reach the issuer asks the second one, which issues less. Hosts share what they hear of limits in their exchanges and in each ask. A limited server counts as the slots that its limit lets hosts use, in weights of regions, region loads and lost capacity; a request without quota goes to another server, and is rejected at once if all are at their limits. Quota is asked for before retries, waits, moves of keys and cold runs alike, as all go through the same permission.

Why it holds: shares and buckets are such that two hosts that both believe to be first, or one and two others, stay within one and a half times the limit and five requests in 4 s; a new issuer starts empty after 3 s.

Ruled out: fixed shares of five senders by hash, as for cold servers.

Mutants with a share of 1.1, without the wait after a start, or with quota that is valid for 5 s fail the tests.

--- a/packages/core/greengagepoint/backpressure/messages.py
+++ b/packages/core/greengagepoint/backpressure/messages.py
@@ -24,3 +24,25 @@
     def server(self) -> Incarnation:
         """Return the incarnation that the notice is about."""
         return Incarnation(self.instance, self.born, self.address)
+
+
+class QuotaRequest(msgspec.Struct, array_like=True):
+    """Ask for quota for up to ``count`` requests to a limited server.
+
+    ``region`` is the server's; ``notice`` is what the sender knows of its limit.
+    """
+
+    region: str
+    count: Annotated[int, Meta(ge=1)]
+    notice: LimitNotice
+
+
+class QuotaAnswer(msgspec.Struct, array_like=True):
+    """The quota granted, and when to ask again if it is less than asked for.
+
+    ``ready`` is false if the sender can't issue quota yet.
+    """
+
+    count: Annotated[int, Meta(ge=0)]
+    retry_ms: Milliseconds
+    ready: bool
--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -4,6 +4,7 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.request_limits import limit_wait
 from greengagepoint.placing.tables import Incarnation, Server, ServerTable
 
 # A warm run takes about 0.4 of the latency goal, so a request that waits for half of
@@ -49,8 +50,9 @@
     """Report that no server can take a request; retry in ``retry_seconds``.
 
     The other fields explain the decision: the shortest expected wait, the longest wait
-    allowed, the number of servers, and the age of the load report of the server with
-    the shortest wait (infinite if it never reported). Times are in seconds.
+    allowed, the number of servers and of those with a request limit, and the age of the
+    load report of the server with the shortest wait (infinite if it never reported).
+    Times are in seconds.
     """
 
     retry_seconds: float
@@ -59,14 +61,15 @@
     longest_wait: float = 0.0
     servers: int = 0
     report_age: float = float("inf")
+    limited: int = 0
 
 
 class Permissions(NamedTuple):
     """Hold the checks that spend a budget, each called only when it is needed.
 
-    ``may_send`` permits one request to a server that has just started, ``may_wait`` one
-    answer after the latency goal, ``may_move`` one key to move to its first-ranked
-    server.
+    ``may_send`` permits one request to a server that has just started or that has a
+    request limit, ``may_wait`` one answer after the latency goal, ``may_move`` one key
+    to move to its first-ranked server.
     """
 
     may_send: Callable[[Server], bool]
@@ -87,12 +90,7 @@
     uses the servers that are warm for the key, and leaves them only if the wait there
     costs more than a cold run.
     """
-    servers = [
-        server
-        for region in criteria.regions
-        for server in table.find(criteria.service, region).servers
-        if server.incarnation not in criteria.tried
-    ]
+    servers = _untried_servers(table, criteria)
     if not servers:
         return NoServerAvailable(retry_seconds=1.0, servers_known=False)
     ranked = _rank_servers(table, ranks, criteria, servers, now)
@@ -115,15 +113,37 @@
     least_loaded = min(servers, key=lambda row: row.expected_wait(now))
     shortest = least_loaded.expected_wait(now)
     return NoServerAvailable(
-        retry_seconds=max(RETRY_SECONDS_MIN, shortest - max_wait),
+        retry_seconds=max(RETRY_SECONDS_MIN, shortest - max_wait, limit_wait(servers)),
         servers_known=True,
         shortest_wait=shortest,
         longest_wait=max_wait,
         servers=len(servers),
         report_age=now - least_loaded.reported_at,
+        limited=sum(row.request_limit is not None for row in servers),
     )
 
 
+def preferred_servers(
+    table: ServerTable, ranks: RankCache, criteria: ServerCriteria, now: float
+) -> Sequence[Server]:
+    """Return all servers in the order in which a request would use idle ones."""
+    servers = _untried_servers(table, criteria)
+    ranked = _rank_servers(table, ranks, criteria, servers, now)
+    first = [*_warm_servers(ranked, servers, criteria, now), *ranked]
+    others = sorted(servers, key=lambda row: row.occupancy(now) / row.slots)
+    return [*first, *(row for row in others if row not in first)]
+
+
+def _untried_servers(table: ServerTable, criteria: ServerCriteria) -> list[Server]:
+    """Return the servers that meet the criteria."""
+    return [
+        server
+        for region in criteria.regions
+        for server in table.find(criteria.service, region).servers
+        if server.incarnation not in criteria.tried
+    ]
+
+
 def _rank_servers(
     table: ServerTable,
     ranks: RankCache,
@@ -227,5 +247,5 @@
 
 
 def _can_send(server: Server, permissions: Permissions, now: float) -> bool:
-    """Return True if a server has warmed up, or this host may send to it while cold."""
-    return server.cold_until <= now or permissions.may_send(server)
+    """Return True if a server takes any request, or this host may send it one."""
+    return server.is_unrestricted(now) or permissions.may_send(server)
--- a/packages/core/greengagepoint/placing/region_loads.py
+++ b/packages/core/greengagepoint/placing/region_loads.py
@@ -71,6 +71,6 @@
 def _busy_share(servers: Iterable[Server], now: float) -> float:
     """Return the share of slots in use over all servers that are not suspected."""
     usable = [row for row in servers if row.suspect_until <= now]
-    slots = sum(row.slots for row in usable)
-    held = sum(min(row.occupancy(now), row.slots) for row in usable)
+    slots = sum(row.usable_slots for row in usable)
+    held = sum(min(row.occupancy(now), row.usable_slots) for row in usable)
     return held / slots if slots else 1.0
--- a/packages/core/greengagepoint/placing/room.py
+++ b/packages/core/greengagepoint/placing/room.py
@@ -51,10 +51,10 @@
         return 1 - capacity.usable / capacity.former
 
 
-def _usable_slots(servers: Iterable[Server], now: float) -> int:
-    """Return the number of slots of servers that are neither suspected nor cold."""
+def _usable_slots(servers: Iterable[Server], now: float) -> float:
+    """Return the usable slots of servers that are neither suspected nor cold."""
     return sum(
-        server.slots
+        server.usable_slots
         for server in servers
         if server.suspect_until <= now and server.cold_until <= now
     )
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -13,6 +13,9 @@
 # Servers shed load once two to three requests wait for each slot.
 SHEDDING_QUEUE_PER_SLOT: Final = 2
 SERVICE_SECONDS_WEIGHT: Final = 0.05
+# Requests per second that a server gets whatever limit it names. An answer is needed to
+# learn that a limit of zero has ended.
+REQUEST_LIMIT_MIN: Final = 0.25
 
 
 class Incarnation(NamedTuple):
@@ -35,9 +38,11 @@
     Times are monotonic seconds. A newer incarnation gets a new row; requests that are
     still in flight at the older one are counted in its own row, which is no longer in
     any table. ``others_in_flight`` is the number of requests from other hosts in the
-    last load report, received at ``reported_at``. ``typical`` is shared by the members
-    of a service in a region. ``initial_weight`` is the weight that the initial value
-    still has in the moving average ``service_seconds``.
+    last load report, received at ``reported_at``. ``request_limit`` is the rate that
+    the server takes from all hosts together, in requests per second, None if it named
+    none. ``typical`` is shared by the members of a service in a region.
+    ``initial_weight`` is the weight that the initial value still has in the moving
+    average ``service_seconds``.
     """
 
     instance: str
@@ -56,6 +61,7 @@
     answered_at: float = float("-inf")
     service_seconds: float = RUN_SECONDS_START
     initial_weight: float = 1.0
+    request_limit: float | None = None
     born: int = 0
     typical: TypicalLoad = field(default_factory=TypicalLoad)
     incarnation: Incarnation = field(init=False)
@@ -74,6 +80,18 @@
         correction = self.typical.cautious_run_seconds() - RUN_SECONDS_START
         return self.service_seconds + self.initial_weight * correction
 
+    @property
+    def usable_slots(self) -> float:
+        """Return how many slots the server's request limit lets hosts use."""
+        if self.request_limit is None:
+            return self.slots
+        limit = max(REQUEST_LIMIT_MIN, self.request_limit)
+        return min(self.slots, limit * self.run_seconds)
+
+    def is_unrestricted(self, now: float) -> bool:
+        """Return True if any host may send to the server without a permission."""
+        return self.cold_until <= now and self.request_limit is None
+
     def occupancy(self, now: float) -> float:
         """Return the estimated number of requests running or queued at the server.
 
@@ -119,10 +137,13 @@
 
 @dataclass(slots=True)
 class Members:
-    """Hold the servers of one service in one region that may receive requests."""
+    """Hold the servers of one service in one region that may receive requests.
+
+    ``slots`` are those that request limits let hosts use.
+    """
 
     servers: tuple[Server, ...] = ()
-    slots: int = 0
+    slots: float = 0
 
 
 @dataclass(slots=True)
@@ -130,11 +151,13 @@
     """Hold all backend servers and track which of them may receive requests.
 
     ``servers`` holds the newest incarnation of each id. ``services`` lists the services
-    that may have members, None while they are unknown. ``version`` changes with the
-    membership, so that cached ranks can be invalidated.
+    that may have members, None while they are unknown. ``limited`` are the servers
+    with a request limit. ``version`` changes with the membership, so that cached ranks
+    can be invalidated.
     """
 
     servers: dict[str, Server] = field(default_factory=dict)
+    limited: set[Incarnation] = field(default_factory=set)
     leaving: set[Incarnation] = field(default_factory=set)
     evacuated_zones: frozenset[str] = frozenset()
     services: frozenset[str] | None = None
@@ -160,6 +183,14 @@
         for server in self.servers.values():
             server.senders = senders
 
+    def set_request_limit(self, server: Server, limit: float | None) -> None:
+        """Set a server's request limit; the caller rebuilds the membership."""
+        server.request_limit = limit
+        if limit is not None:
+            self.limited.add(server.incarnation)
+        else:
+            self.limited.discard(server.incarnation)
+
     def rebuild(self) -> None:
         """Recompute the members after a change."""
         self.version += 1
@@ -169,7 +200,7 @@
             server.typical = self.typical.setdefault(key, TypicalLoad())
             grouped.setdefault(key, []).append(server)
         self.members = {
-            key: Members(tuple(servers), sum(server.slots for server in servers))
+            key: Members(tuple(servers), sum(server.usable_slots for server in servers))
             for key, servers in grouped.items()
         }
         regions: dict[str, list[str]] = {}
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -47,6 +47,7 @@
 from greengagepoint_node.gateway.region_reports import REPORTS_PATH, RegionReports
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
+from greengagepoint_node.gateway.server_quotas import QUOTAS_PATH, ServerQuotas
 from greengagepoint_node.gateway.server_signals import ServerSignals
 from greengagepoint_node.gateway.settings import REVOKE_SECONDS, GatewaySettings
 from greengagepoint_node.gateway.stale_view_guard import StaleViewGuard
@@ -190,9 +191,7 @@
         self.gossip.writer.loads = self.placer.loads
         self.gossip.writer.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
-        self.signals = ServerSignals(
-            settings.names, self.view, self.counters, self.clock, self.events
-        )
+        self._create_quotas()
         self._create_quarantine_sync()
         self._create_reports()
         ages = self.gossip.ages
@@ -218,6 +217,7 @@
                 lambda: bool(self.reports.accounts()),
             ),
             self.signals,
+            self.quotas,
         )
         self.directory = HostDirectory(
             self.view, self.gossip, self.clock, self.gateway.accounts.can_serve_keys
@@ -248,6 +248,23 @@
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
 
+    def _create_quotas(self) -> None:
+        """Create the parts that keep servers' request limits over all hosts."""
+        self.signals = ServerSignals(
+            self.settings.names, self.view, self.counters, self.clock, self.events
+        )
+        self.gossip.signals = self.signals
+        self.quotas = ServerQuotas(
+            self.own_state,
+            self.signals,
+            self.gossip.table,
+            create_report_session(),
+            self.clock,
+            self.events,
+            self.gossip.bytes,
+            self.placer.quota,
+        )
+
     def _create_quarantine_sync(self) -> None:
         """Share requests that crash servers with peers and through the store."""
         self.quarantine_sync = QuarantineSync(
@@ -392,6 +409,7 @@
             self.placer.round_trip_seconds = self.gossip.distances.max_round_trip()
             self.placer.tick(now)
             self.signals.tick()
+            self.quotas.tick()
             self.quarantine.tick()
             self.retries.hosts = max(len(names), len(self.view.hosts))
             self.gate.hosts = self.retries.hosts
@@ -451,6 +469,8 @@
             return await self.quarantine_sync.async_receive(request)
         if request.rel_url.raw_path == REPORTS_PATH:
             return await self.reports.async_take(request)
+        if request.rel_url.raw_path == QUOTAS_PATH:
+            return await self.quotas.async_answer(request)
         return web.Response(status=404)
 
     async def _async_answer_operator(self, request: web.BaseRequest) -> web.Response:
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -38,6 +38,10 @@
 from greengagepoint_node.gateway.message_writer import MessageWriter
 from greengagepoint_node.gateway.news_ages import ViewFreshnessTracker
 from greengagepoint_node.gateway.peer_notifier import PeerNotifier
+from greengagepoint_node.gateway.signal_exchange import (
+    NoSignalExchange,
+    SignalExchange,
+)
 from greengagepoint_node.gateway.store_types import (
     Changes,
     Snapshot,
@@ -93,6 +97,7 @@
         self.table = HostTable(own, events)
         self.distances = RegionDistances(own.entry.region)
         self.suspects: SuspectExchange = NoSuspectExchange()
+        self.signals: SignalExchange = NoSignalExchange()
         self.is_watcher = True
         self.ages = ViewFreshnessTracker(clock)
         self.partial_revision = 0
@@ -285,6 +290,7 @@
         message = self.writer.create_message(revision, peers)
         message.wants_news = wants_news
         message.suspects = self.suspects.shared()
+        message.limits = self.signals.shared_limits()
         return encode(message)
 
     def apply_exchange(self, body: bytes) -> None:
@@ -308,6 +314,7 @@
             revision, peers, full=message.wants_addresses
         )
         answer.suspects = self.suspects.shared()
+        answer.limits = self.signals.shared_limits()
         body = encode(answer)
         self.bytes["exchange", SENT] += len(body)
         return web.Response(body=body)
@@ -337,6 +344,7 @@
         self.writer.loads.take(message.loads, now)
         self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
         self.suspects.take(message.suspects)
+        self.signals.take_limits(message.limits)
         if message.partial_after is not None:
             self._apply_partial(message, message.partial_after, sent_after)
             return
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from greengagepoint.accounts.certainty import Proof
+from greengagepoint.backpressure.messages import LimitNotice
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.quarantine.messages import SharedSuspect
@@ -55,7 +56,7 @@
     values, which are sent separately, and ``after`` equals ``revision``. ``suspects``
     are requests that crash backend servers. ``proof`` is the sender's proof of the
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
-    relays the update.
+    relays the update. ``limits`` are the request limits that backend servers named.
     """
 
     revision: int
@@ -78,6 +79,7 @@
     suspects: list[SharedSuspect] = []
     proof: Proof | None = None
     relay: list[str] = []
+    limits: list[LimitNotice] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -45,6 +45,7 @@
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.server_crashes import ServerCrashes
+from greengagepoint_node.gateway.server_quotas import ServerQuotas
 from greengagepoint_node.gateway.server_signals import ServerSignals
 from greengagepoint_node.gateway.stale_view_guard import StaleViewGuard
 from greengagepoint_node.gateway.tries import UNSENT, Attempts
@@ -72,6 +73,7 @@
         quarantine: RequestQuarantine,
         accounts: CallerAccounts,
         signals: ServerSignals,
+        quotas: ServerQuotas,
     ) -> None:
         self.names = names
         self.view = view
@@ -84,6 +86,7 @@
         self.quarantine = quarantine
         self.accounts = accounts
         self.signals = signals
+        self.quotas = quotas
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -219,10 +222,12 @@
                 call = call._replace(key=identity.fingerprint.content)
                 server = None
             if server is None:
+                await self._async_acquire_quota(call, attempts)
                 server = self.next_server(call, attempts, last and last.verdict)
             if server is None:
                 break
             attempts.begin(server.incarnation)
+            left = call.ends_at - self.clock.monotonic()
             outgoing = self._create_outgoing(request, call, body, server, left)
             with self.quarantine.trial(identity, standing):
                 last = await self._async_send(
@@ -238,6 +243,13 @@
             server = outgoing.successor
         raise no_answer_refusal(last, may_have_run=may_have_run)
 
+    async def _async_acquire_quota(self, call: Call, attempts: Attempts) -> None:
+        """Ask for quota if the request would be sent to a limited server."""
+        tried = frozenset(attempts.servers)
+        server = self.placer.server_to_ask_for(call, tried, self.clock.monotonic())
+        if server is not None:
+            await self.quotas.async_acquire(server)
+
     def next_server(
         self, call: Call, attempts: Attempts, last: Verdict | None
     ) -> Server | None:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
+from greengagepoint.backpressure.quota import QuotaPool
 from greengagepoint.events import Event
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.allowance import (
@@ -10,11 +11,17 @@
     create_wait_allowance,
 )
 from greengagepoint.placing.busy_servers import BusyServers
-from greengagepoint.placing.choice import NoServerAvailable, Permissions, ServerCriteria
+from greengagepoint.placing.choice import (
+    NoServerAvailable,
+    Permissions,
+    ServerCriteria,
+    preferred_servers,
+)
 from greengagepoint.placing.cold_start import ColdStartLimiter
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, should_run_locally
+from greengagepoint.placing.request_limits import server_to_ask_for
 from greengagepoint.placing.room import LostCapacityTracker
 from greengagepoint.placing.server_silence import AnswerTimes, silence_timeout
 from greengagepoint.placing.spilling import (
@@ -70,6 +77,7 @@
         self.warm_keys = WarmKeys()
         self.answer_times_by_group: dict[tuple[str, str], AnswerTimes] = {}
         self.cold_starts = ColdStartLimiter(host, started_at)
+        self.quota = QuotaPool()
         self.serving_hosts: list[str] = [host]
         self.round_trip_seconds = 0.0
         self.loads_measured_at = float("-inf")
@@ -97,6 +105,24 @@
             self._record_placement(call, choice, now)
         return choice
 
+    def server_to_ask_for(
+        self, call: Call, tried: frozenset[Incarnation], now: float
+    ) -> Server | None:
+        """Return the limited server for which a request needs quota, or None."""
+        if not self.view.servers.limited:
+            return None
+        weights = self.weights.current(self._weight_key(call))
+        region = region_for_key(_placement_key(call), weights)
+        if region is None:
+            return None
+        criteria = self._create_criteria(call, region, tried, now)
+        return server_to_ask_for(
+            preferred_servers(self.view.servers, self.ranks, criteria, now),
+            lambda server: self.quota.is_available(server.incarnation, now),
+            lambda server: self.quota.may_ask(server.incarnation, now),
+            now,
+        )
+
     def _create_criteria(
         self, call: Call, region: str, tried: frozenset[Incarnation], now: float
     ) -> ServerCriteria:
@@ -117,9 +143,16 @@
         rate = self._cold_requests_per_second(call.service)
 
         def may_send(server: Server) -> bool:
-            return self.cold_starts.may_send(
-                server.incarnation, rate, self.serving_hosts, now
-            )
+            run = server.incarnation
+            is_limited = server.request_limit is not None
+            if is_limited and not self.quota.is_available(run, now):
+                return False
+            is_cold = server.cold_until > now
+            if is_cold and not self.cold_starts.may_send(
+                run, rate, self.serving_hosts, now
+            ):
+                return False
+            return not is_limited or self.quota.withdraw(run, now)
 
         return Permissions(
             may_send, self.wait_allowance.withdraw, self.move_allowance.withdraw
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -74,7 +74,9 @@
 
 def no_server_refusal(service: str, place: NoServerAvailable) -> Refusal:
     """Return the refusal of a request for which no server is available."""
-    if place.servers_known:
+    if place.servers_known and place.limited == place.servers:
+        kind, reason = ErrorKind.OVERLOADED, "all servers are at their request limits"
+    elif place.servers_known:
         kind, reason = ErrorKind.OVERLOADED, "all servers are busy"
     else:
         kind, reason = ErrorKind.NO_BACKEND_SERVER, "no server may be used"
@@ -84,6 +86,7 @@
         "shortest_wait": round(place.shortest_wait, 3),
         "longest_wait": round(place.longest_wait, 3),
         "report_age": round(age, 3) if math.isfinite(age) else None,
+        "limited_servers": place.limited,
     }
     return Refusal(kind, 503, f"{reason}: {service}", place.retry_seconds, inputs)
 
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -39,6 +39,7 @@
         self.clock = clock
         self.events = events
         self.limits = AdvertisedLimits()
+        self.has_capacity_changed = False
 
     def read(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
         """Apply the head of an answer of a server."""
@@ -72,14 +73,28 @@
         self._apply_limit_changes(self.limits.merge(notices, known, now))
 
     def tick(self) -> None:
-        """Drop the state of removed servers."""
-        servers = self.view.servers.servers.values()
+        """Drop the state of removed servers, and apply limits to new rows."""
+        table = self.view.servers
+        servers = table.servers.values()
         self.limits.retain(row.incarnation for row in servers)
+        table.limited &= self.limits.rows.keys()
+        for server in servers if self.limits.rows else ():
+            self._set_limit(server, self.limits.limit(server.incarnation))
+        if self.has_capacity_changed:
+            self.has_capacity_changed = False
+            table.rebuild()
+
+    def _set_limit(self, server: Server, limit: float | None) -> None:
+        """Set a server's limit; the next tick adapts the weights of regions."""
+        if server.request_limit != limit:
+            self.has_capacity_changed = True
+            self.view.servers.set_request_limit(server, limit)
 
     def _apply_limit_changes(self, changes: Iterable[LimitChange]) -> None:
         """Log and count changed limits."""
         for change in changes:
             row = self.view.servers.servers[change.server.instance]
+            self._set_limit(row, change.after)
             self.counters.limit_changes[row.service, _describe(change)] += 1
             self.events.record(
                 Event.BACKEND_SERVER_LIMITED,
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -285,5 +285,6 @@
         await daemon.sessions.async_close()
         await daemon.gossip.session.close()
         await daemon.reports.session.close()
+        await daemon.quotas.session.close()
         for backend in backends:
             await backend.async_stop()
