Soak servers that name, change and end limits beside random faults

Change: a soak of three daemons and eight servers behind links of their own. Servers name limits, change, misspell and end them, alone or all at once, beside hosts that are killed, paused and restarted, a store that rejects calls, and cut links to servers. It counts arrivals as the users do, with changing limits summed over the window, and excuses hosts that were disturbed since they were told.

--- a/packages/platform_tests/tests/test_platform_server_limits.py
+++ b/packages/platform_tests/tests/test_platform_server_limits.py
@@ -1,7 +1,6 @@
 """Backend servers that name a request limit in their answers, on three real daemons."""
 
 import asyncio
-import time
 from pathlib import Path
 
 import pytest
@@ -13,6 +12,7 @@
     LIMIT_WINDOW_SECONDS,
     allowed_requests,
     counted_arrivals,
+    limit_periods,
     most_in_window,
 )
 
@@ -63,11 +63,13 @@
     async with async_calling(*callers):
         await asyncio.sleep(1.0)
         for backend in backends:
-            backend.limits = (str(LIMIT),)
-        named_at = time.monotonic()
+            backend.name_limit(str(LIMIT))
         await asyncio.sleep(LIMITED_SECONDS)
     hosts = hosts_by_request(callers)
-    return named_at, [counted_arrivals(backend, hosts) for backend in backends]
+    return [
+        counted_arrivals(backend, limit_periods(backend)[0], hosts)
+        for backend in backends
+    ]
 
 
 @pytest.mark.parametrize(
@@ -80,6 +82,6 @@
 ):
     await async_use_servers(fleet, servers)
     callers = callers_of(fleet, per_second)
-    _, arrivals = await async_name_limits(fleet.backends[:limited], callers)
+    arrivals = await async_name_limits(fleet.backends[:limited], callers)
     most = [most_in_window(row, LIMIT_WINDOW_SECONDS) for row in arrivals]
     assert max(most) <= allowed_requests(LIMIT), most
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -9,6 +9,8 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
+from greengagepoint.backpressure.limits import read_limit
+
 LOOPBACK: Final = "127.0.0.1"
 SIGNATURE: Final = "3e1b.07.5a2"
 
@@ -57,7 +59,8 @@
 class PlatformBackend:
     """One incarnation of a server; ``ran`` are the requests that it began to work on.
 
-    ``limits`` are the values of the header with the request limit, as they are sent.
+    ``limits`` are the values of the header with the request limit, as they are sent;
+    ``limit_changes`` are the limits that can be read, and since when each was named.
     """
 
     def __init__(self, instance: str, *, seconds: float = 0.0) -> None:
@@ -66,6 +69,7 @@
         self.manner = Manner.GOOD
         self.limits: tuple[str, ...] = ()
         self.limits_named: list[LimitNamed] = []
+        self.limit_changes: list[tuple[float, float | None]] = []
         self.received: list[Received] = []
         self.ran: list[Received] = []
         self.cancelled: list[Received] = []
@@ -81,6 +85,13 @@
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def name_limit(self, *texts: str) -> None:
+        """Name a limit in all answers from now on, or none."""
+        self.limits = texts
+        limit = read_limit(texts)
+        if not texts or limit is not None:
+            self.limit_changes.append((time.monotonic(), limit))
+
     async def async_stop(self) -> None:
         """Stop listening."""
         self.server.close()
--- a/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
@@ -1,7 +1,8 @@
 """Check hosts by what backend servers see that say something about themselves."""
 
+import math
 from collections.abc import Iterable, Mapping, Sequence
-from typing import Final
+from typing import Final, NamedTuple
 
 from greengagepoint_standins.users_platform.backend import (
     PlatformBackend,
@@ -18,51 +19,119 @@
 TOLD_SECONDS: Final = 0.5
 
 
+class Disturbance(NamedTuple):
+    """A host that was killed, stopped or started at a time; monotonic seconds."""
+
+    at: float
+    host: str
+
+
+class LimitPeriod(NamedTuple):
+    """A time in which a server named limits in all its answers.
+
+    ``limits`` are the limits in requests per second and since when each was named;
+    monotonic seconds.
+    """
+
+    limits: tuple[tuple[float, float], ...]
+    ends_at: float
+
+    @property
+    def begins_at(self) -> float:
+        """Return when the server began to name limits."""
+        return self.limits[0][0]
+
+    def allowed(self, since: float) -> float:
+        """Return how many requests may come within one window from a time on."""
+        until = since + LIMIT_WINDOW_SECONDS
+        requests = 0.0
+        ends = [*(at for at, _ in self.limits[1:]), math.inf]
+        for (at, limit), end in zip(self.limits, ends, strict=True):
+            requests += limit * max(0.0, min(end, until) - max(at, since))
+        return LIMIT_FACTOR * requests + LIMIT_SLACK
+
+
 def allowed_requests(limit: float) -> float:
-    """Return how many requests a server with a limit may get in one window."""
-    return LIMIT_FACTOR * limit * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+    """Return how many requests a server with one limit may get in one window."""
+    return LimitPeriod(((0.0, limit),), math.inf).allowed(0.0)
 
 
-def told_hosts(
-    backend: PlatformBackend, hosts_by_request: Mapping[str, str]
-) -> dict[str, float]:
-    """Return when each host first got an answer that names a limit."""
-    told: dict[str, float] = {}
-    for named in backend.limits_named:
-        host = hosts_by_request.get(named.request_id)
-        if host is not None:
-            told.setdefault(host, named.at)
-    return told
+def limit_periods(backend: PlatformBackend) -> list[LimitPeriod]:
+    """Return the periods in which a server named limits that can be read."""
+    periods: list[LimitPeriod] = []
+    current: list[tuple[float, float]] = []
+    for at, limit in backend.limit_changes:
+        if limit is not None:
+            current.append((at, limit))
+        elif current:
+            periods.append(LimitPeriod(tuple(current), at))
+            current = []
+    if current:
+        periods.append(LimitPeriod(tuple(current), math.inf))
+    return periods
 
 
 def counted_arrivals(
-    backend: PlatformBackend, hosts_by_request: Mapping[str, str]
+    backend: PlatformBackend,
+    period: LimitPeriod,
+    hosts_by_request: Mapping[str, str],
+    disturbances: Sequence[Disturbance] = (),
 ) -> list[float]:
-    """Return when requests came from hosts that knew of the server's limit."""
-    if not backend.limits_named:
-        return []
-    told = told_hosts(backend, hosts_by_request)
-    since = backend.limits_named[0].at + CONTACT_SECONDS
-    return [
-        row.at
-        for row in backend.received
-        if row.at >= since
-        and (host := hosts_by_request.get(request_id(row))) in told
-        and row.at >= told[host] + TOLD_SECONDS
-    ]
+    """Return when requests came from hosts that knew of the server's limit.
+
+    Hosts that were disturbed since they were told do not count.
+    """
+    told = _told_hosts(backend, period, hosts_by_request)
+    first = min(told.values(), default=math.inf)
+    arrivals = []
+    for row in backend.received:
+        host = hosts_by_request.get(request_id(row))
+        if host not in told or not first + CONTACT_SECONDS <= row.at < period.ends_at:
+            continue
+        is_told = row.at >= told[host] + TOLD_SECONDS
+        if is_told and not _is_disturbed(host, told[host], row.at, disturbances):
+            arrivals.append(row.at)
+    return arrivals
+
+
+def limit_excess(
+    backend: PlatformBackend,
+    hosts_by_request: Mapping[str, str],
+    disturbances: Sequence[Disturbance] = (),
+) -> float:
+    """Return the most requests beyond what a server's limits allowed in a window."""
+    excess = 0.0
+    for period in limit_periods(backend):
+        times = counted_arrivals(backend, period, hosts_by_request, disturbances)
+        for at in times:
+            until = at + LIMIT_WINDOW_SECONDS
+            count = sum(at <= other < until for other in times)
+            excess = max(excess, count - period.allowed(at))
+    return excess
 
 
 def most_in_window(times: Iterable[float], seconds: float) -> int:
     """Return the most times that lie within any span of so many seconds."""
-    ordered = sorted(times)
-    most = first = 0
-    for last, at in enumerate(ordered):
-        while at - ordered[first] >= seconds:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
-def requests_per_second(times: Sequence[float], seconds: float) -> float:
-    """Return the mean rate of requests over a time in seconds."""
-    return len(times) / seconds
+    rows = sorted(times)
+    return max(
+        (sum(at <= row < at + seconds for row in rows) for at in rows), default=0
+    )
+
+
+def _told_hosts(
+    backend: PlatformBackend, period: LimitPeriod, hosts_by_request: Mapping[str, str]
+) -> dict[str, float]:
+    """Return when each host first got an answer with a limit in a period."""
+    told: dict[str, float] = {}
+    for named in backend.limits_named:
+        host = hosts_by_request.get(named.request_id)
+        if host is not None and period.begins_at <= named.at < period.ends_at:
+            told.setdefault(host, named.at)
+    return told
+
+
+def _is_disturbed(
+    host: str, since: float, until: float, disturbances: Sequence[Disturbance]
+) -> bool:
+    """Return True if a host was disturbed within a time."""
+    return any(row.host == host and since <= row.at <= until for row in disturbances)
--- /dev/null
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -0,0 +1,271 @@
+"""Let backend servers name limits beside random faults, and check what they get.
+
+Run as ``python -m greengagepoint_standins.users_platform.signal_soak`` in the checkout,
+with the number of seeds and the first one. A seed fixes the plan of signals, faults and
+load, not the scheduling of the processes.
+"""
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Final, NamedTuple
+
+from greengagepoint_standins.relay import Relay
+from greengagepoint_standins.users_platform.backend import PlatformBackend
+from greengagepoint_standins.users_platform.crash_loop import (
+    ZONE_OF,
+    Caller,
+    async_calling,
+)
+from greengagepoint_standins.users_platform.daemons import Fleet, Node, async_fleet
+from greengagepoint_standins.users_platform.signal_checks import (
+    Disturbance,
+    limit_excess,
+)
+
+SERVERS: Final = 8
+RUN_SECONDS: Final = 0.05
+PLAN_SECONDS: Final = 18.0
+# The cold starts of hosts are over, and hosts have heard of the end of all signals.
+CALM_SECONDS: Final = 8.0
+CHECKED_SECONDS: Final = 3.0
+SIGNALS: Final = 8
+FAULTS: Final = 4
+LIMITS: Final = (0.0, 0.8, 1.6, 4.0)
+BAD_LIMITS: Final = ("nan", "-1", "", "many")
+KEYS: Final = 12
+CALLER_PAUSE_SECONDS: Final = 0.3
+STORE_ANSWERS: Final = (503, 429)
+
+
+class Step(NamedTuple):
+    """One signal or fault: seconds from the start, its kind, how long, and where."""
+
+    at: float
+    kind: str
+    seconds: float
+    place: int
+
+
+def create_plan(draw: random.Random) -> list[Step]:
+    """Return the signals and faults of a seed in order."""
+    signals = ["limit", "limit", "changing_limit", "bad_limit", "all_limit"]
+    faults = ["kill", "kill_all", "pause", "store", "cut"]
+    kinds = [draw.choice(signals) for _ in range(SIGNALS)]
+    kinds += [draw.choice(faults) for _ in range(FAULTS)]
+    steps = [
+        Step(
+            draw.uniform(0.5, PLAN_SECONDS - 4.0),
+            kind,
+            draw.uniform(0.3, 2.5) if kind in faults else draw.uniform(4.0, 9.0),
+            draw.randrange(1000),
+        )
+        for kind in kinds
+    ]
+    return sorted(steps)
+
+
+class SignalSoak:
+    """One seed on one fleet; ``links`` lead to the servers."""
+
+    def __init__(self, fleet: Fleet, links: list[Relay], draw: random.Random) -> None:
+        self.fleet = fleet
+        self.links = links
+        self.draw = draw
+        self.plan = create_plan(draw)
+        self.disturbances: list[Disturbance] = []
+        self.busy: set[str] = set()
+        self.callers = [
+            Caller(
+                fleet,
+                fleet.nodes,
+                lambda number: f"/bays/{number}",
+                str(key),
+                CALLER_PAUSE_SECONDS,
+            )
+            for key in range(KEYS)
+        ]
+
+    async def async_run(self) -> None:
+        """Play the plan, and some calm seconds after it."""
+        began = time.monotonic()
+        async with async_calling(*self.callers):
+            async with asyncio.TaskGroup() as group:
+                for step in self.plan:
+                    await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
+                    group.create_task(self._async_play(step))
+            await asyncio.sleep(CALM_SECONDS)
+            self.calm_since = time.monotonic()
+            await asyncio.sleep(CHECKED_SECONDS)
+
+    def broken(self) -> list[str]:
+        """Return what users would find broken."""
+        hosts = {
+            row.request_id: row.host
+            for caller in self.callers
+            for row in caller.outcomes
+        }
+        found = []
+        for backend in self.fleet.backends:
+            excess = limit_excess(backend, hosts, self.disturbances)
+            if excess > 0:
+                found.append(f"{backend.instance}: {excess:.1f} over its limit")
+        for caller in self.callers:
+            unserved = caller.unserved_since(self.calm_since)
+            if unserved:
+                statuses = [row.status for row in unserved]
+                found.append(f"key {caller.key}: {statuses} in calm seconds")
+        return found
+
+    def summary(self) -> str:
+        """Return one line on what happened."""
+        sent = [row for caller in self.callers for row in caller.outcomes]
+        served = sum(row.status == 200 for row in sent)
+        kinds = ", ".join(step.kind for step in self.plan)
+        return f"served {served} of {len(sent)}; {kinds}"
+
+    async def _async_play(self, step: Step) -> None:
+        """Play one signal or fault."""
+        node = self.fleet.nodes[step.place % len(self.fleet.nodes)]
+        backend = self.fleet.backends[step.place % len(self.fleet.backends)]
+        if step.kind == "limit":
+            await self._async_limit([backend], [self._limit(step)], step.seconds)
+        elif step.kind == "all_limit":
+            everyone = self.fleet.backends
+            await self._async_limit(everyone, [self._limit(step)], step.seconds)
+        elif step.kind == "changing_limit":
+            limits = [str(self.draw.choice(LIMITS)) for _ in range(4)]
+            await self._async_limit([backend], limits, step.seconds / len(limits))
+        elif step.kind == "bad_limit":
+            bad = BAD_LIMITS[step.place % len(BAD_LIMITS)]
+            await self._async_limit([backend], [bad], step.seconds)
+        elif step.kind in ("kill", "kill_all"):
+            nodes = [node] if step.kind == "kill" else self.fleet.nodes
+            await self._async_restart(nodes, step.seconds)
+        elif step.kind == "pause":
+            await self._async_pause(node, step.seconds)
+        elif step.kind == "store":
+            status = STORE_ANSWERS[step.place % len(STORE_ANSWERS)]
+            self.fleet.store.control.status = status
+            await asyncio.sleep(step.seconds)
+            self.fleet.store.control.status = 0
+        else:
+            await self._async_cut(step.place % len(self.links), step.seconds)
+
+    def _limit(self, step: Step) -> str:
+        """Return the limit that a step names."""
+        return str(LIMITS[step.place % len(LIMITS)])
+
+    async def _async_limit(
+        self, backends: list[PlatformBackend], limits: list[str], seconds: float
+    ) -> None:
+        """Let servers name limits, one after the other, and then none."""
+        free = [row for row in backends if row.instance not in self.busy]
+        self.busy |= {row.instance for row in free}
+        for limit in limits:
+            for backend in free:
+                backend.name_limit(limit)
+            await asyncio.sleep(seconds)
+        for backend in free:
+            backend.name_limit()
+        self.busy -= {row.instance for row in free}
+
+    async def _async_cut(self, number: int, seconds: float) -> None:
+        """Cut the link to a server for a while."""
+        link = self.links[number]
+        if link.address in self.busy:
+            return
+        self.busy.add(link.address)
+        await link.async_cut()
+        await asyncio.sleep(seconds)
+        await link.async_open()
+        self.busy.discard(link.address)
+
+    async def _async_restart(self, nodes: list[Node], seconds: float) -> None:
+        """Kill hosts and start them again, but for those under another fault."""
+        free = [node for node in nodes if node.name not in self.busy]
+        self.busy |= {node.name for node in free}
+        for node in free:
+            self._record_disturbance(node)
+            await node.async_kill()
+        await asyncio.sleep(seconds)
+        for node in free:
+            await node.async_start()
+            self._record_disturbance(node)
+        self.busy -= {node.name for node in free}
+
+    async def _async_pause(self, node: Node, seconds: float) -> None:
+        """Stop a host's process for a while."""
+        if node.name in self.busy:
+            return
+        self.busy.add(node.name)
+        self._record_disturbance(node)
+        node.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        node.process.send_signal(signal.SIGCONT)
+        self._record_disturbance(node)
+        self.busy.discard(node.name)
+
+    def _record_disturbance(self, node: Node) -> None:
+        """Record that a host was killed, stopped or started now."""
+        self.disturbances.append(Disturbance(time.monotonic(), node.name))
+
+
+@contextlib.asynccontextmanager
+async def async_linked_servers(fleet: Fleet, count: int) -> AsyncIterator[list[Relay]]:
+    """Run servers behind links of their own instead of the fleet's servers."""
+    former, fleet.backends = fleet.backends, []
+    links = []
+    for number in range(count):
+        backend = PlatformBackend(f"s-{number:02}", seconds=RUN_SECONDS)
+        await backend.async_start()
+        link = Relay(backend.address)
+        await link.async_open()
+        backend.address = link.address
+        links.append(link)
+        fleet.backends.append(backend)
+        fleet.enter(backend, ZONE_OF[number % len(ZONE_OF)])
+    for backend in former:
+        fleet.store.items.remove(f"servers/{backend.instance}")
+        await backend.async_stop()
+    await fleet.async_until(fleet.async_all_know)
+    try:
+        yield links
+    finally:
+        for link in links:
+            await link.async_cut()
+
+
+async def async_play(seed: int, root: Path) -> list[str]:
+    """Play a seed, print its line, and return what was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with (
+            async_fleet(root, Path(folder)) as fleet,
+            async_linked_servers(fleet, SERVERS) as links,
+        ):
+            soak = SignalSoak(fleet, links, random.Random(seed))
+            await soak.async_run()
+            broken = soak.broken()
+            verdict = "; ".join(broken) or "good"
+            sys.stdout.write(f"seed {seed}: {verdict}; {soak.summary()}\n")
+            sys.stdout.flush()
+            return broken
+
+
+async def _async_main(seeds: int, first: int) -> int:
+    """Play seeds one after the other; return how many were broken."""
+    count = 0
+    for seed in range(first, first + seeds):
+        count += bool(await async_play(seed, Path.cwd()))
+    return count
+
+
+if __name__ == "__main__":
+    seeds, first = (int(word) for word in sys.argv[1:3])
+    sys.exit(min(1, asyncio.run(_async_main(seeds, first))))
