--- a/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -29,7 +29,7 @@
     limit_excess,
 )
 
-SERVERS: Final = 8
+SERVERS: Final = 6
 RUN_SECONDS: Final = 0.05
 PLAN_SECONDS: Final = 18.0
 # The cold starts of hosts are over, and hosts have heard of the end of all signals.
@@ -40,7 +40,7 @@
 LIMITS: Final = (0.0, 0.8, 1.6, 4.0)
 BAD_LIMITS: Final = ("nan", "-1", "", "many")
 KEYS: Final = 12
-CALLER_PAUSE_SECONDS: Final = 0.3
+CALLER_PAUSE_SECONDS: Final = 0.12
 STORE_ANSWERS: Final = (503, 429)
 
 
