Log and count backend servers that say in an answer that they leave

Cause: two hosts sent to a server 2.7 s after they had passed on its word that it leaves, and no line told whether any host had read that word.

Change: the header's name stands in the adapter; a host reads it in the head of each answer, and logs (6013) and counts a server once. No decision uses it yet. The stand-in server can say that it leaves.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -80,6 +80,7 @@
     SPILL_CHANGED = 6010
     BACKEND_SERVER_ENDED = 6011
     BACKEND_SERVER_LIMITED = 6012
+    BACKEND_SERVER_ANNOUNCED_LEAVING = 6013
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -230,6 +231,9 @@
     Event.BACKEND_SERVER_LIMITED: EventType(
         Level.INFO, "A backend server named, changed or ended its request limit."
     ),
+    Event.BACKEND_SERVER_ANNOUNCED_LEAVING: EventType(
+        Level.INFO, "A backend server said in an answer that it leaves."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -45,9 +45,9 @@
     (path, direction) for the bytes of messages between hosts, (reason,) for rejected
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
-    ``limit_changes`` of servers. ``send_delay`` holds the seconds from the
-    choice of a server to the first byte, ``news_age`` the age of the host's state at
-    the first byte.
+    ``limit_changes`` of servers, (service,) for ``leaving_announced``. ``send_delay``
+    holds the seconds from the choice of a server to the first byte, ``news_age`` the
+    age of the host's state at the first byte.
     """
 
     def __init__(self) -> None:
@@ -59,6 +59,7 @@
         self.rejected_items: Counter[tuple[str]] = Counter()
         self.in_flight_at_crash: Counter[tuple[str]] = Counter()
         self.limit_changes: Counter[tuple[str, str]] = Counter()
+        self.leaving_announced: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -105,6 +105,11 @@
             "Request limits of backend servers, as they were named and ended.",
             lambda: _rows(counters.limit_changes, "service", "change"),
         )
+        yield Instrument(
+            "backend_servers_announced_leaving",
+            "Backend servers that said in an answer that they leave, by service.",
+            lambda: _rows(counters.leaving_announced, "service"),
+        )
         yield Instrument(
             "account_requests",
             "Requests of client accounts, admitted or over a limit.",
--- a/packages/node/greengagepoint_node/gateway/names.py
+++ b/packages/node/greengagepoint_node/gateway/names.py
@@ -10,6 +10,7 @@
     on complete answers, ``not_executed`` on answers to requests that were not run.
     ``load`` holds the numbers of running and waiting requests and of slots,
     ``request_limit`` the requests per second that a server takes from all hosts.
+    ``leaving`` is "1" on all answers of a server that leaves.
     """
 
     request_id: str
@@ -22,3 +23,4 @@
     not_executed: str
     account: str
     request_limit: str
+    leaving: str
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -11,7 +11,7 @@
 )
 from greengagepoint.backpressure.messages import LimitNotice
 from greengagepoint.events import Event
-from greengagepoint.placing.tables import Server
+from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.counters import GatewayCounters
@@ -20,6 +20,7 @@
 
 # Servers choose the length of what is logged.
 LOGGED_CHARACTERS_MAX = 40
+LEAVING = "1"
 
 
 class ServerSignals:
@@ -40,11 +41,18 @@
         self.events = events
         self.limits = AdvertisedLimits()
         self.has_capacity_changed = False
+        self.announced: set[Incarnation] = set()
 
     def read(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
         """Apply the head of an answer of a server."""
         if not self.view.servers.is_newest(server):
             return
+        if headers.get(self.names.leaving) == LEAVING:
+            self._record_leaving(server)
+        self._read_limit(server, headers)
+
+    def _read_limit(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
+        """Apply the request limit in the head of an answer."""
         texts = headers.getall(self.names.request_limit, ())
         limit = read_limit(texts)
         if texts and limit is None:
@@ -77,6 +85,7 @@
         table = self.view.servers
         servers = table.servers.values()
         self.limits.retain(row.incarnation for row in servers)
+        self.announced &= {row.incarnation for row in servers}
         table.limited &= self.limits.rows.keys()
         for server in servers if self.limits.rows else ():
             self._set_limit(server, self.limits.limit(server.incarnation))
@@ -84,6 +93,19 @@
             self.has_capacity_changed = False
             table.rebuild()
 
+    def _record_leaving(self, server: Server) -> None:
+        """Log a server that says that it leaves."""
+        if server.incarnation in self.announced:
+            return
+        self.announced.add(server.incarnation)
+        self.counters.leaving_announced[(server.service,)] += 1
+        self.events.record(
+            Event.BACKEND_SERVER_ANNOUNCED_LEAVING,
+            instance=server.instance,
+            born=server.born,
+            service=server.service,
+        )
+
     def _set_limit(self, server: Server, limit: float | None) -> None:
         """Set a server's limit; the next tick adapts the weights of regions."""
         if server.request_limit != limit:
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -1,4 +1,4 @@
-"""What a host reads, logs and counts of its servers' request limits."""
+"""What a host reads, logs and counts of what its servers say about themselves."""
 
 import pytest
 from gateway_world import async_environment
@@ -115,3 +115,13 @@
             backend.limits = ()
         await async_statuses(world, 20, 1.0)
         assert await async_statuses(world, 20, 0.0) == [200] * 20
+
+
+async def test_a_server_that_says_that_it_leaves_is_logged_once():
+    async with async_environment(servers=1) as world:
+        for leaving in (False, True, True):
+            world.backends[0].leaving = leaving
+            await world.async_call("/safe/1")
+        (row,) = world.events.of(Event.BACKEND_SERVER_ANNOUNCED_LEAVING)
+        assert row["instance"] == world.backends[0].instance
+        assert world.daemon.counters.leaving_announced == {("booking",): 1}
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -61,13 +61,16 @@
 
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
+    ``leaving_told`` are the times and requests of answers that say that it leaves.
     """
 
     def __init__(self, instance: str, *, seconds: float = 0.0) -> None:
         self.instance = instance
         self.seconds = seconds
         self.manner = Manner.GOOD
+        self.leaving = False
         self.limits: tuple[str, ...] = ()
+        self.leaving_told: list[tuple[float, str]] = []
         self.limits_named: list[LimitNamed] = []
         self.limit_changes: list[tuple[float, float | None]] = []
         self.received: list[Received] = []
@@ -178,6 +181,9 @@
         if length is not None:
             lines.append(f"Content-Length: {length}")
         lines += self._limit_lines(request)
+        if self.leaving:
+            self.leaving_told.append((time.monotonic(), request_id(request)))
+            lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
     def _limit_lines(self, request: Received) -> list[str]:
