Test that a server that says that it leaves gets nothing more

What callers' servers saw: a server that said in its answers that it leaves got requests for as long as its entry in the store was ready.

Hosts log the word and use it for nothing.

--- a/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
@@ -110,6 +110,32 @@
     return excess
 
 
+def late_arrivals(
+    backend: PlatformBackend,
+    hosts_by_request: Mapping[str, str],
+    drain_seconds: float,
+    disturbances: Sequence[Disturbance] = (),
+) -> list[float]:
+    """Return how late requests came from hosts that knew that the server leaves.
+
+    Each is in seconds from the answer that told the host; earlier than
+    ``drain_seconds`` is allowed. Hosts that were disturbed since do not count.
+    """
+    told: dict[str, float] = {}
+    for at, request in backend.leaving_told:
+        host = hosts_by_request.get(request)
+        if host is not None:
+            told.setdefault(host, at)
+    late = []
+    for row in backend.received:
+        host = hosts_by_request.get(request_id(row))
+        if host not in told or row.at <= told[host] + drain_seconds:
+            continue
+        if not _is_disturbed(host, told[host], row.at, disturbances):
+            late.append(row.at - told[host])
+    return late
+
+
 def most_in_window(times: Iterable[float], seconds: float) -> int:
     """Return the most times that lie within any span of so many seconds."""
     rows = sorted(times)
--- a/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -6,28 +6,27 @@
 """
 
 import asyncio
-import contextlib
 import random
 import signal
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Final, NamedTuple
 
 from greengagepoint_standins.relay import Relay
 from greengagepoint_standins.users_platform.backend import PlatformBackend
-from greengagepoint_standins.users_platform.crash_loop import (
-    ZONE_OF,
-    Caller,
-    async_calling,
-)
+from greengagepoint_standins.users_platform.crash_loop import async_calling
 from greengagepoint_standins.users_platform.daemons import Fleet, Node, async_fleet
 from greengagepoint_standins.users_platform.signal_checks import (
     Disturbance,
     limit_excess,
 )
+from greengagepoint_standins.users_platform.signal_fleet import (
+    async_linked_servers,
+    create_callers,
+    hosts_by_request,
+)
 
 SERVERS: Final = 6
 RUN_SECONDS: Final = 0.05
@@ -40,7 +39,7 @@
 LIMITS: Final = (0.0, 0.8, 1.6, 4.0)
 BAD_LIMITS: Final = ("nan", "-1", "", "many")
 KEYS: Final = 12
-CALLER_PAUSE_SECONDS: Final = 0.12
+CALLERS_PER_SECOND: Final = 100.0
 STORE_ANSWERS: Final = (503, 429)
 
 
@@ -81,16 +80,7 @@
         self.plan = create_plan(draw)
         self.disturbances: list[Disturbance] = []
         self.busy: set[str] = set()
-        self.callers = [
-            Caller(
-                fleet,
-                fleet.nodes,
-                lambda number: f"/bays/{number}",
-                str(key),
-                CALLER_PAUSE_SECONDS,
-            )
-            for key in range(KEYS)
-        ]
+        self.callers = create_callers(fleet, KEYS, CALLERS_PER_SECOND)
 
     async def async_run(self) -> None:
         """Play the plan, and some calm seconds after it."""
@@ -106,11 +96,7 @@
 
     def broken(self) -> list[str]:
         """Return what users would find broken."""
-        hosts = {
-            row.request_id: row.host
-            for caller in self.callers
-            for row in caller.outcomes
-        }
+        hosts = hosts_by_request(self.callers)
         found = []
         for backend in self.fleet.backends:
             excess = limit_excess(backend, hosts, self.disturbances)
@@ -217,37 +203,12 @@
         self.disturbances.append(Disturbance(time.monotonic(), node.name))
 
 
-@contextlib.asynccontextmanager
-async def async_linked_servers(fleet: Fleet, count: int) -> AsyncIterator[list[Relay]]:
-    """Run servers behind links of their own instead of the fleet's servers."""
-    former, fleet.backends = fleet.backends, []
-    links = []
-    for number in range(count):
-        backend = PlatformBackend(f"s-{number:02}", seconds=RUN_SECONDS)
-        await backend.async_start()
-        link = Relay(backend.address)
-        await link.async_open()
-        backend.address = link.address
-        links.append(link)
-        fleet.backends.append(backend)
-        fleet.enter(backend, ZONE_OF[number % len(ZONE_OF)])
-    for backend in former:
-        fleet.store.items.remove(f"servers/{backend.instance}")
-        await backend.async_stop()
-    await fleet.async_until(fleet.async_all_know)
-    try:
-        yield links
-    finally:
-        for link in links:
-            await link.async_cut()
-
-
 async def async_play(seed: int, root: Path) -> list[str]:
     """Play a seed, print its line, and return what was broken."""
     with tempfile.TemporaryDirectory() as folder:
         async with (
             async_fleet(root, Path(folder)) as fleet,
-            async_linked_servers(fleet, SERVERS) as links,
+            async_linked_servers(fleet, SERVERS, RUN_SECONDS) as links,
         ):
             soak = SignalSoak(fleet, links, random.Random(seed))
             await soak.async_run()
