Send nothing to a backend server that said in an answer that it leaves

What callers' servers saw: requests came up to 4 s after a server had said in its answers that it leaves, and for as long as its entry stayed ready; in the users' record the store was away for 12 s, so its entry could not tell.

Cause: a host learned of a leaving server from entries and peers' entries alone (hypothesis 1). A mark set from an answer would have been cleared by any entry that says ready (hypothesis 2), as entry and mark were one.

A new incarnation is free of it. The choice, the check before the first byte, repeats, successors of silent servers, spill, weights of regions and lost capacity all go by membership, so all of them stop.

Ruled out: hypothesis 3, requests that had chosen the server before; the check before the first byte was there and now knows the word. Hypothesis 4 concerns the other symptom.

--- a/packages/core/greengagepoint/backpressure/messages.py
+++ b/packages/core/greengagepoint/backpressure/messages.py
@@ -46,3 +46,17 @@
     count: Annotated[int, Meta(ge=0)]
     retry_ms: Milliseconds
     ready: bool
+
+
+class LeavingNotice(msgspec.Struct, array_like=True, frozen=True):
+    """A server that said ``age_ms`` ago that it leaves."""
+
+    instance: str
+    born: int
+    address: str
+    age_ms: Milliseconds
+
+    @property
+    def server(self) -> Incarnation:
+        """Return the incarnation that the notice is about."""
+        return Incarnation(self.instance, self.born, self.address)
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -291,6 +291,7 @@
         message.wants_news = wants_news
         message.suspects = self.suspects.shared()
         message.limits = self.signals.shared_limits()
+        message.leaving_servers = self.signals.shared_leaving()
         return encode(message)
 
     def apply_exchange(self, body: bytes) -> None:
@@ -315,6 +316,7 @@
         )
         answer.suspects = self.suspects.shared()
         answer.limits = self.signals.shared_limits()
+        answer.leaving_servers = self.signals.shared_leaving()
         body = encode(answer)
         self.bytes["exchange", SENT] += len(body)
         return web.Response(body=body)
@@ -345,6 +347,7 @@
         self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
         self.suspects.take(message.suspects)
         self.signals.take_limits(message.limits)
+        self.signals.take_leaving(message.leaving_servers)
         if message.partial_after is not None:
             self._apply_partial(message, message.partial_after, sent_after)
             return
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from greengagepoint.accounts.certainty import Proof
-from greengagepoint.backpressure.messages import LimitNotice
+from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.quarantine.messages import SharedSuspect
@@ -56,7 +56,8 @@
     values, which are sent separately, and ``after`` equals ``revision``. ``suspects``
     are requests that crash backend servers. ``proof`` is the sender's proof of the
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
-    relays the update. ``limits`` are the request limits that backend servers named.
+    relays the update. ``limits`` are the request limits that backend servers named,
+    ``leaving_servers`` those that said that they leave.
     """
 
     revision: int
@@ -80,6 +81,7 @@
     proof: Proof | None = None
     relay: list[str] = []
     limits: list[LimitNotice] = []
+    leaving_servers: list[LeavingNotice] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/known_servers.py
+++ b/packages/node/greengagepoint_node/gateway/known_servers.py
@@ -2,11 +2,14 @@
 
 from collections.abc import Mapping
 
+from greengagepoint.backpressure.leaving import LeavingServers
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation, Server, ServerTable
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.store_types import ServerEntry
 
+ANNOUNCED = "the server said so in an answer"
+
 
 class KnownServers:
     """Add, update and remove servers; the caller rebuilds the membership."""
@@ -16,6 +19,7 @@
         self.events = events
         self.table = ServerTable()
         self.replaced: set[Incarnation] = set()
+        self.announced = LeavingServers()
 
     def apply_entry(self, entry: ServerEntry, revision: int, now: float) -> None:
         """Add or update the server of an entry."""
@@ -31,6 +35,8 @@
             server.cold_until = max(server.cold_until, now + entry.cold_seconds)
         if entry.leaving:
             self._mark_leaving(server.incarnation, "draining", revision)
+        elif server.incarnation in self.announced:
+            self._mark_leaving(server.incarnation, ANNOUNCED, revision)
         elif server.incarnation not in self.replaced:
             table.leaving.discard(server.incarnation)
 
@@ -52,6 +58,13 @@
         reason = "another server answers at its address"
         return self._mark_leaving(incarnation, reason, revision)
 
+    def record_announced(self, server: Server, revision: int) -> bool:
+        """Record that a server said in an answer that it leaves.
+
+        Return True if it was not known to be leaving before.
+        """
+        return self._mark_leaving(server.incarnation, ANNOUNCED, revision)
+
     def _create_server(self, entry: ServerEntry) -> Server:
         """Return a server of which only the entry is known."""
         return Server(
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -1,6 +1,6 @@
 """Apply what backend servers say about themselves in the heads of their answers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from multidict import CIMultiDictProxy
 
@@ -9,7 +9,7 @@
     LimitChange,
     read_limit,
 )
-from greengagepoint.backpressure.messages import LimitNotice
+from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
@@ -41,7 +41,6 @@
         self.events = events
         self.limits = AdvertisedLimits()
         self.has_capacity_changed = False
-        self.announced: set[Incarnation] = set()
 
     def read(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
         """Apply the head of an answer of a server."""
@@ -72,20 +71,38 @@
         """Return the limits that peers may lack."""
         return self.limits.shared(self.clock.monotonic())
 
-    def take_limits(self, notices: Iterable[LimitNotice]) -> None:
+    def take_limits(self, notices: Sequence[LimitNotice]) -> None:
         """Merge what a peer heard from servers."""
+        if not notices:
+            return
         known = {
             row.instance: row.incarnation for row in self.view.servers.servers.values()
         }
         now = self.clock.monotonic()
         self._apply_limit_changes(self.limits.merge(notices, known, now))
 
+    def shared_leaving(self) -> list[LeavingNotice]:
+        """Return the leaving servers that peers may not know."""
+        return self.view.known.announced.shared(self.clock.monotonic())
+
+    def take_leaving(self, notices: Sequence[LeavingNotice]) -> None:
+        """Merge the leaving servers that a peer knows."""
+        if not notices:
+            return
+        now = self.clock.monotonic()
+        known = {row.incarnation for row in self.view.servers.servers.values()}
+        changed = self.view.known.announced.merge(notices, known, now)
+        if changed:
+            self._apply_leaving(changed, from_peer=True)
+
     def tick(self) -> None:
         """Drop the state of removed servers, and apply limits to new rows."""
         table = self.view.servers
         servers = table.servers.values()
         self.limits.retain(row.incarnation for row in servers)
-        self.announced &= {row.incarnation for row in servers}
+        self.view.known.announced.retain(
+            (row.incarnation for row in servers), self.clock.monotonic()
+        )
         table.limited &= self.limits.rows.keys()
         for server in servers if self.limits.rows else ():
             self._set_limit(server, self.limits.limit(server.incarnation))
@@ -94,17 +111,30 @@
             table.rebuild()
 
     def _record_leaving(self, server: Server) -> None:
-        """Log a server that says that it leaves."""
-        if server.incarnation in self.announced:
-            return
-        self.announced.add(server.incarnation)
-        self.counters.leaving_announced[(server.service,)] += 1
-        self.events.record(
-            Event.BACKEND_SERVER_ANNOUNCED_LEAVING,
-            instance=server.instance,
-            born=server.born,
-            service=server.service,
-        )
+        """Stop using a server that says that it leaves."""
+        now = self.clock.monotonic()
+        if self.view.known.announced.record(server.incarnation, now):
+            self._apply_leaving([server.incarnation], from_peer=False)
+
+    def _apply_leaving(self, servers: list[Incarnation], *, from_peer: bool) -> None:
+        """Log and stop using servers that were not known to leave."""
+        for server in servers:
+            row = self.view.servers.servers.get(server.instance)
+            service = row.service if row is not None else ""
+            self.counters.leaving_announced[(service,)] += 1
+            self.events.record(
+                Event.BACKEND_SERVER_ANNOUNCED_LEAVING,
+                instance=server.instance,
+                born=server.born,
+                service=service,
+                source="peer" if from_peer else "answer",
+                age=round(self._announced_age(server), 3),
+            )
+        self.view.record_announced(servers)
+
+    def _announced_age(self, server: Incarnation) -> float:
+        """Return how many seconds ago a server said first that it leaves."""
+        return self.clock.monotonic() - self.view.known.announced.heard_at[server]
 
     def _set_limit(self, server: Server, limit: float | None) -> None:
         """Set a server's limit; the next tick adapts the weights of regions."""
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -189,6 +189,17 @@
         if self.known.record_replacement(incarnation, self.revision):
             self._rebuild_members()
 
+    def record_announced(self, servers: Iterable[Incarnation]) -> None:
+        """Stop using servers that said in an answer that they leave."""
+        rows = [self.servers.servers.get(server.instance) for server in servers]
+        marked = [
+            self.known.record_announced(row, self.revision)
+            for row in rows
+            if row is not None and row.incarnation in self.known.announced
+        ]
+        if any(marked):
+            self._rebuild_members()
+
     def unconfirmed_removals(self, now: float) -> dict[str, float]:
         """Return for how many seconds each removal may still be a lapse."""
         return {key: max(0.0, until - now) for key, until in self.lapsed.items()}
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -124,4 +124,5 @@
             await world.async_call("/safe/1")
         (row,) = world.events.of(Event.BACKEND_SERVER_ANNOUNCED_LEAVING)
         assert row["instance"] == world.backends[0].instance
+        assert row["source"] == "answer"
         assert world.daemon.counters.leaving_announced == {("booking",): 1}
