Log and count the rests that backend servers ask for

Cause: a host sent 9 requests within 3 s to a server that had asked it for 3 s without any, and its lines of rejections don't tell whether a server asked for that.

Change: a host reads Retry-After in the head of a 503, logs (6014, 6015) and counts the rest, and keeps its end on the server's row, where no decision uses it yet. The stand-in server can ask for rest.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -81,6 +81,8 @@
     BACKEND_SERVER_ENDED = 6011
     BACKEND_SERVER_LIMITED = 6012
     BACKEND_SERVER_ANNOUNCED_LEAVING = 6013
+    BACKEND_SERVER_RESTING = 6014
+    BACKEND_SERVER_RESTED = 6015
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -234,6 +236,12 @@
     Event.BACKEND_SERVER_ANNOUNCED_LEAVING: EventType(
         Level.INFO, "A backend server said in an answer that it leaves."
     ),
+    Event.BACKEND_SERVER_RESTING: EventType(
+        Level.INFO, "A backend server asked this host to send it nothing for a time."
+    ),
+    Event.BACKEND_SERVER_RESTED: EventType(
+        Level.INFO, "The time for which a backend server asked is over."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -40,9 +40,9 @@
     any table. ``others_in_flight`` is the number of requests from other hosts in the
     last load report, received at ``reported_at``. ``request_limit`` is the rate that
     the server takes from all hosts together, in requests per second, None if it named
-    none. ``typical`` is shared by the members of a service in a region.
-    ``initial_weight`` is the weight that the initial value still has in the moving
-    average ``service_seconds``.
+    none; it wants nothing from this host before ``rest_until``. ``typical`` is shared
+    by the members of a service in a region. ``initial_weight`` is the weight that the
+    initial value still has in the moving average ``service_seconds``.
     """
 
     instance: str
@@ -62,6 +62,7 @@
     service_seconds: float = RUN_SECONDS_START
     initial_weight: float = 1.0
     request_limit: float | None = None
+    rest_until: float = 0.0
     born: int = 0
     typical: TypicalLoad = field(default_factory=TypicalLoad)
     incarnation: Incarnation = field(init=False)
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -29,6 +29,7 @@
     backend_servers: int
     backend_servers_suspected: int
     backend_servers_limited: int
+    backend_servers_resting: int
     requests_suspected: int
     requests_quarantined: int
     hosts_alive: int
@@ -45,7 +46,8 @@
     (path, direction) for the bytes of messages between hosts, (reason,) for rejected
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
-    ``limit_changes`` of servers, (service,) for ``leaving_announced``. ``send_delay``
+    ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
+    ``rests``. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -60,6 +62,7 @@
         self.in_flight_at_crash: Counter[tuple[str]] = Counter()
         self.limit_changes: Counter[tuple[str, str]] = Counter()
         self.leaving_announced: Counter[tuple[str]] = Counter()
+        self.rests: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -441,6 +441,7 @@
                 self.signals.limits.limit(row.incarnation) is not None
                 for row in server_rows
             ),
+            backend_servers_resting=sum(row.rest_until > now for row in server_rows),
             requests_suspected=len(self.quarantine.table.suspects),
             requests_quarantined=len(self.quarantine.quarantined),
             hosts_alive=len(self.gossip.table.alive(now)),
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -90,7 +90,7 @@
 
     ``check_before_send`` returns the result of an attempt that must not be sent any
     more, or None. ``unsent_result`` holds that result. ``read_signals`` is called with
-    the headers of the server's answer before its body is read.
+    the status and headers of the server's answer before its body is read.
     """
 
     def __init__(
@@ -104,7 +104,7 @@
         time_left: TimeLeft,
         times: SendTimes,
         check_before_send: Callable[[], Exchange | None],
-        read_signals: Callable[[CIMultiDictProxy[str]], None],
+        read_signals: Callable[[int, CIMultiDictProxy[str]], None],
     ) -> None:
         self.method = method
         self.target = target
@@ -221,7 +221,7 @@
     if answer.status != MISDIRECTED and (
         echoed is not None or names.not_executed in headers
     ):
-        outgoing.read_signals(headers)
+        outgoing.read_signals(answer.status, headers)
     if names.not_executed in headers or answer.status == MISDIRECTED:
         verdict = Verdict.SHED if answer.status != MISDIRECTED else Verdict.OTHER_SERVER
         retry_after = _parse_seconds(headers.get("Retry-After"))
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -314,7 +314,7 @@
             TimeLeft(self.names.deadline_ms, self.clock, call.ends_at),
             times,
             lambda: self._check_before_send(server, times),
-            lambda headers: self.signals.read(server, headers),
+            lambda status, headers: self.signals.read(server, status, headers),
         )
 
     def _check_before_send(self, server: Server, times: SendTimes) -> Exchange | None:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -110,6 +110,11 @@
             "Backend servers that said in an answer that they leave, by service.",
             lambda: _rows(counters.leaving_announced, "service"),
         )
+        yield Instrument(
+            "backend_server_rests",
+            "Times without requests that backend servers asked for, by service.",
+            lambda: _rows(counters.rests, "service"),
+        )
         yield Instrument(
             "account_requests",
             "Requests of client accounts, admitted or over a limit.",
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
+from aiohttp import hdrs
 from multidict import CIMultiDictProxy
 
 from greengagepoint.backpressure.limits import (
@@ -10,6 +11,7 @@
     read_limit,
 )
 from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
+from greengagepoint.backpressure.rests import read_rest
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation, Server
 from greengagepoint.protocols import Clock
@@ -21,6 +23,7 @@
 # Servers choose the length of what is logged.
 LOGGED_CHARACTERS_MAX = 40
 LEAVING = "1"
+UNAVAILABLE = 503
 
 
 class ServerSignals:
@@ -41,14 +44,17 @@
         self.events = events
         self.limits = AdvertisedLimits()
         self.has_capacity_changed = False
+        self.resting: dict[Incarnation, Server] = {}
 
-    def read(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
+    def read(self, server: Server, status: int, headers: CIMultiDictProxy[str]) -> None:
         """Apply the head of an answer of a server."""
         if not self.view.servers.is_newest(server):
             return
         if headers.get(self.names.leaving) == LEAVING:
             self._record_leaving(server)
         self._read_limit(server, headers)
+        if status == UNAVAILABLE:
+            self._read_rest(server, headers)
 
     def _read_limit(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
         """Apply the request limit in the head of an answer."""
@@ -56,17 +62,56 @@
         limit = read_limit(texts)
         if texts and limit is None:
             # The server still asks for less, so an earlier limit stays.
-            self.events.record(
-                Event.LOAD_REPORT_INVALID,
-                instance=server.instance,
-                detail=f"request limit {texts[0][:LOGGED_CHARACTERS_MAX]!r}",
-            )
+            self._log_unreadable(server, "request limit", texts[0])
             return
         now = self.clock.monotonic()
         change = self.limits.record(server.incarnation, limit, now)
         if change is not None:
             self._apply_limit_changes([change])
 
+    def _read_rest(self, server: Server, headers: CIMultiDictProxy[str]) -> None:
+        """Apply the time without requests that a 503 asks for."""
+        text = headers.get(hdrs.RETRY_AFTER)
+        if text is None:
+            return
+        seconds = read_rest(text)
+        if seconds is None:
+            self._log_unreadable(server, "Retry-After", text)
+            return
+        now = self.clock.monotonic()
+        if server.rest_until <= now:
+            self.counters.rests[(server.service,)] += 1
+            self.events.record(
+                Event.BACKEND_SERVER_RESTING,
+                instance=server.instance,
+                born=server.born,
+                service=server.service,
+                seconds=round(seconds, 3),
+            )
+            self.resting[server.incarnation] = server
+        server.rest_until = max(server.rest_until, now + seconds)
+
+    def _log_ended_rests(self) -> None:
+        """Log the rests that are over."""
+        now = self.clock.monotonic()
+        for key, server in list(self.resting.items()):
+            if server.rest_until <= now:
+                del self.resting[key]
+                self.events.record(
+                    Event.BACKEND_SERVER_RESTED,
+                    instance=server.instance,
+                    born=server.born,
+                    service=server.service,
+                )
+
+    def _log_unreadable(self, server: Server, name: str, text: str) -> None:
+        """Log a header that can't be read."""
+        self.events.record(
+            Event.LOAD_REPORT_INVALID,
+            instance=server.instance,
+            detail=f"{name} {text[:LOGGED_CHARACTERS_MAX]!r}",
+        )
+
     def shared_limits(self) -> list[LimitNotice]:
         """Return the limits that peers may lack."""
         return self.limits.shared(self.clock.monotonic())
@@ -97,6 +142,7 @@
 
     def tick(self) -> None:
         """Drop the state of removed servers, and apply limits to new rows."""
+        self._log_ended_rests()
         table = self.view.servers
         servers = table.servers.values()
         self.limits.retain(row.incarnation for row in servers)
--- a/packages/node/tests/test_gateway_announced_leaving.py
+++ b/packages/node/tests/test_gateway_announced_leaving.py
@@ -71,7 +71,7 @@
         row = self.view.servers.servers.get(key)
         if row is None:
             return
-        self.signals.read(row, LEAVING if leaving else NOT_LEAVING)
+        self.signals.read(row, 200, LEAVING if leaving else NOT_LEAVING)
         if leaving:
             self.said.add(row.incarnation)
 
@@ -111,7 +111,7 @@
     apply_changes(view, StoredItem("op", b"", 1), stored_item(2, 100))
     signals = create_signals(view)
     headers = CIMultiDictProxy(CIMultiDict({NAMES.leaving: text}))
-    signals.read(view.servers.servers["i-1"], headers)
+    signals.read(view.servers.servers["i-1"], 200, headers)
     assert members(view) == {server_incarnation(100)}
 
 
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -4,6 +4,7 @@
 from gateway_world import async_environment
 
 from greengagepoint.backpressure.limits import LIMIT_MAX, read_limit
+from greengagepoint.backpressure.rests import REST_MAX_SECONDS, read_rest
 from greengagepoint.events import Event
 from greengagepoint_standins.users_platform.backend import Manner
 
@@ -126,3 +127,34 @@
         assert row["instance"] == world.backends[0].instance
         assert row["source"] == "answer"
         assert world.daemon.counters.leaving_announced == {("booking",): 1}
+
+
+@pytest.mark.parametrize(
+    ("text", "seconds"),
+    [
+        ("3", 3.0),
+        ("0.5", 0.5),
+        ("0", 0.0),
+        ("3600", REST_MAX_SECONDS),
+        ("-1", None),
+        ("nan", None),
+        ("", None),
+        ("Thu, 03 Dec 2026 14:00:00 GMT", None),
+    ],
+)
+def test_a_rest_is_read_in_seconds(text, seconds):
+    assert read_rest(text) == seconds
+
+
+async def test_a_rest_that_a_server_asks_for_is_logged_with_its_end():
+    async with async_environment(servers=1) as world:
+        world.backends[0].manner = Manner.SHED
+        world.backends[0].retry_after = "3"
+        await world.async_call("/safe/1")
+        (row,) = world.events.of(Event.BACKEND_SERVER_RESTING)
+        assert (row["instance"], row["seconds"]) == ("i-0", 3.0)
+        assert not world.events.of(Event.BACKEND_SERVER_RESTED)
+        world.clock.ahead += 3.1
+        world.daemon.signals.tick()
+        assert len(world.events.of(Event.BACKEND_SERVER_RESTED)) == 1
+        assert world.daemon.counters.rests == {("booking",): 1}
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -61,7 +61,8 @@
 
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
-    ``leaving_told`` are the times and requests of answers that say that it leaves.
+    ``leaving_told`` are the times and requests of answers that say that it leaves,
+    ``rests`` those of rejections with a ``retry_after``.
     """
 
     def __init__(self, instance: str, *, seconds: float = 0.0) -> None:
@@ -69,6 +70,8 @@
         self.seconds = seconds
         self.manner = Manner.GOOD
         self.leaving = False
+        self.retry_after: str | None = None
+        self.rests: list[tuple[float, str]] = []
         self.limits: tuple[str, ...] = ()
         self.leaving_told: list[tuple[float, str]] = []
         self.limits_named: list[LimitNamed] = []
@@ -147,7 +150,7 @@
             return True
         if self.manner is Manner.SHED:
             head = self.head(request, "503 Service Unavailable", 0, signed=False)
-            writer.write(head[:-2] + b"X-Greengagepoint-Not-Executed: 1\r\n\r\n")
+            writer.write(head[:-2] + self._shed_lines(request))
             return True
         self.ran.append(request)
         if self.seconds and not await self._async_work(request, reader):
@@ -186,6 +189,14 @@
             lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
+    def _shed_lines(self, request: Received) -> bytes:
+        """Return the last headers of a rejection, and keep when it asked for rest."""
+        lines = "X-Greengagepoint-Not-Executed: 1\r\n"
+        if self.retry_after is not None:
+            self.rests.append((time.monotonic(), request_id(request)))
+            lines += f"Retry-After: {self.retry_after}\r\n"
+        return f"{lines}\r\n".encode()
+
     def _limit_lines(self, request: Received) -> list[str]:
         """Return the headers with the request limit, and keep when it was named."""
         now = time.monotonic()
