Test that a server that asks a host for rest gets it

What callers' servers saw: servers that rejected requests with 503 and asked for 3 s without any got up to 12 from one host in that time; two are allowed.

A host logs the rest and uses it for nothing but the caller's Retry-After.

The test runs three daemons, with one of twelve servers, half of them, or all of two asking for rest.

--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -10,6 +10,7 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.backpressure.limits import read_limit
+from greengagepoint.backpressure.rests import read_rest
 
 LOOPBACK: Final = "127.0.0.1"
 SIGNATURE: Final = "3e1b.07.5a2"
@@ -56,6 +57,14 @@
     limit: str
 
 
+class RestAsked(NamedTuple):
+    """A rejection that asked a host for so many seconds without requests."""
+
+    at: float
+    request_id: str
+    seconds: float
+
+
 class PlatformBackend:
     """One incarnation of a server; ``ran`` are the requests that it began to work on.
 
@@ -71,7 +80,7 @@
         self.manner = Manner.GOOD
         self.leaving = False
         self.retry_after: str | None = None
-        self.rests: list[tuple[float, str]] = []
+        self.rests: list[RestAsked] = []
         self.limits: tuple[str, ...] = ()
         self.leaving_told: list[tuple[float, str]] = []
         self.limits_named: list[LimitNamed] = []
@@ -193,7 +202,9 @@
         """Return the last headers of a rejection, and keep when it asked for rest."""
         lines = "X-Greengagepoint-Not-Executed: 1\r\n"
         if self.retry_after is not None:
-            self.rests.append((time.monotonic(), request_id(request)))
+            seconds = read_rest(self.retry_after) or 0.0
+            rest = RestAsked(time.monotonic(), request_id(request), seconds)
+            self.rests.append(rest)
             lines += f"Retry-After: {self.retry_after}\r\n"
         return f"{lines}\r\n".encode()
 
--- a/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
@@ -17,6 +17,8 @@
 # hear of it after its own answer.
 CONTACT_SECONDS: Final = 3.0
 TOLD_SECONDS: Final = 0.5
+# A host may send this many requests in a rest.
+REST_REQUESTS_MAX: Final = 2
 
 
 class Disturbance(NamedTuple):
@@ -136,6 +138,32 @@
     return late
 
 
+def most_in_a_rest(
+    backend: PlatformBackend,
+    hosts_by_request: Mapping[str, str],
+    disturbances: Sequence[Disturbance] = (),
+) -> int:
+    """Return the most requests from one host in a rest that a server asked it for.
+
+    The first half second of a rest does not count, nor do hosts that were disturbed
+    since.
+    """
+    most = 0
+    for rest in backend.rests:
+        host = hosts_by_request.get(rest.request_id)
+        arrivals = [
+            row.at
+            for row in backend.received
+            if rest.at + TOLD_SECONDS < row.at < rest.at + rest.seconds
+            and hosts_by_request.get(request_id(row)) == host
+        ]
+        if host is None or not arrivals:
+            continue
+        if not _is_disturbed(host, rest.at, max(arrivals), disturbances):
+            most = max(most, len(arrivals))
+    return most
+
+
 def most_in_window(times: Iterable[float], seconds: float) -> int:
     """Return the most times that lie within any span of so many seconds."""
     rows = sorted(times)
