Send nothing to a backend server that asked this host for rest

What callers' servers saw: servers that rejected requests with 503 and asked for 3 s without any got up to 12 from one host in that time. Callers were told to come back after the rest of one server, though others were free.

Change: a resting server is not chosen, by rank, warmth, least load, spill or repeat, and a request that chose it before is not sent once the rest is known when the connection opens; that uses up no attempt and no retry. It counts as lost capacity, its region's load leaves it out, and no key spills to a region of resting servers. If all rest, callers are rejected at once and told when the first one wants requests, each a different time after it. A request rejected by one server is told to come back at once while another may take it.

Ruled out: sharing rests between hosts, as a rest is between one server and one host. Nothing but time ends a rest; an answer that was under way says nothing about it.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -5,6 +5,7 @@
 
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.request_limits import limit_wait
+from greengagepoint.placing.rests import seconds_until_rested
 from greengagepoint.placing.tables import Incarnation, Server, ServerTable
 
 # A warm run takes about 0.4 of the latency goal, so a request that waits for half of
@@ -50,9 +51,9 @@
     """Report that no server can take a request; retry in ``retry_seconds``.
 
     The other fields explain the decision: the shortest expected wait, the longest wait
-    allowed, the number of servers and of those with a request limit, and the age of the
-    load report of the server with the shortest wait (infinite if it never reported).
-    Times are in seconds.
+    allowed, the number of servers, of those with a request limit and of those that
+    rest, and the age of the load report of the server with the shortest wait (infinite
+    if it never reported). Times are in seconds.
     """
 
     retry_seconds: float
@@ -62,6 +63,7 @@
     servers: int = 0
     report_age: float = float("inf")
     limited: int = 0
+    resting: int = 0
 
 
 class Permissions(NamedTuple):
@@ -90,9 +92,17 @@
     uses the servers that are warm for the key, and leaves them only if the wait there
     costs more than a cold run.
     """
-    servers = _untried_servers(table, criteria)
-    if not servers:
+    untried = _untried_servers(table, criteria)
+    if not untried:
         return NoServerAvailable(retry_seconds=1.0, servers_known=False)
+    servers = [row for row in untried if not row.is_resting(now)]
+    if not servers:
+        return NoServerAvailable(
+            retry_seconds=seconds_until_rested(untried, now),
+            servers_known=True,
+            servers=len(untried),
+            resting=len(untried),
+        )
     ranked = _rank_servers(table, ranks, criteria, servers, now)
     warm = _warm_servers(ranked, servers, criteria, now)
     max_wait = max(
@@ -117,9 +127,10 @@
         servers_known=True,
         shortest_wait=shortest,
         longest_wait=max_wait,
-        servers=len(servers),
+        servers=len(untried),
         report_age=now - least_loaded.reported_at,
         limited=sum(row.request_limit is not None for row in servers),
+        resting=len(untried) - len(servers),
     )
 
 
@@ -127,7 +138,8 @@
     table: ServerTable, ranks: RankCache, criteria: ServerCriteria, now: float
 ) -> Sequence[Server]:
     """Return all servers in the order in which a request would use idle ones."""
-    servers = _untried_servers(table, criteria)
+    untried = _untried_servers(table, criteria)
+    servers = [row for row in untried if not row.is_resting(now)]
     ranked = _rank_servers(table, ranks, criteria, servers, now)
     first = [*_warm_servers(ranked, servers, criteria, now), *ranked]
     others = sorted(servers, key=lambda row: row.occupancy(now) / row.slots)
@@ -151,14 +163,14 @@
     servers: Sequence[Server],
     now: float,
 ) -> Sequence[Server]:
-    """Return the servers ranked for the key, or all by occupancy without a key."""
+    """Return the usable servers ranked for the key, or all by occupancy without one."""
     if criteria.key is None:
         return sorted(servers, key=lambda row: row.occupancy(now) / row.slots)
     return [
         server
         for region in criteria.regions
         for server in ranks.rank(table, criteria.service, region, criteria.key)
-        if server.incarnation not in criteria.tried
+        if server.incarnation not in criteria.tried and not server.is_resting(now)
     ]
 
 
@@ -223,7 +235,9 @@
             healthy,
             key=lambda row: (row.cold_until > now, row.occupancy(now) / row.slots),
         )
-    yield from (server for server in not_warm if server.suspect_until > now)
+    # If all ranked servers rest, any suspected one is better than none.
+    suspects = not_warm if ranked else servers
+    yield from (server for server in suspects if server.suspect_until > now)
 
 
 def _can_wait_past_goal(
--- a/packages/core/greengagepoint/placing/region_loads.py
+++ b/packages/core/greengagepoint/placing/region_loads.py
@@ -69,8 +69,10 @@
 
 
 def _busy_share(servers: Iterable[Server], now: float) -> float:
-    """Return the share of slots in use over all servers that are not suspected."""
-    usable = [row for row in servers if row.suspect_until <= now]
+    """Return the share of slots in use over servers neither suspected nor resting."""
+    usable = [
+        row for row in servers if row.suspect_until <= now and not row.is_resting(now)
+    ]
     slots = sum(row.usable_slots for row in usable)
     held = sum(min(row.occupancy(now), row.usable_slots) for row in usable)
     return held / slots if slots else 1.0
--- a/packages/core/greengagepoint/placing/room.py
+++ b/packages/core/greengagepoint/placing/room.py
@@ -1,4 +1,4 @@
-"""Detect that a region lost capacity: servers that left, crashed or turned cold.
+"""Detect that a region lost capacity: servers that left, crashed, rest or turned cold.
 
 An evacuation, a crash or a cold return removes slots of a region within a second, and
 the requests that ran there have to run in other regions at once. A region that is only
@@ -52,9 +52,11 @@
 
 
 def _usable_slots(servers: Iterable[Server], now: float) -> float:
-    """Return the usable slots of servers that are neither suspected nor cold."""
+    """Return the usable slots of servers that are not suspected, cold or resting."""
     return sum(
         server.usable_slots
         for server in servers
-        if server.suspect_until <= now and server.cold_until <= now
+        if server.suspect_until <= now
+        and server.cold_until <= now
+        and not server.is_resting(now)
     )
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -89,6 +89,10 @@
         limit = max(REQUEST_LIMIT_MIN, self.request_limit)
         return min(self.slots, limit * self.run_seconds)
 
+    def is_resting(self, now: float) -> bool:
+        """Return True if the server asked this host to send it nothing now."""
+        return self.rest_until > now
+
     def is_unrestricted(self, now: float) -> bool:
         """Return True if any host may send to the server without a permission."""
         return self.cold_until <= now and self.request_limit is None
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -42,6 +42,7 @@
     TIMED_OUT = "timed_out"
     LAPSED = "lapsed"
     LEFT = "left"
+    RESTING = "resting"
     OLD_NEWS = "old_news"
 
 
@@ -52,6 +53,7 @@
         Verdict.OTHER_SERVER,
         Verdict.LAPSED,
         Verdict.LEFT,
+        Verdict.RESTING,
         Verdict.OLD_NEWS,
     }
 )
@@ -67,7 +69,6 @@
     headers: CIMultiDict[str] | None = None
     body: bytes = b""
     load: str | None = None
-    retry_after: float | None = None
 
 
 class TimeLeft(NamedTuple):
@@ -224,11 +225,8 @@
         outgoing.read_signals(answer.status, headers)
     if names.not_executed in headers or answer.status == MISDIRECTED:
         verdict = Verdict.SHED if answer.status != MISDIRECTED else Verdict.OTHER_SERVER
-        retry_after = _parse_seconds(headers.get("Retry-After"))
         await answer.read()
-        return Exchange(
-            verdict, f"status {answer.status}", load=load, retry_after=retry_after
-        )
+        return Exchange(verdict, f"status {answer.status}", load=load)
     if echoed is None or (
         200 <= answer.status < 300 and names.signature not in headers
     ):
@@ -273,14 +271,6 @@
     return closed.exception() is not None
 
 
-def _parse_seconds(text: str | None) -> float | None:
-    """Return a header's seconds, 0 or more, or None if it is missing or invalid."""
-    try:
-        return max(0.0, float(text)) if text is not None else None
-    except ValueError:
-        return None
-
-
 def _url(address: str, target: str) -> URL:
     """Return the URL of a target without changing its encoding."""
     path, _, query = target.partition("?")
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -241,7 +241,11 @@
             if may_have_run and not call.route.repeatable:
                 break
             server = outgoing.successor
-        raise no_answer_refusal(last, may_have_run=may_have_run)
+        raise no_answer_refusal(
+            last,
+            may_have_run=may_have_run,
+            rest_seconds=self.placer.rest_seconds(call, self.clock.monotonic()),
+        )
 
     async def _async_acquire_quota(self, call: Call, attempts: Attempts) -> None:
         """Ask for quota if the request would be sent to a limited server."""
@@ -324,6 +328,10 @@
         """
         if not self.view.servers.is_member(server):
             return Exchange(Verdict.LEFT, "the server left while connecting")
+        if server.is_resting(self.clock.monotonic()):
+            return Exchange(
+                Verdict.RESTING, "the server asked for rest while connecting"
+            )
         if not self.guard.may_send(self.clock.monotonic() - times.chosen_at):
             return Exchange(
                 Verdict.OLD_NEWS, "the host's view became too old while connecting"
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -22,6 +22,7 @@
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, should_run_locally
 from greengagepoint.placing.request_limits import server_to_ask_for
+from greengagepoint.placing.rests import seconds_until_rested
 from greengagepoint.placing.room import LostCapacityTracker
 from greengagepoint.placing.server_silence import AnswerTimes, silence_timeout
 from greengagepoint.placing.spilling import (
@@ -255,6 +256,13 @@
             {row.incarnation for row in self.view.servers.servers.values()}
         )
 
+    def rest_seconds(self, call: Call, now: float) -> float:
+        """Return the seconds until the first server of a request's region is rested."""
+        weights = self.weights.current(self._weight_key(call))
+        region = region_for_key(_placement_key(call), weights) or ""
+        members = self.view.servers.find(call.service, region).servers
+        return seconds_until_rested(members, now)
+
     def _spill_candidates(
         self, key: WeightKey, region: str, now: float
     ) -> list[RemoteRegion]:
@@ -268,6 +276,9 @@
             name: slots * (1 - (self.loads.busy(key.service, name, now) or 0.0))
             for name, slots in self.weights.slots(key).items()
             if name != region
+            and not seconds_until_rested(
+                self.view.servers.find(key.service, name).servers, now
+            )
         }
         if not free:
             return []
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -15,7 +15,7 @@
 RETRY_AFTER_MIN_SECONDS: Final = 0.05
 # A host with an outdated view polls a peer every half second.
 OUTDATED_VIEW_RETRY_SECONDS: Final = 0.5
-# Retry delay if all servers shed the request and sent no Retry-After.
+# Retry delay if servers shed the request while others may take it.
 SHED_RETRY_SECONDS: Final = 0.1
 # Retry-After is spread by a quarter to either side, so that callers rejected together
 # don't retry as one burst.
@@ -37,6 +37,7 @@
     Verdict.TIMED_OUT: ErrorKind.BACKEND_TIMEOUT,
     Verdict.LAPSED: ErrorKind.DEADLINE_TOO_SHORT,
     Verdict.LEFT: ErrorKind.NO_BACKEND_SERVER,
+    Verdict.RESTING: ErrorKind.BACKEND_SHED,
     Verdict.OLD_NEWS: ErrorKind.NOT_READY,
 }
 
@@ -74,7 +75,11 @@
 
 def no_server_refusal(service: str, place: NoServerAvailable) -> Refusal:
     """Return the refusal of a request for which no server is available."""
-    if place.servers_known and place.limited == place.servers:
+    retry_seconds = place.retry_seconds
+    if place.servers_known and place.resting == place.servers:
+        kind, reason = ErrorKind.OVERLOADED, "all servers asked for rest"
+        retry_seconds = not_before(retry_seconds)
+    elif place.servers_known and place.limited + place.resting == place.servers:
         kind, reason = ErrorKind.OVERLOADED, "all servers are at their request limits"
     elif place.servers_known:
         kind, reason = ErrorKind.OVERLOADED, "all servers are busy"
@@ -87,14 +92,23 @@
         "longest_wait": round(place.longest_wait, 3),
         "report_age": round(age, 3) if math.isfinite(age) else None,
         "limited_servers": place.limited,
+        "resting_servers": place.resting,
     }
-    return Refusal(kind, 503, f"{reason}: {service}", place.retry_seconds, inputs)
+    return Refusal(kind, 503, f"{reason}: {service}", retry_seconds, inputs)
 
 
-def no_answer_refusal(last: Exchange | None, *, may_have_run: bool) -> Refusal:
+def not_before(seconds: float) -> float:
+    """Return the Retry-After that, spread over callers, is at least ``seconds``."""
+    return seconds / (1 - RETRY_SPREAD / 2)
+
+
+def no_answer_refusal(
+    last: Exchange | None, *, may_have_run: bool, rest_seconds: float = 0.0
+) -> Refusal:
     """Return the refusal of a request after attempts without an answer.
 
     ``last`` is the result of the last attempt, None if there was none.
+    ``rest_seconds`` is the time until the first server wants requests again.
     """
     if last is None:
         kind = ErrorKind.DEADLINE_TOO_SHORT
@@ -103,7 +117,7 @@
     if may_have_run:
         status = 504 if last.verdict is Verdict.TIMED_OUT else 502
         return Refusal(kind, status, f"may have run: {last.verdict}")
-    seconds = SHED_RETRY_SECONDS if last.retry_after is None else last.retry_after
+    seconds = max(SHED_RETRY_SECONDS, not_before(rest_seconds))
     if last.verdict is Verdict.OLD_NEWS:
         seconds = OUTDATED_VIEW_RETRY_SECONDS
     return Refusal(kind, 503, f"not run: {last.verdict}", seconds)
--- a/packages/node/greengagepoint_node/gateway/tries.py
+++ b/packages/node/greengagepoint_node/gateway/tries.py
@@ -7,7 +7,7 @@
 from greengagepoint_node.gateway.exchange import Verdict
 
 # Verdicts on attempts that delivered nothing to the server and left time for another.
-UNSENT: Final = frozenset({Verdict.UNREACHABLE, Verdict.LEFT})
+UNSENT: Final = frozenset({Verdict.UNREACHABLE, Verdict.LEFT, Verdict.RESTING})
 # Unreachable servers allowed per request, in addition to the route's attempts. Even
 # when a zone is lost, few requests meet more in a row, and each of them uses up part of
 # a short deadline.
@@ -19,7 +19,7 @@
     """Servers that a request was assigned to, including the current one.
 
     ``unreached`` counts those that got nothing: the connection failed, or the server
-    left while connecting.
+    left or asked for rest while connecting.
     """
 
     servers: set[Incarnation] = field(default_factory=set)
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -1,5 +1,7 @@
 """What a host reads, logs and counts of what its servers say about themselves."""
 
+import asyncio
+
 import pytest
 from gateway_world import async_environment
 
@@ -158,3 +160,70 @@
         world.daemon.signals.tick()
         assert len(world.events.of(Event.BACKEND_SERVER_RESTED)) == 1
         assert world.daemon.counters.rests == {("booking",): 1}
+
+
+async def async_rejections(world, count):
+    """Send requests to servers that all reject; return statuses and Retry-After."""
+    rows = []
+    for _ in range(count):
+        status, _, headers = await world.async_call("/safe/1")
+        rows.append((status, float(headers["Retry-After"])))
+    return rows
+
+
+async def test_callers_are_rejected_at_once_while_all_servers_rest():
+    async with async_environment() as world:
+        for backend, seconds in zip(world.backends, ("20", "30"), strict=True):
+            backend.manner = Manner.SHED
+            backend.retry_after = seconds
+        await async_rejections(world, 2)
+        received = [len(backend.received) for backend in world.backends]
+        began = world.clock.monotonic()
+        rows = await async_rejections(world, 30)
+        assert world.clock.monotonic() - began < 5.0
+        assert [len(backend.received) for backend in world.backends] == received
+        assert {status for status, _ in rows} == {503}
+        # None comes back before the first server wants requests, nor all at once.
+        times = [seconds for _, seconds in rows]
+        assert 15.0 <= min(times) <= max(times) - 5.0
+        rejected = world.events.of(Event.REQUEST_REFUSED)[-1]
+        assert rejected["resting_servers"] == rejected["servers"] == 2
+
+
+async def test_a_server_is_used_again_after_its_rest():
+    async with async_environment(servers=1) as world:
+        (backend,) = world.backends
+        backend.manner, backend.retry_after = Manner.SHED, "3"
+        await async_rejections(world, 1)
+        backend.manner = Manner.GOOD
+        assert (await world.async_call("/safe/1"))[0] == 503
+        world.clock.ahead += 3.1
+        assert (await world.async_call("/safe/1"))[0] == 200
+
+
+async def test_a_caller_is_told_to_return_soon_while_other_servers_take_requests():
+    async with async_environment(servers=4, attempts_max=1) as world:
+        resting = world.backends[:1]
+        resting[0].manner, resting[0].retry_after = Manner.SHED, "30"
+        rows = [await world.async_call("/safe/1") for _ in range(20)]
+        waits = [
+            float(head["Retry-After"]) for status, _, head in rows if status != 200
+        ]
+        assert len(waits) == len(resting[0].received) <= 1
+        assert all(seconds < 1.0 for seconds in waits)
+
+
+@pytest.mark.parametrize(
+    ("path", "method"), [("/safe/1", "GET"), ("/unsafe/1", "POST")]
+)
+async def test_a_server_that_asks_for_rest_while_connecting_gets_nothing(path, method):
+    async with async_environment() as world:
+        with world.blocked_connections() as waiting:
+            call = asyncio.create_task(world.async_call(path, method))
+            await waiting.wait()
+            rows = world.daemon.view.servers.servers.values()
+            (chosen,) = [row for row in rows if row.in_flight]
+            chosen.rest_until = world.clock.monotonic() + 30.0
+        status, _, _ = await call
+        (got,) = [row for row in world.backends if row.received]
+        assert (status, got.instance != chosen.instance) == (200, True)
