Keep a server's request limit while its entry lapses and comes back

Cause: found by reading. The entry of a live server may lapse in an outage of the store; its row was created anew without the limit until the next tick, a quarter of a second later, and without it for good if a tick came while the entry was gone.

Change: a new row gets the limit that its incarnation named, which is kept for 30 s without an entry.

Result: the new test fails without the call for new rows, and passes.

--- a/packages/core/greengagepoint/backpressure/limits.py
+++ b/packages/core/greengagepoint/backpressure/limits.py
@@ -23,6 +23,8 @@
 # The end of a limit is shared for several rounds of exchanges, then forgotten.
 LIFTED_KEPT_SECONDS: Final = 10.0
 SHARED_MAX: Final = 32
+# The entry of a live server that lapsed is back within a few seconds.
+UNKNOWN_KEPT_SECONDS: Final = 30.0
 
 
 class AdvertisedLimit(NamedTuple):
@@ -107,11 +109,12 @@
         age_ms = max(0, round((now - row.heard_at) * 1000))
         return LimitNotice(*server, row.requests_per_second, age_ms)
 
-    def retain(self, servers: Iterable[Incarnation]) -> None:
-        """Drop the limits of all servers that are not in ``servers``."""
+    def retain(self, servers: Iterable[Incarnation], now: float) -> None:
+        """Drop the limits of servers whose entries have been gone for some time."""
         kept = set(servers)
-        for server in [row for row in self.rows if row not in kept]:
-            del self.rows[server]
+        for server, row in list(self.rows.items()):
+            if server not in kept and now - row.heard_at > UNKNOWN_KEPT_SECONDS:
+                del self.rows[server]
 
     def _merge_notice(
         self, server: Incarnation, notice: LimitNotice, now: float
--- a/packages/node/greengagepoint_node/gateway/known_servers.py
+++ b/packages/node/greengagepoint_node/gateway/known_servers.py
@@ -1,6 +1,6 @@
 """Keep the table of backend servers in line with the active entries."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from greengagepoint.backpressure.leaving import LeavingServers
 from greengagepoint.events import Event
@@ -12,7 +12,11 @@
 
 
 class KnownServers:
-    """Add, update and remove servers; the caller rebuilds the membership."""
+    """Add, update and remove servers; the caller rebuilds the membership.
+
+    ``restore_signals`` is called with each new row. An entry may lapse and come back
+    while its server still has a request limit.
+    """
 
     def __init__(self, zones: Mapping[str, str], events: EventSink) -> None:
         self.zones = zones
@@ -20,6 +24,7 @@
         self.table = ServerTable()
         self.replaced: set[Incarnation] = set()
         self.announced = LeavingServers()
+        self.restore_signals: Callable[[Server], None] = lambda server: None
 
     def apply_entry(self, entry: ServerEntry, revision: int, now: float) -> None:
         """Add or update the server of an entry."""
@@ -29,6 +34,7 @@
             if server is not None:
                 self._drop_state(server, "another incarnation has its id", revision)
             server = self._create_server(entry)
+            self.restore_signals(server)
             table.servers[entry.instance] = server
         server.slots = entry.slots
         if entry.cold_seconds > 0:
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -44,6 +44,7 @@
         self.events = events
         self.limits = AdvertisedLimits()
         self.has_capacity_changed = False
+        view.known.restore_signals = self.restore
         self.resting: dict[Incarnation, Server] = {}
 
     def read(self, server: Server, status: int, headers: CIMultiDictProxy[str]) -> None:
@@ -112,6 +113,12 @@
             detail=f"{name} {text[:LOGGED_CHARACTERS_MAX]!r}",
         )
 
+    def restore(self, server: Server) -> None:
+        """Apply what its incarnation said to the new row of a server."""
+        limit = self.limits.limit(server.incarnation)
+        if limit is not None:
+            self._set_limit(server, limit)
+
     def shared_limits(self) -> list[LimitNotice]:
         """Return the limits that peers may lack."""
         return self.limits.shared(self.clock.monotonic())
@@ -141,17 +148,15 @@
             self._apply_leaving(changed, from_peer=True)
 
     def tick(self) -> None:
-        """Drop the state of removed servers, and apply limits to new rows."""
+        """Drop expired state, and adapt the weights of regions to changed limits."""
         self._log_ended_rests()
         table = self.view.servers
         servers = table.servers.values()
-        self.limits.retain(row.incarnation for row in servers)
+        self.limits.retain((row.incarnation for row in servers), self.clock.monotonic())
         self.view.known.announced.retain(
             (row.incarnation for row in servers), self.clock.monotonic()
         )
         table.limited &= self.limits.rows.keys()
-        for server in servers if self.limits.rows else ():
-            self._set_limit(server, self.limits.limit(server.incarnation))
         if self.has_capacity_changed:
             self.has_capacity_changed = False
             table.rebuild()
--- a/packages/node/tests/test_gateway_announced_leaving.py
+++ b/packages/node/tests/test_gateway_announced_leaving.py
@@ -1,4 +1,4 @@
-"""Servers that said in an answer that they leave, against what their entries say."""
+"""What servers said in their answers, against what their entries say."""
 
 import pytest
 from gateway_runs import NOW, apply_changes, members, server_incarnation, stored_item
@@ -115,6 +115,19 @@
     assert members(view) == {server_incarnation(100)}
 
 
+def test_a_limit_holds_when_the_entry_lapses_and_comes_back():
+    view = create_view()
+    apply_changes(view, StoredItem("op", b"", 1), stored_item(2, 100))
+    signals = create_signals(view)
+    headers = CIMultiDictProxy(CIMultiDict({NAMES.request_limit: "2"}))
+    signals.read(view.servers.servers["i-1"], 200, headers)
+    apply_changes(view, RemovedKey("i-1", 3))
+    signals.tick()
+    apply_changes(view, stored_item(4, 100))
+    assert view.servers.servers["i-1"].request_limit == 2.0
+    assert view.servers.limited == {server_incarnation(100)}
+
+
 def test_a_notice_that_arrives_before_the_entry_holds():
     view = create_view()
     apply_changes(view, StoredItem("op", b"", 1))
