Keep a server's rest while its entry lapses and comes back

Cause: the same as for request limits: a server's row is created anew when its entry comes back, and the rest was on the former row.

Change: a new row of the same incarnation takes over the end of its rest.

Result: the new test fails without this, and passes.

--- a/packages/node/greengagepoint_node/gateway/known_servers.py
+++ b/packages/node/greengagepoint_node/gateway/known_servers.py
@@ -15,7 +15,7 @@
     """Add, update and remove servers; the caller rebuilds the membership.
 
     ``restore_signals`` is called with each new row. An entry may lapse and come back
-    while its server still has a request limit.
+    while its server still has a request limit or rests.
     """
 
     def __init__(self, zones: Mapping[str, str], events: EventSink) -> None:
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -118,6 +118,10 @@
         limit = self.limits.limit(server.incarnation)
         if limit is not None:
             self._set_limit(server, limit)
+        former = self.resting.get(server.incarnation)
+        if former is not None:
+            server.rest_until = former.rest_until
+            self.resting[server.incarnation] = server
 
     def shared_limits(self) -> list[LimitNotice]:
         """Return the limits that peers may lack."""
--- a/packages/node/tests/test_gateway_announced_leaving.py
+++ b/packages/node/tests/test_gateway_announced_leaving.py
@@ -128,6 +128,17 @@
     assert view.servers.limited == {server_incarnation(100)}
 
 
+def test_a_rest_holds_when_the_entry_lapses_and_comes_back():
+    view = create_view()
+    apply_changes(view, StoredItem("op", b"", 1), stored_item(2, 100))
+    signals = create_signals(view)
+    headers = CIMultiDictProxy(CIMultiDict({"Retry-After": "3"}))
+    signals.read(view.servers.servers["i-1"], 503, headers)
+    apply_changes(view, RemovedKey("i-1", 3), stored_item(4, 100))
+    signals.tick()
+    assert view.servers.servers["i-1"].rest_until == NOW + 3
+
+
 def test_a_notice_that_arrives_before_the_entry_holds():
     view = create_view()
     apply_changes(view, StoredItem("op", b"", 1))
