Take a rest of no time for none

Cause: found by reading. A 503 with Retry-After: 0 was logged and counted as a rest, one line for each rejection.

Change: it is ignored. Result: the new test fails before and passes.

--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -82,6 +82,8 @@
         if seconds is None:
             self._log_unreadable(server, "Retry-After", text)
             return
+        if not seconds:
+            return
         now = self.clock.monotonic()
         if server.rest_until <= now:
             self.counters.rests[(server.service,)] += 1
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -241,3 +241,12 @@
         status, _, _ = await call
         (got,) = [row for row in world.backends if row.received]
         assert (status, got.instance != chosen.instance) == (200, True)
+
+
+async def test_a_rest_of_no_time_is_none():
+    async with async_environment(servers=1) as world:
+        world.backends[0].manner = Manner.SHED
+        world.backends[0].retry_after = "0"
+        await async_rejections(world, 2)
+        assert not world.events.of(Event.BACKEND_SERVER_RESTING)
+        assert len(world.backends[0].received) == 2
