Let servers of the signal soak leave and ask for rest

Change: servers also say that they leave while their entry is ready, and start anew later, or reject requests and ask for rest, alone or all at once.

--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import struct
 import time
@@ -71,6 +72,7 @@
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
     ``leaving_told`` are the times and requests of answers that say that it leaves,
+    ``leaving_periods`` the times in which they say so,
     ``rests`` those of rejections with a ``retry_after``.
     """
 
@@ -79,6 +81,7 @@
         self.seconds = seconds
         self.manner = Manner.GOOD
         self.leaving = False
+        self.leaving_periods: list[tuple[float, float]] = []
         self.retry_after: str | None = None
         self.rests: list[RestAsked] = []
         self.limits: tuple[str, ...] = ()
@@ -100,6 +103,21 @@
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
 
+    def announce_leaving(self, *, leaving: bool) -> None:
+        """Say in all answers from now on that it leaves, or be a new incarnation."""
+        now = time.monotonic()
+        self.leaving = leaving
+        if leaving:
+            self.leaving_periods.append((now, math.inf))
+        else:
+            began, _ = self.leaving_periods.pop()
+            self.leaving_periods.append((began, now))
+
+    def ask_for_rest(self, seconds: str | None) -> None:
+        """Reject requests and ask for so many seconds without any, or serve again."""
+        self.manner = Manner.SHED if seconds is not None else Manner.GOOD
+        self.retry_after = seconds
+
     def name_limit(self, *texts: str) -> None:
         """Name a limit in all answers from now on, or none."""
         self.limits = texts
