--- a/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -183,38 +183,46 @@
         self, backends: list[PlatformBackend], limits: list[str], seconds: float
     ) -> None:
         """Let servers name limits, one after the other, and then none."""
-        free = [row for row in backends if row.instance not in self.busy]
-        self.busy |= {row.instance for row in free}
+        free = self._reserve(backends, "limit")
         for limit in limits:
             for backend in free:
                 backend.name_limit(limit)
             await asyncio.sleep(seconds)
         for backend in free:
             backend.name_limit()
-        self.busy -= {row.instance for row in free}
+        self._release(free, "limit")
 
     async def _async_leave(self, backend: PlatformBackend, seconds: float) -> None:
         """Let a server say that it leaves, with its entry ready, and start anew."""
-        if backend.instance in self.busy:
-            return
-        self.busy.add(backend.instance)
-        backend.announce_leaving(leaving=True)
-        await asyncio.sleep(seconds)
-        backend.announce_leaving(leaving=False)
-        self.born[backend.instance] += 1
-        self._enter(backend)
-        self.busy.discard(backend.instance)
+        for row in self._reserve([backend], "leave"):
+            row.announce_leaving(leaving=True)
+            await asyncio.sleep(seconds)
+            row.announce_leaving(leaving=False)
+            self.born[row.instance] += 1
+            self._enter(row)
+            self._release([row], "leave")
 
     async def _async_rest(self, backends: list[PlatformBackend], step: Step) -> None:
         """Let servers reject all requests for a while and ask for rest."""
-        free = [row for row in backends if row.instance not in self.busy]
-        self.busy |= {row.instance for row in free}
+        free = self._reserve(backends, "rest")
         for backend in free:
             backend.ask_for_rest(RESTS[step.place % len(RESTS)])
         await asyncio.sleep(step.seconds)
         for backend in free:
             backend.ask_for_rest(None)
-        self.busy -= {row.instance for row in free}
+        self._release(free, "rest")
+
+    def _reserve(
+        self, backends: list[PlatformBackend], kind: str
+    ) -> list[PlatformBackend]:
+        """Return the servers that don't give a kind of signal yet, for one step."""
+        free = [row for row in backends if f"{row.instance} {kind}" not in self.busy]
+        self.busy |= {f"{row.instance} {kind}" for row in free}
+        return free
+
+    def _release(self, backends: list[PlatformBackend], kind: str) -> None:
+        """Let other steps use servers for a kind of signal."""
+        self.busy -= {f"{row.instance} {kind}" for row in backends}
 
     def _enter(self, backend: PlatformBackend) -> None:
         """Write the entry of a server's current incarnation."""
