Name an incarnation by its term, and test malformed asks for quota

Change: one local variable and constants' annotations; no behaviour. An ask with a count of 0, or that is no message, is rejected: the new test passes.

--- a/packages/node/greengagepoint_node/gateway/known_servers.py
+++ b/packages/node/greengagepoint_node/gateway/known_servers.py
@@ -1,6 +1,7 @@
 """Keep the table of backend servers in line with the active entries."""
 
 from collections.abc import Callable, Mapping
+from typing import Final
 
 from greengagepoint.backpressure.leaving import LeavingServers
 from greengagepoint.events import Event
@@ -8,7 +9,7 @@
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.store_types import ServerEntry
 
-ANNOUNCED = "the server said so in an answer"
+ANNOUNCED: Final = "the server said so in an answer"
 
 
 class KnownServers:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -144,16 +144,16 @@
         rate = self._cold_requests_per_second(call.service)
 
         def may_send(server: Server) -> bool:
-            run = server.incarnation
+            incarnation = server.incarnation
             is_limited = server.request_limit is not None
-            if is_limited and not self.quota.is_available(run, now):
+            if is_limited and not self.quota.is_available(incarnation, now):
                 return False
             is_cold = server.cold_until > now
             if is_cold and not self.cold_starts.may_send(
-                run, rate, self.serving_hosts, now
+                incarnation, rate, self.serving_hosts, now
             ):
                 return False
-            return not is_limited or self.quota.withdraw(run, now)
+            return not is_limited or self.quota.withdraw(incarnation, now)
 
         return Permissions(
             may_send, self.wait_allowance.withdraw, self.move_allowance.withdraw
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -1,6 +1,7 @@
 """Apply what backend servers say about themselves in the heads of their answers."""
 
 from collections.abc import Iterable, Sequence
+from typing import Final
 
 from aiohttp import hdrs
 from multidict import CIMultiDictProxy
@@ -22,9 +23,9 @@
 from greengagepoint_node.gateway.view import FleetView
 
 # Servers choose the length of what is logged.
-LOGGED_CHARACTERS_MAX = 40
-LEAVING = "1"
-UNAVAILABLE = 503
+LOGGED_CHARACTERS_MAX: Final = 40
+LEAVING: Final = "1"
+UNAVAILABLE: Final = 503
 
 
 class ServerSignals:
--- a/packages/node/tests/test_gateway_server_signals.py
+++ b/packages/node/tests/test_gateway_server_signals.py
@@ -8,6 +8,7 @@
 from greengagepoint.backpressure.limits import LIMIT_MAX, read_limit
 from greengagepoint.backpressure.rests import REST_MAX_SECONDS, read_rest
 from greengagepoint.events import Event
+from greengagepoint_node.gateway.server_quotas import QUOTAS_PATH
 from greengagepoint_standins.users_platform.backend import Manner
 
 
@@ -176,6 +177,16 @@
         assert world.daemon.counters.rests == {("booking",): 1}
 
 
+@pytest.mark.parametrize(
+    "body", [b"", b"x", b"\x93\xa1a\x00\x95\xa1i\x00\xa1a\xc0\x00"]
+)
+async def test_a_malformed_ask_for_quota_is_rejected(body):
+    async with async_environment(servers=1) as world:
+        url = f"http://{world.daemon.settings.peer_address}{QUOTAS_PATH}"
+        async with world.session.post(url, data=body) as answer:
+            assert answer.status == 400
+
+
 async def async_rejections(world, count):
     """Send requests to servers that all reject; return statuses and Retry-After."""
     rows = []
