Use a suspected server outside the ranks only if none is healthy

Cause: found by reading. The case that the choice had got for resting servers also met a request that had tried both ranked servers while healthy ones were full, and sent it to a suspected one.

Change: it applies only if no healthy server is awake.

Result: the property test of resting servers holds; choice and load tests pass.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -235,8 +235,8 @@
             healthy,
             key=lambda row: (row.cold_until > now, row.occupancy(now) / row.slots),
         )
-    # If all ranked servers rest, any suspected one is better than none.
-    suspects = not_warm if ranked else servers
+    # If all ranked servers rest and all others are suspected, any is better than none.
+    suspects = not_warm if ranked or healthy else servers
     yield from (server for server in suspects if server.suspect_until > now)
 
 
