Share the faults of hosts between the two soaks

Change: killing, restarting and pausing hosts, and when each was disturbed, move to one module that both soaks use.

--- a/packages/standins/greengagepoint_standins/users_platform/crash_loop_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/crash_loop_soak.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -22,7 +21,8 @@
     async_calling,
     async_crash_loop,
 )
-from greengagepoint_standins.users_platform.daemons import Fleet, Node, async_fleet
+from greengagepoint_standins.users_platform.daemons import Fleet, async_fleet
+from greengagepoint_standins.users_platform.host_faults import HostFaults
 
 SERVERS: Final = 14
 FAULT_SECONDS: Final = 18.0
@@ -46,13 +46,6 @@
     place: int
 
 
-class Disturbed(NamedTuple):
-    """A host that was killed, stopped or started at a time; monotonic seconds."""
-
-    at: float
-    host: str
-
-
 def create_plan(draw: random.Random) -> list[Fault]:
     """Return the faults of a seed in order."""
     kinds = ("kill", "kill_all", "store", "pause", "servers")
@@ -75,8 +68,7 @@
         self.loop = loop
         self.draw = draw
         self.plan = create_plan(draw)
-        self.disturbed: list[Disturbed] = []
-        self.busy: set[str] = set()
+        self.faults = HostFaults()
         self.fatal = [
             Caller(
                 fleet,
@@ -112,11 +104,11 @@
         nodes = self.fleet.nodes
         node = nodes[fault.place % len(nodes)]
         if fault.kind == "kill":
-            await self._async_restart([node], fault.seconds)
+            await self.faults.async_restart([node], fault.seconds)
         elif fault.kind == "kill_all":
-            await self._async_restart(nodes, fault.seconds)
+            await self.faults.async_restart(nodes, fault.seconds)
         elif fault.kind == "pause":
-            await self._async_pause(node, fault.seconds)
+            await self.faults.async_pause(node, fault.seconds)
         elif fault.kind == "store":
             status = STORE_ANSWERS[fault.place % len(STORE_ANSWERS)]
             self.fleet.store.control.status = status
@@ -127,35 +119,6 @@
             lost = self.draw.sample(self.fleet.backends, count)
             await asyncio.gather(*(self.loop.async_end(row) for row in lost))
 
-    async def _async_restart(self, nodes: list[Node], seconds: float) -> None:
-        """Kill hosts and start them again, but for those under another fault."""
-        free = [node for node in nodes if node.name not in self.busy]
-        self.busy |= {node.name for node in free}
-        for node in free:
-            self._note(node)
-            await node.async_kill()
-        await asyncio.sleep(seconds)
-        for node in free:
-            await node.async_start()
-            self._note(node)
-        self.busy -= {node.name for node in free}
-
-    async def _async_pause(self, node: Node, seconds: float) -> None:
-        """Let a host stand still for a while."""
-        if node.name in self.busy:
-            return
-        self.busy.add(node.name)
-        self._note(node)
-        node.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        node.process.send_signal(signal.SIGCONT)
-        self._note(node)
-        self.busy.discard(node.name)
-
-    def _note(self, node: Node) -> None:
-        """Keep when something was done to a host."""
-        self.disturbed.append(Disturbed(time.monotonic(), node.name))
-
     def late(self, target: str) -> list[Arrival]:
         """Return the sends of a fatal request that count, from hosts left in peace."""
         sent = {row.request_id: row for caller in self.fatal for row in caller.outcomes}
@@ -164,9 +127,8 @@
 
     def _in_touch(self, arrival: Arrival, outcome: Outcome | None) -> bool:
         """Tell whether a send's host had been left in peace for long enough."""
-        return outcome is not None and not any(
-            row.host == outcome.host and 0 <= arrival.at - row.at <= CONTACT_SECONDS
-            for row in self.disturbed
+        return outcome is not None and not self.faults.is_disturbed(
+            outcome.host, arrival.at - CONTACT_SECONDS, arrival.at
         )
 
     def broken(self) -> list[str]:
--- a/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
@@ -1,13 +1,14 @@
 """Check hosts by what backend servers see that say something about themselves."""
 
 import math
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from typing import Final, NamedTuple
 
 from greengagepoint_standins.users_platform.backend import (
     PlatformBackend,
     request_id,
 )
+from greengagepoint_standins.users_platform.host_faults import HostFaults
 
 # The bound on the requests of all hosts that passed on an answer with a limit.
 LIMIT_WINDOW_SECONDS: Final = 4.0
@@ -21,13 +22,6 @@
 REST_REQUESTS_MAX: Final = 2
 
 
-class Disturbance(NamedTuple):
-    """A host that was killed, stopped or started at a time; monotonic seconds."""
-
-    at: float
-    host: str
-
-
 class LimitPeriod(NamedTuple):
     """A time in which a server named limits in all its answers.
 
@@ -77,7 +71,7 @@
     backend: PlatformBackend,
     period: LimitPeriod,
     hosts_by_request: Mapping[str, str],
-    disturbances: Sequence[Disturbance] = (),
+    faults: HostFaults | None = None,
 ) -> list[float]:
     """Return when requests came from hosts that knew of the server's limit.
 
@@ -91,7 +85,7 @@
         if host not in told or not first + CONTACT_SECONDS <= row.at < period.ends_at:
             continue
         is_told = row.at >= told[host] + TOLD_SECONDS
-        if is_told and not _is_disturbed(host, told[host], row.at, disturbances):
+        if is_told and not _is_disturbed(faults, host, told[host], row.at):
             arrivals.append(row.at)
     return arrivals
 
@@ -99,12 +93,12 @@
 def limit_excess(
     backend: PlatformBackend,
     hosts_by_request: Mapping[str, str],
-    disturbances: Sequence[Disturbance] = (),
+    faults: HostFaults | None = None,
 ) -> float:
     """Return the most requests beyond what a server's limits allowed in a window."""
     excess = 0.0
     for period in limit_periods(backend):
-        times = counted_arrivals(backend, period, hosts_by_request, disturbances)
+        times = counted_arrivals(backend, period, hosts_by_request, faults)
         for at in times:
             until = at + LIMIT_WINDOW_SECONDS
             count = sum(at <= other < until for other in times)
@@ -116,7 +110,7 @@
     backend: PlatformBackend,
     hosts_by_request: Mapping[str, str],
     drain_seconds: float,
-    disturbances: Sequence[Disturbance] = (),
+    faults: HostFaults | None = None,
 ) -> list[float]:
     """Return how late requests came from hosts that knew that the server leaves.
 
@@ -134,7 +128,7 @@
             host = hosts_by_request.get(request_id(row))
             if host not in told or not told[host] + drain_seconds < row.at < ended:
                 continue
-            if not _is_disturbed(host, told[host], row.at, disturbances):
+            if not _is_disturbed(faults, host, told[host], row.at):
                 late.append(row.at - told[host])
     return late
 
@@ -142,7 +136,7 @@
 def most_in_a_rest(
     backend: PlatformBackend,
     hosts_by_request: Mapping[str, str],
-    disturbances: Sequence[Disturbance] = (),
+    faults: HostFaults | None = None,
 ) -> int:
     """Return the most requests from one host in a rest that a server asked it for.
 
@@ -160,7 +154,7 @@
         ]
         if host is None or not arrivals:
             continue
-        if not _is_disturbed(host, rest.at, max(arrivals), disturbances):
+        if not _is_disturbed(faults, host, rest.at, max(arrivals)):
             most = max(most, len(arrivals))
     return most
 
@@ -186,7 +180,7 @@
 
 
 def _is_disturbed(
-    host: str, since: float, until: float, disturbances: Sequence[Disturbance]
+    faults: HostFaults | None, host: str, since: float, until: float
 ) -> bool:
-    """Return True if a host was disturbed within a time."""
-    return any(row.host == host and since <= row.at <= until for row in disturbances)
+    """Return True if faults disturbed a host within a time."""
+    return faults is not None and faults.is_disturbed(host, since, until)
--- a/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import random
-import signal
 import sys
 import tempfile
 import time
@@ -19,10 +18,10 @@
 from greengagepoint_standins.relay import Relay
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 from greengagepoint_standins.users_platform.crash_loop import ZONE_OF, async_calling
-from greengagepoint_standins.users_platform.daemons import Fleet, Node, async_fleet
+from greengagepoint_standins.users_platform.daemons import Fleet, async_fleet
+from greengagepoint_standins.users_platform.host_faults import HostFaults
 from greengagepoint_standins.users_platform.signal_checks import (
     REST_REQUESTS_MAX,
-    Disturbance,
     late_arrivals,
     limit_excess,
     most_in_a_rest,
@@ -94,7 +93,7 @@
         self.links = links
         self.draw = draw
         self.plan = create_plan(draw)
-        self.disturbances: list[Disturbance] = []
+        self.faults = HostFaults()
         self.busy: set[str] = set()
         self.born = {row.instance: FIRST_BORN for row in fleet.backends}
         self.callers = create_callers(fleet, KEYS, CALLERS_PER_SECOND)
@@ -119,13 +118,13 @@
         hosts = hosts_by_request(self.callers)
         found = []
         for backend in self.fleet.backends:
-            excess = limit_excess(backend, hosts, self.disturbances)
+            excess = limit_excess(backend, hosts, self.faults)
             if excess > 0:
                 found.append(f"{backend.instance}: {excess:.1f} over its limit")
-            late = late_arrivals(backend, hosts, DRAIN_SECONDS, self.disturbances)
+            late = late_arrivals(backend, hosts, DRAIN_SECONDS, self.faults)
             if late:
                 found.append(f"{backend.instance}: {len(late)} late, {max(late):.1f} s")
-            most = most_in_a_rest(backend, hosts, self.disturbances)
+            most = most_in_a_rest(backend, hosts, self.faults)
             if most > REST_REQUESTS_MAX:
                 found.append(f"{backend.instance}: {most} in a rest")
         for caller in self.callers:
@@ -164,9 +163,9 @@
             await self._async_rest(resting, step)
         elif step.kind in ("kill", "kill_all"):
             nodes = [node] if step.kind == "kill" else self.fleet.nodes
-            await self._async_restart(nodes, step.seconds)
+            await self.faults.async_restart(nodes, step.seconds)
         elif step.kind == "pause":
-            await self._async_pause(node, step.seconds)
+            await self.faults.async_pause(node, step.seconds)
         elif step.kind == "store":
             status = STORE_ANSWERS[step.place % len(STORE_ANSWERS)]
             self.fleet.store.control.status = status
@@ -241,35 +240,6 @@
         await link.async_open()
         self.busy.discard(link.address)
 
-    async def _async_restart(self, nodes: list[Node], seconds: float) -> None:
-        """Kill hosts and start them again, but for those under another fault."""
-        free = [node for node in nodes if node.name not in self.busy]
-        self.busy |= {node.name for node in free}
-        for node in free:
-            self._record_disturbance(node)
-            await node.async_kill()
-        await asyncio.sleep(seconds)
-        for node in free:
-            await node.async_start()
-            self._record_disturbance(node)
-        self.busy -= {node.name for node in free}
-
-    async def _async_pause(self, node: Node, seconds: float) -> None:
-        """Stop a host's process for a while."""
-        if node.name in self.busy:
-            return
-        self.busy.add(node.name)
-        self._record_disturbance(node)
-        node.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        node.process.send_signal(signal.SIGCONT)
-        self._record_disturbance(node)
-        self.busy.discard(node.name)
-
-    def _record_disturbance(self, node: Node) -> None:
-        """Record that a host was killed, stopped or started now."""
-        self.disturbances.append(Disturbance(time.monotonic(), node.name))
-
 
 async def async_play(seed: int, root: Path) -> list[str]:
     """Play a seed, print its line, and return what was broken."""
