Keep the word of a leaving server without a start time while its entry lapses

Cause: found by reading the users' example entries, which have no start time. An entry that lapses in an outage of the store and comes back as ready brought such a server into use again, though it had said that it leaves; the users' record has such an outage.

Change: the mark outlives the entry by 60 s for servers without a start time, counted from the last answer that said so, and peers' notices of them are no longer ignored. A later incarnation under the same id and address without a start time could not be told apart for that long; the users' pages give each start a new id where there is no start time.

--- a/packages/core/greengagepoint/backpressure/leaving.py
+++ b/packages/core/greengagepoint/backpressure/leaving.py
@@ -5,14 +5,17 @@
 lapsed and come back.
 """
 
-from collections.abc import Container, Iterable
+from collections.abc import Iterable
 from typing import Final
 
 from greengagepoint.backpressure.messages import LeavingNotice
 from greengagepoint.placing.tables import Incarnation
 
-# A server that has not exited by then is taken for one that never will.
+# A mark outlives the entry of its server, which may have lapsed and come back. Without
+# a start time a later incarnation can't be told from this one, so it is only kept for
+# as long as an outage of the store may take.
 KEPT_SECONDS: Final = 600.0
+UNDATED_KEPT_SECONDS: Final = 60.0
 KEPT_MAX: Final = 4096
 SHARED_MAX: Final = 64
 # Afterwards a host that has just started learns it from the store or the server.
@@ -20,7 +23,7 @@
 
 
 class LeavingServers:
-    """Hold the incarnations that leave, and when the first host heard of each.
+    """Hold the incarnations that leave, and when each was last heard to say so.
 
     Times are monotonic seconds.
     """
@@ -35,28 +38,23 @@
     def record(self, server: Incarnation, at: float) -> bool:
         """Record that a server leaves; return True unless it was known."""
         if server in self.heard_at:
+            self.heard_at[server] = max(at, self.heard_at[server])
             return False
         if len(self.heard_at) >= KEPT_MAX:
             del self.heard_at[min(self.heard_at, key=self.heard_at.__getitem__)]
         self.heard_at[server] = at
         return True
 
-    def merge(
-        self,
-        notices: Iterable[LeavingNotice],
-        known: Container[Incarnation],
-        now: float,
-    ) -> list[Incarnation]:
+    def merge(self, notices: Iterable[LeavingNotice], now: float) -> list[Incarnation]:
         """Merge what peers heard, and return the servers that were not known to leave.
 
-        A server may be unknown here until its entry arrives. Without a start time it
-        may also be a later incarnation then, so it is ignored.
+        A server may be unknown here until its entry arrives.
         """
         return [
             notice.server
             for notice in notices
             if notice.age_ms / 1000 <= SHARED_SECONDS
-            and (notice.born > 0 or notice.server in known)
+            and notice.server not in self.heard_at
             and self.record(notice.server, now - notice.age_ms / 1000)
         ]
 
@@ -74,13 +72,9 @@
         ]
 
     def retain(self, known: Iterable[Incarnation], now: float) -> None:
-        """Drop servers that are unknown and can't be told from a later incarnation.
-
-        Those that report their start time are kept for ``KEPT_SECONDS``, as their entry
-        may have lapsed and come back.
-        """
+        """Drop servers whose entries have been gone for some time."""
         kept = set(known)
         for server, at in list(self.heard_at.items()):
-            is_distinct = server.born > 0 and now - at <= KEPT_SECONDS
-            if server not in kept and not is_distinct:
+            seconds = KEPT_SECONDS if server.born else UNDATED_KEPT_SECONDS
+            if server not in kept and now - at > seconds:
                 del self.heard_at[server]
--- a/packages/node/greengagepoint_node/gateway/server_signals.py
+++ b/packages/node/greengagepoint_node/gateway/server_signals.py
@@ -155,8 +155,7 @@
         if not notices:
             return
         now = self.clock.monotonic()
-        known = {row.incarnation for row in self.view.servers.servers.values()}
-        changed = self.view.known.announced.merge(notices, known, now)
+        changed = self.view.known.announced.merge(notices, now)
         if changed:
             self._apply_leaving(changed, from_peer=True)
 
