Serve callers at any idle server while others are at their limits

The choice took a server without quota for a candidate until the last step: it was the key's best warm server, and stood for a ranked one that could be used, so neither a second warm server nor one outside the ranks was tried.

Change: a server with a limit for which this host has no quota is left out of the choice from the start, as a resting one is. The wait that a caller is told if none is left is that of all limits together.

Without limits the choice is the same.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -51,9 +51,9 @@
     """Report that no server can take a request; retry in ``retry_seconds``.
 
     The other fields explain the decision: the shortest expected wait, the longest wait
-    allowed, the number of servers, of those with a request limit and of those that
-    rest, and the age of the load report of the server with the shortest wait (infinite
-    if it never reported). Times are in seconds.
+    allowed, the number of servers, of those with a request limit for which this host
+    has no quota and of those that rest, and the age of the load report of the server
+    with the shortest wait (infinite if it never reported). Times are in seconds.
     """
 
     retry_seconds: float
@@ -71,12 +71,14 @@
 
     ``may_send`` permits one request to a server that has just started or that has a
     request limit, ``may_wait`` one answer after the latency goal, ``may_move`` one key
-    to move to its first-ranked server.
+    to move to its first-ranked server. ``has_quota`` spends nothing: it returns True if
+    ``may_send`` would permit a request to a server with a limit.
     """
 
     may_send: Callable[[Server], bool]
     may_wait: Callable[[], bool]
     may_move: Callable[[], bool]
+    has_quota: Callable[[Server], bool] = lambda server: True
 
 
 def choose(
@@ -95,15 +97,16 @@
     untried = _untried_servers(table, criteria)
     if not untried:
         return NoServerAvailable(retry_seconds=1.0, servers_known=False)
-    servers = [row for row in untried if not row.is_resting(now)]
+
+    def is_usable(server: Server) -> bool:
+        if server.is_resting(now):
+            return False
+        return server.request_limit is None or permissions.has_quota(server)
+
+    servers = [row for row in untried if is_usable(row)]
     if not servers:
-        return NoServerAvailable(
-            retry_seconds=seconds_until_rested(untried, now),
-            servers_known=True,
-            servers=len(untried),
-            resting=len(untried),
-        )
-    ranked = _rank_servers(table, ranks, criteria, servers, now)
+        return _none_usable(untried, now)
+    ranked = _rank_servers(table, ranks, criteria, servers, is_usable, now)
     warm = _warm_servers(ranked, servers, criteria, now)
     max_wait = max(
         0.0, criteria.goal_seconds * MAX_WAIT_GOAL_SHARE - criteria.round_trip_seconds
@@ -120,17 +123,45 @@
             return server
     if best is not None and _can_wait_past_goal(best, criteria, permissions, now):
         return best
-    least_loaded = min(servers, key=lambda row: row.expected_wait(now))
+    return _all_busy(untried, servers, max_wait, now)
+
+
+def _none_usable(untried: Sequence[Server], now: float) -> NoServerAvailable:
+    """Report that all servers rest, or have a limit and this host has no quota."""
+    awake = [row for row in untried if not row.is_resting(now)]
+    seconds = (
+        max(RETRY_SECONDS_MIN, limit_wait(awake))
+        if awake
+        else seconds_until_rested(untried, now)
+    )
+    return NoServerAvailable(
+        retry_seconds=seconds,
+        servers_known=True,
+        servers=len(untried),
+        limited=len(awake),
+        resting=len(untried) - len(awake),
+    )
+
+
+def _all_busy(
+    untried: Sequence[Server],
+    usable: Sequence[Server],
+    max_wait: float,
+    now: float,
+) -> NoServerAvailable:
+    """Report that no usable server has capacity."""
+    least_loaded = min(usable, key=lambda row: row.expected_wait(now))
     shortest = least_loaded.expected_wait(now)
+    resting = sum(row.is_resting(now) for row in untried)
     return NoServerAvailable(
-        retry_seconds=max(RETRY_SECONDS_MIN, shortest - max_wait, limit_wait(servers)),
+        retry_seconds=max(RETRY_SECONDS_MIN, shortest - max_wait),
         servers_known=True,
         shortest_wait=shortest,
         longest_wait=max_wait,
         servers=len(untried),
         report_age=now - least_loaded.reported_at,
-        limited=sum(row.request_limit is not None for row in servers),
-        resting=len(untried) - len(servers),
+        limited=len(untried) - len(usable) - resting,
+        resting=resting,
     )
 
 
@@ -139,8 +170,12 @@
 ) -> Sequence[Server]:
     """Return all servers in the order in which a request would use idle ones."""
     untried = _untried_servers(table, criteria)
-    servers = [row for row in untried if not row.is_resting(now)]
-    ranked = _rank_servers(table, ranks, criteria, servers, now)
+
+    def is_awake(server: Server) -> bool:
+        return not server.is_resting(now)
+
+    servers = [row for row in untried if is_awake(row)]
+    ranked = _rank_servers(table, ranks, criteria, servers, is_awake, now)
     first = [*_warm_servers(ranked, servers, criteria, now), *ranked]
     others = sorted(servers, key=lambda row: row.occupancy(now) / row.slots)
     return [*first, *(row for row in others if row not in first)]
@@ -161,6 +196,7 @@
     ranks: RankCache,
     criteria: ServerCriteria,
     servers: Sequence[Server],
+    is_usable: Callable[[Server], bool],
     now: float,
 ) -> Sequence[Server]:
     """Return the usable servers ranked for the key, or all by occupancy without one."""
@@ -170,7 +206,7 @@
         server
         for region in criteria.regions
         for server in ranks.rank(table, criteria.service, region, criteria.key)
-        if server.incarnation not in criteria.tried and not server.is_resting(now)
+        if server.incarnation not in criteria.tried and is_usable(server)
     ]
 
 
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -156,7 +156,10 @@
             return not is_limited or self.quota.withdraw(incarnation, now)
 
         return Permissions(
-            may_send, self.wait_allowance.withdraw, self.move_allowance.withdraw
+            may_send,
+            self.wait_allowance.withdraw,
+            self.move_allowance.withdraw,
+            lambda server: self.quota.is_available(server.incarnation, now),
         )
 
     def _may_spill(self, call: Call, region: str, server: Server, now: float) -> bool:
