Count a rest in the soak for the incarnation that asked for it

Change: a rest ends when its server starts anew. Within one incarnation the check is as strict as before.

--- a/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_checks.py
@@ -141,15 +141,17 @@
     """Return the most requests from one host in a rest that a server asked it for.
 
     The first half second of a rest does not count, nor do hosts that were disturbed
-    since.
+    since. A server that starts anew has asked for nothing.
     """
     most = 0
     for rest in backend.rests:
         host = hosts_by_request.get(rest.request_id)
+        starts = [end for _, end in backend.leaving_periods if end > rest.at]
+        ends_at = min([rest.at + rest.seconds, *starts])
         arrivals = [
             row.at
             for row in backend.received
-            if rest.at + TOLD_SECONDS < row.at < rest.at + rest.seconds
+            if rest.at + TOLD_SECONDS < row.at < ends_at
             and hosts_by_request.get(request_id(row)) == host
         ]
         if host is None or not arrivals:
