Accept upload routes, whose requests run at most once

Change: RequestKind.UPLOAD, which is not repeatable. A rule with a kind that is not in the list still rejects the configuration. Measured: routing, decoding and answer tests pass; a broken upload is answered 502 and never sent to a second server, one that was shed is answered 503.

--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -11,11 +11,16 @@
 
 
 class RequestKind(StrEnum):
-    """The kind of a request, which decides whether it may be repeated."""
+    """The kind of a request, which decides whether it may be repeated.
+
+    ``UPLOAD`` requests have large bodies and run at most once, ``DOWNLOAD`` requests
+    have large answers and may be repeated.
+    """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     DOWNLOAD = "download"
+    UPLOAD = "upload"
 
 
 REPEATABLE_KINDS: Final = frozenset({RequestKind.SAFE, RequestKind.DOWNLOAD})
--- a/packages/core/tests/test_routing_match.py
+++ b/packages/core/tests/test_routing_match.py
@@ -123,6 +123,7 @@
         (RequestKind.SAFE, True),
         (RequestKind.DOWNLOAD, True),
         (RequestKind.UNSAFE, False),
+        (RequestKind.UPLOAD, False),
     ],
 )
 def test_only_safe_requests_and_downloads_are_repeatable(kind, repeatable):
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -122,6 +122,7 @@
         "/safe/": RequestKind.SAFE,
         "/unsafe/": RequestKind.UNSAFE,
         "/pack/": RequestKind.DOWNLOAD,
+        "/upload/": RequestKind.UPLOAD,
     }
     fields = {"timeout_seconds": 1.0, "attempts_max": 2, "goal_seconds": 0.4, **changes}
     return [
--- a/packages/node/tests/test_gateway_answers.py
+++ b/packages/node/tests/test_gateway_answers.py
@@ -59,9 +59,11 @@
         assert (status, env.ran()) == (safe_status, safe_ran)
         assert (status != 200) or body.endswith(b" /safe/1")
         assert (headers.get(NAMES.signature) == SIGNATURE) == (status in (200, 500))
-        status, _, headers = await env.async_call("/unsafe/1", "POST", data=b"x" * 99)
-        assert (status, env.ran()) == (unsafe_status, safe_ran + unsafe_ran)
-        assert ("Retry-After" in headers) == (status == 503)
+        for number, path in enumerate(("/unsafe/1", "/upload/1"), 1):
+            status, _, headers = await env.async_call(path, "POST", data=b"x" * 99)
+            ran = safe_ran + number * unsafe_ran
+            assert (status, env.ran()) == (unsafe_status, ran)
+            assert ("Retry-After" in headers) == (status == 503)
 
 
 async def test_a_reset_of_an_idle_connection_logs_no_traceback():
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -64,6 +64,17 @@
     assert table.limits.body_bytes == 9
 
 
+def test_an_upload_rule_is_decoded_and_not_repeatable():
+    """Guards against rejecting the configuration, or repeating a large body."""
+    changed = msgspec.json.decode(msgspec.json.encode(CONFIGURATION))
+    changed["listeners"][0]["rules"][0]["kind"] = "upload"
+    route = find_route(
+        decode_item(item("op/config", changed)).table, "a.example", "/bays/2f"
+    )
+    assert route.kind is RequestKind.UPLOAD
+    assert not route.repeatable
+
+
 def test_a_rule_without_a_kind_is_not_repeatable():
     table = decode_item(item("op/config", CONFIGURATION)).table
     assert not find_route(table, "a.example", "/pay/").repeatable
