Tell when a deployment calls for demand-aware decisions

Cause: decisions that are new for customers with competing callers or uneven servers must leave all other deployments as they are. Change: a mode beside the server table.

--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
+from greengagepoint.placing.demand_mode import DemandMode
 from greengagepoint.placing.typical_load import RUN_SECONDS_START, TypicalLoad
 
 # Minimum time constant for the decay of a load report. If runs take longer, their
@@ -157,7 +158,8 @@
 
     ``servers`` holds the newest incarnation of each id. ``services`` lists the services
     that may have members, None while they are unknown. ``limited`` are the servers
-    with a request limit. ``version`` changes with the membership, so that cached ranks
+    with a request limit. ``demand`` tells whether the demand-aware decisions apply.
+    ``version`` changes with the membership, so that cached ranks
     can be invalidated.
     """
 
@@ -169,6 +171,7 @@
     members: dict[tuple[str, str], Members] = field(default_factory=dict)
     regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
     typical: dict[tuple[str, str], TypicalLoad] = field(default_factory=dict)
+    demand: DemandMode = field(default_factory=DemandMode)
     version: int = 0
 
     def find(self, service: str, region: str) -> Members:
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -125,7 +125,11 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True, kw_only=True):
-    """One version of the configuration; host names are in lower case."""
+    """One version of the configuration; host names are in lower case.
+
+    ``competing_callers`` is True if some routes take uploads and routes differ in rank:
+    uploads hold slots and memory of servers that more urgent requests need.
+    """
 
     version: int
     hosts: dict[str, HostRoutes]
@@ -133,6 +137,7 @@
     limits: CallerLimits = CallerLimits()
     urgent_ranks: dict[str, int] = {}
     accounts: AccountTable = msgspec.field(default_factory=AccountTable)
+    competing_callers: bool = False
 
     def is_urgent(self, rank: int, service: str) -> bool:
         """Return True if no route to the service is more urgent than the rank."""
@@ -152,6 +157,8 @@
         self.hosts: dict[str, HostRoutes] = {}
         self.services: dict[str, ServicePolicy] = {}
         self.urgent_ranks: dict[str, int] = {}
+        self.ranks: set[int] = set()
+        self.has_uploads = False
         self.accounts = AccountTable()
 
     def add_account(self, account: Account, keys: Iterable[str]) -> None:
@@ -164,6 +171,8 @@
     def add_route(self, host: str, route: Route) -> None:
         """Add a route of a host name, which is not case-sensitive."""
         self.hosts.setdefault(host.lower(), HostRoutes()).add(route)
+        self.has_uploads |= route.kind is RequestKind.UPLOAD
+        self.ranks.add(route.rank)
         for destination in route.destinations:
             lowest_rank = self.urgent_ranks.get(destination.service, route.rank)
             self.urgent_ranks[destination.service] = min(lowest_rank, route.rank)
@@ -181,6 +190,7 @@
             limits=self.limits,
             urgent_ranks=self.urgent_ranks,
             accounts=self.accounts,
+            competing_callers=self.has_uploads and len(self.ranks) > 1,
         )
 
 
--- a/packages/core/tests/test_routing_match.py
+++ b/packages/core/tests/test_routing_match.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from greengagepoint.placing.demand_mode import DemandMode
 from greengagepoint.routing.split import WeightedSplit
 from greengagepoint.routing.tables import (
     CallerLimits,
@@ -132,6 +133,29 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("rows", "competing"),
+    [
+        ([(RequestKind.UPLOAD, 2), (RequestKind.SAFE, 0)], True),
+        ([(RequestKind.UPLOAD, 1), (RequestKind.SAFE, 1)], False),
+        ([(RequestKind.UNSAFE, 2), (RequestKind.SAFE, 0)], False),
+        ([], False),
+    ],
+)
+def test_uploads_beside_other_ranks_make_callers_compete(rows, competing):
+    routes = [
+        msgspec.structs.replace(route(f"r{rank}", f"/{rank}/"), kind=kind, rank=rank)
+        for kind, rank in rows
+    ]
+    table = create_route_table(1, {"a.example": routes}, [], CallerLimits())
+    assert table.competing_callers is competing
+    mode = DemandMode()
+    mode.apply_routes(table)
+    assert mode.is_on is competing
+    mode.apply_routes(None)
+    assert not mode.is_on
+
+
 @given(
     weights=st.lists(st.integers(1, 90), min_size=1, max_size=4),
     requests=st.integers(1, 300),
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -250,6 +250,7 @@
 
     def tick(self, now: float) -> None:
         """Update free capacity and loads, and drop the state of removed servers."""
+        self.view.servers.demand.apply_routes(self.view.routes)
         self.lost_capacity.tick(self.view.servers, now)
         if now - self.loads_measured_at < LOAD_REFRESH_SECONDS:
             return
