Pass limits on to a ledger that begins

Cause: a ledger that begins to receive reports knows no usage and no request rate, so it told hosts to admit all for about two reports. With ledgers killed in a flood, twice in a window, an account went over its bound.

Change: an answer tells the fill level of each bucket. A host that turns to another ledger, or whose report was not answered, adds the limits it was last told and their age. A ledger that has received reports for at most 1 s starts from them and holds them for 1.5 report periods, until each host's usage is counted. The figures of the former ledger contain what dead hosts admitted, so no estimate of it is needed. Figures out of range are ignored, counted and logged. Both new fields are appended with defaults. The model of the fleet sends them as the daemon does; no existing test is changed.

Ruled out: counts of each host's last 5 s, as they would need a guess at what dead hosts admitted.

--- a/packages/core/greengagepoint/accounts/gate.py
+++ b/packages/core/greengagepoint/accounts/gate.py
@@ -48,6 +48,7 @@
     row: UsageRow
     asked: Rate = field(default_factory=lambda: Rate(PART_AVERAGE_SECONDS))
     share: float = 1.0
+    limit: LimitRow | None = None
     part: float | None = None
     admitted_since_answer: int = 0
     local_bucket: TokenBucket | None = None
@@ -149,6 +150,15 @@
         """Mark rows to be reported again because no ledger answered."""
         self.changed.update(row.account for row in rows)
 
+    def last_limits(self) -> list[LimitRow]:
+        """Return the limits in the last answer, for a ledger that has just begun."""
+        limits = (use.limit for use in self.uses.values())
+        return [row for row in limits if row is not None and row.tokens is not None]
+
+    def age_of_limits(self, now: float) -> float:
+        """Return the seconds since the last report that was answered."""
+        return now - self.limits_requested_at
+
     def told(self, limits: Iterable[LimitRow], asked_at: float, now: float) -> None:
         """Apply the answer to a report that was sent at ``asked_at``."""
         self.limits_requested_at = max(self.limits_requested_at, asked_at)
@@ -156,6 +166,7 @@
         for name, use in self.uses.items():
             row = shares.get(name)
             use.share = row.share if row is not None else 1.0
+            use.limit = row
             use.admitted_since_answer = 0
             if row is not None and row.asked_per_second > 0:
                 use.part = min(1.0, use.asked.read(now) / row.asked_per_second)
--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -30,6 +30,17 @@
 LIMIT_KNOWN_SECONDS: Final = 2 * SILENT_SECONDS
 # After a gap between reports of this length, what was admitted meanwhile is unknown.
 REPORT_GAP_SECONDS: Final = 1.5
+# Hosts turn to another ledger within a time-out and a period of reports.
+HANDOVER_SECONDS: Final = 1.0
+# An account's requests change within seconds; hosts on a full link hold their limits
+# for this long.
+HANDOVER_AGE_SECONDS_MAX: Final = 2.5
+# More requests per second than the fleet is designed for can only be an error.
+HANDOVER_RATE_MAX: Final = 1e7
+REPORT_PERIOD_SECONDS: Final = 0.2
+# A host's usage counts from its first report on, which comes within one period; held
+# for one period, accounts exceeded their bound by up to 29 requests.
+HANDOVER_HOLD_PERIODS: Final = 1.5
 RATE_MIN: Final = 1e-3
 PART_MIN: Final = 1e-3
 PART_AVERAGE_SECONDS: Final = 2.0
@@ -60,7 +71,25 @@
         """Add the tokens gained since the last call, up to the burst."""
         gained = self.rate * max(0.0, now - self.filled_at)
         self.tokens = min(account.burst, self.tokens + gained)
-        self.filled_at = now
+        self.filled_at = max(self.filled_at, now)
+
+    def adopt(self, limit: LimitRow, age: float, now: float, until: float) -> None:
+        """Start from what a former ledger told a host ``age`` seconds ago.
+
+        Usage before a host's first report is not counted; so the request rate is held,
+        and no tokens are added, until a time at which all hosts have reported.
+        """
+        tokens = float(limit.tokens or 0)
+        if limit.share < 1.0:
+            # Hosts were told to use up the tokens over this time.
+            tokens *= math.exp(-age / TOKEN_GRANT_SECONDS)
+        else:
+            tokens += (self.full_rate - limit.asked_per_second) * age
+        self.tokens = min(self.tokens, tokens)
+        self.filled_at = max(self.filled_at, until)
+        for rate in (self.asked, self.asked_recently):
+            if limit.asked_per_second > rate.read(now):
+                rate.start(limit.asked_per_second, until)
 
     def reserve_for_silent(
         self, silent_part: float, account: Account, now: float
@@ -109,7 +138,9 @@
     ``silent_seconds_max`` is how long a host that is cut off may admit requests.
 
     A ledger that starts to receive reports does not know what was admitted before, so
-    its buckets start empty: at first it grants only the rate.
+    its buckets start empty: at first it grants only the rate. Hosts pass on what the
+    former ledger told them, so that an account that was over its limit stays so.
+    ``invalid_limits`` counts the limits passed on that were out of range.
     """
 
     def __init__(self, silent_seconds_max: float, bounds: LimitBounds = STRICT) -> None:
@@ -122,6 +153,8 @@
         self.silent_parts: Counter[str] = Counter()
         self.region_reported_at: dict[str, float] = {}
         self.receiving_since = 0.0
+        self.report_period_seconds = REPORT_PERIOD_SECONDS
+        self.invalid_limits = 0
         self.heard_at = -math.inf
 
     def take(
@@ -158,9 +191,36 @@
         should_count = report.unanswered or (
             same_incarnation and (answered_here or report.summed)
         )
+        self._adopt_limits(report, accounts, now)
         for row in report.rows:
             self._count_row(reporter, row, accounts, now, should_count, report.summed)
 
+    def _adopt_limits(
+        self, report: UsageReport, accounts: Mapping[str, Account], now: float
+    ) -> None:
+        """Start buckets and rates from what the former ledger told a host.
+
+        A ledger that has received reports for some time knows better.
+        """
+        age = report.last_limits_age
+        if report.last_limits and not 0.0 <= age < math.inf:
+            self.invalid_limits += 1
+            return
+        if now - self.receiving_since > HANDOVER_SECONDS:
+            return
+        if age > HANDOVER_AGE_SECONDS_MAX:
+            return
+        hold_seconds = HANDOVER_HOLD_PERIODS * self.report_period_seconds
+        until = self.receiving_since + hold_seconds
+        for limit in report.last_limits:
+            account = accounts.get(limit.account)
+            if account is None or not account.limited:
+                continue
+            if not _is_valid(limit, self.bounds.max_requests(account)):
+                self.invalid_limits += 1
+                continue
+            self._usage(account, now).adopt(limit, age, now, max(now, until))
+
     def _count_row(
         self,
         reporter: Reporter,
@@ -214,7 +274,7 @@
         use.fill(account, now)
         asked = use.asked.read(now)
         if not account.limited or asked < RATE_MIN:
-            return LimitRow(account.name, 1.0, asked)
+            return LimitRow(account.name, 1.0, asked, round(use.tokens))
         available = use.rate + use.tokens / TOKEN_GRANT_SECONDS
         share = min(1.0, max(0.0, available / asked))
         if share < 1.0:
@@ -222,7 +282,8 @@
             self.over_limit.add(account.name)
         else:
             use.over_since = math.inf
-        return LimitRow(account.name, share, asked / use.reporting_part)
+        asked /= use.reporting_part
+        return LimitRow(account.name, share, asked, round(use.tokens))
 
     def limits(
         self, accounts: Mapping[str, Account], reported: Iterable[str], now: float
@@ -262,3 +323,13 @@
             self.silent_parts.update(reporter.parts)
         elif now - self.region_reported_at[reporter.region] > SILENT_SECONDS:
             silent.update(reporter.parts)
+
+
+def _is_valid(limit: LimitRow, tokens_max: float) -> bool:
+    """Return True if the figures of a limit that a host passes on are in range."""
+    return (
+        0.0 <= limit.share <= 1.0
+        and 0.0 <= limit.asked_per_second <= HANDOVER_RATE_MAX
+        and limit.tokens is not None
+        and abs(limit.tokens) <= max(tokens_max, HANDOVER_RATE_MAX)
+    )
--- a/packages/core/greengagepoint/accounts/messages.py
+++ b/packages/core/greengagepoint/accounts/messages.py
@@ -21,7 +21,8 @@
     this incarnation was answered, so that its rows count in full. ``silent_parts`` are
     the parts of each account's requests received by hosts that no longer report to the
     sender. ``region`` is the sender's, ``answered_by`` the ledger that answered its
-    last report.
+    last report. A host that turns to another ledger adds the ``last_limits`` it was
+    told, and their age in seconds.
     """
 
     host: str
@@ -32,17 +33,21 @@
     silent_parts: dict[str, float] = {}
     region: str = ""
     answered_by: str = ""
+    last_limits: list["LimitRow"] = []
+    last_limits_age: float = 0.0
 
 
 class LimitRow(msgspec.Struct, array_like=True, gc=False):
     """The share of an account's requests to admit, and its request rate.
 
-    ``asked_per_second`` is the rate over all hosts.
+    ``asked_per_second`` is the rate over all hosts, ``tokens`` the fill level of the
+    account's bucket; None if the sender does not know it.
     """
 
     account: str
     share: float
     asked_per_second: float
+    tokens: int | None = None
 
 
 class UsageAnswer(msgspec.Struct, array_like=True):
--- a/packages/core/greengagepoint/accounts/rates.py
+++ b/packages/core/greengagepoint/accounts/rates.py
@@ -15,7 +15,11 @@
     def add(self, count: int, now: float) -> None:
         """Add events that occurred now."""
         self.value = self.read(now) + count / self.seconds
-        self.at = now
+        self.at = max(self.at, now)
+
+    def start(self, value: float, until: float) -> None:
+        """Set the rate, to be held until a time."""
+        self.value, self.at = value, until
 
     def read(self, now: float) -> float:
         """Return the rate now."""
--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -1,5 +1,6 @@
 """Check that limits hold in simulated clusters, and that little within is rejected."""
 
+import math
 import random
 
 import pytest
@@ -253,3 +254,79 @@
     gate.limits_valid_seconds = FULL_LINK_LIMITS_VALID_SECONDS
     assert all(gate.admit(SMALL, 2.4).admitted for _ in range(9))
     assert not all(gate.admit(SMALL, 2.6).admitted for _ in range(20))
+
+
+BEGAN = LimitRow("a", 0.25, 40.0, 0)
+
+
+def turn_to(ledger, limits, age=0.1, now=100.0, host="h"):
+    """Let a host report to a ledger that did not answer it before."""
+    rows = [UsageRow("a", 500, 500)]
+    report = UsageReport(host, 1, rows, last_limits=limits, last_limits_age=age)
+    ledger.take(report, ACCOUNTS, now)
+
+
+def test_a_ledger_that_begins_goes_on_with_the_limits_that_hosts_were_told():
+    """Guards against a new ledger that tells hosts to admit a flood in full."""
+    ledger = UsageLedger(5.0)
+    turn_to(ledger, [BEGAN])
+    rate = STRICT.rate(SMALL)
+    assert ledger.limit(SMALL, 100.0).share == pytest.approx(rate / 40)
+    assert ledger.limit(SMALL, 100.2).share == pytest.approx(rate / 40)
+    # Without reports of the account, the rate decays and requests are admitted.
+    assert ledger.limit(SMALL, 103.0).share == 1.0
+
+
+def test_the_highest_rate_and_the_lowest_bucket_told_apply():
+    """Guards against a host with old limits that releases an account."""
+    ledger = UsageLedger(5.0)
+    turn_to(ledger, [LimitRow("a", 1.0, 1.0, 10)], host="idle")
+    turn_to(ledger, [LimitRow("a", 0.2, 50.0, -2)], now=100.1)
+    turn_to(ledger, [LimitRow("a", 1.0, 20.0, 9)], now=100.2, host="other")
+    assert ledger.uses["a"].tokens < 0
+    assert ledger.limit(SMALL, 100.2).asked_per_second == pytest.approx(50.0)
+
+
+def test_a_ledger_that_has_received_reports_keeps_its_own_figures():
+    """Guards against a host that was cut off and brings old limits."""
+    ledger = UsageLedger(5.0)
+    for now in (100.0, 100.9):
+        take_report(ledger, now, 0, 0, host="other")
+    turn_to(ledger, [BEGAN], now=101.8)
+    assert ledger.limit(SMALL, 101.8).share == 1.0
+
+
+@pytest.mark.parametrize(
+    ("limit", "age", "invalid"),
+    [
+        (LimitRow("a", 0.25, math.nan, 0), 0.1, 1),
+        (LimitRow("a", 0.25, math.inf, 0), 0.1, 1),
+        (LimitRow("a", 0.25, -1.0, 0), 0.1, 1),
+        (LimitRow("a", math.nan, 40.0, 0), 0.1, 1),
+        (LimitRow("a", 1.5, 40.0, 0), 0.1, 1),
+        (LimitRow("a", 0.25, 40.0, -(2**62)), 0.1, 1),
+        (LimitRow("a", 0.25, 40.0), 0.1, 1),
+        (BEGAN, math.nan, 1),
+        (BEGAN, -1.0, 1),
+        (BEGAN, 60.0, 0),
+        (LimitRow("unknown", 0.25, 40.0, 0), 0.1, 0),
+    ],
+)
+def test_limits_out_of_range_are_ignored_and_counted(limit, age, invalid):
+    """Guards against a peer's figures that reject all requests of an account."""
+    ledger = UsageLedger(5.0)
+    turn_to(ledger, [limit], age)
+    assert ledger.limit(SMALL, 100.0).share == 1.0
+    assert ledger.invalid_limits == invalid
+
+
+def test_limits_passed_on_are_those_of_the_last_answer():
+    gate = AccountGate(random.Random(1))
+    gate.admit(SMALL, 1.0)
+    gate.told([BEGAN], 1.1, 1.1)
+    assert gate.last_limits() == [BEGAN]
+    assert gate.age_of_limits(1.5) == pytest.approx(0.4)
+    gate.told([], 1.6, 1.6)
+    assert gate.last_limits() == []
+    gate.told([LimitRow("a", 0.5, 40.0)], 1.7, 1.7)
+    assert gate.last_limits() == []
--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -72,6 +72,7 @@
         self.gate = gate
         self.ledger = ledger
         self.answered_by = ""
+        self.limits_known_to = ""
         self.session = session
         self.clock = clock
         self.events = events
@@ -94,6 +95,7 @@
             if not accounts:
                 continue
             now = self.clock.monotonic()
+            self.ledger.report_period_seconds = self.period_seconds()
             self.ledger.tick(accounts, now)
             if self.gate.changed or now - reported_at >= REPORT_IDLE_SECONDS:
                 reported_at = now
@@ -128,7 +130,11 @@
         """Apply a report and return the answer for its host."""
         accounts = self.accounts()
         own = self.own.entry.name
+        invalid = self.ledger.invalid_limits
         self.ledger.take(report, accounts, now, answered_here=report.answered_by == own)
+        if self.ledger.invalid_limits > invalid:
+            detail = f"limits passed on by {report.host} are out of range"
+            self.events.record(Event.PEER_MESSAGE_REJECTED, detail=detail)
         if report.summed:
             return UsageAnswer([])
         names = [row.account for row in report.rows]
@@ -166,15 +172,28 @@
         )
         for entry in self._ledger_candidates()[:ATTEMPTS_MAX]:
             requested_at = self.clock.monotonic()
+            self._add_last_limits(report, entry, requested_at)
             answer = await self._async_request_answer(entry, report)
             if answer is not None:
                 self._apply_answer(answer, requested_at)
                 return
+            self.limits_known_to = ""
         self.gate.report_again(rows)
 
+    def _add_last_limits(
+        self, report: UsageReport, entry: HostEntry, now: float
+    ) -> None:
+        """Add the last limits for a ledger that may not know them.
+
+        Such a ledger is another one than before, or one that has not answered.
+        """
+        is_known = entry.name == self.limits_known_to or self.gate.unanswered
+        report.last_limits = [] if is_known else self.gate.last_limits()
+        report.last_limits_age = 0.0 if is_known else self.gate.age_of_limits(now)
+
     def _apply_answer(self, answer: UsageAnswer, requested_at: float) -> None:
         """Apply the ledger's answer."""
-        self.answered_by = answer.ledger
+        self.answered_by = self.limits_known_to = answer.ledger
         self.gate.told(answer.limits, requested_at, self.clock.monotonic())
         if answer.proof is not None:
             self.view.certainty.take(answer.proof, requested_at)
--- a/packages/standins/greengagepoint_standins/accounts_world.py
+++ b/packages/standins/greengagepoint_standins/accounts_world.py
@@ -59,6 +59,7 @@
     started: int
     next_report: float
     reported_at: float = -math.inf
+    answered_by: int = 0
     cut_since: float = math.inf
     down_until: float = 0.0
 
@@ -208,6 +209,9 @@
             return
         unanswered = host.gate.unanswered
         report = UsageReport(host.name, host.started, rows, unanswered=unanswered)
+        if chosen.started != host.answered_by and not unanswered:
+            report.last_limits = host.gate.last_limits()
+            report.last_limits_age = host.gate.age_of_limits(self.now)
         asked_at = self.now
         self._later(NEAR_SECONDS, lambda: self._answer(chosen, host, report, asked_at))
         if host is chosen:
@@ -253,6 +257,7 @@
         names = [row.account for row in report.rows]
         limits = ledger.ledger.limits(self.accounts, names, self.now)
         host.gate.told(limits, asked_at, self.now)
+        host.answered_by = ledger.started
         if not self.way.told:
             host.gate.limits_requested_at = -math.inf
         if not self.way.parts:
