--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -177,7 +177,8 @@
             if answer is not None:
                 self._apply_answer(answer, requested_at)
                 return
-            self.limits_known_to = ""
+            if entry.name == self.limits_known_to:
+                self.limits_known_to = ""
         self.gate.report_again(rows)
 
     def _add_last_limits(
