Count hosts that turned to another ledger as served, not as silent

Cause: a ledger that answers late loses hosts to the next one for 2 s. It took them for silent ones and reserved their parts of all limits for 5 s, also at the other ledgers. Ruled out: leaving out hosts that gossip hears; such a host may still reach no ledger. Change: ledgers tell each other which hosts turned to them, and how many seconds ago these reported; such a host counts as heard of. Measured: tests of limits, reports and accounts pass unchanged; a host that turned is not reserved, one that is cut off from both ledgers is.

--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -119,7 +119,8 @@
     ``region`` is that of a ledger, "" for a host. ``complete`` is true if this ledger
     has received its reports since it started, so that a row seen for the first time
     counts in full. ``parts`` are its parts of each account's requests, ``silent_parts``
-    those of the hosts that no longer report to it.
+    those of the hosts that no longer report to it. ``moved_at`` is when it last turned
+    here from another ledger, ``elsewhere_at`` when another ledger last had its reports.
     """
 
     started: int
@@ -130,6 +131,8 @@
     asked: dict[str, Rate] = field(default_factory=dict)
     parts: dict[str, float] = field(default_factory=dict)
     silent_parts: dict[str, float] = field(default_factory=dict)
+    moved_at: float = -math.inf
+    elsewhere_at: float = -math.inf
 
 
 class UsageLedger:
@@ -186,6 +189,7 @@
             reporter = Reporter(report.started, now, region, complete)
             self.reporters[key] = reporter
         reporter.heard_at = now
+        self._record_moves(report, reporter, now, answered_here=answered_here)
         self.region_reported_at[report.region] = now
         reporter.silent_parts = report.silent_parts
         should_count = report.unanswered or (
@@ -195,6 +199,40 @@
         for row in report.rows:
             self._count_row(reporter, row, accounts, now, should_count, report.summed)
 
+    def _record_moves(
+        self,
+        report: UsageReport,
+        reporter: Reporter,
+        now: float,
+        *,
+        answered_here: bool,
+    ) -> None:
+        """Record hosts that turned here, or that now report to the sender.
+
+        A ledger that is slow to answer loses hosts to the next one for some seconds.
+        If it took them for silent, it would reserve their parts of all limits, and
+        callers within their limits would be rejected.
+        """
+        if not report.summed and not report.unanswered and not answered_here:
+            reporter.moved_at = now
+        for host, age in report.moved.items():
+            moved = self.reporters.get((host, False))
+            if moved is not None and age >= 0:
+                moved.elsewhere_at = max(moved.elsewhere_at, now - age)
+
+    def moved_hosts(self, now: float) -> dict[str, float]:
+        """Return the hosts that other ledgers may miss, and when they reported here.
+
+        The times are in seconds before now.
+        """
+        return {
+            host: round(now - reporter.heard_at, 3)
+            for (host, summed), reporter in self.reporters.items()
+            if not summed
+            and now - reporter.moved_at <= self.silent_seconds_max
+            and now - reporter.heard_at <= SILENT_SECONDS
+        }
+
     def _adopt_limits(
         self, report: UsageReport, accounts: Mapping[str, Account], now: float
     ) -> None:
@@ -304,9 +342,10 @@
         silent: Counter[str] = Counter()
         for key, reporter in list(self.reporters.items()):
             silent.update(reporter.silent_parts)
-            if now - reporter.heard_at > self.silent_seconds_max:
+            last_heard_at = max(reporter.heard_at, reporter.elsewhere_at)
+            if now - last_heard_at > self.silent_seconds_max:
                 del self.reporters[key]
-            elif now - reporter.heard_at > SILENT_SECONDS:
+            elif now - last_heard_at > SILENT_SECONDS:
                 self._count_silent(reporter, silent, now)
         silent.update(self.silent_parts)
         for name, use in self.uses.items():
--- a/packages/core/greengagepoint/accounts/messages.py
+++ b/packages/core/greengagepoint/accounts/messages.py
@@ -22,7 +22,8 @@
     the parts of each account's requests received by hosts that no longer report to the
     sender. ``region`` is the sender's, ``answered_by`` the ledger that answered its
     last report. A host that turns to another ledger adds the ``last_limits`` it was
-    told, and their age in seconds.
+    told, and their age in seconds. ``moved`` are hosts that another ledger answered
+    before they turned to the sender, with the seconds since they reported to it.
     """
 
     host: str
@@ -35,6 +36,7 @@
     answered_by: str = ""
     last_limits: list["LimitRow"] = []
     last_limits_age: float = 0.0
+    moved: dict[str, float] = {}
 
 
 class LimitRow(msgspec.Struct, array_like=True, gc=False):
--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -256,6 +256,42 @@
     assert not all(gate.admit(SMALL, 2.6).admitted for _ in range(20))
 
 
+LARGE = Account(name="a", requests_per_second=50.0, burst=50.0)
+
+
+@pytest.mark.parametrize(
+    ("turns", "told", "cut_at", "reserved"),
+    [
+        (True, True, 99.0, False),
+        (True, False, 99.0, True),
+        (False, True, 99.0, True),
+        # The host is cut off from both ledgers.
+        (True, True, 1.5, True),
+    ],
+)
+def test_the_part_of_a_host_that_turned_to_another_ledger_is_not_reserved(
+    turns, told, cut_at, reserved
+):
+    """Guards against rejecting callers within their limits after slow answers."""
+    accounts = {"a": LARGE}
+    first, second = UsageLedger(5.0), UsageLedger(5.0)
+    for step in range(16):
+        now = step * 0.2
+        rows = [UsageRow("a", 8 * step, 8 * step)]
+        first.take(UsageReport("other", 1, rows), accounts, now)
+        report = UsageReport("h", 1, rows)
+        if step < 5:
+            first.take(report, accounts, now)
+        elif turns and now < cut_at:
+            second.take(report, accounts, now, answered_here=step > 5)
+        if told:
+            moved = second.moved_hosts(now)
+            sums = UsageReport("ledger", 1, [], summed=True, moved=moved)
+            first.take(sums, accounts, now)
+        first.tick(accounts, now)
+    assert (first.uses["a"].reporting_part < 0.9) is reserved
+
+
 BEGAN = LimitRow("a", 0.25, 40.0, 0)
 
 
--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -316,6 +316,7 @@
             summed=True,
             silent_parts=dict(self.ledger.silent_parts),
             region=self.own.entry.region,
+            moved=self.ledger.moved_hosts(self.clock.monotonic()),
         )
         if await self._async_post_report(address, report) is not None:
             acknowledged.update({row.account: row.asked for row in rows})
