Move code without platform names out of the adapter

Reading a settings file, decoding rows and store answers, and running until a signal know nothing of the platform, so they move to the node; the adapter keeps its formats.

--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -5,6 +5,7 @@
 from greengagepoint.accounts.bounds import LimitBounds
 from greengagepoint_node.gateway.names import HeaderNames
 
+METRICS_VARIABLE: Final = "GREENGAGEPOINT_METRICS_ADDRESS"
 HEARTBEAT_SECONDS: Final = 1.5
 DRAIN_SECONDS: Final = 2.0
 REVOKE_SECONDS: Final = 5.0
--- a/packages/node/greengagepoint_node/gateway/settings_reload.py
+++ b/packages/node/greengagepoint_node/gateway/settings_reload.py
@@ -4,13 +4,17 @@
 import signal
 from collections.abc import Callable
 from pathlib import Path
-from typing import Final
+from typing import Final, Protocol, TypeVar
+
+import msgspec
 
 from greengagepoint.errors import SettingError
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.settings import GatewaySettings
 
+T = TypeVar("T")
+
 # The file is polled too, because it may be written without a signal.
 CHECK_SECONDS: Final = 1.0
 
@@ -72,3 +76,31 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
+
+
+class StoppableDaemon(Protocol):
+    """A daemon that runs until its stop is wanted."""
+
+    stop_wanted: asyncio.Event
+
+    async def async_run(self) -> None:
+        """Run until a stop is requested."""
+
+
+async def async_run(daemon: StoppableDaemon, reload: SettingsReload) -> None:
+    """Run a daemon until it receives a stop signal, and reload its settings."""
+    handle_signals(stop=daemon.stop_wanted.set, reload=reload.run)
+    reload_task = asyncio.create_task(reload.async_watch())
+    await daemon.async_run()
+    reload_task.cancel()
+
+
+def read_file(path: Path, kind: type[T]) -> T:
+    """Decode a file; raise a SettingError that names the file or the invalid field."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=kind)
+    except OSError as error:
+        raise SettingError(f"{path}: {error.strerror}") from error
+    except msgspec.MsgspecError as error:
+        # The message of msgspec ends with the field's path, such as "$.listen.front".
+        raise SettingError(f"{path}: {error}") from error
--- a/packages/node/greengagepoint_node/gateway/store_http.py
+++ b/packages/node/greengagepoint_node/gateway/store_http.py
@@ -2,11 +2,16 @@
 
 import asyncio
 import time
-from typing import Final, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import aiohttp
+import msgspec
 
-from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
+from greengagepoint.errors import (
+    ErrorKind,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
 from greengagepoint_node.gateway.listeners import create_socket
 from greengagepoint_node.gateway.transfer import async_read_answer
 
@@ -67,3 +72,11 @@
     async def async_close(self) -> None:
         """Close all connections."""
         await self.session.close()
+
+
+def decode_body(answer: HttpAnswer, kind: type[Any]) -> Any:
+    """Return the decoded body of an answer; raise StoreError if it is invalid."""
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreError(str(error), ErrorKind.STORE_ANSWER_INVALID) from error
