--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -28,6 +28,21 @@
 RETRY_SECONDS_MIN: Final = 0.3
 
 
+class Finish(NamedTuple):
+    """Hold the expected end of a request at a server, in seconds from now.
+
+    ``seconds`` includes the round trip and the ``wait`` for a slot. ``pace`` is the
+    factor that ``wait`` and ``run`` contain, ``pace_age`` the age of its report.
+    """
+
+    seconds: float
+    wait: float
+    run: float
+    pace: float
+    pace_age: float
+    is_warm: bool
+
+
 class ServerCriteria(NamedTuple):
     """Hold the criteria for choosing a server.
 
@@ -54,6 +69,7 @@
     allowed, the number of servers, of those with a request limit for which this host
     has no quota and of those that rest, and the age of the load report of the server
     with the shortest wait (infinite if it never reported). Times are in seconds.
+    ``finish`` is the expected finish at the key's home, None with the demand mode off.
     """
 
     retry_seconds: float
@@ -64,6 +80,7 @@
     report_age: float = float("inf")
     limited: int = 0
     resting: int = 0
+    finish: Finish | None = None
 
 
 class Permissions(NamedTuple):
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.placing.demand_mode import DemandMode
+from greengagepoint.placing.pace import USUAL_PACE, expected_pace
 from greengagepoint.placing.typical_load import RUN_SECONDS_START, TypicalLoad
 
 # Minimum time constant for the decay of a load report. If runs take longer, their
@@ -43,7 +44,8 @@
     the server takes from all hosts together, in requests per second, None if it named
     none; it wants nothing from this host before ``rest_until``. ``typical`` is shared
     by the members of a service in a region. ``initial_weight`` is the weight that the
-    initial value still has in the moving average ``service_seconds``.
+    initial value still has in the moving average ``service_seconds``. ``pace`` is the
+    factor by which work took longer on the server's machine at ``paced_at``.
     """
 
     instance: str
@@ -65,6 +67,8 @@
     request_limit: float | None = None
     rest_until: float = 0.0
     born: int = 0
+    pace: float = USUAL_PACE
+    paced_at: float = float("-inf")
     typical: TypicalLoad = field(default_factory=TypicalLoad)
     incarnation: Incarnation = field(init=False)
 
@@ -98,6 +102,19 @@
         """Return True if any host may send to the server without a permission."""
         return self.cold_until <= now and self.request_limit is None
 
+    def expected_pace(self, now: float) -> float:
+        """Return the factor by which runs on the server take longer now."""
+        return expected_pace(self.pace, now - self.paced_at)
+
+    def apply_pace(self, pace: float, now: float) -> None:
+        """Apply the pace that the server reported to this host."""
+        self.pace = pace
+        self.paced_at = now
+
+    def requests_ahead(self, now: float) -> float:
+        """Return how many requests must end before a new one gets a slot."""
+        return max(0.0, self.occupancy(now) + 1 - self.slots)
+
     def occupancy(self, now: float) -> float:
         """Return the estimated number of requests running or queued at the server.
 
@@ -115,8 +132,7 @@
 
     def expected_wait(self, now: float) -> float:
         """Return how many seconds a new request is expected to wait for a slot."""
-        ahead = self.occupancy(now) + 1 - self.slots
-        return max(0.0, ahead) * self.run_seconds / self.slots
+        return self.requests_ahead(now) * self.run_seconds / self.slots
 
     def apply_report(self, running: int, waiting: int, now: float) -> None:
         """Apply a load report that this host received from the server."""
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -65,13 +65,15 @@
     """Settings shared by all backend servers of a service.
 
     ``cold_requests_per_second`` is the rate that a cold server can serve, summed over
-    all hosts.
+    all hosts. ``health_path`` is answered by each server at once, with its load; it is
+    empty if there is none.
     """
 
     name: str
     connections_max: int = 400
     cold_seconds: float = 0.0
     cold_requests_per_second: float = 0.0
+    health_path: str = ""
 
 
 class CallerLimits(msgspec.Struct, frozen=True, kw_only=True):
