Use load reports with a pace on the request path

Cause: servers report in a load header how long work takes on their machine. The node parsed two figures of it by itself, and nothing set demand.uneven_servers.

Change: the adapter decodes the header into a report with bounds, a malformed one is logged once for each server. The first report with a pace switches the demand mode on; a flag in the messages between hosts spreads it. The first host of each region asks the health path of one server of each service before callers arrive. With the mode on, requests with a key are placed by expected finish; log lines, counters and a histogram show what was expected.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -83,6 +83,8 @@
     BACKEND_SERVER_ANNOUNCED_LEAVING = 6013
     BACKEND_SERVER_RESTING = 6014
     BACKEND_SERVER_RESTED = 6015
+    UNEVEN_SERVERS_FOUND = 6016
+    PACE_PROBE_FAILED = 6017
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -242,6 +244,12 @@
     Event.BACKEND_SERVER_RESTED: EventType(
         Level.INFO, "The time for which a backend server asked is over."
     ),
+    Event.UNEVEN_SERVERS_FOUND: EventType(
+        Level.INFO, "A backend server reports its pace; the demand mode is on."
+    ),
+    Event.PACE_PROBE_FAILED: EventType(
+        Level.WARNING, "The health path of a backend server did not answer a probe."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -47,7 +47,9 @@
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
     ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
-    ``rests``. ``send_delay``
+    ``rests``, (service, reason) for ``choices`` by expected finish and (service,
+    believed, measured) for ``runs``, each warm or cold. ``finish_excess`` holds the
+    seconds by which answers came after their expected finish. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -63,6 +65,9 @@
         self.limit_changes: Counter[tuple[str, str]] = Counter()
         self.leaving_announced: Counter[tuple[str]] = Counter()
         self.rests: Counter[tuple[str]] = Counter()
+        self.choices: Counter[tuple[str, str]] = Counter()
+        self.runs: Counter[tuple[str, str, str]] = Counter()
+        self.finish_excess = Histogram(SECONDS_BOUNDS)
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -33,7 +33,9 @@
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
 from greengagepoint_node.gateway.listeners import Listener, create_socket
+from greengagepoint_node.gateway.load_reports import DecodeLoad
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
+from greengagepoint_node.gateway.pace_probe import PaceProbe
 from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
 from greengagepoint_node.gateway.peer_session import (
     create_peer_session,
@@ -110,6 +112,7 @@
         events: EventSink,
         lines_dropped: Callable[[], int] = lambda: 0,
         read_parts: ReadParts = lambda item: None,
+        decode_load: DecodeLoad = lambda text: None,
     ) -> None:
         self.settings = settings
         self.counters = GatewayCounters()
@@ -148,6 +151,7 @@
         self.quarantine = RequestQuarantine(Quarantine(), clock, events)
         self.quarantine_page = QuarantinePage(self.quarantine)
         self.create_lookup = create_lookup
+        self.decode_load = decode_load
         self.tasks: list[asyncio.Task[None]] = []
 
     async def async_run(self) -> None:
@@ -187,10 +191,24 @@
             self.clock.monotonic(),
             self.events,
             self.gossip.distances.round_trip_to,
+            self.decode_load,
         )
         self.gossip.writer.loads = self.placer.loads
         self.gossip.writer.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
+        self.counters.choices = self.placer.finish.choices
+        self.counters.runs = self.placer.finish.runs
+        self.placer.finish.excess = self.counters.finish_excess
+        self.pace_probe = PaceProbe(
+            settings.names,
+            settings.region,
+            self.view,
+            self.sessions,
+            self.placer,
+            lambda: self.gossip.is_watcher and not self.own_state.leaving,
+            self.clock,
+            self.events,
+        )
         self._create_quotas()
         self._create_quarantine_sync()
         self._create_reports()
@@ -244,6 +262,7 @@
             self.quarantine_sync.async_run(),
             self.quarantine_store.async_run(),
             self.reports.async_run(),
+            self.pace_probe.async_run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -35,6 +35,7 @@
 from greengagepoint_node.gateway.host_table import (
     HostTable,
 )
+from greengagepoint_node.gateway.load_reports import record_uneven_servers
 from greengagepoint_node.gateway.message_writer import MessageWriter
 from greengagepoint_node.gateway.news_ages import ViewFreshnessTracker
 from greengagepoint_node.gateway.peer_notifier import PeerNotifier
@@ -345,6 +346,8 @@
         self.table.merge(message, now)
         self.writer.loads.take(message.loads, now)
         self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
+        if message.uneven_servers:
+            record_uneven_servers(self.view.servers.demand, self.events, "peer")
         self.suspects.take(message.suspects)
         self.signals.take_limits(message.limits)
         self.signals.take_leaving(message.leaving_servers)
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -57,7 +57,8 @@
     are requests that crash backend servers. ``proof`` is the sender's proof of the
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
     relays the update. ``limits`` are the request limits that backend servers named,
-    ``leaving_servers`` those that said that they leave.
+    ``leaving_servers`` those that said that they leave. ``uneven_servers`` means that
+    some server reported its pace to any host.
     """
 
     revision: int
@@ -82,6 +83,7 @@
     relay: list[str] = []
     limits: list[LimitNotice] = []
     leaving_servers: list[LeavingNotice] = []
+    uneven_servers: bool = False
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -168,6 +168,7 @@
             self.outcomes.log_cancelled(request_id, call, arrived_at)
             raise
         finally:
+            self.placer.finish.end(request_id)
             self.outcomes.count_request(call, outcome, arrived_at)
 
     def _parse(
@@ -235,7 +236,13 @@
                 )
             attempts.end(last.verdict)
             if last.verdict is Verdict.ANSWERED:
-                self.outcomes.record_answered(call, last, server, len(attempts.servers))
+                self.outcomes.record_answered(
+                    call,
+                    last,
+                    server,
+                    len(attempts.servers),
+                    self.placer.finish.log_fields(call.request_id, server),
+                )
                 return answer_response(last)
             may_have_run = may_have_run or last.verdict not in NOT_RUN
             if may_have_run and not call.route.repeatable:
--- a/packages/node/greengagepoint_node/gateway/message_writer.py
+++ b/packages/node/greengagepoint_node/gateway/message_writer.py
@@ -89,6 +89,7 @@
             lapsed_seconds=list(unconfirmed.values()),
             full_link=self.link_is_full(),
             proof=self.view.certainty.proof(now),
+            uneven_servers=self.view.servers.demand.uneven_servers,
         )
 
     def create_partial(self, revision: int) -> Message:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -120,6 +120,16 @@
             "Requests of client accounts, admitted or over a limit.",
             lambda: _rows(counters.accounts, "account", "outcome"),
         )
+        yield Instrument(
+            "choices_by_finish",
+            "Servers chosen by expected finish, by service and reason.",
+            lambda: _rows(counters.choices, "service", "reason"),
+        )
+        yield Instrument(
+            "runs_by_warmth",
+            "Runs without a wait, by what was expected and what was measured.",
+            lambda: _rows(counters.runs, "service", "expected", "measured"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
@@ -139,6 +149,11 @@
             "Tries by the time from the choice of a server to the first byte",
             counters.send_delay,
         )
+        yield from _histogram(
+            "finish_excess",
+            "Answers by the time after their expected finish",
+            counters.finish_excess,
+        )
         yield from _histogram(
             "news_age",
             "Tries by how old the host's news was at the first byte",
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -14,6 +14,7 @@
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.counters import GatewayCounters
 from greengagepoint_node.gateway.exchange import Exchange, Verdict
+from greengagepoint_node.gateway.finish_fields import LogFields
 from greengagepoint_node.gateway.refusals import Refusal
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
@@ -147,11 +148,17 @@
         )
 
     def record_answered(
-        self, call: Call, exchange: Exchange, server: Server, attempt_count: int
+        self,
+        call: Call,
+        exchange: Exchange,
+        server: Server,
+        attempt_count: int,
+        expected: LogFields,
     ) -> None:
         """Count the region that answered a request; log it if sampled.
 
-        Requests that took more than one attempt are always logged.
+        Requests that took more than one attempt are always logged. ``expected`` are
+        the fields of the finish expected, empty with the demand mode off.
         """
         self.counters.regions[call.service, server.region] += 1
         if attempt_count == 1 and not _is_sampled(call.request_id):
@@ -169,6 +176,7 @@
             run_seconds=round(server.run_seconds, 3),
             status=exchange.status,
             seconds=self._seconds_since(call.arrived_at),
+            **expected,
         )
 
     def _seconds_since(self, arrived_at: float) -> float:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -1,7 +1,7 @@
 """Choose backend servers for requests, and track the load and health of servers."""
 
 from collections.abc import Callable
-from typing import Final, NamedTuple
+from typing import Final
 
 from greengagepoint.backpressure.quota import QuotaPool
 from greengagepoint.events import Event
@@ -35,6 +35,13 @@
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.exchange import NOT_RUN, Exchange, Verdict
+from greengagepoint_node.gateway.finish_placing import FinishPlacing
+from greengagepoint_node.gateway.load_reports import (
+    DecodeLoad,
+    LoadReader,
+    LoadReport,
+    record_uneven_servers,
+)
 from greengagepoint_node.gateway.region_weights import RegionWeights, WeightKey
 from greengagepoint_node.gateway.view import FleetView
 
@@ -42,17 +49,11 @@
 LOAD_REFRESH_SECONDS: Final = 0.5
 
 
-class Load(NamedTuple):
-    """The requests that a server runs, and those that wait there for a slot."""
-
-    running: int
-    queued: int
-
-
 class Placer:
     """Choose servers for requests from this host's view of the fleet.
 
-    ``distance`` returns the round-trip time to a region in seconds.
+    ``distance`` returns the round-trip time to a region in seconds, ``decode_load``
+    the load report in a server's header.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         started_at: float,
         events: EventSink,
         distance: Callable[[str], float] = lambda region: 0.0,
+        decode_load: DecodeLoad = lambda text: None,
     ) -> None:
         self.view = view
         self.weights = weights
@@ -79,6 +81,8 @@
         self.answer_times_by_group: dict[tuple[str, str], AnswerTimes] = {}
         self.cold_starts = ColdStartLimiter(host, started_at)
         self.quota = QuotaPool()
+        self.load_reader = LoadReader(decode_load, events)
+        self.finish = FinishPlacing()
         self.serving_hosts: list[str] = [host]
         self.round_trip_seconds = 0.0
         self.loads_measured_at = float("-inf")
@@ -91,7 +95,7 @@
         region = region_for_key(_placement_key(call), self.weights.current(weight_key))
         if region is None:
             return NoServerAvailable(retry_seconds=1.0, servers_known=False)
-        choice = choose_with_spill(
+        inputs = (
             self.view.servers,
             self.ranks,
             self._create_criteria(call, region, tried, now),
@@ -102,6 +106,10 @@
             lambda server: self._may_spill(call, region, server, now),
             now,
         )
+        if self.view.servers.demand.is_on and call.key is not None:
+            choice = self.finish.choose(call, *inputs)
+        else:
+            choice = choose_with_spill(*inputs)
         if isinstance(choice, Server):
             self._record_placement(call, choice, now)
         return choice
@@ -141,27 +149,27 @@
 
     def _create_permissions(self, call: Call, now: float) -> Permissions:
         """Return the rate limits and allowances that the choice has to respect."""
-        rate = self._cold_requests_per_second(call.service)
-
-        def may_send(server: Server) -> bool:
-            incarnation = server.incarnation
-            is_limited = server.request_limit is not None
-            if is_limited and not self.quota.is_available(incarnation, now):
-                return False
-            is_cold = server.cold_until > now
-            if is_cold and not self.cold_starts.may_send(
-                incarnation, rate, self.serving_hosts, now
-            ):
-                return False
-            return not is_limited or self.quota.withdraw(incarnation, now)
-
         return Permissions(
-            may_send,
+            lambda server: self.may_send(server, now),
             self.wait_allowance.withdraw,
             self.move_allowance.withdraw,
             lambda server: self.quota.is_available(server.incarnation, now),
         )
 
+    def may_send(self, server: Server, now: float) -> bool:
+        """Spend one request of the rates of a cold or limited server."""
+        incarnation = server.incarnation
+        is_limited = server.request_limit is not None
+        if is_limited and not self.quota.is_available(incarnation, now):
+            return False
+        rate = self._cold_requests_per_second(server.service)
+        is_cold = server.cold_until > now
+        if is_cold and not self.cold_starts.may_send(
+            incarnation, rate, self.serving_hosts, now
+        ):
+            return False
+        return not is_limited or self.quota.withdraw(incarnation, now)
+
     def _may_spill(self, call: Call, region: str, server: Server, now: float) -> bool:
         """Return True if a request may spill to a server of another region."""
         lost = self.lost_capacity.lost_share(call.service, region)
@@ -199,10 +207,9 @@
             self.warm_keys.forget(call.key, server.incarnation)
         if not self.view.servers.is_newest(server):
             return
-        load = read_load(exchange.load)
+        load = self.load_reader.read(server, exchange.load)
         if load is not None:
-            server.apply_report(load.running, load.queued, now)
-            self.busy_servers.note(server, load.running + load.queued, now)
+            self.apply_report(server, load, "answer", now)
         elif exchange.verdict is Verdict.SHED:
             server.apply_shedding(now)
             assumed_load = (1 + SHEDDING_QUEUE_PER_SLOT) * server.slots
@@ -212,8 +219,10 @@
             self.answer_times(server).record_time(seconds, now)
             # The time of a request that waited for its slot would make the server look
             # slow, and its queue twice as long as it is.
-            if expected_wait == 0 and (load is None or load.queued == 0):
+            if expected_wait == 0 and (load is None or load.waiting == 0):
                 server.record_service_time(seconds)
+            round_trip = self.distance(server.region)
+            self.finish.record_run(call, server, seconds, round_trip, load, now)
         elif exchange.verdict is Verdict.SHED:
             suspicion.record_answer(server, now)
         elif exchange.verdict is Verdict.OTHER_SERVER:
@@ -221,6 +230,16 @@
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.suspect(server, exchange.verdict, now)
 
+    def apply_report(
+        self, server: Server, report: LoadReport, source: str, now: float
+    ) -> None:
+        """Apply the load report of a server; ``source`` tells how it came."""
+        server.apply_report(report.running, report.waiting, now)
+        self.busy_servers.note(server, report.running + report.waiting, now)
+        if report.pace is not None:
+            server.apply_pace(report.pace, now)
+            record_uneven_servers(self.view.servers.demand, self.events, source)
+
     def answer_times(self, server: Server) -> AnswerTimes:
         """Return this host's answer times for a server's service and region."""
         return self.answer_times_by_group.setdefault(
@@ -256,9 +275,10 @@
             return
         self.loads_measured_at = now
         self.loads.measure(self.view.servers, now)
-        self.cold_starts.keep(
-            {row.incarnation for row in self.view.servers.servers.values()}
-        )
+        known = {row.incarnation for row in self.view.servers.servers.values()}
+        self.cold_starts.keep(known)
+        self.load_reader.retain(known)
+        self.finish.tick(now)
 
     def rest_seconds(self, call: Call, now: float) -> float:
         """Return the seconds until the first server of a request's region is rested."""
@@ -304,13 +324,3 @@
 def _placement_key(call: Call) -> str:
     """Return the key that is hashed to choose a request's region."""
     return call.key or call.request_id
-
-
-def read_load(text: str | None) -> Load | None:
-    """Parse a server's load report; return None if there is none or it is invalid."""
-    if text is None:
-        return None
-    parts = text.split(",")
-    if len(parts) < 2 or not (parts[0].isdigit() and parts[1].isdigit()):
-        return None
-    return Load(int(parts[0]), int(parts[1]))
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -10,6 +10,7 @@
 from greengagepoint.placing.choice import NoServerAvailable
 from greengagepoint.placing.ranking import unit_hash
 from greengagepoint_node.gateway.exchange import Exchange, Verdict
+from greengagepoint_node.gateway.finish_fields import LogFields, finish_fields
 from greengagepoint_node.gateway.names import HeaderNames
 
 RETRY_AFTER_MIN_SECONDS: Final = 0.05
@@ -56,7 +57,7 @@
         status: int,
         reason: str,
         retry_after: float | None = None,
-        inputs: dict[str, float | int | str | None] | None = None,
+        inputs: LogFields | None = None,
     ) -> None:
         super().__init__(reason)
         self.kind = kind
@@ -93,6 +94,7 @@
         "report_age": round(age, 3) if math.isfinite(age) else None,
         "limited_servers": place.limited,
         "resting_servers": place.resting,
+        **finish_fields(place.finish),
     }
     return Refusal(kind, 503, f"{reason}: {service}", retry_seconds, inputs)
 
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -35,6 +35,7 @@
     Snapshot,
     StoredItem,
 )
+from greengagepoint_platform.load import decode_load
 from greengagepoint_platform.names import HEADERS
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 
@@ -227,6 +228,7 @@
         "/ready",
         AdjustableClock(),
         EventLog(),
+        decode_load=decode_load,
     )
 
 
@@ -234,8 +236,14 @@
     backends: list[PlatformBackend],
     rows: list[Route],
     accounts: Accounts = (),
+    health_path: str = "",
 ) -> dict[str, Any]:
-    policy = ServicePolicy(name="booking", cold_seconds=3, cold_requests_per_second=16)
+    policy = ServicePolicy(
+        name="booking",
+        cold_seconds=3,
+        cold_requests_per_second=16,
+        health_path=health_path,
+    )
     table = create_route_table(1, {HOST: rows}, [policy], CallerLimits())
     for account, keys in accounts:
         table.accounts.add(account, keys)
@@ -256,6 +264,8 @@
     drain_seconds: float = DRAIN_SECONDS,
     accounts: Accounts = (),
     rows: list[Route] | None = None,
+    load: str = "1,0,4",
+    health_path: str = "",
     **changes: Any,
 ):
     random.seed(1)
@@ -263,9 +273,10 @@
         PlatformBackend(f"i-{index}", seconds=seconds) for index in range(servers)
     ]
     for backend in backends:
+        backend.load = load
         await backend.async_start()
     metrics_address = free_address() if metrics else ""
-    facts = create_facts(backends, rows or routes(**changes), accounts)
+    facts = create_facts(backends, rows or routes(**changes), accounts, health_path)
     daemon = create_daemon(
         facts,
         metrics_address=metrics_address,
--- a/packages/node/tests/test_gateway_incarnations.py
+++ b/packages/node/tests/test_gateway_incarnations.py
@@ -40,6 +40,7 @@
     StoredItem,
 )
 from greengagepoint_node.gateway.writes import WRITES_MAX
+from greengagepoint_platform.load import decode_load
 
 ROUTE = Route(name="r", prefix="/", destinations=(Destination("booking"),))
 CALL = Call("id-1", ROUTE, "booking", "k", "/", NOW, NOW + 5)
@@ -202,7 +203,15 @@
 
 def create_placer(fleet):
     weights = RegionWeights("north", 2, fleet.servers, EventLog())
-    return Placer("h1", "north", fleet, weights, 0.0, EventLog())
+    return Placer(
+        "h1",
+        "north",
+        fleet,
+        weights,
+        0.0,
+        EventLog(),
+        decode_load=decode_load,
+    )
 
 
 @pytest.mark.parametrize("verdict", Verdict)
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -69,6 +69,7 @@
 class PlatformBackend:
     """One incarnation of a server; ``ran`` are the requests that it began to work on.
 
+    ``load`` is the value of the header with the load report.
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
     ``leaving_told`` are the times and requests of answers that say that it leaves,
@@ -80,6 +81,7 @@
         self.instance = instance
         self.seconds = seconds
         self.manner = Manner.GOOD
+        self.load = "1,0,4"
         self.leaving = False
         self.leaving_periods: list[tuple[float, float]] = []
         self.retry_after: str | None = None
@@ -205,7 +207,7 @@
         """Return the status line and headers of an answer."""
         lines = [f"HTTP/1.1 {status}"]
         lines.append(f"X-Greengagepoint-Request-Id: {request_id(request)}")
-        lines.append("X-Greengagepoint-Backend-Load: 1,0,4")
+        lines.append(f"X-Greengagepoint-Backend-Load: {self.load}")
         if signed:
             lines.append(f"X-Greengagepoint-Response-Signature: {SIGNATURE}")
         if length is not None:
