Correct the expected waits by those that were measured

Hosts believed old reports, took the mean run time from servers without a queue, and kept sending to homes that shed 12% and 45% of the attempts.

Change: a factor for each service multiplies the expected waits. It rises with each answer, of a request that found a queue, that comes later than expected, and with each shed attempt; it falls otherwise.

--- a/packages/core/greengagepoint/placing/run_times.py
+++ b/packages/core/greengagepoint/placing/run_times.py
@@ -26,15 +26,22 @@
 STEP: Final = 0.05
 # One cold run changes the mean by 7% of a warm run.
 MEAN_WEIGHT: Final = 0.03
+# Reports of queues are old, and the runs ahead may be cold. Without a correction, hosts
+# expect answers of full servers in time under overload, and those servers shed. The
+# factor doubles within 18 answers that came later than expected.
+WAIT_STEP: Final = 0.04
+WAIT_FACTOR_MIN: Final = 0.7
+WAIT_FACTOR_MAX: Final = 6.0
 RUN_SECONDS_MIN: Final = 0.001
 ROUTES_MAX: Final = 1_000
 KEPT_SECONDS: Final = 300.0
 
 
 class RunEstimate(NamedTuple):
-    """Hold the run times of a route, and the mean run time of its service, in seconds.
+    """Hold the run times of a route at a server of the usual pace, in seconds.
 
-    They are those of a server at its usual pace.
+    ``mean`` is the time by which each request ahead delays a new one, times the slots:
+    the mean run time of the service, corrected for the waits that were measured.
     """
 
     warm: float
@@ -69,20 +76,30 @@
 
 @dataclass(slots=True)
 class RunTimes:
-    """Hold the run times of all routes and the mean run time of each service."""
+    """Hold the run times of all routes, and the mean run time of each service.
+
+    ``wait_factors`` are by service what the expected waits are multiplied with, so that
+    as many answers come early as late.
+    """
 
     routes: dict[tuple[str, str], RouteRuns] = field(default_factory=dict)
     means: dict[str, float] = field(default_factory=dict)
+    wait_factors: dict[str, float] = field(default_factory=dict)
 
     def estimate(self, service: str, prefix: str, goal_seconds: float) -> RunEstimate:
         """Return the run times of a route with a latency goal."""
         runs = self.routes.get((service, prefix))
         if runs is None:
             warm = WARM_GOAL_SHARE * goal_seconds
-            return RunEstimate(
-                warm, COLD_GOAL_SHARE * goal_seconds, self.means.get(service, warm)
-            )
-        return RunEstimate(runs.warm, runs.cold, self.means.get(service, runs.warm))
+            cold = COLD_GOAL_SHARE * goal_seconds
+            return RunEstimate(warm, cold, self._mean(service, warm))
+        return RunEstimate(runs.warm, runs.cold, self._mean(service, runs.warm))
+
+    def record_wait(self, service: str, *, was_longer: bool) -> None:
+        """Record whether a request that found a queue took longer than expected."""
+        factor = self.wait_factors.get(service, 1.0)
+        factor *= 1 + WAIT_STEP if was_longer else 1 - WAIT_STEP
+        self.wait_factors[service] = min(WAIT_FACTOR_MAX, max(WAIT_FACTOR_MIN, factor))
 
     def record(
         self,
@@ -117,9 +134,14 @@
             key: runs for key, runs in self.routes.items() if runs.used_at >= oldest
         }
         services = {service for service, _ in self.routes}
-        self.means = {
-            name: mean for name, mean in self.means.items() if name in services
-        }
+        for former in self.means.keys() - services:
+            del self.means[former]
+        for former in self.wait_factors.keys() - services:
+            del self.wait_factors[former]
+
+    def _mean(self, service: str, default: float) -> float:
+        """Return the mean run time of a service, corrected for measured waits."""
+        return self.means.get(service, default) * self.wait_factors.get(service, 1.0)
 
     def _add(self, service: str, prefix: str, goal_seconds: float) -> RouteRuns:
         """Add a route with the assumed run times; the oldest one makes room."""
--- a/packages/core/tests/test_placing_run_times.py
+++ b/packages/core/tests/test_placing_run_times.py
@@ -59,3 +59,20 @@
     times.evict(KEPT_SECONDS + 1)
     assert list(times.routes) == [("t", "/")]
     assert list(times.means) == ["t"]
+
+
+def test_waits_are_corrected_in_both_directions():
+    # Under overload a host that believed the reported queues would send to full
+    # servers; after it, callers would be refused though servers are free.
+    times = RunTimes()
+    times.record("s", "/", GOAL, 0.2, 0.0, believed_warm=True)
+    before = times.estimate("s", "/", GOAL).mean
+    for _ in range(30):
+        times.record_wait("s", was_longer=True)
+    assert times.estimate("s", "/", GOAL).mean > 3 * before
+    for _ in range(100):
+        times.record_wait("s", was_longer=True)
+    assert times.estimate("s", "/", GOAL).mean == pytest.approx(6 * before)
+    for _ in range(60):
+        times.record_wait("s", was_longer=False)
+    assert times.estimate("s", "/", GOAL).mean == pytest.approx(0.7 * before)
--- a/packages/node/greengagepoint_node/gateway/finish_placing.py
+++ b/packages/node/greengagepoint_node/gateway/finish_placing.py
@@ -107,7 +107,10 @@
         if expected is None:
             return
         taken = now - expected.chosen_at
-        self.excess.add(max(0.0, taken - expected.finish.seconds))
+        excess = taken - expected.finish.seconds
+        self.excess.add(max(0.0, excess))
+        if expected.ahead > AHEAD_MAX:
+            self.run_times.record_wait(call.service, was_longer=excess > 0)
         if expected.ahead > AHEAD_MAX or (report is not None and report.waiting):
             return
         pace = report.pace if report is not None else None
@@ -126,6 +129,11 @@
         )
         self.runs[call.service, belief, measured] += 1
 
+    def record_shed(self, call: Call, server: Server) -> None:
+        """Learn from an attempt that a full server rejected."""
+        if self._find(call.request_id, server) is not None:
+            self.run_times.record_wait(call.service, was_longer=True)
+
     def log_fields(self, request_id: str, server: Server) -> LogFields:
         """Return the log fields of a request's choice; empty if it has none."""
         found = self._find(request_id, server)
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -225,6 +225,7 @@
             self.finish.record_run(call, server, seconds, round_trip, load, now)
         elif exchange.verdict is Verdict.SHED:
             suspicion.record_answer(server, now)
+            self.finish.record_shed(call, server)
         elif exchange.verdict is Verdict.OTHER_SERVER:
             self.view.record_replacement(server.incarnation)
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
