Test the choice by finish for any state of the servers

Guards against requests that run twice, exceed a rate or are lost (a server that is tried, resting, leaving, suspected, or limited without permission), and against keys that leave a home at which they would be warm and in time.

--- a/packages/core/tests/test_placing_finish.py
+++ b/packages/core/tests/test_placing_finish.py
@@ -188,3 +188,24 @@
     assert isinstance(chosen, Server)
     assert chosen not in (world.home, world.second)
     assert not world.explained
+
+
+@pytest.mark.parametrize("state", ["left", "resting", "suspected", "other service"])
+def test_another_warm_server_is_not_used_in_a_state_that_forbids_it(state):
+    # The host ran the key there a few seconds ago; since then the server changed.
+    world = World()
+    world.load(world.home, 9)
+    other = world.table.servers["north-0"]
+    if other in (world.home, world.second):
+        other = world.table.servers["north-1"]
+    assert world.choose(warm=[world.home, other]) is other
+    if state == "left":
+        world.table.leaving.add(other.incarnation)
+        world.table.rebuild()
+    elif state == "resting":
+        other.rest_until = NOW + 1
+    elif state == "suspected":
+        other.suspect_until = NOW + 1
+    else:
+        other.service = "other"
+    assert world.choose(warm=[world.home, other]) is not other
