Place keys by weights that equalize the load of servers

Cause: by hash, some servers of a service get 19 keys and others 3, and each keeps about ten warm. The former evict keys that callers ask for again, and a cold run alone exceeds the goal.

Change: servers have weights in the ranking of keys, applied to the ten candidates with the highest hashes of a key. Without weights the order is that of the hashes, as before. A coordinator collects the usage of keys and adjusts the weights in damped steps: freely in its first 5 s, as most keys have not run yet, and by at most 3% of the keys per second afterwards.

--- /dev/null
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -0,0 +1,237 @@
+"""Place the keys of one region: collect their usage and adjust the weights."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from greengagepoint.key_placement.balancing import (
+    Balance,
+    balance_steps,
+    key_loads,
+)
+from greengagepoint.key_placement.copies import ServiceLoad, choose_copies
+from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
+from greengagepoint.key_placement.messages import KeyUsageReport, KeyWeights
+from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.placing.typical_load import RUN_SECONDS_START
+
+# In the first seconds, most keys have not run yet, and moving one that has costs one
+# cold run of the few seconds of its life.
+EARLY_SECONDS: Final = 5.0
+# Each moved key costs a cold run, which takes as long as three warm ones.
+MOVED_SHARE_PER_SECOND: Final = 0.03
+# Hosts that know the weights of a former coordinator have reported by then.
+FIRST_WAIT_SECONDS: Final = 1.0
+# The budget of a coordinator that was late. More would move in one second what was
+# meant for several.
+BUDGET_SECONDS_MAX: Final = 1.0
+# A coordinator that takes over knows most keys after this: 0.4 requests per second of a
+# mean key are four in that time.
+TAKEOVER_SECONDS: Final = 10.0
+# A coordinator that received nothing for this long starts to learn the keys anew.
+ABSENCE_SECONDS: Final = 5.0
+# With fewer keys, chance decides which servers seem to have too many.
+KEYS_PER_SERVER_MIN: Final = 1.0
+# Determining the candidates of one key among 110 servers takes 40 us on a fast core.
+CANDIDATES_PER_PART: Final = 40
+# Servers that left are forgotten when there are this many more weights than members.
+FORMER_WEIGHTS_MAX: Final = 200
+
+
+class Outcome(NamedTuple):
+    """What a round of balancing did to a service, for the log.
+
+    ``before`` and ``after`` are the excess of load over all servers in mean keys.
+    """
+
+    service: str
+    keys: int
+    servers: int
+    moved: int
+    before: float
+    after: float
+    cold_share: float
+    copies: int
+
+
+@dataclass(slots=True)
+class KeyCoordinator:
+    """Hold the keys and weights of a region; times are monotonic seconds.
+
+    ``version`` is that of the weights, 0 before the first change. ``seeded`` is true if
+    the weights were taken over from another coordinator.
+    """
+
+    region: str
+    keys: KnownKeys = field(default_factory=KnownKeys)
+    weights: dict[str, float] = field(default_factory=dict)
+    copies: dict[str, frozenset[str]] = field(default_factory=dict)
+    version: int = 0
+    seeded: bool = False
+    reported_at: float = float("-inf")
+    began_at: float = float("-inf")
+    balanced_at: float = float("-inf")
+
+    def seed(
+        self, weights: dict[str, float], copies: dict[str, frozenset[str]]
+    ) -> None:
+        """Start from the weights of a former coordinator."""
+        self.weights = dict(weights)
+        self.copies = dict(copies)
+        self.seeded = True
+        self.version += 1
+
+    def lacks_weights(self, report: KeyUsageReport, now: float) -> bool:
+        """Return True if the reporting host knows weights to start from.
+
+        A coordinator that has just started would move all keys if it started anew.
+        """
+        if self.seeded or not report.known_version:
+            return False
+        return not self.version or now - self.began_at < EARLY_SECONDS
+
+    def apply(self, report: KeyUsageReport, table: ServerTable, now: float) -> int:
+        """Apply a host's report; return the number of invalid rows."""
+        if report.region != self.region:
+            return len(report.rows)
+        if report.rows:
+            if now - self.reported_at > ABSENCE_SECONDS:
+                # The keys may have changed meanwhile, and most are not known yet.
+                self.seeded = self.version > 0
+                self.began_at = now
+            self.reported_at = now
+        services = [name for name, region in table.members if region == self.region]
+        return self.keys.apply(report, services, now)
+
+    def create_message(self, host: str, started: int) -> KeyWeights:
+        """Return the weights in force as a message of this host."""
+        weights = {name: value for name, value in self.weights.items() if value != 1}
+        copies = {name: sorted(keys) for name, keys in self.copies.items() if keys}
+        return KeyWeights(host, self.version, weights, copies, started)
+
+    def balance(self, table: ServerTable, now: float) -> Iterator[Outcome | None]:
+        """Adjust the weights; yield None after each part, and the outcomes.
+
+        The caller lets the event loop run after each part.
+        """
+        self.keys.drop_expired(now)
+        changed = False
+        moves_share = self._moves_share(now)
+        self.balanced_at = now
+        if moves_share <= 0:
+            return
+        for service, region in list(table.members):
+            if region != self.region:
+                continue
+            servers = sorted(
+                table.find(service, region).servers, key=lambda row: row.instance
+            )
+            steps = self._balance_service(service, servers, moves_share, now)
+            changed = (yield from steps) or changed
+        self._forget_former(table)
+        if changed:
+            self.version += 1
+
+    def _moves_share(self, now: float) -> float:
+        """Return the share of the keys that may move in this round."""
+        age = now - self.began_at
+        if now - self.reported_at > ABSENCE_SECONDS:
+            return 0.0
+        if self.seeded:
+            if age < TAKEOVER_SECONDS:
+                return 0.0
+        elif age < FIRST_WAIT_SECONDS:
+            return 0.0
+        elif age < EARLY_SECONDS:
+            return 1.0
+        elapsed = min(BUDGET_SECONDS_MAX, now - self.balanced_at)
+        return MOVED_SHARE_PER_SECOND * max(0.0, elapsed)
+
+    def _balance_service(
+        self, service: str, servers: list[Server], moves_share: float, now: float
+    ) -> Iterator[Outcome | None]:
+        """Adjust the weights and copies of one service; return True if they changed."""
+        members = tuple(row.instance for row in servers)
+        rows = self.keys.of_service(service)
+        if len(rows) < KEYS_PER_SERVER_MIN * len(members):
+            return False
+        yield from _update_candidates(rows, servers, members)
+        rates = [row.rate(now) for row in rows]
+        copies = self._choose_copies(service, rows, rates, servers)
+        copied = [row.key in copies for row in rows]
+        weights = [self.weights.get(name, 1.0) for name in members]
+        balance = Balance(weights, None)
+        steps = balance_steps(
+            rows, key_loads(rates), copied, weights, moves_share * len(rows)
+        )
+        for part in steps:
+            if part is None:
+                yield None
+            else:
+                balance = part
+        changed = balance.weights != weights or copies != self.copies.get(service)
+        if not changed:
+            return False
+        self.weights.update(zip(members, balance.weights, strict=True))
+        self.copies[service] = copies
+        yield Outcome(
+            service,
+            len(rows),
+            len(members),
+            balance.moved,
+            balance.before,
+            balance.after,
+            self._cold_share(service),
+            len(copies),
+        )
+        return True
+
+    def _choose_copies(
+        self,
+        service: str,
+        rows: list[KeyRow],
+        rates: list[float],
+        servers: list[Server],
+    ) -> frozenset[str]:
+        """Return the keys of a service that have a second home from now on."""
+        if len(servers) < 2:
+            return frozenset()
+        run_seconds = servers[0].typical.run_seconds or RUN_SECONDS_START
+        slots = sum(row.slots for row in servers) / len(servers)
+        load = ServiceLoad(run_seconds, slots, self._cold_share(service))
+        by_key = {row.key: rate for row, rate in zip(rows, rates, strict=True)}
+        return choose_copies(by_key, load, self.copies.get(service, frozenset()))
+
+    def _cold_share(self, service: str) -> float:
+        """Return the share of cold runs of known keys of a service."""
+        return self.keys.counts.get(service, NO_RUNS).cold_share
+
+    def _forget_former(self, table: ServerTable) -> None:
+        """Drop the weights of servers that left, once there are many.
+
+        A server that restarts under its id keeps its weight.
+        """
+        members = {
+            row.instance
+            for (_, region), group in table.members.items()
+            if region == self.region
+            for row in group.servers
+        }
+        if len(self.weights) > len(members) + FORMER_WEIGHTS_MAX:
+            kept = self.weights.keys() & members
+            self.weights = {name: self.weights[name] for name in sorted(kept)}
+
+
+def _update_candidates(
+    rows: list[KeyRow], servers: list[Server], members: tuple[str, ...]
+) -> Iterator[None]:
+    """Determine the candidates of keys that are new or whose members changed."""
+    index = {name: number for number, name in enumerate(members)}
+    stale = [row for row in rows if row.members != members]
+    for count, row in enumerate(stale, 1):
+        row.find_candidates(servers, members, index)
+        if count % CANDIDATES_PER_PART == 0:
+            yield None
+
+
+NO_RUNS: Final = RunCounts()
--- /dev/null
+++ b/packages/core/greengagepoint/key_placement/following.py
@@ -0,0 +1,134 @@
+"""Decide whose key weights a host applies, and check them."""
+
+import math
+from dataclasses import dataclass, field
+from typing import Final, NamedTuple
+
+from greengagepoint.key_placement.balancing import WEIGHT_MAX, WEIGHT_MIN
+from greengagepoint.key_placement.copies import COPIES_MAX
+from greengagepoint.key_placement.messages import KeyWeights
+from greengagepoint.key_placement.usage import is_reportable
+from greengagepoint.placing.tables import ServerTable
+
+# More servers than a region of the largest deployment has.
+WEIGHTS_MAX: Final = 4_096
+SERVICES_MAX: Final = 256
+
+
+class InvalidRows(NamedTuple):
+    """The numbers of rows of a message that are left out, by reason."""
+
+    out_of_range: int = 0
+    unknown: int = 0
+
+
+@dataclass(slots=True)
+class RegionPlacement:
+    """The weights of one region's servers, the incarnation that issued them, and when.
+
+    ``weights`` may name servers that this host does not know yet.
+    """
+
+    coordinator: str = ""
+    started: int = 0
+    version: int = 0
+    weights: dict[str, float] = field(default_factory=dict)
+    copies: dict[str, frozenset[str]] = field(default_factory=dict)
+    received_at: float = float("-inf")
+
+    def is_newer(self, message: KeyWeights) -> bool:
+        """Return True if a message replaces these weights.
+
+        Another incarnation replaces them always: the host asks the coordinator that it
+        ranks first among those alive.
+        """
+        if (message.coordinator, message.started) != (self.coordinator, self.started):
+            return True
+        return message.version > self.version
+
+    def create_message(self) -> KeyWeights:
+        """Return these weights as a message of their coordinator."""
+        copies = {name: sorted(keys) for name, keys in self.copies.items()}
+        return KeyWeights(
+            self.coordinator, self.version, dict(self.weights), copies, self.started
+        )
+
+
+@dataclass(slots=True)
+class AppliedWeights:
+    """Hold the weights of all regions and merge them into the table of servers."""
+
+    regions: dict[str, RegionPlacement] = field(default_factory=dict)
+    merged_version: int = -1
+
+    def of_region(self, region: str) -> RegionPlacement:
+        """Return the weights of a region's servers."""
+        return self.regions.get(region, NO_PLACEMENT)
+
+    def apply(
+        self, region: str, message: KeyWeights, table: ServerTable, now: float
+    ) -> InvalidRows | None:
+        """Apply a message that is newer; return None if it is not."""
+        if not self.of_region(region).is_newer(message):
+            return None
+        if is_too_large(message):
+            return InvalidRows(out_of_range=len(message.weights))
+        weights = {
+            name: weight
+            for name, weight in message.weights.items()
+            if math.isfinite(weight) and WEIGHT_MIN <= weight <= WEIGHT_MAX
+        }
+        copies = {
+            service: frozenset(key for key in keys[:COPIES_MAX] if is_reportable(key))
+            for service, keys in message.copied_keys.items()
+        }
+        self.regions[region] = RegionPlacement(
+            message.coordinator, message.started, message.version, weights, copies, now
+        )
+        self.merge(table)
+        unknown = sum(not _is_in_region(table, name, region) for name in weights)
+        return InvalidRows(len(message.weights) - len(weights), unknown)
+
+    def tick(self, table: ServerTable) -> None:
+        """Apply weights of servers that this host has learned of since."""
+        if self.merged_version != table.version:
+            self.merge(table)
+
+    def merge(self, table: ServerTable) -> None:
+        """Write the weights of known servers into the table."""
+        self.merged_version = table.version
+        weights = {
+            name: weight
+            for region, placement in self.regions.items()
+            for name, weight in placement.weights.items()
+            if weight != 1 and _is_in_region(table, name, region)
+        }
+        copied = frozenset(
+            (region, service, key)
+            for region, placement in self.regions.items()
+            for service, keys in placement.copies.items()
+            for key in keys
+        )
+        table.set_key_placement(weights, copied, frozenset(self.regions))
+
+    def clear(self, table: ServerTable) -> None:
+        """Drop all weights."""
+        if self.regions:
+            self.regions.clear()
+            self.merge(table)
+
+
+def is_too_large(message: KeyWeights) -> bool:
+    """Return True if a message has more rows than any region needs."""
+    if len(message.weights) > WEIGHTS_MAX:
+        return True
+    return len(message.copied_keys) > SERVICES_MAX
+
+
+def _is_in_region(table: ServerTable, instance: str, region: str) -> bool:
+    """Return True if a server is known and in a region."""
+    server = table.servers.get(instance)
+    return server is not None and server.region == region
+
+
+NO_PLACEMENT: Final = RegionPlacement()
--- /dev/null
+++ b/packages/core/greengagepoint/key_placement/messages.py
@@ -0,0 +1,49 @@
+"""Messages between hosts and the coordinator that places a region's keys."""
+
+import msgspec
+
+
+class KeyUsageRow(msgspec.Struct, array_like=True, gc=False):
+    """The runs of a key on a region's servers since the last report."""
+
+    service: str
+    key: str
+    runs: int
+    cold_runs: int
+
+
+class KeyUsageReport(msgspec.Struct, array_like=True):
+    """The keys that a host ran on the servers of a region.
+
+    ``started`` is the start time of the host's incarnation. ``known_version`` is the
+    version of the weights that it applies, ``coordinator`` and ``coordinator_started``
+    the incarnation that issued them, empty and 0 without any.
+    """
+
+    host: str
+    started: int
+    region: str
+    known_version: int
+    rows: list[KeyUsageRow]
+    coordinator: str = ""
+    coordinator_started: int = 0
+
+
+class KeyWeights(msgspec.Struct, array_like=True):
+    """The weights of a region's servers, in one version of a coordinator.
+
+    ``weights`` holds those other than 1 by the server's instance id, ``copied_keys``
+    the keys that have a second home by service.
+    """
+
+    coordinator: str
+    version: int
+    weights: dict[str, float]
+    copied_keys: dict[str, list[str]]
+    started: int = 0
+
+
+class KeyWeightsAnswer(msgspec.Struct, array_like=True):
+    """The answer to a report: weights that are newer than the host's, or None."""
+
+    weights: KeyWeights | None = None
--- /dev/null
+++ b/packages/core/greengagepoint/key_placement/usage.py
@@ -0,0 +1,58 @@
+"""Count the runs of keys on this host between two reports."""
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from greengagepoint.key_placement.messages import KeyUsageRow
+
+# A key is a route prefix and a cookie value; callers choose the latter.
+KEY_BYTES_MAX: Final = 64
+REPORT_ROWS_MAX: Final = 256
+# Limits the memory while no coordinator answers: 1,000 keys take 0.2 MB.
+KEYS_MAX: Final = 1_000
+
+
+def is_reportable(key: str) -> bool:
+    """Return True if a key is short enough to be reported."""
+    return len(key) <= KEY_BYTES_MAX and len(key.encode()) <= KEY_BYTES_MAX
+
+
+@dataclass(slots=True)
+class KeyUsage:
+    """Count runs and cold runs by region, service and key since the last report."""
+
+    regions: dict[str, dict[tuple[str, str], list[int]]] = field(default_factory=dict)
+
+    def note(self, region: str, service: str, key: str, *, is_cold: bool) -> None:
+        """Count a run; drop it if too many keys wait to be reported."""
+        if not is_reportable(key):
+            return
+        keys = self.regions.setdefault(region, {})
+        counts = keys.get((service, key))
+        if counts is None:
+            if len(keys) >= KEYS_MAX:
+                return
+            counts = keys[service, key] = [0, 0]
+        counts[0] += 1
+        counts[1] += is_cold
+
+    def take(self, region: str) -> list[KeyUsageRow]:
+        """Return the rows of a region's next report, and count them anew."""
+        keys = self.regions.get(region, {})
+        chosen = list(keys)[:REPORT_ROWS_MAX]
+        return [KeyUsageRow(*place, *keys.pop(place)) for place in chosen]
+
+    def put_back(self, region: str, rows: list[KeyUsageRow]) -> None:
+        """Count rows again whose report was not answered."""
+        keys = self.regions.setdefault(region, {})
+        for row in rows:
+            counts = keys.get((row.service, row.key))
+            if counts is not None:
+                counts[0] += row.runs
+                counts[1] += row.cold_runs
+            elif len(keys) < KEYS_MAX:
+                keys[row.service, row.key] = [row.runs, row.cold_runs]
+
+    def clear(self) -> None:
+        """Drop all counts."""
+        self.regions.clear()
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -1,6 +1,8 @@
 """Rank the backend servers of a region for a key, identically on every host."""
 
-from typing import Final
+import math
+from collections.abc import Sequence
+from typing import Final, NamedTuple
 
 import xxhash
 
@@ -13,6 +15,21 @@
 # warm, and cold runs fill the slots.
 RANK_LENGTH: Final = 2
 HASH_RANGE: Final = 2**64
+# Servers with the highest hashes for a key, of which the weights choose. Weights change
+# each second at first, and ten scores per key are cheap to compute again.
+CANDIDATES_MAX: Final = 10
+# Candidates take 0.5 KB per key.
+CACHED_CANDIDATES_MAX: Final = 4_000
+
+
+class Candidates(NamedTuple):
+    """The servers that may be a key's home, and their scores at weight 1.
+
+    Both are in descending order of the scores.
+    """
+
+    servers: tuple[Server, ...]
+    strengths: tuple[float, ...]
 
 
 def unit_hash(text: str) -> float:
@@ -20,12 +37,37 @@
     return xxhash.xxh3_64_intdigest(text.encode()) / HASH_RANGE
 
 
+def rank_by_hash(key: str, members: Sequence[Server]) -> list[Server]:
+    """Return servers in descending order of their hashes for a key."""
+    hashes = {
+        server.instance: unit_hash(f"{key}\0{server.instance}") for server in members
+    }
+    return sorted(members, key=lambda row: -hashes[row.instance])
+
+
+def find_candidates(key: str, members: Sequence[Server]) -> Candidates:
+    """Return the candidates of a key among the members of a service in a region."""
+    servers = rank_by_hash(key, members)[:CANDIDATES_MAX]
+    strengths = [score(unit_hash(f"{key}\0{row.instance}")) for row in servers]
+    return Candidates(tuple(servers), tuple(strengths))
+
+
+def score(draw: float) -> float:
+    """Return the weighted rendezvous score of a hash from 0 to 1 at weight 1."""
+    if draw <= 0:
+        return 0.0
+    # A hash in the last 1,024 of its range is rounded to 1.
+    return -1 / math.log(draw) if draw < 1 else math.inf
+
+
 class RankCache:
     """Cache ranks by service, region and key for one version of the table."""
 
     def __init__(self) -> None:
         self.version = -1
+        self.weights_version = -1
         self.ranks: dict[tuple[str, str, str], tuple[Server, ...]] = {}
+        self.candidates: dict[tuple[str, str, str], Candidates] = {}
 
     def rank(
         self, table: ServerTable, service: str, region: str, key: str
@@ -37,15 +79,58 @@
         """
         if self.version != table.version or len(self.ranks) > CACHED_RANKS_MAX:
             self.ranks.clear()
+            self.candidates.clear()
             self.version = table.version
-        found = self.ranks.get((service, region, key))
+        if self.weights_version != table.key_weights_version:
+            self.ranks.clear()
+            self.weights_version = table.key_weights_version
+        place = (service, region, key)
+        found = self.ranks.get(place)
         if found is None:
+            found = self._rank(table, place)
+            self.ranks[place] = found
+        return found
+
+    def homes(
+        self, table: ServerTable, service: str, region: str, key: str
+    ) -> tuple[Server, ...]:
+        """Return the servers that are to keep a key warm, the first one first.
+
+        Without weights of a coordinator, all ranked servers are.
+        """
+        ranked = self.rank(table, service, region, key)
+        if region not in table.placed_regions:
+            return ranked
+        return ranked if (region, service, key) in table.copied_keys else ranked[:1]
+
+    def _rank(
+        self, table: ServerTable, place: tuple[str, str, str]
+    ) -> tuple[Server, ...]:
+        """Return the first servers for a service, region and key."""
+        service, region, key = place
+        weights = table.key_weights
+        if not weights:
             members = table.find(service, region).servers
-            weights = {
-                server.instance: unit_hash(f"{key}\0{server.instance}")
-                for server in members
-            }
-            ordered = sorted(members, key=lambda row: -weights[row.instance])
-            found = tuple(ordered[:RANK_LENGTH])
-            self.ranks[(service, region, key)] = found
+            return tuple(rank_by_hash(key, members)[:RANK_LENGTH])
+        servers, strengths = self._find_candidates(table, place)
+        if not any(row.instance in weights for row in servers):
+            return servers[:RANK_LENGTH]
+        scores = {
+            row.instance: strength * weights.get(row.instance, 1.0)
+            for row, strength in zip(servers, strengths, strict=True)
+        }
+        ordered = sorted(servers, key=lambda row: -scores[row.instance])
+        return tuple(ordered[:RANK_LENGTH])
+
+    def _find_candidates(
+        self, table: ServerTable, place: tuple[str, str, str]
+    ) -> Candidates:
+        """Return the cached candidates for a service, region and key."""
+        found = self.candidates.get(place)
+        if found is None:
+            service, region, key = place
+            found = find_candidates(key, table.find(service, region).servers)
+            if len(self.candidates) >= CACHED_CANDIDATES_MAX:
+                self.candidates.clear()
+            self.candidates[place] = found
         return found
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -161,6 +161,11 @@
     with a request limit. ``demand`` tells whether the demand-aware decisions apply.
     ``version`` changes with the membership, so that cached ranks
     can be invalidated.
+
+    ``key_weights`` are the weights other than 1 of servers in the ranking of keys, by
+    instance id. ``copied_keys`` are the keys with a second home, by region and
+    service, ``placed_regions`` the regions in which a coordinator places keys. All
+    three change with ``key_weights_version``.
     """
 
     servers: dict[str, Server] = field(default_factory=dict)
@@ -173,6 +178,22 @@
     typical: dict[tuple[str, str], TypicalLoad] = field(default_factory=dict)
     demand: DemandMode = field(default_factory=DemandMode)
     version: int = 0
+    key_weights: dict[str, float] = field(default_factory=dict)
+    copied_keys: frozenset[tuple[str, str, str]] = frozenset()
+    placed_regions: frozenset[str] = frozenset()
+    key_weights_version: int = 0
+
+    def set_key_placement(
+        self,
+        weights: dict[str, float],
+        copied_keys: frozenset[tuple[str, str, str]],
+        placed_regions: frozenset[str],
+    ) -> None:
+        """Replace the weights of servers and the keys that have a second home."""
+        new = (weights, copied_keys, placed_regions)
+        if new != (self.key_weights, self.copied_keys, self.placed_regions):
+            self.key_weights, self.copied_keys, self.placed_regions = new
+            self.key_weights_version += 1
 
     def find(self, service: str, region: str) -> Members:
         """Return the members of a service in a region."""
