Report the usage of keys to coordinators and apply their weights

Cause: the weights that place keys need the usage of keys on all hosts, and all hosts must rank servers by the same weights.

The election, the skipping of hosts that did not answer and the sending are shared with region reports (region_hosts.py). With the mode off nothing is counted or sent.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -83,6 +83,10 @@
     BACKEND_SERVER_ANNOUNCED_LEAVING = 6013
     BACKEND_SERVER_RESTING = 6014
     BACKEND_SERVER_RESTED = 6015
+    KEY_COORDINATOR_CHANGED = 6022
+    KEY_WEIGHTS_APPLIED = 6023
+    KEYS_BALANCED = 6024
+    KEY_PLACEMENT_INVALID = 6025
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -242,6 +246,18 @@
     Event.BACKEND_SERVER_RESTED: EventType(
         Level.INFO, "The time for which a backend server asked is over."
     ),
+    Event.KEY_COORDINATOR_CHANGED: EventType(
+        Level.INFO, "This host begins or ceases to place the keys of its region."
+    ),
+    Event.KEY_WEIGHTS_APPLIED: EventType(
+        Level.INFO, "This host ranks a region's servers for keys by new weights."
+    ),
+    Event.KEYS_BALANCED: EventType(
+        Level.INFO, "The coordinator changed the weights of a service's servers."
+    ),
+    Event.KEY_PLACEMENT_INVALID: EventType(
+        Level.WARNING, "A message about keys has invalid rows, which are left out."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -47,7 +47,7 @@
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
     ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
-    ``rests``. ``send_delay``
+    ``rests``, (figure,) for ``key_placement``. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -63,6 +63,7 @@
         self.limit_changes: Counter[tuple[str, str]] = Counter()
         self.leaving_announced: Counter[tuple[str]] = Counter()
         self.rests: Counter[tuple[str]] = Counter()
+        self.key_placement: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -32,6 +32,7 @@
 from greengagepoint_node.gateway.gossip import EXCHANGE_PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
+from greengagepoint_node.gateway.key_placement import KEY_USAGE_PATH, KeyPlacement
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
 from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
@@ -44,6 +45,7 @@
 from greengagepoint_node.gateway.quarantine_page import PAGE_PATH, QuarantinePage
 from greengagepoint_node.gateway.quarantine_store import QuarantineStore
 from greengagepoint_node.gateway.quarantine_sync import QUARANTINE_PATH, QuarantineSync
+from greengagepoint_node.gateway.region_hosts import ReportSender
 from greengagepoint_node.gateway.region_reports import REPORTS_PATH, RegionReports
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
@@ -194,6 +196,7 @@
         self._create_quotas()
         self._create_quarantine_sync()
         self._create_reports()
+        self._create_key_placement()
         ages = self.gossip.ages
         self.gateway = Gateway(
             settings.names,
@@ -244,6 +247,7 @@
             self.quarantine_sync.async_run(),
             self.quarantine_store.async_run(),
             self.reports.async_run(),
+            self.key_placement.async_run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
@@ -304,6 +308,27 @@
             self.gossip.bytes,
         )
 
+    def _create_key_placement(self) -> None:
+        """Create the part that equalizes the numbers of keys on servers."""
+        sender = ReportSender(
+            self.reports.session,
+            KEY_USAGE_PATH,
+            "key usage",
+            self.clock,
+            self.events,
+            self.gossip.bytes,
+        )
+        self.key_placement = KeyPlacement(
+            self.own_state,
+            self.view,
+            self.gossip.table,
+            self.placer.key_usage,
+            sender,
+            self.clock,
+            self.events,
+            self.counters.key_placement,
+        )
+
     async def async_stop(self) -> None:
         """Leave the directory, finish requests in flight, and close the sockets."""
         began = self.clock.monotonic()
@@ -414,6 +439,7 @@
             self.retries.hosts = max(len(names), len(self.view.hosts))
             self.gate.hosts = self.retries.hosts
             is_full = self.reports.link_is_full = self.gossip.link_is_full()
+            self.key_placement.link_is_full = is_full
             self.gate.limits_valid_seconds = (
                 FULL_LINK_LIMITS_VALID_SECONDS if is_full else LIMITS_VALID_SECONDS
             )
@@ -470,6 +496,8 @@
             return await self.quarantine_sync.async_receive(request)
         if request.rel_url.raw_path == REPORTS_PATH:
             return await self.reports.async_take(request)
+        if request.rel_url.raw_path == KEY_USAGE_PATH:
+            return await self.key_placement.async_take(request)
         if request.rel_url.raw_path == QUOTAS_PATH:
             return await self.quotas.async_answer(request)
         return web.Response(status=404)
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -120,6 +120,11 @@
             "Requests of client accounts, admitted or over a limit.",
             lambda: _rows(counters.accounts, "account", "outcome"),
         )
+        yield Instrument(
+            "key_placement",
+            "Reports, weights applied, keys moved, cold runs and invalid rows.",
+            lambda: _rows(counters.key_placement, "figure"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -5,6 +5,7 @@
 
 from greengagepoint.backpressure.quota import QuotaPool
 from greengagepoint.events import Event
+from greengagepoint.key_placement.usage import KeyUsage
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.allowance import (
     create_move_allowance,
@@ -40,6 +41,8 @@
 
 # A pass over 3,000 servers takes 3 ms, and load reports stay in use for seconds.
 LOAD_REFRESH_SECONDS: Final = 0.5
+# A cold run takes three times as long as a warm one, which the typical run is.
+COLD_RUN_FACTOR: Final = 2.0
 
 
 class Load(NamedTuple):
@@ -76,6 +79,7 @@
         self.busy_servers = BusyServers()
         self.lost_capacity = LostCapacityTracker()
         self.warm_keys = WarmKeys()
+        self.key_usage = KeyUsage()
         self.answer_times_by_group: dict[tuple[str, str], AnswerTimes] = {}
         self.cold_starts = ColdStartLimiter(host, started_at)
         self.quota = QuotaPool()
@@ -209,6 +213,8 @@
             self.busy_servers.note(server, assumed_load, now)
         if exchange.verdict is Verdict.ANSWERED:
             suspicion.record_answer(server, now)
+            if call.key and self.view.servers.demand.is_on:
+                self._count_key(call.key, server, seconds - expected_wait)
             self.answer_times(server).record_time(seconds, now)
             # The time of a request that waited for its slot would make the server look
             # slow, and its queue twice as long as it is.
@@ -221,6 +227,12 @@
         elif exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.suspect(server, exchange.verdict, now)
 
+    def _count_key(self, key: str, server: Server, run_seconds: float) -> None:
+        """Count a run of a key for the coordinator that places keys."""
+        typical = server.typical.run_seconds
+        is_cold = typical is not None and run_seconds > COLD_RUN_FACTOR * typical
+        self.key_usage.note(server.region, server.service, key, is_cold=is_cold)
+
     def answer_times(self, server: Server) -> AnswerTimes:
         """Return this host's answer times for a server's service and region."""
         return self.answer_times_by_group.setdefault(
--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -18,13 +18,12 @@
 from greengagepoint.accounts.ledger import UsageLedger
 from greengagepoint.accounts.messages import UsageAnswer, UsageReport, UsageRow
 from greengagepoint.accounts.tables import Account
-from greengagepoint.config.watchers import well_linked
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
-from greengagepoint.rendezvous import rank
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.host_table import HostTable
+from greengagepoint_node.gateway.region_hosts import ReportSender, rank_hosts
 from greengagepoint_node.gateway.store_types import HostEntry
 from greengagepoint_node.gateway.view import FleetView
 
@@ -37,8 +36,6 @@
 # The round trip between two regions is 40 ms.
 REPORT_SECONDS: Final = 0.4
 FULL_LINK_REPORT_SECONDS: Final = 2.0
-# A host that did not answer gets no reports for this long.
-FAILED_HOST_SKIP_SECONDS: Final = 2.0
 ATTEMPTS_MAX: Final = 2
 # A host that received a report this recently is reachable by other hosts.
 REPORT_VALID_SECONDS: Final = 1.0
@@ -78,7 +75,9 @@
         self.transferred = transferred
         self.started_at = clock.monotonic()
         self.report_received_at = float("-inf")
-        self.skipped_until: dict[str, float] = {}
+        self.sender = ReportSender(
+            session, REPORTS_PATH, "reports", clock, events, transferred
+        )
         self.acknowledged_sums: dict[str, dict[str, int]] = {}
         self.link_is_full = False
         self.local_host_count = 1
@@ -199,30 +198,10 @@
         self, address: str, report: UsageReport
     ) -> UsageAnswer | None:
         """Send a report to another host; return None if it does not answer in time."""
-        body = encode(report)
-        self.transferred["reports", "sent"] += len(body)
-        url = f"http://{address}{REPORTS_PATH}"
         seconds = FULL_LINK_REPORT_SECONDS if self.link_is_full else REPORT_SECONDS
-        try:
-            async with asyncio.timeout(seconds):
-                async with self.session.post(url, data=body) as answer:
-                    data = await answer.read()
-            self.transferred["reports", "received"] += len(data)
-            return decode_answer(data)
-        except (
-            TimeoutError,
-            aiohttp.ClientError,
-            OSError,
-            msgspec.MsgspecError,
-        ) as error:
-            self.skipped_until[address] = (
-                self.clock.monotonic() + FAILED_HOST_SKIP_SECONDS
-            )
-            detail = type(error).__name__
-            self.events.record(
-                Event.PEER_MESSAGE_DROPPED, address=address, detail=detail
-            )
-            return None
+        return await self.sender.async_send(
+            address, encode(report), decode_answer, seconds
+        )
 
     def _candidate_hosts(self) -> list[HostEntry]:
         """Return the live hosts, and during startup also all hosts in the store."""
@@ -241,22 +220,10 @@
         candidates = self._candidate_hosts()
         own = self.own.entry.region
         regions = sorted({entry.region for entry in candidates} - {own})
-        chosen = self._ranked_hosts(own, candidates)
+        chosen = rank_hosts(own, candidates)
         for region in regions:
-            chosen += self._ranked_hosts(region, candidates)[:1]
-        now = self.clock.monotonic()
-        return [
-            entry
-            for entry in chosen
-            if self.skipped_until.get(entry.peer_address, 0.0) <= now
-        ]
-
-    def _ranked_hosts(
-        self, region: str, candidates: list[HostEntry]
-    ) -> list[HostEntry]:
-        """Return the well-linked hosts of a region by rendezvous rank."""
-        members = [entry for entry in candidates if entry.region == region]
-        return rank(region, well_linked(members), lambda entry: entry.name)
+            chosen += rank_hosts(region, candidates)[:1]
+        return self.sender.without_skipped(chosen)
 
     def _send_sums_to_ledgers(self) -> None:
         """Send the sums of the hosts that report here to the other ledgers."""
@@ -265,11 +232,7 @@
             return
         candidates = self._candidate_hosts()
         for region in sorted({entry.region for entry in candidates}):
-            ranked = [
-                entry
-                for entry in self._ranked_hosts(region, candidates)
-                if self.skipped_until.get(entry.peer_address, 0.0) <= now
-            ]
+            ranked = self.sender.without_skipped(rank_hosts(region, candidates))
             if ranked and ranked[0].name != self.own.entry.name:
                 self._start_send(ranked[0].peer_address)
 
