--- a/packages/core/greengagepoint/key_placement/balancing.py
+++ b/packages/core/greengagepoint/key_placement/balancing.py
@@ -1,9 +1,9 @@
 """Adjust the weights of servers until their keys add up to the same load."""
 
 import math
-from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
-from operator import mul
+from collections.abc import Container, Generator, Iterator, Sequence
+from itertools import chain
+from operator import mul, ne
 from typing import Final, NamedTuple
 
 from greengagepoint.key_placement.known_keys import KeyRow
@@ -21,13 +21,26 @@
 PASSES_MAX: Final = 12
 # A pass that would move too many keys is made again with half the step.
 HALVINGS_MAX: Final = 4
-# One pass over 1,000 keys takes 2 ms on a slow host; the event loop serves callers
-# after each part.
+# The event loop serves callers after each part, which takes 1 to 2 ms on a fast core.
 KEYS_PER_PART: Final = 1_000
 # A key takes memory as soon as it runs, and slots in proportion to its requests.
 MEMORY_SHARE: Final = 0.5
 
 
+class Keys(NamedTuple):
+    """The keys of a service, as parts that are placed in one step.
+
+    Each part has the scores of the candidates at weight 1 and their servers' indices,
+    ``candidates`` of them for each key. ``copied`` are the numbers of the keys with a
+    second home.
+    """
+
+    parts: list[tuple[list[float], list[int]]]
+    candidates: int
+    loads: list[float]
+    copied: list[int]
+
+
 class Load(NamedTuple):
     """The homes of the keys by index of their server, and the load of each server."""
 
@@ -35,8 +48,14 @@
     loads: list[float]
 
 
-@dataclass(slots=True)
-class Balance:
+class Limits(NamedTuple):
+    """How many keys may move, and what each has to lower the excess by in mean keys."""
+
+    moves_max: float
+    gain_per_move: float
+
+
+class Balance(NamedTuple):
     """The weights of the members of a service, and what they lead to.
 
     ``moved`` is the number of keys whose home changes, ``before`` and ``after`` are the
@@ -45,9 +64,23 @@
 
     weights: list[float]
     load: Load
-    moved: int = 0
-    before: float = 0.0
-    after: float = 0.0
+    moved: int
+    before: float
+    after: float
+
+
+def create_keys(
+    rows: Sequence[KeyRow], rates: Sequence[float], copies: Container[str]
+) -> Keys:
+    """Return the keys of a service with at least one row and one candidate."""
+    parts = []
+    for begin in range(0, len(rows), KEYS_PER_PART):
+        part = rows[begin : begin + KEYS_PER_PART]
+        strengths = chain.from_iterable(row.strengths for row in part)
+        indices = chain.from_iterable(row.indices for row in part)
+        parts.append((list(strengths), list(indices)))
+    copied = [number for number, row in enumerate(rows) if row.key in copies]
+    return Keys(parts, len(rows[0].indices), key_loads(rates), copied)
 
 
 def key_loads(rates: Sequence[float]) -> list[float]:
@@ -60,37 +93,38 @@
 
 
 def balance_steps(
-    rows: Sequence[KeyRow],
-    loads: Sequence[float],
-    copied: Sequence[bool],
-    weights: Sequence[float],
-    moves_max: float,
+    keys: Keys, weights: Sequence[float], limits: Limits
 ) -> Iterator[Balance | None]:
     """Yield None after each part of the work, and the balance at the end.
 
-    ``weights`` are those in force by index of the server, ``moves_max`` the number of
-    keys that may get another home.
+    ``weights`` are those in force by index of the server.
     """
-    start = yield from _place(rows, loads, copied, weights)
-    target = sum(start.loads) / len(weights)
-    best = Balance(list(weights), start)
-    best.before = best.after = excess(start.loads, target)
-    current, step_scale = best, 1.0
+    load = yield from _place(keys, weights)
+    target = sum(load.loads) / len(weights)
+    before = excess(load.loads, target)
+    best = current = start = Balance(list(weights), load, 0, before, before)
+    scale = 1.0
     for _ in range(PASSES_MAX):
-        if current.after <= 0 or step_scale < 0.5**HALVINGS_MAX:
+        if current.after <= 0 or scale < 0.5**HALVINGS_MAX:
             break
-        new = step_weights(current.weights, current.load.loads, target, step_scale)
-        placed = yield from _place(rows, loads, copied, new)
-        moved = sum(map(int.__ne__, placed.homes, start.homes))
-        if moved > moves_max:
-            step_scale /= 2
+        new = step_weights(current.weights, current.load.loads, target, scale)
+        load = yield from _place(keys, new)
+        moved = sum(map(ne, load.homes, start.load.homes))
+        if moved > limits.moves_max:
+            scale /= 2
             continue
-        current = Balance(new, placed, moved, best.before, excess(placed.loads, target))
-        if current.after < best.after:
+        after = excess(load.loads, target)
+        current = Balance(new, load, moved, before, after)
+        if _cost(current, limits) < _cost(best, limits):
             best = current
     yield best
 
 
+def _cost(balance: Balance, limits: Limits) -> float:
+    """Return what remains of the excess, and what the moves cost."""
+    return balance.after + limits.gain_per_move * balance.moved
+
+
 def excess(loads: Sequence[float], target: float) -> float:
     """Return the sum of the differences from the target beyond one mean key."""
     return sum(max(0.0, abs(load - target) - 1) for load in loads)
@@ -125,30 +159,41 @@
     return round(min(WEIGHT_MAX, max(WEIGHT_MIN, weight)), WEIGHT_DIGITS)
 
 
-def _place(
-    rows: Sequence[KeyRow],
-    loads: Sequence[float],
-    copied: Sequence[bool],
-    weights: Sequence[float],
-) -> Iterator[None]:
+def _place(keys: Keys, weights: Sequence[float]) -> Generator[None, None, Load]:
     """Yield after each part; return the homes of keys and the loads of servers."""
     homes: list[int] = []
-    sums = [0.0] * len(weights)
-    for begin in range(0, len(rows), KEYS_PER_PART):
-        end = begin + KEYS_PER_PART
-        parts = zip(rows[begin:end], loads[begin:end], copied[begin:end], strict=True)
-        for row, load, is_copied in parts:
-            if row.pick is None:
-                homes.append(row.indices[0])
-                sums[row.indices[0]] += load
-                continue
-            scores = list(map(mul, row.strengths, row.pick(weights)))
-            home = row.indices[scores.index(max(scores))]
-            homes.append(home)
-            if is_copied:
-                load /= 2
-                scores[row.indices.index(home)] = -1.0
-                sums[row.indices[scores.index(max(scores))]] += load
-            sums[home] += load
+    for strengths, indices in keys.parts:
+        scores = map(mul, strengths, map(weights.__getitem__, indices))
+        groups = list(zip(*[scores] * keys.candidates, strict=True))
+        starts = range(0, len(indices), keys.candidates)
+        homes += [
+            indices[start + group.index(highest)]
+            for start, group, highest in zip(
+                starts, groups, map(max, groups), strict=True
+            )
+        ]
         yield None
+    sums = [0.0] * len(weights)
+    for home, load in zip(homes, keys.loads, strict=True):
+        sums[home] += load
+    for number in keys.copied:
+        half = keys.loads[number] / 2
+        sums[homes[number]] -= half
+        sums[_second_home(keys, number, homes[number], weights)] += half
     return Load(homes, sums)
+
+
+def _second_home(keys: Keys, number: int, home: int, weights: Sequence[float]) -> int:
+    """Return the server with the second highest score for a key."""
+    strengths, indices = keys.parts[number // KEYS_PER_PART]
+    begin = number % KEYS_PER_PART * keys.candidates
+    scores = {
+        index: strength * weights[index]
+        for strength, index in zip(
+            strengths[begin : begin + keys.candidates],
+            indices[begin : begin + keys.candidates],
+            strict=True,
+        )
+        if index != home
+    }
+    return max(scores, key=scores.__getitem__, default=home)
--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -5,9 +5,9 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.key_placement.balancing import (
-    Balance,
+    Limits,
     balance_steps,
-    key_loads,
+    create_keys,
 )
 from greengagepoint.key_placement.copies import ServiceLoad, choose_copies
 from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
@@ -22,6 +22,10 @@
 MOVED_SHARE_PER_SECOND: Final = 0.03
 # Hosts that know the weights of a former coordinator have reported by then.
 FIRST_WAIT_SECONDS: Final = 1.0
+# Request rates vary by chance, and weights that follow them move keys for little. A
+# key that moves from a server with too many to one with too few lowers the excess by 1
+# to 2.
+GAIN_PER_MOVE: Final = 0.25
 # The budget of a coordinator that was late. More would move in one second what was
 # meant for several.
 BUDGET_SECONDS_MAX: Final = 1.0
@@ -32,8 +36,8 @@
 ABSENCE_SECONDS: Final = 5.0
 # With fewer keys, chance decides which servers seem to have too many.
 KEYS_PER_SERVER_MIN: Final = 1.0
-# Determining the candidates of one key among 110 servers takes 40 us on a fast core.
-CANDIDATES_PER_PART: Final = 40
+# Determining the candidates of one key among 109 servers takes about 70 us.
+CANDIDATES_PER_PART: Final = 20
 # Servers that left are forgotten when there are this many more weights than members.
 FORMER_WEIGHTS_MAX: Final = 200
 
@@ -158,19 +162,14 @@
         yield from _update_candidates(rows, servers, members)
         rates = [row.rate(now) for row in rows]
         copies = self._choose_copies(service, rows, rates, servers)
-        copied = [row.key in copies for row in rows]
         weights = [self.weights.get(name, 1.0) for name in members]
-        balance = Balance(weights, None)
-        steps = balance_steps(
-            rows, key_loads(rates), copied, weights, moves_share * len(rows)
-        )
-        for part in steps:
-            if part is None:
+        gain = GAIN_PER_MOVE if moves_share < 1 else 0.0
+        limits = Limits(moves_share * len(rows), gain)
+        balance = None
+        for balance in balance_steps(create_keys(rows, rates, copies), weights, limits):
+            if balance is None:
                 yield None
-            else:
-                balance = part
-        changed = balance.weights != weights or copies != self.copies.get(service)
-        if not changed:
+        if balance.weights == weights and copies == self.copies.get(service, NO_KEYS):
             return False
         self.weights.update(zip(members, balance.weights, strict=True))
         self.copies[service] = copies
@@ -200,7 +199,7 @@
         slots = sum(row.slots for row in servers) / len(servers)
         load = ServiceLoad(run_seconds, slots, self._cold_share(service))
         by_key = {row.key: rate for row, rate in zip(rows, rates, strict=True)}
-        return choose_copies(by_key, load, self.copies.get(service, frozenset()))
+        return choose_copies(by_key, load, self.copies.get(service, NO_KEYS))
 
     def _cold_share(self, service: str) -> float:
         """Return the share of cold runs of known keys of a service."""
@@ -235,3 +234,4 @@
 
 
 NO_RUNS: Final = RunCounts()
+NO_KEYS: Final[frozenset[str]] = frozenset()
--- a/packages/core/greengagepoint/key_placement/known_keys.py
+++ b/packages/core/greengagepoint/key_placement/known_keys.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from operator import itemgetter
 from typing import Final
 
 from greengagepoint.key_placement.messages import KeyUsageReport, KeyUsageRow
@@ -32,9 +31,8 @@
     """The requests of one key, and its candidates among the members.
 
     ``runs`` decays with ``RATE_SECONDS`` and is as of ``seen_at``. ``strengths`` are
-    the scores of the candidates at weight 1, ``pick`` returns their weights from the
-    list of all members' weights, ``indices`` are their places there. ``members`` is the
-    tuple of members for which they were determined.
+    the scores of the candidates at weight 1, ``indices`` their places in the tuple
+    ``members`` for which they were determined.
     """
 
     key: str
@@ -44,7 +42,6 @@
     members: tuple[str, ...] | None = None
     indices: tuple[int, ...] = ()
     strengths: tuple[float, ...] = ()
-    pick: itemgetter | None = None
 
     def add(self, runs: int, now: float) -> None:
         """Add runs reported at ``now``."""
@@ -64,8 +61,6 @@
         found = find_candidates(self.key, servers)
         self.indices = tuple(index[row.instance] for row in found.servers)
         self.strengths = found.strengths
-        # With one index, itemgetter returns an item instead of a tuple.
-        self.pick = itemgetter(*self.indices) if len(self.indices) > 1 else None
         self.members = members
 
 
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -47,9 +47,15 @@
 
 def find_candidates(key: str, members: Sequence[Server]) -> Candidates:
     """Return the candidates of a key among the members of a service in a region."""
-    servers = rank_by_hash(key, members)[:CANDIDATES_MAX]
-    strengths = [score(unit_hash(f"{key}\0{row.instance}")) for row in servers]
-    return Candidates(tuple(servers), tuple(strengths))
+    prefix = key.encode() + b"\0"
+    digest = xxhash.xxh3_64_intdigest
+    draws = [digest(prefix + row.instance.encode()) / HASH_RANGE for row in members]
+    order = sorted(range(len(draws)), key=draws.__getitem__, reverse=True)
+    chosen = order[:CANDIDATES_MAX]
+    return Candidates(
+        tuple(members[number] for number in chosen),
+        tuple(score(draws[number]) for number in chosen),
+    )
 
 
 def score(draw: float) -> float:
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -33,6 +33,7 @@
     requests_suspected: int
     requests_quarantined: int
     hosts_alive: int
+    keys_known: int
     requests_in_flight: int
     link_delay_seconds: float
     log_lines_dropped: int
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -471,6 +471,7 @@
             requests_suspected=len(self.quarantine.table.suspects),
             requests_quarantined=len(self.quarantine.quarantined),
             hosts_alive=len(self.gossip.table.alive(now)),
+            keys_known=len(self.key_placement.coordinator.keys.rows),
             requests_in_flight=self.gateway.in_flight,
             link_delay_seconds=round(self.link.seconds(now), 3),
             log_lines_dropped=self.lines_dropped(),
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -16,6 +16,7 @@
 from greengagepoint.key_placement.following import AppliedWeights, InvalidRows
 from greengagepoint.key_placement.messages import (
     KeyUsageReport,
+    KeyUsageRow,
     KeyWeights,
     KeyWeightsAnswer,
 )
@@ -222,7 +223,6 @@
     async def _async_report(self, region: str) -> None:
         """Report to the first candidates of a region until one answers."""
         rows = self.usage.take(region)
-        self.counts[("cold_runs",)] += sum(row.cold_runs for row in rows)
         known = self.applied.of_region(region)
         report = KeyUsageReport(
             self.own.entry.name,
@@ -237,7 +237,7 @@
         for entry in candidates[:ATTEMPTS_MAX]:
             answer = await self._async_answer_of(entry, report)
             if answer is not None:
-                self.counts[("reports_answered",)] += 1
+                self._count_answered(rows)
                 self.answered_at[region] = self.clock.monotonic()
                 if answer.weights is not None:
                     self._apply(region, answer.weights)
@@ -245,6 +245,12 @@
         self.counts[("reports_unanswered",)] += 1
         self.usage.put_back(region, rows)
 
+    def _count_answered(self, rows: list[KeyUsageRow]) -> None:
+        """Count a report that was answered, and its runs."""
+        self.counts[("reports_answered",)] += 1
+        self.counts[("runs",)] += sum(row.runs for row in rows)
+        self.counts[("cold_runs",)] += sum(row.cold_runs for row in rows)
+
     async def _async_answer_of(
         self, entry: HostEntry, report: KeyUsageReport
     ) -> KeyWeightsAnswer | None:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -122,7 +122,7 @@
         )
         yield Instrument(
             "key_placement",
-            "Reports, weights applied, keys moved, cold runs and invalid rows.",
+            "Reports, weights applied, keys moved, runs, cold runs and invalid rows.",
             lambda: _rows(counters.key_placement, "figure"),
         )
         durations = counters.durations
