--- a/packages/node/tests/test_gateway_key_placement.py
+++ b/packages/node/tests/test_gateway_key_placement.py
@@ -131,3 +131,22 @@
         for body in (b"", b"\xc1", b"\x93\x01\x02\x03"):
             async with session.post(url, data=body) as answer:
                 assert answer.status == 400
+
+
+async def test_the_others_follow_the_next_host_after_their_coordinator_ended():
+    # The coordinator is killed under load; its weights stay until the next one answers.
+    async with async_hosts(3) as daemons:
+        await async_call_keys(daemons)
+        await async_until(lambda: all(applied(daemon).version for daemon in daemons))
+        first = next(d for d in daemons if d.key_placement.is_coordinator)
+        others = [daemon for daemon in daemons if daemon is not first]
+        await async_end(first)
+        await async_call_keys(others)
+        assert all(daemon.view.servers.placed_regions for daemon in others)
+        await async_until(
+            lambda: (
+                {applied(daemon).coordinator for daemon in others}
+                <= {daemon.settings.host for daemon in others}
+            )
+        )
+        assert len({applied(daemon).coordinator for daemon in others}) == 1
--- a/packages/node/tests/test_gateway_placing.py
+++ b/packages/node/tests/test_gateway_placing.py
@@ -1,5 +1,6 @@
 """The regions that a host may use for a request."""
 
+import msgspec
 import pytest
 from gateway_world import ZONES, EventLog
 
@@ -8,6 +9,7 @@
 from greengagepoint.placing.tables import Server
 from greengagepoint.routing.tables import Destination, Route
 from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.exchange import Exchange, Verdict
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.region_weights import RegionWeights
 from greengagepoint_node.gateway.view import FleetView
@@ -86,3 +88,26 @@
     assert local_keys == {
         key for key, region in regions_by_key.items() if region is None
     }
+
+
+@pytest.mark.parametrize(
+    ("is_on", "key", "seconds", "rows"),
+    [
+        (True, "/p\0k", 0.5, [("booking", "/p\0k", 1, 1)]),
+        (True, "/p\0k", 0.2, [("booking", "/p\0k", 1, 0)]),
+        (True, None, 0.5, []),
+        (False, "/p\0k", 0.5, []),
+    ],
+    ids=["cold", "warm", "no key", "mode off"],
+)
+def test_answered_runs_of_keys_are_counted_with_the_mode_on(is_on, key, seconds, rows):
+    placer = create_placer_after_losses(0.0)
+    placer.view.servers.demand.uneven_servers = is_on
+    server = placer.view.servers.servers["south-0"]
+    server.typical.run_seconds = 0.2
+    call = Call("id", ROUTE, "booking", key, "/", NOW, NOW + 5)
+    for verdict in (Verdict.ANSWERED, Verdict.SHED, Verdict.BROKEN):
+        exchange = Exchange(verdict)
+        placer.record_attempt(call, server, exchange, seconds, 0.0, NOW)
+    found = [msgspec.structs.astuple(row) for row in placer.key_usage.take("south")]
+    assert found == rows
