--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -33,6 +33,7 @@
     requests_suspected: int
     requests_quarantined: int
     hosts_alive: int
+    keys_known: int
     requests_in_flight: int
     link_delay_seconds: float
     log_lines_dropped: int
@@ -49,7 +50,8 @@
     ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
     ``rests``, (service, reason) for ``choices`` by expected finish and (service,
     believed, measured) for ``runs``, each warm or cold. ``finish_excess`` holds the
-    seconds by which answers came after their expected finish. ``send_delay``
+    seconds by which answers came after their expected finish. (figure,) are the keys of
+    ``key_placement``. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -68,6 +70,7 @@
         self.choices: Counter[tuple[str, str]] = Counter()
         self.runs: Counter[tuple[str, str, str]] = Counter()
         self.finish_excess = Histogram(SECONDS_BOUNDS)
+        self.key_placement: Counter[tuple[str]] = Counter()
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -130,6 +130,11 @@
             "Runs without a wait, by what was expected and what was measured.",
             lambda: _rows(counters.runs, "service", "expected", "measured"),
         )
+        yield Instrument(
+            "key_placement",
+            "Reports, weights applied, keys moved, runs, cold runs and invalid rows.",
+            lambda: _rows(counters.key_placement, "figure"),
+        )
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
