--- a/packages/core/greengagepoint/key_placement/balancing.py
+++ b/packages/core/greengagepoint/key_placement/balancing.py
@@ -19,10 +19,12 @@
 # Bounds the change of a weight by one pass to a factor of 1.65.
 STEP_MAX: Final = 0.5
 PASSES_MAX: Final = 12
+# Keys that all passes together place in a second, which takes 20 ms on a fast core.
+PLACED_MAX: Final = 12_000
 # A pass that would move too many keys is made again with half the step.
 HALVINGS_MAX: Final = 4
-# The event loop serves callers after each part, which takes 1 to 2 ms on a fast core.
-KEYS_PER_PART: Final = 1_000
+# The event loop serves callers after each part, which takes 1 ms on a fast core.
+KEYS_PER_PART: Final = 500
 # A key takes memory as soon as it runs, and slots in proportion to its requests.
 MEMORY_SHARE: Final = 0.5
 
@@ -71,18 +73,30 @@
 
 def create_keys(
     rows: Sequence[KeyRow], rates: Sequence[float], copies: Container[str]
-) -> Keys:
-    """Return the keys of a service with at least one row and one candidate."""
+) -> Generator[None, None, Keys]:
+    """Yield after each part; return the keys of a service with at least one row."""
     parts = []
     for begin in range(0, len(rows), KEYS_PER_PART):
         part = rows[begin : begin + KEYS_PER_PART]
         strengths = chain.from_iterable(row.strengths for row in part)
         indices = chain.from_iterable(row.indices for row in part)
         parts.append((list(strengths), list(indices)))
+        yield None
     copied = [number for number, row in enumerate(rows) if row.key in copies]
     return Keys(parts, len(rows[0].indices), key_loads(rates), copied)
 
 
+def measure_rates(
+    rows: Sequence[KeyRow], now: float
+) -> Generator[None, None, list[float]]:
+    """Yield after each part; return the requests per second of keys."""
+    rates: list[float] = []
+    for begin in range(0, len(rows), KEYS_PER_PART):
+        rates += [row.rate(now) for row in rows[begin : begin + KEYS_PER_PART]]
+        yield None
+    return rates
+
+
 def key_loads(rates: Sequence[float]) -> list[float]:
     """Return the loads of keys with these request rates; their mean is 1."""
     mean = sum(rates) / len(rates) if rates else 0.0
@@ -104,7 +118,7 @@
     before = excess(load.loads, target)
     best = current = start = Balance(list(weights), load, 0, before, before)
     scale = 1.0
-    for _ in range(PASSES_MAX):
+    for _ in range(min(PASSES_MAX, max(1, PLACED_MAX // len(load.homes)))):
         if current.after <= 0 or scale < 0.5**HALVINGS_MAX:
             break
         new = step_weights(current.weights, current.load.loads, target, scale)
