Spread the requests of a key over its homes

Cause: with one home for each key, servers with popular keys have a queue while others are idle, and hosts hear of a queue too late. Change: homes whose expected finishes hardly differ are used at random; otherwise the earlier one is.

--- a/packages/core/greengagepoint/placing/choice.py
+++ b/packages/core/greengagepoint/placing/choice.py
@@ -49,7 +49,8 @@
     ``regions`` lists the regions to use in order of preference, and
     ``round_trip_seconds`` is the round-trip time to them. ``key`` is None if any server
     will do; ``warm`` lists the servers that ran the key recently. ``seconds_left`` is
-    the time to the deadline. Servers in ``tried`` are not chosen again.
+    the time to the deadline. Servers in ``tried`` are not chosen again. ``draw`` is a
+    number from 0 to less than 1, drawn for this request.
     """
 
     service: str
@@ -60,6 +61,7 @@
     tried: frozenset[Incarnation] = frozenset()
     warm: Sequence[Incarnation] = ()
     round_trip_seconds: float = 0.0
+    draw: float = 0.0
 
 
 class NoServerAvailable(NamedTuple):
--- a/packages/core/greengagepoint/placing/finish.py
+++ b/packages/core/greengagepoint/placing/finish.py
@@ -1,8 +1,13 @@
 """Choose the server of a request by the time at which its answer is expected.
 
 A warm run takes a third of a cold one, and a server keeps few keys warm. A request
-therefore waits at the home of its key while the answer is still in time. Each move to
-another server makes a key cold there, and its own key cold for the next caller.
+therefore waits at one of the homes of its key while the answer is still in time. Each
+move to another server makes a key cold there, and its own key cold for the next caller.
+
+A host hears of a server once in many seconds, so it knows little of queues. Requests
+of a key are therefore spread over its homes at random, unless a recent report tells
+that one of them ends earlier: with all of them at one home, a server whose keys are
+popular has a queue while others are idle.
 """
 
 from collections.abc import Callable, Iterable, Sequence
@@ -28,6 +33,9 @@
 # Comparing two candidates, not all, keeps 80 hosts from converging on the server that
 # was idle a moment ago.
 CANDIDATES_MAX: Final = 2
+# Homes whose finishes differ by less than this share of a warm run are equal: estimates
+# without recent reports are no more accurate, and hosts would all use the same home.
+EQUAL_FINISH_SHARE: Final = 0.5
 
 
 class Reason(StrEnum):
@@ -80,12 +88,12 @@
         now,
         explain,
     )
-    home = choice.find_home()
-    if home is None:
+    homes = choice.find_homes()
+    if not homes:
         return choose_with_spill(
             table, ranks, criteria, remote_regions, permissions, may_spill, now
         )
-    return choice.choose(home)
+    return choice.choose(homes)
 
 
 class _FinishChoice(NamedTuple):
@@ -101,29 +109,49 @@
     now: float
     explain: Explain
 
-    def find_home(self) -> Candidate | None:
-        """Return the first usable server in the key's rank."""
-        for server in self._ranked(self.criteria.regions):
-            if self._is_usable(server):
-                return self._candidate(server, is_warm=self._is_warm_home(server))
-        return None
-
-    def choose(self, home: Candidate) -> Server | NoServerAvailable:
-        """Return the server to use instead of or at the home, or why there is none."""
-        if self._is_in_time(home) and home.finish.is_warm and self._can_send(home):
-            return self._accept(Reason.HOME, home)
-        if not home.finish.is_warm and self._may_move(home):
-            return self._accept(Reason.MOVED, home)
-        for candidate in _by_finish(self._other_warm(home)):
+    def find_homes(self) -> list[Candidate]:
+        """Return the usable homes of the key, or else its first usable server."""
+        for servers in (self._homes(), self._ranked(self.criteria.regions)):
+            usable = [row for row in servers if self._is_usable(row)]
+            if usable:
+                return [
+                    self._candidate(row, is_warm=self._is_warm_home(row))
+                    for row in usable[:CANDIDATES_MAX]
+                ]
+        return []
+
+    def choose(self, homes: list[Candidate]) -> Server | NoServerAvailable:
+        """Return one of the homes or another server, or why there is none."""
+        warm_homes = self._in_order_of_use([row for row in homes if row.finish.is_warm])
+        for home in warm_homes:
+            if self._is_in_time(home) and self._can_send(home):
+                return self._accept(Reason.HOME, home)
+        for home in homes:
+            if not home.finish.is_warm and self._may_move(home):
+                return self._accept(Reason.MOVED, home)
+        home = warm_homes[0] if warm_homes else homes[0]
+        for candidate in _by_finish(self._other_warm(warm_homes)):
             if self._is_in_time(candidate) and self._may_use(candidate):
                 return self._accept(Reason.OTHER_WARM, candidate)
-        cold = self._cold(home, self.criteria.regions)
-        remote = [self._cold(home, [row.region]) for row in self.remote_regions]
+        cold = self._cold(warm_homes, self.criteria.regions)
+        remote = [self._cold(warm_homes, [row.region]) for row in self.remote_regions]
         for candidate in (*cold, *(row for rows in remote for row in rows)):
             if self._is_in_time(candidate) and self._may_use(candidate):
                 return self._accept(Reason.COLD_IN_TIME, candidate)
         return self._choose_late(home, cold)
 
+    def _in_order_of_use(self, homes: list[Candidate]) -> list[Candidate]:
+        """Return warm homes by finish, and those with equal finishes at random."""
+        ordered = _by_finish(homes)
+        if len(ordered) < CANDIDATES_MAX:
+            return ordered
+        first, second = ordered
+        difference = second.finish.seconds - first.finish.seconds
+        is_equal = difference < EQUAL_FINISH_SHARE * self.run_times.warm
+        if is_equal and self.criteria.draw < 1 / CANDIDATES_MAX:
+            return [second, first]
+        return ordered
+
     def _choose_late(
         self, home: Candidate, free: Sequence[Candidate]
     ) -> Server | NoServerAvailable:
@@ -148,18 +176,20 @@
                 return self._accept(Reason.COLD_LATE, candidate)
         return self._refuse(home)
 
-    def _other_warm(self, home: Candidate) -> list[Candidate]:
-        """Return servers other than the home on which this host ran the key."""
+    def _other_warm(self, homes: Sequence[Candidate]) -> list[Candidate]:
+        """Return servers other than the homes on which this host ran the key."""
         found = []
         for incarnation in self.criteria.warm:
             server = self.table.servers.get(incarnation.instance)
-            if server is None or server is home.server:
+            if server is None or any(server is row.server for row in homes):
                 continue
             if server.incarnation == incarnation and self._is_reachable(server):
                 found.append(self._candidate(server, is_warm=True))
         return found[-CANDIDATES_MAX:]
 
-    def _cold(self, home: Candidate, regions: Sequence[str]) -> list[Candidate]:
+    def _cold(
+        self, homes: Sequence[Candidate], regions: Sequence[str]
+    ) -> list[Candidate]:
         """Return the servers of regions with a free slot for a cold run, by rank.
 
         The first in rank is preferred to the earliest finish, so that the key becomes
@@ -169,7 +199,7 @@
             server
             for server in self._ranked(regions)
             if server.incarnation not in self.criteria.warm
-            and (server is not home.server or not home.finish.is_warm)
+            and all(server is not home.server for home in homes)
             and self._is_usable(server)
         ]
         candidates = [
@@ -177,6 +207,12 @@
         ]
         return [row for row in candidates if self._has_free_slot(row)]
 
+    def _homes(self) -> Iterable[Server]:
+        """Yield the servers that are to keep the key warm."""
+        key = self.criteria.key or ""
+        for region in self.criteria.regions:
+            yield from self.ranks.homes(self.table, self.criteria.service, region, key)
+
     def _ranked(self, regions: Sequence[str]) -> Iterable[Server]:
         """Yield the key's servers of some regions in order."""
         key = self.criteria.key or ""
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -19,7 +19,7 @@
     preferred_servers,
 )
 from greengagepoint.placing.cold_start import ColdStartLimiter
-from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.ranking import RankCache, unit_hash
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.placing.regions import region_for_key, should_run_locally
 from greengagepoint.placing.request_limits import server_to_ask_for
@@ -149,6 +149,7 @@
             tried,
             self.warm_keys.servers(call.key, now) if call.key else (),
             self.distance(region),
+            unit_hash(call.request_id),
         )
 
     def _create_permissions(self, call: Call, now: float) -> Permissions:
