--- a/packages/core/tests/stalls_model.py
+++ b/packages/core/tests/stalls_model.py
@@ -27,7 +27,11 @@
 
 
 class Load(NamedTuple):
-    """Set the size and the load of the model; rates are per second."""
+    """Set the size and the load of the model; rates are per second.
+
+    The first ``frozen`` hosts handle nothing from 9 s to 13 s, and all that came then
+    at once. Hosts exchange messages if ``gossip`` holds their number modulo 2.
+    """
 
     servers: int = 109
     keys: int = 1134
@@ -37,6 +41,8 @@
     seconds: float = 16.0
     measured_from: float = 8.0
     stalls: bool = True
+    frozen: int = 0
+    gossip: tuple[int, ...] = (0, 1)
 
 
 @dataclass
@@ -212,13 +218,21 @@
 
     def gossip(self, now: float) -> None:
         """Let each host exchange its reports of full servers with a random peer."""
-        for host in self.hosts:
-            peer = self.rng.choice(self.hosts)
+        linked = [
+            host
+            for number, host in enumerate(self.hosts)
+            if number % 2 in self.load.gossip
+        ]
+        for host in linked:
+            peer = self.rng.choice(linked)
             for one, other in ((host, peer), (peer, host)):
                 reports = one.busy_servers.recent_reports(now)
                 other.busy_servers.take(reports, other.table, now)
 
     def arrive(self, now: float, request: Request) -> None:
+        if 9 <= now < 13 and request.host in self.hosts[: self.load.frozen]:
+            self.push(13.0, self.arrive, request)
+            return
         request.host.waiting.deposit()
         request.host.moving.deposit()
         self.send(now, request)
--- a/packages/core/tests/test_placing_stalls.py
+++ b/packages/core/tests/test_placing_stalls.py
@@ -36,3 +36,16 @@
     after = outcomes(load, by_finish=True)
     assert after["in_time"] >= before["in_time"] - 0.01
     assert after["refused"] == 0
+
+
+@pytest.mark.parametrize(
+    "fault", [{"gossip": ()}, {"gossip": (1,)}, {"frozen": 8}], ids=str
+)
+def test_hosts_with_old_or_no_news_decide_no_worse_than_before(fault):
+    # Hosts that receive nothing, see only half of the fleet, or stand still for 4 s
+    # and then choose for all callers of that time with reports as old as that.
+    load = FULL._replace(rate=600, **fault)
+    before = outcomes(load, by_finish=False)
+    after = outcomes(load, by_finish=True)
+    assert after["in_time"] >= before["in_time"]
+    assert after["refused"] <= before["refused"] + 0.05
