Probe the health path only once peers are known

A host that has just started takes itself for the first of its region, so all hosts that start together would probe. It now waits 2 s, the time in which membership spreads. A report without a pace from a probe is not applied, as it would change load estimates with the demand mode off.

--- a/packages/node/greengagepoint_node/gateway/pace_probe.py
+++ b/packages/node/greengagepoint_node/gateway/pace_probe.py
@@ -18,6 +18,9 @@
 from greengagepoint_node.proxy.sessions import BackendSessions, SendOnce
 
 CHECK_SECONDS: Final = 0.5
+# A host that has just started knows no peers and takes itself for the first of its
+# region. Membership takes two seconds to spread; callers come later.
+STARTUP_SECONDS: Final = 2.0
 # A server that does not answer is probably starting; it is replaced within seconds.
 PROBE_INTERVAL_SECONDS: Final = 5.0
 PROBE_SECONDS: Final = 1.0
@@ -56,6 +59,7 @@
         self.failed: set[str] = set()
         self.probed_at: dict[str, float] = {}
         self.rounds = 0
+        self.started_at = clock.monotonic()
 
     async def async_run(self) -> None:
         """Probe until cancelled."""
@@ -68,6 +72,8 @@
         if self.view.servers.demand.is_on or not self.is_prober():
             return
         now = self.clock.monotonic()
+        if now - self.started_at < STARTUP_SECONDS:
+            return
         self.rounds += 1
         targets = []
         for policy in self._due_services(now):
@@ -128,7 +134,8 @@
             self._record_failure(server, "no valid load report")
             return
         self.answered.add(server.service)
-        if self.view.servers.is_newest(server):
+        # A load without a pace would change estimates with the demand mode off.
+        if report.pace is not None and self.view.servers.is_newest(server):
             self.placer.apply_report(server, report, "probe", now)
 
     async def _async_get(self, server: Server, path: str) -> str | None:
--- a/packages/node/tests/test_gateway_finish.py
+++ b/packages/node/tests/test_gateway_finish.py
@@ -9,6 +9,7 @@
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import ServicePolicy
 from greengagepoint_node.gateway.gossip_messages import Message, decode, encode
+from greengagepoint_node.gateway.pace_probe import STARTUP_SECONDS
 from greengagepoint_standins.users_platform.backend import Manner
 
 PACED = "1,0,4,100"
@@ -21,6 +22,11 @@
     ]
 
 
+def skip_startup(env):
+    """Let the host know its peers, so that it probes if it is the first."""
+    env.clock.ahead += STARTUP_SECONDS
+
+
 def set_health_path(env):
     policy = ServicePolicy(name="booking", health_path=HEALTH)
     env.daemon.view.routes.services["booking"] = policy
@@ -30,6 +36,9 @@
     # Keys would be placed by the rules of the other mode first, and run cold again.
     async with async_environment(load=PACED, health_path=HEALTH) as env:
         demand = env.daemon.view.servers.demand
+        await env.daemon.pace_probe.async_probe_due()
+        assert not probes(env)
+        skip_startup(env)
         await async_until(lambda: demand.is_on)
         (row,) = env.events.of(Event.UNEVEN_SERVERS_FOUND)
         assert row["source"] == "probe"
@@ -43,11 +52,14 @@
 async def test_servers_without_a_pace_are_probed_once():
     # The probe costs nothing where servers never report a pace.
     async with async_environment(health_path=HEALTH) as env:
+        skip_startup(env)
         await async_until(lambda: env.daemon.pace_probe.answered)
         env.clock.ahead += 30
         await env.daemon.pace_probe.async_probe_due()
         assert len(probes(env)) == 1
         assert not env.daemon.view.servers.demand.is_on
+        rows = env.daemon.view.servers.servers.values()
+        assert all(row.reported_at < 0 for row in rows)
 
 
 @pytest.mark.parametrize("manner", [Manner.RESET, Manner.SHED, Manner.GARBAGE])
@@ -58,6 +70,7 @@
         for backend in env.backends:
             backend.manner = manner
         set_health_path(env)
+        skip_startup(env)
         await async_until(lambda: probe.failed)
         count = len(probes(env))
         await probe.async_probe_due()
@@ -75,6 +88,7 @@
         probe = env.daemon.pace_probe
         probe.is_prober = lambda: False
         set_health_path(env)
+        skip_startup(env)
         await probe.async_probe_due()
         assert not probes(env)
 
@@ -84,6 +98,7 @@
     async with async_environment(servers=1) as env:
         env.backends[0].manner = Manner.SILENT
         set_health_path(env)
+        skip_startup(env)
         await async_until(lambda: probes(env))
         env.backends[0].manner = Manner.GOOD
         status, _, _ = await env.async_call("/safe/1")
@@ -106,6 +121,7 @@
     # An operator sees from a line what the host expected and with which inputs.
     rows = routes(affinity=True)
     async with async_environment(load=PACED, health_path=HEALTH, rows=rows) as env:
+        skip_startup(env)
         await async_until(lambda: env.daemon.view.servers.demand.is_on)
         cookie = {"Cookie": f"{NAMES.affinity_cookie}=k1"}
         for _ in range(128):
@@ -132,6 +148,7 @@
 async def test_a_refusal_by_finish_logs_its_inputs():
     rows = routes(affinity=True)
     async with async_environment(load=PACED, health_path=HEALTH, rows=rows) as env:
+        skip_startup(env)
         await async_until(lambda: env.daemon.view.servers.demand.is_on)
         env.daemon.placer.wait_allowance.tokens = 0.0
         now = env.daemon.clock.monotonic()
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -64,6 +64,19 @@
     assert table.limits.body_bytes == 9
 
 
+@pytest.mark.parametrize(
+    ("fields", "path"),
+    [({}, ""), ({"healthPath": None}, ""), ({"healthPath": "/healthz"}, "/healthz")],
+    ids=str,
+)
+def test_the_health_path_of_a_service_is_optional(fields, path):
+    # A configuration that is refused for a field without a value changes nothing.
+    changed = msgspec.json.decode(msgspec.json.encode(CONFIGURATION))
+    changed["clusters"][0] |= fields
+    table = decode_item(item("op/config", changed)).table
+    assert table.services["one"].health_path == path
+
+
 def test_an_upload_rule_is_decoded_and_not_repeatable():
     """Guards against rejecting the configuration, or repeating a large body."""
     changed = msgspec.json.decode(msgspec.json.encode(CONFIGURATION))
