Let the share of cold runs decide how many homes keys have

Change: a key has one home until its coordinator says otherwise; all keys of a service have two while under 0.2 of the measured runs are cold, and one again from 0.3 on. Keys are balanced over all their homes. Reports tell how many runs had no wait, as only those tell whether they were cold.

--- a/packages/core/greengagepoint/key_placement/balancing.py
+++ b/packages/core/greengagepoint/key_placement/balancing.py
@@ -1,7 +1,7 @@
 """Adjust the weights of servers until their keys add up to the same load."""
 
 import math
-from collections.abc import Container, Generator, Iterator, Sequence
+from collections.abc import Generator, Iterator, Sequence
 from itertools import chain
 from operator import mul, ne
 from typing import Final, NamedTuple
@@ -33,20 +33,20 @@
     """The keys of a service, as parts that are placed in one step.
 
     Each part has the scores of the candidates at weight 1 and their servers' indices,
-    ``candidates`` of them for each key. ``copied`` are the numbers of the keys with a
-    second home.
+    ``candidates`` of them for each key. Each key has up to ``homes`` homes, over which
+    its load is spread evenly.
     """
 
     parts: list[tuple[list[float], list[int]]]
     candidates: int
     loads: list[float]
-    copied: list[int]
+    homes: int
 
 
 class Load(NamedTuple):
     """The homes of the keys by index of their server, and the load of each server."""
 
-    homes: list[int]
+    homes: list[tuple[int, ...]]
     loads: list[float]
 
 
@@ -72,7 +72,7 @@
 
 
 def create_keys(
-    rows: Sequence[KeyRow], rates: Sequence[float], copies: Container[str]
+    rows: Sequence[KeyRow], rates: Sequence[float], homes: int
 ) -> Generator[None, None, Keys]:
     """Yield after each part; return the keys of a service with at least one row."""
     parts = []
@@ -82,8 +82,7 @@
         indices = chain.from_iterable(row.indices for row in part)
         parts.append((list(strengths), list(indices)))
         yield None
-    copied = [number for number, row in enumerate(rows) if row.key in copies]
-    return Keys(parts, len(rows[0].indices), key_loads(rates), copied)
+    return Keys(parts, len(rows[0].indices), key_loads(rates), homes)
 
 
 def measure_rates(
@@ -175,39 +174,27 @@
 
 def _place(keys: Keys, weights: Sequence[float]) -> Generator[None, None, Load]:
     """Yield after each part; return the homes of keys and the loads of servers."""
-    homes: list[int] = []
+    homes: list[tuple[int, ...]] = []
     for strengths, indices in keys.parts:
         scores = map(mul, strengths, map(weights.__getitem__, indices))
-        groups = list(zip(*[scores] * keys.candidates, strict=True))
+        groups = zip(*[scores] * keys.candidates, strict=True)
         starts = range(0, len(indices), keys.candidates)
         homes += [
-            indices[start + group.index(highest)]
-            for start, group, highest in zip(
-                starts, groups, map(max, groups), strict=True
-            )
+            tuple(indices[start + place] for place in _highest(group, keys.homes))
+            for start, group in zip(starts, groups, strict=True)
         ]
         yield None
     sums = [0.0] * len(weights)
-    for home, load in zip(homes, keys.loads, strict=True):
-        sums[home] += load
-    for number in keys.copied:
-        half = keys.loads[number] / 2
-        sums[homes[number]] -= half
-        sums[_second_home(keys, number, homes[number], weights)] += half
+    for chosen, load in zip(homes, keys.loads, strict=True):
+        for home in chosen:
+            sums[home] += load / len(chosen)
     return Load(homes, sums)
 
 
-def _second_home(keys: Keys, number: int, home: int, weights: Sequence[float]) -> int:
-    """Return the server with the second highest score for a key."""
-    strengths, indices = keys.parts[number // KEYS_PER_PART]
-    begin = number % KEYS_PER_PART * keys.candidates
-    scores = {
-        index: strength * weights[index]
-        for strength, index in zip(
-            strengths[begin : begin + keys.candidates],
-            indices[begin : begin + keys.candidates],
-            strict=True,
-        )
-        if index != home
-    }
-    return max(scores, key=scores.__getitem__, default=home)
+def _highest(scores: tuple[float, ...], count: int) -> list[int]:
+    """Return the places of the highest scores, the highest first."""
+    places = [scores.index(max(scores))]
+    while len(places) < min(count, len(scores)):
+        others = [place for place in range(len(scores)) if place not in places]
+        places.append(max(others, key=scores.__getitem__))
+    return places
--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -10,11 +10,10 @@
     create_keys,
     measure_rates,
 )
-from greengagepoint.key_placement.copies import ServiceLoad, choose_copies
+from greengagepoint.key_placement.homes import HOMES_MIN, HomeCount
 from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
 from greengagepoint.key_placement.messages import KeyUsageReport, KeyWeights
 from greengagepoint.placing.tables import Server, ServerTable
-from greengagepoint.placing.typical_load import RUN_SECONDS_START
 
 # In the first seconds, most keys have not run yet, and moving one that has costs one
 # cold run of the few seconds of its life.
@@ -56,7 +55,7 @@
     before: float
     after: float
     cold_share: float
-    copies: int
+    homes: int
 
 
 @dataclass(slots=True)
@@ -70,7 +69,7 @@
     region: str
     keys: KnownKeys = field(default_factory=KnownKeys)
     weights: dict[str, float] = field(default_factory=dict)
-    copies: dict[str, frozenset[str]] = field(default_factory=dict)
+    homes: dict[str, HomeCount] = field(default_factory=dict)
     members: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
     seeded: bool = False
@@ -78,12 +77,10 @@
     began_at: float = float("-inf")
     balanced_at: float = float("-inf")
 
-    def seed(
-        self, weights: dict[str, float], copies: dict[str, frozenset[str]]
-    ) -> None:
-        """Start from the weights of a former coordinator."""
+    def seed(self, weights: dict[str, float], homes: dict[str, int]) -> None:
+        """Start from the weights and numbers of homes of a former coordinator."""
         self.weights = dict(weights)
-        self.copies = dict(copies)
+        self.homes = {name: HomeCount(count) for name, count in homes.items()}
         self.seeded = True
         self.version += 1
 
@@ -112,8 +109,12 @@
     def create_message(self, host: str, started: int) -> KeyWeights:
         """Return the weights in force as a message of this host."""
         weights = {name: value for name, value in self.weights.items() if value != 1}
-        copies = {name: sorted(keys) for name, keys in self.copies.items() if keys}
-        return KeyWeights(host, self.version, weights, copies, started)
+        homes = {
+            name: count.homes
+            for name, count in self.homes.items()
+            if count.homes != HOMES_MIN
+        }
+        return KeyWeights(host, self.version, weights, homes, started)
 
     def balance(self, table: ServerTable, now: float) -> Iterator[Outcome | None]:
         """Adjust the weights; yield None after each part, and the outcomes.
@@ -156,27 +157,27 @@
     def _balance_service(
         self, service: str, servers: list[Server], moves_share: float, now: float
     ) -> Iterator[Outcome | None]:
-        """Adjust the weights and copies of one service; return True if they changed."""
+        """Adjust the weights and homes of one service; return True if they changed."""
         members = self._members(service, servers)
         rows = self.keys.of_service(service)
-        if not members or len(rows) < KEYS_PER_SERVER_MIN * len(members):
-            return False
+        count = self.homes.setdefault(service, HomeCount())
+        changed = count.update(self._cold_share(service), now)
+        if not members or count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
+            return changed
         yield from _update_candidates(rows, servers, members)
         rates = yield from measure_rates(rows, now)
-        copies = self._choose_copies(service, rows, rates, servers)
         yield None
         weights = [self.weights.get(name, 1.0) for name in members]
         gain = GAIN_PER_MOVE if moves_share < 1 else 0.0
         limits = Limits(moves_share * len(rows), gain)
-        keys = yield from create_keys(rows, rates, copies)
+        keys = yield from create_keys(rows, rates, count.homes)
         balance = None
         for balance in balance_steps(keys, weights, limits):
             if balance is None:
                 yield None
-        if balance.weights == weights and copies == self.copies.get(service, NO_KEYS):
+        if balance.weights == weights and not changed:
             return False
         self.weights.update(zip(members, balance.weights, strict=True))
-        self.copies[service] = copies
         yield Outcome(
             service,
             len(rows),
@@ -185,7 +186,7 @@
             balance.before,
             balance.after,
             self._cold_share(service),
-            len(copies),
+            count.homes,
         )
         return True
 
@@ -197,22 +198,6 @@
             self.members[service] = known = members
         return known
 
-    def _choose_copies(
-        self,
-        service: str,
-        rows: list[KeyRow],
-        rates: list[float],
-        servers: list[Server],
-    ) -> frozenset[str]:
-        """Return the keys of a service that have a second home from now on."""
-        if len(servers) < 2:
-            return frozenset()
-        run_seconds = servers[0].typical.run_seconds or RUN_SECONDS_START
-        slots = sum(row.slots for row in servers) / len(servers)
-        load = ServiceLoad(run_seconds, slots, self._cold_share(service))
-        by_key = {row.key: rate for row, rate in zip(rows, rates, strict=True)}
-        return choose_copies(by_key, load, self.copies.get(service, NO_KEYS))
-
     def _cold_share(self, service: str) -> float:
         """Return the share of cold runs of known keys of a service."""
         return self.keys.counts.get(service, NO_RUNS).cold_share
@@ -247,4 +232,3 @@
 
 
 NO_RUNS: Final = RunCounts()
-NO_KEYS: Final[frozenset[str]] = frozenset()
--- a/packages/core/greengagepoint/key_placement/following.py
+++ b/packages/core/greengagepoint/key_placement/following.py
@@ -5,9 +5,8 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.key_placement.balancing import WEIGHT_MAX, WEIGHT_MIN
-from greengagepoint.key_placement.copies import COPIES_MAX
+from greengagepoint.key_placement.homes import is_valid_count
 from greengagepoint.key_placement.messages import KeyWeights
-from greengagepoint.key_placement.usage import is_reportable
 from greengagepoint.placing.tables import ServerTable
 
 # More servers than a region of the largest deployment has.
@@ -33,7 +32,7 @@
     started: int = 0
     version: int = 0
     weights: dict[str, float] = field(default_factory=dict)
-    copies: dict[str, frozenset[str]] = field(default_factory=dict)
+    homes: dict[str, int] = field(default_factory=dict)
     received_at: float = float("-inf")
 
     def is_newer(self, message: KeyWeights) -> bool:
@@ -48,9 +47,12 @@
 
     def create_message(self) -> KeyWeights:
         """Return these weights as a message of their coordinator."""
-        copies = {name: sorted(keys) for name, keys in self.copies.items()}
         return KeyWeights(
-            self.coordinator, self.version, dict(self.weights), copies, self.started
+            self.coordinator,
+            self.version,
+            dict(self.weights),
+            dict(self.homes),
+            self.started,
         )
 
 
@@ -78,16 +80,19 @@
             for name, weight in message.weights.items()
             if math.isfinite(weight) and WEIGHT_MIN <= weight <= WEIGHT_MAX
         }
-        copies = {
-            service: frozenset(key for key in keys[:COPIES_MAX] if is_reportable(key))
-            for service, keys in message.copied_keys.items()
+        homes = {
+            service: count
+            for service, count in message.homes.items()
+            if is_valid_count(count)
         }
         self.regions[region] = RegionPlacement(
-            message.coordinator, message.started, message.version, weights, copies, now
+            message.coordinator, message.started, message.version, weights, homes, now
         )
         self.merge(table)
         unknown = sum(not _is_in_region(table, name, region) for name in weights)
-        return InvalidRows(len(message.weights) - len(weights), unknown)
+        out_of_range = len(message.weights) - len(weights)
+        out_of_range += len(message.homes) - len(homes)
+        return InvalidRows(out_of_range, unknown)
 
     def tick(self, table: ServerTable) -> None:
         """Apply weights of servers that this host has learned of since."""
@@ -103,13 +108,12 @@
             for name, weight in placement.weights.items()
             if weight != 1 and _is_in_region(table, name, region)
         }
-        copied = frozenset(
-            (region, service, key)
+        homes = {
+            (region, service): count
             for region, placement in self.regions.items()
-            for service, keys in placement.copies.items()
-            for key in keys
-        )
-        table.set_key_placement(weights, copied, frozenset(self.regions))
+            for service, count in placement.homes.items()
+        }
+        table.set_key_placement(weights, homes)
 
     def clear(self, table: ServerTable) -> None:
         """Drop all weights."""
@@ -122,7 +126,7 @@
     """Return True if a message has more rows than any region needs."""
     if len(message.weights) > WEIGHTS_MAX:
         return True
-    return len(message.copied_keys) > SERVICES_MAX
+    return len(message.homes) > SERVICES_MAX
 
 
 def _is_in_region(table: ServerTable, instance: str, region: str) -> bool:
--- a/packages/core/greengagepoint/key_placement/known_keys.py
+++ b/packages/core/greengagepoint/key_placement/known_keys.py
@@ -116,7 +116,7 @@
             known = KeyRow(row.key, now, now)
         else:
             counts = self.counts.setdefault(row.service, RunCounts(counted_at=now))
-            counts.add(row.runs, row.cold_runs, now)
+            counts.add(row.measured_runs, row.cold_runs, now)
         known.add(row.runs, now)
         self.rows[place] = known
         if len(self.rows) > KEYS_MAX:
@@ -140,4 +140,6 @@
     """Return True if a row of a report has figures in range."""
     if not is_reportable(row.key):
         return False
-    return 0 < row.runs <= ROW_RUNS_MAX and 0 <= row.cold_runs <= row.runs
+    if not 0 < row.runs <= ROW_RUNS_MAX:
+        return False
+    return 0 <= row.cold_runs <= row.measured_runs <= row.runs
--- a/packages/core/greengagepoint/key_placement/messages.py
+++ b/packages/core/greengagepoint/key_placement/messages.py
@@ -4,11 +4,15 @@
 
 
 class KeyUsageRow(msgspec.Struct, array_like=True, gc=False):
-    """The runs of a key on a region's servers since the last report."""
+    """The runs of a key on a region's servers since the last report.
+
+    ``measured_runs`` are those without a wait, which tell whether they were cold.
+    """
 
     service: str
     key: str
     runs: int
+    measured_runs: int
     cold_runs: int
 
 
@@ -32,14 +36,14 @@
 class KeyWeights(msgspec.Struct, array_like=True):
     """The weights of a region's servers, in one version of a coordinator.
 
-    ``weights`` holds those other than 1 by the server's instance id, ``copied_keys``
-    the keys that have a second home by service.
+    ``weights`` holds those other than 1 by the server's instance id, ``homes`` the
+    number of homes of each key by service, where it is not 1.
     """
 
     coordinator: str
     version: int
     weights: dict[str, float]
-    copied_keys: dict[str, list[str]]
+    homes: dict[str, int]
     started: int = 0
 
 
--- a/packages/core/greengagepoint/key_placement/usage.py
+++ b/packages/core/greengagepoint/key_placement/usage.py
@@ -19,12 +19,17 @@
 
 @dataclass(slots=True)
 class KeyUsage:
-    """Count runs and cold runs by region, service and key since the last report."""
+    """Count runs, measured and cold ones by region and key since the last report."""
 
     regions: dict[str, dict[tuple[str, str], list[int]]] = field(default_factory=dict)
 
-    def note(self, region: str, service: str, key: str, *, is_cold: bool) -> None:
-        """Count a run; drop it if too many keys wait to be reported."""
+    def note(
+        self, region: str, service: str, key: str, *, is_cold: bool | None
+    ) -> None:
+        """Count a run; drop it if too many keys wait to be reported.
+
+        ``is_cold`` is None if its time contains a wait.
+        """
         if not is_reportable(key):
             return
         keys = self.regions.setdefault(region, {})
@@ -32,9 +37,10 @@
         if counts is None:
             if len(keys) >= KEYS_MAX:
                 return
-            counts = keys[service, key] = [0, 0]
+            counts = keys[service, key] = [0, 0, 0]
         counts[0] += 1
-        counts[1] += is_cold
+        counts[1] += is_cold is not None
+        counts[2] += bool(is_cold)
 
     def take(self, region: str) -> list[KeyUsageRow]:
         """Return the rows of a region's next report, and count them anew."""
@@ -49,9 +55,11 @@
             counts = keys.get((row.service, row.key))
             if counts is not None:
                 counts[0] += row.runs
-                counts[1] += row.cold_runs
+                counts[1] += row.measured_runs
+                counts[2] += row.cold_runs
             elif len(keys) < KEYS_MAX:
-                keys[row.service, row.key] = [row.runs, row.cold_runs]
+                place = (row.service, row.key)
+                keys[place] = [row.runs, row.measured_runs, row.cold_runs]
 
     def clear(self) -> None:
         """Drop all counts."""
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -100,14 +100,9 @@
     def homes(
         self, table: ServerTable, service: str, region: str, key: str
     ) -> tuple[Server, ...]:
-        """Return the servers that are to keep a key warm, the first one first.
-
-        Without weights of a coordinator, all ranked servers are.
-        """
+        """Return the servers that are to keep a key warm, the first one first."""
         ranked = self.rank(table, service, region, key)
-        if region not in table.placed_regions:
-            return ranked
-        return ranked if (region, service, key) in table.copied_keys else ranked[:1]
+        return ranked[: table.key_homes.get((region, service), 1)]
 
     def _rank(
         self, table: ServerTable, place: tuple[str, str, str]
--- a/packages/core/greengagepoint/placing/tables.py
+++ b/packages/core/greengagepoint/placing/tables.py
@@ -179,9 +179,8 @@
     can be invalidated.
 
     ``key_weights`` are the weights other than 1 of servers in the ranking of keys, by
-    instance id. ``copied_keys`` are the keys with a second home, by region and
-    service, ``placed_regions`` the regions in which a coordinator places keys. All
-    three change with ``key_weights_version``.
+    instance id. ``key_homes`` are the numbers of homes of each key by region and
+    service, where it is not 1. Both change with ``key_weights_version``.
     """
 
     servers: dict[str, Server] = field(default_factory=dict)
@@ -195,20 +194,15 @@
     demand: DemandMode = field(default_factory=DemandMode)
     version: int = 0
     key_weights: dict[str, float] = field(default_factory=dict)
-    copied_keys: frozenset[tuple[str, str, str]] = frozenset()
-    placed_regions: frozenset[str] = frozenset()
+    key_homes: dict[tuple[str, str], int] = field(default_factory=dict)
     key_weights_version: int = 0
 
     def set_key_placement(
-        self,
-        weights: dict[str, float],
-        copied_keys: frozenset[tuple[str, str, str]],
-        placed_regions: frozenset[str],
+        self, weights: dict[str, float], homes: dict[tuple[str, str], int]
     ) -> None:
-        """Replace the weights of servers and the keys that have a second home."""
-        new = (weights, copied_keys, placed_regions)
-        if new != (self.key_weights, self.copied_keys, self.placed_regions):
-            self.key_weights, self.copied_keys, self.placed_regions = new
+        """Replace the weights of servers and the numbers of homes of keys."""
+        if (weights, homes) != (self.key_weights, self.key_homes):
+            self.key_weights, self.key_homes = weights, homes
             self.key_weights_version += 1
 
     def find(self, service: str, region: str) -> Members:
--- a/packages/node/greengagepoint_node/gateway/finish_placing.py
+++ b/packages/node/greengagepoint_node/gateway/finish_placing.py
@@ -101,18 +101,21 @@
         round_trip_seconds: float,
         report: LoadReport | None,
         now: float,
-    ) -> None:
-        """Learn from an answered attempt that took ``seconds``."""
+    ) -> bool | None:
+        """Learn from an answered attempt that took ``seconds``.
+
+        Return True if its run was cold, or None if its time contains a wait.
+        """
         expected = self._find(call.request_id, server)
         if expected is None:
-            return
+            return None
         taken = now - expected.chosen_at
         excess = taken - expected.finish.seconds
         self.excess.add(max(0.0, excess))
         if expected.ahead > AHEAD_MAX:
             self.run_times.record_wait(call.service, was_longer=excess > 0)
         if expected.ahead > AHEAD_MAX or (report is not None and report.waiting):
-            return
+            return None
         pace = report.pace if report is not None else None
         believed_warm = expected.finish.is_warm
         is_cold = self.run_times.record(
@@ -128,6 +131,7 @@
             (COLD if is_cold else WARM),
         )
         self.runs[call.service, belief, measured] += 1
+        return is_cold
 
     def record_shed(self, call: Call, server: Server) -> None:
         """Learn from an attempt that a full server rejected."""
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -168,7 +168,7 @@
         self.is_coordinator = is_first
         placement = self.applied.of_region(entry.region)
         if is_first and placement.version:
-            self.coordinator.seed(placement.weights, placement.copies)
+            self.coordinator.seed(placement.weights, placement.homes)
         self.events.record(
             Event.KEY_COORDINATOR_CHANGED,
             region=entry.region,
@@ -207,7 +207,7 @@
                 before=round(outcome.before, 1),
                 after=round(outcome.after, 1),
                 cold_share=round(outcome.cold_share, 2),
-                copies=outcome.copies,
+                homes=outcome.homes,
             )
 
     def _start_report(self, region: str) -> None:
@@ -286,7 +286,7 @@
             return
         self._apply(region, answer.weights)
         placement = self.applied.of_region(region)
-        self.coordinator.seed(placement.weights, placement.copies)
+        self.coordinator.seed(placement.weights, placement.homes)
 
     def _apply(self, region: str, message: KeyWeights) -> None:
         """Apply weights that are newer than those in force, and log what is new."""
@@ -310,7 +310,7 @@
                 before=before.coordinator,
                 version=placement.version,
                 weights=len(placement.weights),
-                copies=sum(map(len, placement.copies.values())),
+                homes=placement.homes,
                 age=self._age(before.received_at),
             )
 
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -48,8 +48,6 @@
 
 # A pass over 3,000 servers takes 3 ms, and load reports stay in use for seconds.
 LOAD_REFRESH_SECONDS: Final = 0.5
-# A cold run takes three times as long as a warm one, which the typical run is.
-COLD_RUN_FACTOR: Final = 2.0
 
 
 class Placer:
@@ -221,15 +219,19 @@
             self.busy_servers.note(server, assumed_load, now)
         if exchange.verdict is Verdict.ANSWERED:
             suspicion.record_answer(server, now)
-            if call.key and self.view.servers.demand.is_on:
-                self._count_key(call.key, server, seconds - expected_wait)
             self.answer_times(server).record_time(seconds, now)
             # The time of a request that waited for its slot would make the server look
             # slow, and its queue twice as long as it is.
             if expected_wait == 0 and (load is None or load.waiting == 0):
                 server.record_service_time(seconds)
             round_trip = self.distance(server.region)
-            self.finish.record_run(call, server, seconds, round_trip, load, now)
+            is_cold = self.finish.record_run(
+                call, server, seconds, round_trip, load, now
+            )
+            if call.key and self.view.servers.demand.is_on:
+                self.key_usage.note(
+                    server.region, server.service, call.key, is_cold=is_cold
+                )
         elif exchange.verdict is Verdict.SHED:
             suspicion.record_answer(server, now)
             self.finish.record_shed(call, server)
@@ -248,12 +250,6 @@
             server.apply_pace(report.pace, now)
             record_uneven_servers(self.view.servers.demand, self.events, source)
 
-    def _count_key(self, key: str, server: Server, run_seconds: float) -> None:
-        """Count a run of a key for the coordinator that places keys."""
-        typical = server.typical.run_seconds
-        is_cold = typical is not None and run_seconds > COLD_RUN_FACTOR * typical
-        self.key_usage.note(server.region, server.service, key, is_cold=is_cold)
-
     def answer_times(self, server: Server) -> AnswerTimes:
         """Return this host's answer times for a server's service and region."""
         return self.answer_times_by_group.setdefault(
