Correct expected waits faster while the error has one direction

Cause: with 82 hosts, each sees few answers of a service per second.

Change: the step of the factor is 3%, and grows by a fifth with each error in the same direction, up to 20%.

--- a/packages/core/greengagepoint/placing/run_times.py
+++ b/packages/core/greengagepoint/placing/run_times.py
@@ -27,9 +27,11 @@
 # One cold run changes the mean by 7% of a warm run.
 MEAN_WEIGHT: Final = 0.03
 # Reports of queues are old, and the runs ahead may be cold. Without a correction, hosts
-# expect answers of full servers in time under overload, and those servers shed. The
-# factor doubles within 18 answers that came later than expected.
-WAIT_STEP: Final = 0.04
+# expect answers of full servers in time under overload, and those servers shed. Steps
+# in the same direction grow: a host of 82 sees few answers in the seconds of a surge.
+WAIT_STEP_MIN: Final = 0.03
+WAIT_STEP_MAX: Final = 0.2
+WAIT_STEP_GROWTH: Final = 1.2
 WAIT_FACTOR_MIN: Final = 0.7
 WAIT_FACTOR_MAX: Final = 6.0
 RUN_SECONDS_MIN: Final = 0.001
@@ -75,16 +77,31 @@
 
 
 @dataclass(slots=True)
-class RunTimes:
-    """Hold the run times of all routes, and the mean run time of each service.
+class WaitFactor:
+    """Track what the expected waits at a service are multiplied with."""
 
-    ``wait_factors`` are by service what the expected waits are multiplied with, so that
-    as many answers come early as late.
-    """
+    factor: float = 1.0
+    step: float = WAIT_STEP_MIN
+    was_longer: bool | None = None
+
+    def record(self, *, was_longer: bool) -> None:
+        """Move the factor one step, so that as many answers come early as late."""
+        if was_longer == self.was_longer:
+            self.step = min(WAIT_STEP_MAX, self.step * WAIT_STEP_GROWTH)
+        else:
+            self.step = max(WAIT_STEP_MIN, self.step / 2)
+        self.was_longer = was_longer
+        self.factor *= 1 + self.step if was_longer else 1 - self.step
+        self.factor = min(WAIT_FACTOR_MAX, max(WAIT_FACTOR_MIN, self.factor))
+
+
+@dataclass(slots=True)
+class RunTimes:
+    """Hold the run times of all routes, and the mean run time of each service."""
 
     routes: dict[tuple[str, str], RouteRuns] = field(default_factory=dict)
     means: dict[str, float] = field(default_factory=dict)
-    wait_factors: dict[str, float] = field(default_factory=dict)
+    wait_factors: dict[str, WaitFactor] = field(default_factory=dict)
 
     def estimate(self, service: str, prefix: str, goal_seconds: float) -> RunEstimate:
         """Return the run times of a route with a latency goal."""
@@ -97,9 +114,8 @@
 
     def record_wait(self, service: str, *, was_longer: bool) -> None:
         """Record whether a request that found a queue took longer than expected."""
-        factor = self.wait_factors.get(service, 1.0)
-        factor *= 1 + WAIT_STEP if was_longer else 1 - WAIT_STEP
-        self.wait_factors[service] = min(WAIT_FACTOR_MAX, max(WAIT_FACTOR_MIN, factor))
+        factor = self.wait_factors.setdefault(service, WaitFactor())
+        factor.record(was_longer=was_longer)
 
     def record(
         self,
@@ -141,7 +157,9 @@
 
     def _mean(self, service: str, default: float) -> float:
         """Return the mean run time of a service, corrected for measured waits."""
-        return self.means.get(service, default) * self.wait_factors.get(service, 1.0)
+        factor = self.wait_factors.get(service)
+        mean = self.means.get(service, default)
+        return mean * factor.factor if factor is not None else mean
 
     def _add(self, service: str, prefix: str, goal_seconds: float) -> RouteRuns:
         """Add a route with the assumed run times; the oldest one makes room."""
--- a/packages/core/tests/test_placing_run_times.py
+++ b/packages/core/tests/test_placing_run_times.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from greengagepoint.placing.run_times import KEPT_SECONDS, ROUTES_MAX, RunTimes
+from greengagepoint.placing.run_times import (
+    KEPT_SECONDS,
+    ROUTES_MAX,
+    RunTimes,
+    WaitFactor,
+)
 
 GOAL = 0.72
 
@@ -67,7 +72,7 @@
     times = RunTimes()
     times.record("s", "/", GOAL, 0.2, 0.0, believed_warm=True)
     before = times.estimate("s", "/", GOAL).mean
-    for _ in range(30):
+    for _ in range(15):
         times.record_wait("s", was_longer=True)
     assert times.estimate("s", "/", GOAL).mean > 3 * before
     for _ in range(100):
@@ -76,3 +81,23 @@
     for _ in range(60):
         times.record_wait("s", was_longer=False)
     assert times.estimate("s", "/", GOAL).mean == pytest.approx(0.7 * before)
+
+
+@pytest.mark.parametrize("true_factor", [1.0, 2.0, 4.0])
+def test_the_correction_settles_at_the_waits_that_callers_have(true_factor):
+    # Waits vary from request to request. A correction that swung between its bounds
+    # would send all callers to full servers and then none to idle ones.
+    times = RunTimes()
+    rng = random.Random(1)
+    factors = []
+    for _ in range(600):
+        times.record_wait(
+            "s",
+            was_longer=true_factor * rng.lognormvariate(0, 0.7)
+            > times.wait_factors.setdefault("s", WaitFactor()).factor,
+        )
+        factors.append(times.wait_factors["s"].factor)
+    settled = sorted(factors[60:])
+    assert settled[len(settled) // 2] == pytest.approx(true_factor, rel=0.15)
+    assert settled[len(settled) // 10] > 0.6 * true_factor
+    assert settled[-len(settled) // 10] < 1.6 * true_factor
