Test the demand mode off, the metrics and the goal left

Guards against choices by finish, their log fields or learning in deployments without uneven servers, against series that are missing from the metrics page, and against a goal that starts anew at each attempt.

--- a/packages/node/tests/test_gateway_finish.py
+++ b/packages/node/tests/test_gateway_finish.py
@@ -3,17 +3,25 @@
 import msgspec
 import pytest
 from deployment import async_until
-from gateway_world import NAMES, async_environment, routes
+from gateway_world import NAMES, ZONES, EventLog, async_environment, routes
 from test_gateway_gossip import host
+from test_gateway_metrics import async_scrape, value
 
 from greengagepoint.events import Event
-from greengagepoint.routing.tables import ServicePolicy
+from greengagepoint.placing.finish import Reason
+from greengagepoint.placing.tables import Server
+from greengagepoint.routing.tables import Destination, Route, ServicePolicy
+from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.gossip_messages import Message, decode, encode
 from greengagepoint_node.gateway.pace_probe import STARTUP_SECONDS
+from greengagepoint_node.gateway.placing import Placer
+from greengagepoint_node.gateway.region_weights import RegionWeights
+from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_standins.users_platform.backend import Manner
 
 PACED = "1,0,4,100"
 HEALTH = "/healthz"
+NOW = 50.0
 
 
 def probes(env):
@@ -145,6 +153,55 @@
         ) == [0, 128]
 
 
+async def test_with_the_mode_off_nothing_is_logged_or_learned():
+    # Deployments without competing callers or uneven servers must behave as before.
+    async with async_environment(rows=routes(affinity=True)) as env:
+        cookie = {"Cookie": f"{NAMES.affinity_cookie}=k1"}
+        for _ in range(128):
+            status, _, _ = await env.async_call("/safe/1", headers=cookie)
+            assert status == 200
+        lines = env.events.of(Event.REQUEST_ANSWERED)
+        assert lines
+        assert not any("choice" in line or "pace" in line for line in lines)
+        finish = env.daemon.placer.finish
+        assert not (finish.choices or finish.runs or finish.expected)
+        assert not finish.run_times.routes
+
+
+async def test_the_metrics_show_choices_and_runs():
+    rows = routes(affinity=True)
+    async with async_environment(metrics=True, load=PACED, rows=rows) as env:
+        env.daemon.view.servers.demand.uneven_servers = True
+        cookie = {"Cookie": f"{NAMES.affinity_cookie}=k1"}
+        await env.async_call("/safe/1", headers=cookie)
+        _, lines = await async_scrape(env)
+        labels = {"service": "booking"}
+        assert value(lines, "choices_by_finish_total", **labels, reason="home") == 1
+        runs = {"expected": "warm", "measured": "warm"}
+        assert value(lines, "runs_by_warmth_total", **labels, **runs) == 1
+        assert value(lines, "finish_excess_seconds_bucket", le="+Inf") == 1
+
+
+@pytest.mark.parametrize(
+    ("waited", "reason"), [(0.0, Reason.HOME), (0.9, Reason.LATE_AT_HOME)]
+)
+def test_the_time_that_a_request_has_waited_counts_toward_its_goal(waited, reason):
+    # The body of an upload, or a first attempt, has used up most of the goal.
+    view = FleetView(ZONES, lambda item: None, EventLog())
+    for number in range(3):
+        name = f"i-{number}"
+        view.servers.servers[name] = Server(name, "booking", "", "zone-a", "north", 3)
+    view.servers.rebuild()
+    view.servers.demand.uneven_servers = True
+    weights = RegionWeights("north", 1, view.servers, EventLog())
+    placer = Placer("h1", "north", view, weights, 0.0, EventLog())
+    route = Route(name="r", prefix="/", destinations=(Destination("booking"),))
+    call = Call("id-1", route, "booking", "k", "/", NOW - waited, NOW + 5)
+    assert isinstance(placer.place(call, frozenset(), NOW), Server)
+    assert placer.finish.choices == {("booking", reason): 1}
+    assert placer.finish.expected["id-1"].reason is reason
+
+
 async def test_a_refusal_by_finish_logs_its_inputs():
     rows = routes(affinity=True)
     async with async_environment(load=PACED, health_path=HEALTH, rows=rows) as env:
