Move region weights toward the demand of regions with the mode on

Cause: the weights of routes that run near their callers follow slots and equal demand only. Uploads are spread over all regions, although they are as large as downloads.

Change: with the demand-aware mode on, hosts count their callers' requests, exchange `HostDemand` rows within the region and `RegionDemand` rows between regions, and `RegionWeights` moves toward the shares that follow, at most 0.03 per second, with a dead band of 0.05. Uploads run near their callers. A new target is logged as event 6019 with its inputs and ages, invalid figures of a peer once as 6020. With the mode off nothing is counted and the new fields are empty.

Ruled out: taking the figure of a host that hears no peer for that of its region. It would keep all keys at home; such a region has no figure and equal demand is assumed, as before.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -83,6 +83,8 @@
     BACKEND_SERVER_ANNOUNCED_LEAVING = 6013
     BACKEND_SERVER_RESTING = 6014
     BACKEND_SERVER_RESTED = 6015
+    REGION_SHARES_CHANGED = 6019
+    DEMAND_FIGURE_INVALID = 6020
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -242,6 +244,12 @@
     Event.BACKEND_SERVER_RESTED: EventType(
         Level.INFO, "The time for which a backend server asked is over."
     ),
+    Event.REGION_SHARES_CHANGED: EventType(
+        Level.INFO, "The demand of regions asks for other shares of a service's keys."
+    ),
+    Event.DEMAND_FIGURE_INVALID: EventType(
+        Level.WARNING, "A peer sent demand figures that are out of bounds."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/core/greengagepoint/placing/regions.py
+++ b/packages/core/greengagepoint/placing/regions.py
@@ -29,13 +29,19 @@
 Weights = dict[str, float]
 
 
-def should_run_locally(route: Route, round_trip_seconds: float) -> bool:
+def should_run_locally(
+    route: Route, round_trip_seconds: float, *, demand_is_on: bool = False
+) -> bool:
     """Return True if a route's keys should stay in the region of their callers.
 
-    ``round_trip_seconds`` is the round-trip time to the farthest region.
+    ``round_trip_seconds`` is the round-trip time to the farthest region. Uploads are as
+    large as downloads; they stay local only if ``demand_is_on``, as the shares of
+    regions otherwise assume that callers are distributed equally.
     """
     if route.kind is RequestKind.DOWNLOAD:
         return True
+    if demand_is_on and route.kind is RequestKind.UPLOAD:
+        return True
     return round_trip_seconds > ROUND_TRIP_GOAL_SHARE * route.goal_seconds
 
 
@@ -65,6 +71,13 @@
     return weights_by_slots({**weights, home: kept})
 
 
+def moved_share(now: Weights, target: Weights) -> float:
+    """Return the share of all keys whose region differs between two weights."""
+    names = set(now) | set(target)
+    changes = (target.get(name, 0.0) - now.get(name, 0.0) for name in names)
+    return sum(part for part in changes if part > 0)
+
+
 def step_toward(now: Weights, target: Weights, max_change: float) -> Weights:
     """Move weights toward ``target``, changing the region of at most ``max_change``.
 
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -17,6 +17,7 @@
 )
 from greengagepoint.accounts.ledger import UsageLedger
 from greengagepoint.config.watchers import watchers_of, well_linked
+from greengagepoint.demand.regional import RegionalDemand
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.overload.shared_retries import SharedRetryBudget
@@ -27,6 +28,7 @@
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.connect_times import trace_connections
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
+from greengagepoint_node.gateway.demand_exchange import RegionalDemandExchange
 from greengagepoint_node.gateway.directory import HostDirectory
 from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
 from greengagepoint_node.gateway.gossip import EXCHANGE_PATH, Gossip
@@ -134,9 +136,12 @@
             settings.link_mbps,
         )
         self.own_state = HostState(self.entry, time.time_ns(), 0, leaving=False)
-        regions = len(set(settings.zones.values()))
+        regions = frozenset(settings.zones.values())
+        self.demand = RegionalDemand(
+            settings.host, settings.region, regions, self.view.servers
+        )
         self.weights = RegionWeights(
-            settings.region, regions, self.view.servers, events
+            settings.region, len(regions), self.view.servers, events, self.demand
         )
         self.retries = SharedRetryBudget(
             settings.retry_ratio,
@@ -190,6 +195,9 @@
         )
         self.gossip.writer.loads = self.placer.loads
         self.gossip.writer.busy_servers = self.placer.busy_servers
+        self.gossip.demand = RegionalDemandExchange(
+            self.demand, self.clock, self.events
+        )
         self.counters.peer_bytes = self.gossip.bytes
         self._create_quotas()
         self._create_quarantine_sync()
@@ -396,9 +404,10 @@
             now = self.clock.monotonic()
             hosts = self.gossip.table.alive(now)
             self.view.tick(now)
-            self.weights.tick(now)
             region = self.settings.region
             local_hosts = [row.entry for row in hosts if row.entry.region == region]
+            self.demand.tick(self._region_host_count(local_hosts), now)
+            self.weights.tick(now)
             watchers = watchers_of(
                 region, well_linked(local_hosts), WATCHERS_PER_REGION
             )
@@ -421,6 +430,18 @@
             await asyncio.sleep(TICK_SECONDS)
             self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
 
+    def _region_host_count(self, alive: list[HostEntry]) -> int:
+        """Return the number of hosts of this region that receive callers.
+
+        Registered hosts count although no heartbeat arrives: a host that hears nobody
+        must not take its own callers for those of the region.
+        """
+        region = self.settings.region
+        registered = {
+            name for name, entry in self.view.hosts.items() if entry.region == region
+        }
+        return len(registered | {entry.name for entry in alive})
+
     def gauges(self) -> Gauges:
         """Return this host's current view."""
         now = self.clock.monotonic()
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -25,6 +25,10 @@
 from greengagepoint.protocols import Clock, Random
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.delays import MessageDelays
+from greengagepoint_node.gateway.demand_exchange import (
+    DemandExchange,
+    NoDemandExchange,
+)
 from greengagepoint_node.gateway.distances import RegionDistances
 from greengagepoint_node.gateway.gossip_messages import (
     HostState,
@@ -98,6 +102,7 @@
         self.distances = RegionDistances(own.entry.region)
         self.suspects: SuspectExchange = NoSuspectExchange()
         self.signals: SignalExchange = NoSignalExchange()
+        self.demand: DemandExchange = NoDemandExchange()
         self.is_watcher = True
         self.ages = ViewFreshnessTracker(clock)
         self.partial_revision = 0
@@ -262,7 +267,10 @@
 
     async def _async_post_message(self, address: str, *, wants_news: bool) -> Message:
         """Send this host's exchange message to a peer and return the peer's."""
-        body = self.encode_exchange(self.view.revision, wants_news=wants_news)
+        region = self.table.region_of(address)
+        body = self.encode_exchange(
+            self.view.revision, wants_news=wants_news, region=region
+        )
         # The message just encoded asks for the addresses. If the answer is lost, the
         # next heartbeat of an unknown host sets this again.
         self.table.lacks_addresses = False
@@ -284,14 +292,20 @@
             Event.PEER_MESSAGE_DROPPED, address=address, detail=type(error).__name__
         )
 
-    def encode_exchange(self, revision: int, *, wants_news: bool = True) -> bytes:
-        """Return this host's encoded exchange message for a peer at a revision."""
+    def encode_exchange(
+        self, revision: int, *, wants_news: bool = True, region: str | None = None
+    ) -> bytes:
+        """Return this host's encoded exchange message for a peer at a revision.
+
+        ``region`` is the region of the peer, None if unknown.
+        """
         peers = self.table.recent_peers(self.clock.monotonic())
         message = self.writer.create_message(revision, peers)
         message.wants_news = wants_news
         message.suspects = self.suspects.shared()
         message.limits = self.signals.shared_limits()
         message.leaving_servers = self.signals.shared_leaving()
+        self.demand.fill(message, region)
         return encode(message)
 
     def apply_exchange(self, body: bytes) -> None:
@@ -317,6 +331,8 @@
         answer.suspects = self.suspects.shared()
         answer.limits = self.signals.shared_limits()
         answer.leaving_servers = self.signals.shared_leaving()
+        sender = message.hosts[0].entry.region if message.hosts else None
+        self.demand.fill(answer, sender)
         body = encode(answer)
         self.bytes["exchange", SENT] += len(body)
         return web.Response(body=body)
@@ -348,6 +364,7 @@
         self.suspects.take(message.suspects)
         self.signals.take_limits(message.limits)
         self.signals.take_leaving(message.leaving_servers)
+        self.demand.take(message)
         if message.partial_after is not None:
             self._apply_partial(message, message.partial_after, sent_after)
             return
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.accounts.certainty import Proof
 from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
+from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.quarantine.messages import SharedSuspect
@@ -57,7 +58,8 @@
     are requests that crash backend servers. ``proof`` is the sender's proof of the
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
     relays the update. ``limits`` are the request limits that backend servers named,
-    ``leaving_servers`` those that said that they leave.
+    ``leaving_servers`` those that said that they leave. ``host_demands`` are figures of
+    the hosts of the sender's region, ``region_demands`` those of regions.
     """
 
     revision: int
@@ -82,6 +84,8 @@
     relay: list[str] = []
     limits: list[LimitNotice] = []
     leaving_servers: list[LeavingNotice] = []
+    host_demands: list[HostDemand] = []
+    region_demands: list[RegionDemand] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -203,7 +203,7 @@
         self, request: web.BaseRequest, call: Call, body: bytes | None
     ) -> web.Response:
         """Send to servers until one answers or no retry is allowed."""
-        self.placer.count_caller()
+        self.placer.count_caller(call, self.clock.monotonic())
         identity = RequestIdentity(request, body, call.account)
         attempts = Attempts()
         last: Exchange | None = None
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -176,10 +176,15 @@
             # for the next caller before the first one is answered.
             self.warm_keys.note(call.key, server.incarnation, now)
 
-    def count_caller(self) -> None:
-        """Add one caller's share to the allowances for waiting and for moved keys."""
+    def count_caller(self, call: Call, now: float) -> None:
+        """Add one caller's share to the allowances and to its region's demand."""
         self.wait_allowance.deposit()
         self.move_allowance.deposit()
+        if not self.view.servers.demand.is_on:
+            return
+        key = self._weight_key(call)
+        if key.prefers_local and not key.home_regions:
+            self.weights.demand.count(call.service, now)
 
     def record_attempt(
         self,
@@ -214,6 +219,7 @@
             # slow, and its queue twice as long as it is.
             if expected_wait == 0 and (load is None or load.queued == 0):
                 server.record_service_time(seconds)
+                self.weights.demand.record_run(server.service, seconds)
         elif exchange.verdict is Verdict.SHED:
             suspicion.record_answer(server, now)
         elif exchange.verdict is Verdict.OTHER_SERVER:
@@ -291,7 +297,11 @@
 
     def _weight_key(self, call: Call) -> WeightKey:
         """Return the key of the weights that assign a request to a region."""
-        prefers_local = should_run_locally(call.route, self.round_trip_seconds)
+        prefers_local = should_run_locally(
+            call.route,
+            self.round_trip_seconds,
+            demand_is_on=self.view.servers.demand.is_on,
+        )
         return WeightKey(call.service, call.home_regions, prefers_local)
 
     def _cold_requests_per_second(self, service: str) -> float:
--- a/packages/node/greengagepoint_node/gateway/region_weights.py
+++ b/packages/node/greengagepoint_node/gateway/region_weights.py
@@ -2,11 +2,13 @@
 
 from typing import Final, NamedTuple
 
+from greengagepoint.demand.regional import RegionalDemand
 from greengagepoint.events import Event
 from greengagepoint.placing.regions import (
     CHANGE_PER_SECOND,
     Weights,
     local_weights,
+    moved_share,
     step_toward,
     weights_by_slots,
 )
@@ -16,6 +18,8 @@
 LOGGED_CHANGE_MIN: Final = 0.1
 # After a longer pause the weights move as far as in one second, not all at once.
 ELAPSED_SECONDS_MAX: Final = 1.0
+# Demand varies by a tenth between measurements, and each moved key costs a cold run.
+TARGET_CHANGE_MIN: Final = 0.05
 
 
 class WeightKey(NamedTuple):
@@ -30,15 +34,26 @@
 
 
 class RegionWeights:
-    """Move the weights of regions gradually toward the slots of their servers."""
+    """Move the weights of regions gradually toward the slots of their servers.
+
+    With the demand-aware mode on, requests that prefer the callers' region move toward
+    the shares that follow from the demand of all regions.
+    """
 
     def __init__(
-        self, home: str, regions: int, servers: ServerTable, events: EventSink
+        self,
+        home: str,
+        regions: int,
+        servers: ServerTable,
+        events: EventSink,
+        demand: RegionalDemand | None = None,
     ) -> None:
         self.home = home
         self.regions = regions
         self.servers = servers
         self.events = events
+        self.demand = demand or RegionalDemand("", home, frozenset(), servers)
+        self.targets: dict[WeightKey, Weights] = {}
         self.weights: dict[WeightKey, Weights] = {}
         self.logged_weights: dict[WeightKey, Weights] = {}
         self.ticked_at: float | None = None
@@ -47,10 +62,21 @@
         """Return the current weights by which keys are assigned to regions."""
         found = self.weights.get(key)
         if not found:
-            found = self._target_weights(key, self.slots(key))
+            found = self._first_weights(key)
             self.weights[key] = found
         return found
 
+    def _first_weights(self, key: WeightKey) -> Weights:
+        """Return the weights of requests that have none yet.
+
+        If a route begins to run near its callers, because the mode is switched on,
+        its keys move from their regions in steps too.
+        """
+        former = key._replace(prefers_local=not key.prefers_local)
+        if self.servers.demand.is_on and self.weights.get(former):
+            return self.weights[former]
+        return self._target_weights(key, self.slots(key))
+
     def tick(self, now: float) -> None:
         """Move all weights one step toward their targets."""
         elapsed = now - self.ticked_at if self.ticked_at is not None else 0.0
@@ -62,7 +88,7 @@
             with_servers = {
                 name: weight for name, weight in weights.items() if name in slots
             }
-            target = self._target_weights(key, slots)
+            target = self._settled_target(key, slots, now)
             updated = step_toward(weights_by_slots(with_servers), target, max_change)
             self.weights[key] = updated
             self._log(key, updated, slots)
@@ -73,6 +99,32 @@
             return weights_by_slots(slots)
         return local_weights(slots, self.home, self.regions)
 
+    def _settled_target(
+        self, key: WeightKey, slots: dict[str, float], now: float
+    ) -> Weights:
+        """Return the target weights; small changes of demand do not change them."""
+        former = self.targets.pop(key, None)
+        if not self._follows_demand(key):
+            return self._target_weights(key, slots)
+        shares = self.demand.shares(key.service, slots, now)
+        target = shares or self._target_weights(key, slots)
+        is_usable = former is not None and former.keys() <= slots.keys()
+        if is_usable and moved_share(former, target) < TARGET_CHANGE_MIN:
+            self.targets[key] = former
+            return former
+        self.targets[key] = target
+        if former != target:
+            self._log_target(key, former, slots, now)
+        return target
+
+    def _follows_demand(self, key: WeightKey) -> bool:
+        """Return True if the demand of regions decides where requests run.
+
+        Requests with home regions are few and load other regions than their callers'.
+        """
+        is_on = self.servers.demand.is_on
+        return is_on and key.prefers_local and not key.home_regions
+
     def slots(self, key: WeightKey) -> dict[str, float]:
         """Return the slots in each region that requests may use."""
         return {
@@ -102,3 +154,29 @@
             weights={name: round(weight, 3) for name, weight in updated.items()},
             slots=slots,
         )
+
+    def _log_target(
+        self,
+        key: WeightKey,
+        former: Weights | None,
+        slots: dict[str, float],
+        now: float,
+    ) -> None:
+        """Log a new target with its inputs and their ages."""
+        demand = self.demand.demand(key.service, now)
+        self.events.record(
+            Event.REGION_SHARES_CHANGED,
+            service=key.service,
+            home=self.home,
+            former=_rounded(former or {}),
+            target=_rounded(self.targets[key]),
+            slots=slots,
+            demand=_rounded(demand.slots) if demand else None,
+            ages=_rounded(demand.ages) if demand else None,
+            run_seconds=round(demand.run_seconds, 3) if demand else None,
+        )
+
+
+def _rounded(figures: dict[str, float]) -> dict[str, float]:
+    """Return figures rounded for a log line."""
+    return {name: round(value, 3) for name, value in figures.items()}
--- /dev/null
+++ b/packages/node/tests/test_gateway_demand.py
@@ -0,0 +1,161 @@
+"""Regional demand on the request path: weights, and exchange with peers."""
+
+import math
+
+import pytest
+from gateway_world import ZONES, EventLog
+from test_gateway_gossip import NOW, Clock, async_exchange, host
+
+from greengagepoint.demand.messages import HostDemand, RegionDemand
+from greengagepoint.demand.regional import RegionalDemand
+from greengagepoint.events import Event
+from greengagepoint.placing.tables import Server
+from greengagepoint.routing.tables import Destination, RequestKind, Route
+from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.demand_exchange import RegionalDemandExchange
+from greengagepoint_node.gateway.gossip_messages import decode
+from greengagepoint_node.gateway.placing import Placer
+from greengagepoint_node.gateway.region_weights import RegionWeights, WeightKey
+from greengagepoint_node.gateway.view import FleetView
+
+LOCAL = WeightKey("booking", frozenset(), prefers_local=True)
+REGIONS = frozenset(ZONES.values())
+
+
+def route(kind=RequestKind.DOWNLOAD):
+    return Route(
+        name="r", prefix="/", destinations=(Destination("booking"),), kind=kind
+    )
+
+
+def call(number, kind=RequestKind.DOWNLOAD):
+    return Call(f"id-{number}", route(kind), "booking", f"k{number}", "/", NOW, NOW + 5)
+
+
+def add_servers(view, north=2, south=8):
+    for region, zone, count in (("north", "zone-a", north), ("south", "zone-b", south)):
+        for number in range(count):
+            name = f"{region}-{number}"
+            view.servers.servers[name] = Server(name, "booking", "", zone, region, 3)
+    view.servers.rebuild()
+
+
+def create_placer(*, is_on=True, events=None):
+    view = FleetView(ZONES, lambda item: None, EventLog())
+    add_servers(view)
+    view.servers.demand.uneven_servers = is_on
+    demand = RegionalDemand("h1", "north", REGIONS, view.servers)
+    weights = RegionWeights("north", 2, view.servers, events or EventLog(), demand)
+    return Placer("h1", "north", view, weights, 0.0, EventLog())
+
+
+def run(placer, start, seconds, per_second, host_count=1):
+    """Let callers send at a rate; return the time at the end."""
+    for step in range(seconds * 4):
+        now = start + step / 4
+        for number in range(per_second // 4):
+            placer.count_caller(call(number), now)
+        placer.weights.demand.tick(host_count, now)
+        placer.weights.tick(now)
+    return start + seconds
+
+
+@pytest.mark.parametrize("is_on", [True, False])
+def test_nothing_is_counted_with_the_mode_off(is_on):
+    placer = create_placer(is_on=is_on)
+    run(placer, NOW, 10, 8)
+    assert bool(placer.weights.demand.rates.rates) is is_on
+    assert bool(placer.weights.demand.table.hosts) is is_on
+
+
+def test_weights_follow_the_demand_in_steps():
+    # The north has a fifth of the slots. Equal demand would give it 0.4 of its callers'
+    # keys, but all of them fit there.
+    events = EventLog()
+    placer = create_placer(events=events)
+    weights = placer.weights
+    assert weights.current(LOCAL)["north"] == pytest.approx(0.4)
+    former = weights.current(LOCAL)["north"]
+    for second in range(40):
+        run(placer, NOW + second, 1, 8)
+        share = weights.current(LOCAL)["north"]
+        assert abs(share - former) <= 0.03 + 1e-9
+        former = share
+    assert former == pytest.approx(1.0)
+    last = events.of(Event.REGION_SHARES_CHANGED)[-1]
+    assert last["target"] == {"north": 1.0}
+    assert last["ages"] == {"north": pytest.approx(0.25, abs=0.3)}
+    assert last["demand"]["north"] == last["demand"]["south"] > 0
+
+
+def test_a_host_that_hears_nobody_assumes_equal_demand():
+    # Its own callers are one of four parts of the region's. If it took them for the
+    # region's, it would keep all keys at home and overload the servers there.
+    placer = create_placer()
+    placer.weights.current(LOCAL)
+    run(placer, NOW, 20, 8, host_count=4)
+    assert placer.weights.current(LOCAL)["north"] == pytest.approx(0.4)
+
+
+def test_uploads_move_in_steps_when_the_mode_is_switched_on():
+    # A new configuration adds ranks. If uploads ran near their callers at once, a fifth
+    # of the keys would run cold in the same second.
+    placer = create_placer(is_on=False)
+    upload = call(1, RequestKind.UPLOAD)
+    placer.place(upload, frozenset(), NOW)
+    placer.view.servers.demand.uneven_servers = True
+    placer.place(upload, frozenset(), NOW)
+    assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.2)
+    placer.weights.tick(NOW)
+    placer.weights.tick(NOW + 1)
+    assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.23)
+
+
+def with_demand(gossip, *, is_on=True):
+    gossip.view.servers.demand.uneven_servers = is_on
+    add_servers(gossip.view)
+    entry = gossip.own.entry
+    demand = RegionalDemand(entry.name, entry.region, REGIONS, gossip.view.servers)
+    demand.table.services = {"booking"}
+    gossip.demand = RegionalDemandExchange(demand, gossip.clock, gossip.events)
+    return demand
+
+
+async def test_figures_reach_peers_and_only_those_of_regions_leave_the_region():
+    one, other = host("h1"), host("h2")
+    first, second = with_demand(one), with_demand(other)
+    first.table.take_hosts([HostDemand("h9", "booking", 3.0, 1.0, 0.2)], NOW)
+    first.table.take_regions(
+        [RegionDemand("south", "booking", 9.0, 1, 0.2, 12, 9)], NOW
+    )
+    await async_exchange(other, one)
+    assert second.table.hosts == first.table.hosts
+    assert second.table.regions == first.table.regions
+    message = decode(one.encode_exchange(0, region="south"))
+    assert message.host_demands == []
+    assert len(message.region_demands) == 1
+
+
+async def test_messages_carry_no_figures_with_the_mode_off():
+    gossip = host("h1")
+    demand = with_demand(gossip, is_on=False)
+    demand.table.take_hosts([HostDemand("h9", "booking", 3.0, 1.0)], NOW)
+    message = decode(gossip.encode_exchange(0, region="north"))
+    assert message.host_demands == message.region_demands == []
+
+
+async def test_invalid_figures_are_counted_and_logged_once():
+    # A peer of another build or with a fault sends figures that would distort all
+    # shares. A line for each message would fill the log.
+    clock = Clock()
+    one, other = host("h1", clock), host("h2", clock)
+    first, second = with_demand(one), with_demand(other)
+    for number in range(3):
+        row = HostDemand("h9", "booking", math.nan, 0.0)
+        message = other.writer.create_message(0, [])
+        message.host_demands = [row, HostDemand("h8", "booking", -1.0, 0.0)]
+        one.demand.take(message)
+        assert first.table.ignored["rate",] == 2 * number + 2
+    assert not first.table.hosts
+    assert len(one.events.of(Event.DEMAND_FIGURE_INVALID)) == 1
+    assert second.table.ignored == {}
