Let a small share of requests leave a busy region with the mode on

Cause: only requests that run near their callers may run in another region, and only in proportion to slots that their own region lost. In a region that is merely busy, callers are refused or late while the servers of another region are idle.

Change: with the demand-aware mode on, requests of all kinds of routes may spill to the other region with the most free slots. Without lost slots, an allowance limits that to 0.05 of a host's callers, and a hash to a tenth of the keys. The rule for lost slots stays.

Ruled out: the allowance alone.

--- a/packages/core/greengagepoint/placing/allowance.py
+++ b/packages/core/greengagepoint/placing/allowance.py
@@ -5,6 +5,9 @@
 takes the slot of one in time, so only few callers may wait. Tokens saved before the
 burst tell the two apart.
 
+For keys that spill from a busy region: each runs cold in the other region, and
+the region of requests may change only gradually.
+
 For keys that move: a server that joins takes over its share of the keys, and each key
 runs cold there once. Spreading the moves over seconds keeps few callers late at a time.
 """
@@ -19,6 +22,11 @@
 # Share of callers that may move their key to its first-ranked server.
 MOVE_RATIO: Final = 0.02
 MOVE_TOKENS_MAX: Final = 1.0
+# Share of callers whose request may run in another region because its own is busy.
+# Weights move 0.06 of the keys in 2 s, and 0.15 of a region's requests may change their
+# region in that time.
+SPILL_RATIO: Final = 0.05
+SPILL_TOKENS_MAX: Final = 1.0
 
 
 @dataclass(slots=True)
@@ -49,3 +57,8 @@
 def create_move_allowance() -> Allowance:
     """Return the allowance for keys that move to their first-ranked server."""
     return Allowance(MOVE_RATIO, MOVE_TOKENS_MAX, 0.0)
+
+
+def create_spill_allowance() -> Allowance:
+    """Return the allowance for requests that leave a busy region."""
+    return Allowance(SPILL_RATIO, SPILL_TOKENS_MAX, 0.0)
--- a/packages/core/greengagepoint/placing/spilling.py
+++ b/packages/core/greengagepoint/placing/spilling.py
@@ -23,6 +23,9 @@
 # its own callers too late.
 BUSY_OPEN: Final = 0.55
 BUSY_CLOSED: Final = 0.95
+# Share of keys that may leave a region that is only busy. Hosts that saved their
+# allowances would otherwise all spend them in the first two seconds of a peak.
+BUSY_SPILL_KEY_SHARE: Final = 0.1
 
 
 def can_spill_key(key: str, lost: float, busy: float | None) -> bool:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -8,6 +8,7 @@
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.allowance import (
     create_move_allowance,
+    create_spill_allowance,
     create_wait_allowance,
 )
 from greengagepoint.placing.busy_servers import BusyServers
@@ -26,6 +27,7 @@
 from greengagepoint.placing.room import LostCapacityTracker
 from greengagepoint.placing.server_silence import AnswerTimes, silence_timeout
 from greengagepoint.placing.spilling import (
+    BUSY_SPILL_KEY_SHARE,
     RemoteRegion,
     can_spill_key,
     choose_with_spill,
@@ -72,6 +74,7 @@
         self.ranks = RankCache()
         self.wait_allowance = create_wait_allowance()
         self.move_allowance = create_move_allowance()
+        self.spill_allowance = create_spill_allowance()
         self.loads = RegionLoads(home)
         self.busy_servers = BusyServers()
         self.lost_capacity = LostCapacityTracker()
@@ -96,7 +99,7 @@
             self.ranks,
             self._create_criteria(call, region, tried, now),
             self._spill_candidates(weight_key, region, now)
-            if weight_key.prefers_local
+            if weight_key.prefers_local or self.view.servers.demand.is_on
             else (),
             self._create_permissions(call, now),
             lambda server: self._may_spill(call, region, server, now),
@@ -166,7 +169,12 @@
         """Return True if a request may spill to a server of another region."""
         lost = self.lost_capacity.lost_share(call.service, region)
         busy = self.loads.busy(call.service, server.region, now)
-        return can_spill_key(_placement_key(call), lost, busy)
+        if can_spill_key(_placement_key(call), lost, busy):
+            return True
+        if not self.view.servers.demand.is_on:
+            return False
+        can_spill = can_spill_key(_placement_key(call), BUSY_SPILL_KEY_SHARE, busy)
+        return can_spill and self.spill_allowance.withdraw()
 
     def _record_placement(self, call: Call, server: Server, now: float) -> None:
         """Record that a request is assigned to a server."""
@@ -182,6 +190,7 @@
         self.move_allowance.deposit()
         if not self.view.servers.demand.is_on:
             return
+        self.spill_allowance.deposit()
         key = self._weight_key(call)
         if key.prefers_local and not key.home_regions:
             self.weights.demand.count(call.service, now)
@@ -279,8 +288,9 @@
         """Return the other region with the most free slots, if one may run the key.
 
         The nearest region may be small, and requests that spill from a large region
-        would fill it within a second. Keys that do not run near their callers do not
-        spill: they are spread in proportion to slots, so all regions are equally full.
+        would fill it within a second. With the demand-aware mode off, keys that do not
+        run near their callers do not spill: they are spread in proportion to slots, so
+        all regions are equally full.
         """
         free = {
             name: slots * (1 - (self.loads.busy(key.service, name, now) or 0.0))
--- a/packages/node/tests/test_gateway_demand.py
+++ b/packages/node/tests/test_gateway_demand.py
@@ -1,4 +1,4 @@
-"""Regional demand on the request path: weights, and exchange with peers."""
+"""Regional demand on the request path: weights, spill, and exchange with peers."""
 
 import math
 
@@ -9,6 +9,7 @@
 from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.demand.regional import RegionalDemand
 from greengagepoint.events import Event
+from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.placing.tables import Server
 from greengagepoint.routing.tables import Destination, RequestKind, Route
 from greengagepoint_node.gateway.call import Call
@@ -111,6 +112,35 @@
     assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.23)
 
 
+def fill_home(placer):
+    """Let all servers of the north have a queue and the south be nearly idle."""
+    for row in placer.view.servers.servers.values():
+        if row.region == "north":
+            row.apply_report(3, 30, NOW)
+    placer.loads.take([RegionLoad("south", "booking", 0.1, 0.0)], NOW)
+    placer.wait_allowance.tokens = 0.0
+
+
+@pytest.mark.parametrize("kind", list(RequestKind))
+@pytest.mark.parametrize("is_on", [True, False])
+def test_a_small_share_of_requests_leaves_a_busy_region(kind, is_on):
+    # Callers of a busy region are refused while another one is idle. If all of them ran
+    # there, more than 0.15 of a region's requests would change their region in 2 s.
+    placer = create_placer(is_on=is_on)
+    placer.tick(NOW)
+    fill_home(placer)
+    key = placer._weight_key(call(0, kind))
+    placer.weights.weights[key] = {"north": 1.0}
+    placer.weights.weights[LOCAL] = {"north": 1.0}
+    spilled = 0
+    for number in range(4_000):
+        placer.count_caller(call(number, kind), NOW)
+        choice = placer.place(call(number, kind), frozenset(), NOW)
+        spilled += isinstance(choice, Server) and choice.region == "south"
+    assert spilled <= 0.05 * 4_000
+    assert (spilled > 0.02 * 4_000) is is_on
+
+
 def with_demand(gossip, *, is_on=True):
     gossip.view.servers.demand.uneven_servers = is_on
     add_servers(gossip.view)
