Correct peaks and levels of regional demand by a model of three regions

The highest sample of 40 s hid the peak of the next wave, and the target rose in the following trough. Filling to the sum of the regions' peaks filled the smallest region in its own peak, as peaks do not coincide. Keys of a lost region were spread in proportion to the remaining weights, however small.

The dead band moves to core.

--- a/packages/core/greengagepoint/demand/regional.py
+++ b/packages/core/greengagepoint/demand/regional.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Final, NamedTuple
 
+from greengagepoint.demand.peaks import RecentPeak
 from greengagepoint.demand.rates import ServiceRates
 from greengagepoint.demand.shares import region_shares
 from greengagepoint.demand.table import DemandTable, Figure, mean_run
@@ -20,11 +21,13 @@
 class ServiceDemand(NamedTuple):
     """Hold the slots that callers of each region need, and the inputs of that.
 
-    ``ages`` are the ages of the figures by region in seconds; regions without a figure
-    are not in it.
+    ``slots`` are those at the recent peak of each region, ``total`` those that all
+    regions needed at the same time. ``ages`` are the ages of the figures by region in
+    seconds; regions without a figure are not in it.
     """
 
     slots: dict[str, float]
+    total: float
     ages: dict[str, float]
     run_seconds: float
 
@@ -43,6 +46,7 @@
         self.servers = servers
         self.rates = ServiceRates()
         self.table = DemandTable(host, home, regions | {home})
+        self.totals: dict[str, RecentPeak] = {}
         self.measured_at = float("-inf")
 
     @property
@@ -68,6 +72,7 @@
         if not self.is_on:
             self.table.clear()
             self.rates = ServiceRates()
+            self.totals.clear()
             return
         if now - self.measured_at < MEASURE_PERIOD_SECONDS:
             return
@@ -78,6 +83,7 @@
         self.table.drop_old(now)
         self._measure_host(now)
         self.table.measure_home(host_count, now)
+        self._measure_totals(now)
 
     def _measure_host(self, now: float) -> None:
         """Store this host's figures, also for services that only peers report.
@@ -92,16 +98,34 @@
                 run = self.rates.run_seconds(service)
                 self.table.hosts[self.host, service] = Figure(rate, run, now)
 
-    def demand(self, service: str, now: float) -> ServiceDemand | None:
-        """Return the demand of all regions, None without figures or callers."""
-        figures = {
+    def _measure_totals(self, now: float) -> None:
+        """Record the rates of all regions together."""
+        services = {service for _, service in self.table.regions}
+        self.totals = {
+            service: self.totals.get(service, RecentPeak()) for service in services
+        }
+        for service, peak in self.totals.items():
+            peak.note(self._total(service, now), now, now)
+
+    def _figures(self, service: str, now: float) -> dict[str, Figure]:
+        """Return the recent figures of a service by region."""
+        return {
             region: row
             for (region, name), row in self.table.regions.items()
             if name == service and row.is_recent(now)
         }
-        rates = {
-            region: self.table.peaks[region, service].current(now) for region in figures
-        }
+
+    def _total(self, service: str, now: float) -> float:
+        """Return the rate of all regions; those without a figure count as the mean."""
+        rates = [
+            row.requests_per_second for row in self._figures(service, now).values()
+        ]
+        return sum(rates) / len(rates) * len(self.table.names) if rates else 0.0
+
+    def demand(self, service: str, now: float) -> ServiceDemand | None:
+        """Return the demand of all regions, None without figures or callers."""
+        figures = self._figures(service, now)
+        rates = {region: self.table.peak((region, service), now) for region in figures}
         if not any(rates.values()):
             return None
         mean = sum(rates.values()) / len(rates)
@@ -110,7 +134,10 @@
         if sum(slots.values()) < DEMAND_SHARE_MIN * self._slots(service):
             return None
         ages = {region: now - row.at for region, row in figures.items()}
-        return ServiceDemand(slots, ages, run)
+        peak = self.totals.get(service)
+        held = peak.current(now) if peak is not None else 0.0
+        total = max(held, self._total(service, now)) * run
+        return ServiceDemand(slots, total, ages, run)
 
     def shares(
         self, service: str, slots: Mapping[str, float], now: float
@@ -119,7 +146,7 @@
         demand = self.demand(service, now)
         if demand is None:
             return None
-        return region_shares(slots, demand.slots, self.home)
+        return region_shares(slots, demand.slots, self.home, demand.total)
 
     def _slots(self, service: str) -> float:
         """Return the slots of a service in all regions."""
--- a/packages/core/greengagepoint/demand/shares.py
+++ b/packages/core/greengagepoint/demand/shares.py
@@ -4,27 +4,38 @@
 of its own callers up to the level, and what is above it flows to those below.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Final
 
-from greengagepoint.placing.regions import Weights, weights_by_slots
+from greengagepoint.placing.regions import Weights, moved_share, weights_by_slots
 
 # A queue begins to form at this share of slots in use, and makes responses late.
 FILL_LEVEL: Final = 0.7
+# Demand varies by a tenth between measurements, and each moved key costs a cold run.
+TARGET_CHANGE_MIN: Final = 0.05
 
 
 def region_shares(
-    slots: Mapping[str, float], demand: Mapping[str, float], home: str
+    slots: Mapping[str, float],
+    demand: Mapping[str, float],
+    home: str,
+    total: float | None = None,
 ) -> Weights:
     """Return the share of the keys of callers in ``home`` that each region runs.
 
-    ``demand`` is the number of slots that the callers of each region need. The shares
-    add up to 1; a region without slots gets none. Without any slots there are none.
+    ``demand`` is the number of slots that the callers of each region need at their
+    peak, ``total`` the number that all need at the same time, None for the sum of the
+    peaks. The shares add up to 1; a region without slots gets none. Without any slots
+    there are none.
     """
     if not any(count > 0 for count in slots.values()):
         return {}
-    level = _fill_level(slots, demand)
+    peaks = sum(demand.values())
+    # Peaks of regions do not coincide. At the level that they need together, regions
+    # with few servers would be full in their own peak while others are half idle.
+    level = _fill_level(slots, peaks if total is None else total)
     kept = _kept_share(level * slots.get(home, 0.0), demand.get(home, 0.0))
+    level = max(level, _fill_level(slots, peaks))
     spare = {
         name: max(0.0, level * count - demand.get(name, 0.0))
         for name, count in slots.items()
@@ -38,9 +49,37 @@
     return weights_by_slots({**weights, home: kept})
 
 
-def _fill_level(slots: Mapping[str, float], demand: Mapping[str, float]) -> float:
+def settled_target(
+    former: Weights | None, target: Weights, regions: Collection[str]
+) -> Weights:
+    """Return the former target while a new one would move few keys.
+
+    ``regions`` are those with servers. A target that includes others is replaced.
+    """
+    if former is None or not set(former) <= set(regions):
+        return target
+    return former if moved_share(former, target) < TARGET_CHANGE_MIN else target
+
+
+def reassign_lost(
+    weights: Weights, target: Weights, regions: Collection[str]
+) -> Weights:
+    """Return weights in which the share of regions without servers follows a target.
+
+    Spread in proportion to the remaining weights, all keys of a lost region would run
+    in a region that had a hundredth of them before.
+    """
+    kept = {name: part for name, part in weights.items() if name in regions}
+    lost = max(0.0, 1 - sum(kept.values()))
+    names = set(kept) | set(target)
+    return weights_by_slots(
+        {name: kept.get(name, 0.0) + lost * target.get(name, 0.0) for name in names}
+    )
+
+
+def _fill_level(slots: Mapping[str, float], demand: float) -> float:
     """Return the share of slots to fill, more if all regions together need more."""
-    return max(FILL_LEVEL, sum(demand.values()) / sum(slots.values()))
+    return max(FILL_LEVEL, demand / sum(slots.values()))
 
 
 def _kept_share(capacity: float, demand: float) -> float:
--- a/packages/core/greengagepoint/demand/table.py
+++ b/packages/core/greengagepoint/demand/table.py
@@ -17,6 +17,9 @@
 REGION_RATE_MAX: Final = 1_000_000.0
 # Limits the memory for figures of hosts; a region has a few hundred hosts.
 HOST_ROWS_MAX: Final = 10_000
+# Scaled up from fewer of the hosts, a rate varies more, and the peak would keep the
+# highest of these values.
+PEAK_HOSTS_SHARE_MIN: Final = 0.8
 
 
 class Figure(NamedTuple):
@@ -99,7 +102,8 @@
             rate = scale * sum(row.requests_per_second for row in figures)
             key = (self.home, service)
             self.regions[key] = Figure(rate, mean_run(figures), now)
-            self.note_peak(key, rate, now, now)
+            if len(figures) >= PEAK_HOSTS_SHARE_MIN * host_count:
+                self.note_peak(key, rate, now, now)
 
     def recent_hosts(self, now: float) -> list[HostDemand]:
         """Return the figures of hosts to share with peers of this region."""
@@ -118,19 +122,17 @@
     def recent_regions(self, now: float) -> list[RegionDemand]:
         """Return the figures of regions to share with peers."""
         return [
-            RegionDemand(
-                region,
-                service,
-                round(row.requests_per_second, 2),
-                round(now - row.at, 2),
-                round(row.run_seconds, 3),
-                round(self.peaks[region, service].value, 2),
-                round(now - self.peaks[region, service].at, 2),
-            )
-            for (region, service), row in self.regions.items()
+            self._region_demand(key, row, now)
+            for key, row in self.regions.items()
             if row.is_recent(now)
         ]
 
+    def peak(self, key: tuple[str, str], now: float) -> float:
+        """Return the recent peak of a (region, service) in requests per second."""
+        peak = self.peaks.get(key)
+        held = peak.current(now) if peak is not None else 0.0
+        return max(held, self.regions[key].requests_per_second)
+
     def drop_old(self, now: float) -> None:
         """Drop figures that are too old or of unknown services."""
         self.hosts = self._retained(self.hosts, now)
@@ -145,6 +147,21 @@
         self.regions.clear()
         self.peaks.clear()
 
+    def _region_demand(
+        self, key: tuple[str, str], row: Figure, now: float
+    ) -> RegionDemand:
+        """Return the report of a region's figure and its peak."""
+        peak = self.peaks.get(key)
+        highest = peak.highest(now) if peak is not None else None
+        return RegionDemand(
+            *key,
+            round(row.requests_per_second, 2),
+            round(now - row.at, 2),
+            round(row.run_seconds, 3),
+            round(highest.rate, 2) if highest else 0.0,
+            round(now - highest.at, 2) if highest else 0.0,
+        )
+
     def _retained(
         self, rows: dict[tuple[str, str], Figure], now: float
     ) -> dict[tuple[str, str], Figure]:
--- a/packages/core/tests/test_demand_shares.py
+++ b/packages/core/tests/test_demand_shares.py
@@ -4,7 +4,11 @@
 from hypothesis import assume, given
 from hypothesis import strategies as st
 
-from greengagepoint.demand.shares import region_shares
+from greengagepoint.demand.shares import (
+    reassign_lost,
+    region_shares,
+    settled_target,
+)
 from greengagepoint.placing.regions import local_weights
 
 REGIONS = ["a", "b", "c", "d"]
@@ -43,10 +47,15 @@
     assert region_shares(slots, demand, "a") == pytest.approx(weights)
 
 
-@given(slots=SLOTS, demand=DEMAND, home=st.sampled_from(REGIONS))
-def test_shares_add_up_to_one_and_need_slots(slots, demand, home):
+@given(
+    slots=SLOTS,
+    demand=DEMAND,
+    home=st.sampled_from(REGIONS),
+    total=st.none() | st.floats(0.0, 2_000.0),
+)
+def test_shares_add_up_to_one_and_need_slots(slots, demand, home, total):
     # A key assigned to a region without servers is refused although others are idle.
-    shares = region_shares(slots, demand, home)
+    shares = region_shares(slots, demand, home, total)
     if not any(slots.values()):
         assert shares == {}
         return
@@ -59,12 +68,13 @@
     demand=DEMAND,
     home=st.sampled_from(REGIONS),
     more=st.floats(0.1, 300.0),
+    total=st.none() | st.floats(0.0, 2_000.0),
 )
-def test_more_demand_at_home_keeps_no_larger_share(slots, demand, home, more):
+def test_more_demand_at_home_keeps_no_larger_share(slots, demand, home, more, total):
     # A share that grew with demand would overload the region that is full already.
     higher = {**demand, home: demand.get(home, 0.0) + more}
-    before = region_shares(slots, demand, home).get(home, 0.0)
-    after = region_shares(slots, higher, home).get(home, 0.0)
+    before = region_shares(slots, demand, home, total).get(home, 0.0)
+    after = region_shares(slots, higher, home, total).get(home, 0.0)
     assert after <= before + 1e-9
 
 
@@ -83,6 +93,52 @@
         assert filled <= level * slots[region] + 1e-6
 
 
+def test_a_small_region_is_not_filled_to_the_sum_of_peaks():
+    # Peaks add up to 0.9 of all slots, but all regions need only 0.6 at the same time.
+    # At the level of 0.9, the small region would be full in its own peak.
+    slots = {"a": 10.0, "b": 90.0}
+    demand = {"a": 20.0, "b": 70.0}
+    assert region_shares(slots, demand, "a", 60.0)["a"] == pytest.approx(0.35)
+    assert region_shares(slots, demand, "a")["a"] == pytest.approx(0.45)
+
+
+@pytest.mark.parametrize(
+    ("weights", "target", "regions", "expected"),
+    [
+        (
+            {"a": 0.99, "b": 0.01},
+            {"b": 0.2, "c": 0.8},
+            "bc",
+            {"b": 0.208, "c": 0.792},
+        ),
+        ({"a": 1.0}, {"c": 1.0}, "bc", {"c": 1.0}),
+        ({"a": 0.5, "b": 0.5}, {"a": 1.0}, "ab", {"a": 0.5, "b": 0.5}),
+        ({"a": 1.0}, {}, "", {}),
+    ],
+    ids=["a remainder elsewhere", "no remainder", "nothing lost", "no servers"],
+)
+def test_keys_of_a_lost_region_follow_the_target(weights, target, regions, expected):
+    # A region has a hundredth of the keys when the servers of all others are lost. In
+    # proportion to the remaining weights, it would get all of them at once.
+    assert reassign_lost(weights, target, regions) == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ("former", "target", "regions", "is_taken"),
+    [
+        (None, {"a": 1.0}, "a", True),
+        ({"a": 0.5, "b": 0.5}, {"a": 0.54, "b": 0.46}, "ab", False),
+        ({"a": 0.5, "b": 0.5}, {"a": 0.55, "b": 0.45}, "ab", True),
+        ({"a": 0.98, "b": 0.02}, {"a": 1.0}, "ab", False),
+        ({"a": 0.98, "b": 0.02}, {"a": 1.0}, "a", True),
+    ],
+    ids=["first", "small change", "large change", "small region", "lost region"],
+)
+def test_a_target_changes_only_if_many_keys_move(former, target, regions, is_taken):
+    # Each moved key costs a cold run, and demand varies by a tenth all the time.
+    assert settled_target(former, target, regions) == (target if is_taken else former)
+
+
 def test_equal_demand_beyond_the_level_gives_the_shares_of_the_mode_off():
     # Hosts with and without figures must agree as far as possible: those without
     # assume equal demand.
