Start with the shares that peers' figures give already

Cause: a host that starts with the mode on moved from equal demand to the shares of its peers at 0.03 per second, so keys of its callers ran cold in other regions for up to 20 s.

Change: the first weights of a service follow the figures that the host has. Weights by slots are the start only for requests that had them before the mode was switched on. The share of a region without servers follows the target.

--- a/packages/node/greengagepoint_node/gateway/region_weights.py
+++ b/packages/node/greengagepoint_node/gateway/region_weights.py
@@ -3,12 +3,12 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.demand.regional import RegionalDemand
+from greengagepoint.demand.shares import reassign_lost, settled_target
 from greengagepoint.events import Event
 from greengagepoint.placing.regions import (
     CHANGE_PER_SECOND,
     Weights,
     local_weights,
-    moved_share,
     step_toward,
     weights_by_slots,
 )
@@ -18,8 +18,6 @@
 LOGGED_CHANGE_MIN: Final = 0.1
 # After a longer pause the weights move as far as in one second, not all at once.
 ELAPSED_SECONDS_MAX: Final = 1.0
-# Demand varies by a tenth between measurements, and each moved key costs a cold run.
-TARGET_CHANGE_MIN: Final = 0.05
 
 
 class WeightKey(NamedTuple):
@@ -54,6 +52,7 @@
         self.events = events
         self.demand = demand or RegionalDemand("", home, frozenset(), servers)
         self.targets: dict[WeightKey, Weights] = {}
+        self.keys_before_demand: frozenset[WeightKey] = frozenset()
         self.weights: dict[WeightKey, Weights] = {}
         self.logged_weights: dict[WeightKey, Weights] = {}
         self.ticked_at: float | None = None
@@ -70,29 +69,53 @@
         """Return the weights of requests that have none yet.
 
         If a route begins to run near its callers, because the mode is switched on,
-        its keys move from their regions in steps too.
+        its keys move from their regions in steps too. A host that starts uses the
+        shares that its peers' figures give already.
         """
-        former = key._replace(prefers_local=not key.prefers_local)
-        if self.servers.demand.is_on and self.weights.get(former):
-            return self.weights[former]
-        return self._target_weights(key, self.slots(key))
+        former = key._replace(prefers_local=False)
+        if self.servers.demand.is_on and former in self.keys_before_demand:
+            weights = self.weights.get(former)
+            if weights:
+                return weights
+        slots = self.slots(key)
+        if self._follows_demand(key) and self.ticked_at is not None:
+            shares = self.demand.shares(key.service, slots, self.ticked_at)
+            if shares is not None:
+                return shares
+        return self._target_weights(key, slots)
 
     def tick(self, now: float) -> None:
         """Move all weights one step toward their targets."""
         elapsed = now - self.ticked_at if self.ticked_at is not None else 0.0
         self.ticked_at = now
+        if not self.servers.demand.is_on:
+            self.keys_before_demand = frozenset(self.weights)
         max_change = CHANGE_PER_SECOND * min(elapsed, ELAPSED_SECONDS_MAX)
         for key, weights in list(self.weights.items()):
             slots = self.slots(key)
-            # A region without servers can't run requests, so its share moves at once.
-            with_servers = {
-                name: weight for name, weight in weights.items() if name in slots
-            }
             target = self._settled_target(key, slots, now)
-            updated = step_toward(weights_by_slots(with_servers), target, max_change)
+            usable = self._usable_weights(key, weights, target, slots)
+            updated = step_toward(usable, target, max_change)
             self.weights[key] = updated
             self._log(key, updated, slots)
 
+    def _usable_weights(
+        self,
+        key: WeightKey,
+        weights: Weights,
+        target: Weights,
+        slots: dict[str, float],
+    ) -> Weights:
+        """Return the weights after the loss of regions.
+
+        A region without servers can't run requests, so its share moves at once.
+        """
+        if self._follows_demand(key):
+            return reassign_lost(weights, target, slots)
+        return weights_by_slots(
+            {name: weight for name, weight in weights.items() if name in slots}
+        )
+
     def _target_weights(self, key: WeightKey, slots: dict[str, float]) -> Weights:
         """Return the weights that match the current slots of servers."""
         if not key.prefers_local:
@@ -108,10 +131,7 @@
             return self._target_weights(key, slots)
         shares = self.demand.shares(key.service, slots, now)
         target = shares or self._target_weights(key, slots)
-        is_usable = former is not None and former.keys() <= slots.keys()
-        if is_usable and moved_share(former, target) < TARGET_CHANGE_MIN:
-            self.targets[key] = former
-            return former
+        target = settled_target(former, target, slots)
         self.targets[key] = target
         if former != target:
             self._log_target(key, former, slots, now)
--- a/packages/node/tests/test_gateway_demand.py
+++ b/packages/node/tests/test_gateway_demand.py
@@ -98,16 +98,31 @@
     assert placer.weights.current(LOCAL)["north"] == pytest.approx(0.4)
 
 
+def test_a_host_that_starts_takes_the_shares_of_its_peers_figures():
+    # Its peers run all keys at home. If it began with equal demand, the keys of its
+    # callers would run cold elsewhere for the first 20 s.
+    placer = create_placer()
+    demand = placer.weights.demand
+    for step in range(2):
+        demand.tick(2, NOW + step)
+        rows = [HostDemand("h2", "booking", 20.0, 0.0, 0.1)]
+        demand.table.take_hosts(rows, NOW + step)
+        placer.weights.tick(NOW + step)
+    demand.tick(2, NOW + 2)
+    placer.weights.tick(NOW + 2)
+    assert placer.weights.current(LOCAL) == {"north": 1.0}
+
+
 def test_uploads_move_in_steps_when_the_mode_is_switched_on():
     # A new configuration adds ranks. If uploads ran near their callers at once, a fifth
     # of the keys would run cold in the same second.
     placer = create_placer(is_on=False)
     upload = call(1, RequestKind.UPLOAD)
     placer.place(upload, frozenset(), NOW)
+    placer.weights.tick(NOW)
     placer.view.servers.demand.uneven_servers = True
     placer.place(upload, frozenset(), NOW)
     assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.2)
-    placer.weights.tick(NOW)
     placer.weights.tick(NOW + 1)
     assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.23)
 
