Count spilled requests and report the demand of regions

Cause: neither the shares of regions nor the requests that leave their region could be seen in the metrics.

Change: `spilled_requests` by service and reason (lost slots or busy), `demand_figures_ignored` by reason, and the gauges `region_requests_per_second`, `region_peak_per_second` and `region_share` by service and region. The gauges have no series with the demand-aware mode off.

Result: test_gateway_demand and test_gateway_metrics pass, with a daemon that serves an upload.

--- a/packages/core/greengagepoint/demand/table.py
+++ b/packages/core/greengagepoint/demand/table.py
@@ -127,6 +127,15 @@
             if row.is_recent(now)
         ]
 
+    def recent_figure(
+        self, key: tuple[str, str], now: float
+    ) -> tuple[float, float] | None:
+        """Return the rate and the peak of a (region, service), None if too old."""
+        row = self.regions.get(key)
+        if row is None or not row.is_recent(now):
+            return None
+        return row.requests_per_second, self.peak(key, now)
+
     def peak(self, key: tuple[str, str], now: float) -> float:
         """Return the recent peak of a (region, service) in requests per second."""
         peak = self.peaks.get(key)
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -1,6 +1,7 @@
 """Count requests, attempts and store calls in tables read by metrics scrapes."""
 
 from collections import Counter
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from greengagepoint.errors import ErrorKind
@@ -38,6 +39,19 @@
     log_lines_dropped: int
 
 
+class RegionGauge(NamedTuple):
+    """The demand of one region for a service, and its share of this host's keys.
+
+    The rates are in requests per second, -1 without a recent figure.
+    """
+
+    service: str
+    region: str
+    requests_per_second: float
+    peak_per_second: float
+    share: float
+
+
 class GatewayCounters:
     """Totals since the start.
 
@@ -47,7 +61,9 @@
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
     ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
-    ``rests``. ``send_delay``
+    ``rests``, (reason,) for ignored ``demand_figures`` of peers, (service, lost or
+    busy) for ``spills`` to another region. ``region_gauges`` returns the regional
+    demand, which is empty with the demand-aware mode off. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -63,6 +79,9 @@
         self.limit_changes: Counter[tuple[str, str]] = Counter()
         self.leaving_announced: Counter[tuple[str]] = Counter()
         self.rests: Counter[tuple[str]] = Counter()
+        self.demand_figures: Counter[tuple[str]] = Counter()
+        self.spills: Counter[tuple[str, str]] = Counter()
+        self.region_gauges: Callable[[], list[RegionGauge]] = list
         self.durations: dict[tuple[str, str], Histogram] = {}
         self.loop_lag = Histogram(LAG_BOUNDS)
         self.send_delay = Histogram(SECONDS_BOUNDS)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -199,6 +199,11 @@
             self.demand, self.clock, self.events
         )
         self.counters.peer_bytes = self.gossip.bytes
+        self.counters.spills = self.placer.spills
+        self.counters.demand_figures = self.demand.table.ignored
+        self.counters.region_gauges = lambda: self.weights.gauges(
+            self.clock.monotonic()
+        )
         self._create_quotas()
         self._create_quarantine_sync()
         self._create_reports()
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -115,6 +115,16 @@
             "Times without requests that backend servers asked for, by service.",
             lambda: _rows(counters.rests, "service"),
         )
+        yield Instrument(
+            "demand_figures_ignored",
+            "Demand figures of peers that were ignored, by reason.",
+            lambda: _rows(counters.demand_figures, "reason"),
+        )
+        yield Instrument(
+            "spilled_requests",
+            "Requests sent to another region, as their own lost slots or is busy.",
+            lambda: _rows(counters.spills, "service", "reason"),
+        )
         yield Instrument(
             "account_requests",
             "Requests of client accounts, admitted or over a limit.",
@@ -152,6 +162,17 @@
                 f"{METER_NAME}_{field}",
                 [_observer(lambda field=field: [(getattr(self.gauges(), field), {})])],
             )
+        for field in ("requests_per_second", "peak_per_second", "share"):
+            meter.create_observable_gauge(
+                f"{METER_NAME}_region_{field}",
+                [_observer(lambda field=field: self._region_rows(field))],
+            )
+
+    def _region_rows(self, field: str) -> Rows:
+        """Yield a figure of regional demand by service and region."""
+        for row in self.counters.region_gauges():
+            labels = {"service": row.service, "region": row.region}
+            yield getattr(row, field), labels
 
 
 def _histogram(
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -1,5 +1,6 @@
 """Choose backend servers for requests, and track the load and health of servers."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -75,6 +76,7 @@
         self.wait_allowance = create_wait_allowance()
         self.move_allowance = create_move_allowance()
         self.spill_allowance = create_spill_allowance()
+        self.spills: Counter[tuple[str, str]] = Counter()
         self.loads = RegionLoads(home)
         self.busy_servers = BusyServers()
         self.lost_capacity = LostCapacityTracker()
@@ -170,11 +172,15 @@
         lost = self.lost_capacity.lost_share(call.service, region)
         busy = self.loads.busy(call.service, server.region, now)
         if can_spill_key(_placement_key(call), lost, busy):
+            self.spills[call.service, "lost"] += 1
             return True
         if not self.view.servers.demand.is_on:
             return False
         can_spill = can_spill_key(_placement_key(call), BUSY_SPILL_KEY_SHARE, busy)
-        return can_spill and self.spill_allowance.withdraw()
+        if not can_spill or not self.spill_allowance.withdraw():
+            return False
+        self.spills[call.service, "busy"] += 1
+        return True
 
     def _record_placement(self, call: Call, server: Server, now: float) -> None:
         """Record that a request is assigned to a server."""
--- a/packages/node/greengagepoint_node/gateway/region_weights.py
+++ b/packages/node/greengagepoint_node/gateway/region_weights.py
@@ -14,6 +14,7 @@
 )
 from greengagepoint.placing.tables import ServerTable
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.counters import RegionGauge
 
 LOGGED_CHANGE_MIN: Final = 0.1
 # After a longer pause the weights move as far as in one second, not all at once.
@@ -145,6 +146,20 @@
         is_on = self.servers.demand.is_on
         return is_on and key.prefers_local and not key.home_regions
 
+    def gauges(self, now: float) -> list[RegionGauge]:
+        """Return the demand of regions and their shares of this host's keys."""
+        table = self.demand.table
+        rows = []
+        for key, weights in self.weights.items():
+            if not self._follows_demand(key):
+                continue
+            for region in sorted(table.names | set(weights)):
+                figure = table.recent_figure((region, key.service), now)
+                rate, peak = (-1.0, -1.0) if figure is None else figure
+                share = weights.get(region, 0.0)
+                rows.append(RegionGauge(key.service, region, rate, peak, share))
+        return rows
+
     def slots(self, key: WeightKey) -> dict[str, float]:
         """Return the slots in each region that requests may use."""
         return {
--- a/packages/node/tests/test_gateway_demand.py
+++ b/packages/node/tests/test_gateway_demand.py
@@ -2,9 +2,12 @@
 
 import math
 
+import msgspec
 import pytest
-from gateway_world import ZONES, EventLog
+from deployment import async_until
+from gateway_world import ZONES, EventLog, async_environment, routes
 from test_gateway_gossip import NOW, Clock, async_exchange, host
+from test_gateway_metrics import async_scrape, value
 
 from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.demand.regional import RegionalDemand
@@ -204,3 +207,32 @@
     assert not first.table.hosts
     assert len(one.events.of(Event.DEMAND_FIGURE_INVALID)) == 1
     assert second.table.ignored == {}
+
+
+async def test_a_scrape_reports_demand_and_shares():
+    # On-call engineers need to see which demand led to the share of a region.
+    async with async_environment(metrics=True, rows=ranked_routes()) as world:
+        demand = world.daemon.demand
+        await async_until(lambda: demand.is_on)
+        await world.async_call("/upload/1", "POST", data=b"x")
+        await async_until(lambda: demand.table.regions)
+        _, lines = await async_scrape(world)
+        series = {"service": "booking", "region": "north"}
+        assert value(lines, "region_requests_per_second", **series) >= 0
+        assert value(lines, "region_peak_per_second", **series) >= 0
+        assert value(lines, "region_share", **series) == 1
+        series["region"] = "south"
+        assert value(lines, "region_requests_per_second", **series) == -1
+
+
+def ranked_routes():
+    """Return routes that switch the mode on: uploads beside another rank."""
+    rows = routes()
+    return [msgspec.structs.replace(row, rank=i) for i, row in enumerate(rows)]
+
+
+async def test_a_scrape_reports_no_demand_with_the_mode_off():
+    async with async_environment(metrics=True) as world:
+        await world.async_call("/pack/1")
+        _, lines = await async_scrape(world)
+        assert not any("region_share" in line for line in lines)
