Keep the region for spills until the next tick with the mode on

Cause: with the demand-aware mode on, all requests look for another region that may run them, and each look-up passes over all servers of the other regions: 14 of 87 microseconds with 109 servers.

Change: the region found is kept until the next tick (0.25 s). Its servers are still checked when a request is placed. With the mode off nothing is kept.

--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -77,6 +77,7 @@
         self.move_allowance = create_move_allowance()
         self.spill_allowance = create_spill_allowance()
         self.spills: Counter[tuple[str, str]] = Counter()
+        self.spill_regions: dict[tuple[WeightKey, str], list[RemoteRegion]] = {}
         self.loads = RegionLoads(home)
         self.busy_servers = BusyServers()
         self.lost_capacity = LostCapacityTracker()
@@ -273,6 +274,7 @@
         """Update free capacity and loads, and drop the state of removed servers."""
         self.view.servers.demand.apply_routes(self.view.routes)
         self.lost_capacity.tick(self.view.servers, now)
+        self.spill_regions.clear()
         if now - self.loads_measured_at < LOAD_REFRESH_SECONDS:
             return
         self.loads_measured_at = now
@@ -293,6 +295,22 @@
     ) -> list[RemoteRegion]:
         """Return the other region with the most free slots, if one may run the key.
 
+        With the demand-aware mode on, the result is kept until the next tick: it is
+        needed for every request then, and looks at all servers of the other regions.
+        """
+        if not self.view.servers.demand.is_on:
+            return self._find_spill_region(key, region, now)
+        found = self.spill_regions.get((key, region))
+        if found is None:
+            found = self._find_spill_region(key, region, now)
+            self.spill_regions[key, region] = found
+        return found
+
+    def _find_spill_region(
+        self, key: WeightKey, region: str, now: float
+    ) -> list[RemoteRegion]:
+        """Find the other region with the most free slots, if one may run the key.
+
         The nearest region may be small, and requests that spill from a large region
         would fill it within a second. With the demand-aware mode off, keys that do not
         run near their callers do not spill: they are spread in proportion to slots, so
--- a/packages/node/tests/test_gateway_demand.py
+++ b/packages/node/tests/test_gateway_demand.py
@@ -12,6 +12,7 @@
 from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.demand.regional import RegionalDemand
 from greengagepoint.events import Event
+from greengagepoint.placing.choice import NoServerAvailable
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.placing.tables import Server
 from greengagepoint.routing.tables import Destination, RequestKind, Route
@@ -136,6 +137,7 @@
         if row.region == "north":
             row.apply_report(3, 30, NOW)
     placer.loads.take([RegionLoad("south", "booking", 0.1, 0.0)], NOW)
+    placer.spill_regions.clear()
     placer.wait_allowance.tokens = 0.0
 
 
@@ -284,3 +286,18 @@
             spilled.append(isinstance(choice, Server) and choice.region == "south")
             placer.spill_allowance.tokens = 1.0
     assert sum(spilled) / len(spilled) <= 0.09
+
+
+def test_the_region_for_spills_is_chosen_again_each_tick():
+    # If it were kept for longer, all hosts would spill to a region that they have
+    # filled meanwhile, or whose servers have left.
+    placer = create_placer()
+    placer.tick(NOW)
+    fill_home(placer)
+    assert [row.region for row in placer._spill_candidates(LOCAL, "north", NOW)]
+    for name in [row for row in placer.view.servers.servers if "south" in row]:
+        del placer.view.servers.servers[name]
+    placer.view.servers.rebuild()
+    assert isinstance(placer.place(call(1), frozenset(), NOW), NoServerAvailable)
+    placer.tick(NOW + 0.25)
+    assert placer._spill_candidates(LOCAL, "north", NOW + 0.25) == []
