--- a/packages/core/tests/demand_fleet.py
+++ b/packages/core/tests/demand_fleet.py
@@ -26,6 +26,8 @@
 REMOTE_SECONDS = 0.04
 # Keys that the servers of a region keep warm, by slot.
 KEYS_PER_SLOT = 4
+# A region's callers use a few hundred keys, as many as their share of all servers keep.
+KEYS_MEAN = 60
 
 
 class Host:
@@ -155,7 +157,7 @@
         hosts = [host for host in self.of(region) if not host.is_frozen]
         for number in range(count):
             at = self.now + PERIOD_SECONDS * number / count
-            key = f"{region}-{int(self.random.expovariate(1 / 60))}"
+            key = f"{region}-{int(self.random.expovariate(1 / KEYS_MEAN))}"
             self.serve(self.random.choice(hosts), key, at)
 
     def serve(self, host, key, now):
