--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -89,6 +89,8 @@
     KEY_WEIGHTS_APPLIED = 6023
     KEYS_BALANCED = 6024
     KEY_PLACEMENT_INVALID = 6025
+    REGION_SHARES_CHANGED = 6019
+    DEMAND_FIGURE_INVALID = 6020
     # 7000: the platform
     STORE_UNAVAILABLE = 7001
     STORE_AVAILABLE = 7002
@@ -266,6 +268,12 @@
     Event.KEY_PLACEMENT_INVALID: EventType(
         Level.WARNING, "A message about keys has invalid rows, which are left out."
     ),
+    Event.REGION_SHARES_CHANGED: EventType(
+        Level.INFO, "The demand of regions asks for other shares of a service's keys."
+    ),
+    Event.DEMAND_FIGURE_INVALID: EventType(
+        Level.WARNING, "A peer sent demand figures that are out of bounds."
+    ),
     Event.SPILL_CHANGED: EventType(
         Level.INFO, "The regions get other parts of a service's keys."
     ),
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.accounts.certainty import Proof
 from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
+from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
 from greengagepoint.quarantine.messages import SharedSuspect
@@ -58,7 +59,8 @@
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
     relays the update. ``limits`` are the request limits that backend servers named,
     ``leaving_servers`` those that said that they leave. ``uneven_servers`` means that
-    some server reported its pace to any host.
+    some server reported its pace to any host. ``host_demands`` are figures of the
+    hosts of the sender's region, ``region_demands`` those of regions.
     """
 
     revision: int
@@ -84,6 +86,8 @@
     limits: list[LimitNotice] = []
     leaving_servers: list[LeavingNotice] = []
     uneven_servers: bool = False
+    host_demands: list[HostDemand] = []
+    region_demands: list[RegionDemand] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -1,5 +1,6 @@
 """Choose backend servers for requests, and track the load and health of servers."""
 
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
@@ -9,6 +10,7 @@
 from greengagepoint.placing import suspicion
 from greengagepoint.placing.allowance import (
     create_move_allowance,
+    create_spill_allowance,
     create_wait_allowance,
 )
 from greengagepoint.placing.busy_servers import BusyServers
@@ -27,6 +29,7 @@
 from greengagepoint.placing.room import LostCapacityTracker
 from greengagepoint.placing.server_silence import AnswerTimes, silence_timeout
 from greengagepoint.placing.spilling import (
+    BUSY_SPILL_KEY_SHARE,
     RemoteRegion,
     can_spill_key,
     choose_with_spill,
@@ -75,6 +78,9 @@
         self.ranks = RankCache()
         self.wait_allowance = create_wait_allowance()
         self.move_allowance = create_move_allowance()
+        self.spill_allowance = create_spill_allowance()
+        self.spills: Counter[tuple[str, str]] = Counter()
+        self.spill_regions: dict[tuple[WeightKey, str], list[RemoteRegion]] = {}
         self.loads = RegionLoads(home)
         self.busy_servers = BusyServers()
         self.lost_capacity = LostCapacityTracker()
@@ -102,7 +108,7 @@
             self.ranks,
             self._create_criteria(call, region, tried, now),
             self._spill_candidates(weight_key, region, now)
-            if weight_key.prefers_local
+            if weight_key.prefers_local or self.view.servers.demand.is_on
             else (),
             self._create_permissions(call, now),
             lambda server: self._may_spill(call, region, server, now),
@@ -177,7 +183,16 @@
         """Return True if a request may spill to a server of another region."""
         lost = self.lost_capacity.lost_share(call.service, region)
         busy = self.loads.busy(call.service, server.region, now)
-        return can_spill_key(_placement_key(call), lost, busy)
+        if can_spill_key(_placement_key(call), lost, busy):
+            self.spills[call.service, "lost"] += 1
+            return True
+        if not self.view.servers.demand.is_on:
+            return False
+        can_spill = can_spill_key(_placement_key(call), BUSY_SPILL_KEY_SHARE, busy)
+        if not can_spill or not self.spill_allowance.withdraw():
+            return False
+        self.spills[call.service, "busy"] += 1
+        return True
 
     def _record_placement(self, call: Call, server: Server, now: float) -> None:
         """Record that a request is assigned to a server."""
@@ -187,10 +202,16 @@
             # for the next caller before the first one is answered.
             self.warm_keys.note(call.key, server.incarnation, now)
 
-    def count_caller(self) -> None:
-        """Add one caller's share to the allowances for waiting and for moved keys."""
+    def count_caller(self, call: Call, now: float) -> None:
+        """Add one caller's share to the allowances and to its region's demand."""
         self.wait_allowance.deposit()
         self.move_allowance.deposit()
+        if not self.view.servers.demand.is_on:
+            return
+        self.spill_allowance.deposit()
+        key = self._weight_key(call)
+        if key.prefers_local and not key.home_regions:
+            self.weights.demand.count(call.service, now)
 
     def record_attempt(
         self,
@@ -232,6 +253,7 @@
                 self.key_usage.note(
                     server.region, server.service, call.key, is_cold=is_cold
                 )
+                self.weights.demand.record_run(server.service, seconds)
         elif exchange.verdict is Verdict.SHED:
             suspicion.record_answer(server, now)
             self.finish.record_shed(call, server)
@@ -281,6 +303,7 @@
         """Update free capacity and loads, and drop the state of removed servers."""
         self.view.servers.demand.apply_routes(self.view.routes)
         self.lost_capacity.tick(self.view.servers, now)
+        self.spill_regions.clear()
         if now - self.loads_measured_at < LOAD_REFRESH_SECONDS:
             return
         self.loads_measured_at = now
@@ -302,9 +325,26 @@
     ) -> list[RemoteRegion]:
         """Return the other region with the most free slots, if one may run the key.
 
+        With the demand-aware mode on, the result is kept until the next tick: it is
+        needed for every request then, and looks at all servers of the other regions.
+        """
+        if not self.view.servers.demand.is_on:
+            return self._find_spill_region(key, region, now)
+        found = self.spill_regions.get((key, region))
+        if found is None:
+            found = self._find_spill_region(key, region, now)
+            self.spill_regions[key, region] = found
+        return found
+
+    def _find_spill_region(
+        self, key: WeightKey, region: str, now: float
+    ) -> list[RemoteRegion]:
+        """Find the other region with the most free slots, if one may run the key.
+
         The nearest region may be small, and requests that spill from a large region
-        would fill it within a second. Keys that do not run near their callers do not
-        spill: they are spread in proportion to slots, so all regions are equally full.
+        would fill it within a second. With the demand-aware mode off, keys that do not
+        run near their callers do not spill: they are spread in proportion to slots, so
+        all regions are equally full.
         """
         free = {
             name: slots * (1 - (self.loads.busy(key.service, name, now) or 0.0))
@@ -321,7 +361,11 @@
 
     def _weight_key(self, call: Call) -> WeightKey:
         """Return the key of the weights that assign a request to a region."""
-        prefers_local = should_run_locally(call.route, self.round_trip_seconds)
+        prefers_local = should_run_locally(
+            call.route,
+            self.round_trip_seconds,
+            demand_is_on=self.view.servers.demand.is_on,
+        )
         return WeightKey(call.service, call.home_regions, prefers_local)
 
     def _cold_requests_per_second(self, service: str) -> float:
