--- /dev/null
+++ b/packages/core/greengagepoint/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests are served when a service lacks capacity."""
--- /dev/null
+++ b/packages/core/greengagepoint/admission/pressure.py
@@ -0,0 +1,214 @@
+"""Measure how long requests wait for servers, and merge the figures of peers.
+
+The pressure of a service is the mean expected wait of its servers as a share of the
+goal of its routes. A peer's figure that is out of range would shed callers of the
+whole fleet, so it is ignored and counted.
+"""
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from itertools import islice
+from typing import Final, NamedTuple
+
+import msgspec
+
+from greengagepoint.placing.tables import Server, ServerTable
+
+# Gossip spreads a figure within one to two seconds, and a queue grows or drains within
+# two runs.
+AGE_MAX_SECONDS: Final = 3.0
+# A queue whose wait is this multiple of the goal is far beyond what servers accept.
+PRESSURE_MAX: Final = 100.0
+# Three regions with ten services each; a message with more figures is invalid.
+FIGURES_MAX: Final = 256
+SHARE_MIN: Final = 0.02
+
+
+class ServicePressure(msgspec.Struct, array_like=True):
+    """Report the pressure of a service in a region, measured ``age`` seconds ago.
+
+    ``share`` is the share of requests that the sender admits.
+    """
+
+    region: str
+    service: str
+    pressure: float
+    age: float
+    share: float = 1.0
+
+
+class Figure(NamedTuple):
+    """A pressure and an admitted share with the monotonic time of the measurement."""
+
+    pressure: float
+    share: float
+    at: float
+
+
+class MergedPressure(NamedTuple):
+    """The pressure of a service over all regions with a recent figure.
+
+    ``oldest_age`` is the age of the oldest figure in seconds; ``share`` is the mean
+    admitted share of peers, None without any.
+    """
+
+    pressure: float
+    oldest_age: float
+    regions: int
+    share: float | None
+
+
+@dataclass(slots=True)
+class Pressures:
+    """Hold this host's measurements by service, and peers' by service and region.
+
+    ``home`` is this host's region; ``invalid`` counts ignored figures of peers.
+    """
+
+    home: str
+    measured: dict[str, Figure] = field(default_factory=dict)
+    received: dict[tuple[str, str], Figure] = field(default_factory=dict)
+    invalid: int = 0
+
+    def measure(
+        self,
+        table: ServerTable,
+        goals: Mapping[str, float],
+        shares: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Measure the services with a goal in this host's region.
+
+        Services without any report keep no figure. ``shares`` are the shares of
+        requests that this host admits.
+        """
+        self.measured = {}
+        for service, goal_seconds in goals.items():
+            servers = table.find(service, self.home).servers
+            wait = mean_wait(servers, now)
+            if wait is not None and goal_seconds > 0:
+                pressure = min(PRESSURE_MAX, wait / goal_seconds)
+                share = shares.get(service, 1.0)
+                self.measured[service] = Figure(pressure, share, now)
+        self.received = {
+            key: figure
+            for key, figure in self.received.items()
+            if now - figure.at <= AGE_MAX_SECONDS and key[0] in goals
+        }
+
+    def take(
+        self,
+        reports: Iterable[ServicePressure],
+        table: ServerTable,
+        goals: Mapping[str, float],
+        now: float,
+    ) -> None:
+        """Merge the figures of a peer; the newer one of a region wins."""
+        for report in islice(reports, FIGURES_MAX):
+            regions = table.regions_of(report.service)
+            if not is_valid(report) or report.service not in goals:
+                self.invalid += 1
+                continue
+            if report.region not in regions:
+                self.invalid += 1
+                continue
+            at = now - report.age
+            key = (report.service, report.region)
+            current = self.received.get(key)
+            if report.age <= AGE_MAX_SECONDS and (current is None or current.at < at):
+                self.received[key] = Figure(report.pressure, report.share, at)
+
+    def recent(self, now: float) -> list[ServicePressure]:
+        """Return the figures to share with peers, without expired ones."""
+        figures = {
+            key: figure for key, figure in self.received.items() if key[1] != self.home
+        }
+        for service in self.measured:
+            home = self._home_figure(service, now)
+            if home is not None:
+                figures[service, self.home] = home
+        return [
+            ServicePressure(
+                region,
+                service,
+                round(figure.pressure, 3),
+                round(max(0.0, now - figure.at), 2),
+                round(figure.share, 3),
+            )
+            for (service, region), figure in figures.items()
+            if now - figure.at <= AGE_MAX_SECONDS
+        ]
+
+    def merge(
+        self, table: ServerTable, service: str, now: float
+    ) -> MergedPressure | None:
+        """Return a service's pressure over its regions; None without any figure."""
+        total = slots = oldest = 0.0
+        shares: list[float] = []
+        regions = 0
+        for region in table.regions_of(service):
+            figure = self._figure(service, region, now)
+            if figure is None:
+                continue
+            weight = max(1.0, table.find(service, region).slots)
+            total += weight * figure.pressure
+            slots += weight
+            oldest = max(oldest, now - figure.at)
+            regions += 1
+            received = self._received(service, region, now)
+            if received is not None:
+                shares.append(received.share)
+        if not regions:
+            return None
+        share = sum(shares) / len(shares) if shares else None
+        return MergedPressure(total / slots, oldest, regions, share)
+
+    def _figure(self, service: str, region: str, now: float) -> Figure | None:
+        """Return the figure of a service in a region, None if none is recent."""
+        if region == self.home:
+            return self._home_figure(service, now)
+        return self._received(service, region, now)
+
+    def _home_figure(self, service: str, now: float) -> Figure | None:
+        """Return the mean of this host's measurement and the newest of its peers.
+
+        A host has recent reports of few servers; the mean of all hosts of a region is
+        more accurate. This host's admitted share stays its own.
+        """
+        own = self.measured.get(service)
+        if own is not None and now - own.at > AGE_MAX_SECONDS:
+            own = None
+        peer = self._received(service, self.home, now)
+        if own is None or peer is None:
+            return own or peer
+        return own._replace(pressure=(own.pressure + peer.pressure) / 2)
+
+    def _received(self, service: str, region: str, now: float) -> Figure | None:
+        """Return the newest figure of peers, None if it is too old."""
+        figure = self.received.get((service, region))
+        if figure is None or now - figure.at > AGE_MAX_SECONDS:
+            return None
+        return figure
+
+
+def mean_wait(servers: Iterable[Server], now: float) -> float | None:
+    """Return the mean expected wait in seconds, None if no server has reported.
+
+    Servers that this host suspects or that rest receive no requests.
+    """
+    usable = [
+        row for row in servers if row.suspect_until <= now and not row.is_resting(now)
+    ]
+    if not any(math.isfinite(row.reported_at) for row in usable):
+        return None
+    return sum(row.expected_wait(now) for row in usable) / len(usable)
+
+
+def is_valid(report: ServicePressure) -> bool:
+    """Return True if the figures of a peer are in their ranges."""
+    return (
+        0 <= report.pressure <= PRESSURE_MAX
+        and 0 <= report.age < math.inf
+        and SHARE_MIN <= report.share <= 1
+    )
--- /dev/null
+++ b/packages/core/greengagepoint/admission/share.py
@@ -0,0 +1,59 @@
+"""Control which share of a service's requests is admitted, from its pressure."""
+
+import math
+from dataclasses import dataclass
+from typing import Final
+
+from greengagepoint.admission.pressure import SHARE_MIN
+
+# Servers at a pressure of 0.3 have a mean wait of 0.3 of the goal. A warm run takes
+# another 0.3, and servers with a wait of twice the mean still answer in time.
+PRESSURE_LIMIT: Final = 0.3
+# The share falls by this factor of itself per second and unit of excess.
+FALL_PER_SECOND: Final = 1.0
+# The share recovers by this factor of itself per second without any pressure.
+RECOVERY_PER_SECOND: Final = 0.1
+# Damping: the share is lower by this factor of itself per unit of excess.
+DAMPING: Final = 0.5
+# Weight of the peers' mean share in each step.
+PEER_WEIGHT: Final = 0.2
+# A host that was frozen continues as after one second.
+ELAPSED_MAX_SECONDS: Final = 1.0
+
+
+@dataclass(slots=True)
+class ShareControl:
+    """Hold the admitted share of one service; times are monotonic seconds.
+
+    ``base`` is the integrated share, ``share`` the one in force.
+    """
+
+    base: float = 1.0
+    share: float = 1.0
+    stepped_at: float | None = None
+
+    def step(
+        self, pressure: float | None, peer_share: float | None, now: float
+    ) -> None:
+        """Advance to ``now``; without a pressure, all requests are admitted."""
+        elapsed = now - self.stepped_at if self.stepped_at is not None else 0.0
+        elapsed = min(max(0.0, elapsed), ELAPSED_MAX_SECONDS)
+        self.stepped_at = now
+        if pressure is None:
+            self.base = self.share = 1.0
+            return
+        if peer_share is not None:
+            self.base += PEER_WEIGHT * (peer_share - self.base)
+        excess = pressure - PRESSURE_LIMIT
+        rate = (
+            -FALL_PER_SECOND * excess
+            if excess > 0
+            else -RECOVERY_PER_SECOND * excess / PRESSURE_LIMIT
+        )
+        self.base = _clamp(self.base * math.exp(rate * elapsed))
+        self.share = _clamp(self.base * math.exp(-DAMPING * max(0.0, excess)))
+
+
+def _clamp(share: float) -> float:
+    """Return a share within its range."""
+    return min(1.0, max(SHARE_MIN, share))
--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -1,6 +1,7 @@
 """The routing table: routes, services and callers' limits set by operators."""
 
 from bisect import bisect_left
+from collections import Counter
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import Final
@@ -129,6 +130,7 @@
 
     ``competing_callers`` is True if some routes take uploads and routes differ in rank:
     uploads hold slots and memory of servers that more urgent requests need.
+    ``service_goals`` are the mean goals of the services' routes in seconds.
     """
 
     version: int
@@ -138,6 +140,7 @@
     urgent_ranks: dict[str, int] = {}
     accounts: AccountTable = msgspec.field(default_factory=AccountTable)
     competing_callers: bool = False
+    service_goals: dict[str, float] = {}
 
     def is_urgent(self, rank: int, service: str) -> bool:
         """Return True if no route to the service is more urgent than the rank."""
@@ -158,6 +161,8 @@
         self.services: dict[str, ServicePolicy] = {}
         self.urgent_ranks: dict[str, int] = {}
         self.ranks: set[int] = set()
+        self.service_goals: dict[str, float] = {}
+        self.routes_by_service: Counter[str] = Counter()
         self.has_uploads = False
         self.accounts = AccountTable()
 
@@ -176,6 +181,14 @@
         for destination in route.destinations:
             lowest_rank = self.urgent_ranks.get(destination.service, route.rank)
             self.urgent_ranks[destination.service] = min(lowest_rank, route.rank)
+            self._add_goal(destination.service, route.goal_seconds)
+
+    def _add_goal(self, service: str, goal_seconds: float) -> None:
+        """Add the goal of one more route to the mean of its service."""
+        self.routes_by_service[service] += 1
+        mean = self.service_goals.get(service, 0.0)
+        step = (goal_seconds - mean) / self.routes_by_service[service]
+        self.service_goals[service] = mean + step
 
     def add_service(self, policy: ServicePolicy) -> None:
         """Add the policy of a service."""
@@ -191,6 +204,7 @@
             urgent_ranks=self.urgent_ranks,
             accounts=self.accounts,
             competing_callers=self.has_uploads and len(self.ranks) > 1,
+            service_goals=self.service_goals,
         )
 
 
