Admit requests by level, and let them wait for a server

Cause: with the demand-aware decisions on, requests have to be rejected by rank and account, and one that finds all servers busy is rejected although a slot may be free some milliseconds later. Change: AdmissionControl decides before the first server is chosen. Figures of pressure are sent with gossip. Events 2016 to 2018, counters and gauges show what it does. With the mode off nothing changes.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -42,6 +42,9 @@
     KEY_RELEASED = 2013
     REQUEST_QUARANTINED = 2014
     REQUEST_RELEASED = 2015
+    ADMISSION_LEVEL_CHANGED = 2016
+    REQUEST_WAITED = 2017
+    PRESSURE_INVALID = 2018
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -156,6 +159,15 @@
     Event.REQUEST_RELEASED: EventType(
         Level.INFO, "A request that was refused may be sent again."
     ),
+    Event.ADMISSION_LEVEL_CHANGED: EventType(
+        Level.INFO, "A service's admission level has changed."
+    ),
+    Event.REQUEST_WAITED: EventType(
+        Level.DEBUG, "A request has waited on this host for a backend server."
+    ),
+    Event.PRESSURE_INVALID: EventType(
+        Level.WARNING, "Peers' pressure figures were out of range and are ignored."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -36,6 +36,7 @@
     requests_in_flight: int
     link_delay_seconds: float
     log_lines_dropped: int
+    requests_waiting: int
 
 
 class GatewayCounters:
@@ -46,8 +47,10 @@
     (path, direction) for the bytes of messages between hosts, (reason,) for rejected
     items of the store, (service,) for requests in flight at a server crash, (account,
     admitted or refused) for ``accounts``, (service, named, changed or ended) for
-    ``limit_changes`` of servers, (service,) for ``leaving_announced`` and
-    ``rests``. ``send_delay``
+    ``limit_changes`` of servers, (service,) for ``leaving_announced``, ``rests`` and
+    ``admission_levels``, (service, rank) for ``admission_rejected``, (service, outcome)
+    for ``waits``. ``wait_time`` holds the seconds that requests waited for a server,
+    ``pressures_invalid`` the number of ignored figures of peers. ``send_delay``
     holds the seconds from the choice of a server to the first byte, ``news_age`` the
     age of the host's state at the first byte.
     """
@@ -70,6 +73,11 @@
         self.routes: set[str] = set()
         self.accounts: Counter[tuple[str, str]] = Counter()
         self.account_names: set[str] = set()
+        self.admission_levels: dict[tuple[str], float] = {}
+        self.admission_rejected: Counter[tuple[str, str]] = Counter()
+        self.waits: Counter[tuple[str, str]] = Counter()
+        self.wait_time = Histogram(SECONDS_BOUNDS)
+        self.pressures_invalid = 0
 
     def add_request(
         self, service: str, route: str, outcome: ErrorKind | str, seconds: float
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -23,6 +23,7 @@
 from greengagepoint.protocols import Clock
 from greengagepoint.quarantine.quarantine import Quarantine
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.admission import AdmissionControl
 from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
 from greengagepoint_node.gateway.connect_times import trace_connections
@@ -191,6 +192,7 @@
         self.gossip.writer.loads = self.placer.loads
         self.gossip.writer.busy_servers = self.placer.busy_servers
         self.counters.peer_bytes = self.gossip.bytes
+        self._create_admission()
         self._create_quotas()
         self._create_quarantine_sync()
         self._create_reports()
@@ -218,6 +220,7 @@
             ),
             self.signals,
             self.quotas,
+            self.admission,
         )
         self.directory = HostDirectory(
             self.view, self.gossip, self.clock, self.gateway.accounts.can_serve_keys
@@ -248,6 +251,14 @@
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
 
+    def _create_admission(self) -> None:
+        """Create the part that admits requests when servers lack capacity."""
+        self.admission = AdmissionControl(
+            self.settings.region, self.view, self.counters, self.clock, self.events
+        )
+        self.gossip.take_pressures = self.admission.take
+        self.gossip.writer.recent_pressures = self.admission.recent
+
     def _create_quotas(self) -> None:
         """Create the parts that keep servers' request limits over all hosts."""
         self.signals = ServerSignals(
@@ -316,6 +327,7 @@
         ends_at = began + self.settings.stop_seconds - 2 * CLOSE_SECONDS
         await asyncio.sleep(self.settings.stop_seconds * ACCEPTING_FRACTION)
         self.gateway.rejecting = True
+        self.admission.stop()
         while not self.gateway.is_quiet(QUIET_SECONDS):
             if self.clock.monotonic() > ends_at:
                 break
@@ -408,6 +420,7 @@
             self.placer.serving_hosts = names
             self.placer.round_trip_seconds = self.gossip.distances.max_round_trip()
             self.placer.tick(now)
+            self.admission.tick(now)
             self.signals.tick()
             self.quotas.tick()
             self.quarantine.tick()
@@ -446,6 +459,7 @@
             requests_quarantined=len(self.quarantine.quarantined),
             hosts_alive=len(self.gossip.table.alive(now)),
             requests_in_flight=self.gateway.in_flight,
+            requests_waiting=len(self.admission.room.queue.rows),
             link_delay_seconds=round(self.link.seconds(now), 3),
             log_lines_dropped=self.lines_dropped(),
         )
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from itertools import zip_longest
 from typing import Any, Final
 
@@ -19,6 +19,7 @@
 import msgspec
 from aiohttp import web
 
+from greengagepoint.admission.pressure import ServicePressure
 from greengagepoint.config.watchers import must_watch, relays_of
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
@@ -98,6 +99,7 @@
         self.distances = RegionDistances(own.entry.region)
         self.suspects: SuspectExchange = NoSuspectExchange()
         self.signals: SignalExchange = NoSignalExchange()
+        self.take_pressures: Callable[[list[ServicePressure]], None] = _ignore
         self.is_watcher = True
         self.ages = ViewFreshnessTracker(clock)
         self.partial_revision = 0
@@ -345,6 +347,7 @@
         self.table.merge(message, now)
         self.writer.loads.take(message.loads, now)
         self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
+        self.take_pressures(message.pressures)
         self.suspects.take(message.suspects)
         self.signals.take_limits(message.limits)
         self.signals.take_leaving(message.leaving_servers)
@@ -420,6 +423,10 @@
         return ordered[self.random.randrange(len(ordered))]
 
 
+def _ignore(reports: list[ServicePressure]) -> None:
+    """Ignore figures of peers while no part uses them."""
+
+
 def _unconfirmed_removals(message: Message) -> dict[str, float]:
     """Return how many more seconds each removed key stays unconfirmed.
 
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from greengagepoint.accounts.certainty import Proof
+from greengagepoint.admission.pressure import ServicePressure
 from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
 from greengagepoint.placing.busy_servers import BusyServer
 from greengagepoint.placing.region_loads import RegionLoad
@@ -57,7 +58,8 @@
     are requests that crash backend servers. ``proof`` is the sender's proof of the
     newest configuration. ``relay`` holds the addresses of hosts to which the receiver
     relays the update. ``limits`` are the request limits that backend servers named,
-    ``leaving_servers`` those that said that they leave.
+    ``leaving_servers`` those that said that they leave. ``pressures`` are the
+    pressures of services, empty unless the demand-aware decisions are on.
     """
 
     revision: int
@@ -82,6 +84,7 @@
     relay: list[str] = []
     limits: list[LimitNotice] = []
     leaving_servers: list[LeavingNotice] = []
+    pressures: list[ServicePressure] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -13,6 +13,7 @@
 from greengagepoint.routing.split import WeightedSplit
 from greengagepoint.routing.tables import find_route
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.admission import AdmissionControl
 from greengagepoint_node.gateway.call import Call, create_call, match_route
 from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
@@ -50,6 +51,7 @@
 from greengagepoint_node.gateway.stale_view_guard import StaleViewGuard
 from greengagepoint_node.gateway.tries import UNSENT, Attempts
 from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_node.gateway.wait_room import WaitEnd
 from greengagepoint_node.proxy.sessions import BackendSessions
 
 NOT_READY_SECONDS: Final = 0.5
@@ -74,6 +76,7 @@
         accounts: CallerAccounts,
         signals: ServerSignals,
         quotas: ServerQuotas,
+        admission: AdmissionControl,
     ) -> None:
         self.names = names
         self.view = view
@@ -87,6 +90,7 @@
         self.accounts = accounts
         self.signals = signals
         self.quotas = quotas
+        self.admission = admission
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
@@ -203,11 +207,13 @@
         self, request: web.BaseRequest, call: Call, body: bytes | None
     ) -> web.Response:
         """Send to servers until one answers or no retry is allowed."""
+        await self.admission.async_admit(call)
         self.placer.count_caller()
         identity = RequestIdentity(request, body, call.account)
         attempts = Attempts()
         last: Exchange | None = None
         may_have_run = False
+        wait_began: float | None = None
         server: Server | None = None
         while attempts.has_attempts_left(call.route.attempts_max):
             left = call.ends_at - self.clock.monotonic()
@@ -223,9 +229,17 @@
                 server = None
             if server is None:
                 await self._async_acquire_quota(call, attempts)
-                server = self.next_server(call, attempts, last and last.verdict)
+                try:
+                    server = self.next_server(call, attempts, last and last.verdict)
+                except Refusal as refusal:
+                    wait_began = await self.admission.async_wait(
+                        call, refusal, wait_began
+                    )
+                    continue
             if server is None:
                 break
+            if wait_began is not None and not attempts.servers:
+                self.admission.record_wait(call, wait_began, WaitEnd.SERVED)
             attempts.begin(server.incarnation)
             left = call.ends_at - self.clock.monotonic()
             outgoing = self._create_outgoing(request, call, body, server, left)
@@ -378,6 +392,7 @@
             server.in_flight -= 1
         now = self.clock.monotonic()
         self.placer.record_attempt(call, server, exchange, now - began, waited, now)
+        self.admission.notice_response(call.service)
         number = len(attempts.servers)
         self.outcomes.record_send(call, server, outgoing.times)
         self.outcomes.report_attempt(call, server, exchange, number, now - began)
--- a/packages/node/greengagepoint_node/gateway/message_writer.py
+++ b/packages/node/greengagepoint_node/gateway/message_writer.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Callable
 
+from greengagepoint.admission.pressure import ServicePressure
 from greengagepoint.placing.busy_servers import BusyServers
 from greengagepoint.placing.region_loads import RegionLoads
 from greengagepoint.protocols import Clock
@@ -48,6 +49,7 @@
         self.packer = ItemPacker()
         self.loads = RegionLoads(own.entry.region)
         self.busy_servers = BusyServers()
+        self.recent_pressures: Callable[[], list[ServicePressure]] = list
 
     def create_message(
         self, revision: int, peers: list[HeardHost], *, full: bool = False
@@ -89,6 +91,7 @@
             lapsed_seconds=list(unconfirmed.values()),
             full_link=self.link_is_full(),
             proof=self.view.certainty.proof(now),
+            pressures=self.recent_pressures(),
         )
 
     def create_partial(self, revision: int) -> Message:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -120,6 +120,7 @@
             "Requests of client accounts, admitted or over a limit.",
             lambda: _rows(counters.accounts, "account", "outcome"),
         )
+        yield from _admission_counters(counters)
         durations = counters.durations
         yield Instrument(
             "request_duration_seconds_bucket",
@@ -146,7 +147,12 @@
         )
 
     def _declare_gauges(self, meter: Meter) -> None:
-        """Create a gauge for each field of Gauges."""
+        """Create a gauge for each field of Gauges, and that of admission levels."""
+        meter.create_observable_gauge(
+            f"{METER_NAME}_admission_level",
+            [_observer(lambda: _rows(self.counters.admission_levels, "service"))],
+            description="Ranks below the level are admitted, by service.",
+        )
         for field in Gauges._fields:
             meter.create_observable_gauge(
                 f"{METER_NAME}_{field}",
@@ -154,6 +160,28 @@
             )
 
 
+def _admission_counters(counters: GatewayCounters) -> Iterator[Instrument]:
+    """Yield the counters of admission and of waits for a server."""
+    yield Instrument(
+        "admission_rejected",
+        "Requests rejected by the admission level, by service and rank.",
+        lambda: _rows(counters.admission_rejected, "service", "rank"),
+    )
+    yield Instrument(
+        "waits",
+        "Requests that waited on this host for a server, by how that ended.",
+        lambda: _rows(counters.waits, "service", "outcome"),
+    )
+    yield Instrument(
+        "pressures_invalid",
+        "Pressure figures of peers that were ignored.",
+        lambda: [(counters.pressures_invalid, {})],
+    )
+    yield from _histogram(
+        "wait_time", "Waits for a server on this host", counters.wait_time
+    )
+
+
 def _histogram(
     name: str, description: str, histogram: Histogram
 ) -> Iterator[Instrument]:
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -47,7 +47,8 @@
 
     The status is independent of the kind: callers take any 503 as a guarantee that the
     request did not run, while 502 and 504 give no guarantee. ``inputs`` are the values
-    behind the decision, for the log. ``retry_after`` is in seconds.
+    behind the decision, for the log. ``retry_after`` is in seconds. ``may_wait`` is
+    True if a server may become available at any moment.
     """
 
     def __init__(
@@ -57,6 +58,8 @@
         reason: str,
         retry_after: float | None = None,
         inputs: dict[str, float | int | str | None] | None = None,
+        *,
+        may_wait: bool = False,
     ) -> None:
         super().__init__(reason)
         self.kind = kind
@@ -64,6 +67,7 @@
         self.reason = reason
         self.retry_after = retry_after
         self.inputs = inputs or {}
+        self.may_wait = may_wait
 
     @property
     def event(self) -> Event:
@@ -76,6 +80,7 @@
 def no_server_refusal(service: str, place: NoServerAvailable) -> Refusal:
     """Return the refusal of a request for which no server is available."""
     retry_seconds = place.retry_seconds
+    may_wait = False
     if place.servers_known and place.resting == place.servers:
         kind, reason = ErrorKind.OVERLOADED, "all servers asked for rest"
         retry_seconds = not_before(retry_seconds)
@@ -83,6 +88,7 @@
         kind, reason = ErrorKind.OVERLOADED, "all servers are at their request limits"
     elif place.servers_known:
         kind, reason = ErrorKind.OVERLOADED, "all servers are busy"
+        may_wait = True
     else:
         kind, reason = ErrorKind.NO_BACKEND_SERVER, "no server may be used"
     age = place.report_age
@@ -94,7 +100,9 @@
         "limited_servers": place.limited,
         "resting_servers": place.resting,
     }
-    return Refusal(kind, 503, f"{reason}: {service}", retry_seconds, inputs)
+    return Refusal(
+        kind, 503, f"{reason}: {service}", retry_seconds, inputs, may_wait=may_wait
+    )
 
 
 def not_before(seconds: float) -> float:
