Measure pressure from load reports in responses

Cause: the server table holds reports of peers about full servers only. In the model, 300 hosts at 3 times the capacity took servers with free slots for full ones and admitted 9% where 33% fit. Change: the pressure is the mean wait over load reports in responses to this host, each weighted by the reciprocal of the running requests. Peers count three quarters of the figure of a region. The gains of the control are lower, half of the tries are for the most urgent waiting requests, and with the mode on the placement gets what is left of the goal. Sharing what ranks request takes samples over 20 s. Gateway and queue tests pass.

--- a/packages/core/greengagepoint/admission/demand.py
+++ b/packages/core/greengagepoint/admission/demand.py
@@ -6,12 +6,12 @@
 
 from greengagepoint.accounts.rates import Rate
 
-# A host of a large fleet sees a few requests per second; ten seconds give a sample of
-# some dozens.
-RATE_SECONDS: Final = 10.0
-# A class without a request for about half a minute is dropped, so that a returning
-# account starts without credit or debt.
-RATE_MIN: Final = 0.005
+# A host of a large fleet sees a few requests per second. Its sample of the ranks needs
+# some dozens of requests, while a flood shows within seconds by its size alone.
+RATE_SECONDS: Final = 20.0
+# A class without a request for about a minute is dropped, so that a returning account
+# starts without credit or debt.
+RATE_MIN: Final = 0.0025
 
 
 @dataclass(slots=True)
--- a/packages/core/greengagepoint/admission/levels.py
+++ b/packages/core/greengagepoint/admission/levels.py
@@ -61,7 +61,7 @@
             service: self.services.get(service) or ServiceLevel() for service in goals
         }
         shares = {name: row.control.base for name, row in self.services.items()}
-        self.pressures.measure(table, goals, shares, now)
+        self.pressures.measure(goals, shares, now)
         for service, row in self.services.items():
             row.goal_seconds = goals[service]
             row.step(self.pressures.merge(table, service, now), now)
@@ -69,8 +69,7 @@
     def clear(self) -> None:
         """Drop all state, for a deployment that no longer needs admission."""
         self.services = {}
-        self.pressures.measured = {}
-        self.pressures.received = {}
+        self.pressures = Pressures(self.pressures.home, invalid=self.pressures.invalid)
 
     def decide(
         self, service: str, rank: int, account: str, draw: float, now: float
--- a/packages/core/greengagepoint/admission/pressure.py
+++ b/packages/core/greengagepoint/admission/pressure.py
@@ -1,7 +1,9 @@
 """Measure how long requests wait for servers, and merge the figures of peers.
 
 The pressure of a service is the mean expected wait of its servers as a share of the
-goal of its routes. A peer's figure that is out of range would shed callers of the
+goal of its routes. It is measured from the load reports in responses to this host. The
+reports of peers in ``ServerTable`` are of full servers only, and would make every large
+fleet look overloaded. A peer's figure that is out of range would shed callers of the
 whole fleet, so it is ignored and counted.
 """
 
@@ -14,6 +16,7 @@
 import msgspec
 
 from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.placing.typical_load import RUN_SECONDS_START
 
 # Gossip spreads a figure within one to two seconds, and a queue grows or drains within
 # two runs.
@@ -23,6 +26,11 @@
 # Three regions with ten services each; a message with more figures is invalid.
 FIGURES_MAX: Final = 256
 SHARE_MIN: Final = 0.02
+# Time constant of the mean over load reports.
+SAMPLE_SECONDS: Final = 1.0
+# Weight of peers in the figure of this host's region. A host of a large fleet gets a
+# few reports per second, which is too noisy alone.
+PEER_WEIGHT: Final = 0.75
 
 
 class ServicePressure(msgspec.Struct, array_like=True):
@@ -59,6 +67,39 @@
     share: float | None
 
 
+@dataclass(slots=True)
+class WaitSamples:
+    """Average the expected wait of servers over load reports, which decay.
+
+    A busy server sends more responses than an idle one. Each report is weighted by the
+    reciprocal of the requests that ran, so that the mean is one over servers and time.
+    """
+
+    total: float = 0.0
+    weight: float = 0.0
+    at: float = -math.inf
+
+    def record(self, server: Server, held: int, now: float) -> None:
+        """Record that a server held ``held`` requests after it sent a response."""
+        self._decay(now)
+        run_seconds = server.typical.run_seconds or RUN_SECONDS_START
+        wait = max(0, held + 1 - server.slots) * run_seconds / server.slots
+        weight = 1 / min(held + 1, server.slots)
+        self.total += weight * wait
+        self.weight += weight
+
+    def mean(self) -> float:
+        """Return the mean expected wait in seconds."""
+        return self.total / self.weight
+
+    def _decay(self, now: float) -> None:
+        """Reduce the weight of earlier reports."""
+        kept = math.exp(-max(0.0, now - self.at) / SAMPLE_SECONDS)
+        self.total *= kept
+        self.weight *= kept
+        self.at = now
+
+
 @dataclass(slots=True)
 class Pressures:
     """Hold this host's measurements by service, and peers' by service and region.
@@ -67,30 +108,37 @@
     """
 
     home: str
+    samples: dict[str, WaitSamples] = field(default_factory=dict)
     measured: dict[str, Figure] = field(default_factory=dict)
     received: dict[tuple[str, str], Figure] = field(default_factory=dict)
     invalid: int = 0
 
+    def record_load(self, server: Server, held: int, now: float) -> None:
+        """Record a load report that this host received from a server."""
+        if server.region == self.home and server.slots > 0:
+            samples = self.samples.setdefault(server.service, WaitSamples())
+            samples.record(server, held, now)
+
     def measure(
         self,
-        table: ServerTable,
         goals: Mapping[str, float],
         shares: Mapping[str, float],
         now: float,
     ) -> None:
         """Measure the services with a goal in this host's region.
 
-        Services without any report keep no figure. ``shares`` are the shares of
+        A figure is as old as the newest load report. ``shares`` are the shares of
         requests that this host admits.
         """
         self.measured = {}
-        for service, goal_seconds in goals.items():
-            servers = table.find(service, self.home).servers
-            wait = mean_wait(servers, now)
-            if wait is not None and goal_seconds > 0:
-                pressure = min(PRESSURE_MAX, wait / goal_seconds)
-                share = shares.get(service, 1.0)
-                self.measured[service] = Figure(pressure, share, now)
+        for service, samples in list(self.samples.items()):
+            goal_seconds = goals.get(service, 0.0)
+            if goal_seconds <= 0 or now - samples.at > AGE_MAX_SECONDS:
+                del self.samples[service]
+                continue
+            pressure = min(PRESSURE_MAX, samples.mean() / goal_seconds)
+            share = shares.get(service, 1.0)
+            self.measured[service] = Figure(pressure, share, samples.at)
         self.received = {
             key: figure
             for key, figure in self.received.items()
@@ -124,10 +172,8 @@
         figures = {
             key: figure for key, figure in self.received.items() if key[1] != self.home
         }
-        for service in self.measured:
-            home = self._home_figure(service, now)
-            if home is not None:
-                figures[service, self.home] = home
+        for service, own in self.measured.items():
+            figures[service, self.home] = self._home_figure(service, now) or own
         return [
             ServicePressure(
                 region,
@@ -173,8 +219,8 @@
     def _home_figure(self, service: str, now: float) -> Figure | None:
         """Return the mean of this host's measurement and the newest of its peers.
 
-        A host has recent reports of few servers; the mean of all hosts of a region is
-        more accurate. This host's admitted share stays its own.
+        Each host shares this mean, so that the figures of a region's hosts converge.
+        This host's admitted share stays its own.
         """
         own = self.measured.get(service)
         if own is not None and now - own.at > AGE_MAX_SECONDS:
@@ -182,7 +228,8 @@
         peer = self._received(service, self.home, now)
         if own is None or peer is None:
             return own or peer
-        return own._replace(pressure=(own.pressure + peer.pressure) / 2)
+        difference = peer.pressure - own.pressure
+        return own._replace(pressure=own.pressure + PEER_WEIGHT * difference)
 
     def _received(self, service: str, region: str, now: float) -> Figure | None:
         """Return the newest figure of peers, None if it is too old."""
@@ -192,19 +239,6 @@
         return figure
 
 
-def mean_wait(servers: Iterable[Server], now: float) -> float | None:
-    """Return the mean expected wait in seconds, None if no server has reported.
-
-    Servers that this host suspects or that rest receive no requests.
-    """
-    usable = [
-        row for row in servers if row.suspect_until <= now and not row.is_resting(now)
-    ]
-    if not any(math.isfinite(row.reported_at) for row in usable):
-        return None
-    return sum(row.expected_wait(now) for row in usable) / len(usable)
-
-
 def is_valid(report: ServicePressure) -> bool:
     """Return True if the figures of a peer are in their ranges."""
     return (
--- a/packages/core/greengagepoint/admission/share.py
+++ b/packages/core/greengagepoint/admission/share.py
@@ -6,17 +6,21 @@
 
 from greengagepoint.admission.pressure import SHARE_MIN
 
-# Servers at a pressure of 0.3 have a mean wait of 0.3 of the goal. A warm run takes
-# another 0.3, and servers with a wait of twice the mean still answer in time.
-PRESSURE_LIMIT: Final = 0.3
+# A warm run takes 0.3 of the goal, so that servers with a wait of twice the mean still
+# answer in time. In the model, a lower limit leaves slots idle, and with a higher one
+# more responses are late.
+PRESSURE_LIMIT: Final = 0.25
 # The share falls by this factor of itself per second and unit of excess.
-FALL_PER_SECOND: Final = 1.0
+FALL_PER_SECOND: Final = 0.8
+# A larger excess, as after a start with empty queues, counts as this one: the share
+# would fall too far before the queues of servers have drained.
+EXCESS_MAX: Final = 0.5
 # The share recovers by this factor of itself per second without any pressure.
 RECOVERY_PER_SECOND: Final = 0.1
 # Damping: the share is lower by this factor of itself per unit of excess.
-DAMPING: Final = 0.5
+DAMPING: Final = 1.0
 # Weight of the peers' mean share in each step.
-PEER_WEIGHT: Final = 0.2
+PEER_WEIGHT: Final = 0.3
 # A host that was frozen continues as after one second.
 ELAPSED_MAX_SECONDS: Final = 1.0
 
@@ -44,7 +48,7 @@
             return
         if peer_share is not None:
             self.base += PEER_WEIGHT * (peer_share - self.base)
-        excess = pressure - PRESSURE_LIMIT
+        excess = min(EXCESS_MAX, pressure - PRESSURE_LIMIT)
         rate = (
             -FALL_PER_SECOND * excess
             if excess > 0
--- a/packages/core/greengagepoint/admission/waiting.py
+++ b/packages/core/greengagepoint/admission/waiting.py
@@ -69,15 +69,19 @@
         return expired
 
     def pop_next(self, count: int) -> list[Waiting]:
-        """Remove and return the next requests that try again, in order.
+        """Remove and return the next requests that try again.
 
-        Each call continues behind the last one that tried, so that a request whose
-        server stays busy does not block the others.
+        Half of them are the most urgent ones. The others continue behind the last one
+        that tried, so that requests whose servers stay busy do not block the others.
         """
+        first = (count + 1) // 2
+        chosen, rest = self.rows[:first], self.rows[first:]
         cursor = self.cursor
-        behind = [row for row in self.rows if cursor is None or row > cursor]
-        chosen = (behind or self.rows)[:count]
-        self.cursor = chosen[-1] if chosen else None
+        behind = [row for row in rest if cursor is None or row > cursor]
+        before = rest[: len(rest) - len(behind)]
+        others = (behind + before)[: count - first]
+        self.cursor = others[-1] if others else None
+        chosen = sorted(chosen + others)
         for row in chosen:
             self.rows.remove(row)
         return chosen
--- a/packages/core/tests/test_admission_waiting.py
+++ b/packages/core/tests/test_admission_waiting.py
@@ -69,7 +69,7 @@
         for found in queue.pop_next(2):
             tried.append(found.urgency.number)
             queue.add(found)
-    assert tried == [0, 1, 2, 3, 4, 0, 1, 2, 3]
+    assert tried == [0, 1, 0, 2, 0, 3, 0, 4, 0, 1]
 
 
 @pytest.mark.parametrize(
@@ -142,7 +142,9 @@
     @rule(count=st.integers(1, 6), served=st.booleans())
     def check(self, count, served):
         chosen = self.queue.pop_next(count)
+        assert len(chosen) == min(count, len(self.expected))
         assert chosen == sorted(chosen)
+        assert chosen[:1] == sorted(self.expected)[:1]
         assert bool(chosen) == bool(self.expected)
         for found in chosen:
             assert found in self.expected
--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -11,11 +11,14 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.placing.ranking import unit_hash
+from greengagepoint.placing.tables import Server
 from greengagepoint.placing.typical_load import RUN_SECONDS_START
 from greengagepoint.protocols import Clock
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.counters import GatewayCounters
+from greengagepoint_node.gateway.exchange import Exchange
+from greengagepoint_node.gateway.placing import read_load
 from greengagepoint_node.gateway.refusals import Refusal
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.gateway.wait_room import WaitEnd, WaitRoom
@@ -133,9 +136,15 @@
             waiting=len(self.room.queue.rows),
         )
 
-    def notice_response(self, service: str) -> None:
-        """Let a waiting request of a service try again, as a slot may be free."""
-        self.room.notice_response(service)
+    def notice_response(self, server: Server, exchange: Exchange) -> None:
+        """Record the load of a server, and let a waiting request try again."""
+        if not self.is_on:
+            return
+        load = read_load(exchange.load)
+        if load is not None:
+            held, now = load.running + load.queued, self.clock.monotonic()
+            self.levels.pressures.record_load(server, held, now)
+        self.room.notice_response(server.service)
 
     def stop(self) -> None:
         """Reject the waiting requests, for a host that rejects new ones."""
--- a/packages/node/greengagepoint_node/gateway/placing.py
+++ b/packages/node/greengagepoint_node/gateway/placing.py
@@ -132,13 +132,19 @@
             call.service,
             [region],
             call.key,
-            call.route.goal_seconds,
+            self._goal_seconds(call, now),
             call.ends_at - now,
             tried,
             self.warm_keys.servers(call.key, now) if call.key else (),
             self.distance(region),
         )
 
+    def _goal_seconds(self, call: Call, now: float) -> float:
+        """Return the goal, or what is left of it if requests may have waited here."""
+        if not self.view.servers.demand.is_on:
+            return call.route.goal_seconds
+        return max(0.0, call.arrived_at + call.route.goal_seconds - now)
+
     def _create_permissions(self, call: Call, now: float) -> Permissions:
         """Return the rate limits and allowances that the choice has to respect."""
         rate = self._cold_requests_per_second(call.service)
--- a/packages/node/tests/test_gateway_admission.py
+++ b/packages/node/tests/test_gateway_admission.py
@@ -16,6 +16,7 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import create_route_table
+from greengagepoint_node.gateway.exchange import Exchange, Verdict
 from greengagepoint_node.gateway.gossip_messages import decode
 from greengagepoint_node.gateway.wait_room import TRIES_PER_CHECK
 
@@ -254,6 +255,11 @@
 
 async def test_a_host_shares_the_figures_that_it_measures():
     async with async_busy_environment() as env:
+        server = env.daemon.view.servers.servers["i-0"]
+        for load in ("4,40", "4,40", "-1,nan", "", None):
+            env.daemon.admission.notice_response(
+                server, Exchange(Verdict.ANSWERED, load=load)
+            )
         await async_until(lambda: env.daemon.admission.recent())
         message = decode(env.daemon.gossip.encode_exchange(0))
         (figure,) = message.pressures
