--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -38,6 +38,7 @@
     requests_in_flight: int
     link_delay_seconds: float
     log_lines_dropped: int
+    requests_waiting: int
 
 
 class RegionGauge(NamedTuple):
@@ -67,9 +68,12 @@
     seconds by which answers came after their expected finish. Further keys are
     (figure,) for ``key_placement``, (reason,) for ignored ``demand_figures`` of peers,
     (service, lost or busy) for ``spills`` to another region. ``region_gauges`` returns
-    the regional demand, which is empty with the demand-aware mode off. ``send_delay``
-    holds the seconds from the choice of a server to the first byte, ``news_age`` the
-    age of the host's state at the first byte.
+    the regional demand, which is empty with the demand-aware mode off. (service,) are
+    the keys of ``admission_levels``, (service, rank) of ``admission_rejected`` and
+    (service, outcome) of ``waits``. ``wait_time`` holds the seconds that requests
+    waited for a server, ``pressures_invalid`` the number of ignored figures of peers.
+    ``send_delay`` holds the seconds from the choice of a server to the first byte,
+    ``news_age`` the age of the host's state at the first byte.
     """
 
     def __init__(self) -> None:
@@ -97,6 +101,11 @@
         self.routes: set[str] = set()
         self.accounts: Counter[tuple[str, str]] = Counter()
         self.account_names: set[str] = set()
+        self.admission_levels: dict[tuple[str], float] = {}
+        self.admission_rejected: Counter[tuple[str, str]] = Counter()
+        self.waits: Counter[tuple[str, str]] = Counter()
+        self.wait_time = Histogram(SECONDS_BOUNDS)
+        self.pressures_invalid = 0
 
     def add_request(
         self, service: str, route: str, outcome: ErrorKind | str, seconds: float
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -11,7 +11,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from itertools import zip_longest
 from typing import Any, Final
 
@@ -19,6 +19,7 @@
 import msgspec
 from aiohttp import web
 
+from greengagepoint.admission.pressure import ServicePressure
 from greengagepoint.config.watchers import must_watch, relays_of
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
@@ -104,6 +105,7 @@
         self.suspects: SuspectExchange = NoSuspectExchange()
         self.signals: SignalExchange = NoSignalExchange()
         self.demand: DemandExchange = NoDemandExchange()
+        self.take_pressures: Callable[[list[ServicePressure]], None] = _ignore
         self.is_watcher = True
         self.ages = ViewFreshnessTracker(clock)
         self.partial_revision = 0
@@ -364,6 +366,7 @@
         self.writer.busy_servers.take(message.busy_servers, self.view.servers, now)
         if message.uneven_servers:
             record_uneven_servers(self.view.servers.demand, self.events, "peer")
+        self.take_pressures(message.pressures)
         self.suspects.take(message.suspects)
         self.signals.take_limits(message.limits)
         self.signals.take_leaving(message.leaving_servers)
@@ -440,6 +443,10 @@
         return ordered[self.random.randrange(len(ordered))]
 
 
+def _ignore(reports: list[ServicePressure]) -> None:
+    """Ignore figures of peers while no part uses them."""
+
+
 def _unconfirmed_removals(message: Message) -> dict[str, float]:
     """Return how many more seconds each removed key stays unconfirmed.
 
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from greengagepoint.accounts.certainty import Proof
+from greengagepoint.admission.pressure import ServicePressure
 from greengagepoint.backpressure.messages import LeavingNotice, LimitNotice
 from greengagepoint.demand.messages import HostDemand, RegionDemand
 from greengagepoint.placing.busy_servers import BusyServer
@@ -61,6 +62,7 @@
     ``leaving_servers`` those that said that they leave. ``uneven_servers`` means that
     some server reported its pace to any host. ``host_demands`` are figures of the
     hosts of the sender's region, ``region_demands`` those of regions.
+    ``pressures`` are those of services, empty unless the demand mode is on.
     """
 
     revision: int
@@ -88,6 +90,7 @@
     uneven_servers: bool = False
     host_demands: list[HostDemand] = []
     region_demands: list[RegionDemand] = []
+    pressures: list[ServicePressure] = []
 
 
 def heartbeat_of(state: HostState) -> Heartbeat:
