Update all parts of a host only while its ledger is young

Change: after the first 5 s a report updates the parts of its own rows only, as before. Measured: tests of limits and reports pass.

--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -47,6 +47,9 @@
 RATE_MIN: Final = 1e-3
 PART_MIN: Final = 1e-3
 PART_AVERAGE_SECONDS: Final = 2.0
+# After this, most hosts have reported most accounts, and a part changes little between
+# two requests of an account.
+PARTS_SETTLE_SECONDS: Final = 5.0
 # Accounts with a lower limit, in requests per second, are small. They have too few
 # requests to estimate how these are spread over hosts, and no host that is cut off
 # receives enough of them to matter.
@@ -204,10 +207,11 @@
         self._adopt_limits(report, accounts, now)
         for row in report.rows:
             self._count_row(reporter, row, accounts, now, should_count, report.summed)
-        self._update_parts(reporter, now)
+        if now - self.receiving_since < PARTS_SETTLE_SECONDS:
+            self._update_parts(reporter, now)
 
     def _update_parts(self, reporter: Reporter, now: float) -> None:
-        """Update a reporter's parts of the requests of all reporters.
+        """Update all parts of a reporter, not only those of its latest requests.
 
         While hosts start, the first one to report an account has all of its requests.
         If it kept that part until its next request of the account and then fell silent,
@@ -309,6 +313,8 @@
         use.asked_recently.add(asked, now)
         rate = reporter.asked.setdefault(row.account, Rate(PART_AVERAGE_SECONDS))
         rate.add(asked, now)
+        total_rate = max(RATE_MIN, use.asked_recently.read(now))
+        reporter.parts[row.account] = rate.read(now) / total_rate
         if not summed:
             total = self.sums.setdefault(row.account, UsageRow(row.account, 0, 0))
             total.asked += asked
