Test admission on the gateway under partial failures

Cause: the end of the mode, a stop, messages of the previous build and the path from load reports to rejected requests had no test. Change: tests of each on a real daemon. A change of the level is logged if the admitted share changed by a fifth; a change of 0.1 hid the fall from 0.11 to 0.02.

--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -25,8 +25,8 @@
 
 # A pass over 3,000 servers takes 3 ms, and load reports stay in use for seconds.
 STEP_SECONDS: Final = 0.5
-# Smaller changes of the admitted share are not logged.
-LOGGED_CHANGE_MIN: Final = 0.1
+# Smaller changes of the admitted share are not logged, relative to its last value.
+LOGGED_CHANGE_MIN: Final = 0.2
 INVALID_LOG_SECONDS: Final = 60.0
 
 
@@ -223,7 +223,8 @@
         """Log a level whose admitted share changed, with the inputs and their age."""
         share = row.control.share
         logged = self.logged_shares.get(service, 1.0)
-        if abs(share - logged) < LOGGED_CHANGE_MIN and (share < 1) == (logged < 1):
+        change = abs(share - logged)
+        if change < LOGGED_CHANGE_MIN * logged and (share < 1) == (logged < 1):
             return
         self.logged_shares[service] = share
         self.events.record(
--- a/packages/node/tests/test_gateway_admission.py
+++ b/packages/node/tests/test_gateway_admission.py
@@ -4,9 +4,11 @@
 import contextlib
 import math
 
+import msgspec
 import pytest
 from deployment import async_until
 from gateway_world import async_environment, routes
+from test_gateway_metrics import async_scrape, value
 
 from greengagepoint.admission.levels import ServiceLevel
 from greengagepoint.admission.plan import create_plan
@@ -17,7 +19,7 @@
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import create_route_table
 from greengagepoint_node.gateway.exchange import Exchange, Verdict
-from greengagepoint_node.gateway.gossip_messages import decode
+from greengagepoint_node.gateway.gossip_messages import ENCODER, Message, decode, encode
 from greengagepoint_node.gateway.wait_room import TRIES_PER_CHECK
 
 RANKS = {"/safe/": 2, "/unsafe/": 1, "/pack/": 2, "/upload/": 3}
@@ -37,10 +39,10 @@
 
 
 @contextlib.asynccontextmanager
-async def async_ranked_environment(rows=None, servers=1):
+async def async_ranked_environment(rows=None, servers=1, **fields):
     """Run a gateway with the demand-aware decisions switched on."""
     rows = ranked_routes() if rows is None else rows
-    async with async_environment(servers=servers, rows=rows) as env:
+    async with async_environment(servers=servers, rows=rows, **fields) as env:
         await async_until(lambda: env.daemon.admission.is_on)
         yield env
 
@@ -189,6 +191,98 @@
         assert env.ran() == statuses.count(200)
 
 
+async def test_a_stop_closes_the_queue():
+    async with async_ranked_environment() as env:
+        await env.daemon.async_stop()
+        assert env.daemon.admission.room.is_closed
+
+
+async def test_a_wait_ends_when_the_mode_is_switched_off():
+    async with async_busy_environment() as env:
+        call = await async_waiting_call(env)
+        env.daemon.view.servers.demand.competing_callers = False
+        env.daemon.admission.tick(env.clock.monotonic())
+        status, body, _ = await call
+        assert (status, body) == (503, b"all servers are busy: booking\n")
+        assert outcomes(env) == ["unavailable"]
+        assert not env.daemon.admission.levels.services
+
+
+def overload(env, seconds=15.0):
+    """Advance the level as if all responses reported a long queue for a while."""
+    admission = env.daemon.admission
+    server = env.daemon.view.servers.servers["i-0"]
+    now = env.clock.monotonic()
+    for number in range(int(seconds / 0.5)):
+        at = now + number / 2
+        admission.levels.pressures.record_load(server, 12, at)
+        admission.levels.decide("booking", 1, "", 0.5, at)
+        for _ in range(9):
+            admission.levels.decide("booking", 3, "", 0.5, at)
+        admission.tick(at)
+
+
+async def test_in_an_overload_the_urgent_are_served_and_the_level_is_logged():
+    async with async_ranked_environment(metrics=True) as env:
+        overload(env)
+        changes = env.events.of(Event.ADMISSION_LEVEL_CHANGED)
+        assert len(changes) >= 3
+        assert 3 <= changes[-1]["level"] < 3.5
+        assert {"pressure", "pressure_age", "pressure_regions", "peer_share"} <= set(
+            changes[-1]
+        )
+        statuses = {}
+        for path, method in (("/unsafe/1", "POST"), ("/upload/1", "PUT")):
+            calls = (env.async_call(path, method) for _ in range(30))
+            statuses[path] = [row[0] for row in await asyncio.gather(*calls)]
+        assert statuses["/unsafe/1"] == [200] * 30
+        assert statuses["/upload/1"].count(503) >= 20
+        assert env.ran() == 60 - statuses["/upload/1"].count(503)
+        _, lines = await async_scrape(env)
+        rejected = value(lines, "admission_rejected_total", service="booking", rank="3")
+        assert rejected == statuses["/upload/1"].count(503)
+        assert 3 <= value(lines, "admission_level", service="booking") < 3.5
+        assert value(lines, "requests_waiting") == 0
+
+
+async def test_a_wait_is_visible_in_a_scrape():
+    async with async_busy_environment(create=async_scraped_environment) as env:
+        await env.async_call("/safe/1")
+        _, lines = await async_scrape(env)
+        assert value(lines, "waits_total", service="booking", outcome="expired") == 1
+        assert value(lines, "wait_time_seconds_bucket", le="+Inf") == 1
+        assert value(lines, "pressures_invalid_total") == 0
+
+
+def async_scraped_environment(**fields):
+    return async_ranked_environment(metrics=True, **fields)
+
+
+async def test_figures_of_peers_arrive_by_gossip_and_of_older_builds_there_are_none():
+    async with async_ranked_environment() as env:
+        gossip = env.daemon.gossip
+        message = decode(gossip.encode_exchange(0))
+        fields = msgspec.msgpack.decode(ENCODER.encode(message))
+        older = msgspec.msgpack.encode(
+            fields[: Message.__struct_fields__.index("pressures")]
+        )
+        gossip.apply_exchange(older)
+        received = env.daemon.admission.levels.pressures.received
+        assert not received
+        message.pressures = [ServicePressure("north", "booking", 0.5, 0.1)]
+        gossip.apply_exchange(encode(message))
+        received = env.daemon.admission.levels.pressures.received
+        assert received["booking", "north"].pressure == 0.5
+
+
+async def test_with_the_mode_off_figures_of_peers_are_ignored():
+    async with async_environment(servers=1) as env:
+        admission = env.daemon.admission
+        admission.take([ServicePressure("north", "booking", 0.5, 0.1)])
+        assert not admission.levels.pressures.received
+        assert admission.recent() == []
+
+
 async def test_a_rejection_by_the_level_names_its_inputs_and_has_not_run():
     async with async_ranked_environment() as env:
         set_level(env, 0.02)
