--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -185,7 +185,9 @@
         self.stepped_at = now
         self.levels.step(self.view.servers, routes.service_goals, now)
         self.counters.admission_levels = {
-            (service,): row.plan.level for service, row in self.levels.services.items()
+            (service,): row.plan.level
+            for service, row in self.levels.services.items()
+            if row.plan.by_rank
         }
         for service, row in self.levels.services.items():
             self._log(service, row)
