Count requests that find all servers busy as pressure

Cause: in a small fleet, each host knows the queues of all servers and keeps them just short enough, so the measured pressure hardly exceeds its limit however many requests are rejected. In the model, 3 hosts at 3 times the capacity admitted a third only 14 s after the start. Change: such a request counts like a report of a full server, with the shortest expected wait. Limit 0.26 and fall 0.8 per second fit that.

--- a/packages/core/greengagepoint/admission/pressure.py
+++ b/packages/core/greengagepoint/admission/pressure.py
@@ -81,10 +81,13 @@
 
     def record(self, server: Server, held: int, now: float) -> None:
         """Record that a server held ``held`` requests after it sent a response."""
-        self._decay(now)
         run_seconds = server.typical.run_seconds or RUN_SECONDS_START
         wait = max(0, held + 1 - server.slots) * run_seconds / server.slots
-        weight = 1 / min(held + 1, server.slots)
+        self.add(wait, 1 / min(held + 1, server.slots), now)
+
+    def add(self, wait: float, weight: float, now: float) -> None:
+        """Add an expected wait in seconds to the mean."""
+        self._decay(now)
         self.total += weight * wait
         self.weight += weight
 
@@ -119,6 +122,20 @@
             samples = self.samples.setdefault(server.service, WaitSamples())
             samples.record(server, held, now)
 
+    def record_busy(
+        self, table: ServerTable, service: str, wait: float, now: float
+    ) -> None:
+        """Record that a request found all servers busy, with an expected wait.
+
+        In a small fleet, each host knows the queues of all servers and keeps them just
+        short enough, so that only such requests show the load beyond the capacity. One
+        counts like a report of a full server.
+        """
+        servers = table.find(service, self.home).servers
+        if servers and 0 <= wait < math.inf:
+            samples = self.samples.setdefault(service, WaitSamples())
+            samples.add(wait, 1 / max(1, servers[0].slots), now)
+
     def measure(
         self,
         goals: Mapping[str, float],
--- a/packages/core/greengagepoint/admission/share.py
+++ b/packages/core/greengagepoint/admission/share.py
@@ -9,9 +9,9 @@
 # A warm run takes 0.3 of the goal, so that servers with a wait of twice the mean still
 # answer in time. In the model, a limit of 0.22 leaves slots idle, and with 0.4 urgent
 # requests are late.
-PRESSURE_LIMIT: Final = 0.28
+PRESSURE_LIMIT: Final = 0.26
 # The share falls by this factor of itself per second and unit of excess.
-FALL_PER_SECOND: Final = 1.6
+FALL_PER_SECOND: Final = 0.8
 # A larger excess, as after a start with empty queues, counts as this one: the share
 # would fall too far before the queues of servers have drained.
 EXCESS_MAX: Final = 0.5
--- a/packages/core/tests/admission_fleet.py
+++ b/packages/core/tests/admission_fleet.py
@@ -204,6 +204,8 @@
         if not decision.admitted:
             self._count("shed", request)
         elif not self._place(now, request):
+            wait = min(row.expected_wait(now) for row in request.host.rows)
+            levels.pressures.record_busy(request.host.table, SERVICE, wait, now)
             self.count += 1
             urgency = Urgency(rank, 1 - decision.probability, now + 9, self.count)
             until = wait_until(now, now + 9, GOAL, RUN_SECONDS, now)
--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -91,6 +91,8 @@
                 self.record_wait(call, began, WaitEnd.UNAVAILABLE)
             raise refusal
         now = self.clock.monotonic()
+        if began is None:
+            self._record_busy(call, refusal, now)
         row = self._create_row(call, now if began is None else began)
         if row.until > now:
             began = now if began is None else began
@@ -103,6 +105,13 @@
         self._delay_retry(call, refusal)
         raise refusal
 
+    def _record_busy(self, call: Call, refusal: Refusal, now: float) -> None:
+        """Record the shortest wait that a request found when all servers were busy."""
+        wait = refusal.inputs.get("shortest_wait")
+        if isinstance(wait, float | int):
+            servers = self.view.servers
+            self.levels.pressures.record_busy(servers, call.service, wait, now)
+
     async def _async_wait_for_turn(
         self, call: Call, row: Waiting, began: float
     ) -> WaitEnd:
--- a/packages/node/tests/test_gateway_admission.py
+++ b/packages/node/tests/test_gateway_admission.py
@@ -113,6 +113,7 @@
         assert (status, body) == (503, b"all servers are busy: booking\n")
         assert float(headers["Retry-After"]) > 0
         assert outcomes(env) == ["expired"]
+        assert env.daemon.admission.levels.pressures.samples["booking"].mean() > 0
         (row,) = env.events.of(Event.REQUEST_WAITED)
         assert row["seconds"] >= 0.4
         assert not env.ran()
