--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -25,15 +25,16 @@
 
 # A pass over 3,000 servers takes 3 ms, and load reports stay in use for seconds.
 STEP_SECONDS: Final = 0.5
-# Smaller changes of the admitted share are not logged.
-LOGGED_CHANGE_MIN: Final = 0.1
+# Smaller changes of the admitted share are not logged, relative to its last value.
+LOGGED_CHANGE_MIN: Final = 0.2
 INVALID_LOG_SECONDS: Final = 60.0
 
 
 class AdmissionControl:
     """Decide which requests of this host's callers are sent to servers, and when.
 
-    Does nothing while the demand-aware decisions are off. ``home`` is this host's
+    Does nothing unless callers compete: where all are equally urgent, a rejection helps
+    no other caller as much as a late answer helps this one. ``home`` is this host's
     region, ``read_load`` reads the load report of a server.
     """
 
@@ -61,8 +62,8 @@
 
     @property
     def is_on(self) -> bool:
-        """Return True if the demand-aware decisions apply."""
-        return self.view.servers.demand.is_on
+        """Return True if callers of different urgency compete for servers."""
+        return self.view.servers.demand.competing_callers
 
     async def async_admit(self, call: Call) -> None:
         """Return if a request may be sent to a server, or raise Refusal."""
@@ -93,6 +94,8 @@
                 self.record_wait(call, began, WaitEnd.UNAVAILABLE)
             raise refusal
         now = self.clock.monotonic()
+        if began is None:
+            self._record_busy(call, refusal, now)
         row = self._create_row(call, now if began is None else began)
         if row.until > now:
             began = now if began is None else began
@@ -105,6 +108,13 @@
         self._delay_retry(call, refusal)
         raise refusal
 
+    def _record_busy(self, call: Call, refusal: Refusal, now: float) -> None:
+        """Record the shortest wait that a request found when all servers were busy."""
+        wait = refusal.inputs.get("shortest_wait")
+        if isinstance(wait, float | int):
+            servers = self.view.servers
+            self.levels.pressures.record_busy(servers, call.service, wait, now)
+
     async def _async_wait_for_turn(
         self, call: Call, row: Waiting, began: float
     ) -> WaitEnd:
@@ -187,7 +197,9 @@
         self.stepped_at = now
         self.levels.step(self.view.servers, routes.service_goals, now)
         self.counters.admission_levels = {
-            (service,): row.plan.level for service, row in self.levels.services.items()
+            (service,): row.plan.level
+            for service, row in self.levels.services.items()
+            if row.plan.by_rank
         }
         for service, row in self.levels.services.items():
             self._log(service, row)
@@ -225,7 +237,8 @@
         """Log a level whose admitted share changed, with the inputs and their age."""
         share = row.control.share
         logged = self.logged_shares.get(service, 1.0)
-        if abs(share - logged) < LOGGED_CHANGE_MIN and (share < 1) == (logged < 1):
+        change = abs(share - logged)
+        if change < LOGGED_CHANGE_MIN * logged and (share < 1) == (logged < 1):
             return
         self.logged_shares[service] = share
         self.events.record(
