Bound the figures behind admission, and reject late callers later

A service whose callers are all of one rank rejected those who would have been late, though that protects nobody. Change: a wait as long as the goal is the most that counts, and 10 s for one report; with one rank, the limit is 0.6 in place of 0.26. Measured: 2 new tests and those of shares, plans and waits pass.

--- a/packages/core/greengagepoint/admission/levels.py
+++ b/packages/core/greengagepoint/admission/levels.py
@@ -8,7 +8,11 @@
 from greengagepoint.admission.plan import ADMIT_ALL, AdmissionPlan, create_plan
 from greengagepoint.admission.pressure import MergedPressure, Pressures
 from greengagepoint.admission.retry_after import retry_seconds
-from greengagepoint.admission.share import ShareControl
+from greengagepoint.admission.share import (
+    LATE_PRESSURE_LIMIT,
+    PRESSURE_LIMIT,
+    ShareControl,
+)
 from greengagepoint.placing.tables import ServerTable
 
 
@@ -25,10 +29,14 @@
     def step(self, pressure: MergedPressure | None, now: float) -> None:
         """Advance the share and the plan to ``now``."""
         self.pressure = pressure
+        rates = self.demand.read(now)
+        has_ranks = len({rank for rank, _ in rates}) > 1
         self.control.step(
-            pressure and pressure.pressure, pressure and pressure.share, now
+            pressure and pressure.pressure,
+            pressure and pressure.share,
+            now,
+            PRESSURE_LIMIT if has_ranks else LATE_PRESSURE_LIMIT,
         )
-        rates = self.demand.read(now)
         self.plan = create_plan(rates, self.control.share)
 
     def retry_seconds(self, probability: float) -> float:
--- a/packages/core/greengagepoint/admission/pressure.py
+++ b/packages/core/greengagepoint/admission/pressure.py
@@ -23,9 +23,15 @@
 AGE_MAX_SECONDS: Final = 3.0
 # A queue whose wait is this multiple of the goal is far beyond what servers accept.
 PRESSURE_MAX: Final = 100.0
+# A wait as long as the goal makes every answer late. Longer ones count as this one: a
+# single wrong figure of 20 made 11 hosts reject two thirds of their callers for 18 s.
+COUNTED_PRESSURE_MAX: Final = 1.0
 # Three regions with ten services each; a message with more figures is invalid.
 FIGURES_MAX: Final = 256
 SHARE_MIN: Final = 0.02
+# No request waits longer than this. A server that reports a million waiting requests
+# would otherwise outweigh all other reports for ten seconds.
+SAMPLE_WAIT_SECONDS_MAX: Final = 10.0
 # Time constant of the mean over load reports.
 SAMPLE_SECONDS: Final = 1.0
 # Weight of peers in the figure of this host's region. A host of a large fleet gets a
@@ -88,7 +94,7 @@
     def add(self, wait: float, weight: float, now: float) -> None:
         """Add an expected wait in seconds to the mean."""
         self._decay(now)
-        self.total += weight * wait
+        self.total += weight * min(SAMPLE_WAIT_SECONDS_MAX, wait)
         self.weight += weight
 
     def mean(self) -> float:
@@ -153,7 +159,7 @@
             if goal_seconds <= 0 or now - samples.at > AGE_MAX_SECONDS:
                 del self.samples[service]
                 continue
-            pressure = min(PRESSURE_MAX, samples.mean() / goal_seconds)
+            pressure = min(COUNTED_PRESSURE_MAX, samples.mean() / goal_seconds)
             share = shares.get(service, 1.0)
             self.measured[service] = Figure(pressure, share, samples.at)
         self.received = {
@@ -182,7 +188,8 @@
             key = (report.service, report.region)
             current = self.received.get(key)
             if report.age <= AGE_MAX_SECONDS and (current is None or current.at < at):
-                self.received[key] = Figure(report.pressure, report.share, at)
+                pressure = min(COUNTED_PRESSURE_MAX, report.pressure)
+                self.received[key] = Figure(pressure, report.share, at)
 
     def recent(self, now: float) -> list[ServicePressure]:
         """Return the figures to share with peers, without expired ones."""
--- a/packages/core/greengagepoint/admission/share.py
+++ b/packages/core/greengagepoint/admission/share.py
@@ -10,6 +10,9 @@
 # answer in time. In the model, a limit of 0.22 leaves slots idle, and with 0.4 urgent
 # requests are late.
 PRESSURE_LIMIT: Final = 0.26
+# Without a more urgent rank to protect, only callers that would be late anyway are
+# rejected: a mean wait above this and a warm run together exceed the goal.
+LATE_PRESSURE_LIMIT: Final = 0.6
 # The share falls by this factor of itself per second and unit of excess.
 FALL_PER_SECOND: Final = 0.8
 # A larger excess, as after a start with empty queues, counts as this one: the share
@@ -37,7 +40,11 @@
     stepped_at: float | None = None
 
     def step(
-        self, pressure: float | None, peer_share: float | None, now: float
+        self,
+        pressure: float | None,
+        peer_share: float | None,
+        now: float,
+        limit: float = PRESSURE_LIMIT,
     ) -> None:
         """Advance to ``now``; without a pressure, all requests are admitted."""
         elapsed = now - self.stepped_at if self.stepped_at is not None else 0.0
@@ -48,11 +55,11 @@
             return
         if peer_share is not None:
             self.base += PEER_WEIGHT * (peer_share - self.base)
-        excess = min(EXCESS_MAX, pressure - PRESSURE_LIMIT)
+        excess = min(EXCESS_MAX, pressure - limit)
         rate = (
             -FALL_PER_SECOND * excess
             if excess > 0
-            else -RECOVERY_PER_SECOND * excess / PRESSURE_LIMIT
+            else -RECOVERY_PER_SECOND * excess / limit
         )
         self.base = _clamp(self.base * math.exp(rate * elapsed))
         self.share = _clamp(self.base * math.exp(-DAMPING * max(0.0, excess)))
--- a/packages/core/tests/test_admission_share.py
+++ b/packages/core/tests/test_admission_share.py
@@ -8,11 +8,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from greengagepoint.admission.levels import AdmissionLevels
+from greengagepoint.admission.levels import AdmissionLevels, ServiceLevel
 from greengagepoint.admission.pressure import (
     AGE_MAX_SECONDS,
+    COUNTED_PRESSURE_MAX,
     PRESSURE_MAX,
     SHARE_MIN,
+    MergedPressure,
     Pressures,
     ServicePressure,
 )
@@ -142,6 +144,34 @@
     assert pressures.merge(servers, "booking", 10.0).pressure == pytest.approx(0.2)
 
 
+def test_a_wrong_figure_counts_no_more_than_a_wait_as_long_as_the_goal():
+    """Guards against one peer or server that makes a fleet reject its callers."""
+    servers = table(north=3, south=3)
+    pressures = Pressures("north")
+    figure = ServicePressure("south", "booking", 90.0, 0.0)
+    pressures.take([figure], servers, GOALS, 10.0)
+    pressures.record_load(servers.servers["north"], 999_999, 8.0)
+    for number in range(20):
+        pressures.record_load(servers.servers["north"], 0, 8.0 + number / 10)
+    pressures.measure(GOALS, {}, 10.0)
+    assert pressures.measured["booking"].pressure <= COUNTED_PRESSURE_MAX
+    merged = pressures.merge(servers, "booking", 10.0)
+    assert merged.pressure <= COUNTED_PRESSURE_MAX
+
+
+@pytest.mark.parametrize(("ranks", "admits_all"), [((1,), True), ((0, 2), False)])
+def test_late_callers_are_rejected_early_only_to_protect_a_more_urgent_rank(
+    ranks, admits_all
+):
+    """Guards against refusing callers who would have got a late answer."""
+    level = ServiceLevel()
+    for number in range(1, 9):
+        for rank in ranks:
+            level.demand.record(rank, "", number / 2)
+        level.step(MergedPressure(0.5, 0.0, 1, None), number / 2)
+    assert (level.plan.probability(ranks[-1], "") == 1.0) is admits_all
+
+
 ANY = st.floats(allow_nan=True, allow_infinity=True)
 
 
