Keep a new key coordinator from taking over its own weights

Cause: hosts report the version of the weights that they apply, also those that the new coordinator itself has just issued. lacks_weights saw a known version above 0, asked the reporting host for the weights, and seeded the coordinator with its own. A seeded coordinator does not balance for 10 s.

Change: a report that names this incarnation is no reason to take over, and an answer that names it is not taken over either.

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -84,13 +84,19 @@
         self.seeded = True
         self.version += 1
 
-    def lacks_weights(self, report: KeyUsageReport, now: float) -> bool:
+    def lacks_weights(
+        self, report: KeyUsageReport, host: str, started: int, now: float
+    ) -> bool:
         """Return True if the reporting host knows weights to start from.
 
         A coordinator that has just started would move all keys if it started anew.
+        ``host`` and ``started`` are this incarnation, whose own weights come back in
+        reports and are none of a former coordinator.
         """
         if self.seeded or not report.known_version:
             return False
+        if (report.coordinator, report.coordinator_started) == (host, started):
+            return False
         return not self.version or now - self.began_at < EARLY_SECONDS
 
     def apply(self, report: KeyUsageReport, table: ServerTable, now: float) -> int:
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -148,7 +148,8 @@
             if invalid:
                 sender = (report.host, report.started)
                 self._log_invalid(sender, InvalidRows(out_of_range=invalid))
-            if self.coordinator.lacks_weights(report, now):
+            started = self.own.started
+            if self.coordinator.lacks_weights(report, own.name, started, now):
                 self._start_takeover(report.host)
         message = self._current_message()
         if message is not None and not _is_unknown(report, message):
@@ -300,6 +301,11 @@
         answer = await self._async_answer_of(entry, ask)
         if answer is None or answer.weights is None or self.coordinator.seeded:
             return
+        if (answer.weights.coordinator, answer.weights.started) == (
+            own.entry.name,
+            own.started,
+        ):
+            return
         self._apply(region, answer.weights)
         placement = self.applied.of_region(region)
         self.coordinator.seed(placement.weights, placement.homes)
--- a/packages/node/tests/test_gateway_key_coordinators.py
+++ b/packages/node/tests/test_gateway_key_coordinators.py
@@ -116,6 +116,21 @@
     assert other.homes() == homes == fleet.hosts[coordinator].homes()
 
 
+async def test_a_first_coordinator_balances_through_its_first_seconds():
+    # Hosts report the version of its own first weights. If it took these over as those
+    # of a former coordinator, it would not balance for 10 s.
+    fleet = KeyFleet(4)
+    found = []
+    for _ in range(int(EARLY_SECONDS) + 1):
+        await fleet.async_run(1)
+        (coordinator,) = fleet.coordinators()
+        placed = fleet.hosts[coordinator].placement.coordinator
+        found.append((placed.seeded, placed.version))
+    assert not any(seeded for seeded, _ in found)
+    versions_found = [version for _, version in found if version]
+    assert len(set(versions_found)) >= 3
+
+
 async def test_a_coordinator_that_is_slow_once_is_not_replaced():
     # Its answers are lost; hosts ask the next one, which passes on the same weights.
     fleet, coordinator = await async_placed_fleet()
