Continue placing keys after a round that failed

Cause: an exception in a round of balancing or of reports ended KeyPlacement.async_run for good. The host stayed elected and answered reports, so no other host balanced the region.

Result: the new test saw the task finished by its first exception before the change; now both loops go on and each failure has one line. test_gateway_key_coordinators.py passes.

--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -88,13 +88,27 @@
         """Balance each second."""
         while True:
             await asyncio.sleep(PERIOD_SECONDS)
-            await self.async_balance()
+            try:
+                await self.async_balance()
+            except Exception as error:
+                self._record_failure(self.async_balance.__qualname__, error)
 
     async def _async_run_reports(self) -> None:
         """Report once per period."""
         while True:
             await asyncio.sleep(self.period_seconds())
-            self.start_reports()
+            try:
+                self.start_reports()
+            except Exception as error:
+                self._record_failure(self.start_reports.__qualname__, error)
+
+    def _record_failure(self, where: str, error: Exception) -> None:
+        """Log a round that failed; the next one starts from the state in force.
+
+        If the task ended, this host would stay elected and balance nothing.
+        """
+        if self._may_log(Event.INTERNAL_ERROR, where, self.clock.monotonic()):
+            self.events.record(Event.INTERNAL_ERROR, where=where, detail=repr(error))
 
     async def async_balance(self) -> None:
         """Adjust the weights of the own region if this host is its coordinator."""
--- a/packages/node/tests/test_gateway_key_coordinators.py
+++ b/packages/node/tests/test_gateway_key_coordinators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 
 import msgspec
 import pytest
@@ -23,6 +24,7 @@
     KeyWeights,
     KeyWeightsAnswer,
 )
+from greengagepoint_node.gateway import key_placement
 from greengagepoint_node.gateway.host_table import ALIVE_SECONDS, HeardHost
 
 # Heartbeats expire, and a host without answers asks the next one.
@@ -131,6 +133,38 @@
     assert len(set(versions_found)) >= 3
 
 
+async def test_rounds_go_on_after_one_that_failed(monkeypatch):
+    # Without its task, a coordinator stays elected, and its region is not balanced.
+    monkeypatch.setattr(key_placement, "PERIOD_SECONDS", 0.0)
+    fleet = KeyFleet(1)
+    host = fleet.hosts["h0"]
+    rounds = Counter()
+    went_on = asyncio.Event()
+
+    def fail_first(name):
+        rounds[name] += 1
+        if rounds[name] == 1:
+            raise ValueError(name)
+        if rounds["balance"] > 1 and rounds["report"] > 1:
+            went_on.set()
+
+    async def async_balance():
+        fail_first("balance")
+
+    monkeypatch.setattr(host.placement, "async_balance", async_balance)
+    monkeypatch.setattr(host.placement, "start_reports", lambda: fail_first("report"))
+    task = asyncio.create_task(host.placement.async_run())
+    waiting = asyncio.create_task(went_on.wait())
+    await asyncio.wait({task, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    assert not task.done()
+    task.cancel()
+    lines = host.events.of(Event.INTERNAL_ERROR)
+    assert [line["detail"] for line in lines] == [
+        "ValueError('balance')",
+        "ValueError('report')",
+    ]
+
+
 async def test_a_coordinator_that_is_slow_once_is_not_replaced():
     # Its answers are lost; hosts ask the next one, which passes on the same weights.
     fleet, coordinator = await async_placed_fleet()
