Drop a round of key balancing when weights are seeded meanwhile

Cause: balance() lets the event loop run, and an answer with the weights of a former coordinator may arrive in between. The end of the round then overwrote the seeded weights with those calculated from the weights that were in force at its begin, and the services that followed were still allowed to move all keys.

Change: a round ends without a result once the version has changed.

Result: seeded weights were overwritten when seeded at each of four places of a round, and stay now. test_key_placement_keys.py and test_gateway_key_coordinators.py pass.

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -125,8 +125,11 @@
     def balance(self, table: ServerTable, now: float) -> Iterator[Outcome | None]:
         """Adjust the weights; yield None after each part, and the outcomes.
 
-        The caller lets the event loop run after each part.
+        The caller lets the event loop run after each part. If the weights are seeded
+        meanwhile, the round ends without a result: it began with other weights, and
+        a seeded coordinator first learns the keys.
         """
+        version = self.version
         self.keys.drop_expired(now)
         changed = False
         moves_share = self._moves_share(now)
@@ -141,6 +144,8 @@
             )
             steps = self._balance_service(service, servers, moves_share, now)
             changed = (yield from steps) or changed
+            if self.version != version:
+                return
         self._forget_former(table)
         if changed:
             self.version += 1
@@ -164,6 +169,7 @@
         self, service: str, servers: list[Server], moves_share: float, now: float
     ) -> Iterator[Outcome | None]:
         """Adjust the weights and homes of one service; return True if they changed."""
+        version = self.version
         members = self._members(service, servers)
         rows = self.keys.of_service(service)
         count = self.homes.setdefault(service, HomeCount())
@@ -181,7 +187,7 @@
         for balance in balance_steps(keys, weights, limits):
             if balance is None:
                 yield None
-        if balance.weights == weights and not changed:
+        if self.version != version or (balance.weights == weights and not changed):
             return False
         self.weights.update(zip(members, balance.weights, strict=True))
         yield Outcome(
--- a/packages/core/tests/test_key_placement_keys.py
+++ b/packages/core/tests/test_key_placement_keys.py
@@ -134,6 +134,31 @@
     assert max(map(homes.count, homes)) - min(map(homes.count, homes)) <= 6
 
 
+@pytest.mark.parametrize("part", [0, 1, 3, 5])
+def test_weights_seeded_during_a_round_stay(part):
+    """Guards against a round that overwrites the weights of a former coordinator.
+
+    A host's answer arrives while the round lets the event loop run.
+    """
+    table, coordinator = create_table(6), KeyCoordinator(REGION)
+    for second in range(3):
+        coordinator.apply(
+            report(*((f"/p\0{number}", 1) for number in range(60))),
+            table,
+            float(second),
+        )
+    seeded = {f"i-{number:04}": 0.5 + number / 4 for number in range(6)}
+    parts = 0
+    for number, _ in enumerate(coordinator.balance(table, 2.5)):
+        parts += 1
+        if number == part:
+            coordinator.seed(seeded, {SERVICE: 1})
+    assert parts > part
+    assert coordinator.weights == seeded
+    assert (coordinator.version, coordinator.seeded) == (1, True)
+    assert coordinator.create_message("h1", 1).homes == {}
+
+
 @pytest.mark.parametrize("servers", [1, 2, 3])
 def test_few_servers_are_balanced_without_error(servers):
     message = balance(KeyCoordinator(REGION), create_table(servers), 12)
