Ignore weights of another incarnation that a host passes on

Cause: weights of another incarnation replaced those in force whoever sent them. While the coordinator was slow, hosts took the weights that the next host still applied, and changed back with the coordinator's next answer. Each change moves keys.

Change: weights of another incarnation are applied only if the answer is that of the coordinator they name, or if the host has none of the region. A takeover, which asks for the weights of others, is as before.

The tests of key placement in core and test_gateway_key_coordinators.py pass.

--- a/packages/core/greengagepoint/key_placement/following.py
+++ b/packages/core/greengagepoint/key_placement/following.py
@@ -35,14 +35,15 @@
     homes: dict[str, int] = field(default_factory=dict)
     received_at: float = float("-inf")
 
-    def is_newer(self, message: KeyWeights) -> bool:
+    def is_newer(self, message: KeyWeights, *, is_passed_on: bool) -> bool:
         """Return True if a message replaces these weights.
 
-        Another incarnation replaces them always: the host asks the coordinator that it
-        ranks first among those alive.
+        Those of another incarnation do if it sent them itself: the host asks the
+        coordinator that it ranks first among those alive. Weights that another host
+        passes on may be older, and hosts that take them in turn move keys each time.
         """
         if (message.coordinator, message.started) != (self.coordinator, self.started):
-            return True
+            return not (is_passed_on and self.version)
         return message.version > self.version
 
     def create_message(self) -> KeyWeights:
@@ -68,10 +69,19 @@
         return self.regions.get(region, NO_PLACEMENT)
 
     def apply(
-        self, region: str, message: KeyWeights, table: ServerTable, now: float
+        self,
+        region: str,
+        message: KeyWeights,
+        table: ServerTable,
+        now: float,
+        *,
+        is_passed_on: bool = False,
     ) -> InvalidRows | None:
-        """Apply a message that is newer; return None if it is not."""
-        if not self.of_region(region).is_newer(message):
+        """Apply a message that is newer; return None if it is not.
+
+        ``is_passed_on`` is true if the sender is not the coordinator.
+        """
+        if not self.of_region(region).is_newer(message, is_passed_on=is_passed_on):
             return None
         if is_too_large(message):
             return InvalidRows(out_of_range=len(message.weights))
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -268,13 +268,17 @@
         for entry in candidates[:ATTEMPTS_MAX]:
             answer = await self._async_answer_of(entry, report)
             if answer is not None:
-                self._apply_answer(region, rows, answer)
+                self._apply_answer(entry.name, region, rows, answer)
                 return
         self.counts[("reports_unanswered",)] += 1
         self.usage.put_back(region, rows)
 
     def _apply_answer(
-        self, region: str, rows: list[KeyUsageRow], answer: KeyWeightsAnswer
+        self,
+        sender: str,
+        region: str,
+        rows: list[KeyUsageRow],
+        answer: KeyWeightsAnswer,
     ) -> None:
         """Apply an answer, and keep the rows if no coordinator has counted them."""
         self.counts[("reports_answered",)] += 1
@@ -285,7 +289,8 @@
         else:
             self.usage.put_back(region, rows)
         if answer.weights is not None:
-            self._apply(region, answer.weights)
+            is_own = answer.counted and answer.weights.coordinator == sender
+            self._apply(region, answer.weights, is_passed_on=not is_own)
 
     async def _async_answer_of(
         self, entry: HostEntry, report: KeyUsageReport
@@ -324,11 +329,15 @@
         placement = self.applied.of_region(region)
         self.coordinator.seed(placement.weights, placement.homes)
 
-    def _apply(self, region: str, message: KeyWeights) -> None:
+    def _apply(
+        self, region: str, message: KeyWeights, *, is_passed_on: bool = False
+    ) -> None:
         """Apply weights that are newer than those in force, and log what is new."""
         now = self.clock.monotonic()
         before = self.applied.of_region(region)
-        invalid = self.applied.apply(region, message, self.view.servers, now)
+        invalid = self.applied.apply(
+            region, message, self.view.servers, now, is_passed_on=is_passed_on
+        )
         if invalid is None:
             return
         if any(invalid):
--- a/packages/node/tests/test_gateway_key_coordinators.py
+++ b/packages/node/tests/test_gateway_key_coordinators.py
@@ -18,6 +18,7 @@
     EARLY_SECONDS,
     MOVED_SHARE_PER_SECOND,
 )
+from greengagepoint.key_placement.following import RegionPlacement
 from greengagepoint.key_placement.messages import (
     KeyUsageReport,
     KeyUsageRow,
@@ -104,6 +105,34 @@
     assert host.applied.weights
 
 
+async def test_weights_of_another_incarnation_that_a_host_passes_on_are_ignored():
+    # The coordinator is slow, and the next host has missed its weights. Hosts that take
+    # those that it still applies change back with the coordinator's next answer.
+    fleet, coordinator = await async_placed_fleet()
+    placement = fleet.hosts[coordinator].placement
+    following = placement._ranked_hosts(REGION)[1].name
+    stale = RegionPlacement("former", 9, 50, {"i-0": 4.0}, {}, fleet.clock.now)
+    fleet.hosts[following].placement.applied.regions[REGION] = stale
+    fleet.mute.add(coordinator)
+    await fleet.async_run(2)
+    names = {name: host.version[0] for name, host in fleet.hosts.items()}
+    assert names.pop(following) == "former"
+    assert set(names.values()) == {coordinator}
+    fleet.mute.clear()
+    await fleet.async_run(4)
+    assert {name for name, _, _ in versions(fleet)} == {coordinator}
+
+
+async def test_a_host_without_weights_takes_those_that_another_passes_on():
+    # It would rank all keys by hash until the coordinator answers.
+    fleet, coordinator = await async_placed_fleet()
+    fleet.start("new")
+    fleet.mute.add(coordinator)
+    await fleet.async_run(2)
+    assert fleet.hosts["new"].version[0] in fleet.hosts
+    assert fleet.hosts["new"].view.servers.key_weights
+
+
 async def test_a_restarted_coordinator_takes_over_the_weights_in_use():
     # It has lost its weights. If it started anew, most keys would move at once.
     fleet, coordinator = await async_placed_fleet()
