--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -88,13 +88,27 @@
         """Balance each second."""
         while True:
             await asyncio.sleep(PERIOD_SECONDS)
-            await self.async_balance()
+            try:
+                await self.async_balance()
+            except Exception as error:
+                self._record_failure(self.async_balance.__qualname__, error)
 
     async def _async_run_reports(self) -> None:
         """Report once per period."""
         while True:
             await asyncio.sleep(self.period_seconds())
-            self.start_reports()
+            try:
+                self.start_reports()
+            except Exception as error:
+                self._record_failure(self.start_reports.__qualname__, error)
+
+    def _record_failure(self, where: str, error: Exception) -> None:
+        """Log a round that failed; the next one starts from the state in force.
+
+        If the task ended, this host would stay elected and balance nothing.
+        """
+        if self._may_log(Event.INTERNAL_ERROR, where, self.clock.monotonic()):
+            self.events.record(Event.INTERNAL_ERROR, where=where, detail=repr(error))
 
     async def async_balance(self) -> None:
         """Adjust the weights of the own region if this host is its coordinator."""
@@ -148,7 +162,8 @@
             if invalid:
                 sender = (report.host, report.started)
                 self._log_invalid(sender, InvalidRows(out_of_range=invalid))
-            if self.coordinator.lacks_weights(report, now):
+            started = self.own.started
+            if self.coordinator.lacks_weights(report, own.name, started, now):
                 self._start_takeover(report.host)
         message = self._current_message()
         if message is not None and not _is_unknown(report, message):
@@ -253,13 +268,17 @@
         for entry in candidates[:ATTEMPTS_MAX]:
             answer = await self._async_answer_of(entry, report)
             if answer is not None:
-                self._apply_answer(region, rows, answer)
+                self._apply_answer(entry.name, region, rows, answer)
                 return
         self.counts[("reports_unanswered",)] += 1
         self.usage.put_back(region, rows)
 
     def _apply_answer(
-        self, region: str, rows: list[KeyUsageRow], answer: KeyWeightsAnswer
+        self,
+        sender: str,
+        region: str,
+        rows: list[KeyUsageRow],
+        answer: KeyWeightsAnswer,
     ) -> None:
         """Apply an answer, and keep the rows if no coordinator has counted them."""
         self.counts[("reports_answered",)] += 1
@@ -270,7 +289,8 @@
         else:
             self.usage.put_back(region, rows)
         if answer.weights is not None:
-            self._apply(region, answer.weights)
+            is_own = answer.counted and answer.weights.coordinator == sender
+            self._apply(region, answer.weights, is_passed_on=not is_own)
 
     async def _async_answer_of(
         self, entry: HostEntry, report: KeyUsageReport
@@ -300,15 +320,24 @@
         answer = await self._async_answer_of(entry, ask)
         if answer is None or answer.weights is None or self.coordinator.seeded:
             return
+        if (answer.weights.coordinator, answer.weights.started) == (
+            own.entry.name,
+            own.started,
+        ):
+            return
         self._apply(region, answer.weights)
         placement = self.applied.of_region(region)
         self.coordinator.seed(placement.weights, placement.homes)
 
-    def _apply(self, region: str, message: KeyWeights) -> None:
+    def _apply(
+        self, region: str, message: KeyWeights, *, is_passed_on: bool = False
+    ) -> None:
         """Apply weights that are newer than those in force, and log what is new."""
         now = self.clock.monotonic()
         before = self.applied.of_region(region)
-        invalid = self.applied.apply(region, message, self.view.servers, now)
+        invalid = self.applied.apply(
+            region, message, self.view.servers, now, is_passed_on=is_passed_on
+        )
         if invalid is None:
             return
         if any(invalid):
--- a/packages/node/tests/test_gateway_key_coordinators.py
+++ b/packages/node/tests/test_gateway_key_coordinators.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections import Counter
 
 import msgspec
 import pytest
@@ -17,12 +18,14 @@
     EARLY_SECONDS,
     MOVED_SHARE_PER_SECOND,
 )
+from greengagepoint.key_placement.following import RegionPlacement
 from greengagepoint.key_placement.messages import (
     KeyUsageReport,
     KeyUsageRow,
     KeyWeights,
     KeyWeightsAnswer,
 )
+from greengagepoint_node.gateway import key_placement
 from greengagepoint_node.gateway.host_table import ALIVE_SECONDS, HeardHost
 
 # Heartbeats expire, and a host without answers asks the next one.
@@ -102,6 +105,34 @@
     assert host.applied.weights
 
 
+async def test_weights_of_another_incarnation_that_a_host_passes_on_are_ignored():
+    # The coordinator is slow, and the next host has missed its weights. Hosts that take
+    # those that it still applies change back with the coordinator's next answer.
+    fleet, coordinator = await async_placed_fleet()
+    placement = fleet.hosts[coordinator].placement
+    following = placement._ranked_hosts(REGION)[1].name
+    stale = RegionPlacement("former", 9, 50, {"i-0": 4.0}, {}, fleet.clock.now)
+    fleet.hosts[following].placement.applied.regions[REGION] = stale
+    fleet.mute.add(coordinator)
+    await fleet.async_run(2)
+    names = {name: host.version[0] for name, host in fleet.hosts.items()}
+    assert names.pop(following) == "former"
+    assert set(names.values()) == {coordinator}
+    fleet.mute.clear()
+    await fleet.async_run(4)
+    assert {name for name, _, _ in versions(fleet)} == {coordinator}
+
+
+async def test_a_host_without_weights_takes_those_that_another_passes_on():
+    # It would rank all keys by hash until the coordinator answers.
+    fleet, coordinator = await async_placed_fleet()
+    fleet.start("new")
+    fleet.mute.add(coordinator)
+    await fleet.async_run(2)
+    assert fleet.hosts["new"].version[0] in fleet.hosts
+    assert fleet.hosts["new"].view.servers.key_weights
+
+
 async def test_a_restarted_coordinator_takes_over_the_weights_in_use():
     # It has lost its weights. If it started anew, most keys would move at once.
     fleet, coordinator = await async_placed_fleet()
@@ -116,6 +147,53 @@
     assert other.homes() == homes == fleet.hosts[coordinator].homes()
 
 
+async def test_a_first_coordinator_balances_through_its_first_seconds():
+    # Hosts report the version of its own first weights. If it took these over as those
+    # of a former coordinator, it would not balance for 10 s.
+    fleet = KeyFleet(4)
+    found = []
+    for _ in range(int(EARLY_SECONDS) + 1):
+        await fleet.async_run(1)
+        (coordinator,) = fleet.coordinators()
+        placed = fleet.hosts[coordinator].placement.coordinator
+        found.append((placed.seeded, placed.version))
+    assert not any(seeded for seeded, _ in found)
+    versions_found = [version for _, version in found if version]
+    assert len(set(versions_found)) >= 3
+
+
+async def test_rounds_go_on_after_one_that_failed(monkeypatch):
+    # Without its task, a coordinator stays elected, and its region is not balanced.
+    monkeypatch.setattr(key_placement, "PERIOD_SECONDS", 0.0)
+    fleet = KeyFleet(1)
+    host = fleet.hosts["h0"]
+    rounds = Counter()
+    went_on = asyncio.Event()
+
+    def fail_first(name):
+        rounds[name] += 1
+        if rounds[name] == 1:
+            raise ValueError(name)
+        if rounds["balance"] > 1 and rounds["report"] > 1:
+            went_on.set()
+
+    async def async_balance():
+        fail_first("balance")
+
+    monkeypatch.setattr(host.placement, "async_balance", async_balance)
+    monkeypatch.setattr(host.placement, "start_reports", lambda: fail_first("report"))
+    task = asyncio.create_task(host.placement.async_run())
+    waiting = asyncio.create_task(went_on.wait())
+    await asyncio.wait({task, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    assert not task.done()
+    task.cancel()
+    lines = host.events.of(Event.INTERNAL_ERROR)
+    assert [line["detail"] for line in lines] == [
+        "ValueError('balance')",
+        "ValueError('report')",
+    ]
+
+
 async def test_a_coordinator_that_is_slow_once_is_not_replaced():
     # Its answers are lost; hosts ask the next one, which passes on the same weights.
     fleet, coordinator = await async_placed_fleet()
