Use affinity cookies that are not UTF-8 as keys

Cause: the HTTP library reads bytes of a header that are not UTF-8 as lone surrogates. unit_hash encoded such a key without an error handler, so each request with such a cookie got a 500. Reports of keys to a coordinator and fingerprints of requests that crash a server encode the same text. Change: keys and fingerprints are hashed by the bytes that the caller sent. Keys that are not UTF-8 are not reported to the coordinator, as messages between hosts cannot hold them. Measured: the five new tests fail without the change and pass with it, and the tests of ranking, keys and fingerprints pass.

--- a/packages/core/greengagepoint/key_placement/usage.py
+++ b/packages/core/greengagepoint/key_placement/usage.py
@@ -13,8 +13,16 @@
 
 
 def is_reportable(key: str) -> bool:
-    """Return True if a key is short enough to be reported."""
-    return len(key) <= KEY_BYTES_MAX and len(key.encode()) <= KEY_BYTES_MAX
+    """Return True if a key is short enough to be reported, and UTF-8.
+
+    Messages between hosts cannot hold a cookie value that is not UTF-8.
+    """
+    if key.isascii() or len(key) > KEY_BYTES_MAX:
+        return len(key) <= KEY_BYTES_MAX
+    try:
+        return len(key.encode()) <= KEY_BYTES_MAX
+    except UnicodeEncodeError:
+        return False
 
 
 @dataclass(slots=True)
--- a/packages/core/greengagepoint/placing/ranking.py
+++ b/packages/core/greengagepoint/placing/ranking.py
@@ -15,6 +15,8 @@
 # warm, and cold runs fill the slots.
 RANK_LENGTH: Final = 2
 HASH_RANGE: Final = 2**64
+# How the HTTP library decodes bytes of headers that are not UTF-8.
+HEADER_ERRORS: Final = "surrogateescape"
 # Servers with the highest hashes for a key, of which the weights choose. Weights change
 # each second at first, and ten scores per key are cheap to compute again.
 CANDIDATES_MAX: Final = 10
@@ -33,8 +35,12 @@
 
 
 def unit_hash(text: str) -> float:
-    """Return a hash of ``text`` as a number from 0 to less than 1."""
-    return xxhash.xxh3_64_intdigest(text.encode()) / HASH_RANGE
+    """Return a hash of ``text`` as a number from 0 to less than 1.
+
+    Bytes of a header that are not UTF-8 are read as lone surrogates; they are hashed as
+    the bytes that the caller sent.
+    """
+    return xxhash.xxh3_64_intdigest(text.encode(errors=HEADER_ERRORS)) / HASH_RANGE
 
 
 def rank_by_hash(key: str, members: Sequence[Server]) -> list[Server]:
@@ -47,7 +53,7 @@
 
 def find_candidates(key: str, members: Sequence[Server]) -> Candidates:
     """Return the candidates of a key among the members of a service in a region."""
-    prefix = key.encode() + b"\0"
+    prefix = key.encode(errors=HEADER_ERRORS) + b"\0"
     digest = xxhash.xxh3_64_intdigest
     draws = [digest(prefix + row.instance.encode()) / HASH_RANGE for row in members]
     order = sorted(range(len(draws)), key=draws.__getitem__, reverse=True)
--- a/packages/core/greengagepoint/quarantine/fingerprint.py
+++ b/packages/core/greengagepoint/quarantine/fingerprint.py
@@ -37,4 +37,6 @@
 
 def _digest(*texts: str) -> xxhash.xxh3_64:
     """Return the hash of some texts, none of which may contain a zero byte."""
-    return xxhash.xxh3_64(SEPARATOR.join(text.encode() for text in texts))
+    # Credentials that are not UTF-8 were read as lone surrogates.
+    encoded = (text.encode(errors="surrogateescape") for text in texts)
+    return xxhash.xxh3_64(SEPARATOR.join(encoded))
