Use the default for malformed deadlines of callers

Cause: isdigit() is true for a superscript, which int() refuses; int() also refuses over 4,300 digits, and a float holds no more than 308. Such a deadline header gave a 500. Digits of other scripts were taken as a deadline, so that an Arabic 3 counted as 3 ms. Change: a deadline that is not of 1 to 12 ASCII digits counts as the default. Measured: four of the eight cases fail without the change, three with a 500 and one with a 503; all pass with it.

--- a/packages/node/greengagepoint_node/gateway/call.py
+++ b/packages/node/greengagepoint_node/gateway/call.py
@@ -15,6 +15,8 @@
 # takes as long to reach the caller.
 ANSWER_MARGIN_SECONDS: Final = 0.01
 DEADLINE_DEFAULT_SECONDS: Final = 10.0
+# 30 years. int() refuses over 4,300 digits, and a float holds no more than 308.
+DEADLINE_DIGITS_MAX: Final = 12
 # Host names and paths without a route are cut to this, as callers choose their length.
 LOGGED_CHARACTERS_MAX: Final = 100
 # Only a new configuration can make such a request routable.
@@ -126,6 +128,9 @@
 
 def _deadline_seconds(text: str | None) -> float:
     """Return the caller's deadline in seconds, or the default if it is invalid."""
-    if text is None or not text.isdigit():
+    if text is None or len(text) > DEADLINE_DIGITS_MAX:
+        return DEADLINE_DEFAULT_SECONDS
+    # Without isascii(), isdigit() is true for superscripts, which int() refuses.
+    if not text.isascii() or not text.isdigit():
         return DEADLINE_DEFAULT_SECONDS
     return int(text) / 1000
--- a/packages/node/tests/test_hostile_gateway_callers.py
+++ b/packages/node/tests/test_hostile_gateway_callers.py
@@ -1,13 +1,15 @@
-"""Callers of the gateway that send malformed cookies."""
+"""Callers of the gateway that send malformed cookies and deadlines."""
 
 import pytest
 from gateway_world import HOST, NAMES, async_environment
 from raw_caller import async_connection, async_read_answer
+from test_gateway_arrival import approx_deadlines, deadlines_sent
 
 from greengagepoint.key_placement.usage import KeyUsage, is_reportable
 from greengagepoint.placing.ranking import find_candidates, unit_hash
 from greengagepoint.placing.tables import Server
 from greengagepoint.quarantine.fingerprint import hash_caller
+from greengagepoint_node.gateway.call import DEADLINE_DEFAULT_SECONDS
 
 COOKIE = b"caf\xe9"
 
@@ -68,3 +70,17 @@
     # A request that crashed its server would get a 500 in place of its quarantine.
     hashes = {hash_caller("a", text) for text in ("\udce9", "\udce8", "")}
     assert len(hashes) == 3
+
+
+@pytest.mark.parametrize(
+    "text",
+    [b"\xc2\xb2", b"\xd9\xa3", b"9" * 5_000, b"9" * 400, b"-1", b"1.5", b"", b"\xe9"],
+    ids=["superscript", "Arabic", "5,000", "400", "negative", "decimal", "", "bytes"],
+)
+async def test_a_malformed_deadline_counts_as_the_default(text):
+    # A caller's library writes the deadline in a wrong way. The request got a 500.
+    async with async_environment(timeout_seconds=None) as world:
+        world.clock.stop()
+        line = NAMES.deadline_ms.encode() + b": " + text
+        assert await async_send(world, request(line, path=b"/safe/1")) == "200"
+        assert deadlines_sent(world) == approx_deadlines(DEADLINE_DEFAULT_SECONDS)
