Learn run times in the test of spills from a busy region

Cause: test_a_small_share_of_requests_leaves_a_busy_region[True] failed since the choice by finish: no request left the region. The host of the test had measured no run, so a cold one was assumed to take the whole goal of 1 s. With 16 ms to the caller and back, the answer from the other region was late, and the choice rightly stayed. The test of hosts with saved allowances passed without a single spill for the same reason. Change: the host has measured warm runs of 0.2 s and cold ones of 0.6 s, so that the answer elsewhere is in time. All bounds stay; the test of saved allowances now also requires that some requests spill. A new test requires that none spills while its answer would be late there.

--- a/packages/node/tests/test_gateway_demand.py
+++ b/packages/node/tests/test_gateway_demand.py
@@ -131,8 +131,22 @@
     assert placer.weights.weights[LOCAL]["north"] == pytest.approx(0.23)
 
 
+def learn_runs(placer):
+    """Let the host have measured warm runs of 0.2 s and cold ones of 0.6 s.
+
+    Before the first run, a cold one is assumed to take the whole goal of 1 s, so that
+    no answer from another region is in time.
+    """
+    runs = placer.finish.run_times
+    for number in range(200):
+        is_warm = number % 4 > 0
+        seconds = 0.2 if is_warm else 0.6
+        runs.record("booking", "/", 1.0, seconds, NOW, believed_warm=is_warm)
+
+
 def fill_home(placer):
     """Let all servers of the north have a queue and the south be nearly idle."""
+    learn_runs(placer)
     for row in placer.view.servers.servers.values():
         if row.region == "north":
             row.apply_report(3, 30, NOW)
@@ -161,6 +175,21 @@
     assert (spilled > 0.02 * 4_000) is is_on
 
 
+def test_no_request_leaves_a_busy_region_for_a_late_answer():
+    # A cold run that takes the goal is late in any region, evicts another key there,
+    # and its own key is cold at home afterwards.
+    placer = create_placer()
+    placer.tick(NOW)
+    fill_home(placer)
+    placer.finish.run_times.routes.clear()
+    placer.weights.weights[LOCAL] = {"north": 1.0}
+    for number in range(1_000):
+        placer.count_caller(call(number), NOW)
+        choice = placer.place(call(number), frozenset(), NOW)
+        assert isinstance(choice, NoServerAvailable)
+    assert not placer.spills
+
+
 def with_demand(gossip, *, is_on=True):
     gossip.view.servers.demand.uneven_servers = is_on
     add_servers(gossip.view)
@@ -285,7 +314,7 @@
             choice = placer.place(call(31 * window + number), frozenset(), NOW)
             spilled.append(isinstance(choice, Server) and choice.region == "south")
             placer.spill_allowance.tokens = 1.0
-    assert sum(spilled) / len(spilled) <= 0.09
+    assert 0 < sum(spilled) / len(spilled) <= 0.09
 
 
 def test_the_region_for_spills_is_chosen_again_each_tick():
