Give keys two homes where servers are busy and few keys are in use

Ten servers of downloads evicted keys with two homes; the share of cold runs at the start, when all runs are cold, kept the others from two. Change: two homes if warm runs fill over 0.28 of the slots and two homes for each key are at most 8 keys for a server, one again below 0.2 or if servers evict keys.

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -10,10 +10,15 @@
     create_keys,
     measure_rates,
 )
-from greengagepoint.key_placement.homes import HOMES_MIN, HomeCount
+from greengagepoint.key_placement.homes import (
+    HOMES_MIN,
+    HomeCount,
+    ServiceUsage,
+)
 from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
 from greengagepoint.key_placement.messages import KeyUsageReport, KeyWeights
 from greengagepoint.placing.tables import Server, ServerTable
+from greengagepoint.placing.typical_load import RUN_SECONDS_START
 
 # In the first seconds, most keys have not run yet, and moving one that has costs one
 # cold run of the few seconds of its life.
@@ -172,12 +177,14 @@
         version = self.version
         members = self._members(service, servers)
         rows = self.keys.of_service(service)
+        if not members or not rows:
+            return False
+        rates = yield from measure_rates(rows, now)
         count = self.homes.setdefault(service, HomeCount())
-        changed = count.update(self._cold_share(service), now)
-        if not members or count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
+        changed = count.update(self._usage(service, rates, servers), now)
+        if count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
             return changed
         yield from _update_candidates(rows, servers, members)
-        rates = yield from measure_rates(rows, now)
         yield None
         weights = [self.weights.get(name, 1.0) for name in members]
         gain = GAIN_PER_MOVE if moves_share < 1 else 0.0
@@ -210,6 +217,18 @@
             self.members[service] = known = members
         return known
 
+    def _usage(
+        self, service: str, rates: list[float], servers: list[Server]
+    ) -> ServiceUsage:
+        """Return what decides on the number of homes of a service's keys."""
+        run_seconds = servers[0].typical.run_seconds or RUN_SECONDS_START
+        slots = sum(row.slots for row in servers)
+        return ServiceUsage(
+            keys_per_server=len(rates) / len(servers),
+            busy=sum(rates) * run_seconds / slots if slots else 0.0,
+            cold_share=self._cold_share(service),
+        )
+
     def _cold_share(self, service: str) -> float:
         """Return the share of cold runs of known keys of a service."""
         return self.keys.counts.get(service, NO_RUNS).cold_share
