Test the choice between the two homes of a key

The property of servers that may not be used also draws examples with two homes. Measured: the tests fail if the tolerance, the draw, or the checks of tried, resting, suspected or unsent servers are removed from finish.py. Removing the check of has_quota alone fails none, as may_send refuses such a home too.

--- a/packages/core/tests/test_placing_finish.py
+++ b/packages/core/tests/test_placing_finish.py
@@ -39,13 +39,24 @@
     def load(self, server, held, now=NOW):
         server.apply_report(min(3, held), max(0, held - 3), now)
 
-    def choose(self, goal=0.6, runs=RUNS, *, warm=(), tried=(), left=5.0, remote=True):
+    def choose(
+        self,
+        goal=0.6,
+        runs=RUNS,
+        *,
+        warm=(),
+        tried=(),
+        left=5.0,
+        remote=True,
+        draw=0.0,
+        has_quota=False,
+    ):
         def may_wait():
             self.tokens -= 1
             return self.tokens >= 0
 
         permissions = Permissions(
-            lambda row: False, may_wait, lambda: False, lambda row: False
+            lambda row: False, may_wait, lambda: False, lambda row: has_quota
         )
         return choose_by_finish(
             self.table,
@@ -59,6 +70,7 @@
                 frozenset(row.incarnation for row in tried),
                 [row.incarnation for row in warm],
                 0.01,
+                draw,
             ),
             [RemoteRegion("south", 0.04)] if remote else [],
             permissions,
--- a/packages/core/tests/test_placing_finish_properties.py
+++ b/packages/core/tests/test_placing_finish_properties.py
@@ -10,7 +10,7 @@
     Permissions,
     ServerCriteria,
 )
-from greengagepoint.placing.finish import Reason, choose_by_finish
+from greengagepoint.placing.finish import EQUAL_FINISH_SHARE, Reason, choose_by_finish
 from greengagepoint.placing.ranking import RankCache
 from greengagepoint.placing.run_times import RunEstimate
 from greengagepoint.placing.spilling import RemoteRegion
@@ -39,6 +39,21 @@
         "permitted": st.booleans(),
     }
 )
+# Two homes that may both be used are rare among arbitrary servers.
+USABLE = SERVER.map(
+    lambda row: {
+        **row,
+        "region": "north",
+        "service": SERVICE,
+        "reported_at": NOW,
+        "suspect_until": 0.0,
+        "rest_until": 0.0,
+        "cold_until": 0.0,
+        "limited": False,
+        "leaving": False,
+        "tried": False,
+    }
+)
 SECONDS = st.sampled_from([0.001, 0.1, 0.3, 0.7, 2.0])
 GOAL = st.sampled_from([-1.0, 0.0, 0.2, 0.5, 1.0, 3.0])
 
@@ -46,7 +61,7 @@
 class World:
     """Build the servers of an example and choose one of them."""
 
-    def __init__(self, rows, runs, goal, left, tokens):
+    def __init__(self, rows, runs, goal, left, tokens, homes=1, draw=0.0):
         self.rows = {f"i-{number}": row for number, row in enumerate(rows)}
         self.table = ServerTable()
         for name, row in self.rows.items():
@@ -56,7 +71,9 @@
                 self.table.set_request_limit(server, 2.0)
             if self.rows[name]["leaving"]:
                 self.table.leaving.add(server.incarnation)
+        self.table.set_key_placement({}, {("north", SERVICE): homes})
         self.table.rebuild()
+        self.draw = draw
         self.ranks = RankCache()
         self.tokens = tokens
         self.sent = []
@@ -93,6 +110,7 @@
                 frozenset(row.incarnation for row in self.named("tried")),
                 [row.incarnation for row in self.named("warm")],
                 0.01,
+                self.draw,
             ),
             [RemoteRegion("south", 0.04)],
             Permissions(
@@ -118,18 +136,26 @@
     return server
 
 
-WORLDS = st.builds(
-    World,
+INPUTS = (
     st.lists(SERVER, max_size=8),
     st.tuples(SECONDS, SECONDS, SECONDS),
     GOAL,
     st.sampled_from([0.05, 1.0, 6.0]),
     st.integers(0, 3),
 )
+DRAWS = st.floats(0, 1, exclude_max=True)
+WORLDS = st.builds(World, *INPUTS)
+WORLDS_OF_HOMES = st.builds(World, *INPUTS, homes=st.just(2), draw=DRAWS)
+
+
+def warm_finish(world, server):
+    """Return the seconds after which a warm run ends at a server of the region."""
+    wait = world.runs.mean * server.requests_ahead(NOW) / server.slots
+    return 0.01 + server.expected_pace(NOW) * (wait + world.runs.warm)
 
 
 @settings(max_examples=400)
-@given(WORLDS)
+@given(WORLDS | WORLDS_OF_HOMES)
 def test_no_server_is_chosen_that_may_not_be_used(world):
     # Each of these is a request that runs twice, exceeds a limit, or is lost.
     server = world.result
@@ -159,14 +185,39 @@
     is_usable = max(row["rest_until"], row["suspect_until"]) <= NOW
     if row["tried"] or row["limited"] or not is_usable or row["cold_until"] + 20 > NOW:
         return
-    wait = world.runs.mean * home.requests_ahead(NOW) / home.slots
-    seconds = 0.01 + home.expected_pace(NOW) * (wait + world.runs.warm)
+    seconds = warm_finish(world, home)
     if seconds + 1e-9 <= min(world.goal, world.left):
         assert world.result is home
         assert [reason for reason, _ in world.explained] == [Reason.HOME]
         assert not world.sent
 
 
+@settings(max_examples=1000)
+@given(
+    st.tuples(st.lists(USABLE | SERVER, min_size=2, max_size=6), *INPUTS[1:]),
+    st.floats(0, 0.5, exclude_max=True),
+    st.floats(0.5, 1, exclude_max=True),
+)
+def test_the_draw_decides_only_between_homes_of_about_the_same_finish(
+    inputs, first_draw, second_draw
+):
+    # A home with a queue, or on a machine that stalls, would still get half of the
+    # requests of its keys.
+    first, second = (
+        World(*inputs, homes=2, draw=draw) for draw in (first_draw, second_draw)
+    )
+    homes = first.ranks.homes(first.table, SERVICE, "north", "k")
+    if len(homes) == 2:
+        difference = abs(warm_finish(first, homes[0]) - warm_finish(first, homes[1]))
+        if difference < EQUAL_FINISH_SHARE * first.runs.warm + 1e-9:
+            return
+    assert second.explained == first.explained
+    if isinstance(first.result, Server):
+        assert second.result.instance == first.result.instance
+    else:
+        assert second.result == first.result
+
+
 @settings(max_examples=400)
 @given(WORLDS)
 def test_figures_of_a_choice_are_finite_and_explain_it(world):
