Refuse requests whose id is not UTF-8

Cause: a request id with bytes that are not UTF-8 was sent to a server without them, and the caller got a 500 after that. Neither the header to the server nor the answer to the caller can hold such an id. Change: the gateway answers 400 before the request is sent anywhere. Measured: the new test fails without the change (500, and a server received the request) and passes with it, as do the tests of answers and arrivals.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -52,6 +52,7 @@
 from greengagepoint_node.gateway.tries import UNSENT, Attempts
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.gateway.wait_room import WaitEnd
+from greengagepoint_node.proxy.headers import is_sendable
 from greengagepoint_node.proxy.sessions import BackendSessions
 
 NOT_READY_SECONDS: Final = 0.5
@@ -185,6 +186,11 @@
             raise Refusal(ErrorKind.NOT_READY, 503, reason, NOT_READY_SECONDS)
         if not request_id:
             raise Refusal(ErrorKind.BAD_REQUEST, 400, "the request has no request id")
+        if not is_sendable(request_id):
+            # The HTTP library would drop those bytes, and the answer of the server
+            # would name another request.
+            reason = "the request id is not UTF-8"
+            raise Refusal(ErrorKind.BAD_REQUEST, 400, reason)
         route = match_route(table, request, self.news.is_current)
         account = self.accounts.identify(request, route, table)
         if account is not None:
--- a/packages/node/tests/test_hostile_gateway_callers.py
+++ b/packages/node/tests/test_hostile_gateway_callers.py
@@ -84,3 +84,12 @@
         line = NAMES.deadline_ms.encode() + b": " + text
         assert await async_send(world, request(line, path=b"/safe/1")) == "200"
         assert deadlines_sent(world) == approx_deadlines(DEADLINE_DEFAULT_SECONDS)
+
+
+async def test_a_request_id_that_is_not_utf_8_is_refused_before_it_runs():
+    # It cannot be sent on unchanged, so the server's answer would be taken for that to
+    # another request: the caller got a 500 after its request had been sent to one.
+    async with async_environment() as world:
+        data = request(path=b"/safe/1").replace(b": id-1", b": id-\xe9")
+        assert await async_send(world, data) == "400"
+        assert not any(backend.received for backend in world.backends)
