Try two homes only after 5 s of reports without evictions

Cause: the first decision for two homes was made a second after the first report, before anything was known of what servers keep warm. A service whose servers keep fewer keys ran with evictions for 20 s.

Change: two homes are first tried after 5 s of reports, with under 0.1 of the measured runs of known keys cold, and if no server would have over 20 keys, as servers keep 8 to 20 warm. A trial ends after 5 s with 0.3 or more cold runs since its begin; the retry after 60 s stays. The share of cold runs has a time constant of 5 s and starts anew with each change. An estimate of memory from warm runs was ruled out: with one home, it shows no more than the keys that a server already has.

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -11,7 +11,7 @@
     measure_rates,
 )
 from greengagepoint.key_placement.homes import HOMES_MIN, HomeCount
-from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
+from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys
 from greengagepoint.key_placement.messages import KeyUsageReport, KeyWeights
 from greengagepoint.placing.tables import Server, ServerTable
 
@@ -172,9 +172,15 @@
         version = self.version
         members = self._members(service, servers)
         rows = self.keys.of_service(service)
-        count = self.homes.setdefault(service, HomeCount())
-        changed = count.update(self._cold_share(service), now)
-        if not members or count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
+        if not members or not rows:
+            return False
+        count = self._home_count(service, rows)
+        cold_share = self.keys.cold_share(service)
+        changed = count.update(cold_share, len(rows) / len(members), now)
+        if changed:
+            # Runs before the change tell nothing of the new number of homes.
+            self.keys.counts.pop(service)
+        if count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
             return changed
         yield from _update_candidates(rows, servers, members)
         rates = yield from measure_rates(rows, now)
@@ -197,7 +203,7 @@
             balance.moved,
             balance.before,
             balance.after,
-            self._cold_share(service),
+            0.0 if cold_share is None else cold_share,
             count.homes,
         )
         return True
@@ -210,9 +216,13 @@
             self.members[service] = known = members
         return known
 
-    def _cold_share(self, service: str) -> float:
-        """Return the share of cold runs of known keys of a service."""
-        return self.keys.counts.get(service, NO_RUNS).cold_share
+    def _home_count(self, service: str, rows: list[KeyRow]) -> HomeCount:
+        """Return the number of homes of a service's keys, one before any decision."""
+        count = self.homes.get(service)
+        if count is None:
+            first_at = min(row.first_at for row in rows)
+            count = self.homes[service] = HomeCount(changed_at=first_at)
+        return count
 
     def _forget_former(self, table: ServerTable) -> None:
         """Drop the weights of servers that left, once there are many.
@@ -241,6 +251,3 @@
         row.find_candidates(servers, members, index)
         if count % CANDIDATES_PER_PART == 0:
             yield None
-
-
-NO_RUNS: Final = RunCounts()
--- a/packages/core/greengagepoint/key_placement/known_keys.py
+++ b/packages/core/greengagepoint/key_placement/known_keys.py
@@ -22,8 +22,9 @@
 AGE_SECONDS_MIN: Final = 5.0
 # More runs of one key than all servers of a service make between two reports.
 ROW_RUNS_MAX: Final = 100_000
-# Time constant of the share of cold runs of a service.
-COLD_SECONDS: Final = 15.0
+# Time constant of the share of cold runs of a service, which decides about a trial of
+# two homes after 5 s.
+COLD_SECONDS: Final = 5.0
 
 
 @dataclass(slots=True)
@@ -131,6 +132,11 @@
                 return
             del self.rows[place]
 
+    def cold_share(self, service: str) -> float | None:
+        """Return the share of cold runs of known keys, None without any run."""
+        counts = self.counts.get(service)
+        return counts.cold_share if counts is not None and counts.runs else None
+
     def of_service(self, service: str) -> list[KeyRow]:
         """Return the keys of a service."""
         return [row for place, row in self.rows.items() if place[0] == service]
