Elect once a round and count only rows out of range as invalid

Cause: a coordinator ranked all live hosts for each report. Weights of servers that a host did not know yet counted as invalid rows, so each start logged key_placement_invalid.

Change: the election is part of the round of balancing, once per second. Weights of unknown servers are kept for when the host learns of them, as before, and are not counted. The event has no field `unknown` any more.

--- a/packages/core/greengagepoint/key_placement/following.py
+++ b/packages/core/greengagepoint/key_placement/following.py
@@ -2,7 +2,7 @@
 
 import math
 from dataclasses import dataclass, field
-from typing import Final, NamedTuple
+from typing import Final
 
 from greengagepoint.key_placement.balancing import WEIGHT_MAX, WEIGHT_MIN
 from greengagepoint.key_placement.homes import is_valid_count
@@ -14,13 +14,6 @@
 SERVICES_MAX: Final = 256
 
 
-class InvalidRows(NamedTuple):
-    """The numbers of rows of a message that are left out, by reason."""
-
-    out_of_range: int = 0
-    unknown: int = 0
-
-
 @dataclass(slots=True)
 class RegionPlacement:
     """The weights of one region's servers, the incarnation that issued them, and when.
@@ -76,15 +69,17 @@
         now: float,
         *,
         is_passed_on: bool = False,
-    ) -> InvalidRows | None:
+    ) -> int | None:
         """Apply a message that is newer; return None if it is not.
 
+        Return the number of rows that are left out, as they are out of range. Weights
+        of servers that this host does not know yet are kept for when it does.
         ``is_passed_on`` is true if the sender is not the coordinator.
         """
         if not self.of_region(region).is_newer(message, is_passed_on=is_passed_on):
             return None
         if is_too_large(message):
-            return InvalidRows(out_of_range=len(message.weights))
+            return len(message.weights) + len(message.homes)
         weights = {
             name: weight
             for name, weight in message.weights.items()
@@ -99,10 +94,8 @@
             message.coordinator, message.started, message.version, weights, homes, now
         )
         self.merge(table)
-        unknown = sum(not _is_in_region(table, name, region) for name in weights)
         out_of_range = len(message.weights) - len(weights)
-        out_of_range += len(message.homes) - len(homes)
-        return InvalidRows(out_of_range, unknown)
+        return out_of_range + len(message.homes) - len(homes)
 
     def tick(self, table: ServerTable) -> None:
         """Apply weights of servers that this host has learned of since."""
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -13,7 +13,7 @@
 
 from greengagepoint.events import Event
 from greengagepoint.key_placement.coordinator import KeyCoordinator, Outcome
-from greengagepoint.key_placement.following import AppliedWeights, InvalidRows
+from greengagepoint.key_placement.following import AppliedWeights
 from greengagepoint.key_placement.messages import (
     KeyUsageReport,
     KeyUsageRow,
@@ -156,12 +156,11 @@
         self.counts[("reports_received",)] += 1
         if not self.view.servers.demand.is_on or report.region != own.region:
             return KeyWeightsAnswer()
-        self._elect()
         if self.is_coordinator:
             invalid = self.coordinator.apply(report, self.view.servers, now)
             if invalid:
                 sender = (report.host, report.started)
-                self._log_invalid(sender, InvalidRows(out_of_range=invalid))
+                self._log_invalid(sender, invalid)
             started = self.own.started
             if self.coordinator.lacks_weights(report, own.name, started, now):
                 self._start_takeover(report.host)
@@ -340,7 +339,7 @@
         )
         if invalid is None:
             return
-        if any(invalid):
+        if invalid:
             self._log_invalid((message.coordinator, message.started), invalid)
         placement = self.applied.of_region(region)
         if placement is before:
@@ -359,9 +358,9 @@
                 age=self._age(before.received_at),
             )
 
-    def _log_invalid(self, sender: tuple[str, int], invalid: InvalidRows) -> None:
+    def _log_invalid(self, sender: tuple[str, int], invalid: int) -> None:
         """Count invalid rows; log the first message with some of each sender."""
-        self.counts[("invalid_rows",)] += sum(invalid)
+        self.counts[("invalid_rows",)] += invalid
         if sender in self.logged_senders:
             return
         if len(self.logged_senders) < LOGGED_SENDERS_MAX:
@@ -369,8 +368,7 @@
             self.events.record(
                 Event.KEY_PLACEMENT_INVALID,
                 host=sender[0],
-                out_of_range=invalid.out_of_range,
-                unknown=invalid.unknown,
+                out_of_range=invalid,
             )
 
     def _may_log(self, event: Event, name: str, now: float) -> bool:
