Let the first phase of key placement last three rounds of reports

Cause: hosts of large regions report less often, every 5 s with 300 hosts. The phase in which all keys may move still ended after 5 s, with one report of each host, and the many keys that followed moved at 3% a second.

Change: the phase, also that in which a coordinator takes over the weights of a former one, lasts 5 s or three report periods, whichever is longer. Balancing stays once per second, so its budget per second is unchanged.

Result: with a period of 5 s, all keys may move for 15 s.

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -18,6 +18,9 @@
 # In the first seconds, most keys have not run yet, and moving one that has costs one
 # cold run of the few seconds of its life.
 EARLY_SECONDS: Final = 5.0
+# Hosts of large regions report every few seconds. The first reports name few of the
+# keys, as each has a limited number of rows.
+EARLY_ROUNDS: Final = 3
 # Each moved key costs a cold run, which takes as long as three warm ones.
 MOVED_SHARE_PER_SECOND: Final = 0.03
 # Hosts that know the weights of a former coordinator have reported by then.
@@ -29,6 +32,7 @@
 # The budget of a coordinator that was late. More would move in one second what was
 # meant for several.
 BUDGET_SECONDS_MAX: Final = 1.0
+REPORT_PERIOD_SECONDS: Final = 1.0
 # A coordinator that takes over knows most keys after this: 0.4 requests per second of a
 # mean key are four in that time.
 TAKEOVER_SECONDS: Final = 10.0
@@ -62,7 +66,8 @@
 class KeyCoordinator:
     """Hold the keys and weights of a region; times are monotonic seconds.
 
-    ``version`` is that of the weights, 0 before the first change. ``seeded`` is true if
+    ``period_seconds`` is the time between two reports of a host. ``version`` is that
+    of the weights, 0 before the first change. ``seeded`` is true if
     the weights were taken over from another coordinator.
     """
 
@@ -73,6 +78,7 @@
     members: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
     seeded: bool = False
+    period_seconds: float = REPORT_PERIOD_SECONDS
     reported_at: float = float("-inf")
     began_at: float = float("-inf")
     balanced_at: float = float("-inf")
@@ -84,6 +90,11 @@
         self.seeded = True
         self.version += 1
 
+    @property
+    def early_seconds(self) -> float:
+        """Return the seconds from the first report in which all keys may move."""
+        return max(EARLY_SECONDS, EARLY_ROUNDS * self.period_seconds)
+
     def lacks_weights(
         self, report: KeyUsageReport, host: str, started: int, now: float
     ) -> bool:
@@ -97,7 +108,7 @@
             return False
         if (report.coordinator, report.coordinator_started) == (host, started):
             return False
-        return not self.version or now - self.began_at < EARLY_SECONDS
+        return not self.version or now - self.began_at < self.early_seconds
 
     def apply(self, report: KeyUsageReport, table: ServerTable, now: float) -> int:
         """Apply a host's report; return the number of invalid rows."""
@@ -160,7 +171,7 @@
                 return 0.0
         elif age < FIRST_WAIT_SECONDS:
             return 0.0
-        elif age < EARLY_SECONDS:
+        elif age < self.early_seconds:
             return 1.0
         elapsed = min(BUDGET_SECONDS_MAX, now - self.balanced_at)
         return MOVED_SHARE_PER_SECOND * max(0.0, elapsed)
--- a/packages/core/tests/test_key_placement_keys.py
+++ b/packages/core/tests/test_key_placement_keys.py
@@ -175,6 +175,24 @@
     assert coordinator.create_message("h1", 1).homes == {}
 
 
+@pytest.mark.parametrize(("period", "early"), [(1, 5), (1.5, 5), (5, 15)])
+def test_the_first_phase_lasts_three_rounds_of_reports(period, early):
+    """Guards against limited moves in a large region before most keys are known."""
+    coordinator = KeyCoordinator(REGION, period_seconds=period)
+    table, now = create_table(6), 10.0
+    shares = []
+    while now < 10.0 + early + period:
+        coordinator.apply(report(("/p\0k", 1)), table, now)
+        shares.append((now - 10.0, coordinator._moves_share(now)))
+        now += period
+    assert all(share == 1.0 for age, share in shares if 1 <= age < early)
+    assert all(share < 0.1 for age, share in shares if age >= early)
+    known = KeyUsageReport("h1", 1, REGION, 1, [], "former", 1)
+    coordinator.version = 1
+    assert coordinator.lacks_weights(known, "h2", 1, 10.0 + early - 0.1)
+    assert not coordinator.lacks_weights(known, "h2", 1, 10.0 + early)
+
+
 @pytest.mark.parametrize("servers", [1, 2, 3])
 def test_few_servers_are_balanced_without_error(servers):
     message = balance(KeyCoordinator(REGION), create_table(servers), 12)
--- a/packages/node/greengagepoint_node/gateway/key_placement.py
+++ b/packages/node/greengagepoint_node/gateway/key_placement.py
@@ -212,6 +212,7 @@
     async def _async_adjust(self) -> None:
         """Adjust the weights of the own region and apply them here."""
         coordinator = self.coordinator
+        coordinator.period_seconds = self.period_seconds()
         now = self.clock.monotonic()
         for outcome in coordinator.balance(self.view.servers, now):
             if outcome is None:
--- a/packages/node/tests/test_gateway_key_coordinators.py
+++ b/packages/node/tests/test_gateway_key_coordinators.py
@@ -274,6 +274,8 @@
     for number in range(1, hosts):
         host.table.peers_by_name[f"h{number}"] = HeardHost(host.own, now, now)
     assert host.placement.period_seconds() == pytest.approx(seconds)
+    await host.placement._async_adjust()
+    assert host.placement.coordinator.period_seconds == pytest.approx(seconds)
 
 
 @pytest.mark.parametrize(
@@ -453,7 +455,7 @@
     return (
         host.placement.is_coordinator
         and coordinator.version > 0
-        and (coordinator.seeded or EARLY_SECONDS <= began < math.inf)
+        and (coordinator.seeded or coordinator.early_seconds <= began < math.inf)
     )
 
 
