Publish the weights that a failed round of balancing has changed

Cause: the version was raised at the end of a round only. With rounds that go on after a failure, weights of the services before the one that fails changed without a new version, and hosts never got them.

Change: the version is raised also where the round ends by an exception.

Result: the new test found version 0 with changed weights before, and finds 1 now. The tests of key placement in core and node and test_architecture_imports.py pass (92).

--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -147,19 +147,22 @@
         self.balanced_at = now
         if moves_share <= 0:
             return
-        for service, region in list(table.members):
-            if region != self.region:
-                continue
-            servers = sorted(
-                table.find(service, region).servers, key=lambda row: row.instance
-            )
-            steps = self._balance_service(service, servers, moves_share, now)
-            changed = (yield from steps) or changed
-            if self.version != version:
-                return
-        self._forget_former(table)
-        if changed:
-            self.version += 1
+        try:
+            for service, region in list(table.members):
+                if region != self.region:
+                    continue
+                servers = sorted(
+                    table.find(service, region).servers, key=lambda row: row.instance
+                )
+                steps = self._balance_service(service, servers, moves_share, now)
+                changed = (yield from steps) or changed
+                if self.version != version:
+                    return
+            self._forget_former(table)
+        finally:
+            # Hosts get what changed before a failure, which may recur in each round.
+            if changed and self.version == version:
+                self.version += 1
 
     def _moves_share(self, now: float) -> float:
         """Return the share of the keys that may move in this round."""
--- a/packages/core/tests/test_key_placement_keys.py
+++ b/packages/core/tests/test_key_placement_keys.py
@@ -11,6 +11,7 @@
 from greengagepoint.key_placement.usage import KEYS_MAX as USAGE_KEYS_MAX
 from greengagepoint.key_placement.usage import REPORT_ROWS_MAX, KeyUsage
 from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.tables import Server
 
 
 def report(*rows):
@@ -193,6 +194,28 @@
     assert not coordinator.lacks_weights(known, "h2", 1, 10.0 + early)
 
 
+def test_weights_of_a_round_that_fails_later_have_a_new_version(monkeypatch):
+    """Guards against weights that hosts never get, as one service fails each round."""
+    table, coordinator = create_table(6), KeyCoordinator(REGION)
+    table.servers["z"] = Server("z", "zz", "z", "zone-a", REGION, 3)
+    table.rebuild()
+    balance_service = KeyCoordinator._balance_service
+
+    def fail_for_last(self, service, *rest):
+        if service == "zz":
+            raise ValueError(service)
+        return (yield from balance_service(self, service, *rest))
+
+    monkeypatch.setattr(KeyCoordinator, "_balance_service", fail_for_last)
+    keys = report(*((f"/p\0{number}", 1) for number in range(60)))
+    coordinator.apply(keys, table, 0.0)
+    coordinator.apply(keys, table, 1.0)
+    with pytest.raises(ValueError, match="zz"):
+        list(coordinator.balance(table, 1.5))
+    assert coordinator.weights
+    assert coordinator.version == 1
+
+
 @pytest.mark.parametrize("servers", [1, 2, 3])
 def test_few_servers_are_balanced_without_error(servers):
     message = balance(KeyCoordinator(REGION), create_table(servers), 12)
