--- a/packages/core/greengagepoint/key_placement/coordinator.py
+++ b/packages/core/greengagepoint/key_placement/coordinator.py
@@ -15,7 +15,7 @@
     HomeCount,
     ServiceUsage,
 )
-from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys, RunCounts
+from greengagepoint.key_placement.known_keys import KeyRow, KnownKeys
 from greengagepoint.key_placement.messages import KeyUsageReport, KeyWeights
 from greengagepoint.placing.tables import Server, ServerTable
 from greengagepoint.placing.typical_load import RUN_SECONDS_START
@@ -23,6 +23,9 @@
 # In the first seconds, most keys have not run yet, and moving one that has costs one
 # cold run of the few seconds of its life.
 EARLY_SECONDS: Final = 5.0
+# Hosts of large regions report every few seconds. The first reports name few of the
+# keys, as each has a limited number of rows.
+EARLY_ROUNDS: Final = 3
 # Each moved key costs a cold run, which takes as long as three warm ones.
 MOVED_SHARE_PER_SECOND: Final = 0.03
 # Hosts that know the weights of a former coordinator have reported by then.
@@ -34,6 +37,7 @@
 # The budget of a coordinator that was late. More would move in one second what was
 # meant for several.
 BUDGET_SECONDS_MAX: Final = 1.0
+REPORT_PERIOD_SECONDS: Final = 1.0
 # A coordinator that takes over knows most keys after this: 0.4 requests per second of a
 # mean key are four in that time.
 TAKEOVER_SECONDS: Final = 10.0
@@ -67,7 +71,8 @@
 class KeyCoordinator:
     """Hold the keys and weights of a region; times are monotonic seconds.
 
-    ``version`` is that of the weights, 0 before the first change. ``seeded`` is true if
+    ``period_seconds`` is the time between two reports of a host. ``version`` is that
+    of the weights, 0 before the first change. ``seeded`` is true if
     the weights were taken over from another coordinator.
     """
 
@@ -78,6 +83,7 @@
     members: dict[str, tuple[str, ...]] = field(default_factory=dict)
     version: int = 0
     seeded: bool = False
+    period_seconds: float = REPORT_PERIOD_SECONDS
     reported_at: float = float("-inf")
     began_at: float = float("-inf")
     balanced_at: float = float("-inf")
@@ -89,6 +95,11 @@
         self.seeded = True
         self.version += 1
 
+    @property
+    def early_seconds(self) -> float:
+        """Return the seconds from the first report in which all keys may move."""
+        return max(EARLY_SECONDS, EARLY_ROUNDS * self.period_seconds)
+
     def lacks_weights(
         self, report: KeyUsageReport, host: str, started: int, now: float
     ) -> bool:
@@ -102,7 +113,7 @@
             return False
         if (report.coordinator, report.coordinator_started) == (host, started):
             return False
-        return not self.version or now - self.began_at < EARLY_SECONDS
+        return not self.version or now - self.began_at < self.early_seconds
 
     def apply(self, report: KeyUsageReport, table: ServerTable, now: float) -> int:
         """Apply a host's report; return the number of invalid rows."""
@@ -141,19 +152,22 @@
         self.balanced_at = now
         if moves_share <= 0:
             return
-        for service, region in list(table.members):
-            if region != self.region:
-                continue
-            servers = sorted(
-                table.find(service, region).servers, key=lambda row: row.instance
-            )
-            steps = self._balance_service(service, servers, moves_share, now)
-            changed = (yield from steps) or changed
-            if self.version != version:
-                return
-        self._forget_former(table)
-        if changed:
-            self.version += 1
+        try:
+            for service, region in list(table.members):
+                if region != self.region:
+                    continue
+                servers = sorted(
+                    table.find(service, region).servers, key=lambda row: row.instance
+                )
+                steps = self._balance_service(service, servers, moves_share, now)
+                changed = (yield from steps) or changed
+                if self.version != version:
+                    return
+            self._forget_former(table)
+        finally:
+            # Hosts get what changed before a failure, which may recur in each round.
+            if changed and self.version == version:
+                self.version += 1
 
     def _moves_share(self, now: float) -> float:
         """Return the share of the keys that may move in this round."""
@@ -165,7 +179,7 @@
                 return 0.0
         elif age < FIRST_WAIT_SECONDS:
             return 0.0
-        elif age < EARLY_SECONDS:
+        elif age < self.early_seconds:
             return 1.0
         elapsed = min(BUDGET_SECONDS_MAX, now - self.balanced_at)
         return MOVED_SHARE_PER_SECOND * max(0.0, elapsed)
@@ -182,6 +196,9 @@
         rates = yield from measure_rates(rows, now)
         count = self.homes.setdefault(service, HomeCount())
         changed = count.update(self._usage(service, rates, servers), now)
+        if changed:
+            # Runs before the change tell nothing of the new number of homes.
+            self.keys.counts.pop(service, None)
         if count.homes * len(rows) < KEYS_PER_SERVER_MIN * len(members):
             return changed
         yield from _update_candidates(rows, servers, members)
@@ -204,7 +221,7 @@
             balance.moved,
             balance.before,
             balance.after,
-            self._cold_share(service),
+            self.keys.cold_share(service) or 0.0,
             count.homes,
         )
         return True
@@ -226,13 +243,9 @@
         return ServiceUsage(
             keys_per_server=len(rates) / len(servers),
             busy=sum(rates) * run_seconds / slots if slots else 0.0,
-            cold_share=self._cold_share(service),
+            cold_share=self.keys.cold_share(service) or 0.0,
         )
 
-    def _cold_share(self, service: str) -> float:
-        """Return the share of cold runs of known keys of a service."""
-        return self.keys.counts.get(service, NO_RUNS).cold_share
-
     def _forget_former(self, table: ServerTable) -> None:
         """Drop the weights of servers that left, once there are many.
 
@@ -260,6 +273,3 @@
         row.find_candidates(servers, members, index)
         if count % CANDIDATES_PER_PART == 0:
             yield None
-
-
-NO_RUNS: Final = RunCounts()
--- a/packages/core/tests/test_key_placement_keys.py
+++ b/packages/core/tests/test_key_placement_keys.py
@@ -11,6 +11,7 @@
 from greengagepoint.key_placement.usage import KEYS_MAX as USAGE_KEYS_MAX
 from greengagepoint.key_placement.usage import REPORT_ROWS_MAX, KeyUsage
 from greengagepoint.placing.ranking import RankCache
+from greengagepoint.placing.tables import Server
 
 
 def report(*rows):
@@ -147,3 +148,43 @@
     table.servers.clear()
     table.rebuild()
     assert balance(KeyCoordinator(REGION), table, 12).weights == {}
+
+
+@pytest.mark.parametrize(("period", "early"), [(1, 5), (1.5, 5), (5, 15)])
+def test_the_first_phase_lasts_three_rounds_of_reports(period, early):
+    """Guards against limited moves in a large region before most keys are known."""
+    coordinator = KeyCoordinator(REGION, period_seconds=period)
+    table, now = create_table(6), 10.0
+    shares = []
+    while now < 10.0 + early + period:
+        coordinator.apply(report(("/p\0k", 1)), table, now)
+        shares.append((now - 10.0, coordinator._moves_share(now)))
+        now += period
+    assert all(share == 1.0 for age, share in shares if 1 <= age < early)
+    assert all(share < 0.1 for age, share in shares if age >= early)
+    known = KeyUsageReport("h1", 1, REGION, 1, [], "former", 1)
+    coordinator.version = 1
+    assert coordinator.lacks_weights(known, "h2", 1, 10.0 + early - 0.1)
+    assert not coordinator.lacks_weights(known, "h2", 1, 10.0 + early)
+
+
+def test_weights_of_a_round_that_fails_later_have_a_new_version(monkeypatch):
+    """Guards against weights that hosts never get, as one service fails each round."""
+    table, coordinator = create_table(6), KeyCoordinator(REGION)
+    table.servers["z"] = Server("z", "zz", "z", "zone-a", REGION, 3)
+    table.rebuild()
+    balance_service = KeyCoordinator._balance_service
+
+    def fail_for_last(self, service, *rest):
+        if service == "zz":
+            raise ValueError(service)
+        return (yield from balance_service(self, service, *rest))
+
+    monkeypatch.setattr(KeyCoordinator, "_balance_service", fail_for_last)
+    keys = report(*((f"/p\0{number}", 1) for number in range(60)))
+    coordinator.apply(keys, table, 0.0)
+    coordinator.apply(keys, table, 1.0)
+    with pytest.raises(ValueError, match="zz"):
+        list(coordinator.balance(table, 1.5))
+    assert coordinator.weights
+    assert coordinator.version == 1
