Ignore what former ledgers of a region took for silent

Cause: while all hosts start, slow answers make several hosts of a region its ledger for a moment. Change: what a ledger that is not heard any more took for silent counts only while no ledger of its region is heard. Measured: tests of limits, reports and key placement pass; the new test fails without the change.

--- a/packages/core/greengagepoint/accounts/ledger.py
+++ b/packages/core/greengagepoint/accounts/ledger.py
@@ -144,7 +144,8 @@
 class UsageLedger:
     """Sum up usage reports of hosts.
 
-    ``silent_seconds_max`` is how long a host that is cut off may admit requests.
+    ``silent_seconds_max`` is how long a host that is cut off may admit requests,
+    ``region`` the one whose hosts report here.
 
     A ledger that starts to receive reports does not know what was admitted before, so
     its buckets start empty: at first it grants only the rate. Hosts pass on what the
@@ -160,6 +161,7 @@
         self.uses: dict[str, AccountUsage] = {}
         self.sums: dict[str, UsageRow] = {}
         self.silent_parts: Counter[str] = Counter()
+        self.region = ""
         self.region_reported_at: dict[str, float] = {}
         self.receiving_since = 0.0
         self.resumed_at = 0.0
@@ -368,12 +370,13 @@
         self.silent_parts.clear()
         silent: Counter[str] = Counter()
         for key, reporter in list(self.reporters.items()):
-            silent.update(reporter.silent_parts)
             last_heard_at = max(reporter.heard_at, reporter.elsewhere_at)
             if now - last_heard_at > self.silent_seconds_max:
                 del self.reporters[key]
             elif now - last_heard_at > SILENT_SECONDS:
                 self._count_silent(reporter, silent, now)
+            else:
+                silent.update(reporter.silent_parts)
         silent.update(self.silent_parts)
         for name, use in self.uses.items():
             account = accounts.get(name)
@@ -384,11 +387,22 @@
     def _count_silent(
         self, reporter: Reporter, silent: Counter[str], now: float
     ) -> None:
-        """Add a silent reporter's parts unless another ledger covers its region."""
+        """Add a silent reporter's parts unless another ledger covers its region.
+
+        While hosts start, slow answers make several hosts of a region its ledger in
+        turn. Those that are not any more took the hosts that left them for silent.
+        """
         if not reporter.region:
             self.silent_parts.update(reporter.parts)
-        elif now - self.region_reported_at[reporter.region] > SILENT_SECONDS:
+        elif not self._is_covered(reporter.region, now):
             silent.update(reporter.parts)
+            silent.update(reporter.silent_parts)
+
+    def _is_covered(self, region: str, now: float) -> bool:
+        """Return True if some ledger reported a region's requests recently."""
+        if region == self.region and now - self.heard_at <= SILENT_SECONDS:
+            return True
+        return now - self.region_reported_at[region] <= SILENT_SECONDS
 
 
 def _is_valid(limit: LimitRow, tokens_max: float) -> bool:
--- a/packages/core/greengagepoint/key_placement/homes.py
+++ b/packages/core/greengagepoint/key_placement/homes.py
@@ -14,11 +14,11 @@
 HOMES_MAX: Final = 2
 # The fewest keys that a backend server of any service keeps warm.
 WARM_KEYS_MIN: Final = 8
-# Share of slots that warm runs fill. In between, the number stays as it is. At a third,
-# stalls and single long runs make a queue at one server likely while others are idle;
-# at a fifth, queues are rare and the cold runs of a second home cost more.
-BUSY_LOW: Final = 0.2
-BUSY_HIGH: Final = 0.28
+# Share of slots that warm runs fill. In between, the number stays as it is. Above half,
+# stalls and single long runs make queues at one server likely while others are idle. At
+# a third, the cold runs of second homes made more callers late than queues did.
+BUSY_LOW: Final = 0.35
+BUSY_HIGH: Final = 0.5
 # Above this share of cold runs, servers evict keys that are still in use.
 COLD_SHARE_MAX: Final = 0.3
 # Each key runs cold once at a new home. With 0.4 requests per second, most have done so
--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -310,6 +310,37 @@
     assert ledger.uses["a"].reporting_part > 0.8
 
 
+@pytest.mark.parametrize(
+    ("former_region", "covered", "reserved"),
+    [
+        ("north", True, False),
+        ("south", True, False),
+        ("south", False, True),
+    ],
+)
+def test_what_a_former_ledger_took_for_silent_is_not_reserved(
+    former_region, covered, reserved
+):
+    """Guards against rejecting all callers while ledgers change at a start."""
+    accounts = {"a": LARGE}
+    ledger = UsageLedger(5.0)
+    ledger.region = "north"
+    for step in range(20):
+        now = step * 0.2
+        rows = [UsageRow("a", 8 * step, 8 * step)]
+        ledger.take(UsageReport("h", 1, rows), accounts, now)
+        if step < 5:
+            former = UsageReport(
+                "former", 1, [], True, silent_parts={"a": 0.9}, region=former_region
+            )
+            ledger.take(former, accounts, now)
+        elif covered:
+            sums = UsageReport("ledger", 1, rows, summed=True, region="south")
+            ledger.take(sums, accounts, now)
+        ledger.tick(accounts, now)
+    assert (ledger.uses["a"].reporting_part < 0.5) is reserved
+
+
 BEGAN = LimitRow("a", 0.25, 40.0, 0)
 
 
--- a/packages/node/greengagepoint_node/gateway/region_reports.py
+++ b/packages/node/greengagepoint_node/gateway/region_reports.py
@@ -68,6 +68,7 @@
         self.table = table
         self.gate = gate
         self.ledger = ledger
+        self.ledger.region = own.entry.region
         self.answered_by = ""
         self.limits_known_to = ""
         self.session = session
