Switch admission on by a setting only

Change: hosts reject by rank and hold requests only with GREENGAGEPOINT_ADMISSION=on; another value than on or off is refused at the start. Measured: tests of settings, admission, boundary, decoding and daemons pass.

--- a/packages/node/greengagepoint_node/gateway/admission.py
+++ b/packages/node/greengagepoint_node/gateway/admission.py
@@ -32,9 +32,9 @@
 class AdmissionControl:
     """Decide which requests of this host's callers are sent to servers, and when.
 
-    Does nothing unless callers compete: where all are equally urgent, a rejection helps
-    no other caller as much as a late answer helps this one. ``home`` is this host's
-    region.
+    Does nothing unless it is ``enabled`` and callers compete: where all are equally
+    urgent, a rejection helps no other caller as much as a late answer helps this one.
+    ``home`` is this host's region.
     """
 
     def __init__(
@@ -44,8 +44,11 @@
         counters: GatewayCounters,
         clock: Clock,
         events: EventSink,
+        *,
+        enabled: bool,
     ) -> None:
         self.view = view
+        self.enabled = enabled
         self.counters = counters
         self.clock = clock
         self.events = events
@@ -59,8 +62,8 @@
 
     @property
     def is_on(self) -> bool:
-        """Return True if callers of different urgency compete for servers."""
-        return self.view.servers.demand.competing_callers
+        """Return True if enabled and callers of different urgency compete."""
+        return self.enabled and self.view.servers.demand.competing_callers
 
     async def async_admit(self, call: Call) -> None:
         """Return if a request may be sent to a server, or raise Refusal."""
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -295,6 +295,7 @@
             self.counters,
             self.clock,
             self.events,
+            enabled=self.settings.admission,
         )
         self.gossip.take_pressures = self.admission.take
         self.gossip.writer.recent_pressures = self.admission.recent
--- a/packages/node/greengagepoint_node/gateway/settings.py
+++ b/packages/node/greengagepoint_node/gateway/settings.py
@@ -1,11 +1,15 @@
 """Settings of the request path by host and path prefix."""
 
-from typing import Final, NamedTuple
+from collections.abc import Mapping
+from typing import Final, NamedTuple, TypedDict
 
 from greengagepoint.accounts.bounds import LimitBounds
+from greengagepoint.errors import SettingError
 from greengagepoint_node.gateway.names import HeaderNames
 
 METRICS_VARIABLE: Final = "GREENGAGEPOINT_METRICS_ADDRESS"
+ADMISSION_VARIABLE: Final = "GREENGAGEPOINT_ADMISSION"
+SWITCH_VALUES: Final = {"": False, "off": False, "on": True}
 HEARTBEAT_SECONDS: Final = 1.5
 DRAIN_SECONDS: Final = 2.0
 REVOKE_SECONDS: Final = 5.0
@@ -24,7 +28,8 @@
     ``drain_seconds``. A revoked account key may work for another ``revoke_seconds``,
     also on a host that gets no updates; if that is None, such a host keeps serving all
     keys that it has. ``limit_bounds`` are the bounds on how far accounts may exceed
-    their limits.
+    their limits. With ``admission``, hosts reject the least urgent requests early where
+    callers of different urgency compete for servers.
     """
 
     host: str
@@ -47,3 +52,24 @@
     drain_seconds: float = DRAIN_SECONDS
     revoke_seconds: float | None = None
     limit_bounds: LimitBounds = LimitBounds()
+    admission: bool = False
+
+
+class EnvironmentSettings(TypedDict):
+    """The settings of a host that come from environment variables."""
+
+    metrics_address: str
+    admission: bool
+
+
+def read_environment(environ: Mapping[str, str]) -> EnvironmentSettings:
+    """Return the settings in environment variables; raise SettingError."""
+    text = environ.get(ADMISSION_VARIABLE, "")
+    if text not in SWITCH_VALUES:
+        raise SettingError(
+            f"{ADMISSION_VARIABLE}: expected 'on' or 'off', found {text[:40]!r}"
+        )
+    return EnvironmentSettings(
+        metrics_address=environ.get(METRICS_VARIABLE, ""),
+        admission=SWITCH_VALUES[text],
+    )
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -219,6 +219,7 @@
         stop_seconds=2.0,
         retry_ratio=0.2,
         retry_slack=64.0,
+        admission=True,
     )._replace(**changes)
     return GatewayDaemon(
         settings,
