--- a/packages/core/greengagepoint/admission/share.py
+++ b/packages/core/greengagepoint/admission/share.py
@@ -6,9 +6,9 @@
 
 from greengagepoint.admission.pressure import SHARE_MIN
 
-# A warm run takes 0.3 of the goal, so that servers with a wait of twice the mean still
-# answer in time. In the model, a limit of 0.22 leaves slots idle, and with 0.4 urgent
-# requests are late.
+# A warm run takes 0.3 of the goal, so servers with a wait of twice the mean still
+# answer in time. A limit of 0.22 leaves slots idle, and with 0.4 urgent requests are
+# late.
 PRESSURE_LIMIT: Final = 0.26
 # Without a more urgent rank to protect, only callers that would be late anyway are
 # rejected: a mean wait above this and a warm run together exceed the goal.
--- a/packages/core/greengagepoint/key_placement/known_keys.py
+++ b/packages/core/greengagepoint/key_placement/known_keys.py
@@ -22,8 +22,8 @@
 AGE_SECONDS_MIN: Final = 5.0
 # More runs of one key than all servers of a service make between two reports.
 ROW_RUNS_MAX: Final = 100_000
-# Time constant of the share of cold runs of a service, which decides about a trial of
-# two homes after 5 s.
+# Time constant of the share of cold runs of a service, so that the cold runs of a
+# change are forgotten when the share decides about the next one.
 COLD_SECONDS: Final = 5.0
 
 
