--- a/packages/core/greengagepoint/demand/peaks.py
+++ b/packages/core/greengagepoint/demand/peaks.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-# Demand has a period of 36 s, so the next peak comes before the last one decays.
+# Callers come in waves of about half a minute, so that the next peak comes before the
+# last one decays.
 PEAK_SECONDS: Final = 40.0
 # If a peak expired at once, shares would follow a demand that fell for good in one
 # move.
--- a/packages/core/greengagepoint/demand/shares.py
+++ b/packages/core/greengagepoint/demand/shares.py
@@ -1,7 +1,8 @@
 """Compute the share of a region's keys that each region runs.
 
-Regions are filled like vessels up to a common level of their slots. Each runs the keys
-of its own callers up to the level, and what is above it flows to those below.
+By water-filling: each region runs the keys of its own callers up to a common level of
+its slots, and the rest goes to regions below the level. Addresses the load of regions
+that differ in servers and whose callers peak at different times.
 """
 
 import math
