--- a/packages/core/greengagepoint/admission/levels.py
+++ b/packages/core/greengagepoint/admission/levels.py
@@ -30,12 +30,11 @@
         """Advance the share and the plan to ``now``."""
         self.pressure = pressure
         rates = self.demand.read(now)
-        has_ranks = len({rank for rank, _ in rates}) > 1
         self.control.step(
             pressure and pressure.pressure,
             pressure and pressure.share,
             now,
-            PRESSURE_LIMIT if has_ranks else LATE_PRESSURE_LIMIT,
+            PRESSURE_LIMIT if len(rates) > 1 else LATE_PRESSURE_LIMIT,
         )
         self.plan = create_plan(rates, self.control.share)
 
--- a/packages/core/greengagepoint/admission/share.py
+++ b/packages/core/greengagepoint/admission/share.py
@@ -10,8 +10,9 @@
 # answer in time. A limit of 0.22 leaves slots idle, and with 0.4 urgent requests are
 # late.
 PRESSURE_LIMIT: Final = 0.26
-# Without a more urgent rank to protect, only callers that would be late anyway are
-# rejected: a mean wait above this and a warm run together exceed the goal.
+# If all callers are of one rank and account, there is nobody to protect, so only those
+# who would be late anyway are rejected: a mean wait above this and a warm run together
+# exceed the goal.
 LATE_PRESSURE_LIMIT: Final = 0.6
 # The share falls by this factor of itself per second and unit of excess.
 FALL_PER_SECOND: Final = 0.8
--- a/packages/core/tests/test_admission_share.py
+++ b/packages/core/tests/test_admission_share.py
@@ -159,17 +159,18 @@
     assert merged.pressure <= COUNTED_PRESSURE_MAX
 
 
-@pytest.mark.parametrize(("ranks", "admits_all"), [((1,), True), ((0, 2), False)])
-def test_late_callers_are_rejected_early_only_to_protect_a_more_urgent_rank(
-    ranks, admits_all
-):
+@pytest.mark.parametrize(
+    ("classes", "admits_all"),
+    [([(1, "")], True), ([(0, ""), (2, "")], False), ([(1, "a"), (1, "b")], False)],
+)
+def test_late_callers_are_rejected_early_only_to_protect_others(classes, admits_all):
     """Guards against refusing callers who would have got a late answer."""
     level = ServiceLevel()
     for number in range(1, 9):
-        for rank in ranks:
-            level.demand.record(rank, "", number / 2)
+        for rank, account in classes:
+            level.demand.record(rank, account, number / 2)
         level.step(MergedPressure(0.5, 0.0, 1, None), number / 2)
-    assert (level.plan.probability(ranks[-1], "") == 1.0) is admits_all
+    assert (level.plan.probability(*classes[-1]) == 1.0) is admits_all
 
 
 ANY = st.floats(allow_nan=True, allow_infinity=True)
