--- a/packages/core/tests/test_accounts_limits.py
+++ b/packages/core/tests/test_accounts_limits.py
@@ -299,9 +299,10 @@
     for step in range(20):
         now = step * 0.2
         for number in range(1 if step < 1 else 9):
-            # The first host gets no further request of the account.
-            count = 1 if number == 0 else step + 1
-            rows = [UsageRow("a", count, count)]
+            rows = [UsageRow("a", step + 1, step + 1)]
+            if number == 0 and step > 0:
+                # It gets no further request of the account, so it reports no row.
+                rows = []
             lost = number == 0 and step > 3
             report = UsageReport(f"h-{number}", 1, rows, unanswered=step < 2)
             if not lost:
