Count connections to backend servers and the age of the last one

Cause: the logs of hosts cut off from all backend servers show each failed attempt, but nothing tells a host that reaches no server from one whose servers fail: connections were not counted. Change: backend_connections_total by outcome and backend_connection_age_seconds. No decision changes.

--- a/packages/node/greengagepoint_node/gateway/connect_times.py
+++ b/packages/node/greengagepoint_node/gateway/connect_times.py
@@ -1,17 +1,53 @@
 """Measure the connection times of a client session."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, Final, Protocol
 
 import aiohttp
 
 from greengagepoint.overload.full_link import FULL_LINK_SECONDS, LinkDelay
 from greengagepoint.protocols import Clock
 
+MADE: Final = "made"
+FAILED: Final = "failed"
 
-def trace_connections(link: LinkDelay, clock: Clock) -> aiohttp.TraceConfig:
-    """Return a trace config that reports connection times and failures to ``link``."""
+
+class ConnectionObserver(Protocol):
+    """Observe the connections of a session; times are monotonic seconds."""
+
+    def record_made(self, now: float) -> None:
+        """Record that a connection was made."""
+
+    def record_failed(self, now: float) -> None:
+        """Record that a connection could not be made."""
+
+
+class ConnectionCounts:
+    """Count the connections to backend servers; ``made_at`` is that of the last."""
+
+    def __init__(self, outcomes: Counter[tuple[str]]) -> None:
+        self.outcomes = outcomes
+        self.made_at: float | None = None
+
+    def record_made(self, now: float) -> None:
+        """Count a connection that was made."""
+        self.outcomes[(MADE,)] += 1
+        self.made_at = now
+
+    def record_failed(self, now: float) -> None:
+        """Count a connection that could not be made."""
+        self.outcomes[(FAILED,)] += 1
+
+
+def trace_connections(
+    link: LinkDelay, clock: Clock, observer: ConnectionObserver | None = None
+) -> aiohttp.TraceConfig:
+    """Return a trace config that reports connection times and failures to ``link``.
+
+    ``observer`` is told of each connection that was made or failed.
+    """
 
     async def async_begin(_: Any, context: SimpleNamespace, __: Any) -> None:
         context.began_at = clock.monotonic()
@@ -20,6 +56,8 @@
         now = clock.monotonic()
         link.record(now - context.began_at, now)
         context.began_at = None
+        if observer is not None:
+            observer.record_made(now)
 
     async def async_fail(
         _: Any,
@@ -36,6 +74,8 @@
             # taken longer; counted as a fast one, it would make the link look free.
             return
         link.record(now - began_at, now)
+        if observer is not None and not abandoned:
+            observer.record_failed(now)
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_start.append(async_begin)
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -39,6 +39,7 @@
     link_delay_seconds: float
     log_lines_dropped: int
     requests_waiting: int
+    backend_connection_age_seconds: float
 
 
 class RegionGauge(NamedTuple):
@@ -72,6 +73,7 @@
     the keys of ``admission_levels``, (service, rank) of ``admission_rejected`` and
     (service, outcome) of ``waits``. ``wait_time`` holds the seconds that requests
     waited for a server, ``pressures_invalid`` the number of ignored figures of peers.
+    (made or failed,) are the keys of ``connections`` to backend servers.
     ``send_delay`` holds the seconds from the choice of a server to the first byte,
     ``news_age`` the age of the host's state at the first byte.
     """
@@ -79,6 +81,7 @@
     def __init__(self) -> None:
         self.requests: Counter[tuple[str, str, str]] = Counter()
         self.tries: Counter[tuple[str, str]] = Counter()
+        self.connections: Counter[tuple[str]] = Counter()
         self.regions: Counter[tuple[str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.peer_bytes: Counter[tuple[str, str]] = Counter()
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -27,7 +27,10 @@
 from greengagepoint_node.gateway.admission import AdmissionControl
 from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.configuration_loader import ConfigurationLoader
-from greengagepoint_node.gateway.connect_times import trace_connections
+from greengagepoint_node.gateway.connect_times import (
+    ConnectionCounts,
+    trace_connections,
+)
 from greengagepoint_node.gateway.counters import GatewayCounters, Gauges
 from greengagepoint_node.gateway.demand_exchange import RegionalDemandExchange
 from greengagepoint_node.gateway.directory import HostDirectory
@@ -143,6 +146,7 @@
         )
         self.own_state = HostState(self.entry, time.time_ns(), 0, leaving=False)
         regions = frozenset(settings.zones.values())
+        self.connections = ConnectionCounts(self.counters.connections)
         self.demand = RegionalDemand(
             settings.host, settings.region, regions, self.view.servers
         )
@@ -179,7 +183,7 @@
             connect_seconds=CONNECT_SECONDS,
             keepalive_seconds=KEEPALIVE_SECONDS,
             socket_factory=lambda info: create_socket(*info[:3]),
-            trace=trace_connections(self.link, self.clock),
+            trace=trace_connections(self.link, self.clock, self.connections),
         )
         self.gossip = Gossip(
             self.own_state,
@@ -539,6 +543,7 @@
             requests_waiting=len(self.admission.room.queue.rows),
             link_delay_seconds=round(self.link.seconds(now), 3),
             log_lines_dropped=self.lines_dropped(),
+            backend_connection_age_seconds=_age(self.connections.made_at, now),
         )
 
     def is_ready(self) -> bool:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -75,6 +75,11 @@
             "Requests sent to a backend server, by how that ended.",
             lambda: _rows(counters.tries, "service", "verdict"),
         )
+        yield Instrument(
+            "backend_connections",
+            "New connections to backend servers, by how they ended.",
+            lambda: _rows(counters.connections, "outcome"),
+        )
         yield Instrument(
             "answers_by_region",
             "Answers by the region of their backend server.",
--- a/packages/node/tests/test_gateway_connect_times.py
+++ b/packages/node/tests/test_gateway_connect_times.py
@@ -1,13 +1,17 @@
 """Check how opened, refused and abandoned connections count for the link delay."""
 
 import asyncio
+from collections import Counter
 from types import SimpleNamespace
 
 import aiohttp
 import pytest
 
 from greengagepoint.overload.full_link import FULL_LINK_SECONDS, SAMPLES_MIN, LinkDelay
-from greengagepoint_node.gateway.connect_times import trace_connections
+from greengagepoint_node.gateway.connect_times import (
+    ConnectionCounts,
+    trace_connections,
+)
 
 
 class FakeClock:
@@ -67,3 +71,22 @@
     for handler in trace.on_request_exception:
         await handler(None, context, params)
     assert len(link.samples) == 1
+
+
+@pytest.mark.parametrize(
+    ("error", "outcomes", "made_at"),
+    [
+        (None, {("made",): 1}, 10.5),
+        (aiohttp.ConnectionTimeoutError(), {("failed",): 1}, None),
+        (aiohttp.ClientError("refused"), {("failed",): 1}, None),
+        (asyncio.CancelledError(), {}, None),
+    ],
+    ids=["made", "no answer", "refused", "caller left"],
+)
+async def test_connections_are_counted_by_outcome(error, outcomes, made_at):
+    counts = ConnectionCounts(Counter())
+    clock = FakeClock()
+    trace = trace_connections(LinkDelay(), clock, counts)
+    await async_connect(trace, clock, 0.5, error)
+    assert counts.outcomes == outcomes
+    assert counts.made_at == made_at
