--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -163,6 +163,7 @@
         self.quarantine = RequestQuarantine(Quarantine(), clock, events)
         self.quarantine_page = QuarantinePage(self.quarantine)
         self.create_lookup = create_lookup
+        self.create_backend_socket = create_socket
         self.decode_load = decode_load
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -182,7 +183,7 @@
         self.sessions = create_backend_sessions(
             connect_seconds=CONNECT_SECONDS,
             keepalive_seconds=KEEPALIVE_SECONDS,
-            socket_factory=lambda info: create_socket(*info[:3]),
+            socket_factory=lambda info: self.create_backend_socket(*info[:3]),
             trace=trace_connections(self.link, self.clock, self.connections),
         )
         self.gossip = Gossip(
@@ -406,6 +407,13 @@
             task.cancel()
         self.events.record(Event.DAEMON_STOPPED, cut_off=self.gateway.in_flight)
 
+    async def async_close_sessions(self) -> None:
+        """Close all connections to backend servers and to other hosts."""
+        await self.sessions.async_close()
+        await self.gossip.session.close()
+        await self.reports.session.close()
+        await self.quotas.session.close()
+
     def apply(self, settings: GatewaySettings) -> list[str]:
         """Apply changed settings; return the names of those that need a restart."""
         self.retries.ratio = settings.retry_ratio
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -295,9 +295,6 @@
             task.cancel()
         for listener in daemon.listeners:
             await listener.async_close(0.02)
-        await daemon.sessions.async_close()
-        await daemon.gossip.session.close()
-        await daemon.reports.session.close()
-        await daemon.quotas.session.close()
+        await daemon.async_close_sessions()
         for backend in backends:
             await backend.async_stop()
