Pass requests of hosts without a backend server on to other hosts

Cause: a host that lost its links to all backend servers took the failures for the servers'. A request could only end at the host where it had arrived. Change: a failed connection makes the host probe three servers of different regions and zones at once. If the whole round fails it is cut off: it passes its callers' requests on to hosts that reach servers, says so in its heartbeat, and look-ups leave it out. The first connection that is made ends that, and drops the suspicions of that time. A server that resets and refuses connections counts as crashed only if another one can be reached: the links' failure would have put the requests in flight into quarantine.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -45,6 +45,8 @@
     ADMISSION_LEVEL_CHANGED = 2016
     REQUEST_WAITED = 2017
     PRESSURE_INVALID = 2018
+    REQUEST_RELAYED = 2019
+    RELAY_REJECTED = 2020
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -92,6 +94,8 @@
     KEY_WEIGHTS_APPLIED = 6023
     KEYS_BALANCED = 6024
     KEY_PLACEMENT_INVALID = 6025
+    BACKEND_SERVERS_UNREACHABLE = 6026
+    BACKEND_SERVERS_REACHABLE = 6027
     REGION_SHARES_CHANGED = 6019
     DEMAND_FIGURE_INVALID = 6020
     # 7000: the platform
@@ -176,6 +180,13 @@
     Event.PRESSURE_INVALID: EventType(
         Level.WARNING, "Peers' pressure figures were out of range and are ignored."
     ),
+    Event.REQUEST_RELAYED: EventType(
+        Level.INFO,
+        "A request was passed on to another host, as this one is cut off from servers.",
+    ),
+    Event.RELAY_REJECTED: EventType(
+        Level.INFO, "A request of another host could not be taken on."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
@@ -280,6 +291,12 @@
     Event.KEY_PLACEMENT_INVALID: EventType(
         Level.WARNING, "A message about keys has invalid rows, which are left out."
     ),
+    Event.BACKEND_SERVERS_UNREACHABLE: EventType(
+        Level.WARNING, "This host reaches no backend server and passes requests on."
+    ),
+    Event.BACKEND_SERVERS_REACHABLE: EventType(
+        Level.INFO, "This host reaches backend servers again."
+    ),
     Event.REGION_SHARES_CHANGED: EventType(
         Level.INFO, "The demand of regions asks for other shares of a service's keys."
     ),
--- a/packages/core/greengagepoint/placing/suspicion.py
+++ b/packages/core/greengagepoint/placing/suspicion.py
@@ -35,8 +35,13 @@
         server.suspect_until = max(server.suspect_until, now + PROBE_SECONDS)
 
 
+def clear(server: Server) -> None:
+    """Clear the suspicion of a server whose failures were those of this host's link."""
+    server.failures = 0
+    server.suspect_until = 0.0
+
+
 def record_answer(server: Server, now: float) -> None:
     """Clear the suspicion of a server that has answered."""
     server.answered_at = now
-    server.failures = 0
-    server.suspect_until = 0.0
+    clear(server)
--- /dev/null
+++ b/packages/core/greengagepoint/reachability/relays.py
@@ -0,0 +1,68 @@
+"""Choose the hosts to which a host without links passes its callers' requests."""
+
+from collections.abc import Iterable
+from typing import Final, NamedTuple
+
+from greengagepoint.rendezvous import rank
+
+# Each host that does not answer costs the caller a connection timeout.
+RELAYS_MAX: Final = 3
+
+
+class RelayCandidate(NamedTuple):
+    """A live host that receives callers; ``address`` is host:port for peers."""
+
+    name: str
+    region: str
+    address: str
+    cut_off: bool
+
+
+class RelayRequest(NamedTuple):
+    """What a request requires of the host that it is passed to.
+
+    ``home_regions`` are the regions in which the request must stay, empty if it may go
+    anywhere.
+    """
+
+    request_id: str
+    region: str
+    home_regions: frozenset[str] = frozenset()
+
+
+def relay_obstacle(
+    *, cut_off: bool, leaving: bool, version: int | None, required_version: int
+) -> str | None:
+    """Return why this host can't take a relayed request, or None if it can.
+
+    ``version`` is that of its configuration, None before the first one. With an older
+    configuration than the sender's, the caller would see a change taken back.
+    """
+    if leaving:
+        return "leaving"
+    if cut_off:
+        return "cut off"
+    if version is None:
+        return "no configuration"
+    if version < required_version:
+        return "older configuration"
+    return None
+
+
+def choose_relays(
+    request: RelayRequest, candidates: Iterable[RelayCandidate]
+) -> list[RelayCandidate]:
+    """Return the hosts to try in turn, those of the own region first.
+
+    Ranked by request id, the requests of a cut off zone spread evenly over the hosts
+    that still reach servers.
+    """
+    usable = [
+        row
+        for row in candidates
+        if not row.cut_off
+        and (not request.home_regions or row.region in request.home_regions)
+    ]
+    ranked = rank(request.request_id, usable, lambda row: row.name)
+    ranked.sort(key=lambda row: row.region != request.region)
+    return ranked[:RELAYS_MAX]
--- /dev/null
+++ b/packages/core/tests/test_reachability_choices.py
@@ -0,0 +1,119 @@
+"""Test which servers are probed, and which hosts take requests on."""
+
+import random
+
+import pytest
+
+from greengagepoint.placing.tables import Server
+from greengagepoint.reachability.probing import PROBED_SERVERS, servers_to_probe
+from greengagepoint.reachability.relays import (
+    RELAYS_MAX,
+    RelayCandidate,
+    RelayRequest,
+    choose_relays,
+    relay_obstacle,
+)
+from greengagepoint.reachability.tracker import BackendReach, Reach
+
+HOSTS = [
+    RelayCandidate(f"{region}-{number}", region, f"{region}:{number}", False)
+    for region in ("north", "south")
+    for number in range(60)
+]
+
+
+def server(name, zone, region):
+    return Server(name, "booking", f"{name}:1", zone, region, 4)
+
+
+@pytest.mark.parametrize(
+    ("places", "regions", "zones"),
+    [
+        ([("a1", "a")] * 9 + [("b1", "b"), ("c1", "c")], 3, 3),
+        ([("a1", "a")] * 9 + [("a2", "a"), ("b1", "b")], 2, 3),
+        ([("a1", "a")] * 9, 1, 1),
+        ([("a1", "a")], 1, 1),
+        ([], 0, 0),
+    ],
+    ids=["three regions", "two regions", "one zone", "one server", "none"],
+)
+def test_probes_cover_as_many_places_as_possible(places, regions, zones):
+    rows = [server(f"i-{n}", *place) for n, place in enumerate(places)]
+    for seed in range(20):
+        chosen = servers_to_probe(rows, BackendReach(), random.Random(seed))
+        assert len(chosen) == min(PROBED_SERVERS, len(rows))
+        assert len({row.region for row in chosen}) == regions
+        assert len({row.zone for row in chosen}) == zones
+
+
+@pytest.mark.parametrize(
+    ("state", "is_left_out"), [(Reach.DOUBTED, True), (Reach.CUT_OFF, False)]
+)
+def test_servers_that_failed_are_probed_last_while_in_doubt(state, is_left_out):
+    rows = [server(f"i-{n}", "a1", "a") for n in range(6)]
+    reach = BackendReach(state, failed={row.incarnation for row in rows[:3]})
+    probed = set()
+    for seed in range(20):
+        probed |= {
+            row.instance for row in servers_to_probe(rows, reach, random.Random(seed))
+        }
+    assert ("i-0" not in probed) == is_left_out
+
+
+@pytest.mark.parametrize(
+    ("home_regions", "cut_off", "expected"),
+    [
+        (frozenset(), frozenset(), ["north"] * 3),
+        (frozenset(), frozenset({"north"}), ["south"] * 3),
+        (frozenset({"south"}), frozenset(), ["south"] * 3),
+        (frozenset({"north"}), frozenset({"north"}), []),
+        (frozenset(), frozenset({"north", "south"}), []),
+    ],
+    ids=[
+        "own region",
+        "region cut off",
+        "home elsewhere",
+        "home cut off",
+        "all cut off",
+    ],
+)
+def test_requests_stay_in_their_regions(home_regions, cut_off, expected):
+    hosts = [row._replace(cut_off=row.region in cut_off) for row in HOSTS]
+    chosen = choose_relays(RelayRequest("r-1", "north", home_regions), hosts)
+    assert [row.region for row in chosen] == expected
+    assert len({row.name for row in chosen}) == len(chosen) <= RELAYS_MAX
+
+
+@pytest.mark.parametrize("cut", [1, 30, 59])
+def test_requests_of_cut_off_hosts_spread_evenly(cut):
+    hosts = [row._replace(cut_off=True) for row in HOSTS[:cut]] + HOSTS[cut:]
+    taking = [row for row in hosts if row.region == "north" and not row.cut_off]
+    first = [
+        choose_relays(RelayRequest(f"r-{n}", "north"), hosts)[0].name
+        for n in range(len(taking) * 200)
+    ]
+    counts = [first.count(row.name) for row in taking]
+    assert sum(counts) == len(first)
+    assert max(counts) <= 260
+
+
+@pytest.mark.parametrize(
+    ("cut_off", "leaving", "version", "obstacle"),
+    [
+        (False, False, 7, None),
+        (False, False, 8, None),
+        (True, False, 7, "cut off"),
+        (False, True, 7, "leaving"),
+        (False, False, None, "no configuration"),
+        (False, False, 6, "older configuration"),
+    ],
+)
+def test_a_host_takes_only_what_it_can_serve_as_the_sender_would(
+    cut_off, leaving, version, obstacle
+):
+    assert (
+        relay_obstacle(
+            cut_off=cut_off, leaving=leaving, version=version, required_version=7
+        )
+        == obstacle
+    )
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -40,6 +40,8 @@
     log_lines_dropped: int
     requests_waiting: int
     backend_connection_age_seconds: float
+    cut_off: int
+    hosts_cut_off: int
 
 
 class RegionGauge(NamedTuple):
@@ -73,7 +75,9 @@
     the keys of ``admission_levels``, (service, rank) of ``admission_rejected`` and
     (service, outcome) of ``waits``. ``wait_time`` holds the seconds that requests
     waited for a server, ``pressures_invalid`` the number of ignored figures of peers.
-    (made or failed,) are the keys of ``connections`` to backend servers.
+    (made or failed,) are the keys of ``connections`` to backend servers and of
+    ``probes``, (sent, verdict) and (received, done or unable) those of ``relayed``
+    requests.
     ``send_delay`` holds the seconds from the choice of a server to the first byte,
     ``news_age`` the age of the host's state at the first byte.
     """
@@ -82,6 +86,8 @@
         self.requests: Counter[tuple[str, str, str]] = Counter()
         self.tries: Counter[tuple[str, str]] = Counter()
         self.connections: Counter[tuple[str]] = Counter()
+        self.probes: Counter[tuple[str]] = Counter()
+        self.relayed: Counter[tuple[str, str]] = Counter()
         self.regions: Counter[tuple[str, str]] = Counter()
         self.store_calls: Counter[tuple[str, str]] = Counter()
         self.peer_bytes: Counter[tuple[str, str]] = Counter()
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -42,7 +42,9 @@
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.load_reports import DecodeLoad
 from greengagepoint_node.gateway.metrics_handler import MetricsHandler
+from greengagepoint_node.gateway.names import RELAYED_BY
 from greengagepoint_node.gateway.pace_probe import PaceProbe
+from greengagepoint_node.gateway.passing import RequestHeaders
 from greengagepoint_node.gateway.peer_notifier import NEWS_PATH
 from greengagepoint_node.gateway.peer_session import (
     create_peer_session,
@@ -53,9 +55,11 @@
 from greengagepoint_node.gateway.quarantine_page import PAGE_PATH, QuarantinePage
 from greengagepoint_node.gateway.quarantine_store import QuarantineStore
 from greengagepoint_node.gateway.quarantine_sync import QUARANTINE_PATH, QuarantineSync
+from greengagepoint_node.gateway.reach_monitor import ReachMonitor
 from greengagepoint_node.gateway.region_hosts import ReportSender
 from greengagepoint_node.gateway.region_reports import REPORTS_PATH, RegionReports
 from greengagepoint_node.gateway.region_weights import RegionWeights
+from greengagepoint_node.gateway.relay import Relay
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.server_quotas import QUOTAS_PATH, ServerQuotas
 from greengagepoint_node.gateway.server_signals import ServerSignals
@@ -79,6 +83,8 @@
 # Callers may hold a connection open for this long before its first request.
 FIRST_REQUEST_SECONDS: Final = 20.0
 CONNECT_SECONDS: Final = 0.6
+# Hosts are at most a round trip between regions away; another one may answer in time.
+RELAY_CONNECT_SECONDS: Final = 0.3
 # Backend servers close idle connections after a few seconds. Only a recently used
 # connection is reused, so that no request is sent on one that is being closed.
 KEEPALIVE_SECONDS: Final = 4.0
@@ -180,11 +186,22 @@
     async def async_start(self) -> None:
         """Open the listening sockets and start all background tasks."""
         settings = self.settings
+        self.monitor = ReachMonitor(
+            self.view,
+            self.connections,
+            self.counters.probes,
+            lambda: self.link.is_full(self.clock.monotonic()),
+            self.clock,
+            self.random,
+            self.events,
+            lambda *kind: self.create_backend_socket(*kind),
+            self._announce_reach,
+        )
         self.sessions = create_backend_sessions(
             connect_seconds=CONNECT_SECONDS,
             keepalive_seconds=KEEPALIVE_SECONDS,
             socket_factory=lambda info: self.create_backend_socket(*info[:3]),
-            trace=trace_connections(self.link, self.clock, self.connections),
+            trace=trace_connections(self.link, self.clock, self.monitor),
         )
         self.gossip = Gossip(
             self.own_state,
@@ -215,6 +232,7 @@
         self.counters.choices = self.placer.finish.choices
         self.counters.runs = self.placer.finish.runs
         self.placer.finish.excess = self.counters.finish_excess
+        self._create_relay()
         self.pace_probe = PaceProbe(
             settings.names,
             settings.region,
@@ -260,6 +278,7 @@
             self.signals,
             self.quotas,
             self.admission,
+            self.relay,
         )
         self.directory = HostDirectory(
             self.view, self.gossip, self.clock, self.gateway.accounts.can_serve_keys
@@ -288,10 +307,37 @@
             self.reports.async_run(),
             self.pace_probe.async_run(),
             self.key_placement.async_run(),
+            self.monitor.async_run(),
         ):
             self.tasks.append(asyncio.create_task(work))
         self.events.record(Event.DAEMON_STARTED, address=settings.front_address)
 
+    def _create_relay(self) -> None:
+        """Create the part that passes requests on while this host is cut off."""
+        self.relay_sessions = create_backend_sessions(
+            connect_seconds=RELAY_CONNECT_SECONDS,
+            keepalive_seconds=KEEPALIVE_SECONDS,
+            socket_factory=lambda info: create_socket(*info[:3]),
+            trace=trace_connections(self.link, self.clock),
+        )
+        self.relay = Relay(
+            self.gossip.table,
+            self.view,
+            self.monitor,
+            self.gossip.distances,
+            self.relay_sessions,
+            RequestHeaders(self.settings.names),
+            self.clock,
+            self.gossip.ages,
+            self.events,
+            self.counters.relayed,
+        )
+
+    def _announce_reach(self) -> None:
+        """Let peers know whether this host reaches backend servers."""
+        self.own_state.cut_off = self.monitor.is_cut_off
+        self.gossip.announce_state()
+
     def _create_admission(self) -> None:
         """Create the part that admits requests when servers lack capacity."""
         self.admission = AdmissionControl(
@@ -410,6 +456,7 @@
     async def async_close_sessions(self) -> None:
         """Close all connections to backend servers and to other hosts."""
         await self.sessions.async_close()
+        await self.relay_sessions.async_close()
         await self.gossip.session.close()
         await self.reports.session.close()
         await self.quotas.session.close()
@@ -552,6 +599,8 @@
             link_delay_seconds=round(self.link.seconds(now), 3),
             log_lines_dropped=self.lines_dropped(),
             backend_connection_age_seconds=_age(self.connections.made_at, now),
+            cut_off=int(self.monitor.is_cut_off),
+            hosts_cut_off=sum(state.cut_off for state in self.gossip.table.alive(now)),
         )
 
     def is_ready(self) -> bool:
@@ -566,6 +615,8 @@
 
     async def _async_answer_peer(self, request: web.BaseRequest) -> web.Response:
         """Dispatch a peer's message by its path."""
+        if RELAYED_BY in request.headers:
+            return await self.gateway.async_answer_relayed(request)
         if request.rel_url.raw_path == EXCHANGE_PATH:
             return await self.gossip.async_answer(request)
         if request.rel_url.raw_path == NEWS_PATH:
--- a/packages/node/greengagepoint_node/gateway/directory.py
+++ b/packages/node/greengagepoint_node/gateway/directory.py
@@ -21,7 +21,7 @@
 
 
 class HostDirectory:
-    """List the hosts of a caller's region, or all hosts if the region has none."""
+    """List the hosts of a caller's region, or all hosts if none there can serve."""
 
     def __init__(
         self,
@@ -45,7 +45,11 @@
         connected to when other hosts come or go.
         """
         now = self.clock.monotonic()
-        alive = [state.entry for state in self.hosts.table.alive(now)]
+        states = self.hosts.table.alive(now)
+        # A cut off host passes requests on, which costs callers one more hop. If all
+        # hosts are cut off, none is better than another.
+        reaching = [state for state in states if not state.cut_off]
+        alive = [state.entry for state in reaching or states]
         if not self.can_serve_keys():
             # This host would reject callers that need a key.
             own = self.hosts.table.own.entry.name
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -1,15 +1,16 @@
 """Make one attempt: send a request to a server, then read and check its answer."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Hashable
 from enum import StrEnum
+from functools import partial
 from typing import Final, NamedTuple
 
 import aiohttp
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
-from greengagepoint.placing.tables import Incarnation, Server
+from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.send_times import SendTimes
@@ -144,8 +145,11 @@
         """Return True if a server may have received any part of it."""
         return self.times.sent_at is not None
 
-    def abandon_for(self, successor: Server) -> None:
-        """Time out this attempt now, so that the request goes to ``successor``."""
+    def abandon_for(self, successor: Server | None) -> None:
+        """Time out this attempt now, so that the request goes to ``successor``.
+
+        None means that another host takes the request.
+        """
         if self.limit is not None and not self.limit.expired():
             self.successor = successor
             self.limit.reschedule(asyncio.get_running_loop().time())
@@ -158,7 +162,7 @@
     after the caller has timed out.
     """
 
-    def __init__(self, outgoing: OutgoingRequest, server: Incarnation) -> None:
+    def __init__(self, outgoing: OutgoingRequest, server: Hashable) -> None:
         super().__init__(outgoing.prepare_to_send, server)
         self.outgoing = outgoing
 
@@ -170,25 +174,48 @@
         return await super().__call__(request, handler)
 
 
+ReadAnswer = Callable[[aiohttp.ClientResponse, OutgoingRequest], Awaitable[Exchange]]
+
+
 async def async_exchange(
     sessions: BackendSessions,
     names: HeaderNames,
     server: Server,
     outgoing: OutgoingRequest,
 ) -> Exchange:
-    """Send a request once and return the result."""
+    """Send a request to a server once and return the result."""
+    return await async_send_once(
+        sessions,
+        server.address,
+        server.incarnation,
+        outgoing,
+        partial(_async_read, names),
+    )
+
+
+async def async_send_once(
+    sessions: BackendSessions,
+    address: str,
+    receiver: Hashable,
+    outgoing: OutgoingRequest,
+    async_read: ReadAnswer,
+) -> Exchange:
+    """Send a request to an address once, and return what ``async_read`` makes of it.
+
+    Only connections to the same ``receiver`` are used again.
+    """
     try:
         async with asyncio.timeout(outgoing.seconds) as outgoing.limit:
             answer = await sessions.session.request(
                 outgoing.method,
-                _url(server.address, outgoing.target),
+                _url(address, outgoing.target),
                 headers=outgoing.headers,
                 data=outgoing.body,
                 allow_redirects=False,
-                middlewares=(SendInTime(outgoing, server.incarnation),),
+                middlewares=(SendInTime(outgoing, receiver),),
             )
             try:
-                return await _async_read(names, answer, outgoing)
+                return await async_read(answer, outgoing)
             except BaseException:
                 answer.close()
                 raise
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -74,6 +74,8 @@
 # The share of exchanges with hosts of the own region, where they cost less. Updates
 # still reach each other region several times a second.
 LOCAL_EXCHANGE_SHARE: Final = 0.8
+# Hosts told at once of a change of this host; their exchanges spread it further.
+ANNOUNCED_HOSTS_MAX: Final = 8
 EXCHANGE_PATH: Final = "/v1/gossip"
 SENT: Final = "sent"
 RECEIVED: Final = "received"
@@ -195,6 +197,19 @@
             ):
                 self.partial_notifier.notify(entry.peer_address, before)
 
+    def announce_state(self) -> None:
+        """Tell some hosts of the region at once that this host's state has changed."""
+        self.own.count += 1
+        now = self.clock.monotonic()
+        local = [
+            row.state.entry.peer_address
+            for row in self.table.recent_peers(now)
+            if self.table.is_local(row.state.entry)
+        ]
+        for _ in range(min(ANNOUNCED_HOSTS_MAX, len(local))):
+            address = local.pop(self.random.randrange(len(local)))
+            self._start_exchange(address, self._async_exchange(address))
+
     def _start_exchange(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Start an exchange with a peer unless one is running."""
         if address in self.exchange_tasks:
--- a/packages/node/greengagepoint_node/gateway/gossip_messages.py
+++ b/packages/node/greengagepoint_node/gateway/gossip_messages.py
@@ -26,12 +26,14 @@
     """A host's state as it reports it.
 
     ``started`` orders its incarnations and ``count`` the states of one incarnation.
+    ``cut_off`` means that it reaches no backend server.
     """
 
     entry: HostEntry
     started: int
     count: int
     leaving: bool
+    cut_off: bool = False
 
 
 class Heartbeat(msgspec.Struct, array_like=True):
@@ -41,6 +43,7 @@
     started: int
     count: int
     leaving: bool
+    cut_off: bool = False
 
 
 class Message(msgspec.Struct, array_like=True):
@@ -95,7 +98,9 @@
 
 def heartbeat_of(state: HostState) -> Heartbeat:
     """Return the heartbeat of a state."""
-    return Heartbeat(state.entry.name, state.started, state.count, state.leaving)
+    return Heartbeat(
+        state.entry.name, state.started, state.count, state.leaving, state.cut_off
+    )
 
 
 ENCODER: Final = msgspec.msgpack.Encoder()
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -10,6 +10,7 @@
 from greengagepoint.placing.choice import NoServerAvailable
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
+from greengagepoint.reachability.relays import relay_obstacle
 from greengagepoint.routing.split import WeightedSplit
 from greengagepoint.routing.tables import find_route
 from greengagepoint_node.context import EventSink
@@ -27,12 +28,11 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.identity import RequestIdentity
-from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.names import RELAY_RESULT, HeaderNames
 from greengagepoint_node.gateway.news_ages import ViewFreshness
 from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
 from greengagepoint_node.gateway.passing import (
-    RequestHeaders,
     answer_response,
     async_read_body,
 )
@@ -43,6 +43,7 @@
     no_server_refusal,
     refusal_response,
 )
+from greengagepoint_node.gateway.relay import DONE, UNABLE, Relay, read_version
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.server_crashes import ServerCrashes
@@ -78,6 +79,7 @@
         signals: ServerSignals,
         quotas: ServerQuotas,
         admission: AdmissionControl,
+        relay: Relay,
     ) -> None:
         self.names = names
         self.view = view
@@ -92,14 +94,16 @@
         self.signals = signals
         self.quotas = quotas
         self.admission = admission
+        self.relay = relay
+        self.monitor = relay.monitor
         self.split = WeightedSplit()
         self.in_flight = 0
         self.leaving = False
         self.rejecting = False
         self.last_request_at = clock.monotonic()
-        self.outcomes = Outcomes(view, counters, clock, events)
-        self.request_headers = RequestHeaders(names)
-        self.server_crashes = ServerCrashes(quarantine, self.outcomes)
+        self.outcomes = Outcomes(view, counters, clock, events, names)
+        self.request_headers = relay.headers
+        self.server_crashes = ServerCrashes(quarantine, self.outcomes, self.monitor)
 
     async def async_handle(self, request: web.BaseRequest) -> web.Response:
         """Return the answer to the next request in the order of its connection."""
@@ -138,6 +142,30 @@
         finally:
             self.in_flight -= 1
 
+    async def async_answer_relayed(self, request: web.BaseRequest) -> web.Response:
+        """Return the answer to a request that another host passes on."""
+        table = self.view.routes
+        obstacle = relay_obstacle(
+            cut_off=self.monitor.is_cut_off,
+            leaving=self.rejecting,
+            version=table.version if table is not None else None,
+            required_version=read_version(request.headers),
+        )
+        if obstacle is not None:
+            self.outcomes.reject_relayed(request, obstacle)
+            headers = {RELAY_RESULT: UNABLE}
+            return web.Response(status=503, headers=headers, text=obstacle)
+        self.in_flight += 1
+        try:
+            response = await self._async_answer(
+                request, self.clock.monotonic(), relayed=True
+            )
+        finally:
+            self.in_flight -= 1
+        self.outcomes.count_relayed()
+        response.headers[RELAY_RESULT] = DONE
+        return response
+
     def is_quiet(self, seconds: float) -> bool:
         """Return True if nothing is in flight and the last request is older."""
         return (
@@ -146,9 +174,12 @@
         )
 
     async def _async_answer(
-        self, request: web.BaseRequest, arrived_at: float
+        self, request: web.BaseRequest, arrived_at: float, *, relayed: bool = False
     ) -> web.Response:
-        """Return the answer to a request, or an error response if it fails."""
+        """Return the answer to a request, or an error response if it fails.
+
+        If ``relayed``, the host to which the caller is connected has admitted it.
+        """
         request_id = request.headers.get(self.names.request_id, "")
         now = self.last_request_at = self.clock.monotonic()
         call: Call | None = None
@@ -157,11 +188,14 @@
             if self.rejecting:
                 reason = "this host is about to exit"
                 raise Refusal(ErrorKind.HOST_LEAVING, 503, reason, 0.0)
-            call = self._parse(request, request_id, arrived_at)
+            call = self._parse(request, request_id, arrived_at, relayed=relayed)
             if call.ends_at - now < SECONDS_LEFT_MIN:
                 raise no_answer_refusal(None, may_have_run=False)
             body = await self._async_body(request, call)
-            response = await self._async_serve(request, call, body)
+            if not relayed:
+                self.placer.count_caller(call, self.clock.monotonic())
+                await self.admission.async_admit(call)
+            response = await self._async_serve(request, call, body, relayed=relayed)
             outcome = ANSWERED
             return response
         except Refusal as refusal:
@@ -177,7 +211,12 @@
             self.outcomes.count_request(call, outcome, arrived_at)
 
     def _parse(
-        self, request: web.BaseRequest, request_id: str, arrived_at: float
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        arrived_at: float,
+        *,
+        relayed: bool,
     ) -> Call:
         """Return the parsed and admitted call, or raise Refusal."""
         table = self.view.routes
@@ -193,7 +232,7 @@
             raise Refusal(ErrorKind.BAD_REQUEST, 400, reason)
         route = match_route(table, request, self.news.is_current)
         account = self.accounts.identify(request, route, table)
-        if account is not None:
+        if account is not None and not relayed:
             self.accounts.admit(account)
         service = self.split.choose(route)
         return create_call(request, self.names, route, service, arrived_at, account)
@@ -211,11 +250,18 @@
         return body
 
     async def _async_serve(
-        self, request: web.BaseRequest, call: Call, body: bytes | None
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | None,
+        *,
+        relayed: bool,
     ) -> web.Response:
-        """Send to servers until one answers or no retry is allowed."""
-        self.placer.count_caller(call, self.clock.monotonic())
-        await self.admission.async_admit(call)
+        """Send to servers until one answers or no retry is allowed.
+
+        A host that is cut off from servers passes the request on, unless another one
+        has passed it on already.
+        """
         identity = RequestIdentity(request, body, call.account)
         attempts = Attempts()
         last: Exchange | None = None
@@ -226,6 +272,13 @@
             left = call.ends_at - self.clock.monotonic()
             if left < SECONDS_LEFT_MIN:
                 break
+            if last is not None and last.verdict is Verdict.UNREACHABLE:
+                await self.monitor.async_probe()
+            if not relayed and self._should_pass_on(call, attempts, last):
+                exchange = await self.relay.async_pass_on(
+                    request, call, body, may_have_run=may_have_run
+                )
+                return answer_response(exchange)
             standing = self.quarantine.admit(identity, first=not attempts.servers)
             if not standing.can_run:
                 break
@@ -274,6 +327,15 @@
             rest_seconds=self.placer.rest_seconds(call, self.clock.monotonic()),
         )
 
+    def _should_pass_on(
+        self, call: Call, attempts: Attempts, last: Exchange | None
+    ) -> bool:
+        """Return True if a request goes to another host, within the retry budget."""
+        if not self.relay.should_pass_on():
+            return False
+        verdict = last.verdict if last is not None else None
+        return not attempts.servers or self._withdraw_retry(call, verdict)
+
     async def _async_acquire_quota(self, call: Call, attempts: Attempts) -> None:
         """Ask for quota if the request would be sent to a limited server."""
         tried = frozenset(attempts.servers)
@@ -403,6 +465,8 @@
         finally:
             overdue.cancel()
             server.in_flight -= 1
+        if exchange.verdict is Verdict.UNREACHABLE:
+            self.monitor.note_unreachable(server, began)
         now = self.clock.monotonic()
         load = self.placer.record_attempt(
             call, server, exchange, now - began, waited, now
--- a/packages/node/greengagepoint_node/gateway/host_table.py
+++ b/packages/node/greengagepoint_node/gateway/host_table.py
@@ -73,7 +73,11 @@
             entry = self._known_entry(heartbeat)
             if entry is not None:
                 state = HostState(
-                    entry, heartbeat.started, heartbeat.count, heartbeat.leaving
+                    entry,
+                    heartbeat.started,
+                    heartbeat.count,
+                    heartbeat.leaving,
+                    heartbeat.cut_off,
                 )
                 self.apply_state(state, now)
             elif heartbeat.name != self.own.entry.name:
--- a/packages/node/greengagepoint_node/gateway/metrics_page.py
+++ b/packages/node/greengagepoint_node/gateway/metrics_page.py
@@ -80,6 +80,16 @@
             "New connections to backend servers, by how they ended.",
             lambda: _rows(counters.connections, "outcome"),
         )
+        yield Instrument(
+            "backend_probes",
+            "Probes of whether servers can be reached, by how they ended.",
+            lambda: _rows(counters.probes, "outcome"),
+        )
+        yield Instrument(
+            "relayed_requests",
+            "Requests passed on by hosts without a backend server, by how they ended.",
+            lambda: _rows(counters.relayed, "direction", "outcome"),
+        )
         yield Instrument(
             "answers_by_region",
             "Answers by the region of their backend server.",
--- a/packages/node/greengagepoint_node/gateway/names.py
+++ b/packages/node/greengagepoint_node/gateway/names.py
@@ -1,6 +1,12 @@
-"""Names of the platform-specific headers of callers and backend servers."""
+"""Names of headers: those of the platform, and those between hosts."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+# On a request that a host passes on: its name, and its configuration's version.
+RELAYED_BY: Final = "Greengagepoint-Relayed-By"
+CONFIGURATION_VERSION: Final = "Greengagepoint-Configuration-Version"
+# On the response to it: ``done`` or ``unable``.
+RELAY_RESULT: Final = "Greengagepoint-Relay-Result"
 
 
 class HeaderNames(NamedTuple):
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import xxhash
+from aiohttp import web
 
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
@@ -11,10 +12,11 @@
 from greengagepoint.protocols import Clock
 from greengagepoint.quarantine.fingerprint import Fingerprint
 from greengagepoint_node.context import EventSink
-from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.call import LOGGED_CHARACTERS_MAX, Call
 from greengagepoint_node.gateway.counters import GatewayCounters
 from greengagepoint_node.gateway.exchange import Exchange, Verdict
 from greengagepoint_node.gateway.finish_fields import LogFields
+from greengagepoint_node.gateway.names import RELAYED_BY, HeaderNames
 from greengagepoint_node.gateway.refusals import Refusal
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
@@ -39,7 +41,9 @@
         counters: GatewayCounters,
         clock: Clock,
         events: EventSink,
+        names: HeaderNames,
     ) -> None:
+        self.names = names
         self.view = view
         self.counters = counters
         self.clock = clock
@@ -86,6 +90,21 @@
             self.clock.monotonic() - arrived_at,
         )
 
+    def reject_relayed(self, request: web.BaseRequest, reason: str) -> None:
+        """Log and count a request of another host that this one can't take on."""
+        self.counters.relayed["received", "unable"] += 1
+        self.events.record(
+            Event.RELAY_REJECTED,
+            request_id=request.headers.get(self.names.request_id, ""),
+            peer=request.headers.get(RELAYED_BY, "")[:LOGGED_CHARACTERS_MAX],
+            reason=reason,
+            revision=self.view.revision,
+        )
+
+    def count_relayed(self) -> None:
+        """Count a request of another host that this one has answered."""
+        self.counters.relayed["received", "done"] += 1
+
     def record_send(self, call: Call, server: Server, times: SendTimes) -> None:
         """Record the delay of an attempt's first byte and the age of the host's view.
 
@@ -96,7 +115,7 @@
             return
         self.counters.send_delay.add(seconds)
         self.counters.news_age.add(times.news_age_at_send)
-        if seconds <= SLOW_SEND_SECONDS and not _is_sampled(call.request_id):
+        if seconds <= SLOW_SEND_SECONDS and not is_sampled(call.request_id):
             return
         self.events.record(
             Event.REQUEST_SENT,
@@ -161,7 +180,7 @@
         the fields of the finish expected, empty with the demand mode off.
         """
         self.counters.regions[call.service, server.region] += 1
-        if attempt_count == 1 and not _is_sampled(call.request_id):
+        if attempt_count == 1 and not is_sampled(call.request_id):
             return
         self.events.record(
             Event.REQUEST_ANSWERED,
@@ -196,6 +215,6 @@
     return round(seconds, 3) if math.isfinite(seconds) else None
 
 
-def _is_sampled(request_id: str) -> bool:
+def is_sampled(request_id: str) -> bool:
     """Return True if this request is logged although nothing went wrong."""
     return xxhash.xxh3_64_intdigest(request_id.encode()) % SAMPLING_INTERVAL == 0
--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -9,6 +9,7 @@
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.exchange import OutgoingRequest, Verdict
 from greengagepoint_node.gateway.placing import Placer
+from greengagepoint_node.gateway.reach_monitor import ReachMonitor
 from greengagepoint_node.gateway.tries import Attempts
 
 
@@ -18,6 +19,7 @@
     clock: Clock
     placer: Placer
     leaving: bool
+    monitor: ReachMonitor
 
     def next_server(
         self, call: Call, attempts: Attempts, last: Verdict | None
@@ -46,10 +48,13 @@
         seconds = placer.silence_timeout(server, outgoing.seconds, self.began)
         loop = asyncio.get_running_loop()
         self.timer = loop.call_later(seconds, self._handle_silence)
+        self.task: asyncio.Task[None] | None = None
 
     def cancel(self) -> None:
         """Stop watching."""
         self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
 
     def _handle_silence(self) -> None:
         """Suspect a server that has answered no request since the attempt began."""
@@ -57,6 +62,12 @@
             return
         now = self.selector.clock.monotonic()
         self.selector.placer.suspect(self.server, Verdict.TIMED_OUT, now)
+        self.selector.monitor.note_silence()
+        self.task = asyncio.get_running_loop().create_task(self._async_move())
+
+    async def _async_move(self) -> None:
+        """Tell whether the server or the host's link is silent, then give way."""
+        await self.selector.monitor.async_probe()
         self._move_to_successor()
 
     def _move_to_successor(self) -> None:
@@ -73,6 +84,9 @@
         left = self.outgoing.time_left.seconds()
         if not can_answer_in_time(left, self.selector.placer.answer_times(self.server)):
             return
+        if self.selector.monitor.is_cut_off:
+            self.outgoing.abandon_for(None)
+            return
         successor = self.selector.next_server(
             self.call, self.attempts, Verdict.TIMED_OUT
         )
--- a/packages/node/greengagepoint_node/gateway/passing.py
+++ b/packages/node/greengagepoint_node/gateway/passing.py
@@ -11,11 +11,16 @@
 from greengagepoint.placing.tables import Server
 from greengagepoint_node.gateway.call import Call
 from greengagepoint_node.gateway.exchange import Exchange
-from greengagepoint_node.gateway.names import HeaderNames
+from greengagepoint_node.gateway.names import (
+    CONFIGURATION_VERSION,
+    RELAYED_BY,
+    HeaderNames,
+)
 from greengagepoint_node.gateway.refusals import Refusal
 from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
 from greengagepoint_node.proxy.headers import connection_headers
 
+RELAY_HEADERS: Final = frozenset({RELAYED_BY.lower(), CONFIGURATION_VERSION.lower()})
 CREDENTIALS: Final = frozenset({"authorization"})
 
 
@@ -31,8 +36,21 @@
             names.deadline_ms.lower(),
             names.target_instance.lower(),
             names.account.lower(),
+            *RELAY_HEADERS,
         }
 
+    def relay_headers(self, request: web.BaseRequest) -> CIMultiDict[str]:
+        """Return the caller's headers for a host that takes the request on."""
+        dropped = HOP_BY_HOP_HEADERS | connection_headers(request.headers)
+        dropped |= {"host", "expect", "content-length"}
+        dropped |= {self.names.deadline_ms.lower(), *RELAY_HEADERS}
+        headers: CIMultiDict[str] = CIMultiDict()
+        headers["Host"] = request.headers.get("Host", "")
+        for name, value in request.headers.items():
+            if name.lower() not in dropped:
+                headers.add(name, value)
+        return headers
+
     def backend_headers(
         self,
         request: web.BaseRequest,
--- /dev/null
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -0,0 +1,233 @@
+"""Pass requests on to hosts that reach backend servers, and take such requests on."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from greengagepoint.errors import ErrorKind
+from greengagepoint.events import Event
+from greengagepoint.protocols import Clock
+from greengagepoint.reachability.probing import PROBE_INTERVAL_SECONDS
+from greengagepoint.reachability.relays import (
+    RelayCandidate,
+    RelayRequest,
+    choose_relays,
+)
+from greengagepoint_node.context import EventSink
+from greengagepoint_node.gateway.call import Call
+from greengagepoint_node.gateway.distances import RegionDistances
+from greengagepoint_node.gateway.exchange import (
+    NOT_RUN,
+    SECONDS_LEFT_MIN,
+    Exchange,
+    OutgoingRequest,
+    TimeLeft,
+    Verdict,
+    async_send_once,
+)
+from greengagepoint_node.gateway.host_table import HostTable
+from greengagepoint_node.gateway.names import (
+    CONFIGURATION_VERSION,
+    RELAY_RESULT,
+    RELAYED_BY,
+)
+from greengagepoint_node.gateway.news_ages import ViewFreshness
+from greengagepoint_node.gateway.outcomes import is_sampled
+from greengagepoint_node.gateway.passing import RequestHeaders
+from greengagepoint_node.gateway.reach_monitor import ReachMonitor
+from greengagepoint_node.gateway.refusals import Refusal, no_answer_refusal
+from greengagepoint_node.gateway.send_times import SendTimes
+from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_node.proxy.sessions import BackendSessions
+
+# A host that did not answer gets no relayed requests for this long.
+FAILED_HOST_SKIP_SECONDS: Final = 2.0
+DONE: Final = "done"
+UNABLE: Final = "unable"
+NOT_FOUND: Final = 404
+VERSION_DIGITS_MAX: Final = 18
+
+
+class Relay:
+    """Pass requests on to peers while this host is cut off from backend servers."""
+
+    def __init__(
+        self,
+        table: HostTable,
+        view: FleetView,
+        monitor: ReachMonitor,
+        distances: RegionDistances,
+        sessions: BackendSessions,
+        headers: RequestHeaders,
+        clock: Clock,
+        news: ViewFreshness,
+        events: EventSink,
+        outcomes: Counter[tuple[str, str]],
+    ) -> None:
+        self.table = table
+        self.view = view
+        self.monitor = monitor
+        self.distances = distances
+        self.sessions = sessions
+        self.headers = headers
+        self.clock = clock
+        self.news = news
+        self.events = events
+        self.outcomes = outcomes
+        self.skipped_until: dict[str, float] = {}
+
+    def should_pass_on(self) -> bool:
+        """Return True if requests should go to other hosts instead of servers.
+
+        A host without peers keeps trying: its probes may be wrong.
+        """
+        return self.monitor.is_cut_off and self._has_peers()
+
+    async def async_pass_on(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | None,
+        *,
+        may_have_run: bool,
+    ) -> Exchange:
+        """Return the response of a peer, or raise Refusal if none takes the request."""
+        wanted = RelayRequest(
+            call.request_id, self.table.own.entry.region, call.home_regions
+        )
+        last: Exchange | None = None
+        relays = choose_relays(wanted, self._candidates())
+        for number, peer in enumerate(relays, 1):
+            if call.ends_at - self.clock.monotonic() < SECONDS_LEFT_MIN:
+                break
+            last = await self._async_send(request, call, body, peer, number)
+            if last.verdict is Verdict.ANSWERED:
+                return last
+            may_have_run = may_have_run or last.verdict not in NOT_RUN
+            if may_have_run and not call.route.repeatable:
+                break
+        if relays:
+            raise no_answer_refusal(last, may_have_run=may_have_run)
+        reason = "neither this host nor another one reaches a backend server"
+        status = 502 if may_have_run else 503
+        retry_after = None if may_have_run else PROBE_INTERVAL_SECONDS
+        raise Refusal(ErrorKind.NO_BACKEND_SERVER, status, reason, retry_after)
+
+    def _has_peers(self) -> bool:
+        """Return True if any other host receives callers."""
+        alive = self.table.alive(self.clock.monotonic())
+        return any(state is not self.table.own for state in alive)
+
+    def _candidates(self) -> list[RelayCandidate]:
+        """Return the peers that receive callers, without those that failed lately."""
+        now = self.clock.monotonic()
+        return [
+            RelayCandidate(
+                state.entry.name,
+                state.entry.region,
+                state.entry.peer_address,
+                state.cut_off,
+            )
+            for state in self.table.alive(now)
+            if state is not self.table.own
+            and self.skipped_until.get(state.entry.name, now) <= now
+        ]
+
+    async def _async_send(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | None,
+        peer: RelayCandidate,
+        number: int,
+    ) -> Exchange:
+        """Send a request to one peer; log and count how it ended."""
+        began = self.clock.monotonic()
+        outgoing = self._create_outgoing(request, call, body, peer)
+        exchange = await async_send_once(
+            self.sessions, peer.address, peer.address, outgoing, _async_read
+        )
+        now = self.clock.monotonic()
+        if exchange.verdict not in (Verdict.ANSWERED, Verdict.SHED, Verdict.LAPSED):
+            self.skipped_until[peer.name] = now + FAILED_HOST_SKIP_SECONDS
+        self.outcomes["sent", exchange.verdict] += 1
+        is_usual = exchange.verdict is Verdict.ANSWERED and exchange.status < 300
+        if not is_usual or is_sampled(call.request_id):
+            self.events.record(
+                Event.REQUEST_RELAYED,
+                request_id=call.request_id,
+                route=call.route.name,
+                service=call.service,
+                peer=peer.name,
+                region=peer.region,
+                attempt=number,
+                outcome=exchange.verdict,
+                status=exchange.status,
+                detail=exchange.detail,
+                cut_off_seconds=round(now - self.monitor.reach.changed_at, 3),
+                seconds=round(now - began, 3),
+            )
+        return exchange
+
+    def _create_outgoing(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        body: bytes | None,
+        peer: RelayCandidate,
+    ) -> OutgoingRequest:
+        """Return the request to send to a peer."""
+        assert self.view.routes is not None
+        headers = self.headers.relay_headers(request)
+        headers[RELAYED_BY] = self.table.own.entry.name
+        headers[CONFIGURATION_VERSION] = str(self.view.routes.version)
+        # The peer's answer takes half a round trip to arrive.
+        ends_at = call.ends_at - self.distances.round_trip_to(peer.region) / 2
+        return OutgoingRequest(
+            request.method,
+            call.target,
+            headers,
+            body,
+            call.request_id,
+            call.ends_at - self.clock.monotonic(),
+            TimeLeft(self.headers.names.deadline_ms, self.clock, ends_at),
+            SendTimes(self.clock, self.news),
+            lambda: None,
+            lambda status, headers: None,
+        )
+
+
+def read_version(headers: Mapping[str, str]) -> int:
+    """Return the version of the configuration that a relayed request was matched by."""
+    text = headers.get(CONFIGURATION_VERSION, "")
+    if not text.isascii() or not text.isdigit() or len(text) > VERSION_DIGITS_MAX:
+        return 0
+    return int(text)
+
+
+async def _async_read(
+    answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
+) -> Exchange:
+    """Read a peer's whole response to a relayed request."""
+    result = answer.headers.get(RELAY_RESULT)
+    body = await answer.read()
+    if result == UNABLE:
+        reason = body.decode(errors="replace").strip()
+        return Exchange(Verdict.SHED, f"unable: {reason}", answer.status)
+    if result != DONE:
+        # A host of a version that takes no relayed requests knows no such path.
+        verdict = Verdict.SHED if answer.status == NOT_FOUND else Verdict.FOREIGN
+        return Exchange(verdict, "no relay result", answer.status)
+    headers = CIMultiDict(answer.headers)
+    del headers[RELAY_RESULT]
+    return Exchange(
+        Verdict.ANSWERED,
+        status=answer.status,
+        reason=answer.reason,
+        headers=headers,
+        body=body,
+    )
--- a/packages/node/greengagepoint_node/gateway/server_crashes.py
+++ b/packages/node/greengagepoint_node/gateway/server_crashes.py
@@ -9,6 +9,7 @@
 from greengagepoint_node.gateway.crash_checks import CrashChecks
 from greengagepoint_node.gateway.identity import RequestIdentity
 from greengagepoint_node.gateway.outcomes import Outcomes
+from greengagepoint_node.gateway.reach_monitor import ReachMonitor
 from greengagepoint_node.gateway.request_quarantine import RequestQuarantine
 
 # A server that a request crashes is down within this time.
@@ -18,7 +19,13 @@
 class ServerCrashes:
     """Record crashes of servers against the requests they were running."""
 
-    def __init__(self, quarantine: RequestQuarantine, outcomes: Outcomes) -> None:
+    def __init__(
+        self,
+        quarantine: RequestQuarantine,
+        outcomes: Outcomes,
+        monitor: ReachMonitor,
+    ) -> None:
+        self.monitor = monitor
         self.quarantine = quarantine
         self.outcomes = outcomes
         self.checks = CrashChecks()
@@ -27,8 +34,15 @@
     async def async_handle_broken(
         self, call: Call, identity: RequestIdentity, server: Server
     ) -> None:
-        """Check whether a server crashed after a connection to it broke; record it."""
+        """Check whether a server crashed after a connection to it broke; record it.
+
+        A host whose links break sees all its servers reset and refuse connections.
+        """
+        began = self.monitor.clock.monotonic()
         if await self.checks.async_has_crashed(server):
+            self.monitor.note_unreachable(server, began)
+            if await self.monitor.async_has_lost_links():
+                return
             self.outcomes.record_server_crash(call, server, identity.fingerprint)
             self.quarantine.note_end(identity, server)
 
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -4,6 +4,12 @@
 
 import pytest
 from cut_links import Cut, async_fleet
+from deployment import async_until
+from msgspec.structs import replace
+
+from greengagepoint.errors import ErrorKind
+from greengagepoint.events import Event
+from greengagepoint.reachability.probing import PROBE_TIMEOUT_SECONDS
 
 CUTS = [Cut.HANGS, Cut.RESETS, Cut.REFUSES_NEW]
 PATHS = [("/safe/", "GET"), ("/unsafe/", "POST"), ("/pack/", "GET")]
@@ -42,3 +48,119 @@
             fleet.close_kept()
         await async_keep_calling(host, DETECTION_SECONDS)
         assert set(await async_call_all(host)) == {200}
+
+
+async def async_wait_for_cut(fleet, cut, *hosts):
+    """Cut the links of hosts and wait until these hosts and their peers know."""
+    fleet.cut(cut, *hosts)
+    for index in hosts:
+        await async_keep_calling_until(fleet.hosts[index], True)
+    await async_until(
+        lambda: all(
+            host.daemon.gauges().hosts_cut_off == len(hosts) for host in fleet.hosts
+        )
+    )
+
+
+async def async_keep_calling_until(host, cut_off):
+    """Send requests until a host knows whether it is cut off."""
+    number = 0
+    while host.daemon.monitor.is_cut_off != cut_off:
+        number += 1
+        calls = [host.async_call(f"/safe/{number}-{row}") for row in range(4)]
+        await asyncio.gather(*calls)
+
+
+def relayed(host):
+    """Return the numbers of requests that a host passed on and took on."""
+    rows = host.daemon.counters.relayed
+    return rows["sent", "answered"], rows["received", "done"]
+
+
+@pytest.mark.parametrize("cut", CUTS)
+async def test_relayed_requests_run_once_and_no_server_counts_as_crashed(cut):
+    async with async_fleet() as fleet:
+        host = fleet.hosts[0]
+        await async_call_all(host)
+        await async_wait_for_cut(fleet, cut, 0)
+        before = fleet.runs()
+        assert set(await async_call_all(host, 1000)) == {200}
+        assert fleet.runs() - before == CALLS
+        assert relayed(host)[0] >= CALLS
+        # The peer of its own region takes them all.
+        assert relayed(fleet.hosts[2]) == (0, 0)
+        for row in fleet.hosts:
+            assert not row.events.of(Event.BACKEND_SERVER_ENDED)
+
+
+async def test_look_ups_leave_out_cut_off_hosts_until_they_reach_servers():
+    async with async_fleet() as fleet:
+        assert fleet.named(1) == [0, 1]
+        await async_wait_for_cut(fleet, Cut.HANGS, 0)
+        assert fleet.named(0) == fleet.named(1) == [1]
+        fleet.cut(Cut.NONE, 0)
+        await async_until(lambda: fleet.named(1) == [0, 1] == fleet.named(0))
+        # Suspicions of servers ended with the cut, and so did the relaying.
+        host = fleet.hosts[0]
+        assert host.daemon.gauges().backend_servers_suspected == 0
+        before = relayed(host)
+        assert set(await async_call_all(host)) == {200}
+        assert relayed(host) == before
+
+
+async def test_a_cut_off_region_is_served_by_another_one():
+    async with async_fleet() as fleet:
+        await async_wait_for_cut(fleet, Cut.RESETS, 0, 1)
+        assert fleet.named(0) == fleet.named(2) == [2]
+        assert set(await async_call_all(fleet.hosts[0])) == {200}
+        assert relayed(fleet.hosts[2])[1] >= CALLS
+
+
+async def test_requests_are_rejected_at_once_if_no_host_reaches_a_server():
+    async with async_fleet() as fleet:
+        await async_wait_for_cut(fleet, Cut.HANGS, 0, 1, 2)
+        host = fleet.hosts[0]
+        status, _, headers = await host.async_call("/unsafe/1", "POST")
+        assert (status, float(headers["Retry-After"]) < 0.5) == (503, True)
+        row = host.events.of(Event.REQUEST_REFUSED)[-1]
+        assert row["kind"] == ErrorKind.NO_BACKEND_SERVER
+        assert row["seconds"] < PROBE_TIMEOUT_SECONDS
+        # None is better than another, so look-ups name the hosts of the region.
+        assert fleet.named(2) == [0, 1]
+
+
+async def test_a_peer_that_can_not_serve_as_the_sender_does_is_passed_over():
+    async with async_fleet() as fleet:
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        near = fleet.hosts[1]
+        before = relayed(near)
+        near.daemon.view.routes = replace(near.daemon.view.routes, version=0)
+        assert set(await async_call_all(fleet.hosts[0])) == {200}
+        assert relayed(near) == before
+        rows = near.events.of(Event.RELAY_REJECTED)
+        assert {row["reason"] for row in rows} == {"older configuration"}
+        assert {row["peer"] for row in rows} == {"h0"}
+
+
+@pytest.mark.parametrize(
+    ("path", "method", "expected"),
+    [("/safe/1", "GET", (200, 2)), ("/unsafe/1", "POST", (502, 1))],
+    ids=["repeatable", "not repeatable"],
+)
+async def test_a_relayed_request_that_broke_is_only_repeated_if_it_may_be(
+    path, method, expected
+):
+    async with async_fleet() as fleet:
+        host, near = fleet.hosts[:2]
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        answer = near.daemon.gateway.async_answer_relayed
+        before = fleet.runs()
+
+        async def async_break(request):
+            await answer(request)
+            request.transport.abort()
+            await asyncio.sleep(1)
+
+        near.daemon.gateway.async_answer_relayed = async_break
+        status, _, _ = await host.async_call(path, method)
+        assert (status, fleet.runs() - before) == expected
