--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -108,6 +108,7 @@
     HOST_ENTRY_LOST = 7007
     STORE_WATCH_CHANGED = 7008
     QUARANTINE_NOT_STORED = 7009
+    STORE_BEHIND = 7010
     # 8000: usage
     USAGE_WRITTEN = 8001
     USAGE_WRITE_FAILED = 8002
@@ -333,6 +334,9 @@
     Event.QUARANTINE_NOT_STORED: EventType(
         Level.WARNING, "Refused requests could not be written to the store yet."
     ),
+    Event.STORE_BEHIND: EventType(
+        Level.WARNING, "The store's items are older than this host's and are ignored."
+    ),
     Event.USAGE_WRITTEN: EventType(Level.DEBUG, "Usage counters were written."),
     Event.USAGE_WRITE_FAILED: EventType(
         Level.WARNING, "Usage counters could not be written; they are kept."
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -27,6 +27,7 @@
     LeaseLostError,
     Part,
     PlatformStore,
+    Snapshot,
 )
 from greengagepoint_node.gateway.view import FleetView
 
@@ -150,6 +151,8 @@
             snapshot = await self.store.async_snapshot()
             self._record_reached()
             view.replace(snapshot, self.clock.monotonic())
+            if snapshot.revision < before:
+                self._record_behind(snapshot)
             self.needs_snapshot = False
             view.certainty.note_complete(asked_at)
             self.peers.confirm(before, snapshot.arriving_seconds)
@@ -222,6 +225,16 @@
                 revision=self.view.revision,
             )
 
+    def _record_behind(self, snapshot: Snapshot) -> None:
+        """Log a snapshot that is older than this host's view."""
+        self.events.record(
+            Event.STORE_BEHIND,
+            revision=self.view.revision,
+            store_revision=snapshot.revision,
+            era=snapshot.era,
+            age=round(self.clock.monotonic() - self.peers.ages.complete_at(), 3),
+        )
+
     def _record_reached(self) -> None:
         """Log that the store is available and whether removals may be lapses."""
         now = self.reached_at = self.clock.monotonic()
--- a/packages/node/greengagepoint_node/gateway/store_http.py
+++ b/packages/node/greengagepoint_node/gateway/store_http.py
@@ -16,21 +16,31 @@
 from greengagepoint_node.gateway.transfer import async_read_answer
 
 KEEPALIVE_SECONDS: Final = 30.0
+ERA_DIGITS_MAX: Final = 6
 JSON_HEADERS: Final = {"Content-Type": "application/json"}
 
 
 class HttpAnswer(NamedTuple):
-    """A complete response; its headers arrived at ``began_at`` (monotonic seconds)."""
+    """A complete response; its headers arrived at ``began_at`` (monotonic seconds).
+
+    ``era`` counts how often the store has been restored from a copy, 0 if it does not
+    say.
+    """
 
     status: int
     body: bytes
     began_at: float
+    era: int
 
 
 class HttpCaller:
-    """Call one address; a response may stall for at most ``idle_seconds``."""
+    """Call one address; a response may stall for at most ``idle_seconds``.
+
+    ``era_header`` is the header that states the era of the store.
+    """
 
-    def __init__(self, address: str, idle_seconds: float) -> None:
+    def __init__(self, address: str, idle_seconds: float, era_header: str) -> None:
+        self.era_header = era_header
         self.base = f"http://{address}"
         self.idle_seconds = idle_seconds
         connector = aiohttp.TCPConnector(
@@ -67,13 +77,21 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             kind = StoreOutcomeUnknownError if method != "GET" else StoreError
             raise kind(f"{method} {path}: {type(error).__name__}") from error
-        return HttpAnswer(answer.status, body, began_at)
+        era = _read_era(answer.headers.get(self.era_header, ""))
+        return HttpAnswer(answer.status, body, began_at, era)
 
     async def async_close(self) -> None:
         """Close all connections."""
         await self.session.close()
 
 
+def _read_era(text: str) -> int:
+    """Return the era that a header states, 0 if it states none."""
+    if not text.isascii() or not text.isdigit() or len(text) > ERA_DIGITS_MAX:
+        return 0
+    return int(text)
+
+
 def decode_body(answer: HttpAnswer, kind: type[Any]) -> Any:
     """Return the decoded body of an answer; raise StoreError if it is invalid."""
     try:
--- a/packages/node/greengagepoint_node/gateway/store_types.py
+++ b/packages/node/greengagepoint_node/gateway/store_types.py
@@ -41,12 +41,13 @@
     """All keys of the store as of ``revision`` or later.
 
     ``arriving_seconds`` is how long the response took to arrive, so the snapshot may be
-    that old.
+    that old. ``era`` counts how often the store has been restored from a copy.
     """
 
     items: tuple[StoredItem, ...]
     revision: int
     arriving_seconds: float = 0.0
+    era: int = 0
 
 
 class Changes(NamedTuple):
--- a/packages/standins/greengagepoint_standins/users_platform/store.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store.py
@@ -69,6 +69,7 @@
         if self.control.status:
             return web.Response(status=self.control.status)
         answer = await handler(request)
+        answer.headers["Store-Era"] = str(self.items.era)
         if self.control.lost_writes and request.method != "GET":
             request.transport.abort()
         return answer
@@ -103,7 +104,7 @@
                     if self.control.silent_watches:
                         await asyncio.sleep(3600)
                     await self.items.changed.wait()
-        if after < self.items.kept_after:
+        if not self.items.kept_after <= after <= self.items.revision:
             return _json({"at": self.items.revision}, 410)
         if self.control.silent_watches:
             return _json({"events": [], "at": after})
@@ -112,7 +113,9 @@
 
     def _has_news(self, after: int, prefix: str) -> bool:
         """Tell whether a watch has to be answered."""
-        return after < self.items.kept_after or bool(self.items.after(after, prefix))
+        if not self.items.kept_after <= after <= self.items.revision:
+            return True
+        return bool(self.items.after(after, prefix))
 
     async def _async_transaction(self, request: web.Request) -> web.Response:
         """Write all or nothing."""
--- a/packages/standins/greengagepoint_standins/users_platform/store_items.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store_items.py
@@ -35,10 +35,22 @@
     calls: int = 0
 
 
+class Copy(NamedTuple):
+    """What a store held at a moment."""
+
+    revision: int
+    items: dict[str, Item]
+    leases: dict[int, tuple[float, float]]
+
+
 class StoreItems:
-    """Keep items in order of one revision counter."""
+    """Keep items in order of one revision counter.
+
+    ``era`` counts how often the store was restored from a copy.
+    """
 
     def __init__(self) -> None:
+        self.era = 0
         self.revision = 0
         self.items: dict[str, Item] = {}
         self.history: list[tuple[int, dict[str, Any]]] = []
@@ -68,6 +80,19 @@
         self.history.clear()
         self.kept_after = self.revision
 
+    def copy(self) -> Copy:
+        """Return what the store holds now."""
+        return Copy(self.revision, dict(self.items), dict(self.leases))
+
+    def restore(self, copy: Copy) -> None:
+        """Go back to a copy; revisions after it are given out again."""
+        self.era += 1
+        self.revision = copy.revision
+        self.items, self.leases = dict(copy.items), dict(copy.leases)
+        self.compact()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
     def grant(self, seconds: float) -> int:
         """Return a new lease."""
         lease = self.next_lease
