Add the failing tests of a store that was restored from a copy

Cause: what is written to a store after it came back from an older copy is not in force at hosts until its revisions pass the former ones, and what was written in between never is.

--- /dev/null
+++ b/packages/platform_tests/tests/test_platform_restored_store.py
@@ -0,0 +1,181 @@
+"""Hosts that follow a store which was restored from an older copy."""
+
+import asyncio
+import base64
+import contextlib
+import random
+
+import msgspec
+import pytest
+
+from greengagepoint_node.clock import SystemClock
+from greengagepoint_node.gateway.follower import StoreFollower
+from greengagepoint_node.gateway.news_ages import ViewFreshnessTracker
+from greengagepoint_node.gateway.view import FleetView
+from greengagepoint_platform.decoding import decode_item
+from greengagepoint_platform.store import StoreClient
+from greengagepoint_standins.users_platform.store import PlatformStore
+
+ZONES = {"z-a": "north", "z-b": "south"}
+# Users expect a change in force within 2 s of its acknowledgement.
+IN_FORCE_SECONDS = 2.0
+# Until then, a removal may be an entry that the store forgot and that is written again.
+WRITTEN_AGAIN_SECONDS = 2.0
+WRITES_LOST = 30
+
+
+class Events:
+    """Keep no events."""
+
+    def record(self, event, **fields):
+        pass
+
+
+class Watcher:
+    """The peers of a host that watches the store for its region."""
+
+    is_watcher = True
+
+    def __init__(self, clock):
+        self.ages = ViewFreshnessTracker(clock)
+
+    def must_watch(self):
+        return True
+
+    def link_is_full(self):
+        return False
+
+    def confirm(self, before, seconds_ago):
+        self.ages.record_store_read(seconds_ago)
+
+
+class Host:
+    """A host's view, fed by a store that its operator and servers write to."""
+
+    def __init__(self, store, view):
+        self.store = store
+        self.view = view
+
+    def put(self, key, document):
+        value = msgspec.json.encode(document)
+        self.store.items.put(key, base64.b64encode(value).decode())
+
+    def configure(self, version):
+        self.put(
+            "op/config", {"version": f"r{version}", "listeners": [], "clusters": []}
+        )
+
+    def enter(self, name, state="ready", zone="z-a", **fields):
+        number = int(name.removeprefix("i-"))
+        self.put(
+            f"servers/{name}",
+            {
+                "service": "booking",
+                "address": f"10.0.0.{number}:8080",
+                "zone": zone,
+                "slots": 4,
+                "state": state,
+                "coldLeftS": 0,
+                "sequence": 1,
+                **fields,
+            },
+        )
+
+    def evacuate(self, zone):
+        self.put(f"op/evacuate/{zone}", {})
+
+    @property
+    def members(self):
+        rows = self.view.servers.members.values()
+        return {server.instance for row in rows for server in row.servers}
+
+    @property
+    def version(self):
+        return self.view.routes.version if self.view.routes else 0
+
+    async def async_until(self, condition, seconds=IN_FORCE_SECONDS):
+        async with asyncio.timeout(seconds):
+            while not condition(self):
+                self.view.tick(self.view.clock.monotonic())
+                await asyncio.sleep(0.01)
+
+    async def async_hold(self, condition, seconds=1.0):
+        """Check a condition all the while."""
+        ends_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < ends_at:
+            assert condition(self)
+            self.view.tick(self.view.clock.monotonic())
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def async_host(servers=3):
+    store = PlatformStore()
+    await store.async_start()
+    client, clock = StoreClient(store.address), SystemClock()
+    view = FleetView(ZONES, decode_item, Events())
+    view.clock = clock
+    host = Host(store, view)
+    host.configure(1)
+    for number in range(1, servers + 1):
+        host.enter(f"i-{number}")
+    follower = StoreFollower(
+        client, view, clock, random.Random(1), Events(), Watcher(clock)
+    )
+    task = asyncio.create_task(follower.async_run())
+    try:
+        await host.async_until(lambda host: len(host.members) == servers)
+        yield host
+    finally:
+        task.cancel()
+        await client.async_close()
+        await store.async_stop()
+
+
+async def async_restore(host, lost_writes=WRITES_LOST):
+    """Write and forget; return once the host knows what is forgotten."""
+    copy = host.store.items.copy()
+    for number in range(lost_writes):
+        host.put("hosts/other", {"number": number})
+    revision = host.store.items.revision
+    await host.async_until(lambda host: host.view.revision >= revision)
+    host.store.items.restore(copy)
+
+
+CHANGES = {
+    "configuration": (lambda host: host.configure(2), lambda host: host.version == 2),
+    "leaving server": (
+        lambda host: host.enter("i-1", "draining"),
+        lambda host: "i-1" not in host.members,
+    ),
+    "removed server": (
+        lambda host: host.store.items.remove("servers/i-1"),
+        lambda host: "i-1" not in host.members,
+    ),
+    "new server": (lambda host: host.enter("i-9"), lambda host: "i-9" in host.members),
+    "evacuation": (lambda host: host.evacuate("z-a"), lambda host: not host.members),
+}
+
+
+@pytest.mark.parametrize("change", CHANGES)
+@pytest.mark.parametrize("seconds", [0.0, 1.5], ids=["at once", "later"])
+async def test_changes_written_after_a_restore_are_in_force_in_time(change, seconds):
+    write, is_in_force = CHANGES[change]
+    async with async_host() as host:
+        await async_restore(host)
+        await asyncio.sleep(seconds)
+        write(host)
+        may_be_forgotten = change == "removed server" and not seconds
+        extra = WRITTEN_AGAIN_SECONDS if may_be_forgotten else 0.0
+        await host.async_until(is_in_force, IN_FORCE_SECONDS + extra)
+
+
+@pytest.mark.parametrize("change", CHANGES)
+async def test_a_revision_given_out_again_hides_no_change(change):
+    write, is_in_force = CHANGES[change]
+    async with async_host() as host:
+        await async_restore(host, lost_writes=2)
+        write(host)
+        for number in range(3):
+            host.put("hosts/other", {"number": number})
+        await host.async_until(is_in_force, IN_FORCE_SECONDS + WRITTEN_AGAIN_SECONDS)
