Follow a store that was restored from a copy, and keep its former word

Cause: hosts ordered what they read by its revision. A configuration acknowledged 3 s after the restore never came into force, and a server that had said that it leaves got requests 2.06 s later. Hosts write their entries again.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -109,6 +109,7 @@
     STORE_WATCH_CHANGED = 7008
     QUARANTINE_NOT_STORED = 7009
     STORE_BEHIND = 7010
+    STORE_RESTORED = 7011
     # 8000: usage
     USAGE_WRITTEN = 8001
     USAGE_WRITE_FAILED = 8002
@@ -337,6 +338,9 @@
     Event.STORE_BEHIND: EventType(
         Level.WARNING, "The store's items are older than this host's and are ignored."
     ),
+    Event.STORE_RESTORED: EventType(
+        Level.WARNING, "The key-value service came back from an older copy."
+    ),
     Event.USAGE_WRITTEN: EventType(Level.DEBUG, "Usage counters were written."),
     Event.USAGE_WRITE_FAILED: EventType(
         Level.WARNING, "Usage counters could not be written; they are kept."
--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -27,6 +27,7 @@
     configuration_certainty_age_seconds: float
     store_contact_age_seconds: float
     store_revision: int
+    store_era: int
     backend_servers: int
     backend_servers_suspected: int
     backend_servers_limited: int
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -16,6 +16,7 @@
     AccountGate,
 )
 from greengagepoint.accounts.ledger import UsageLedger
+from greengagepoint.config.eras import era_of, revision_of
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.demand.regional import RegionalDemand
 from greengagepoint.events import Event
@@ -293,7 +294,11 @@
             settings.heartbeat_seconds,
         )
         self.registration = HostRegistration(
-            self.store, self.entry, self.random, self.events
+            self.store,
+            self.entry,
+            self.random,
+            self.events,
+            lambda: era_of(self.view.revision),
         )
         await self._async_listen()
         for work in (
@@ -580,7 +585,8 @@
             configuration_age_seconds=_age(view.configured_at, now),
             configuration_certainty_age_seconds=_age(verified_at, now),
             store_contact_age_seconds=_age(self.follower.reached_at, now),
-            store_revision=view.revision,
+            store_revision=revision_of(view.revision),
+            store_era=era_of(view.revision),
             backend_servers=len(server_rows),
             backend_servers_suspected=sum(
                 row.suspect_until > now for row in server_rows
--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 from functools import partial
 from typing import Final, Protocol
 
+from greengagepoint.config.eras import era_of, revision_of
 from greengagepoint.config.watchers import (
     PAUSE_MAX_ENTRY_SECONDS,
     PAUSE_MAX_SECONDS,
@@ -152,7 +154,11 @@
             self._record_reached()
             view.replace(snapshot, self.clock.monotonic())
             if snapshot.revision < before:
+                # Asked again at once, a store that is behind would get two calls in
+                # each round trip.
                 self._record_behind(snapshot)
+                await self._async_pause(self._pause())
+                return
             self.needs_snapshot = False
             view.certainty.note_complete(asked_at)
             self.peers.confirm(before, snapshot.arriving_seconds)
@@ -230,8 +236,8 @@
         self.events.record(
             Event.STORE_BEHIND,
             revision=self.view.revision,
-            store_revision=snapshot.revision,
-            era=snapshot.era,
+            store_revision=revision_of(snapshot.revision),
+            era=era_of(snapshot.revision),
             age=round(self.clock.monotonic() - self.peers.ages.complete_at(), 3),
         )
 
@@ -259,7 +265,10 @@
 
 
 class HostRegistration:
-    """Maintain this host's entry in the store while the host serves."""
+    """Maintain this host's entry in the store while the host serves.
+
+    ``store_era`` returns the era in which the view is.
+    """
 
     def __init__(
         self,
@@ -267,8 +276,11 @@
         entry: HostEntry,
         random: Random,
         events: EventSink,
+        store_era: Callable[[], int] = lambda: 0,
     ) -> None:
         self.store = store
+        self.store_era = store_era
+        self.era = 0
         self.entry = entry
         self.random = random
         self.events = events
@@ -293,12 +305,13 @@
 
     async def _async_step(self) -> None:
         """Renew the lease, or get a new one and write the entry."""
-        if self.lease is not None:
+        era = self.store_era()
+        if self.lease is not None and era == self.era:
             await self.store.async_renew_lease(self.lease)
             return
         lease = await self.store.async_grant_lease(LEASE_SECONDS)
         await self.store.async_put([self.entry], lease)
-        self.lease = lease
+        self.lease, self.era = lease, era
 
     async def async_withdraw(self) -> None:
         """Remove the entry; if the store is unreachable, its lease expires instead."""
--- a/packages/node/greengagepoint_node/gateway/store_types.py
+++ b/packages/node/greengagepoint_node/gateway/store_types.py
@@ -18,7 +18,11 @@
 
 
 class StoredItem(NamedTuple):
-    """One key of the store; ``revision`` is the one of its last change."""
+    """One key of the store; ``revision`` is the one of its last change.
+
+    All revisions here are positions, which stay in order when the store is restored
+    from an older copy.
+    """
 
     key: str
     value: bytes
@@ -41,13 +45,12 @@
     """All keys of the store as of ``revision`` or later.
 
     ``arriving_seconds`` is how long the response took to arrive, so the snapshot may be
-    that old. ``era`` counts how often the store has been restored from a copy.
+    that old.
     """
 
     items: tuple[StoredItem, ...]
     revision: int
     arriving_seconds: float = 0.0
-    era: int = 0
 
 
 class Changes(NamedTuple):
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -5,6 +5,8 @@
 from typing import Final
 
 from greengagepoint.accounts.certainty import NEVER, ConfigFreshness
+from greengagepoint.config.eras import era_of, revision_of
+from greengagepoint.config.store_memory import WRITTEN_AGAIN_SECONDS, StoreMemory
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation
@@ -37,9 +39,8 @@
 
 # A peer that lags behind more removals than this gets a full snapshot.
 REMOVED_KEPT: Final = 2_000
-# Users of the product guarantee that entries which lapsed during a store outage are
-# written again within this time of its return. One still missing then is removed.
-LAPSED_SECONDS: Final = 2.0
+# An entry that lapsed during a store outage and is still missing then is removed.
+LAPSED_SECONDS: Final = WRITTEN_AGAIN_SECONDS
 # A removal read within this time of the store's return may be a lapse.
 RETURN_SECONDS: Final = 0.6
 
@@ -85,6 +86,7 @@
         self.lapses_until = float("-inf")
         self.quarantine: QuarantineEntries = NoQuarantine()
         self.certainty = ConfigFreshness()
+        self.memory = StoreMemory()
 
     def expect_lapses(self, now: float) -> None:
         """Treat removals read shortly after this as lapses, not as departures."""
@@ -96,24 +98,64 @@
         now: float,
         lapsed: Mapping[str, float] | None = None,
     ) -> None:
-        """Apply a snapshot; keys that it lacks have been removed.
+        """Apply a snapshot unless it is older; keys that it lacks have been removed.
 
         ``lapsed`` is as in ``apply``.
         """
+        if snapshot.revision < self.revision:
+            return
         present = {item.key for item in snapshot.items}
         missing = [
             RemovedKey(key, snapshot.revision)
             for key, writes in self.writes.items()
             if key not in present and writes.newest.item.revision <= snapshot.revision
         ]
-        if snapshot.revision < self.revision:
-            return
+        if self.revision and era_of(snapshot.revision) > era_of(self.revision):
+            forgotten = [row.key for row in missing]
+            lapsed = self._begin_era(present, forgotten, snapshot, lapsed or {}, now)
         changes = Changes((*snapshot.items, *missing), snapshot.revision)
         self.apply(changes, now, lapsed)
         # This host never saw keys that were both written and removed since its last
         # update, so its list of removals has a gap up to here.
         self.removed_complete_after = snapshot.revision
 
+    def _begin_era(
+        self,
+        present: set[str],
+        forgotten: list[str],
+        snapshot: Snapshot,
+        lapsed: Mapping[str, float],
+        now: float,
+    ) -> dict[str, float]:
+        """Keep what a store that was restored from a copy contradicts.
+
+        ``forgotten`` are the known keys that it lacks. Return for how many seconds the
+        entries of servers among them may be written again.
+        """
+        for server in self.servers.leaving:
+            self.known.announced.record(server, now)
+        zones = [
+            key for key in forgotten if isinstance(self.entries.get(key), Evacuation)
+        ]
+        unconfirmed = {
+            key: lapsed.get(key, LAPSED_SECONDS)
+            for key in forgotten
+            if isinstance(self.entries.get(key), ServerEntry)
+        }
+        held = self.memory.begin_era(present, zones, snapshot.revision, now)
+        self.events.record(
+            Event.STORE_RESTORED,
+            era=era_of(snapshot.revision),
+            former_era=era_of(self.revision),
+            store_revision=revision_of(snapshot.revision),
+            former_revision=revision_of(self.revision),
+            keys_held=held,
+            removals_unconfirmed=len(unconfirmed),
+            servers_leaving=len(self.servers.leaving),
+            configuration=self.routes.version if self.routes else None,
+        )
+        return {**lapsed, **unconfirmed}
+
     def apply(
         self, changes: Changes, now: float, lapsed: Mapping[str, float] | None = None
     ) -> None:
@@ -205,10 +247,12 @@
         return {key: max(0.0, until - now) for key, until in self.lapsed.items()}
 
     def tick(self, now: float) -> None:
-        """Remove servers whose entries lapsed and were not written again in time."""
+        """Apply the state of keys that were not written again in time."""
         expired = [key for key, until in self.lapsed.items() if until <= now]
         for key in expired:
             del self.lapsed[key]
+        expired += self.memory.expire(now)
+        for key in expired:
             self._update_entry(key, now)
         if expired:
             self._rebuild(now)
@@ -216,6 +260,7 @@
     def _apply_item(self, item: StoredItem, now: float) -> bool:
         """Apply an item; return True if the server membership may have changed."""
         key = item.key
+        self.memory.note_write(key, item.revision)
         writes = self.writes.get(key) or KeyWrites(self.removed.get(key, 0))
         if not writes.is_new(item.revision):
             return False
@@ -285,7 +330,7 @@
             if writes is None or _is_older_incarnation(latest, known):
                 return False
             del self.lapsed[key]
-        if latest is known:
+        if latest is known or self.memory.is_held(key, _server_of(latest or known)):
             return False
         if isinstance(latest or known, ServerEntry):
             self.unchecked_keys.add(key)
@@ -293,6 +338,7 @@
             reason = "entry removed" if writes is None else "entry refused"
             return self._deactivate(key, reason, now)
         self.entries[key] = latest
+        self.memory.record_presence(key)
         return self._activate(latest, now)
 
     def _activate(self, entry: StoreEntry, now: float) -> bool:
@@ -339,10 +385,14 @@
         spread.
         """
         key = change.key
+        self.memory.note_write(key, change.revision)
         self._record_removal(change)
         writes = self.writes.get(key)
         if writes is None:
-            return False
+            # This host never saw the entry, or kept its state after a restore.
+            if key not in self.lapsed:
+                self.memory.record_removal(key, None, now)
+            return self._update_entry(key, now)
         writes.remove(change.revision)
         if writes.writes:
             return self._update_entry(key, now)
@@ -363,6 +413,8 @@
     def _deactivate(self, key: str, reason: str, now: float) -> bool:
         """Drop the entry of a key; return True if the membership has changed."""
         entry = self.entries.pop(key, None)
+        if isinstance(entry, ServerEntry | Evacuation):
+            self.memory.record_removal(key, _server_of(entry), now)
         if isinstance(entry, ServerEntry):
             self.known.remove_server(entry, reason, self.revision)
             return True
@@ -424,6 +476,11 @@
         self.servers.rebuild()
 
 
+def _server_of(entry: StoreEntry | None) -> Incarnation | None:
+    """Return the run of the server that an entry is about, None for other entries."""
+    return entry.incarnation if isinstance(entry, ServerEntry) else None
+
+
 def _is_older_incarnation(latest: StoreEntry | None, known: StoreEntry | None) -> bool:
     """Return True if an entry's incarnation started before the known one."""
     if not isinstance(latest, ServerEntry) or not isinstance(known, ServerEntry):
--- a/packages/node/greengagepoint_node/gateway/writes.py
+++ b/packages/node/greengagepoint_node/gateway/writes.py
@@ -4,7 +4,12 @@
 from typing import Final, NamedTuple
 
 from greengagepoint.errors import RecordError
-from greengagepoint_node.gateway.store_types import ServerEntry, StoredItem, StoreEntry
+from greengagepoint_node.gateway.store_types import (
+    Configuration,
+    ServerEntry,
+    StoredItem,
+    StoreEntry,
+)
 
 # A key has more than one effective write only if a server wrote after another one that
 # started later. An incarnation that has ended writes once at most, so few are expected;
@@ -20,19 +25,26 @@
     error: RecordError | None = None
 
     @property
-    def born(self) -> int:
-        """Return the start time of the server that wrote it, 0 if unknown."""
-        return self.entry.born if isinstance(self.entry, ServerEntry) else 0
+    def order(self) -> int:
+        """Return the start time of its server or the configuration's version.
+
+        0 if it has none. A write with a lower one is no newer, though it came later.
+        """
+        if isinstance(self.entry, ServerEntry):
+            return self.entry.born
+        if isinstance(self.entry, Configuration):
+            return self.entry.table.version
+        return 0
 
 
 @dataclass(slots=True)
 class KeyWrites:
     """The effective writes of one key in the store's order; the first is active.
 
-    A later write replaces an earlier one unless both state a start time and the later
-    write's incarnation started earlier. So each of ``writes`` has an earlier start time
-    than the one before it. It becomes active if an update shows that the store had
-    removed the key between the two. Writes before ``floor`` have no effect.
+    A later write replaces an earlier one unless both state an order, a start time or a
+    version, and that of the later write is lower. So each of ``writes`` has a lower
+    order than the one before it. It becomes active if an update shows that the store
+    had removed the key between the two. Writes before ``floor`` have no effect.
     """
 
     floor: int = 0
@@ -59,14 +71,14 @@
         at = write.item.revision
         earlier = [row for row in self.writes if row.item.revision < at]
         later = [row for row in self.writes if row.item.revision > at]
-        if not write.born:
-            return self._add_without_start_time(write, earlier, later)
-        if later and (not later[0].born or later[0].born >= write.born):
+        if not write.order:
+            return self._add_without_order(write, earlier, later)
+        if later and (not later[0].order or later[0].order >= write.order):
             return False
-        if earlier and not earlier[-1].born:
+        if earlier and not earlier[-1].order:
             self.floor = earlier[-1].item.revision
             earlier = []
-        earlier = [row for row in earlier if row.born > write.born]
+        earlier = [row for row in earlier if row.order > write.order]
         self.writes = [*earlier, write, *later]
         if len(self.writes) > WRITES_MAX:
             del self.writes[1]
@@ -77,10 +89,10 @@
         self.floor = max(self.floor, revision)
         self.writes = [row for row in self.writes if row.item.revision >= revision]
 
-    def _add_without_start_time(
+    def _add_without_order(
         self, write: Write, earlier: list[Write], later: list[Write]
     ) -> bool:
-        """Add a write without a start time.
+        """Add a write without an order.
 
         It replaces all earlier writes and is replaced by any later one.
         """
--- a/packages/platform_tests/tests/test_platform_restored_store.py
+++ b/packages/platform_tests/tests/test_platform_restored_store.py
@@ -8,9 +8,11 @@
 import msgspec
 import pytest
 
+from greengagepoint.config.eras import era_of
 from greengagepoint_node.clock import SystemClock
-from greengagepoint_node.gateway.follower import StoreFollower
+from greengagepoint_node.gateway.follower import HostRegistration, StoreFollower
 from greengagepoint_node.gateway.news_ages import ViewFreshnessTracker
+from greengagepoint_node.gateway.store_types import HostEntry, Snapshot
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_platform.decoding import decode_item
 from greengagepoint_platform.store import StoreClient
@@ -61,9 +63,9 @@
         self.store.items.put(key, base64.b64encode(value).decode())
 
     def configure(self, version):
-        self.put(
-            "op/config", {"version": f"r{version}", "listeners": [], "clusters": []}
-        )
+        clusters = [{"name": "booking"}]
+        document = {"version": f"r{version}", "listeners": [], "clusters": clusters}
+        self.put("op/config", document)
 
     def enter(self, name, state="ready", zone="z-a", **fields):
         number = int(name.removeprefix("i-"))
@@ -179,3 +181,116 @@
         for number in range(3):
             host.put("hosts/other", {"number": number})
         await host.async_until(is_in_force, IN_FORCE_SECONDS + WRITTEN_AGAIN_SECONDS)
+
+
+FORGOTTEN = {
+    "leaving server": (
+        lambda host: None,
+        lambda host: host.enter("i-1", "draining"),
+        lambda host: "i-1" not in host.members,
+    ),
+    "removed server": (
+        lambda host: None,
+        lambda host: host.store.items.remove("servers/i-1"),
+        lambda host: "i-1" not in host.members,
+    ),
+    "new server": (
+        lambda host: None,
+        lambda host: host.enter("i-9"),
+        lambda host: "i-9" in host.members,
+    ),
+    "evacuation": (
+        lambda host: None,
+        lambda host: host.evacuate("z-a"),
+        lambda host: not host.members,
+    ),
+    "end of an evacuation": (
+        lambda host: host.evacuate("z-a"),
+        lambda host: host.store.items.remove("op/evacuate/z-a"),
+        lambda host: bool(host.members),
+    ),
+    "configuration": (
+        lambda host: None,
+        lambda host: host.configure(2),
+        lambda host: host.version == 2,
+    ),
+}
+
+
+@pytest.mark.parametrize("word", FORGOTTEN)
+async def test_what_a_restored_store_forgot_holds_until_it_is_written_again(word):
+    prepare, write, is_in_force = FORGOTTEN[word]
+    async with async_host() as host:
+        prepare(host)
+        revision = host.store.items.revision
+        await host.async_until(lambda host: host.view.revision >= revision)
+        copy = host.store.items.copy()
+        write(host)
+        await host.async_until(is_in_force)
+        host.store.items.restore(copy)
+        await host.async_until(lambda host: era_of(host.view.revision) == 1)
+        await host.async_hold(is_in_force)
+        write(host)
+        await host.async_hold(is_in_force, 2.0)
+
+
+async def test_a_store_that_never_gets_an_evacuation_back_ends_it():
+    async with async_host() as host:
+        copy = host.store.items.copy()
+        host.evacuate("z-a")
+        await host.async_until(lambda host: not host.members)
+        host.store.items.restore(copy)
+        await host.async_until(
+            lambda host: bool(host.members), IN_FORCE_SECONDS + WRITTEN_AGAIN_SECONDS
+        )
+
+
+async def test_a_server_that_registers_again_after_a_restore_is_used():
+    async with async_host() as host:
+        copy = host.store.items.copy()
+        host.store.items.remove("servers/i-1")
+        await host.async_until(lambda host: "i-1" not in host.members)
+        host.store.items.restore(copy)
+        await host.async_until(lambda host: era_of(host.view.revision) == 1)
+        await host.async_hold(lambda host: "i-1" not in host.members)
+        host.enter("i-1", sequence=7)
+        await host.async_until(lambda host: "i-1" in host.members)
+
+
+async def test_a_host_entry_is_written_again_although_its_lease_is_in_the_copy():
+    store = PlatformStore()
+    await store.async_start()
+    client = StoreClient(store.address)
+    era = 0
+    entry = HostEntry("h1", "north", "z-a", "10.0.0.1:1", "10.0.0.1:2")
+    registration = HostRegistration(
+        client, entry, random.Random(1), Events(), lambda: era
+    )
+    try:
+        lease = await client.async_grant_lease(60.0)
+        copy = store.items.copy()
+        await client.async_put([entry], lease)
+        registration.lease = lease
+        store.items.restore(copy)
+        era = 1
+        await registration._async_step()
+        assert "hosts/h1" in store.items.items
+    finally:
+        await client.async_close()
+        await store.async_stop()
+
+
+async def test_peers_that_follow_no_store_get_the_new_era_from_one_that_does():
+    async with async_host() as host:
+        other = FleetView(ZONES, decode_item, Events())
+        snapshot = host.view.changes_after(0)
+        other.replace(snapshot, 0.0)
+        host.evacuate("z-b")
+        await async_restore(host)
+        host.configure(2)
+        await host.async_until(lambda host: host.version == 2)
+        missing = host.view.changes_after(other.revision)
+        assert isinstance(missing, Snapshot)
+        other.replace(missing, 0.0, {})
+        assert other.revision == host.view.revision
+        assert other.routes.version == 2
