Let the raw server of the tests read uploads to their end

Cause: test_a_cut_upload_never_looks_whole_to_the_server got 502 in place of 413 once, beside load. Its server waits for the last chunk with readuntil, whose default limit is 64 KiB: beyond that it raises LimitOverrunError and the connection is reset. The daemon passes on up to 1,000,000 bytes before it finds the body too large, so whichever came first decided the status. Ruled out: a fault of the daemon. A server that resets an upload is told as 502, which is true. Change: the server reads up to 4 MB. The test is unchanged.

--- a/packages/node/tests/hostile.py
+++ b/packages/node/tests/hostile.py
@@ -15,6 +15,8 @@
 
 SERVERS_A_SITE = 2
 WAIT_SECONDS = 10.0
+# A reader over its limit stops, and the server resets an upload that is still sent.
+UPLOAD_BYTES_MAX = 4_000_000
 GOOD = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 
 Answer = Callable[[bytes, asyncio.StreamWriter], Awaitable[None]]
@@ -44,7 +46,11 @@
         self.broken = 0
 
     async def async_open_port(self) -> RawPort:
-        return RawPort(await asyncio.start_server(self.async_serve, "127.0.0.1", 0))
+        return RawPort(
+            await asyncio.start_server(
+                self.async_serve, "127.0.0.1", 0, limit=UPLOAD_BYTES_MAX
+            )
+        )
 
     async def async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
