Tell callers of relayed requests apart by their own address

Cause: found by reading. The quarantine tells callers apart by address, cookies and credentials. A peer took the relaying host's address for that of all callers that it passes on, so those of one host counted as one. Change: the relaying host passes the caller's address on; what callers send under that name is dropped. Measured: the new case of test_gateway_cut_off.py passes; 28 tests of it and of test_gateway_quarantine.py pass.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -28,7 +28,11 @@
     async_exchange,
 )
 from greengagepoint_node.gateway.identity import RequestIdentity
-from greengagepoint_node.gateway.names import RELAY_RESULT, HeaderNames
+from greengagepoint_node.gateway.names import (
+    CALLER_ADDRESS,
+    RELAY_RESULT,
+    HeaderNames,
+)
 from greengagepoint_node.gateway.news_ages import ViewFreshness
 from greengagepoint_node.gateway.outcomes import Outcomes
 from greengagepoint_node.gateway.overdue import OverdueWatch
@@ -262,7 +266,8 @@
         A host that is cut off from servers passes the request on, unless another one
         has passed it on already.
         """
-        identity = RequestIdentity(request, body, call.account)
+        address = request.headers.get(CALLER_ADDRESS) if relayed else request.remote
+        identity = RequestIdentity(request, body, address or "", call.account)
         attempts = Attempts()
         last: Exchange | None = None
         may_have_run = False
--- a/packages/node/greengagepoint_node/gateway/identity.py
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -17,14 +17,19 @@
 
 
 class RequestIdentity:
-    """Compute the fingerprint of a request on first use."""
+    """Compute the fingerprint of a request on first use.
+
+    ``address`` is that of its caller.
+    """
 
     def __init__(
         self,
         request: web.BaseRequest,
         body: bytes | None,
+        address: str,
         account: Account | None = None,
     ) -> None:
+        self.address = address
         self.request = request
         self.body = body
         self.account = account
@@ -50,5 +55,5 @@
         values += [
             value for name in names for value in request.headers.getall(name, ())
         ]
-        caller = hash_caller(request.remote or "", "\n".join(values))
+        caller = hash_caller(self.address, "\n".join(values))
         return Fingerprint(hash_content(self.head, self.body), caller)
--- a/packages/node/greengagepoint_node/gateway/names.py
+++ b/packages/node/greengagepoint_node/gateway/names.py
@@ -2,8 +2,10 @@
 
 from typing import Final, NamedTuple
 
-# On a request that a host passes on: its name, and its configuration's version.
+# On a request that a host passes on: its name, the address of the caller, and the
+# version of the host's configuration.
 RELAYED_BY: Final = "Greengagepoint-Relayed-By"
+CALLER_ADDRESS: Final = "Greengagepoint-Caller-Address"
 CONFIGURATION_VERSION: Final = "Greengagepoint-Configuration-Version"
 # On the response to it: ``done`` or ``unable``.
 RELAY_RESULT: Final = "Greengagepoint-Relay-Result"
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -31,6 +31,7 @@
 )
 from greengagepoint_node.gateway.host_table import HostTable
 from greengagepoint_node.gateway.names import (
+    CALLER_ADDRESS,
     CONFIGURATION_VERSION,
     RELAY_RESULT,
     RELAYED_BY,
@@ -184,6 +185,7 @@
         assert self.view.routes is not None
         headers = self.headers.relay_headers(request)
         headers[RELAYED_BY] = self.table.own.entry.name
+        headers[CALLER_ADDRESS] = request.remote or ""
         headers[CONFIGURATION_VERSION] = str(self.view.routes.version)
         # The peer's answer takes half a round trip to arrive.
         ends_at = call.ends_at - self.distances.round_trip_to(peer.region) / 2
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -10,6 +10,7 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.reachability.probing import PROBE_TIMEOUT_SECONDS
+from greengagepoint_node.gateway.names import CALLER_ADDRESS, RELAYED_BY
 
 CUTS = [Cut.HANGS, Cut.RESETS, Cut.REFUSES_NEW]
 PATHS = [("/safe/", "GET"), ("/unsafe/", "POST"), ("/pack/", "GET")]
@@ -164,3 +165,21 @@
         near.daemon.gateway.async_answer_relayed = async_break
         status, _, _ = await host.async_call(path, method)
         assert (status, fleet.runs() - before) == expected
+
+
+async def test_a_relayed_request_is_held_to_its_caller_not_to_the_relaying_host():
+    async with async_fleet() as fleet:
+        host, near = fleet.hosts[:2]
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        identities = []
+        admit = near.daemon.gateway.quarantine.admit
+        near.daemon.gateway.quarantine.admit = lambda identity, **row: (
+            identities.append(identity) or admit(identity, **row)
+        )
+        forged = {CALLER_ADDRESS: "10.0.0.9", RELAYED_BY: "h9"}
+        assert (await host.async_call("/safe/1", headers=forged))[0] == 200
+        assert (await near.async_call("/safe/1", headers=forged))[0] == 200
+        assert {row.address for row in identities} == {"127.0.0.1"}
+        assert len({row.fingerprint for row in identities}) == 1
+        sent = [row.headers for backend in fleet.backends for row in backend.ran]
+        assert not any(CALLER_ADDRESS.lower() in headers for headers in sent)
