Try another host if a peer does not know a relayed request's route

Cause: found by reading. A peer with a newer configuration, or one that does not know an account yet, answered 404 or 401, and callers don't send again after those, though the host that they are connected to had matched both. Change: such an answer without a server's signature counts as not run, and the next peer is tried. Measured: the new case of test_gateway_cut_off.py passes.

--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from functools import partial
 from typing import Final
 
 import aiohttp
@@ -35,6 +36,7 @@
     CONFIGURATION_VERSION,
     RELAY_RESULT,
     RELAYED_BY,
+    HeaderNames,
 )
 from greengagepoint_node.gateway.news_ages import ViewFreshness
 from greengagepoint_node.gateway.outcomes import is_sampled
@@ -150,7 +152,11 @@
         began = self.clock.monotonic()
         outgoing = self._create_outgoing(request, call, body, peer)
         exchange = await async_send_once(
-            self.sessions, peer.address, peer.address, outgoing, _async_read
+            self.sessions,
+            peer.address,
+            peer.address,
+            outgoing,
+            partial(_async_read, self.headers.names),
         )
         now = self.clock.monotonic()
         if exchange.verdict not in (Verdict.ANSWERED, Verdict.SHED, Verdict.LAPSED):
@@ -212,7 +218,7 @@
 
 
 async def _async_read(
-    answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
+    names: HeaderNames, answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
 ) -> Exchange:
     """Read a peer's whole response to a relayed request."""
     result = answer.headers.get(RELAY_RESULT)
@@ -224,6 +230,10 @@
         # A host of a version that takes no relayed requests knows no such path.
         verdict = Verdict.SHED if answer.status == NOT_FOUND else Verdict.FOREIGN
         return Exchange(verdict, "no relay result", answer.status)
+    if answer.status in (401, 404) and names.signature not in answer.headers:
+        # This host has matched the request's route and account, so the peer has another
+        # view of them. Callers don't send again after such a status.
+        return Exchange(Verdict.SHED, "route or account unknown", answer.status)
     headers = CIMultiDict(answer.headers)
     del headers[RELAY_RESULT]
     return Exchange(
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -183,3 +183,14 @@
         assert len({row.fingerprint for row in identities}) == 1
         sent = [row.headers for backend in fleet.backends for row in backend.ran]
         assert not any(CALLER_ADDRESS.lower() in headers for headers in sent)
+
+
+async def test_a_peer_that_does_not_know_the_route_is_passed_over():
+    async with async_fleet() as fleet:
+        host, near = fleet.hosts[:2]
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        near.daemon.view.routes = replace(near.daemon.view.routes, version=2, hosts={})
+        assert (await near.async_call("/safe/1"))[0] == 404
+        assert (await host.async_call("/safe/1"))[0] == 200
+        row = host.events.of(Event.REQUEST_RELAYED)[-1]
+        assert (row["peer"], row["status"], row["outcome"]) == ("h1", 404, "shed")
