Keep the addresses of test daemons free until they listen

Cause: a daemon of test_gateway_cut_off.py failed once to start with Address already in use, in one of 19 cases. Its port was looked up and closed; a connection of a daemon that had started before took it. Change: a bound socket holds each address, as the stand-ins do.

--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 import socket
+from collections import deque
 from collections.abc import Sequence
 from typing import Any
 
@@ -43,6 +44,8 @@
 HOST = "a.example"
 ZONES = {"zone-a": "north", "zone-b": "south"}
 ALLOCATED_PORTS: set[int] = set()
+# The newest only; the daemons of a test need fewer.
+HELD_ADDRESSES: deque[socket.socket] = deque(maxlen=100)
 Accounts = Sequence[tuple[Account, list[str]]]
 
 
@@ -104,18 +107,22 @@
 
 
 def free_address() -> str:
-    """Return a loopback address that was not returned before.
+    """Return a loopback address that was not returned before, and keep it free.
 
-    The kernel may assign a port again as soon as it is free. Two listeners of one
-    daemon would then share an address, and the second could not start.
+    The kernel may assign a port again as soon as it is free, to another listener or to
+    a connection, and the daemon could not start. A bound socket prevents that, and lets
+    a listener share its address.
     """
     while True:
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        port = holder.getsockname()[1]
         if port not in ALLOCATED_PORTS:
             ALLOCATED_PORTS.add(port)
+            HELD_ADDRESSES.append(holder)
             return f"127.0.0.1:{port}"
+        holder.close()
 
 
 def routes(**changes: Any) -> list[Route]:
