Write again what a restored store forgot of the quarantine

A quarantine entry that a host had written and not read back yet was lost with the copy, and no host noticed; a store that forgot the configuration in force was taken as proof that the newest known one is current, and hosts that had only the older one could have accepted a key that the newer one revokes. Change: hosts forget which entries are stored when an era begins, and write what is missing; no proof is taken or passed on until the configuration is back. The adapter's tests play a watch that was open through a restore, pages of two eras and three restores in a row.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -160,7 +160,7 @@
                 await self._async_pause(self._pause())
                 return
             self.needs_snapshot = False
-            view.certainty.note_complete(asked_at)
+            view.note_complete(asked_at)
             self.peers.confirm(before, snapshot.arriving_seconds)
             return
         if not self._must_read_all():
@@ -169,7 +169,7 @@
         changes = await self.store.async_changes(before, WATCH_SECONDS)
         self._record_reached()
         view.apply(changes, self.clock.monotonic())
-        view.certainty.note_complete(asked_at)
+        view.note_complete(asked_at)
         self.peers.confirm(before, changes.arriving_seconds)
         if changes.changes:
             await asyncio.sleep(BATCH_SECONDS)
--- a/packages/node/greengagepoint_node/gateway/quarantine_entries.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_entries.py
@@ -14,6 +14,9 @@
     def drop(self, entry: QuarantineEntry) -> None:
         """Remove an entry that is no longer in the store."""
 
+    def begin_era(self) -> None:
+        """Forget which entries are in the store, as it was restored from a copy."""
+
 
 class NoQuarantine:
     """Ignore the store's quarantine entries."""
@@ -23,3 +26,6 @@
 
     def drop(self, entry: QuarantineEntry) -> None:
         """Ignore the removal of an entry."""
+
+    def begin_era(self) -> None:
+        """Ignore a restore."""
--- a/packages/node/greengagepoint_node/gateway/quarantine_store.py
+++ b/packages/node/greengagepoint_node/gateway/quarantine_store.py
@@ -84,6 +84,14 @@
         """
         self.stored.pop(entry.content, None)
 
+    def begin_era(self) -> None:
+        """Write entries again that are not in the copy from which it was restored.
+
+        An entry that this host has written, and not read back yet, may be missing
+        without a removal.
+        """
+        self.stored.clear()
+
     async def async_run(self) -> None:
         """Keep the store's entries up to date until cancelled."""
         while True:
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -86,6 +86,7 @@
         self.lapses_until = float("-inf")
         self.quarantine: QuarantineEntries = NoQuarantine()
         self.certainty = ConfigFreshness()
+        self.configuration_key = ""
         self.memory = StoreMemory()
 
     def expect_lapses(self, now: float) -> None:
@@ -142,6 +143,7 @@
             for key in forgotten
             if isinstance(self.entries.get(key), ServerEntry)
         }
+        self.quarantine.begin_era()
         held = self.memory.begin_era(present, zones, snapshot.revision, now)
         self.events.record(
             Event.STORE_RESTORED,
@@ -221,6 +223,16 @@
             for write in writes.writes:
                 yield write.item
 
+    def note_complete(self, asked_at: float) -> None:
+        """Record that the store, asked at a time, has sent every change.
+
+        A store that was restored from a copy may lack the configuration in force. Its
+        answer proves nothing then: the older one could accept a revoked key.
+        """
+        writes = self.writes.get(self.configuration_key)
+        if writes is None or writes.active is writes.newest:
+            self.certainty.note_complete(asked_at)
+
     def record_replacement(self, incarnation: Incarnation) -> None:
         """Record that another server answers at the address of this incarnation.
 
@@ -277,6 +289,7 @@
             self.rejected.record_rejection(key, write.error, now)
         changed = self._update_entry(key, now)
         if isinstance(write.entry, Configuration):
+            self.configuration_key = key
             self.certainty.note(item.revision, NEVER)
             self.certainty.note_in_force(item.revision)
         return changed
--- a/packages/node/tests/test_gateway_quarantine_news.py
+++ b/packages/node/tests/test_gateway_quarantine_news.py
@@ -7,6 +7,7 @@
 import pytest
 from gateway_world import ZONES, AdjustableClock, EventLog
 
+from greengagepoint.config.eras import position_of
 from greengagepoint.errors import StoreError
 from greengagepoint.placing.tables import Server
 from greengagepoint.quarantine.fingerprint import Fingerprint
@@ -34,6 +35,7 @@
     Changes,
     QuarantineEntry,
     RemovedKey,
+    Snapshot,
     StoredItem,
 )
 from greengagepoint_node.gateway.view import FleetView
@@ -259,6 +261,17 @@
     assert list(fleet.store.entries) == [CRASHING.content]
 
 
+async def test_entries_that_a_restored_store_forgot_are_written_again():
+    fleet = StoreHosts()
+    await fleet.async_quarantine()
+    await fleet.async_step()
+    fleet.store.entries.clear()
+    for quarantine_store in fleet.quarantine_stores.values():
+        quarantine_store.begin_era()
+        await quarantine_store._async_step()
+    assert list(fleet.store.entries) == [CRASHING.content]
+
+
 async def test_a_new_host_quarantines_the_requests_in_the_store():
     fleet = StoreHosts()
     await fleet.async_quarantine()
@@ -341,6 +354,9 @@
     def drop(self, entry):
         self.rows.append(("drop", entry))
 
+    def begin_era(self):
+        self.rows.append(("begin_era",))
+
 
 def test_a_view_passes_on_added_and_removed_entries():
     stored_entry = QuarantineEntry("c", 30.0, ())
@@ -349,3 +365,15 @@
     view.apply(Changes((StoredItem("q", b"", 5),), 5), 1.0)
     view.apply(Changes((RemovedKey("q", 6),), 6), 1.0)
     assert recorded.rows == [("take", stored_entry), ("drop", stored_entry)]
+
+
+def test_a_view_tells_of_a_restore_before_the_entries_of_the_copy():
+    stored_entry = QuarantineEntry("c", 30.0, ())
+    view = FleetView(ZONES, lambda item: QuarantineEntry("c", 30.0, ()), EventLog())
+    view.quarantine = recorded = RecordedEntries()
+    view.apply(Changes((StoredItem("q", b"", 5),), 5), 1.0)
+    position = position_of(1, 3)
+    snapshot = Snapshot((StoredItem("q", b"", position),), position)
+    view.replace(snapshot, 2.0)
+    take = ("take", stored_entry)
+    assert recorded.rows == [take, ("begin_era",), take]
--- a/packages/platform_tests/tests/test_platform_restored_store.py
+++ b/packages/platform_tests/tests/test_platform_restored_store.py
@@ -294,3 +294,20 @@
         other.replace(missing, 0.0, {})
         assert other.revision == host.view.revision
         assert other.routes.version == 2
+
+
+async def test_a_store_that_forgot_the_configuration_proves_nothing_until_it_is_back():
+    async with async_host() as host:
+        copy = host.store.items.copy()
+        host.configure(2)
+        await host.async_until(lambda host: host.version == 2)
+        host.store.items.restore(copy)
+        await host.async_until(lambda host: era_of(host.view.revision) == 1)
+        verified_at = host.view.certainty.verified_at
+        await host.async_hold(
+            lambda host: host.view.certainty.verified_at == verified_at, 1.5
+        )
+        host.configure(2)
+        await host.async_until(
+            lambda host: host.view.certainty.verified_at > verified_at
+        )
--- a/packages/platform_tests/tests/test_platform_store.py
+++ b/packages/platform_tests/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 import pytest
 from large_values import SLOW_BYTES_PER_SECOND, configuration
 
+from greengagepoint.config.eras import position_of
 from greengagepoint.errors import StoreError, StoreOutcomeUnknownError
 from greengagepoint_node.gateway.store_types import (
     HistoryLostError,
@@ -166,3 +167,46 @@
         snapshot = await client.async_snapshot()
         assert len(snapshot.items) == 600
         assert snapshot.arriving_seconds >= 0.3
+
+
+async def test_a_watch_that_was_open_through_a_restore_raises_history_lost():
+    async with async_client() as (client, store):
+        put(store, "a", "1")
+        copy = store.items.copy()
+        put(store, "a", "2")
+        watch = asyncio.create_task(client.async_changes(2, 5.0))
+        await asyncio.sleep(0.05)
+        store.items.restore(copy)
+        put(store, "a", "3")
+        with pytest.raises(HistoryLostError):
+            await watch
+        # The revision 2 was given out again, and stands for another write.
+        with pytest.raises(HistoryLostError):
+            await client.async_changes(1, 0.0)
+
+
+async def test_a_snapshot_with_pages_of_two_eras_raises_history_lost():
+    async with async_client() as (client, store):
+        for number in range(600):
+            put(store, f"servers/i-{number}", "x")
+        store.control.page_seconds = 0.1
+        copy = store.items.copy()
+        snapshot = asyncio.create_task(client.async_snapshot())
+        await asyncio.sleep(0.15)
+        store.items.restore(copy)
+        with pytest.raises(HistoryLostError):
+            await snapshot
+
+
+async def test_positions_rise_over_restores_although_revisions_go_back():
+    async with async_client() as (client, store):
+        copy = store.items.copy()
+        positions = []
+        for _ in range(3):
+            put(store, "a", "1")
+            snapshot = await client.async_snapshot()
+            positions.append(snapshot.revision)
+            assert snapshot.items[0].revision == snapshot.revision
+            store.items.restore(copy)
+        assert positions == [position_of(era, 1) for era in range(3)]
+        assert positions == sorted(positions)
