Pass on no rejection that an earlier attempt may contradict

A repeatable request that broke at one host or server was passed on, and answered 503 by the next host: "not run", which spoke for that host's attempts only. Attempts that were given up while connecting used up the attempts of a request. Change: 502 in place of such a rejection; only peers that can't be reached or break a connection are left out, unless no other is left; hosts of other regions are told of a cut at once, too; an attempt that was given up while connecting delivered nothing and does not count.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -121,6 +121,7 @@
         self.unsent_result: Exchange | None = None
         self.limit: asyncio.Timeout | None = None
         self.successor: Server | None = None
+        self.is_given_up = False
 
     def prepare_to_send(self) -> bool:
         """Write the remaining time into the headers; return False if not to be sent.
@@ -152,6 +153,7 @@
         """
         if self.limit is not None and not self.limit.expired():
             self.successor = successor
+            self.is_given_up = True
             self.limit.reschedule(asyncio.get_running_loop().time())
 
 
@@ -226,6 +228,8 @@
         return outgoing.unsent_result
     except TimeoutError:
         if not outgoing.is_sent:
+            if outgoing.is_given_up:
+                return Exchange(Verdict.UNREACHABLE, "given up while connecting")
             return Exchange(Verdict.LAPSED, "the time ended while connecting")
         return Exchange(Verdict.TIMED_OUT, "no whole answer in time")
     except (aiohttp.ClientConnectorError, SpoiltConnectionError) as error:
--- a/packages/node/greengagepoint_node/gateway/gossip.py
+++ b/packages/node/greengagepoint_node/gateway/gossip.py
@@ -74,8 +74,10 @@
 # The share of exchanges with hosts of the own region, where they cost less. Updates
 # still reach each other region several times a second.
 LOCAL_EXCHANGE_SHARE: Final = 0.8
-# Hosts told at once of a change of this host; their exchanges spread it further.
-ANNOUNCED_HOSTS_MAX: Final = 8
+# Hosts of the region, and of other regions, that are told at once of a change of this
+# host; their exchanges spread it further.
+ANNOUNCED_LOCAL_MAX: Final = 8
+ANNOUNCED_MAX: Final = 4
 EXCHANGE_PATH: Final = "/v1/gossip"
 SENT: Final = "sent"
 RECEIVED: Final = "received"
@@ -198,17 +200,21 @@
                 self.partial_notifier.notify(entry.peer_address, before)
 
     def announce_state(self) -> None:
-        """Tell some hosts of the region at once that this host's state has changed."""
+        """Tell some hosts at once that this host's state has changed."""
         self.own.count += 1
-        now = self.clock.monotonic()
-        local = [
-            row.state.entry.peer_address
-            for row in self.table.recent_peers(now)
-            if self.table.is_local(row.state.entry)
-        ]
-        for _ in range(min(ANNOUNCED_HOSTS_MAX, len(local))):
-            address = local.pop(self.random.randrange(len(local)))
-            self._start_exchange(address, self._async_exchange(address))
+        peers = self.table.recent_peers(self.clock.monotonic())
+        for is_local, hosts_max in (
+            (True, ANNOUNCED_LOCAL_MAX),
+            (False, ANNOUNCED_MAX),
+        ):
+            addresses = [
+                row.state.entry.peer_address
+                for row in peers
+                if self.table.is_local(row.state.entry) == is_local
+            ]
+            for _ in range(min(hosts_max, len(addresses))):
+                address = addresses.pop(self.random.randrange(len(addresses)))
+                self._start_exchange(address, self._async_exchange(address))
 
     def _start_exchange(self, address: str, work: Coroutine[Any, Any, None]) -> None:
         """Start an exchange with a peer unless one is running."""
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -43,7 +43,11 @@
 from greengagepoint_node.gateway.outcomes import is_sampled
 from greengagepoint_node.gateway.passing import RequestHeaders
 from greengagepoint_node.gateway.reach_monitor import ReachMonitor
-from greengagepoint_node.gateway.refusals import Refusal, no_answer_refusal
+from greengagepoint_node.gateway.refusals import (
+    NOT_RUN_STATUSES,
+    Refusal,
+    no_answer_refusal,
+)
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.proxy.sessions import BackendSessions
@@ -120,10 +124,16 @@
             outgoing.headers[ATTEMPTS_LEFT] = str(attempts_left)
             last = await self._async_send(call, outgoing, peer, number)
             if last.verdict is Verdict.ANSWERED:
+                if may_have_run and self._is_refusal(last):
+                    # The peer's promise is about its own attempts only.
+                    break
                 return last
             may_have_run = may_have_run or last.verdict not in NOT_RUN
             if may_have_run and not call.route.repeatable:
                 break
+        if last is not None and last.verdict is Verdict.ANSWERED:
+            reason = f"may have run, and {last.status} of another host"
+            raise Refusal(ErrorKind.BACKEND_RESET, 502, reason)
         if relays:
             raise no_answer_refusal(last, may_have_run=may_have_run)
         reason = "neither this host nor another one reaches a backend server"
@@ -131,15 +141,25 @@
         retry_after = None if may_have_run else PROBE_INTERVAL_SECONDS
         raise Refusal(ErrorKind.NO_BACKEND_SERVER, status, reason, retry_after)
 
+    def _is_refusal(self, exchange: Exchange) -> bool:
+        """Return True if a peer's response says that the request has not run."""
+        assert exchange.headers is not None
+        is_own = self.headers.names.signature not in exchange.headers
+        return is_own and exchange.status in NOT_RUN_STATUSES
+
     def _has_peers(self) -> bool:
         """Return True if any other host receives callers."""
         alive = self.table.alive(self.clock.monotonic())
         return any(state is not self.table.own for state in alive)
 
     def _candidates(self) -> list[RelayCandidate]:
-        """Return the peers that receive callers, without those that failed lately."""
+        """Return the peers that receive callers, without those that failed lately.
+
+        If all others failed lately or are cut off, one that failed may have been
+        unlucky, and is better than none.
+        """
         now = self.clock.monotonic()
-        return [
+        peers = [
             RelayCandidate(
                 state.entry.name,
                 state.entry.region,
@@ -148,8 +168,11 @@
             )
             for state in self.table.alive(now)
             if state is not self.table.own
-            and self.skipped_until.get(state.entry.name, now) <= now
         ]
+        usable = [
+            peer for peer in peers if self.skipped_until.get(peer.name, now) <= now
+        ]
+        return usable if any(not peer.cut_off for peer in usable) else peers
 
     async def _async_send(
         self,
@@ -168,7 +191,7 @@
             partial(_async_read, self.headers.names),
         )
         now = self.clock.monotonic()
-        if exchange.verdict not in (Verdict.ANSWERED, Verdict.SHED, Verdict.LAPSED):
+        if exchange.verdict in (Verdict.UNREACHABLE, Verdict.BROKEN):
             self.skipped_until[peer.name] = now + FAILED_HOST_SKIP_SECONDS
         self.outcomes["sent", exchange.verdict] += 1
         is_usual = exchange.verdict is Verdict.ANSWERED and exchange.status < 300
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -4,13 +4,19 @@
 
 import pytest
 from cut_links import CLOSED_PORT, Cut, LinkSocket, async_fleet
+from cut_soak import async_play
 from deployment import async_until
 from msgspec.structs import replace
 
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.reachability.probing import PROBE_TIMEOUT_SECONDS
-from greengagepoint_node.gateway.names import CALLER_ADDRESS, RELAYED_BY
+from greengagepoint_node.gateway.names import (
+    CALLER_ADDRESS,
+    RELAY_RESULT,
+    RELAYED_BY,
+)
+from greengagepoint_node.gateway.relay import DONE
 from greengagepoint_standins.users_platform.backend import Manner
 
 CUTS = [Cut.HANGS, Cut.RESETS, Cut.REFUSES_NEW, Cut.CLOSES]
@@ -252,3 +258,35 @@
         assert (await host.async_call("/safe/1"))[0] == 502
         # The route allows two servers, over all hosts.
         assert fleet.runs() - before <= 2
+
+
+async def test_a_peer_that_rejects_does_not_speak_for_an_earlier_attempt():
+    async with async_fleet(("north", "north", "north")) as fleet:
+        host, *peers = fleet.hosts
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        answered = []
+
+        def break_first_then_reject(peer):
+            answer = peer.daemon.gateway.async_answer_relayed
+
+            async def async_answer(request):
+                answered.append(await answer(request))
+                if len(answered) == 1:
+                    request.transport.abort()
+                    await asyncio.sleep(1)
+                peer.daemon.gateway.rejecting = True
+                rejected = await peer.daemon.gateway.async_answer(request, 0.0)
+                rejected.headers[RELAY_RESULT] = DONE
+                return rejected
+
+            peer.daemon.gateway.async_answer_relayed = async_answer
+
+        for peer in peers:
+            break_first_then_reject(peer)
+        before = fleet.runs()
+        assert (await host.async_call("/safe/1"))[0] == 502
+        assert fleet.runs() - before >= 1
+
+
+async def test_callers_are_served_and_nothing_runs_twice_during_random_cuts():
+    assert await async_play(1) == []
