Restore the store from a copy in the soak of servers' signals

Cause: no soak played a store that comes back from an older copy. Change: each seed restores the store once, after a second away, and its users write again a second later. The step is drawn last, so the other steps of a seed stay as they were.

--- a/packages/node/tests/cut_soak.py
+++ b/packages/node/tests/cut_soak.py
@@ -1,7 +1,8 @@
 """Cut hosts off from backend servers at random while callers keep sending.
 
-Run as ``python packages/node/tests/cut_soak.py`` in the checkout, with the number of
-seeds and the first one. A seed fixes the plan of cuts and of load, not the scheduling.
+Run as ``.venv/bin/python packages/node/tests/cut_soak.py`` in the checkout, with the
+number of seeds and the first one. A seed fixes the plan of cuts and of load, not the
+scheduling.
 """
 
 import asyncio
--- a/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/signal_soak.py
@@ -48,6 +48,9 @@
 KEYS: Final = 12
 CALLERS_PER_SECOND: Final = 100.0
 STORE_ANSWERS: Final = (503, 429)
+# How long a store is away that is restored from a copy, and until its users notice.
+AWAY_SECONDS: Final = 1.0
+WRITTEN_AGAIN_SECONDS: Final = 1.0
 
 
 class Step(NamedTuple):
@@ -82,6 +85,9 @@
         )
         for kind in kinds
     ]
+    # Drawn last, so that the other steps of a seed stay as they were.
+    at = draw.uniform(3.0, PLAN_SECONDS - 5.0)
+    steps.append(Step(at, "restore", draw.uniform(0.5, 3.0), draw.randrange(1000)))
     return sorted(steps)
 
 
@@ -171,9 +177,25 @@
             self.fleet.store.control.status = status
             await asyncio.sleep(step.seconds)
             self.fleet.store.control.status = 0
+        elif step.kind == "restore":
+            await self._async_restore(step.seconds)
         else:
             await self._async_cut(step.place % len(self.links), step.seconds)
 
+    async def _async_restore(self, seconds: float) -> None:
+        """Let the store come back from a copy; its users then write again."""
+        store = self.fleet.store
+        copy = store.items.copy()
+        await asyncio.sleep(seconds)
+        store.control.status = STORE_ANSWERS[0]
+        await asyncio.sleep(AWAY_SECONDS)
+        store.items.restore(copy)
+        store.control.status = 0
+        await asyncio.sleep(WRITTEN_AGAIN_SECONDS)
+        self.fleet.configure("/bays/")
+        for backend in self.fleet.backends:
+            self._enter(backend)
+
     def _limit(self, step: Step) -> str:
         """Return the limit that a step names."""
         return str(LIMITS[step.place % len(LIMITS)])
