Count what a peer may have sent, and probe without descriptors safely

Cause: found by reading. A second peer got all attempts that were left, though the first may have used some; a probe that could not open a socket ended the task that probes. Change: a relayed request that broke leaves one attempt less; a probe without a free descriptor proves nothing. request_relayed tells whether the host is cut off.

--- a/packages/node/greengagepoint_node/gateway/reach_monitor.py
+++ b/packages/node/greengagepoint_node/gateway/reach_monitor.py
@@ -140,8 +140,12 @@
     async def _async_probe(self, server: Server) -> ProbeResult:
         """Open a connection to a server and close it."""
         host, _, port = server.address.rpartition(":")
+        try:
+            sock = self.create_socket(AF_INET, SOCK_STREAM, 0)
+        except OSError:
+            # Without a free descriptor nothing is known of the link.
+            return ProbeResult(server.incarnation, connected=True)
         connected = False
-        sock = self.create_socket(AF_INET, SOCK_STREAM, 0)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -128,8 +128,12 @@
                     # The peer's promise is about its own attempts only.
                     break
                 return last
-            may_have_run = may_have_run or last.verdict not in NOT_RUN
-            if may_have_run and not call.route.repeatable:
+            if last.verdict in NOT_RUN:
+                continue
+            # The peer may have sent it to a server.
+            may_have_run = True
+            attempts_left -= 1
+            if attempts_left < 1 or not call.route.repeatable:
                 break
         if last is not None and last.verdict is Verdict.ANSWERED:
             reason = f"may have run, and {last.status} of another host"
@@ -207,7 +211,8 @@
                 outcome=exchange.verdict,
                 status=exchange.status,
                 detail=exchange.detail,
-                cut_off_seconds=round(now - self.monitor.reach.changed_at, 3),
+                cut_off=self.monitor.is_cut_off,
+                cut_off_age=round(now - self.monitor.reach.changed_at, 3),
                 seconds=round(now - began, 3),
             )
         return exchange
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -1,6 +1,7 @@
 """Hosts that lose their links to all backend servers."""
 
 import asyncio
+import errno
 
 import pytest
 from cut_links import CLOSED_PORT, Cut, LinkSocket, async_fleet
@@ -11,6 +12,7 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.reachability.probing import PROBE_TIMEOUT_SECONDS
+from greengagepoint.reachability.tracker import Reach
 from greengagepoint_node.gateway.names import (
     CALLER_ADDRESS,
     RELAY_RESULT,
@@ -288,5 +290,18 @@
         assert fleet.runs() - before >= 1
 
 
+async def test_a_host_without_free_descriptors_does_not_count_as_cut_off():
+    async with async_fleet() as fleet:
+        host = fleet.hosts[0]
+
+        def fail(*kind):
+            raise OSError(errno.EMFILE, "too many open files")
+
+        host.daemon.create_backend_socket = fail
+        host.daemon.monitor.note_doubt()
+        await async_until(lambda: host.daemon.monitor.reach.state is Reach.REACHABLE)
+        assert not host.events.of(Event.BACKEND_SERVERS_UNREACHABLE)
+
+
 async def test_callers_are_served_and_nothing_runs_twice_during_random_cuts():
     assert await async_play(1) == []
