Keep which server a removal was about when it arrives again

Cause: found by reading. A removal of a key that is unknown by then, as from a peer that passes it on again, replaced what was remembered of it, and the entry of a server that had left would have been held for 2 s after a restore of the store, not for 10 s. Change: what is known of a removal stays.

--- a/packages/core/greengagepoint/config/store_memory.py
+++ b/packages/core/greengagepoint/config/store_memory.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Final, NamedTuple
 
-# Entries of operators and servers are written again within this time of a restore.
+# Users of the product guarantee that entries of operators and servers which the store
+# lost are written again within this time of its return.
 WRITTEN_AGAIN_SECONDS: Final = 2.0
 # The store removes the entry of a server that ended after three missing heartbeats.
 ENDED_ENTRY_SECONDS: Final = 10.0
@@ -43,7 +44,12 @@
     holds: dict[str, Hold] = field(default_factory=dict)
 
     def record_removal(self, key: str, server: Hashable | None, now: float) -> None:
-        """Record that a key is removed; ``server`` is the one that it was about."""
+        """Record that a key is removed.
+
+        ``server`` is the one that it was about, None if there is none or it is unknown.
+        """
+        if server is None and key in self.removals:
+            return
         self.removals[key] = Removal(now, server)
 
     def record_presence(self, key: str) -> None:
