Pass on requests that wait for a connection when links are lost

Cause: a doubt began with a connection's timeout of 0.6 s, and requests that waited for one went on waiting after the host was known to be cut off. Change: a connection that takes over 0.2 s raises the doubt, and requests that wait for a connection are passed on as soon as the host is cut off; nothing of them was sent, so their kind does not matter. Probes are chosen from a sample of 64 servers: of 3,000, each round took 31 ms.

--- a/packages/core/greengagepoint/reachability/probing.py
+++ b/packages/core/greengagepoint/reachability/probing.py
@@ -8,6 +8,8 @@
 from greengagepoint.reachability.tracker import BackendReach, Reach
 
 PROBED_SERVERS: Final = 3
+# Enough to hold servers of several regions; looking at thousands takes milliseconds.
+SAMPLED_SERVERS: Final = 64
 # Twice the round trip to the farthest region, so that a caller waits for less than the
 # timeout of its own connection.
 PROBE_TIMEOUT_SECONDS: Final = 0.3
@@ -32,8 +34,13 @@
     crashed. A host that is cut off could not connect to any, so that tells nothing.
     """
     failed: Collection[Incarnation] = () if reach.is_cut_off else reach.failed
+    known = list(servers)
+    if len(known) > SAMPLED_SERVERS:
+        # Drawn with replacement, which is no bias that matters among so many.
+        known = [known[random.randrange(len(known))] for _ in range(SAMPLED_SERVERS)]
+        known = list({server.incarnation: server for server in known}.values())
     drawn = sorted(
-        ((random.random(), server) for server in servers), key=lambda row: row[0]
+        ((random.random(), server) for server in known), key=lambda row: row[0]
     )
     rows = sorted(
         (server for _, server in drawn), key=lambda row: row.incarnation in failed
--- a/packages/node/greengagepoint_node/gateway/connect_times.py
+++ b/packages/node/greengagepoint_node/gateway/connect_times.py
@@ -23,6 +23,9 @@
     def record_failed(self, now: float) -> None:
         """Record that a connection could not be made."""
 
+    def note_slow(self) -> None:
+        """Record that a connection takes longer than to any region."""
+
 
 class ConnectionCounts:
     """Count the connections to backend servers; ``made_at`` is that of the last."""
@@ -40,6 +43,9 @@
         """Count a connection that could not be made."""
         self.outcomes[(FAILED,)] += 1
 
+    def note_slow(self) -> None:
+        """Ignore a slow connection; it is counted once it has ended."""
+
 
 def trace_connections(
     link: LinkDelay, clock: Clock, observer: ConnectionObserver | None = None
@@ -51,12 +57,16 @@
 
     async def async_begin(_: Any, context: SimpleNamespace, __: Any) -> None:
         context.began_at = clock.monotonic()
+        if observer is not None:
+            loop = asyncio.get_running_loop()
+            context.timer = loop.call_later(FULL_LINK_SECONDS, observer.note_slow)
 
     async def async_end(_: Any, context: SimpleNamespace, __: Any) -> None:
         now = clock.monotonic()
         link.record(now - context.began_at, now)
         context.began_at = None
         if observer is not None:
+            context.timer.cancel()
             observer.record_made(now)
 
     async def async_fail(
@@ -67,6 +77,8 @@
         began_at = getattr(context, "began_at", None)
         if began_at is None:
             return
+        if observer is not None:
+            context.timer.cancel()
         now = clock.monotonic()
         abandoned = isinstance(params.exception, asyncio.CancelledError)
         if abandoned and now - began_at < FULL_LINK_SECONDS:
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -342,6 +342,8 @@
     def _announce_reach(self) -> None:
         """Let peers know whether this host reaches backend servers."""
         self.own_state.cut_off = self.monitor.is_cut_off
+        if self.monitor.is_cut_off:
+            self.gateway.give_up_connecting()
         self.gossip.announce_state()
 
     def _create_admission(self) -> None:
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -109,6 +109,7 @@
         self.split = WeightedSplit()
         self.in_flight = 0
         self.relayed_in_flight = 0
+        self.outgoing: set[OutgoingRequest] = set()
         self.leaving = False
         self.rejecting = False
         self.last_request_at = clock.monotonic()
@@ -180,6 +181,12 @@
         response.headers[RELAY_RESULT] = DONE
         return response
 
+    def give_up_connecting(self) -> None:
+        """Give up requests that wait for a connection, so that they are passed on."""
+        for outgoing in list(self.outgoing):
+            if not outgoing.is_sent:
+                outgoing.abandon_for(None)
+
     def is_quiet(self, seconds: float) -> bool:
         """Return True if nothing is in flight and the last request is older."""
         return (
@@ -291,7 +298,7 @@
             if left < SECONDS_LEFT_MIN:
                 break
             if last is not None and last.verdict is Verdict.UNREACHABLE:
-                await self.monitor.async_probe()
+                await self.monitor.async_resolve_doubt()
             if not relayed and self._should_pass_on(call, attempts, last):
                 exchange = await self.relay.async_pass_on(
                     request,
@@ -501,11 +508,13 @@
         began = self.clock.monotonic()
         waited = server.expected_wait(began)
         server.in_flight += 1
+        self.outgoing.add(outgoing)
         overdue = OverdueWatch(self, call, server, outgoing, attempts)
         try:
             exchange = await async_exchange(self.sessions, self.names, server, outgoing)
         finally:
             overdue.cancel()
+            self.outgoing.discard(outgoing)
             server.in_flight -= 1
         if exchange.verdict is Verdict.UNREACHABLE:
             self.monitor.note_unreachable(server, began)
--- a/packages/node/greengagepoint_node/gateway/overdue.py
+++ b/packages/node/greengagepoint_node/gateway/overdue.py
@@ -67,7 +67,7 @@
 
     async def _async_move(self) -> None:
         """Tell whether the server or the host's link is silent, then give way."""
-        await self.selector.monitor.async_probe()
+        await self.selector.monitor.async_resolve_doubt()
         self._move_to_successor()
 
     def _move_to_successor(self) -> None:
--- a/packages/node/greengagepoint_node/gateway/reach_monitor.py
+++ b/packages/node/greengagepoint_node/gateway/reach_monitor.py
@@ -79,6 +79,14 @@
         """Count a connection that could not be made."""
         self.counts.record_failed(now)
 
+    def note_slow(self) -> None:
+        """Probe while a connection takes longer than to any region.
+
+        Its timeout is long enough for a lost packet, and takes most of the time of a
+        caller.
+        """
+        self.note_doubt()
+
     def note_unreachable(self, server: Server, began_at: float) -> None:
         """Record that a connection attempt of a request failed, and probe in doubt."""
         self.reach.record_failure(server.incarnation, began_at)
@@ -106,11 +114,15 @@
 
         With fewer servers, a lost link can't be told from servers that failed.
         """
-        if self.reach.state is Reach.DOUBTED:
-            await self.async_probe()
+        await self.async_resolve_doubt()
         known = len(self.view.servers.servers)
         return self.is_cut_off and known >= SERVERS_MIN
 
+    async def async_resolve_doubt(self) -> None:
+        """Probe servers if this host is in doubt."""
+        if self.reach.state is Reach.DOUBTED:
+            await self.async_probe()
+
     async def async_probe(self) -> None:
         """Probe some servers, or wait for the round that is running."""
         if self.round is None or self.round.done():
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -303,5 +303,15 @@
         assert not host.events.of(Event.BACKEND_SERVERS_UNREACHABLE)
 
 
+@pytest.mark.parametrize(("path", "method"), PATHS)
+async def test_a_request_that_waits_for_a_connection_is_passed_on(path, method):
+    async with async_fleet() as fleet:
+        host = fleet.hosts[0]
+        fleet.cut(Cut.HANGS, 0)
+        # The connection's timeout of 0.6 s would end the caller's time.
+        assert (await host.async_call(f"{path}1", method, deadline_ms=800))[0] == 200
+        assert fleet.runs() == 1
+
+
 async def test_callers_are_served_and_nothing_runs_twice_during_random_cuts():
     assert await async_play(1) == []
