Trust a probe that connected although its timeout came first

On a busy host the timeout of a probe may be handled before the connection that was made, and a whole round of such probes makes the host count as cut off. Change: a probe that timed out looks whether its socket is connected.

--- a/packages/node/greengagepoint_node/gateway/reach_monitor.py
+++ b/packages/node/greengagepoint_node/gateway/reach_monitor.py
@@ -162,7 +162,10 @@
             async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
                 await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
             connected = await _async_stays_open(sock)
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            # A busy host may handle the timeout before the connection that was made.
+            connected = _has_peer(sock)
+        except OSError:
             pass
         finally:
             sock.close()
@@ -191,6 +194,15 @@
         self.on_change()
 
 
+def _has_peer(sock: socket) -> bool:
+    """Return True if a socket is connected."""
+    try:
+        sock.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 async def _async_stays_open(sock: socket) -> bool:
     """Return True unless a new connection is closed at once."""
     try:
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -303,6 +303,26 @@
         assert not host.events.of(Event.BACKEND_SERVERS_UNREACHABLE)
 
 
+async def test_a_probe_that_connected_counts_although_its_timeout_came_first(
+    monkeypatch,
+):
+    async with async_fleet() as fleet:
+        host = fleet.hosts[0]
+        loop = asyncio.get_running_loop()
+        connect = loop.sock_connect
+
+        async def async_connect_late(sock, address):
+            await connect(sock, address)
+            await asyncio.sleep(2 * PROBE_TIMEOUT_SECONDS)
+
+        monkeypatch.setattr(loop, "sock_connect", async_connect_late)
+        host.daemon.monitor.note_doubt()
+        await host.daemon.monitor.async_probe()
+        monkeypatch.undo()
+        assert host.daemon.monitor.reach.state is Reach.REACHABLE
+        assert not host.events.of(Event.BACKEND_SERVERS_UNREACHABLE)
+
+
 @pytest.mark.parametrize(("path", "method"), PATHS)
 async def test_a_request_that_waits_for_a_connection_is_passed_on(path, method):
     async with async_fleet() as fleet:
