Add the timelines of unanswered requests at stops and of a late drain

Callers saw requests end without an answer while hosts were stopped in series, and one server got a request over two seconds after it had said that it leaves. The record tells neither cause.

--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -15,6 +15,7 @@
 
 LOOPBACK: Final = "127.0.0.1"
 SIGNATURE: Final = "3e1b.07.5a2"
+BYTES_QUERY: Final = "?bytes="
 
 
 class Manner(StrEnum):
@@ -245,8 +246,10 @@
 
 
 def body_of(backend: PlatformBackend, request: Received) -> bytes:
-    """Return the whole body of the answer to a request."""
-    return f"{backend.instance} {request.target}".encode()
+    """Return the whole body of the answer; a target may ask for so many bytes."""
+    _, _, size = request.target.partition(BYTES_QUERY)
+    text = f"{backend.instance} {request.target}".encode()
+    return text.ljust(int(size or 0), b".")
 
 
 async def _async_good(
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -3,11 +3,15 @@
 import asyncio
 import base64
 import contextlib
+import math
 import os
+import signal
 import socket
 import sys
+import time
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, Final
 
@@ -27,6 +31,22 @@
 READY_SECONDS: Final = 20.0
 LOOK_SECONDS: Final = 0.05
 GRACE_SECONDS: Final = 3
+HOSTS: Final = (("n1", "z-a"), ("n2", "z-a"), ("n3", "z-b"))
+
+
+@dataclass
+class ProcessLife:
+    """One process of a host; times are monotonic seconds, infinity if not yet.
+
+    ``stop_at`` is the first SIGTERM, ``is_killed`` tells that it outlived its grace.
+    """
+
+    host: str
+    began_at: float
+    stop_at: float = math.inf
+    ended_at: float = math.inf
+    is_killed: bool = False
+    lines: list[dict[str, Any]] = field(default_factory=list)
 
 
 class Address:
@@ -64,6 +84,7 @@
         self.metrics = self.held[METRICS].text
         self.path = folder / f"{name}.json"
         self.lines: list[dict[str, Any]] = []
+        self.lives: list[ProcessLife] = []
         self.document: dict[str, Any] = {
             "nodeName": name,
             "zone": zone,
@@ -87,6 +108,8 @@
         """Start the process."""
         self.write_settings()
         self.lines = []
+        life = ProcessLife(self.name, time.monotonic(), lines=self.lines)
+        self.lives.append(life)
         self.process = await asyncio.create_subprocess_exec(
             *deployed_command(self.root),
             cwd=self.root,
@@ -106,6 +129,21 @@
         await self.process.wait()
         await self.reading
 
+    async def async_terminate(self, grace_seconds: float) -> None:
+        """Send SIGTERM, and kill the process if it outlives its grace."""
+        life = self.lives[-1]
+        life.stop_at = min(life.stop_at, time.monotonic())
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(grace_seconds):
+                await self.process.wait()
+        except TimeoutError:
+            life.is_killed = True
+            self.process.kill()
+            await self.process.wait()
+        life.ended_at = time.monotonic()
+        await self.reading
+
     def give_back(self) -> None:
         """Give back the addresses; the daemon is not started again."""
         for address in self.held.values():
@@ -144,13 +182,15 @@
         value = base64.b64encode(msgspec.json.encode(document)).decode()
         self.store.items.put(key, value)
 
-    def configure(self, *prefixes: str, kind: str = "safe") -> None:
-        """Put a configuration with these routes, all of one kind."""
+    def configure(
+        self, *prefixes: str, kind: str = "safe", unsafe: Collection[str] = ()
+    ) -> None:
+        """Put a configuration with these routes, all of one kind but the unsafe."""
         self.version += 3
         rules = [
             {
                 "name": f"r{prefix}",
-                "kind": kind,
+                "kind": "unsafe" if prefix in unsafe else kind,
                 "targetLatencyS": 0.4,
                 "sticky": True,
                 "match": {"pathPrefix": prefix},
@@ -251,20 +291,22 @@
 
 @contextlib.asynccontextmanager
 async def async_fleet(
-    root: Path, folder: Path, *, strangers: bool = False
+    root: Path,
+    folder: Path,
+    *,
+    strangers: bool = False,
+    hosts: Collection[tuple[str, str]] = HOSTS,
 ) -> AsyncIterator[Fleet]:
-    """Run three daemons and four servers in two regions until the block ends.
+    """Run daemons and four servers in two regions until the block ends.
 
-    Daemons that are ``strangers`` never hear of each other, but all reach the store.
+    ``hosts`` are names and zones. Daemons that are ``strangers`` never hear of each
+    other, but all reach the store.
     """
     store = PlatformStore()
     await store.async_start()
     store.control.lost_prefix = "hosts/" if strangers else None
     backends = [PlatformBackend(f"i-{number}") for number in range(4)]
-    nodes = [
-        Node(root, folder, name, zone, store.address)
-        for name, zone in (("n1", "z-a"), ("n2", "z-a"), ("n3", "z-b"))
-    ]
+    nodes = [Node(root, folder, name, zone, store.address) for name, zone in hosts]
     async with aiohttp.ClientSession() as session:
         fleet = Fleet(store, backends, nodes, session)
         for number, backend in enumerate(backends):
