Log what connections owe at a stop, and requests that go unanswered

Callers saw connections end without an answer while hosts were stopped, and no line of a host told of it: in_flight and cut_off count handlers, not connections.

connections_closing (1010) tells how many connections are idle, answering and sending as the host stops listening, the bytes that are not sent, and how late the stop's own loop came. request_unanswered (2021) names each request that was read after its connection had been closed, or that has no whole answer at the exit. daemon_stopped tells the seconds since the signal and the unsent bytes. These tell the three hypotheses of the incident apart: a discarded request, an answer in a buffer, and a stop that comes late or not at all.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -26,6 +26,7 @@
     INTERNAL_ERROR = 1007
     SETTINGS_RELOADED = 1008
     METRICS_UNAVAILABLE = 1009
+    CONNECTIONS_CLOSING = 1010
     # 2000: requests
     REQUEST_ADMITTED = 2001
     REQUEST_REFUSED = 2002
@@ -47,6 +48,7 @@
     PRESSURE_INVALID = 2018
     REQUEST_RELAYED = 2019
     RELAY_REJECTED = 2020
+    REQUEST_UNANSWERED = 2021
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -143,6 +145,9 @@
     Event.METRICS_UNAVAILABLE: EventType(
         Level.WARNING, "The metrics address cannot be used."
     ),
+    Event.CONNECTIONS_CLOSING: EventType(
+        Level.INFO, "The daemon has stopped listening and closes its connections."
+    ),
     Event.REQUEST_REFUSED: EventType(
         Level.INFO, "A request was refused and has not run."
     ),
@@ -189,6 +194,9 @@
     Event.RELAY_REJECTED: EventType(
         Level.INFO, "A request of another host could not be taken on."
     ),
+    Event.REQUEST_UNANSWERED: EventType(
+        Level.WARNING, "A request was read on a connection that ends unanswered."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -5,6 +5,7 @@
 import math
 import random
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -19,6 +20,7 @@
 from greengagepoint.config.eras import era_of, revision_of
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.demand.regional import RegionalDemand
+from greengagepoint.draining.connections import ConnectionPhase
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.overload.shared_retries import SharedRetryBudget
@@ -449,17 +451,56 @@
         await asyncio.sleep(self.settings.stop_seconds * ACCEPTING_FRACTION)
         self.gateway.rejecting = True
         self.admission.stop()
+        delay = 0.0
         while not self.gateway.is_quiet(QUIET_SECONDS):
-            if self.clock.monotonic() > ends_at:
+            now = self.clock.monotonic()
+            if now > ends_at:
                 break
             await asyncio.sleep(POLL_SECONDS)
+            delay = max(delay, self.clock.monotonic() - now - POLL_SECONDS)
+        self._record_closing(began, delay)
         await self.front.async_stop_accepting()
         # Handlers return before the last answers are fully sent.
         await self.front.async_close(CLOSE_SECONDS)
         withdrawal.cancel()
         for task in self.tasks:
             task.cancel()
-        self.events.record(Event.DAEMON_STOPPED, cut_off=self.gateway.in_flight)
+        self._record_stopped(began)
+
+    def _record_closing(self, began: float, delay: float) -> None:
+        """Log what the connections owe as the host closes them."""
+        states = [row.state() for row in self.front.server.connections]
+        phases = Counter(state.phase for state in states)
+        self.events.record(
+            Event.CONNECTIONS_CLOSING,
+            in_flight=self.gateway.in_flight,
+            unsent_bytes=sum(state.unsent_bytes for state in states),
+            **{phase: phases[phase] for phase in ConnectionPhase},
+            loop_delay=round(delay, 3),
+            seconds=round(self.clock.monotonic() - began, 3),
+        )
+
+    def _record_stopped(self, began: float) -> None:
+        """Log the end, and each request that goes without its whole answer."""
+        unsent_bytes = 0
+        for connection in self.front.server.connections:
+            state = connection.state()
+            unsent_bytes += state.unsent_bytes
+            if state.phase is ConnectionPhase.IDLE:
+                continue
+            for request_id in connection.unanswered_ids() or [""]:
+                self.events.record(
+                    Event.REQUEST_UNANSWERED,
+                    request_id=request_id,
+                    phase=state.phase,
+                    bytes=state.unsent_bytes,
+                )
+        self.events.record(
+            Event.DAEMON_STOPPED,
+            cut_off=self.gateway.in_flight,
+            unsent_bytes=unsent_bytes,
+            seconds=round(self.clock.monotonic() - began, 3),
+        )
 
     async def async_close_sessions(self) -> None:
         """Close all connections to backend servers and to other hosts."""
--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -13,8 +13,10 @@
 from aiohttp import web
 from aiohttp.http_writer import StreamWriter
 
+from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.arrivals import ArrivalQueue
+from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.http.server import ProblemRequestHandler
 
 # Further pipelined requests wait for their turn, so that one connection can't occupy
@@ -26,6 +28,7 @@
     """Answer requests, and decide which may start before their turn."""
 
     clock: Clock
+    names: HeaderNames
 
     def can_start_early(self, request: web.BaseRequest) -> bool:
         """Return True if a request may run before its turn, in parallel to others."""
@@ -64,6 +67,8 @@
     def data_received(self, data: bytes) -> None:
         """Process received bytes and start the requests that they complete."""
         arrivals = self._messages
+        if data and self.is_closed:
+            self._record_discarded(data)
         # The library calls this without data to parse the rest of an earlier chunk.
         if data:
             arrivals.chunk_at = self.answerer.clock.monotonic()
@@ -94,8 +99,7 @@
         waiting = zip(self._messages, self._messages.times, strict=True)
         begun = len(self.early_answers)
         for (message, payload), arrived_at in list(waiting)[begun:EARLY_REQUESTS_MAX]:
-            # The queue also holds parse errors, which are no requests.
-            if not hasattr(message, "headers"):
+            if not _is_head(message):
                 return
             writer = StreamWriter(self, loop)
             request = web.BaseRequest(
@@ -106,6 +110,36 @@
             answer = self.answerer.async_answer(request, arrived_at)
             self.early_answers.append(loop.create_task(answer))
 
+    def unanswered_ids(self) -> list[str]:
+        """Return the ids of the requests without a whole answer."""
+        heads = [message.headers for message, _ in self._messages if _is_head(message)]
+        if self._current_request is not None:
+            heads.insert(0, self._current_request.headers)
+        return [head.get(self.answerer.names.request_id, "") for head in heads]
+
+    def _record_discarded(self, data: bytes) -> None:
+        """Log that bytes were read after the connection had been closed."""
+        self.events.record(
+            Event.REQUEST_UNANSWERED,
+            request_id=find_header(data, self.answerer.names.request_id),
+            phase="discarded",
+            bytes=len(data),
+        )
+
+
+def find_header(data: bytes, name: str) -> str:
+    """Return the value of a header in the bytes of a request, or an empty text."""
+    for line in data.split(b"\r\n"):
+        key, _, value = line.partition(b":")
+        if key.strip().lower() == name.lower().encode():
+            return value.strip().decode("latin-1")
+    return ""
+
+
+def _is_head(message: object) -> bool:
+    """Return True if a queued row is a request; it may also be a parse error."""
+    return hasattr(message, "headers")
+
 
 def create_pipelined_connection(
     answerer: RequestAnswerer,
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -10,6 +10,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
 
+from greengagepoint.draining.connections import ConnectionState
 from greengagepoint.errors import (
     ErrorKind,
     GreengagepointError,
@@ -84,6 +85,24 @@
             self.first_request_timer.cancel()
         super().connection_lost(exc)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return True if nothing that is read from now on is handled."""
+        return self._close or self._force_close
+
+    def state(self) -> ConnectionState:
+        """Return what was read or written and is not finished."""
+        transport = self.transport
+        return ConnectionState(
+            len(self._messages) + (self._current_request is not None),
+            self._task_handler is not None and self._waiter is None,
+            transport.get_write_buffer_size() if transport is not None else 0,
+        )
+
+    def unanswered_ids(self) -> list[str]:
+        """Return the ids of the requests without a whole answer, if they have any."""
+        return []
+
     def close_if_idle(self) -> None:
         """Close the connection; its first request did not arrive in time."""
         if self.transport is None:
--- a/packages/standins/greengagepoint_standins/users_platform/stop_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/stop_soak.py
@@ -17,6 +17,9 @@
 from pathlib import Path
 from typing import Final, NamedTuple
 
+import msgspec
+
+from greengagepoint.events import Event
 from greengagepoint_standins.users_platform import stop_checks
 from greengagepoint_standins.users_platform.backend import PlatformBackend
 from greengagepoint_standins.users_platform.crash_loop import ZONE_OF
@@ -63,6 +66,12 @@
 GAP_SECONDS: Final = 1.0
 WRITTEN_AGAIN_SECONDS: Final = 1.0
 FIRST_BORN: Final = 1_700_000_000_000
+STOP_EVENTS: Final = (
+    Event.DAEMON_STOPPING,
+    Event.CONNECTIONS_CLOSING,
+    Event.DAEMON_STOPPED,
+    Event.REQUEST_UNANSWERED,
+)
 BUSY_CODE: Final = "while True: pass"
 
 
@@ -142,6 +151,16 @@
             *stop_checks.late_arrivals(evidence),
         ]
 
+    def stop_lines(self) -> list[str]:
+        """Return what hosts logged of their stops and of unanswered requests."""
+        return [
+            msgspec.json.encode(row).decode()
+            for node in self.fleet.nodes
+            for life in node.lives
+            for row in life.lines
+            if row["event"] in STOP_EVENTS
+        ]
+
     def summary(self) -> str:
         """Return one line on what happened."""
         rows = self.evidence().sent
@@ -311,6 +330,8 @@
             broken = soak.broken()
             verdict = "; ".join(broken) or "good"
             sys.stdout.write(f"seed {seed}: {verdict}; {soak.summary()}\n")
+            if broken:
+                sys.stdout.writelines(f"  {line}\n" for line in soak.stop_lines())
             sys.stdout.flush()
             return broken
 
