--- a/packages/node/tests/test_gateway_stop.py
+++ b/packages/node/tests/test_gateway_stop.py
@@ -1,10 +1,13 @@
 """Check what callers see of a planned stop, from the signal to the exit."""
 
 import asyncio
+import socket
+from contextlib import suppress
 
 import pytest
 from deployment import async_until
 from gateway_world import async_environment
+from raw_caller import request, targets
 
 
 async def test_a_request_in_flight_gets_its_whole_answer():
@@ -58,3 +61,69 @@
         await env.daemon.async_stop()
         assert asyncio.get_running_loop().time() - began <= 2.1
         call.cancel()
+
+
+async def async_exit(daemon):
+    """Stop a host, and drop what its process would drop at its exit."""
+    await daemon.async_stop()
+    for connection in daemon.front.server.connections:
+        if connection.transport is not None:
+            connection.transport.abort()
+
+
+async def test_a_connection_accepted_as_the_host_closes_is_not_left_unanswered():
+    """A request that was read on a connection accepted last got no answer."""
+    async with async_environment(servers=1) as env:
+        host, _, port = env.daemon.settings.front_address.rpartition(":")
+        stop = asyncio.create_task(env.daemon.async_stop())
+        found = []
+
+        async def async_call(number):
+            with suppress(ConnectionError):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                await asyncio.sleep(0.02)
+                writer.write(request(number))
+                found.append(bool(await reader.read(1)))
+                writer.close()
+
+        async with asyncio.TaskGroup() as calls:
+            number = 0
+            while not stop.done():
+                for _ in range(4):
+                    number += 1
+                    calls.create_task(async_call(number))
+                await asyncio.sleep(0.002)
+        await stop
+        assert found
+        assert all(found)
+
+
+async def async_read_slowly(reader, seconds):
+    """Read answers in small pieces for so long, and then the rest."""
+    text = b""
+    loop = asyncio.get_running_loop()
+    until = loop.time() + seconds
+    while piece := await reader.read(16_384):
+        text += piece
+        if loop.time() < until:
+            await asyncio.sleep(0.05)
+    return text
+
+
+@pytest.mark.parametrize("requests", [1, 2], ids=["large", "large_and_pipelined"])
+async def test_an_answer_in_a_send_buffer_is_sent_before_the_exit(requests):
+    """The process exited while a caller on a slow link was still reading."""
+    size = 8_000_000
+    async with async_environment(servers=1, timeout_seconds=5.0) as env:
+        host, _, port = env.daemon.settings.front_address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        sock.connect((host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=4_096)
+        for number in range(requests):
+            writer.write(request(f"{number}?bytes={size}", path="/pack/"))
+        await async_until(lambda: len(targets(env)) == requests)
+        reading = asyncio.create_task(async_read_slowly(reader, 1.0))
+        await async_exit(env.daemon)
+        assert len(await reading) > requests * size
+        writer.close()
--- a/packages/standins/greengagepoint_standins/users_platform/kept_callers.py
+++ b/packages/standins/greengagepoint_standins/users_platform/kept_callers.py
@@ -28,6 +28,7 @@
     """How a caller sends and reads."""
 
     PLAIN = "plain"
+    FRESH = "fresh"
     PIPELINED = "pipelined"
     SLOW_READER = "slow reader"
     UPLOAD = "upload"
@@ -140,7 +141,8 @@
                     is_behind=index > 0,
                 )
                 self.sent.append(sent)
-                if sent.ending is not Ending.WHOLE or self.closes:
+                is_over = self.closes or self.habit is Habit.FRESH
+                if sent.ending is not Ending.WHOLE or is_over:
                     self._abandon(node, opened_at, names, times, index + 1)
                     return
             if len(times) < len(names):
--- a/packages/standins/greengagepoint_standins/users_platform/stop_soak.py
+++ b/packages/standins/greengagepoint_standins/users_platform/stop_soak.py
@@ -54,6 +54,7 @@
 )
 CALLERS: Final = {
     Habit.PLAIN: 30,
+    Habit.FRESH: 40,
     Habit.PIPELINED: 8,
     Habit.SLOW_READER: 6,
     Habit.UPLOAD: 8,
