Close only connections that owe nothing when a host stops

Callers saw requests that a stopping host had read end without an answer, or with a part of one, with real processes stopped in series.

Cause: the stop marked all connections as closed once, through the HTTP library, and then waited for handlers. A marked connection discards what it reads. One that was accepted in that step, whose task had not begun to wait, was never ended: it took requests until the process exited, up to 0.4 s later. And an answer in the send buffer, or one that waited behind it, belonged to no handler, so the process exited with it. Class of fault: a decision taken once over a set that still changes, from a count that leaves out the last step.

Now core decides (draining/shutdown.py) from what each connection owes: whole requests without an answer, a handler that runs, bytes that are not sent. A delay of the event loop shortens the phases, as the signal has waited as long. Requests that were read behind another one are answered before their connection closes.

--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -5,7 +5,6 @@
 import math
 import random
 import time
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -20,7 +19,6 @@
 from greengagepoint.config.eras import era_of, revision_of
 from greengagepoint.config.watchers import watchers_of, well_linked
 from greengagepoint.demand.regional import RegionalDemand
-from greengagepoint.draining.connections import ConnectionPhase
 from greengagepoint.events import Event
 from greengagepoint.overload.full_link import LinkDelay
 from greengagepoint.overload.shared_retries import SharedRetryBudget
@@ -41,6 +39,7 @@
 from greengagepoint_node.gateway.gossip import EXCHANGE_PATH, Gossip
 from greengagepoint_node.gateway.gossip_messages import HostState
 from greengagepoint_node.gateway.handler import Gateway
+from greengagepoint_node.gateway.host_stop import HostStop
 from greengagepoint_node.gateway.key_placement import KEY_USAGE_PATH, KeyPlacement
 from greengagepoint_node.gateway.listeners import Listener, create_socket
 from greengagepoint_node.gateway.load_reports import DecodeLoad
@@ -91,16 +90,6 @@
 # Backend servers close idle connections after a few seconds. Only a recently used
 # connection is reused, so that no request is sent on one that is being closed.
 KEEPALIVE_SECONDS: Final = 4.0
-# The fraction of the stop time in which new requests are still accepted: callers keep
-# addresses for up to three times as long as their validity.
-ACCEPTING_FRACTION: Final = 0.5
-CLOSE_SECONDS: Final = 0.4
-# After that the host still listens and answers at once that it has not run a request,
-# because requests in transit when the socket closes get no answer at all. It exits when
-# no request has arrived for this long.
-QUIET_SECONDS: Final = 0.8
-POLL_SECONDS: Final = 0.1
-
 # One host per region watches the store for the others. If it is lost, the others find
 # their state stale and watch the store themselves for the two or three seconds until it
 # is replaced. A second watcher would avoid that, but double the calls in every second.
@@ -175,6 +164,7 @@
         self.create_backend_socket = create_socket
         self.decode_load = decode_load
         self.tasks: list[asyncio.Task[None]] = []
+        self.loop_delay_seconds = 0.0
 
     async def async_run(self) -> None:
         """Serve until a stop is requested, then stop gracefully."""
@@ -440,67 +430,19 @@
 
     async def async_stop(self) -> None:
         """Leave the directory, finish requests in flight, and close the sockets."""
-        began = self.clock.monotonic()
         self.events.record(Event.DAEMON_STOPPING, in_flight=self.gateway.in_flight)
         self.gateway.leaving = True
         self.own_state.leaving = True
         self.own_state.count += 1
         self.tasks[1].cancel()
         withdrawal = asyncio.create_task(self.registration.async_withdraw())
-        ends_at = began + self.settings.stop_seconds - 2 * CLOSE_SECONDS
-        await asyncio.sleep(self.settings.stop_seconds * ACCEPTING_FRACTION)
-        self.gateway.rejecting = True
-        self.admission.stop()
-        delay = 0.0
-        while not self.gateway.is_quiet(QUIET_SECONDS):
-            now = self.clock.monotonic()
-            if now > ends_at:
-                break
-            await asyncio.sleep(POLL_SECONDS)
-            delay = max(delay, self.clock.monotonic() - now - POLL_SECONDS)
-        self._record_closing(began, delay)
-        await self.front.async_stop_accepting()
-        # Handlers return before the last answers are fully sent.
-        await self.front.async_close(CLOSE_SECONDS)
+        stop = HostStop(
+            self.gateway, self.admission, self.listeners, self.clock, self.events
+        )
+        await stop.async_run(self.settings.stop_seconds, self.loop_delay_seconds)
         withdrawal.cancel()
         for task in self.tasks:
             task.cancel()
-        self._record_stopped(began)
-
-    def _record_closing(self, began: float, delay: float) -> None:
-        """Log what the connections owe as the host closes them."""
-        states = [row.state() for row in self.front.server.connections]
-        phases = Counter(state.phase for state in states)
-        self.events.record(
-            Event.CONNECTIONS_CLOSING,
-            in_flight=self.gateway.in_flight,
-            unsent_bytes=sum(state.unsent_bytes for state in states),
-            **{phase: phases[phase] for phase in ConnectionPhase},
-            loop_delay=round(delay, 3),
-            seconds=round(self.clock.monotonic() - began, 3),
-        )
-
-    def _record_stopped(self, began: float) -> None:
-        """Log the end, and each request that goes without its whole answer."""
-        unsent_bytes = 0
-        for connection in self.front.server.connections:
-            state = connection.state()
-            unsent_bytes += state.unsent_bytes
-            if state.phase is ConnectionPhase.IDLE:
-                continue
-            for request_id in connection.unanswered_ids() or [""]:
-                self.events.record(
-                    Event.REQUEST_UNANSWERED,
-                    request_id=request_id,
-                    phase=state.phase,
-                    bytes=state.unsent_bytes,
-                )
-        self.events.record(
-            Event.DAEMON_STOPPED,
-            cut_off=self.gateway.in_flight,
-            unsent_bytes=unsent_bytes,
-            seconds=round(self.clock.monotonic() - began, 3),
-        )
 
     async def async_close_sessions(self) -> None:
         """Close all connections to backend servers and to other hosts."""
@@ -604,7 +546,9 @@
             )
             self.reports.local_host_count = len(local_hosts)
             await asyncio.sleep(TICK_SECONDS)
-            self.counters.loop_lag.add(self.clock.monotonic() - now - TICK_SECONDS)
+            delay = self.clock.monotonic() - now - TICK_SECONDS
+            self.loop_delay_seconds = delay
+            self.counters.loop_lag.add(delay)
 
     def _region_host_count(self, alive: list[HostEntry]) -> int:
         """Return the number of hosts of this region that receive callers.
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -121,10 +121,10 @@
         """Return the answer to the next request in the order of its connection."""
         connection = request.protocol
         response = await connection.async_answer_in_turn(request)
-        if self.leaving and not connection.early_answers:
+        if self.leaving and not connection.has_waiting:
             # A caller that reuses this connection could send its next request after
             # the host has stopped, and get no answer. Pipelined requests that were
-            # started behind this one are answered before the connection closes.
+            # read behind this one are answered before the connection closes.
             response.force_close()
         return response
 
@@ -187,13 +187,6 @@
             if not outgoing.is_sent:
                 outgoing.abandon_for(None)
 
-    def is_quiet(self, seconds: float) -> bool:
-        """Return True if nothing is in flight and the last request is older."""
-        return (
-            not self.in_flight
-            and self.clock.monotonic() - self.last_request_at >= seconds
-        )
-
     async def _async_answer(
         self, request: web.BaseRequest, arrived_at: float, *, relayed: bool = False
     ) -> web.Response:
--- a/packages/node/greengagepoint_node/gateway/listeners.py
+++ b/packages/node/greengagepoint_node/gateway/listeners.py
@@ -82,11 +82,10 @@
         return await self.handler(request)
 
     async def async_stop_accepting(self) -> None:
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections; those that are open go on."""
         if self.site is not None:
             await self.site.stop()
             self.site = None
-        self.server.pre_shutdown()
 
     async def async_close(self, seconds: float) -> None:
         """Close all connections within ``seconds``, after sending buffered data."""
--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -110,6 +110,11 @@
             answer = self.answerer.async_answer(request, arrived_at)
             self.early_answers.append(loop.create_task(answer))
 
+    @property
+    def has_waiting(self) -> bool:
+        """Return True if requests that were read wait behind the current one."""
+        return bool(self._messages)
+
     def unanswered_ids(self) -> list[str]:
         """Return the ids of the requests without a whole answer."""
         heads = [message.headers for message, _ in self._messages if _is_head(message)]
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -11,6 +11,7 @@
 from aiohttp.http import RawRequestMessage
 
 from greengagepoint.draining.connections import ConnectionState
+from greengagepoint.draining.shutdown import may_close
 from greengagepoint.errors import (
     ErrorKind,
     GreengagepointError,
@@ -105,7 +106,7 @@
 
     def close_if_idle(self) -> None:
         """Close the connection; its first request did not arrive in time."""
-        if self.transport is None:
+        if self.transport is None or not may_close(self.state()):
             return
         self.events.record(
             Event.REQUEST_MALFORMED, kind=ErrorKind.SLOW_SENDER, phase="headers"
@@ -163,6 +164,22 @@
             max_line_size=limits.header_bytes,
         )
 
+    def close_answered(self) -> list[ProblemRequestHandler]:
+        """Close the connections that owe nothing, and return the others.
+
+        Each is closed in the step that looks at it: on a connection that was marked as
+        closed earlier, the HTTP library would discard a request that it reads.
+        """
+        others = []
+        for connection in self.connections:
+            if connection.transport is None:
+                continue
+            if may_close(connection.state()):
+                connection.force_close()
+            else:
+                others.append(connection)
+        return others
+
     def __call__(self) -> web.RequestHandler:
         """Return the protocol for a new connection."""
         connection = self.make_connection()
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -121,17 +121,26 @@
             stdout=asyncio.subprocess.PIPE,
         )
         self.reading = asyncio.create_task(self._async_read())
+        self.ending = asyncio.create_task(self._async_note_end(life))
+
+    async def _async_note_end(self, life: ProcessLife) -> None:
+        """Note when a process ends."""
+        await self.process.wait()
+        life.ended_at = time.monotonic()
 
     async def async_kill(self) -> None:
         """End the process if it still runs."""
         if self.process.returncode is None:
             self.process.kill()
         await self.process.wait()
+        await self.ending
         await self.reading
 
     async def async_terminate(self, grace_seconds: float) -> None:
         """Send SIGTERM, and kill the process if it outlives its grace."""
         life = self.lives[-1]
+        if self.process.returncode is not None:
+            return
         life.stop_at = min(life.stop_at, time.monotonic())
         self.process.send_signal(signal.SIGTERM)
         try:
@@ -140,8 +149,7 @@
         except TimeoutError:
             life.is_killed = True
             self.process.kill()
-            await self.process.wait()
-        life.ended_at = time.monotonic()
+        await self.ending
         await self.reading
 
     def give_back(self) -> None:
