Log sends on old views, and how old the view is as the store is lost

A request reached a leaving server over two seconds after its word, and the log of its host told neither what the host knew nor since when it was without the store: only slow and sampled sends were logged.

request_sent also names sends on a view of a second or more, ten a second at most, as all views are old while the store is away; store_unavailable tells the age of the view. The stand-in of the store can let its open connections go silent, and ends watches as it drops its history, as the users' store does. No decision changes.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -228,9 +228,15 @@
             self.events.record(
                 Event.STORE_UNAVAILABLE,
                 detail=error.detail,
+                news_age=self._news_age(),
                 revision=self.view.revision,
             )
 
+    def _news_age(self) -> float | None:
+        """Return the age of this host's view in seconds, None before the first one."""
+        age = self.clock.monotonic() - self.peers.ages.complete_at()
+        return round(age, 3) if math.isfinite(age) else None
+
     def _record_behind(self, snapshot: Snapshot) -> None:
         """Log a snapshot that is older than this host's view."""
         self.events.record(
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -27,6 +27,10 @@
 # Longer delays of the first byte use up much of the time in which a leaving server
 # still accepts requests.
 SLOW_SEND_SECONDS: Final = 0.5
+# A host whose view is older may send to a server that is leaving. In an outage of the
+# store every view is old, so only some of these sends are logged.
+OLD_VIEW_SECONDS: Final = 1.0
+OLD_VIEW_LOG_SECONDS: Final = 0.1
 
 
 class Outcomes:
@@ -48,6 +52,7 @@
         self.counters = counters
         self.clock = clock
         self.events = events
+        self.old_view_logged_at = -math.inf
 
     def log_rejected(
         self, request_id: str, call: Call | None, refusal: Refusal, arrived_at: float
@@ -108,14 +113,15 @@
     def record_send(self, call: Call, server: Server, times: SendTimes) -> None:
         """Record the delay of an attempt's first byte and the age of the host's view.
 
-        Slow and sampled sends are logged.
+        Slow and sampled sends are logged, and some of those on an old view.
         """
         seconds = times.seconds_until_sent
         if seconds is None:
             return
         self.counters.send_delay.add(seconds)
         self.counters.news_age.add(times.news_age_at_send)
-        if seconds <= SLOW_SEND_SECONDS and not is_sampled(call.request_id):
+        is_logged = seconds > SLOW_SEND_SECONDS or is_sampled(call.request_id)
+        if not is_logged and not self._is_old_view_due(times.news_age_at_send):
             return
         self.events.record(
             Event.REQUEST_SENT,
@@ -127,6 +133,16 @@
             revision=self.view.revision,
         )
 
+    def _is_old_view_due(self, news_age: float | None) -> bool:
+        """Return True if a send on a view of this age is to be logged."""
+        if news_age is None or news_age < OLD_VIEW_SECONDS:
+            return False
+        now = self.clock.monotonic()
+        if now - self.old_view_logged_at < OLD_VIEW_LOG_SECONDS:
+            return False
+        self.old_view_logged_at = now
+        return True
+
     def report_attempt(
         self,
         call: Call,
--- a/packages/standins/greengagepoint_standins/users_platform/store.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import weakref
 from typing import Any, Final
 
 import msgspec
@@ -23,6 +24,8 @@
         self.control = Control()
         self.items = StoreItems()
         self.address = ""
+        self.transports: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
+        self.silent: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self.app = web.Application(middlewares=[self._async_guard])
         self.app.add_routes(
             [
@@ -53,6 +56,10 @@
             await self.expiry
         await self.runner.cleanup()
 
+    def silence_connections(self) -> None:
+        """Answer nothing more on the connections that are open; new ones work."""
+        self.silent.update(self.transports)
+
     async def _async_expire(self) -> None:
         """End leases in time, but not while the store is down."""
         while True:
@@ -64,11 +71,14 @@
     async def _async_guard(self, request: web.Request, handler: Any) -> web.Response:
         """Answer as an outage would, if there is one."""
         self.control.calls += 1
-        if self.control.hangs:
+        self.transports.add(request.transport)
+        if self.control.hangs or request.transport in self.silent:
             await asyncio.sleep(3600)
         if self.control.status:
             return web.Response(status=self.control.status)
         answer = await handler(request)
+        if request.transport in self.silent:
+            await asyncio.sleep(3600)
         answer.headers["Store-Era"] = str(self.items.era)
         if self.control.lost_writes and request.method != "GET":
             request.transport.abort()
@@ -101,8 +111,6 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(wait_seconds):
                 while self.control.silent_watches or not self._has_news(after, prefix):
-                    if self.control.silent_watches:
-                        await asyncio.sleep(3600)
                     await self.items.changed.wait()
         if not self.items.kept_after <= after <= self.items.revision:
             return _json({"at": self.items.revision}, 410)
--- a/packages/standins/greengagepoint_standins/users_platform/store_items.py
+++ b/packages/standins/greengagepoint_standins/users_platform/store_items.py
@@ -76,9 +76,10 @@
         self._note({"key": key, "revision": self.revision, "removed": True})
 
     def compact(self) -> None:
-        """Drop the history."""
+        """Drop the history, and end all watches."""
         self.history.clear()
         self.kept_after = self.revision
+        self._wake()
 
     def copy(self) -> Copy:
         """Return what the store holds now."""
@@ -90,8 +91,6 @@
         self.revision = copy.revision
         self.items, self.leases = dict(copy.items), dict(copy.leases)
         self.compact()
-        self.changed.set()
-        self.changed = asyncio.Event()
 
     def grant(self, seconds: float) -> int:
         """Return a new lease."""
@@ -133,5 +132,9 @@
     def _note(self, row: dict[str, Any]) -> None:
         """Add a change to the history and wake those that wait."""
         self.history.append((self.revision, row))
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wake the watches that wait."""
         self.changed.set()
         self.changed = asyncio.Event()
