--- a/packages/platform_tests/tests/test_platform_daemons.py
+++ b/packages/platform_tests/tests/test_platform_daemons.py
@@ -206,3 +206,21 @@
     for name in ("daemon_started", "settings_reloaded", "daemon_stopping"):
         assert name in names
     assert names[-1] == "daemon_stopped"
+
+
+async def test_a_reload_during_start_does_not_end_the_process(fleet):
+    """SIGHUP ended a process that had not installed its handlers yet."""
+    n1 = fleet.nodes[0]
+    await n1.async_kill()
+    await n1.async_start()
+    while "daemon_started" not in n1.events():
+        await asyncio.sleep(0.02)
+        if imports_libraries(n1.process.pid):
+            n1.process.send_signal(signal.SIGHUP)
+    await fleet.async_until(lambda: fleet.async_is_ready(n1))
+
+
+def imports_libraries(pid):
+    """Return True once a process imports its libraries."""
+    maps = Path(f"/proc/{pid}/maps").read_text()
+    return "msgspec/_core" in maps
