Close the product's own listener by what its connections owe

The same cause as in the stop of a host on the users' platform: the daemon of the product's own path marked all connections as closed through the HTTP library, and a connection that was accepted in that step discarded the request that it read, until the close timed out a second later.

--- a/packages/node/greengagepoint_node/daemon.py
+++ b/packages/node/greengagepoint_node/daemon.py
@@ -285,6 +285,7 @@
 
     async def _async_close(self) -> None:
         """Stop all parts, newest first."""
+        await self.runner.async_close_answered()
         await self.runner.cleanup()
         for part in reversed(self.coordinators):
             await part.async_stop()
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -28,6 +28,7 @@
 KEEPALIVE_SECONDS: Final = 75.0
 LINGERING_SECONDS: Final = 2.0
 SHUTDOWN_SECONDS: Final = 1.0
+SWEEP_SECONDS: Final = 0.02
 # Connections above the limit that stay open until a request on them is rejected; any
 # more are closed at once.
 EXCESS_CONNECTIONS_MAX: Final = 256
@@ -218,6 +219,22 @@
 
     def __init__(self, server: ProblemServer) -> None:
         super().__init__(server, shutdown_timeout=SHUTDOWN_SECONDS)
+        self.problem_server = server
+
+    async def async_close_answered(self, seconds: float = SHUTDOWN_SECONDS) -> None:
+        """Stop listening, and close each connection once it owes nothing.
+
+        Connections that owe something after ``seconds`` stay open.
+        """
+        for site in list(self.sites):
+            await site.stop()
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        # Connections that were accepted last begin in the next steps of the loop.
+        left = True
+        while left and loop.time() < ends_at:
+            await asyncio.sleep(SWEEP_SECONDS)
+            left = bool(self.problem_server.close_answered())
 
 
 def create_dispatcher(routes: Routes) -> Handler:
--- a/packages/node/tests/test_http_connections.py
+++ b/packages/node/tests/test_http_connections.py
@@ -1,6 +1,7 @@
 """The limit on the number of callers' connections."""
 
 import asyncio
+import contextlib
 import json
 
 import pytest
@@ -9,6 +10,7 @@
 from greengagepoint.events import Event
 from greengagepoint_node.http.server import (
     EXCESS_CONNECTIONS_MAX,
+    ProblemRequestHandler,
     ProblemServer,
     ProblemServerRunner,
     Routes,
@@ -62,6 +64,7 @@
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
     loopback.port = runner.addresses[0][1]
+    loopback.runner = runner
     yield loopback
     for _, writer in loopback.streams:
         writer.close()
@@ -99,3 +102,36 @@
     for _ in range(connections_max):
         await loopback.async_open()
     assert await loopback.async_get(await loopback.async_open()) is None
+
+
+async def test_what_is_read_while_a_server_closes_is_answered(loopback, monkeypatch):
+    """A connection that was accepted last discarded the request that it read."""
+    read = []
+    receive = ProblemRequestHandler.data_received
+
+    def receive_recorded(connection, data):
+        read.append(data)
+        receive(connection, data)
+
+    monkeypatch.setattr(ProblemRequestHandler, "data_received", receive_recorded)
+    answered = []
+
+    async def async_call():
+        with contextlib.suppress(OSError):
+            stream = await loopback.async_open()
+            await asyncio.sleep(0.01)
+            if await loopback.async_get(stream, "/healthz"):
+                answered.append(stream)
+
+    async def async_close():
+        await asyncio.sleep(0.1)
+        await loopback.runner.async_close_answered()
+        await loopback.runner.cleanup()
+
+    async with asyncio.TaskGroup() as calls:
+        closing = asyncio.create_task(async_close())
+        while not closing.done():
+            calls.create_task(async_call())
+            await asyncio.sleep(0.001)
+    assert read
+    assert len(answered) == len(read)
