Answer what was read during a stall before a stopping host exits

Cause: a delay of the loop was taken off the grace whenever it came, as if the signal had waited for it too. After a stall of 1.2 s the host took its grace for over, closed and exited in one step, with five requests read and no step left in which to answer them (connections_closing: answering 5, and daemon_stopped a millisecond later).

Now only the delay that the loop had when it handled the signal shortens the grace. A later one brings the end of listening forward, never the exit, and the loop runs between two phases.

--- a/packages/core/greengagepoint/draining/shutdown.py
+++ b/packages/core/greengagepoint/draining/shutdown.py
@@ -17,7 +17,7 @@
 # it exits. The latter is for writing the log and for the end of the process.
 CLOSE_RESERVE_SECONDS: Final = 0.7
 EXIT_RESERVE_SECONDS: Final = 0.3
-# Both reserves allow for an event loop that is late by this.
+# The reserves allow for an event loop that is late by this.
 LOOP_DELAY_RESERVE_SECONDS: Final = 0.1
 
 
@@ -55,16 +55,24 @@
 class Shutdown:
     """The stop of one host, which is killed ``grace_seconds`` after its signal.
 
-    ``loop_delay_seconds`` is the longest delay of the event loop beyond the reserve,
-    ``reason`` is why the last phase ended.
+    ``signal_delay_seconds`` is how late the event loop ran when it handled the signal,
+    which has waited as long; ``loop_delay_seconds`` is its longest delay since. Both
+    are beyond the reserve. ``reason`` is why the last phase ended.
     """
 
     began_at: float
     grace_seconds: float
+    signal_delay_seconds: float = 0.0
     loop_delay_seconds: float = 0.0
     phase: ShutdownPhase = ShutdownPhase.ACCEPTING
     reason: EndReason = EndReason.ANSWERED
 
+    @property
+    def reject_at(self) -> float:
+        """Return when the host begins to reject requests."""
+        accepting_seconds = self.grace_seconds * ACCEPTING_FRACTION
+        return self.began_at + accepting_seconds - self.signal_delay_seconds
+
     @property
     def close_at(self) -> float:
         """Return when the host stops listening at the latest."""
@@ -72,27 +80,35 @@
 
     @property
     def exit_at(self) -> float:
-        """Return when the process exits at the latest."""
+        """Return when the process exits at the latest.
+
+        To exit earlier because the event loop is late would leave requests unanswered
+        for nothing.
+        """
         return self._before_grace(EXIT_RESERVE_SECONDS)
 
     def _before_grace(self, seconds: float) -> float:
-        """Return the time so long before the end of the grace.
+        """Return the time so long before the end of the grace."""
+        grace_seconds = self.grace_seconds - self.signal_delay_seconds
+        return self.began_at + grace_seconds - seconds
 
-        The signal has waited for the event loop, so the grace began before the stop.
-        """
-        return self.began_at + self.grace_seconds - self.loop_delay_seconds - seconds
+
+def create_shutdown(
+    now: float, grace_seconds: float, signal_delay_seconds: float
+) -> Shutdown:
+    """Return the stop of a host whose event loop ran late when the signal came."""
+    delay = _beyond_reserve(signal_delay_seconds, grace_seconds)
+    return Shutdown(now, grace_seconds, delay, delay)
 
 
 def advance(shutdown: Shutdown, inputs: ShutdownInputs) -> ShutdownPhase:
     """Advance a stop by one phase at most, and return its phase."""
-    delay = inputs.loop_delay_seconds - LOOP_DELAY_RESERVE_SECONDS
-    delay = max(delay, shutdown.loop_delay_seconds)
-    shutdown.loop_delay_seconds = min(delay, shutdown.grace_seconds / 4)
+    delay = _beyond_reserve(inputs.loop_delay_seconds, shutdown.grace_seconds)
+    shutdown.loop_delay_seconds = max(delay, shutdown.loop_delay_seconds)
     now = inputs.now
     owes = bool(inputs.in_flight) or owes_answers(inputs.connections)
     if shutdown.phase is ShutdownPhase.ACCEPTING:
-        accepting_seconds = shutdown.grace_seconds * ACCEPTING_FRACTION
-        if now >= shutdown.began_at + accepting_seconds - shutdown.loop_delay_seconds:
+        if now >= shutdown.reject_at:
             shutdown.phase = ShutdownPhase.REJECTING
     elif shutdown.phase is ShutdownPhase.REJECTING:
         is_quiet = not owes and now - inputs.last_request_at >= QUIET_SECONDS
@@ -117,3 +133,9 @@
     """Begin the next phase."""
     shutdown.phase = phase
     shutdown.reason = EndReason.ANSWERED if is_answered else EndReason.OUT_OF_TIME
+
+
+def _beyond_reserve(delay_seconds: float, grace_seconds: float) -> float:
+    """Return a delay as far as the reserves don't allow for it, within bounds."""
+    delay = max(0.0, delay_seconds - LOOP_DELAY_RESERVE_SECONDS)
+    return min(delay, grace_seconds / 4)
--- a/packages/node/greengagepoint_node/gateway/host_stop.py
+++ b/packages/node/greengagepoint_node/gateway/host_stop.py
@@ -11,6 +11,7 @@
     ShutdownInputs,
     ShutdownPhase,
     advance,
+    create_shutdown,
 )
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
@@ -48,13 +49,13 @@
 
         ``delay_seconds`` is how late the event loop ran when the signal came.
         """
-        shutdown = Shutdown(self.clock.monotonic(), grace_seconds)
+        shutdown = create_shutdown(self.clock.monotonic(), grace_seconds, delay_seconds)
         while shutdown.phase is not ShutdownPhase.ENDED:
             left = self._connections_left(shutdown.phase)
             before = shutdown.phase
             if advance(shutdown, self._inputs(left, delay_seconds)) is not before:
                 await self._async_enter(shutdown, left)
-                continue
+            # After a stall, what was read meanwhile is answered in the next steps.
             slept_at = self.clock.monotonic()
             await asyncio.sleep(POLL_SECONDS)
             delay_seconds = self.clock.monotonic() - slept_at - POLL_SECONDS
--- a/packages/standins/greengagepoint_standins/users_platform/stop_checks.py
+++ b/packages/standins/greengagepoint_standins/users_platform/stop_checks.py
@@ -17,6 +17,8 @@
 LAST_PART: Final = 5 / 6
 EARLY_SECONDS: Final = 3.0
 CONTACT_SECONDS: Final = 3.0
+# A test that stood still for longer can't tell whether an answer came in time.
+OWN_DELAY_MAX: Final = 0.5
 
 
 class Word(NamedTuple):
@@ -27,8 +29,18 @@
     until: float
 
 
+class Delay(NamedTuple):
+    """How late the event loop of the test ran at a time; monotonic seconds."""
+
+    at: float
+    seconds: float
+
+
 class Evidence(NamedTuple):
-    """All that is known of a run after it has ended."""
+    """All that is known of a run after it has ended.
+
+    ``own_delays`` are those of the test, whose callers and servers saw all else.
+    """
 
     sent: list[Sent]
     nodes: list[Node]
@@ -37,6 +49,11 @@
     grace_seconds: float
     drain_seconds: float
     answer_seconds: float
+    own_delays: list[Delay]
+
+    def own_delay(self, since: float, until: float) -> float:
+        """Return for how long the test itself stood still within a time."""
+        return sum(row.seconds for row in self.own_delays if since <= row.at <= until)
 
 
 def life_of(evidence: Evidence, row: Sent) -> ProcessLife | None:
@@ -59,6 +76,9 @@
         run = runs.get(row.request_id)
         if life is None or not _was_read(row, run) or _is_excused(evidence, life, run):
             continue
+        is_late = evidence.own_delay(row.sent_at, row.ended_at) > OWN_DELAY_MAX
+        if row.ending is Ending.TIMED_OUT and is_late:
+            continue
         found.append(_describe(row, life, run))
     return found
 
@@ -69,7 +89,8 @@
         f"{row.request_id} at {row.host}: {row.begun_at - row.sent_at:.2f} s"
         for row in evidence.sent
         if row.begun_at is not None
-        and row.begun_at - row.sent_at > evidence.answer_seconds
+        and row.begun_at - row.sent_at - evidence.own_delay(row.sent_at, row.begun_at)
+        > evidence.answer_seconds
     ]
 
 
@@ -103,7 +124,8 @@
     found = []
     for word in evidence.words:
         for received in backends[word.instance].received:
-            late = received.at - word.at
+            own_delay = evidence.own_delay(received.at - 1.0, received.at)
+            late = received.at - word.at - own_delay
             if not evidence.drain_seconds < late < word.until - word.at:
                 continue
             row = hosts.get(request_id(received))
