End a watch that hangs once a check tells that the history is lost

Callers saw nothing of it; the store got some hundred refused calls.

Cause: only changes ended the reads, and a lost history, which is an answer, left the hanging watch in the set. It ends them now.

--- a/packages/node/greengagepoint_node/gateway/follower.py
+++ b/packages/node/greengagepoint_node/gateway/follower.py
@@ -190,8 +190,8 @@
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for call in done:
-                    changes = self._end_read(calls.pop(call), call)
-                    if changes is not None or not calls:
+                    is_answered = self._end_read(calls.pop(call), call)
+                    if is_answered or not calls:
                         return call.result()
         finally:
             self.reads.cancel()
@@ -222,14 +222,15 @@
             self.reads.start(read, now)
             calls[asyncio.create_task(call)] = read
 
-    def _end_read(self, read: Read, call: asyncio.Task[Changes]) -> Changes | None:
-        """Return what a read has brought, or None if it failed."""
-        if call.exception() is None:
-            self.reads.end(read, answered=True)
-            return call.result()
-        # A store that has dropped its history has answered.
-        self.reads.end(read, answered=isinstance(call.exception(), HistoryLostError))
-        return None
+    def _end_read(self, read: Read, call: asyncio.Task[Changes]) -> bool:
+        """Record how a read has ended; return True if the store has answered it.
+
+        A store that has dropped its history has answered, too.
+        """
+        error = call.exception()
+        is_answered = error is None or isinstance(error, HistoryLostError)
+        self.reads.end(read, answered=is_answered)
+        return is_answered
 
     def _must_read_all(self) -> bool:
         """Return True if all keys are to be read, not only servers' entries."""
--- a/packages/node/tests/test_gateway_follower.py
+++ b/packages/node/tests/test_gateway_follower.py
@@ -125,6 +125,22 @@
     assert view.revision == 9
 
 
+async def test_lost_history_ends_a_watch_that_hangs(monkeypatch):
+    """Told by a check beside the watch, a host asked for the lost history again."""
+    monkeypatch.setattr(module, "WATCH_SECONDS", 0.05)
+    store = Script(Snapshot((), 4), None, HistoryLostError(), Snapshot((), 9))
+    view = FleetView(ZONES, lambda item: None, EventLog())
+    follower = StoreFollower(
+        store, view, SystemClock(), random.Random(1), EventLog(), Peers()
+    )
+    task = asyncio.create_task(follower.async_run())
+    await async_until(lambda: view.revision == 9)
+    await asyncio.sleep(0.02)
+    task.cancel()
+    reads = [("snapshot",), ("changes", 4), ("check", 4), ("snapshot",), ("changes", 9)]
+    assert store.calls == reads
+
+
 async def test_an_outage_is_logged_once_and_following_continues(monkeypatch):
     calls, lines, view = await async_follow(
         monkeypatch,
