Kill no process in the soak that has ended by itself

The test had stood still past the end of a grace; its timeout came after the process had ended, and kill() finds no process then. It looks first now.

--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -147,8 +147,10 @@
             async with asyncio.timeout(grace_seconds):
                 await self.process.wait()
         except TimeoutError:
-            life.is_killed = True
-            self.process.kill()
+            # A test that stood still sees the timeout after the end of the process.
+            if self.process.returncode is None:
+                life.is_killed = True
+                self.process.kill()
         await self.ending
         await self.reading
 
