--- a/review/5/case.py
+++ b/review/5/case.py
@@ -14,7 +14,11 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from greengagepoint_standins.users_platform.backend import request_id
+from greengagepoint_standins.users_platform.backend import (
+    PlatformBackend,
+    Received,
+    request_id,
+)
 from greengagepoint_standins.users_platform.daemons import (
     HOST,
     SERVICE,
@@ -63,6 +67,20 @@
     memory: float
 
 
+class UploadServer(PlatformBackend):
+    """A server that keeps no bodies, so that the script's own memory stays small."""
+
+    async def _async_answer(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answer one request; tell whether the connection goes on."""
+        self.received.clear()
+        return await super()._async_answer(request._replace(body=b""), reader, writer)
+
+
 def memory_mb(pid: int) -> float:
     """Return the resident memory of a process in MiB, 0 if it is gone."""
     try:
@@ -180,6 +198,8 @@
 
 async def async_play(fleet: Fleet, log: list[Exchange], ends: list[End]) -> None:
     """Let callers look up and upload at all hosts while the platform watches."""
+    for server in fleet.backends:
+        server.__class__ = UploadServer
     configure(fleet)
     await asyncio.sleep(QUIET_SECONDS)
     until = time.monotonic() + PLAY_SECONDS
