--- a/review/5/case.py
+++ b/review/5/case.py
@@ -29,15 +29,40 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Settings of a machine of rsf-hq, as `fleetbench wire` shows them.
+LIMITS = {
+    "cpuShare": 0.86,
+    "cpus": 1,
+    "memoryMb": 300,
+    "maxFds": 4100,
+    "linkMbps": 1000.0,
+    "diskMb": 0,
+}
+BOUNDS = {
+    "contactS": 3,
+    "drainS": 2,
+    "graceS": 6,
+    "lossSlackS": 0.2,
+    "configApplyS": 2,
+    "rollbackSlackS": 0.25,
+    "retryBudgetRatio": 0.2,
+    "budgetWindowS": 10,
+    "budgetSlack": 62,
+    "coldOvershoot": 1.5,
+    "coldSlack": 5,
+    "evacuateS": 5,
+}
 MEBIBYTE = 1024 * 1024
 # The platform's limit for a process (`limits.memoryMb` of its settings), in MiB.
-MEMORY_MB = 300
+MEMORY_MB = LIMITS["memoryMb"]
 # The operator's limit for a request (`limits.maxBodyBytes` of the configuration).
 BODY_BYTES_MAX = 64 * MEBIBYTE
 BODY_BYTES = 60 * MEBIBYTE if TROUBLE else MEBIBYTE
 PIECE_BYTES = MEBIBYTE // 4
 UPLOADERS = 2
-UPLOAD_SECONDS = 10.0
+# The deadline of `red-tag-order` on rsf-hq.
+DEADLINE_SECONDS = 4.0
+SLOTS = 8
 LOOK_UP_CALLERS = 4
 LOOK_UP_PAUSE_SECONDS = 0.05
 QUIET_SECONDS = 3.0
@@ -78,9 +103,15 @@
     ) -> bool:
         """Answer one request; tell whether the connection goes on."""
         self.received.clear()
+        self.load = f"1,0,{SLOTS}"
         return await super()._async_answer(request._replace(body=b""), reader, writer)
 
 
+def prepare(node: Node, _: list[PlatformBackend]) -> None:
+    """Give a daemon the settings of the site."""
+    node.document.update(limits=LIMITS, bounds=BOUNDS, heartbeatS=1.5)
+
+
 def memory_mb(pid: int) -> float:
     """Return the resident memory of a process in MiB, 0 if it is gone."""
     try:
@@ -103,11 +134,11 @@
             "match": {"pathPrefix": prefix},
             "action": {
                 "service": SERVICE,
-                "timeoutS": UPLOAD_SECONDS,
+                "timeoutS": DEADLINE_SECONDS,
                 "maxAttempts": 2,
             },
         }
-        for kind, prefix in (("safe", "/bays/"), ("upload", "/files/"))
+        for kind, prefix in (("safe", "/bays/"), ("unsafe", "/files/"))
     ]
     limits = {
         "maxHeaderBytes": 16384,
@@ -155,7 +186,7 @@
         f"{method} {target} HTTP/1.1",
         f"Host: {HOST}",
         f"X-Greengagepoint-Request-Id: {name}",
-        f"X-Greengagepoint-Deadline-Ms: {UPLOAD_SECONDS * 1000:.0f}",
+        f"X-Greengagepoint-Deadline-Ms: {DEADLINE_SECONDS * 1000:.0f}",
         f"Content-Length: {length}",
     )
     return "\r\n".join((*lines, "", "")).encode()
@@ -179,7 +210,7 @@
             for start in range(0, size, PIECE_BYTES):
                 writer.write(piece[: size - start])
                 await writer.drain()
-            async with asyncio.timeout(UPLOAD_SECONDS):
+            async with asyncio.timeout(DEADLINE_SECONDS + 1):
                 status = await async_read_status(reader)
         except ConnectionRefusedError:
             # Its process starts again; the request was not sent.
@@ -210,7 +241,7 @@
                 tasks.create_task(async_send(fleet, node, "safe", 0, until, log))
             for _ in range(UPLOADERS):
                 tasks.create_task(
-                    async_send(fleet, node, "upload", BODY_BYTES, until, log)
+                    async_send(fleet, node, "unsafe", BODY_BYTES, until, log)
                 )
 
 
@@ -259,7 +290,7 @@
     log: list[Exchange] = []
     ends: list[End] = []
     with tempfile.TemporaryDirectory() as folder:
-        async with async_fleet(ROOT, Path(folder)) as fleet:
+        async with async_fleet(ROOT, Path(folder), prepare=prepare) as fleet:
             await async_play(fleet, log, ends)
             return report(fleet, log, ends)
 
