--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,312 +1,335 @@
-"""Callers send large bodies, within the limits of the configuration.
+"""A host that stood still for a second accepts a revoked key for good.
 
-The platform kills a process that exceeds its memory, and starts it again.
+Three hosts in two regions, with tenants and strictRevoke. While the only host of one
+region is stopped for a second, two configurations come in quick succession: the first
+changes a time-out, the second takes a key away. With TROUBLE=0 nothing is stopped.
 """
 
 import asyncio
+import base64
+import json
 import os
-import random
 import signal
 import sys
 import tempfile
 import time
-from collections import Counter
 from pathlib import Path
-from typing import NamedTuple
-
-from greengagepoint_standins.users_platform.backend import (
-    PlatformBackend,
-    Received,
-    request_id,
-)
-from greengagepoint_standins.users_platform.daemons import (
-    HOST,
-    SERVICE,
-    Fleet,
-    Node,
-    async_fleet,
-)
-
-ROOT = Path(__file__).resolve().parents[2]
+from typing import Any
+
+import aiohttp
+
+from greengagepoint_standins.users_platform.backend import PlatformBackend, request_id
+from greengagepoint_standins.users_platform.daemons import Node
+from greengagepoint_standins.users_platform.store import PlatformStore
+
+HERE = Path(__file__).parent
+ROOT = HERE.parents[1]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Settings of a machine of rsf-hq, as `fleetbench wire` shows them.
-LIMITS = {
-    "cpuShare": 0.86,
-    "cpus": 1,
-    "memoryMb": 300,
-    "maxFds": 4100,
-    "linkMbps": 1000.0,
-    "diskMb": 0,
-}
+
+HOST = "a.example"
+SERVICE = "booking"
+HOSTS = (("n1", "z-a"), ("n2", "z-a"), ("n3", "z-b"))
+STOPPED = 2
+
+# The configuration has grown by many routes (big_config, 1,400 at a time) three times.
+ROUTES = 3 * 1400
+VALUE_BYTES_MAX = 1_048_576
+
+STOP_SECONDS = 1.0
+FIRST_CHANGE_SECONDS = 0.2
+# The pause between changes in quick succession (config_storm).
+GAP_SECONDS = 0.33
+REVOKE_SECONDS = 5.0
 BOUNDS = {
-    "contactS": 3,
-    "drainS": 2,
+    "seedLagS": 3,
+    "addrReuseS": 2,
+    "contactS": 4,
+    "ackS": 5,
+    "drainS": 3,
     "graceS": 6,
-    "lossSlackS": 0.2,
-    "configApplyS": 2,
-    "rollbackSlackS": 0.25,
+    "configApplyS": 3,
+    "strictRevoke": True,
+    "revokeS": REVOKE_SECONDS,
     "retryBudgetRatio": 0.2,
     "budgetWindowS": 10,
-    "budgetSlack": 62,
-    "coldOvershoot": 1.5,
-    "coldSlack": 5,
-    "evacuateS": 5,
+    "budgetSlack": 204,
+    "quotaWindowS": 5,
+    "quotaOvershoot": 0.1,
+    "quotaSlack": 20,
 }
-MEBIBYTE = 1024 * 1024
-# The platform's limit for a process (`limits.memoryMb` of its settings), in MiB.
-MEMORY_MB = LIMITS["memoryMb"]
-# The operator's limit for a request (`limits.maxBodyBytes` of the configuration).
-BODY_BYTES_MAX = 64 * MEBIBYTE
-BODY_BYTES = 60 * MEBIBYTE if TROUBLE else MEBIBYTE
-PIECE_BYTES = MEBIBYTE // 4
-UPLOADERS = 2
-# The deadline of `red-tag-order` on rsf-hq.
-DEADLINE_SECONDS = 4.0
-SLOTS = 8
-LOOK_UP_CALLERS = 4
-LOOK_UP_PAUSE_SECONDS = 0.05
-QUIET_SECONDS = 3.0
-PLAY_SECONDS = 45.0
-POLL_SECONDS = 0.01
-RESTART_SECONDS = 1.0
-# More than these end by themselves: a tenth of the machines, two at least, three times.
-MACHINES_MIN = 2
-ENDS_MIN = 3
-
-
-class Exchange(NamedTuple):
-    """A request, and its answer's status, 0 if the connection ended first."""
-
-    at: float
-    host: str
-    kind: str
-    request_id: str
-    status: int
-
-
-class End(NamedTuple):
-    """A process that the platform has killed for its memory, in MiB."""
-
-    at: float
-    host: str
-    memory: float
-
-
-class UploadServer(PlatformBackend):
-    """A server that keeps no bodies, so that the script's own memory stays small."""
-
-    async def _async_answer(
-        self,
-        request: Received,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> bool:
-        """Answer one request; tell whether the connection goes on."""
-        self.received.clear()
-        self.load = f"1,0,{SLOTS}"
-        return await super()._async_answer(request._replace(body=b""), reader, writer)
 
+LOOK_SECONDS = 0.25
+# If no host accepts the key so long after the change, the next round begins.
+EARLY_SECONDS = 2.5
+# Otherwise requests go on for so long after the bound.
+BEYOND_SECONDS = 4.0
+RUN_SECONDS = 75.0
+
+
+class Record:
+    """Write what was sent, answered and run to record.txt."""
+
+    def __init__(self) -> None:
+        self.began = time.monotonic()
+        self.file = (HERE / "record.txt").open("w")
+
+    def note(self, text: str) -> None:
+        """Write one line with its time."""
+        self.file.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
+        self.file.flush()
+
+
+class Operator:
+    """Write configurations to the store; return when each was acknowledged."""
+
+    def __init__(self, store: PlatformStore, record: Record) -> None:
+        self.store = store
+        self.record = record
+        self.version = 0
+
+    def configure(self, keys: list[str], timeout: float) -> float:
+        """Write the next version with the keys of the tenant."""
+        self.version += 3
+        prefixes = ["/bays/"] + [
+            f"/archive-of-the-month-{number:05d}/" for number in range(ROUTES)
+        ]
+        rules = [
+            {
+                "name": f"route-{number}",
+                "kind": "safe",
+                "targetLatencyS": 0.4,
+                "priority": 1,
+                "sticky": False,
+                "match": {"pathPrefix": prefix},
+                "action": {"service": SERVICE, "timeoutS": timeout, "maxAttempts": 2},
+            }
+            for number, prefix in enumerate(prefixes)
+        ]
+        tenant = {"name": "garage", "apiKeys": keys, "ratePerS": 0, "burst": 0}
+        document = {
+            "version": f"r{self.version}",
+            "listeners": [{"host": HOST, "rules": rules}],
+            "clusters": [{"name": SERVICE, "coldStartS": 1.0, "coldPerS": 50.0}],
+            "tenants": [tenant],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576},
+        }
+        value = json.dumps(document, separators=(",", ":")).encode()
+        assert len(value) <= VALUE_BYTES_MAX, len(value)
+        self.put("op/config", value)
+        acknowledged = time.monotonic()
+        self.record.note(
+            f"operator: r{self.version} acknowledged, {len(value)} bytes, keys {keys}"
+        )
+        return acknowledged
 
-def prepare(node: Node, _: list[PlatformBackend]) -> None:
-    """Give a daemon the settings of the site."""
-    node.document.update(limits=LIMITS, bounds=BOUNDS, heartbeatS=1.5)
+    def put(self, key: str, value: bytes) -> None:
+        """Write one value."""
+        self.store.items.put(key, base64.b64encode(value).decode())
 
 
-def memory_mb(pid: int) -> float:
-    """Return the resident memory of a process in MiB, 0 if it is gone."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0.0
-    for line in status.splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
-def configure(fleet: Fleet) -> None:
-    """Put a configuration with a route for look-ups and one for uploads."""
-    rules = [
-        {
-            "name": kind,
-            "kind": kind,
-            "targetLatencyS": 0.4,
-            "match": {"pathPrefix": prefix},
-            "action": {
-                "service": SERVICE,
-                "timeoutS": DEADLINE_SECONDS,
-                "maxAttempts": 2,
-            },
+class Clients:
+    """Send requests with a key to each host, and keep when each was sent."""
+
+    def __init__(
+        self,
+        name: str,
+        nodes: list[Node],
+        session: aiohttp.ClientSession,
+        record: Record,
+    ) -> None:
+        self.name = name
+        self.nodes = nodes
+        self.session = session
+        self.record = record
+        self.count = 0
+        self.sent: dict[str, tuple[float, str, str]] = {}
+
+    async def async_send(self, node: Node, key: str) -> int:
+        """Send one request; return its status, 0 without an answer."""
+        self.count += 1
+        name = f"{self.name}-{self.count}"
+        headers = {
+            "Host": HOST,
+            "X-Greengagepoint-Request-Id": name,
+            "X-Greengagepoint-Deadline-Ms": "2000",
+            "Authorization": f"Bearer {key}",
         }
-        for kind, prefix in (("safe", "/bays/"), ("unsafe", "/files/"))
-    ]
-    limits = {
-        "maxHeaderBytes": 16384,
-        "maxBodyBytes": BODY_BYTES_MAX,
-        "headerTimeoutS": 3,
-        "idleTimeoutS": 15,
-    }
-    document = {
-        "version": "r100",
-        "limits": limits,
-        "listeners": [{"host": HOST, "rules": rules}],
-        "clusters": [{"name": SERVICE, "coldStartS": 1.0, "coldPerS": 50.0}],
-    }
-    fleet.put("op/config", document)
-
-
-async def async_limit_memory(node: Node, until: float, ends: list[End]) -> None:
-    """Kill a process that exceeds its memory and start it again, as the platform."""
-    while time.monotonic() < until:
-        await asyncio.sleep(POLL_SECONDS)
-        used = memory_mb(node.process.pid)
-        if used <= MEMORY_MB:
-            continue
-        ends.append(End(time.monotonic(), node.name, used))
-        await node.async_kill()
-        await asyncio.sleep(RESTART_SECONDS)
-        await node.async_start()
-
-
-async def async_read_status(reader: asyncio.StreamReader) -> int:
-    """Return the status of the next answer, read to its end."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    length = 0
-    for line in head.split("\r\n"):
-        name, _, value = line.partition(":")
-        if name.lower() == "content-length":
-            length = int(value)
-    await reader.readexactly(length)
-    return int(head.split(" ")[1])
-
-
-def request_head(method: str, target: str, name: str, length: int) -> bytes:
-    """Return the head of a request."""
-    lines = (
-        f"{method} {target} HTTP/1.1",
-        f"Host: {HOST}",
-        f"X-Greengagepoint-Request-Id: {name}",
-        f"X-Greengagepoint-Deadline-Ms: {DEADLINE_SECONDS * 1000:.0f}",
-        f"Content-Length: {length}",
-    )
-    return "\r\n".join((*lines, "", "")).encode()
-
-
-async def async_send(
-    fleet: Fleet, node: Node, kind: str, size: int, until: float, log: list[Exchange]
-) -> None:
-    """Send one request after the other on a kept connection until a time."""
-    address, _, port = node.listen["front"].partition(":")
-    piece = b"x" * PIECE_BYTES
-    method, target = ("POST", "/files/a") if size else ("GET", "/bays/a")
-    writer: asyncio.StreamWriter | None = None
-    while time.monotonic() < until:
-        name = fleet.next_id()
-        at, status = time.monotonic(), 0
+        self.sent[name] = (time.monotonic(), node.name, key)
+        status = 0
         try:
-            if writer is None:
-                reader, writer = await asyncio.open_connection(address, int(port))
-            writer.write(request_head(method, target, name, size))
-            for start in range(0, size, PIECE_BYTES):
-                writer.write(piece[: size - start])
-                await writer.drain()
-            async with asyncio.timeout(DEADLINE_SECONDS + 1):
-                status = await async_read_status(reader)
-        except ConnectionRefusedError:
-            # Its process starts again; the request was not sent.
-            await asyncio.sleep(LOOK_UP_PAUSE_SECONDS)
-            continue
-        except (OSError, EOFError):
-            if writer is not None:
-                writer.close()
-            writer = None
-        log.append(Exchange(at, node.name, kind, name, status))
-        pause = LOOK_UP_PAUSE_SECONDS * random.uniform(0.5, 1.5)
-        await asyncio.sleep(pause)
-    if writer is not None:
-        writer.close()
-
-
-async def async_play(fleet: Fleet, log: list[Exchange], ends: list[End]) -> None:
-    """Let callers look up and upload at all hosts while the platform watches."""
-    for server in fleet.backends:
-        server.__class__ = UploadServer
-    configure(fleet)
-    await asyncio.sleep(QUIET_SECONDS)
-    until = time.monotonic() + PLAY_SECONDS
-    async with asyncio.TaskGroup() as tasks:
-        for node in fleet.nodes:
-            tasks.create_task(async_limit_memory(node, until, ends))
-            for _ in range(LOOK_UP_CALLERS):
-                tasks.create_task(async_send(fleet, node, "safe", 0, until, log))
-            for _ in range(UPLOADERS):
-                tasks.create_task(
-                    async_send(fleet, node, "unsafe", BODY_BYTES, until, log)
-                )
-
-
-def report(fleet: Fleet, log: list[Exchange], ends: list[End]) -> int:
-    """Write the record and return the exit code."""
-    ran: dict[str, str] = {}
-    for server in fleet.backends:
-        for row in server.ran:
-            ran[request_id(row)] = server.instance
-    by_host = Counter(row.host for row in ends)
-    faulty = [host for host, count in by_host.items() if count >= ENDS_MIN]
-    lost = [row for row in log if not row.status and row.request_id in ran]
-    statuses = Counter((row.kind, row.status) for row in log)
-    summary = [
-        f"trouble: {TROUBLE}; bodies of {BODY_BYTES} bytes, {UPLOADERS} at once on a "
-        f"host; allowed: {BODY_BYTES_MAX}",
-        f"requests by kind and status (0: no answer): {dict(statuses)}",
-        f"processes over {MEMORY_MB} MiB, by host: {dict(by_host)}",
-        f"hosts with {ENDS_MIN} or more (Fault from {MACHINES_MIN} on): {len(faulty)}",
-        f"requests run by a server whose connection ended without an answer: "
-        f"{len(lost)}",
+            async with self.session.get(
+                f"http://{node.listen['front']}/bays/1",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=2.5),
+            ) as answer:
+                await answer.read()
+                status = answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            pass
+        self.record.note(f"client: {name} to {node.name} with {key}: {status}")
+        return status
+
+    async def async_send_to_all(self, key: str) -> list[int]:
+        """Send one request to each host at once."""
+        return await asyncio.gather(*(self.async_send(row, key) for row in self.nodes))
+
+
+async def async_until_accepted(clients: Clients, key: str, seconds: float) -> None:
+    """Wait until each host accepts a key."""
+    async with asyncio.timeout(seconds):
+        while set(await clients.async_send_to_all(key)) != {200}:  # noqa: ASYNC110
+            await asyncio.sleep(LOOK_SECONDS)
+
+
+async def async_round(
+    number: int, node: Node, operator: Operator, clients: Clients, record: Record
+) -> tuple[str, float]:
+    """Make two changes, and send with the key that the second takes away.
+
+    Return that key, and when its removal was acknowledged.
+    """
+    kept, revoked = "key-kept", f"key-{number}"
+    operator.configure([kept, revoked], 2.0)
+    await async_until_accepted(clients, revoked, 10.0)
+    await asyncio.sleep(0.5 + 0.137 * number % 1.0)
+    if TROUBLE:
+        record.note(f"{node.name} is stopped")
+        node.process.send_signal(signal.SIGSTOP)
+    await asyncio.sleep(FIRST_CHANGE_SECONDS)
+    operator.configure([kept, revoked], 1.5)
+    await asyncio.sleep(GAP_SECONDS)
+    acknowledged = operator.configure([kept], 1.5)
+    await asyncio.sleep(STOP_SECONDS - FIRST_CHANGE_SECONDS - GAP_SECONDS)
+    if TROUBLE:
+        node.process.send_signal(signal.SIGCONT)
+        record.note(f"{node.name} goes on")
+    ends = REVOKE_SECONDS + BEYOND_SECONDS
+    while (since := time.monotonic() - acknowledged) < ends:
+        statuses = await clients.async_send_to_all(revoked)
+        if since > EARLY_SECONDS and 200 not in statuses:
+            break
+        await asyncio.sleep(LOOK_SECONDS)
+    return revoked, acknowledged
+
+
+def late_runs(
+    backends: list[PlatformBackend], clients: Clients, key: str, acknowledged: float
+) -> list[str]:
+    """Return the requests that ran though sent over revokeS after the removal."""
+    ran = {request_id(row) for backend in backends for row in backend.ran}
+    return [
+        name
+        for name, (sent, _, used) in clients.sent.items()
+        if used == key and name in ran and sent > acknowledged + REVOKE_SECONDS
     ]
-    began = min((row.at for row in log), default=0.0)
-    rows = [
-        (
-            row.at,
-            f"{row.kind} {row.request_id} to {row.host}: answered {row.status}, "
-            f"run by {ran.get(row.request_id, '-')}",
-        )
-        for row in log
-    ]
-    rows += [
-        (row.at, f"{row.host} has {row.memory:.0f} MiB and is killed") for row in ends
-    ]
-    lines = [f"{at - began:7.3f} s {text}" for at, text in sorted(rows)]
-    path = Path(__file__).with_name("record.txt")
-    path.write_text("\n".join([*summary, "", *lines]) + "\n")
-    print("\n".join(summary))
-    if not any(row.status == 200 for row in log):
-        return 2
-    return 1 if len(faulty) >= MACHINES_MIN else 0
-
-
-async def async_main() -> int:
-    """Run the case and return its exit code."""
-    log: list[Exchange] = []
-    ends: list[End] = []
-    with tempfile.TemporaryDirectory() as folder:
-        async with async_fleet(ROOT, Path(folder), prepare=prepare) as fleet:
-            await async_play(fleet, log, ends)
-            return report(fleet, log, ends)
 
 
-async def async_main_or_stop() -> int:
-    """Run the case; on SIGTERM, end the processes that it started."""
+def note_log(node: Node, record: Record) -> None:
+    """Note what a host has logged of its last configurations."""
+    rows = [row for row in node.lines if row["name"].startswith("configuration_")]
+    for row in rows[-6:]:
+        record.note(f"log of {node.name}: {json.dumps(row)}")
+
+
+async def async_rounds(
+    nodes: list[Node],
+    backends: list[PlatformBackend],
+    operator: Operator,
+    record: Record,
+) -> int:
+    """Play rounds until the rule is broken or the time is over."""
+    began = time.monotonic()
+    async with aiohttp.ClientSession() as session:
+        clients = Clients("id", nodes, session, record)
+        number = 0
+        while time.monotonic() - began < RUN_SECONDS:
+            number += 1
+            stopped = nodes[STOPPED]
+            key, acknowledged = await async_round(
+                number, stopped, operator, clients, record
+            )
+            late = late_runs(backends, clients, key, acknowledged)
+            for name in late:
+                sent, host, _ = clients.sent[name]
+                record.note(
+                    f"BROKEN: {name} with {key} was sent to {host}"
+                    f" {sent - acknowledged:.2f} s after the removal, and ran"
+                )
+            if late:
+                note_log(stopped, record)
+                record.note(f"CONFIG broken in round {number}, {len(late)} requests")
+                return 1
+            record.note(f"round {number}: held")
+    record.note(f"CONFIG held in {number} rounds")
+    return 0
+
+
+async def async_main(record: Record) -> int:
+    """Start the store, servers and hosts; return the exit code."""
+    store = PlatformStore()
+    await store.async_start()
+    operator = Operator(store, record)
+    backends = [PlatformBackend(f"i-{number}") for number in range(4)]
+    nodes: list[Node] = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            for number, backend in enumerate(backends):
+                await backend.async_start()
+                entry: dict[str, Any] = {
+                    "service": SERVICE,
+                    "address": backend.address,
+                    "zone": "z-a" if number < 2 else "z-b",
+                    "version": "1",
+                    "slots": 8,
+                    "state": "ready",
+                    "coldLeftS": 0,
+                    "sequence": 1,
+                }
+                key = f"servers/{backend.instance}"
+                operator.put(key, json.dumps(entry).encode())
+            operator.configure(["key-kept"], 2.0)
+            nodes += [
+                Node(ROOT, Path(folder), name, zone, store.address)
+                for name, zone in HOSTS
+            ]
+            for node in nodes:
+                node.document["seeds"] = [row.listen["control"] for row in nodes]
+                node.document["bounds"] = BOUNDS
+                node.document["heartbeatS"] = 1.5
+                await node.async_start()
+            async with aiohttp.ClientSession() as session:
+                clients = Clients("start", nodes, session, record)
+                await async_until_accepted(clients, "key-kept", 20.0)
+            await asyncio.sleep(3.0)
+            return await async_rounds(nodes, backends, operator, record)
+        finally:
+            for node in nodes:
+                await node.async_kill()
+                node.give_back()
+            for backend in backends:
+                await backend.async_stop()
+            await store.async_stop()
+
+
+async def async_until_stopped(record: Record) -> int:
+    """Run the case, and end what it has started when it is told to stop."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await async_main()
+    return await async_main(record)
 
 
-if __name__ == "__main__":
+def main() -> None:
+    """Run the case; any failure of the case itself exits with 2."""
+    record = Record()
     try:
-        code = asyncio.run(async_main_or_stop())
-    except (Exception, asyncio.CancelledError) as error:
-        print(f"the case could not run: {error!r}")
+        code = asyncio.run(async_until_stopped(record))
+    except (Exception, asyncio.CancelledError) as error:  # noqa: BLE001
+        record.note(f"the case couldn't run: {error!r}")
         code = 2
+    record.note(f"exit {code}")
     sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
