Log answers that can't be written to their caller

Two hypotheses of the incident could not be told apart: a request whose answer raised while it was written left no line with its id, only a traceback of the HTTP library on standard error, and the requests behind it were logged as cancelled by their caller. Event 2023 (answer_not_written) names the request, its status, how many bytes had been written and how many requests wait behind it on the connection. What callers get is unchanged.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -50,6 +50,7 @@
     RELAY_REJECTED = 2020
     REQUEST_UNANSWERED = 2021
     LATE_REQUEST_DECIDED = 2022
+    ANSWER_NOT_WRITTEN = 2023
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -203,6 +204,9 @@
     Event.LATE_REQUEST_DECIDED: EventType(
         Level.INFO, "A stopping host has decided whether to send a request."
     ),
+    Event.ANSWER_NOT_WRITTEN: EventType(
+        Level.WARNING, "An answer could not be written to its caller."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -122,6 +122,10 @@
             heads.insert(0, self._current_request.headers)
         return [head.get(self.answerer.names.request_id, "") for head in heads]
 
+    def request_id(self, request: web.BaseRequest) -> str:
+        """Return the id of a request, empty if it has none."""
+        return request.headers.get(self.answerer.names.request_id, "")
+
     def _record_discarded(self, data: bytes) -> None:
         """Log that bytes were read after the connection had been closed."""
         self.events.record(
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -29,6 +29,7 @@
 LINGERING_SECONDS: Final = 2.0
 SHUTDOWN_SECONDS: Final = 1.0
 SWEEP_SECONDS: Final = 0.02
+LOGGED_CHARACTERS_MAX: Final = 200
 # Connections above the limit that stay open until a request on them is rejected; any
 # more are closed at once.
 EXCESS_CONNECTIONS_MAX: Final = 256
@@ -105,6 +106,32 @@
         """Return the ids of the requests without a whole answer, if they have any."""
         return []
 
+    def request_id(self, request: web.BaseRequest) -> str:
+        """Return the id of a request, empty if it has none."""
+        return ""
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response, and log one that can't be written."""
+        try:
+            return await super().finish_response(request, resp, start_time)
+        except ConnectionError:
+            raise
+        except Exception as error:
+            self.events.record(
+                Event.ANSWER_NOT_WRITTEN,
+                request_id=self.request_id(request),
+                status=resp.status,
+                bytes_written=request.writer.output_size,
+                requests_behind=len(self._messages),
+                detail=repr(error)[:LOGGED_CHARACTERS_MAX],
+            )
+            raise
+
     def close_if_idle(self) -> None:
         """Close the connection; its first request did not arrive in time."""
         if self.transport is None or not may_close(self.state()):
