Reproduce requests that a spoilt answer leaves unanswered

A control character in the reason phrase or in a header value of one answer ends its caller's connection: none of three requests on it is answered, though servers ran all.

--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -75,6 +75,7 @@
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
     ``plain_status`` and ``plain_headers`` are those of answers in the plain manner.
+    ``spoil`` changes the heads of answers to targets that end with ``spoilt_path``.
     ``leaving_told`` are the times and requests of answers that say that it leaves,
     ``leaving_periods`` the times in which they say so,
     ``rests`` those of rejections with a ``retry_after``.
@@ -92,6 +93,8 @@
         self.health_path = ""
         self.plain_status = "404 Not Found"
         self.plain_headers: tuple[str, ...] = ()
+        self.spoilt_path = ""
+        self.spoil: Callable[[bytes], bytes] = bytes
         self.rests: list[RestAsked] = []
         self.limits: tuple[str, ...] = ()
         self.leaving_told: list[tuple[float, str]] = []
@@ -223,7 +226,9 @@
         if self.leaving:
             self.leaving_told.append((time.monotonic(), request_id(request)))
             lines.append("Server-Leaving: 1")
-        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode()
+        is_spoilt = self.spoilt_path and request.target.endswith(self.spoilt_path)
+        return self.spoil(head) if is_spoilt else head
 
     def _shed_lines(self, request: Received) -> bytes:
         """Return the last headers of a rejection, and keep when it asked for rest."""
