Answer connections that wait to be accepted as a stopping host closes

Callers of a stopping host saw their connection reset while connecting: the kernel resets what waits in the accept queue as the listening socket closes, together with the requests that were sent on it.

The new test fails before with ConnectionResetError.

--- a/packages/node/greengagepoint_node/gateway/listeners.py
+++ b/packages/node/greengagepoint_node/gateway/listeners.py
@@ -62,6 +62,7 @@
         self.server = ProblemServer(self._async_dispatch, events, limits, connection)
         self.runner = ProblemServerRunner(self.server)
         self.site: web.SockSite | None = None
+        self.sock: socket.socket | None = None
 
     async def async_start(self) -> None:
         """Start to listen."""
@@ -73,6 +74,7 @@
         sock.bind((host, int(port)))
         sock.setblocking(False)
         await self.runner.setup()
+        self.sock = sock
         self.site = web.SockSite(self.runner, sock, backlog=BACKLOG)
         await self.site.start()
 
@@ -83,9 +85,30 @@
 
     async def async_stop_accepting(self) -> None:
         """Stop accepting connections; those that are open go on."""
-        if self.site is not None:
-            await self.site.stop()
-            self.site = None
+        if self.site is None:
+            return
+        site, self.site = self.site, None
+        queued = self._accept_queued()
+        await site.stop()
+        loop = asyncio.get_running_loop()
+        for connection in queued:
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(self.server, connection)
+
+    def _accept_queued(self) -> list[socket.socket]:
+        """Return the connections that wait to be accepted.
+
+        The kernel resets them as the socket closes, together with the requests that
+        their callers have sent.
+        """
+        assert self.sock is not None
+        queued: list[socket.socket] = []
+        with contextlib.suppress(OSError):
+            while len(queued) < BACKLOG:
+                connection, _ = self.sock.accept()
+                connection.setblocking(False)
+                queued.append(connection)
+        return queued
 
     async def async_close(self, seconds: float) -> None:
         """Close all connections within ``seconds``, after sending buffered data."""
--- a/packages/node/tests/test_gateway_stop.py
+++ b/packages/node/tests/test_gateway_stop.py
@@ -135,6 +135,21 @@
         assert (await env.async_call("/safe/1"))[0] == 200
 
 
+async def test_a_connection_in_the_accept_queue_is_answered_as_the_host_closes():
+    """The kernel reset connections that waited to be accepted as the socket closed."""
+    async with async_environment(servers=1) as env:
+        host, _, port = env.daemon.settings.front_address.rpartition(":")
+        # Blocking calls, so that the event loop accepts none of them before the close.
+        callers = [socket.create_connection((host, int(port))) for _ in range(20)]
+        for number, caller in enumerate(callers, 1):
+            caller.sendall(request(number))
+        await env.daemon.front.async_stop_accepting()
+        for caller in callers:
+            reader, writer = await asyncio.open_connection(sock=caller)
+            assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200 ")
+            writer.close()
+
+
 async def async_read_slowly(reader, seconds):
     """Read answers in small pieces for so long, and then the rest."""
     text = b""
