Play a call again whose test stood still until the host had closed

test_a_late_request_is_answered_or_rejected_but_never_cut_off has 0.15 s between its last calls and the close of the socket. Such a play is now made again, five times at most; one that is in time is held to the same status as before.

--- a/packages/node/tests/test_gateway_stop.py
+++ b/packages/node/tests/test_gateway_stop.py
@@ -11,6 +11,10 @@
 
 from greengagepoint_node.gateway.pipelining import PipelinedRequestHandler, find_header
 
+# The host closes 0.15 s after the last of the calls.
+LATE_SECONDS = 0.1
+PLAYS_MAX = 5
+
 
 async def test_a_request_in_flight_gets_its_whole_answer():
     async with async_environment(servers=1, seconds=0.5) as env:
@@ -40,16 +44,36 @@
     # Callers cache addresses for seconds, so some send while the host stops. One whose
     # request is in transit when the socket closes would not learn whether it ran. So
     # the host listens until it exits, and at the end rejects requests.
+    for _ in range(PLAYS_MAX):
+        answer = await async_call_while_stopping(path, method, after)
+        if answer is not None:
+            break
+    assert answer is not None
+    found, headers = answer
+    assert found == status
+    assert headers["Connection"] == "close"
+
+
+async def async_call_while_stopping(path, method, after):
+    """Return the answer to a call ``after`` seconds into a stop, None if it was late.
+
+    A call that a stalled event loop delays may meet a host that has closed.
+    """
     async with async_environment(servers=1) as env:
+        loop = asyncio.get_running_loop()
         stop = asyncio.create_task(env.daemon.async_stop())
+        began = loop.time()
         for _ in range(int(after / 0.3)):
             await env.async_call("/safe/1")
             await asyncio.sleep(0.3)
         await asyncio.sleep(after % 0.3)
-        found, _, headers = await env.async_call(path, method)
-        assert found == status
-        assert headers["Connection"] == "close"
+        is_late = loop.time() - began > after + LATE_SECONDS
+        answer = None
+        if not is_late:
+            found, _, headers = await env.async_call(path, method)
+            answer = found, headers
         await stop
+        return answer
 
 
 async def test_a_stopping_host_is_not_ready_and_not_listed():
