Keep a connection whose one answer can't be passed on

What callers saw: a request that a host had passed on ended without an answer, and so did every other pipelined request on its connection, though their servers were sound.

Cause: the parser of servers' answers accepts control characters in header values and in the reason phrase, the writer of answers refuses them. The error came after the request counted as answered, and was handled at the level of the connection. So was any other error of a handler, and a handler that was cancelled while its caller waited.

Change: greengagepoint.delivery.answer_heads decides by RFC 9110 and 9112 whether a head can be passed on, between the head and the body, for answers of servers and of peers. One that can't is no answer: it may have run, its connection closes, repeatable requests go to another server, and event 2024 names the request, the server, the place and the byte. In the product's own path, is_sendable now also finds control characters beside characters outside ASCII. A handler that raises or is cancelled gets 500 in its place, and an answer that can't be written 502, with the request's id; the connection closes only if a byte was written or the request's body was not read whole. Event 2023 tells of each.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -10,6 +10,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from greengagepoint.delivery.answer_heads import HeadFault, find_head_fault
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
@@ -63,7 +64,10 @@
 
 
 class Exchange(NamedTuple):
-    """Result of one attempt; the answer's fields are set if it can be relayed."""
+    """Result of one attempt; the answer's fields are set if it can be relayed.
+
+    ``fault`` is what keeps an answer's head from being passed on.
+    """
 
     verdict: Verdict
     detail: str = ""
@@ -72,6 +76,7 @@
     headers: CIMultiDict[str] | None = None
     body: bytes = b""
     load: str | None = None
+    fault: HeadFault | None = None
 
 
 class TimeLeft(NamedTuple):
@@ -273,9 +278,11 @@
         return Exchange(
             Verdict.FOREIGN, f"status {answer.status} without proof of origin"
         )
-    if "Content-Encoding" in headers or answer.status < 200:
+    if (unsendable := reject_head(answer)) is not None:
+        return unsendable
+    if "Content-Encoding" in headers:
         answer.close()
-        return Exchange(Verdict.BROKEN, "the answer is encoded or not final")
+        return Exchange(Verdict.BROKEN, "the answer is encoded")
     # Read only if needed: aiohttp creates the future on first access, and one that is
     # never awaited makes the event loop log a twelve-line traceback for each connection
     # that ends with an error.
@@ -296,6 +303,19 @@
     )
 
 
+def reject_head(answer: aiohttp.ClientResponse) -> Exchange | None:
+    """Close the connection of an answer that can't be written to a caller.
+
+    Return the result of its attempt, or None if the head can be passed on.
+    """
+    fault = find_head_fault(answer.status, answer.reason, answer.headers.items())
+    if fault is None:
+        return None
+    answer.close()
+    detail = f"the head can't be passed on: {fault}"
+    return Exchange(Verdict.BROKEN, detail, answer.status, fault=fault)
+
+
 def _closed_future(answer: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
     """Return the future that is done when the answer's connection closes."""
     connection = answer.connection
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -155,6 +155,7 @@
         self.counters.tries[call.service, exchange.verdict] += 1
         if exchange.verdict is Verdict.ANSWERED:
             return
+        log_head_fault(self.events, call, server.instance, exchange)
         self.events.record(
             Event.REQUEST_RETRIED,
             request_id=call.request_id,
@@ -219,6 +220,24 @@
         return round(self.clock.monotonic() - arrived_at, 3)
 
 
+def log_head_fault(
+    events: EventSink, call: Call, sender: str, exchange: Exchange
+) -> None:
+    """Log an answer of a server or a peer whose head can't be passed on."""
+    if exchange.fault is None:
+        return
+    events.record(
+        Event.ANSWER_REJECTED,
+        request_id=call.request_id,
+        **_call_fields(call),
+        sender=sender,
+        status=exchange.status,
+        part=exchange.fault.part,
+        where=exchange.fault.where,
+        character=exchange.fault.character,
+    )
+
+
 def _call_fields(call: Call | None) -> dict[str, str]:
     """Return the log fields of a request that was matched to a route."""
     if call is None:
--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -126,6 +126,17 @@
         """Return the id of a request, empty if it has none."""
         return request.headers.get(self.answerer.names.request_id, "")
 
+    def failure_response(self, request: web.BaseRequest, status: int) -> web.Response:
+        """Return the response to a request whose own response failed.
+
+        The request may have run.
+        """
+        headers = {self.answerer.names.request_id: self.request_id(request)}
+        return self.keep_in_step(
+            request,
+            web.Response(status=status, headers=headers, text="may have run\n"),
+        )
+
     def _record_discarded(self, data: bytes) -> None:
         """Log that bytes were read after the connection had been closed."""
         self.events.record(
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -31,6 +31,7 @@
     TimeLeft,
     Verdict,
     async_send_once,
+    reject_head,
 )
 from greengagepoint_node.gateway.host_table import HostTable
 from greengagepoint_node.gateway.late_requests import LateRequests
@@ -45,7 +46,7 @@
     HeaderNames,
 )
 from greengagepoint_node.gateway.news_ages import ViewFreshness
-from greengagepoint_node.gateway.outcomes import is_sampled
+from greengagepoint_node.gateway.outcomes import is_sampled, log_head_fault
 from greengagepoint_node.gateway.passing import RequestHeaders
 from greengagepoint_node.gateway.reach_monitor import ReachMonitor
 from greengagepoint_node.gateway.refusals import (
@@ -228,6 +229,7 @@
             self.skipped_until[peer.name] = now + FAILED_HOST_SKIP_SECONDS
         self.outcomes["sent", exchange.verdict] += 1
         is_usual = exchange.verdict is Verdict.ANSWERED and exchange.status < 300
+        log_head_fault(self.events, call, peer.name, exchange)
         if not is_usual or is_sampled(call.request_id):
             self.events.record(
                 Event.REQUEST_RELAYED,
@@ -341,6 +343,8 @@
     names: HeaderNames, answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
 ) -> Exchange:
     """Read a peer's whole response to a relayed request."""
+    if (unsendable := reject_head(answer)) is not None:
+        return unsendable
     result = answer.headers.get(RELAY_RESULT)
     body = await answer.read()
     if result == UNABLE:
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
+from aiohttp.http_writer import StreamWriter
 
 from greengagepoint.draining.connections import ConnectionState
 from greengagepoint.draining.shutdown import may_close
@@ -39,6 +40,10 @@
 BUFFERED_BODY_BYTES_MAX: Final = 8 * 1024 * 1024
 
 
+class HandlerCancelledError(Exception):
+    """Tell that a handler was cancelled whose caller still waits."""
+
+
 class ServerLimits(NamedTuple):
     """Limits on headers, connections and the wait for the first request."""
 
@@ -116,21 +121,62 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        """Write a response, and log one that can't be written."""
+        """Write a response, or an error in place of one that can't be written.
+
+        If a part of it was written, the connection closes, so that the caller sees a
+        broken response.
+        """
         try:
             return await super().finish_response(request, resp, start_time)
         except ConnectionError:
             raise
         except Exception as error:
-            self.events.record(
-                Event.ANSWER_NOT_WRITTEN,
-                request_id=self.request_id(request),
-                status=resp.status,
-                bytes_written=request.writer.output_size,
-                requests_behind=len(self._messages),
-                detail=repr(error)[:LOGGED_CHARACTERS_MAX],
-            )
-            raise
+            self._record_not_written(request, "write", resp.status, error)
+            if request.writer.output_size > 0:
+                raise
+        # The failed attempt may have set a length or chunks on the writer.
+        request._payload_writer = StreamWriter(self, asyncio.get_running_loop())
+        response = self.failure_response(request, 502)
+        return await super().finish_response(request, response, start_time)
+
+    def failure_response(self, request: web.BaseRequest, status: int) -> web.Response:
+        """Return the response to a request whose own response failed.
+
+        ``status`` is 500 for an unhandled error of this host.
+        """
+        error = GreengagepointError("An unexpected error was caught")
+        return self.keep_in_step(
+            request, problem_response(error, self.request_id(request))
+        )
+
+    def keep_in_step(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.Response:
+        """Let a response close the connection if the request was not read whole.
+
+        Otherwise, the rest of its body would delay the next request or be taken for it.
+        """
+        if not request.content.is_eof():
+            response.force_close()
+        return response
+
+    def _record_not_written(
+        self,
+        request: web.BaseRequest,
+        phase: str,
+        status: int,
+        error: BaseException | None,
+    ) -> None:
+        """Log that a request did not get its own response."""
+        self.events.record(
+            Event.ANSWER_NOT_WRITTEN,
+            request_id=self.request_id(request),
+            phase=phase,
+            status=status,
+            bytes_written=request.writer.output_size,
+            requests_behind=len(self._messages),
+            detail=repr(error)[:LOGGED_CHARACTERS_MAX],
+        )
 
     def close_if_idle(self) -> None:
         """Close the connection; its first request did not arrive in time."""
@@ -149,6 +195,9 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Respond to a malformed request or an unhandled error of a handler."""
+        is_own = status >= 500
+        if is_own and self.transport is not None and not self.transport.is_closing():
+            self._record_not_written(request, "handler", status, exc)
         if request.writer.output_size > 0:
             raise ConnectionError("The response has started; no error can be sent")
         error = _error_for_status(status, exc)
@@ -158,6 +207,8 @@
             else Event.REQUEST_MALFORMED
         )
         self.events.record(event, kind=error.kind, detail=repr(exc))
+        if is_own:
+            return self.failure_response(request, 500)
         response = problem_response(error)
         response.force_close()
         return response
@@ -174,7 +225,9 @@
         connection: type[ProblemRequestHandler] = ProblemRequestHandler,
     ) -> None:
         super().__init__(
-            handler, request_factory=_create_request, handler_cancellation=True
+            _contain_cancellation(handler),
+            request_factory=_create_request,
+            handler_cancellation=True,
         )
         self.events = events
         self.limits = limits
@@ -217,6 +270,26 @@
         return connection
 
 
+def _contain_cancellation(handler: Handler) -> Handler:
+    """Return a handler that fails if it is cancelled while its caller waits.
+
+    The HTTP library takes any cancellation for a caller that left, and closes the
+    connection with all requests on it.
+    """
+
+    async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
+        """Call the handler."""
+        try:
+            return await handler(request)
+        except asyncio.CancelledError as error:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            raise HandlerCancelledError("The handler was cancelled") from error
+
+    return async_handle
+
+
 def _create_request(
     message: RawRequestMessage,
     payload: aiohttp.StreamReader,
--- a/packages/node/greengagepoint_node/proxy/headers.py
+++ b/packages/node/greengagepoint_node/proxy/headers.py
@@ -2,6 +2,8 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy, MultiMapping
 
+from greengagepoint.delivery.answer_heads import is_value_valid
+
 CONNECTION = "Connection"
 
 
@@ -31,7 +33,9 @@
 
 def is_sendable(text: str) -> bool:
     """Tell whether text can be written into a header unchanged."""
-    if text.isascii():
-        return text.isprintable() or text.replace("\t", "").isprintable()
+    if not is_value_valid(text):
+        return False
     # Bytes that are not UTF-8 were read as lone surrogates.
-    return not any("\ud800" <= character <= "\udfff" for character in text)
+    return text.isascii() or not any(
+        "\ud800" <= character <= "\udfff" for character in text
+    )
