Pass bytes that are not UTF-8 on unchanged, or not at all

What callers saw: a byte above 0x7f that is not UTF-8 vanished from a header value or reason phrase of an answer (X-A: caf\xe9 became caf), and from a caller's header on its way to a server (Cookie, Authorization).

Cause: the HTTP library reads such bytes as lone surrogates and its writer drops them without an error.

Change: answers are written with HeadWriter, which writes them as they were read; a request with such a header is rejected with 400 before it is sent, as it was for the request id. Control characters and bytes above 0x7f in targets, and odd header names, were rejected by the parser already; no request was found that the client refuses to write. An answer 205 passes only with Content-Length: 0, since some callers read no content after it and would take it for the next answer.

--- a/packages/core/greengagepoint/delivery/answer_heads.py
+++ b/packages/core/greengagepoint/delivery/answer_heads.py
@@ -7,6 +7,7 @@
 
 FINAL_STATUS_MIN: Final = 200
 FINAL_STATUS_MAX: Final = 599
+RESET_CONTENT: Final = 205
 NAME_CHARACTERS_MAX: Final = 50
 
 # Allowed are HTAB, SP, VCHAR and obs-text.
@@ -23,6 +24,7 @@
     REASON = "reason"
     NAME = "name"
     VALUE = "value"
+    LENGTH = "length"
 
 
 class HeadFault(NamedTuple):
@@ -54,7 +56,7 @@
         and all(names)
         and is_value_valid(reason or "")
     ):
-        return None
+        return _find_length_fault(status, names, values)
     return _locate(reason or "", zip(names, values, strict=True))
 
 
@@ -64,6 +66,22 @@
     return text.isprintable() or _NOT_IN_VALUE.search(text) is None
 
 
+def _find_length_fault(
+    status: int, names: Iterable[str], values: Iterable[str]
+) -> HeadFault | None:
+    """Return the fault of a head that announces content which its status rules out.
+
+    Some callers read no content after this status, and would take it for the next
+    answer.
+    """
+    if status != RESET_CONTENT:
+        return None
+    for name, value in zip(names, values, strict=True):
+        if name.lower() == "content-length" and value == "0":
+            return None
+    return HeadFault(HeadPart.LENGTH, str(status))
+
+
 def _locate(reason: str, headers: Iterable[tuple[str, str]]) -> HeadFault:
     """Return the first fault of a head that has one."""
     if found := _NOT_IN_VALUE.search(reason):
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable
 from typing import Final, NamedTuple
 
 import aiohttp
 from aiohttp import web
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage
-from aiohttp.http_writer import StreamWriter
 
 from greengagepoint.draining.connections import ConnectionState
 from greengagepoint.draining.shutdown import may_close
@@ -21,10 +19,10 @@
 )
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.http.cancellation import Handler, contain_cancellation
+from greengagepoint_node.http.head_writer import HeadWriter
 from greengagepoint_node.http.problems import problem_response
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 SERVICE_PREFIX: Final = "/s/"
 KEEPALIVE_SECONDS: Final = 75.0
 LINGERING_SECONDS: Final = 2.0
@@ -40,10 +38,6 @@
 BUFFERED_BODY_BYTES_MAX: Final = 8 * 1024 * 1024
 
 
-class HandlerCancelledError(Exception):
-    """Tell that a handler was cancelled whose caller still waits."""
-
-
 class ServerLimits(NamedTuple):
     """Limits on headers, connections and the wait for the first request."""
 
@@ -135,7 +129,7 @@
             if request.writer.output_size > 0:
                 raise
         # The failed attempt may have set a length or chunks on the writer.
-        request._payload_writer = StreamWriter(self, asyncio.get_running_loop())
+        request._payload_writer = HeadWriter(self, asyncio.get_running_loop())
         response = self.failure_response(request, 502)
         return await super().finish_response(request, response, start_time)
 
@@ -225,7 +219,7 @@
         connection: type[ProblemRequestHandler] = ProblemRequestHandler,
     ) -> None:
         super().__init__(
-            _contain_cancellation(handler),
+            contain_cancellation(handler),
             request_factory=_create_request,
             handler_cancellation=True,
         )
@@ -270,26 +264,6 @@
         return connection
 
 
-def _contain_cancellation(handler: Handler) -> Handler:
-    """Return a handler that fails if it is cancelled while its caller waits.
-
-    The HTTP library takes any cancellation for a caller that left, and closes the
-    connection with all requests on it.
-    """
-
-    async def async_handle(request: web.BaseRequest) -> web.StreamResponse:
-        """Call the handler."""
-        try:
-            return await handler(request)
-        except asyncio.CancelledError as error:
-            task = asyncio.current_task()
-            if task is None or task.cancelling():
-                raise
-            raise HandlerCancelledError("The handler was cancelled") from error
-
-    return async_handle
-
-
 def _create_request(
     message: RawRequestMessage,
     payload: aiohttp.StreamReader,
@@ -301,15 +275,16 @@
 
     After a network partition, a host gets all items that it lacks in one message. If
     that was rejected for its size, every retry would be too, and the host would get no
-    more updates from its peers.
+    more updates from its peers. The library's ``writer`` is not used.
     """
+    loop = asyncio.get_running_loop()
     return web.BaseRequest(
         message,
         payload,
         protocol,
-        writer,
+        HeadWriter(protocol, loop),
         task,
-        asyncio.get_running_loop(),
+        loop,
         client_max_size=BUFFERED_BODY_BYTES_MAX,
     )
 
--- a/packages/node/greengagepoint_node/proxy/headers.py
+++ b/packages/node/greengagepoint_node/proxy/headers.py
@@ -25,6 +25,8 @@
     the next one would read another value, and refuses control characters only
     after the answer counts as given.
     """
+    if is_sendable("".join(headers.values())):
+        return None
     for name, value in headers.items():
         if not is_sendable(value):
             return name
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -75,7 +75,8 @@
     ``limits`` are the values of the header with the request limit, as they are sent;
     ``limit_changes`` are the limits that can be read, and since when each was named.
     ``plain_status`` and ``plain_headers`` are those of answers in the plain manner.
-    ``spoil`` changes the heads of answers to targets that end with ``spoilt_path``.
+    ``spoil`` changes the heads of answers to targets that end with ``spoilt_path``;
+    ``write_raw`` returns the whole answer to such a target, if it is set.
     ``leaving_told`` are the times and requests of answers that say that it leaves,
     ``leaving_periods`` the times in which they say so,
     ``rests`` those of rejections with a ``retry_after``.
@@ -95,6 +96,7 @@
         self.plain_headers: tuple[str, ...] = ()
         self.spoilt_path = ""
         self.spoil: Callable[[bytes], bytes] = bytes
+        self.write_raw: Callable[[Received], bytes] | None = None
         self.rests: list[RestAsked] = []
         self.limits: tuple[str, ...] = ()
         self.leaving_told: list[tuple[float, str]] = []
@@ -194,6 +196,10 @@
         self.ran.append(request)
         if self.seconds and not await self._async_work(request, reader):
             return False
+        if self.write_raw is not None and self._is_spoilt(request):
+            writer.write(self.write_raw(request))
+            await writer.drain()
+            return True
         answer = ANSWERS.get(self.manner, _async_good)
         return await answer(self, request, writer)
 
@@ -227,8 +233,11 @@
             self.leaving_told.append((time.monotonic(), request_id(request)))
             lines.append("Server-Leaving: 1")
         head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-        is_spoilt = self.spoilt_path and request.target.endswith(self.spoilt_path)
-        return self.spoil(head) if is_spoilt else head
+        return self.spoil(head) if self._is_spoilt(request) else head
+
+    def _is_spoilt(self, request: Received) -> bool:
+        """Return True if the answer to a request is spoilt."""
+        return bool(self.spoilt_path) and request.target.endswith(self.spoilt_path)
 
     def _shed_lines(self, request: Received) -> bytes:
         """Return the last headers of a rejection, and keep when it asked for rest."""
