--- a/packages/node/tests/test_hostile_backends.py
+++ b/packages/node/tests/test_hostile_backends.py
@@ -106,6 +106,7 @@
     "Latin-1 header": OK + b"X: caf\xe9\r\n" + CL,
     "NUL in a header": OK + b"X: a\0b\r\n" + CL,
     "control in a header": OK + b"X: a\x01b\r\n" + CL,
+    "control beside UTF-8": OK + b"X: \xc3\xa9\x01b\r\n" + CL,
     "CR in a header": OK + b"X: a\rSet-Cookie: b=1\r\n" + CL,
     "switching protocols": b"HTTP/1.1 101 Switch\r\nUpgrade: websocket\r\n\r\nxx",
     "status too high": b"HTTP/1.1 600 Odd\r\nContent-Length: 0\r\n\r\n",
@@ -133,6 +134,28 @@
     assert not shared.events[Event.INTERNAL_ERROR]
 
 
+@pytest.mark.parametrize("control", [b"\x01", b"\x7f"])
+async def test_a_spoilt_head_costs_no_other_request_its_answer(target, control) -> None:
+    # Beside a character outside ASCII, the control character was not seen.
+    daemon, backend = target
+
+    async def async_spoil(head, writer):
+        is_spoilt = b"tickets/0" in head
+        line = b"X: \xc3\xa9" + control + b"\r\n" if is_spoilt else b""
+        writer.write(OK + line + CL)
+
+    backend.answer = async_spoil
+    kept = [
+        raw_request(ONCE + b"/%d" % row, method=b"POST").replace(
+            b"Connection: close", b"Accept: */*"
+        )
+        for row in range(2)
+    ]
+    answer = await async_raw(daemon, b"".join(kept) + raw_request(ONCE, method=b"POST"))
+    statuses = [row[:3] for row in answer.raw.split(b"HTTP/1.1 ")[1:]]
+    assert statuses == [b"502", b"200", b"200"]
+
+
 async def test_a_cut_small_answer_tells_nothing_of_the_library(target) -> None:
     daemon, backend = target
 
