Serve requests whose headers are not UTF-8 again

The tests test_a_cookie_that_is_not_utf_8_is_a_key and test_a_malformed_deadline_counts_as_the_default failed, rightly: such clients exist and are to be served.

Change: only a request id that is not UTF-8 is rejected, as before. That such bytes vanish from other headers on the way to a server remains: the HTTP client has no place to write them unchanged.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -15,12 +15,7 @@
 from greengagepoint.routing.tables import find_route
 from greengagepoint_node.context import EventSink
 from greengagepoint_node.gateway.admission import AdmissionControl
-from greengagepoint_node.gateway.call import (
-    LOGGED_CHARACTERS_MAX,
-    Call,
-    create_call,
-    match_route,
-)
+from greengagepoint_node.gateway.call import Call, create_call, match_route
 from greengagepoint_node.gateway.caller_accounts import CallerAccounts
 from greengagepoint_node.gateway.counters import ANSWERED, GatewayCounters
 from greengagepoint_node.gateway.exchange import (
@@ -74,7 +69,7 @@
 from greengagepoint_node.gateway.tries import UNSENT, Attempts
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.gateway.wait_room import WaitEnd
-from greengagepoint_node.proxy.headers import unsendable_header
+from greengagepoint_node.proxy.headers import is_sendable
 from greengagepoint_node.proxy.sessions import BackendSessions
 
 NOT_READY_SECONDS: Final = 0.5
@@ -271,10 +266,10 @@
             raise Refusal(ErrorKind.NOT_READY, 503, reason, NOT_READY_SECONDS)
         if not request_id:
             raise Refusal(ErrorKind.BAD_REQUEST, 400, "the request has no request id")
-        name = unsendable_header(request.headers)
-        if name is not None:
-            # The HTTP library would drop bytes of it without an error.
-            reason = f"the header {name[:LOGGED_CHARACTERS_MAX]} is not UTF-8"
+        if not is_sendable(request_id):
+            # The HTTP library would drop those bytes, and the answer of the server
+            # would name another request.
+            reason = "the request id is not UTF-8"
             raise Refusal(ErrorKind.BAD_REQUEST, 400, reason)
         route = match_route(table, request, self.news.is_current)
         account = self.accounts.identify(request, route, table)
