Take "not run" only from answers that name their request

Callers' unsafe requests ran twice: a faulty server wrote a second answer, a bare 503 with X-Greengagepoint-Not-Executed, where the answer to the next request of the connection was expected. The host took it as the word on that request and sent it to a second server while the first ran it. The echoed id was compared only where there was one. The same held for 429, 400 and 421; a 421 without an id also ended the server's incarnation in the host's tables, and words in such answers (leaving, limit, rest, load) were applied to the server.

What an answer proves is decided in delivery/answer_proofs.py of core: without the request's own id, or with several that differ, it proves nothing, and the request may have run.

A second fault on the way: the connection of a foreign answer without a body stayed in use. The HTTP library releases a connection with the head of such an answer, so closing the answer came too late, and each of the next requests read the answer to the one before it: the safe ones were sent again, the unsafe ones got 502. The connection itself is closed now.

The stand-in server can write answers late and before it has read a body.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -7,9 +7,17 @@
 from typing import Final, NamedTuple
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict, CIMultiDictProxy
 from yarl import URL
 
+from greengagepoint.delivery.answer_proofs import (
+    AnswerHead,
+    Echo,
+    Proof,
+    assess_answer,
+    compare_ids,
+)
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
@@ -21,12 +29,12 @@
     LapsedError,
     SendOnce,
     SpoiltConnectionError,
+    close_connection,
 )
 
 # Longest body that is buffered whole before the caller gets any of it. Longer bodies
 # that break off are truncated in a way that the caller can see.
 WHOLE_BODY_BYTES: Final = 2 * 1024 * 1024
-MISDIRECTED: Final = 421
 # A backend server can't finish any request in less time.
 SECONDS_LEFT_MIN: Final = 0.02
 
@@ -63,7 +71,10 @@
 
 
 class Exchange(NamedTuple):
-    """Result of one attempt; the answer's fields are set if it can be relayed."""
+    """Result of one attempt; the answer's fields are set if it can be relayed.
+
+    ``unproved`` is the head of an answer that said "not run" without proof.
+    """
 
     verdict: Verdict
     detail: str = ""
@@ -72,6 +83,7 @@
     headers: CIMultiDict[str] | None = None
     body: bytes = b""
     load: str | None = None
+    unproved: AnswerHead | None = None
 
 
 class TimeLeft(NamedTuple):
@@ -95,7 +107,8 @@
     ``check_before_send`` returns the result of an attempt that must not be sent any
     more, or None. ``unsent_result`` holds that result. ``read_signals`` is called with
     the status and headers of the server's answer before its body is read.
-    ``connected_at`` is when a connection was begun for it, None on a kept one.
+    ``connected_at`` is when a connection was begun for it, None on a kept one, and
+    ``used`` the connection of its answer.
     """
 
     def __init__(
@@ -127,6 +140,7 @@
         self.unsent_result: Exchange | None = None
         self.limit: asyncio.Timeout | None = None
         self.connected_at: float | None = None
+        self.used: ResponseHandler | None = None
         self.successor: Server | None = None
         self.is_given_up = False
 
@@ -180,7 +194,9 @@
     ) -> aiohttp.ClientResponse:
         """Send the request through the remaining client middlewares."""
         self.outgoing.headers = request.headers
-        return await super().__call__(request, handler)
+        answer = await super().__call__(request, handler)
+        self.outgoing.used = self.used
+        return answer
 
 
 ReadAnswer = Callable[[aiohttp.ClientResponse, OutgoingRequest], Awaitable[Exchange]]
@@ -252,27 +268,22 @@
     """Read a whole answer and return the result with its verdict."""
     headers = answer.headers
     load = headers.get(names.load)
-    echoed = headers.get(names.request_id)
-    if echoed is not None and echoed != outgoing.request_id:
-        # A server that answers a request twice leaves the second answer on the
-        # connection, where it would be read as the answer to the next request.
-        answer.close()
-        return Exchange(Verdict.FOREIGN, "the answer names another request")
-    if answer.status != MISDIRECTED and (
-        echoed is not None or names.not_executed in headers
-    ):
+    head = _head(names, answer, outgoing)
+    proof, reason = assess_answer(head)
+    if head.echo is Echo.EQUAL and proof is not Proof.MISDIRECTED:
         outgoing.read_signals(answer.status, headers)
-    if names.not_executed in headers or answer.status == MISDIRECTED:
-        verdict = Verdict.SHED if answer.status != MISDIRECTED else Verdict.OTHER_SERVER
-        await answer.read()
-        return Exchange(verdict, f"status {answer.status}", load=load)
-    if echoed is None or (
-        200 <= answer.status < 300 and names.signature not in headers
-    ):
-        answer.close()
+    if proof is Proof.FOREIGN:
+        # The answer to the request itself may still come on this connection, where it
+        # would be read as the answer to the next one.
+        close_connection(answer, outgoing.used)
+        unproved = head if head.says_not_run else None
         return Exchange(
-            Verdict.FOREIGN, f"status {answer.status} without proof of origin"
+            Verdict.FOREIGN, f"status {answer.status}: {reason}", unproved=unproved
         )
+    if proof is not Proof.ANSWERED:
+        verdict = Verdict.SHED if proof is Proof.NOT_RUN else Verdict.OTHER_SERVER
+        await answer.read()
+        return Exchange(verdict, f"status {answer.status}", load=load)
     if "Content-Encoding" in headers or answer.status < 200:
         answer.close()
         return Exchange(Verdict.BROKEN, "the answer is encoded or not final")
@@ -296,6 +307,20 @@
     )
 
 
+def _head(
+    names: HeaderNames, answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
+) -> AnswerHead:
+    """Return what decides about an answer."""
+    headers = answer.headers
+    return AnswerHead(
+        answer.status,
+        compare_ids(headers.getall(names.request_id, ()), outgoing.request_id),
+        names.not_executed in headers,
+        names.signature in headers,
+        outgoing.connected_at is None,
+    )
+
+
 def _closed_future(answer: aiohttp.ClientResponse) -> asyncio.Future[None] | None:
     """Return the future that is done when the answer's connection closes."""
     connection = answer.connection
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -155,6 +155,8 @@
         self.counters.tries[call.service, exchange.verdict] += 1
         if exchange.verdict is Verdict.ANSWERED:
             return
+        if exchange.unproved is not None:
+            self._log_unproved(call, server, exchange, number)
         self.events.record(
             Event.REQUEST_RETRIED,
             request_id=call.request_id,
@@ -165,6 +167,26 @@
             seconds=round(seconds, 3),
         )
 
+    def _log_unproved(
+        self, call: Call, server: Server, exchange: Exchange, number: int
+    ) -> None:
+        """Log an answer that said "not run" without proof, and what decided that."""
+        head = exchange.unproved
+        assert head is not None
+        self.events.record(
+            Event.ANSWER_WITHOUT_PROOF,
+            request_id=call.request_id,
+            instance=server.instance,
+            attempt=number,
+            status=head.status,
+            echo=head.echo,
+            not_executed=head.is_not_executed,
+            signed=head.is_signed,
+            kept_connection=head.on_kept_connection,
+            repeatable=call.route.repeatable,
+            reason=exchange.detail,
+        )
+
     def record_server_crash(
         self, call: Call, server: Server, fingerprint: Fingerprint
     ) -> None:
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 from aiohttp import ClientHandlerType, SocketFactoryType
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
@@ -36,6 +37,7 @@
 
     may_start: Callable[[], bool]
     server: Hashable = None
+    used_protocol: ResponseHandler | None = None
 
     @property
     def connection_key(self) -> ConnectionKey:
@@ -60,6 +62,7 @@
         if conn.protocol is not None and conn.protocol.should_close:
             conn.close()
             raise SpoiltConnectionError("The reused connection held bytes already")
+        self.used_protocol = conn.protocol
         return await super().send(conn)
 
 
@@ -114,6 +117,7 @@
     def __init__(self, may_start: Callable[[], bool], server: Hashable = None) -> None:
         self.may_start = may_start
         self.server = server
+        self.used: ResponseHandler | None = None
 
     async def __call__(
         self, request: BackendRequest, handler: ClientHandlerType
@@ -121,7 +125,22 @@
         """Send the request through the rest of the client."""
         request.may_start = self.may_start
         request.server = self.server
-        return await _async_send_once(request, handler)
+        answer = await _async_send_once(request, handler)
+        self.used = request.used_protocol
+        return answer
+
+
+def close_connection(
+    answer: aiohttp.ClientResponse, used: ResponseHandler | None
+) -> None:
+    """Close the connection of an answer, even if it has been released.
+
+    The client releases it with the head of an answer that has no body, so that closing
+    the answer alone would come too late.
+    """
+    answer.close()
+    if used is not None:
+        used.close()
 
 
 async def _async_send_once(
--- a/packages/standins/greengagepoint_standins/users_platform/backend.py
+++ b/packages/standins/greengagepoint_standins/users_platform/backend.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
+from functools import partial
 from typing import Final, NamedTuple
 
 from greengagepoint.backpressure.limits import read_limit
@@ -76,6 +77,9 @@
     ``limit_changes`` are the limits that can be read, and since when each was named.
     ``plain_status`` and ``plain_headers`` are those of answers in the plain manner.
     ``spoil`` changes the heads of answers to targets that end with ``spoilt_path``.
+    ``late_answers`` are written where the answer to the next request is expected, and
+    ``early_answers`` before the body of a request is read; each is used up by that.
+    ``{id}`` in them stands for the id of that request.
     ``leaving_told`` are the times and requests of answers that say that it leaves,
     ``leaving_periods`` the times in which they say so,
     ``rests`` those of rejections with a ``retry_after``.
@@ -95,6 +99,8 @@
         self.plain_headers: tuple[str, ...] = ()
         self.spoilt_path = ""
         self.spoil: Callable[[bytes], bytes] = bytes
+        self.late_answers: list[bytes] = []
+        self.early_answers: list[bytes] = []
         self.rests: list[RestAsked] = []
         self.limits: tuple[str, ...] = ()
         self.leaving_told: list[tuple[float, str]] = []
@@ -169,8 +175,11 @@
         self.connections.add(writer)
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
-                request = await _async_read(reader)
+                request = await _async_read(reader, partial(self._write_early, writer))
                 self.received.append(request)
+                if self.late_answers:
+                    writer.write(_with_id(self.late_answers.pop(0), request))
+                    await writer.drain()
                 if not await self._async_answer(request, reader, writer):
                     break
         self.connections.discard(writer)
@@ -197,6 +206,11 @@
         answer = ANSWERS.get(self.manner, _async_good)
         return await answer(self, request, writer)
 
+    def _write_early(self, writer: asyncio.StreamWriter, request: Received) -> None:
+        """Write an answer to a request whose body has not been read."""
+        if self.early_answers:
+            writer.write(_with_id(self.early_answers.pop(0), request))
+
     async def _async_work(
         self, request: Received, reader: asyncio.StreamReader
     ) -> bool:
@@ -432,8 +446,15 @@
 }
 
 
-async def _async_read(reader: asyncio.StreamReader) -> Received:
-    """Read one request."""
+def _with_id(answer: bytes, request: Received) -> bytes:
+    """Return an answer with the id of a request where it is wanted."""
+    return answer.replace(b"{id}", request_id(request).encode())
+
+
+async def _async_read(
+    reader: asyncio.StreamReader, on_head: Callable[[Received], None]
+) -> Received:
+    """Read one request; call ``on_head`` before its body is read."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.split("\r\n")
     method, target, _ = first.split(" ")
@@ -442,5 +463,6 @@
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     length = int(headers.get("content-length", 0))
+    on_head(Received(method, target, headers, b"", time.monotonic()))
     body = await reader.readexactly(length) if length else b""
     return Received(method, target, headers, body, time.monotonic())
