Hold answers of peers and of health paths to the request id

The same cause as with answers of servers: a host that passes a request on took any "unable" and any "done" of a peer for the word on this request, whatever id it named, and a 404 with a request's id, which a server at a reused address may give, for that of a host without relays. An unsafe request that had run at a peer would have gone to the next one. The probe of a health path, on a kept connection, took an answer that names a request for its own; its own answer, which has no id, was left for the next request.

A peer's "done" has to name the request, its "unable" may name none but no other one (hosts of earlier versions name none; this one does). Such connections are closed.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -177,7 +177,8 @@
         )
         if obstacle is not None:
             self.outcomes.reject_relayed(request, obstacle)
-            headers = {RELAY_RESULT: UNABLE}
+            request_id = request.headers.get(self.names.request_id, "")
+            headers = {RELAY_RESULT: UNABLE, self.names.request_id: request_id}
             return web.Response(status=503, headers=headers, text=obstacle)
         self.in_flight += 1
         self.relayed_in_flight += 1
--- a/packages/node/greengagepoint_node/gateway/pace_probe.py
+++ b/packages/node/greengagepoint_node/gateway/pace_probe.py
@@ -15,7 +15,11 @@
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.placing import Placer
 from greengagepoint_node.gateway.view import FleetView
-from greengagepoint_node.proxy.sessions import BackendSessions, SendOnce
+from greengagepoint_node.proxy.sessions import (
+    BackendSessions,
+    SendOnce,
+    close_connection,
+)
 
 CHECK_SECONDS: Final = 0.5
 # A host that has just started knows no peers and takes itself for the first of its
@@ -143,12 +147,18 @@
         url = URL.build(
             scheme="http", authority=server.address, path=path, encoded=True
         )
+        sender = SendOnce(lambda: True, server.incarnation)
         async with self.sessions.session.get(
             url,
             headers={self.names.target_instance: server.instance},
             allow_redirects=False,
-            middlewares=(SendOnce(lambda: True, server.incarnation),),
+            middlewares=(sender,),
         ) as answer:
+            if answer.headers.get(self.names.request_id):
+                # A probe has no id. Its own answer may still come on this connection,
+                # and would be read as the answer to the next request.
+                close_connection(answer, sender.used)
+                raise ValueError("the answer names a request")
             other = answer.headers.get(self.names.instance, server.instance)
             if answer.status != STATUS_OK or other != server.instance:
                 raise ValueError(f"status {answer.status} of instance {other}")
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from greengagepoint.delivery.answer_proofs import Echo, compare_ids
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
@@ -55,7 +56,7 @@
 )
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
-from greengagepoint_node.proxy.sessions import BackendSessions
+from greengagepoint_node.proxy.sessions import BackendSessions, close_connection
 
 # A host that did not answer gets no relayed requests for this long.
 FAILED_HOST_SKIP_SECONDS: Final = 2.0
@@ -337,18 +338,39 @@
     return response
 
 
+def _is_of_another(
+    names: HeaderNames,
+    answer: aiohttp.ClientResponse,
+    outgoing: OutgoingRequest,
+    result: str | None,
+) -> bool:
+    """Return True if a peer's response is not proved to be that to a request.
+
+    A host of an earlier version names no request where it was unable.
+    """
+    echo = compare_ids(answer.headers.getall(names.request_id, ()), outgoing.request_id)
+    return echo is Echo.OTHER or (echo is Echo.NONE and result == DONE)
+
+
 async def _async_read(
     names: HeaderNames, answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
 ) -> Exchange:
     """Read a peer's whole response to a relayed request."""
     result = answer.headers.get(RELAY_RESULT)
+    if _is_of_another(names, answer, outgoing, result):
+        close_connection(answer, outgoing.used)
+        return Exchange(Verdict.FOREIGN, "the answer names another request")
     body = await answer.read()
     if result == UNABLE:
         reason = body.decode(errors="replace").strip()
         return Exchange(Verdict.SHED, f"unable: {reason}", answer.status)
     if result != DONE:
-        # A host of a version that takes no relayed requests knows no such path.
-        verdict = Verdict.SHED if answer.status == NOT_FOUND else Verdict.FOREIGN
+        # A host of a version that takes no relayed requests knows no such path. Its
+        # answer names no request, as that of a server would.
+        is_unknown_path = (
+            answer.status == NOT_FOUND and names.request_id not in answer.headers
+        )
+        verdict = Verdict.SHED if is_unknown_path else Verdict.FOREIGN
         return Exchange(verdict, "no relay result", answer.status)
     origin = answer.headers.get(RELAY_ORIGIN)
     if origin == RelayOrigin.FAILED:
--- a/packages/node/tests/test_gateway_answer_proofs.py
+++ b/packages/node/tests/test_gateway_answer_proofs.py
@@ -3,9 +3,12 @@
 import asyncio
 
 import pytest
+from deployment import async_until
 from gateway_world import NAMES, async_environment
 
 from greengagepoint.events import Event
+from greengagepoint.routing.tables import ServicePolicy
+from greengagepoint_node.gateway.pace_probe import STARTUP_SECONDS
 
 STATUSES = (
     "503 Service Unavailable",
@@ -138,6 +141,23 @@
         assert (code, body) == (200, b"i-0 /unsafe/2")
 
 
+@pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable"])
+async def test_a_probe_takes_no_answer_to_a_request_for_its_own(status):
+    # Its own answer, which has no id, was left for the next request on the connection.
+    async with async_environment(servers=1) as env:
+        await async_open_connections(env)
+        server = env.backends[0]
+        server.late_answers = [answer(status, FOREIGN, f"{NAMES.load}: 1,0,4,100")]
+        server.seconds = 0.02
+        policy = ServicePolicy(name="booking", health_path="/healthz")
+        env.daemon.view.routes.services["booking"] = policy
+        env.clock.ahead += STARTUP_SECONDS
+        await async_until(lambda: env.events.of(Event.PACE_PROBE_FAILED))
+        assert not env.daemon.pace_probe.answered
+        code, body, _ = await env.async_call("/unsafe/1", "POST")
+        assert (code, body) == (200, b"i-0 /unsafe/1")
+
+
 async def test_a_repeatable_request_goes_on_after_a_late_rejection():
     async with async_environment() as env:
         await async_open_connections(env)
--- a/packages/node/tests/test_gateway_cut_off.py
+++ b/packages/node/tests/test_gateway_cut_off.py
@@ -4,9 +4,11 @@
 import errno
 
 import pytest
+from aiohttp import web
 from cut_links import CLOSED_PORT, Cut, LinkSocket, async_fleet
 from cut_soak import async_play
 from deployment import async_until
+from gateway_world import NAMES
 from msgspec.structs import replace
 
 from greengagepoint.errors import ErrorKind
@@ -179,6 +181,39 @@
         assert (status, fleet.runs() - before) == expected
 
 
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {RELAY_RESULT: "unable", NAMES.request_id: "another"},
+        {RELAY_RESULT: DONE, RELAY_ORIGIN: "rejected", NAMES.request_id: "another"},
+        {RELAY_RESULT: DONE, RELAY_ORIGIN: "rejected"},
+        {NAMES.request_id: "another"},
+    ],
+)
+@pytest.mark.parametrize(
+    ("path", "method", "expected"),
+    [("/safe/1", "GET", (200, 2)), ("/unsafe/1", "POST", (502, 1))],
+)
+async def test_a_peer_s_word_on_another_request_is_not_taken_for_the_right_one(
+    path, method, expected, headers
+):
+    """A request that ran at a peer would have been sent on to the next one."""
+    async with async_fleet() as fleet:
+        host, near = fleet.hosts[:2]
+        await async_wait_for_cut(fleet, Cut.RESETS, 0)
+        answer = near.daemon.gateway.async_answer_relayed
+        before = fleet.runs()
+
+        async def async_answer_another(request):
+            await answer(request)
+            status = 503 if RELAY_RESULT in headers else 404
+            return web.Response(status=status, headers=headers)
+
+        near.daemon.gateway.async_answer_relayed = async_answer_another
+        status, _, _ = await host.async_call(path, method)
+        assert (status, fleet.runs() - before) == expected
+
+
 async def test_a_relayed_request_is_held_to_its_caller_not_to_the_relaying_host():
     async with async_fleet() as fleet:
         host, near = fleet.hosts[:2]
