Answer 502 where a server's status would be a false promise

A server that fails an unsafe request after it has begun, and answers 503 without X-Greengagepoint-Not-Executed, has not said "not run".

So a request that may not be repeated is answered with 502 of the host's own, which promises nothing, without the server's signature, body and Retry-After (a failure must not bear a signature with another status than the server's). Requests that may be repeated get the server's answer unchanged, and so do unsafe ones with 400, 404, 500 and 504, which promise nothing. What is recorded of the server stays the same: it has answered. Event 2005 has the server's status as `answered`. A host that gets such an answer by way of a peer of an earlier version does the same, unless the peer says that it is its own.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from greengagepoint.delivery.answer_proofs import is_unproved_promise
 from greengagepoint.errors import ErrorKind
 from greengagepoint.overload.shared_retries import SharedRetryBudget
 from greengagepoint.placing.choice import NoServerAvailable
@@ -49,6 +50,7 @@
     no_answer_refusal,
     no_server_refusal,
     refusal_response,
+    unproved_promise_refusal,
     unreached_refusal,
 )
 from greengagepoint_node.gateway.relay import (
@@ -373,6 +375,8 @@
                     len(attempts.servers),
                     self.placer.finish.log_fields(call.request_id, server),
                 )
+                if is_unproved_promise(last.status, repeatable=call.route.repeatable):
+                    raise unproved_promise_refusal(last.status)
                 return answer_response(last)
             may_have_run = may_have_run or last.verdict not in NOT_RUN
             if may_have_run and not call.route.repeatable:
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -145,6 +145,13 @@
     return Refusal(kind, 503, f"not run: {last.verdict}", seconds)
 
 
+def unproved_promise_refusal(status: int) -> Refusal:
+    """Return the refusal in place of a server's status that promises too much."""
+    reason = f"may have run: a server answered {status}, not that it did not run"
+    inputs = {"answered": status}
+    return Refusal(ErrorKind.BACKEND_PROTOCOL, 502, reason, inputs=inputs)
+
+
 def host_leaving_refusal(reason: str) -> Refusal:
     """Return the refusal of a request that this host can't answer before its exit."""
     kind = ErrorKind.HOST_LEAVING
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -9,7 +9,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from greengagepoint.delivery.answer_proofs import Echo, compare_ids
+from greengagepoint.delivery.answer_proofs import (
+    Echo,
+    compare_ids,
+    is_unproved_promise,
+)
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
@@ -53,6 +57,7 @@
     NOT_RUN_STATUSES,
     Refusal,
     no_answer_refusal,
+    unproved_promise_refusal,
 )
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
@@ -144,9 +149,13 @@
             outgoing.headers[ATTEMPTS_LEFT] = str(attempts_left)
             last = await self._async_send(call, outgoing, peer, len(tried))
             if last.verdict is Verdict.ANSWERED:
-                if may_have_run and self._is_refusal(last):
-                    # The peer's promise is about its own attempts only.
-                    break
+                if self._is_refusal(last):
+                    if may_have_run:
+                        # The peer's promise is about its own attempts only.
+                        break
+                elif is_unproved_promise(last.status, repeatable=call.route.repeatable):
+                    # A host of an earlier version passes on what a server promises.
+                    raise unproved_promise_refusal(last.status)
                 return last
             if last.verdict is Verdict.HOST_LEAVING:
                 break
--- a/packages/node/tests/test_gateway_answer_proofs.py
+++ b/packages/node/tests/test_gateway_answer_proofs.py
@@ -9,6 +9,7 @@
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import ServicePolicy
 from greengagepoint_node.gateway.pace_probe import STARTUP_SECONDS
+from greengagepoint_standins.users_platform.backend import SIGNATURE, Manner
 
 STATUSES = (
     "503 Service Unavailable",
@@ -158,6 +159,51 @@
         assert (code, body) == (200, b"i-0 /unsafe/1")
 
 
+@pytest.mark.parametrize(
+    "status",
+    ["503 Unavailable", "429 Too Many Requests", "408 Request Timeout"],
+)
+@pytest.mark.parametrize("signed", [False, True])
+async def test_a_request_that_ran_is_never_answered_as_not_run(status, signed):
+    # Callers take these statuses for a guarantee, and sent what had run again.
+    async with async_environment() as env:
+        for backend in env.backends:
+            backend.manner = Manner.PLAIN
+            backend.plain_status = status
+            if signed:
+                backend.plain_headers = (f"{NAMES.signature}: {SIGNATURE}",)
+        code, body, headers = await env.async_call("/unsafe/1", "POST", data=b"order")
+        assert (code, env.ran()) == (502, 1)
+        assert b"may have run" in body
+        assert NAMES.signature not in headers
+        assert "Retry-After" not in headers
+        (event,) = env.events.of(Event.REQUEST_FAILED)
+        assert event["answered"] == int(status[:3])
+        assert not env.events.of(Event.REQUEST_REFUSED)
+
+
+@pytest.mark.parametrize("status", ["503 Unavailable", "429 Too Many Requests"])
+async def test_a_server_s_answer_to_a_repeatable_request_is_unchanged(status):
+    async with async_environment() as env:
+        for backend in env.backends:
+            backend.manner = Manner.PLAIN
+            backend.plain_status = status
+            backend.plain_headers = (f"{NAMES.signature}: {SIGNATURE}",)
+        code, body, headers = await env.async_call("/safe/1")
+        assert (code, body) == (int(status[:3]), b"no")
+        assert headers[NAMES.signature] == SIGNATURE
+
+
+@pytest.mark.parametrize("status", ["400 Bad Request", "404 Not Found", "500 Oops"])
+async def test_a_failure_that_promises_nothing_is_unchanged(status):
+    async with async_environment() as env:
+        for backend in env.backends:
+            backend.manner = Manner.PLAIN
+            backend.plain_status = status
+        code, body, _ = await env.async_call("/unsafe/1", "POST")
+        assert (code, body, env.ran()) == (int(status[:3]), b"no", 1)
+
+
 async def test_a_repeatable_request_goes_on_after_a_late_rejection():
     async with async_environment() as env:
         await async_open_connections(env)
