--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -52,6 +52,7 @@
     LATE_REQUEST_DECIDED = 2022
     ANSWER_NOT_WRITTEN = 2023
     ANSWER_REJECTED = 2024
+    ANSWER_WITHOUT_PROOF = 2027
     # 3000: configuration
     RECORD_REFUSED = 3001
     CONFIGURATION_IN_FORCE = 3002
@@ -211,6 +212,10 @@
     Event.ANSWER_REJECTED: EventType(
         Level.WARNING, "The head of a server's answer can't be passed on."
     ),
+    Event.ANSWER_WITHOUT_PROOF: EventType(
+        Level.WARNING,
+        "An answer said that a request has not run, but does not prove to be its own.",
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/node/greengagepoint_node/gateway/outcomes.py
+++ b/packages/node/greengagepoint_node/gateway/outcomes.py
@@ -156,6 +156,8 @@
         if exchange.verdict is Verdict.ANSWERED:
             return
         log_head_fault(self.events, call, server.instance, exchange)
+        if exchange.unproved is not None:
+            self._log_unproved(call, server, exchange, number)
         self.events.record(
             Event.REQUEST_RETRIED,
             request_id=call.request_id,
@@ -166,6 +168,26 @@
             seconds=round(seconds, 3),
         )
 
+    def _log_unproved(
+        self, call: Call, server: Server, exchange: Exchange, number: int
+    ) -> None:
+        """Log an answer that said "not run" without proof, and what decided that."""
+        head = exchange.unproved
+        assert head is not None
+        self.events.record(
+            Event.ANSWER_WITHOUT_PROOF,
+            request_id=call.request_id,
+            instance=server.instance,
+            attempt=number,
+            status=head.status,
+            echo=head.echo,
+            not_executed=head.is_not_executed,
+            signed=head.is_signed,
+            kept_connection=head.on_kept_connection,
+            repeatable=call.route.repeatable,
+            reason=exchange.detail,
+        )
+
     def record_server_crash(
         self, call: Call, server: Server, fingerprint: Fingerprint
     ) -> None:
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -9,6 +9,11 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from greengagepoint.delivery.answer_proofs import (
+    Echo,
+    compare_ids,
+    is_unproved_promise,
+)
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.protocols import Clock
@@ -53,10 +58,11 @@
     NOT_RUN_STATUSES,
     Refusal,
     no_answer_refusal,
+    unproved_promise_refusal,
 )
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.gateway.view import FleetView
-from greengagepoint_node.proxy.sessions import BackendSessions
+from greengagepoint_node.proxy.sessions import BackendSessions, close_connection
 
 # A host that did not answer gets no relayed requests for this long.
 FAILED_HOST_SKIP_SECONDS: Final = 2.0
@@ -144,9 +150,13 @@
             outgoing.headers[ATTEMPTS_LEFT] = str(attempts_left)
             last = await self._async_send(call, outgoing, peer, len(tried))
             if last.verdict is Verdict.ANSWERED:
-                if may_have_run and self._is_refusal(last):
-                    # The peer's promise is about its own attempts only.
-                    break
+                if self._is_refusal(last):
+                    if may_have_run:
+                        # The peer's promise is about its own attempts only.
+                        break
+                elif is_unproved_promise(last.status, repeatable=call.route.repeatable):
+                    # A host of an earlier version passes on what a server promises.
+                    raise unproved_promise_refusal(last.status)
                 return last
             if last.verdict is Verdict.HOST_LEAVING:
                 break
@@ -339,20 +349,41 @@
     return response
 
 
+def _is_of_another(
+    names: HeaderNames,
+    answer: aiohttp.ClientResponse,
+    outgoing: OutgoingRequest,
+    result: str | None,
+) -> bool:
+    """Return True if a peer's response is not proved to be that to a request.
+
+    A host of an earlier version names no request where it was unable.
+    """
+    echo = compare_ids(answer.headers.getall(names.request_id, ()), outgoing.request_id)
+    return echo is Echo.OTHER or (echo is Echo.NONE and result == DONE)
+
+
 async def _async_read(
     names: HeaderNames, answer: aiohttp.ClientResponse, outgoing: OutgoingRequest
 ) -> Exchange:
     """Read a peer's whole response to a relayed request."""
-    if (unsendable := reject_head(answer)) is not None:
+    if (unsendable := reject_head(answer, outgoing)) is not None:
         return unsendable
     result = answer.headers.get(RELAY_RESULT)
+    if _is_of_another(names, answer, outgoing, result):
+        close_connection(answer, outgoing.used)
+        return Exchange(Verdict.FOREIGN, "the answer names another request")
     body = await answer.read()
     if result == UNABLE:
         reason = body.decode(errors="replace").strip()
         return Exchange(Verdict.SHED, f"unable: {reason}", answer.status)
     if result != DONE:
-        # A host of a version that takes no relayed requests knows no such path.
-        verdict = Verdict.SHED if answer.status == NOT_FOUND else Verdict.FOREIGN
+        # A host of a version that takes no relayed requests knows no such path. Its
+        # answer names no request, as that of a server would.
+        is_unknown_path = (
+            answer.status == NOT_FOUND and names.request_id not in answer.headers
+        )
+        verdict = Verdict.SHED if is_unknown_path else Verdict.FOREIGN
         return Exchange(verdict, "no relay result", answer.status)
     origin = answer.headers.get(RELAY_ORIGIN)
     if origin == RelayOrigin.FAILED:
