--- a/packages/node/tests/test_gateway_answer_forms.py
+++ b/packages/node/tests/test_gateway_answer_forms.py
@@ -199,10 +199,12 @@
 
 async def test_a_spoilt_answer_of_a_peer_is_rejected():
     answer = Mock(status=200, reason="OK", headers={RELAY_RESULT: DONE, "X": "\x01"})
-    exchange = await relay._async_read(NAMES, answer, None)
+    outgoing = Mock()
+    exchange = await relay._async_read(NAMES, answer, outgoing)
     assert exchange.verdict is Verdict.BROKEN
     assert exchange.fault.where == "X"
     answer.close.assert_called_once()
+    outgoing.used.close.assert_called_once()
     answer.read.assert_not_called()
 
 
