Report the resident memory of a host

An operator could not tell whether a host had been killed above its memory: no line and no metric told how much it used. The gauge memory_bytes reads /proc/self/statm at each scrape; -1 where that can't be read.

--- a/packages/node/greengagepoint_node/gateway/counters.py
+++ b/packages/node/greengagepoint_node/gateway/counters.py
@@ -43,6 +43,7 @@
     backend_connection_age_seconds: float
     cut_off: int
     hosts_cut_off: int
+    memory_bytes: int
 
 
 class RegionGauge(NamedTuple):
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -57,6 +57,7 @@
 )
 from greengagepoint_node.gateway.pipelining import create_pipelined_connection
 from greengagepoint_node.gateway.placing import Placer
+from greengagepoint_node.gateway.process_memory import resident_bytes
 from greengagepoint_node.gateway.quarantine_page import PAGE_PATH, QuarantinePage
 from greengagepoint_node.gateway.quarantine_store import QuarantineStore
 from greengagepoint_node.gateway.quarantine_sync import QUARANTINE_PATH, QuarantineSync
@@ -620,6 +621,7 @@
             backend_connection_age_seconds=_age(self.connections.made_at, now),
             cut_off=int(self.monitor.is_cut_off),
             hosts_cut_off=sum(state.cut_off for state in self.gossip.table.alive(now)),
+            memory_bytes=resident_bytes(),
         )
 
     def is_ready(self) -> bool:
--- a/packages/node/tests/test_gateway_metrics.py
+++ b/packages/node/tests/test_gateway_metrics.py
@@ -15,6 +15,7 @@
     Gauges,
 )
 from greengagepoint_node.gateway.metrics_page import MetricsPage
+from greengagepoint_node.gateway.process_memory import UNKNOWN, resident_bytes
 from greengagepoint_node.http.server import ServerLimits
 from greengagepoint_standins.users_platform.backend import Manner
 
@@ -71,6 +72,20 @@
         assert value(lines, "store_calls_total", **store) == 1
 
 
+@pytest.mark.parametrize("text", ["", "5", "a b c"])
+def test_memory_that_cannot_be_read_is_reported_as_unknown(tmp_path, text):
+    statm = tmp_path / "statm"
+    statm.write_text(text)
+    assert resident_bytes(statm) == UNKNOWN
+    assert resident_bytes(tmp_path / "none") == UNKNOWN
+
+
+async def test_a_scrape_reports_resident_memory():
+    async with async_environment(metrics=True) as world:
+        _, lines = await async_scrape(world)
+        assert value(lines, "memory_bytes") > 1_000_000
+
+
 async def test_requests_without_a_route_share_one_series():
     # Callers may send any path; a series for each would exhaust the host's memory.
     async with async_environment(metrics=True) as world:
