Bound what a server sends beside the bodies of its answers

Interim answers, empty lines and extensions of chunks without end kept the event loop of a host busy until the deadline: the parser bounds lines and the headers of one answer, but nothing bounds these parts together. The connections of clients now count what arrives in an exchange; beyond 128 KiB and 8 bytes for each byte of the body the exchange fails as broken (AnswerOverheadError in the detail of request_retried). The same connections serve peers and the store.

--- a/packages/node/greengagepoint_node/gateway/peer_session.py
+++ b/packages/node/greengagepoint_node/gateway/peer_session.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from greengagepoint_node.gateway.listeners import create_socket
+from greengagepoint_node.proxy.bounded_connections import BoundedConnector
 
 # Longer than the second between two reports at most.
 REPORT_KEEPALIVE_SECONDS: Final = 3.0
@@ -19,7 +20,7 @@
     may stall forever while new ones work, and each would have to time out before
     updates from its peer arrive again.
     """
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0,
         force_close=True,
         socket_factory=lambda info: create_socket(*info[:3]),
@@ -36,7 +37,7 @@
 
     It keeps its connection; a stalled one is closed when a report times out.
     """
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0,
         keepalive_timeout=REPORT_KEEPALIVE_SECONDS,
         socket_factory=lambda info: create_socket(*info[:3]),
--- a/packages/node/greengagepoint_node/gateway/store_http.py
+++ b/packages/node/greengagepoint_node/gateway/store_http.py
@@ -15,6 +15,7 @@
 from greengagepoint_node.gateway.listeners import create_socket
 from greengagepoint_node.gateway.store_types import Connection
 from greengagepoint_node.gateway.transfer import async_read_answer
+from greengagepoint_node.proxy.bounded_connections import BoundedConnector
 
 KEEPALIVE_SECONDS: Final = 30.0
 ERA_DIGITS_MAX: Final = 6
@@ -84,7 +85,7 @@
 def _create_session(kind: Connection) -> aiohttp.ClientSession:
     """Return the session for calls on one kind of connection."""
     is_new = kind is Connection.NEW
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0,
         keepalive_timeout=None if is_new else KEEPALIVE_SECONDS,
         force_close=is_new,
--- /dev/null
+++ b/packages/node/greengagepoint_node/proxy/bounded_connections.py
@@ -0,0 +1,59 @@
+"""Client connections that bound what a server sends beside the bodies of answers."""
+
+from functools import partial
+from typing import Any, Final
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+# Heads with all interim answers, empty lines, trailers and the framing of chunks.
+OVERHEAD_BYTES_MAX: Final = 128 * 1024
+# A chunk of one byte has five bytes of framing.
+OVERHEAD_PER_BODY_BYTE: Final = 8
+
+
+class AnswerOverheadError(aiohttp.ClientError):
+    """Tell that a server sent too much beside the body of its answer."""
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """A connection that fails once a server sends too much beside a body.
+
+    The parser bounds lines and the headers of one answer, but reads interim answers,
+    empty lines and extensions of chunks without end.
+    """
+
+    received = 0
+
+    def set_response_params(self, **params: Any) -> None:
+        """Begin an exchange."""
+        self.received = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, and fail the exchange if too few of them belong to a body."""
+        self.received += len(data)
+        super().data_received(data)
+        # A paused connection has received bytes of the body that are not parsed yet.
+        if self.received <= OVERHEAD_BYTES_MAX or self._reading_paused:
+            return
+        body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        overhead = self.received - body_bytes
+        if overhead > OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * body_bytes:
+            self.fail(AnswerOverheadError(f"{overhead} bytes beside the body"))
+
+    def fail(self, error: aiohttp.ClientError) -> None:
+        """Close the connection and raise the error at the reader of the answer."""
+        if self.transport is not None:
+            self.transport.close()
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Open connections that bound what a server sends beside bodies."""
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        self._factory = partial(BoundedResponseHandler, loop=self._loop)
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -9,6 +9,7 @@
 from aiohttp.connector import Connection
 
 from greengagepoint_node.proxy.answer_bodies import AnswerBodies, create_answer_bodies
+from greengagepoint_node.proxy.bounded_connections import BoundedConnector
 
 CONNECT_SECONDS: Final = 2.0
 READ_BUFFER_BYTES: Final = 64 * 1024
@@ -85,7 +86,7 @@
     bodies: AnswerBodies | None = None,
 ) -> BackendSessions:
     """Return the session; the number in flight is bounded by the balancing tables."""
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0, keepalive_timeout=keepalive_seconds, socket_factory=socket_factory
     )
     session = aiohttp.ClientSession(
