Bound the bodies of answers of peers and of the store

A store or a peer that sends a body without end was buffered until the transfer timed out, up to 20 s. Their connections now fail an exchange with a body over 16 MiB.

--- a/packages/node/greengagepoint_node/gateway/peer_session.py
+++ b/packages/node/greengagepoint_node/gateway/peer_session.py
@@ -5,7 +5,10 @@
 import aiohttp
 
 from greengagepoint_node.gateway.listeners import create_socket
-from greengagepoint_node.proxy.bounded_connections import BoundedConnector
+from greengagepoint_node.proxy.bounded_connections import (
+    TRANSFER_BYTES_MAX,
+    BoundedConnector,
+)
 
 # Longer than the second between two reports at most.
 REPORT_KEEPALIVE_SECONDS: Final = 3.0
@@ -21,6 +24,7 @@
     updates from its peer arrive again.
     """
     connector = BoundedConnector(
+        body_bytes_max=TRANSFER_BYTES_MAX,
         limit=0,
         force_close=True,
         socket_factory=lambda info: create_socket(*info[:3]),
@@ -38,6 +42,7 @@
     It keeps its connection; a stalled one is closed when a report times out.
     """
     connector = BoundedConnector(
+        body_bytes_max=TRANSFER_BYTES_MAX,
         limit=0,
         keepalive_timeout=REPORT_KEEPALIVE_SECONDS,
         socket_factory=lambda info: create_socket(*info[:3]),
--- a/packages/node/greengagepoint_node/gateway/store_http.py
+++ b/packages/node/greengagepoint_node/gateway/store_http.py
@@ -15,7 +15,10 @@
 from greengagepoint_node.gateway.listeners import create_socket
 from greengagepoint_node.gateway.store_types import Connection
 from greengagepoint_node.gateway.transfer import async_read_answer
-from greengagepoint_node.proxy.bounded_connections import BoundedConnector
+from greengagepoint_node.proxy.bounded_connections import (
+    TRANSFER_BYTES_MAX,
+    BoundedConnector,
+)
 
 KEEPALIVE_SECONDS: Final = 30.0
 ERA_DIGITS_MAX: Final = 6
@@ -86,6 +89,7 @@
     """Return the session for calls on one kind of connection."""
     is_new = kind is Connection.NEW
     connector = BoundedConnector(
+        body_bytes_max=TRANSFER_BYTES_MAX,
         limit=0,
         keepalive_timeout=None if is_new else KEEPALIVE_SECONDS,
         force_close=is_new,
--- a/packages/node/greengagepoint_node/proxy/bounded_connections.py
+++ b/packages/node/greengagepoint_node/proxy/bounded_connections.py
@@ -1,5 +1,6 @@
 """Client connections that bound what a server sends beside the bodies of answers."""
 
+import asyncio
 from functools import partial
 from typing import Any, Final
 
@@ -10,20 +11,32 @@
 OVERHEAD_BYTES_MAX: Final = 128 * 1024
 # A chunk of one byte has five bytes of framing.
 OVERHEAD_PER_BODY_BYTE: Final = 8
+# A page of the store or a message of a peer has some megabytes at most.
+TRANSFER_BYTES_MAX: Final = 16 * 1024 * 1024
 
 
 class AnswerOverheadError(aiohttp.ClientError):
     """Tell that a server sent too much beside the body of its answer."""
 
 
+class AnswerTooLongError(aiohttp.ClientError):
+    """Tell that the body of an answer is longer than its connection allows."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A connection that fails once a server sends too much beside a body.
 
     The parser bounds lines and the headers of one answer, but reads interim answers,
-    empty lines and extensions of chunks without end.
+    empty lines and extensions of chunks without end. ``body_bytes_max`` bounds each
+    body as well, if it is set.
     """
 
-    received = 0
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, body_bytes_max: int | None = None
+    ) -> None:
+        super().__init__(loop)
+        self.received = 0
+        self.body_bytes_max = body_bytes_max
 
     def set_response_params(self, **params: Any) -> None:
         """Begin an exchange."""
@@ -34,10 +47,15 @@
         """Parse bytes, and fail the exchange if too few of them belong to a body."""
         self.received += len(data)
         super().data_received(data)
-        # A paused connection has received bytes of the body that are not parsed yet.
-        if self.received <= OVERHEAD_BYTES_MAX or self._reading_paused:
+        if self.received <= OVERHEAD_BYTES_MAX:
             return
         body_bytes = self._payload.total_bytes if self._payload is not None else 0
+        if self.body_bytes_max is not None and body_bytes > self.body_bytes_max:
+            self.fail(AnswerTooLongError(f"a body of {body_bytes} bytes and more"))
+            return
+        # A paused connection has received bytes of the body that are not parsed yet.
+        if self._reading_paused:
+            return
         overhead = self.received - body_bytes
         if overhead > OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * body_bytes:
             self.fail(AnswerOverheadError(f"{overhead} bytes beside the body"))
@@ -52,8 +70,10 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """Open connections that bound what a server sends beside bodies."""
+    """Open connections that bound what a server sends beside bodies, and bodies."""
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(self, *, body_bytes_max: int | None = None, **options: Any) -> None:
         super().__init__(**options)
-        self._factory = partial(BoundedResponseHandler, loop=self._loop)
+        self._factory = partial(
+            BoundedResponseHandler, self._loop, body_bytes_max=body_bytes_max
+        )
