Bound what a caller sends beside the bodies of its requests

The connections of callers and peers now count what arrives since the last request; beyond 1 MiB and 8 bytes for each byte of the body the body fails with 400, which has not run, answers that are due are written, and the connection ends. Event request_malformed tells the bytes. A first form left an idle connection open, as closing cancels its reader only.

--- /dev/null
+++ b/packages/node/greengagepoint_node/http/bounded_requests.py
@@ -0,0 +1,65 @@
+"""Server connections that bound what a caller sends beside the bodies of requests."""
+
+import contextlib
+from typing import Final
+
+import aiohttp
+from aiohttp import web
+
+from greengagepoint.errors import ErrorKind
+from greengagepoint.events import Event
+from greengagepoint_node.context import EventSink
+
+# Empty lines, a head, trailers and the framing of chunks, since the last request.
+OVERHEAD_BYTES_MAX: Final = 1024 * 1024
+# A chunk of one byte has five bytes of framing.
+OVERHEAD_PER_BODY_BYTE: Final = 8
+
+
+class BoundedRequestHandler(web.RequestHandler):
+    """A connection that ends once a caller sends too much beside a body.
+
+    The parser bounds lines and the headers of one request, but reads empty lines and
+    extensions of chunks without end.
+    """
+
+    events: EventSink
+    received = 0
+    last_payload: aiohttp.StreamReader | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes, and end the connection if too few belong to requests."""
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count != count:
+            self.received = 0
+            _, self.last_payload = self._messages[-1]
+            return
+        self.received += len(data)
+        if self.received <= OVERHEAD_BYTES_MAX or self._close or self._force_close:
+            return
+        # A paused connection has received bytes of the body that are not parsed yet.
+        if self._reading_paused:
+            return
+        body_bytes = self.last_payload.total_bytes if self.last_payload else 0
+        overhead = self.received - body_bytes
+        if overhead > OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * body_bytes:
+            self.reject_overhead(overhead)
+
+    def reject_overhead(self, overhead: int) -> None:
+        """Fail the body that is still read, and close after the last answer."""
+        self.events.record(
+            Event.REQUEST_MALFORMED,
+            kind=ErrorKind.BAD_REQUEST,
+            detail=f"{overhead} bytes beside requests and their bodies",
+        )
+        payload = self.last_payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(web.RequestPayloadError("too many bytes of framing"))
+        if self.transport is not None:
+            with contextlib.suppress(RuntimeError):
+                self.transport.pause_reading()
+        if self._current_request is None and not self._messages:
+            self.force_close()
+        else:
+            self.close()
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -20,6 +20,7 @@
 )
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.http.bounded_requests import BoundedRequestHandler
 from greengagepoint_node.http.problems import problem_response
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -55,7 +56,7 @@
     service: Handler
 
 
-class ProblemRequestHandler(web.RequestHandler):
+class ProblemRequestHandler(BoundedRequestHandler):
     """One connection; answers malformed requests with problem documents."""
 
     events: EventSink
