Let the machine of held bytes exceed its budget more often

One of twelve mutants (the answer that grows gives way) was found in the first runs and missed in one of the same test beside others: budgets of up to ten floors were seldom exceeded.

--- a/packages/core/tests/test_overload_held_bytes.py
+++ b/packages/core/tests/test_overload_held_bytes.py
@@ -36,8 +36,8 @@
     answers = Bundle("answers")
 
     @initialize(
-        budget=st.integers(2, 10).map(lambda count: count * FLOOR_BYTES),
-        share=st.integers(1, 3),
+        budget=st.integers(2, 5).map(lambda count: count * FLOOR_BYTES),
+        share=st.integers(1, 2),
     )
     def begin(self, budget, share):
         self.limits = HeldLimits(budget, budget // share)
@@ -251,7 +251,7 @@
     IgnoresLength,
 ]
 SETTINGS = settings(
-    max_examples=400,
+    max_examples=1_000,
     stateful_step_count=40,
     deadline=None,
     suppress_health_check=list(HealthCheck),
