--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -52,6 +52,7 @@
     LATE_REQUEST_DECIDED = 2022
     ANSWER_NOT_WRITTEN = 2023
     ANSWER_REJECTED = 2024
+    ANSWER_DROPPED = 2025
     ANSWER_WITHOUT_PROOF = 2027
     # 3000: configuration
     RECORD_REFUSED = 3001
@@ -216,6 +217,9 @@
         Level.WARNING,
         "An answer said that a request has not run, but does not prove to be its own.",
     ),
+    Event.ANSWER_DROPPED: EventType(
+        Level.WARNING, "An answer was given up, as the host can't hold it."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -23,6 +23,7 @@
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.send_times import SendTimes
+from greengagepoint_node.proxy.answer_bodies import HeldBody
 from greengagepoint_node.proxy.relay import is_framed
 from greengagepoint_node.proxy.sessions import (
     BackendRequest,
@@ -76,6 +77,7 @@
 
     ``fault`` is what keeps an answer's head from being passed on.
     ``unproved`` is the head of an answer that said "not run" without proof.
+    ``held`` are the bytes of the body, to be given back once they are written.
     """
 
     verdict: Verdict
@@ -87,6 +89,7 @@
     load: str | None = None
     fault: HeadFault | None = None
     unproved: AnswerHead | None = None
+    held: HeldBody | None = None
 
 
 class TimeLeft(NamedTuple):
@@ -111,7 +114,7 @@
     more, or None. ``unsent_result`` holds that result. ``read_signals`` is called with
     the status and headers of the server's answer before its body is read.
     ``connected_at`` is when a connection was begun for it, None on a kept one, and
-    ``used`` the connection of its answer.
+    ``used`` the connection of its answer. ``held`` are the bytes of its answer.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         self.connected_at: float | None = None
         self.used: ResponseHandler | None = None
         self.successor: Server | None = None
+        self.held: HeldBody | None = None
         self.is_given_up = False
 
     def prepare_to_send(self) -> bool:
@@ -170,6 +174,11 @@
         """Return True if a server may have received any part of it."""
         return self.times.sent_at is not None
 
+    async def async_read_body(self, answer: aiohttp.ClientResponse) -> bytes:
+        """Return the whole body of an answer within the bytes that a host may hold."""
+        assert self.held is not None
+        return await self.held.bodies.async_read(answer, self.method, self.held)
+
     def abandon_for(self, successor: Server | None) -> None:
         """Time out this attempt now, so that the request goes to ``successor``.
 
@@ -243,11 +252,18 @@
                 middlewares=(SendInTime(outgoing, receiver),),
                 trace_request_ctx=outgoing,
             )
+            held = HeldBody(sessions.bodies, answer, outgoing.request_id, address)
+            outgoing.held = held
             try:
-                return await async_read(answer, outgoing)
+                exchange = await async_read(answer, outgoing)
             except BaseException:
                 answer.close()
+                held.release()
                 raise
+            if exchange.verdict is Verdict.ANSWERED:
+                return exchange._replace(held=held)
+            held.release()
+            return exchange
     except aiohttp.ConnectionTimeoutError as error:
         return Exchange(Verdict.UNREACHABLE, type(error).__name__)
     except LapsedError:
@@ -285,7 +301,7 @@
         )
     if proof is not Proof.ANSWERED:
         verdict = Verdict.SHED if proof is Proof.NOT_RUN else Verdict.OTHER_SERVER
-        await answer.read()
+        await outgoing.async_read_body(answer)
         return Exchange(verdict, f"status {answer.status}", load=load)
     if (unsendable := reject_head(answer, outgoing)) is not None:
         return unsendable
@@ -297,7 +313,7 @@
     # that ends with an error.
     framed = is_framed(answer, outgoing.method)
     closed = None if framed else _closed_future(answer)
-    body = await answer.read()
+    body = await outgoing.async_read_body(answer)
     if not framed and _was_reset(closed):
         # An unframed body ends with its connection. The library accepts any close as
         # its end, so the caller would get a truncated body as a complete one.
--- a/packages/node/greengagepoint_node/gateway/relay.py
+++ b/packages/node/greengagepoint_node/gateway/relay.py
@@ -373,7 +373,7 @@
     if _is_of_another(names, answer, outgoing, result):
         close_connection(answer, outgoing.used)
         return Exchange(Verdict.FOREIGN, "the answer names another request")
-    body = await answer.read()
+    body = await outgoing.async_read_body(answer)
     if result == UNABLE:
         reason = body.decode(errors="replace").strip()
         return Exchange(Verdict.SHED, f"unable: {reason}", answer.status)
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -19,6 +19,7 @@
 )
 from greengagepoint.events import Event
 from greengagepoint_node.context import EventSink
+from greengagepoint_node.http.bounded_requests import BoundedRequestHandler
 from greengagepoint_node.http.cancellation import Handler, contain_cancellation
 from greengagepoint_node.http.head_writer import HeadWriter
 from greengagepoint_node.http.problems import problem_response
@@ -54,7 +55,7 @@
     service: Handler
 
 
-class ProblemRequestHandler(web.RequestHandler):
+class ProblemRequestHandler(BoundedRequestHandler):
     """One connection; answers malformed requests with problem documents."""
 
     events: EventSink
--- a/packages/node/greengagepoint_node/proxy/sessions.py
+++ b/packages/node/greengagepoint_node/proxy/sessions.py
@@ -9,6 +9,9 @@
 from aiohttp.client_reqrep import ConnectionKey
 from aiohttp.connector import Connection
 
+from greengagepoint_node.proxy.answer_bodies import AnswerBodies, create_answer_bodies
+from greengagepoint_node.proxy.bounded_connections import BoundedConnector
+
 CONNECT_SECONDS: Final = 2.0
 READ_BUFFER_BYTES: Final = 64 * 1024
 KEEPALIVE_SECONDS: Final = 30.0
@@ -67,9 +70,10 @@
 
 
 class BackendSessions(NamedTuple):
-    """The session towards all backend servers."""
+    """The session towards all backend servers, and the bodies of their answers."""
 
     session: aiohttp.ClientSession
+    bodies: AnswerBodies
 
     async def async_close(self) -> None:
         """Close all connections."""
@@ -82,9 +86,10 @@
     keepalive_seconds: float = KEEPALIVE_SECONDS,
     socket_factory: SocketFactoryType | None = None,
     trace: aiohttp.TraceConfig | None = None,
+    bodies: AnswerBodies | None = None,
 ) -> BackendSessions:
     """Return the session; the number in flight is bounded by the balancing tables."""
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         limit=0, keepalive_timeout=keepalive_seconds, socket_factory=socket_factory
     )
     session = aiohttp.ClientSession(
@@ -100,7 +105,7 @@
         trust_env=False,
         trace_configs=[trace] if trace is not None else None,
     )
-    return BackendSessions(session)
+    return BackendSessions(session, bodies or create_answer_bodies())
 
 
 class SendOnce:
