Refuse a configuration whose version exceeds 64 bits

What callers saw: a configuration with a version of 19 or 30 nines was put in force, and each configuration that the operator wrote after it was taken for an older one and ignored.

Cause: the version was any whole number that Python reads. Versions compare as their numbers do, so one above all others is never replaced.

Change: RouteTableBuilder refuses a version below 0 or above 2^63 - 1. The last valid configuration stays in force and the refusal is logged and counted, as for any other invalid one.

Measured: the new rows of test_an_invalid_configuration_names_the_field failed before (three of "DID NOT RAISE") and pass now; a version of 5,000 digits was refused before as well, since int() allows 4,300.

--- a/packages/core/greengagepoint/routing/tables.py
+++ b/packages/core/greengagepoint/routing/tables.py
@@ -149,14 +149,22 @@
         return rank <= self.urgent_ranks.get(service, rank)
 
 
+# A version that is passed on has 64 bits. One above that would also make every later
+# configuration an older one.
+VERSION_MAX: Final = 2**63 - 1
+
+
 class RouteTableBuilder:
     """Build the table of one configuration version incrementally.
 
     The cost of each call is proportional to what it adds, so that building a large
-    table can be spread over many steps of an event loop.
+    table can be spread over many steps of an event loop. Raise ValueError for a version
+    out of range.
     """
 
     def __init__(self, version: int, limits: CallerLimits) -> None:
+        if not 0 <= version <= VERSION_MAX:
+            raise ValueError("the version is negative or does not fit into 64 bits")
         self.version = version
         self.limits = limits
         self.hosts: dict[str, HostRoutes] = {}
--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -77,6 +77,11 @@
     assert table.services["one"].health_path == path
 
 
+def test_the_highest_version_is_accepted():
+    changed = {**CONFIGURATION, "version": f"r{2**63 - 1}"}
+    assert decode_item(item("op/config", changed)).table.version == 2**63 - 1
+
+
 def test_an_upload_rule_is_decoded_and_not_repeatable():
     """Guards against rejecting the configuration, or repeating a large body."""
     changed = msgspec.json.decode(msgspec.json.encode(CONFIGURATION))
@@ -98,6 +103,10 @@
     [
         ({"version": 5}, "version"),
         ({"version": "new"}, "new"),
+        ({"version": "r-1"}, "the version is negative"),
+        ({"version": f"r{2**63}"}, "the version .* does not fit into 64 bits"),
+        ({"version": "r" + "9" * 30}, "the version .* does not fit into 64 bits"),
+        ({"version": "r" + "9" * 5_000}, "digits"),
         ({"listeners": [{"rules": []}]}, "host"),
         ({"listeners": [{"host": "a", "rules": [{"name": "r"}]}]}, "match"),
     ],
