Refuse a host's entry with a link out of range

A host that starts chooses where to report its accounts' requests also among the entries of hosts in the store, and of these only such whose link is at least half of the largest. An entry of another writer with a link of 10^18 Mbit/s is then the only choice.

Cause: link_mbps of a host's entry had no range; -1 and 2^64 were accepted.

Change: check_host refuses a link below 0 or above 10^6 Mbit/s.

--- a/packages/node/greengagepoint_node/gateway/entry_checks.py
+++ b/packages/node/greengagepoint_node/gateway/entry_checks.py
@@ -14,6 +14,8 @@
 # limits would attract all requests or exclude a server permanently.
 SLOTS_MAX: Final = 100_000
 COLD_SECONDS_MAX: Final = 3_600
+# A faulty entry above any real link would be the only one that counts as well linked.
+LINK_MBPS_MAX: Final = 1_000_000.0
 # The last Unix millisecond of the year 9999. An incarnation with a start time that late
 # would take precedence over all that follow it.
 BORN_MAX: Final = 253_402_300_799_999
@@ -48,7 +50,10 @@
 
 
 def check_host(key: str, name: str, host: HostEntry) -> None:
-    """Raise ItemRefusedError if a host's entry has an invalid name or address."""
+    """Raise ItemRefusedError if a host's entry has an invalid name, address or link."""
     check_name(key, name, host.name)
+    if not 0 <= host.link_mbps <= LINK_MBPS_MAX:
+        detail = f"the link must carry 0 to {LINK_MBPS_MAX:.0f} Mbit/s"
+        raise ItemRefusedError(detail, RefusedFor.FIELD, key)
     check_address(key, host.front_address)
     check_address(key, host.peer_address)
--- a/packages/platform_tests/tests/test_platform_refused_items.py
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -84,6 +84,8 @@
         ("hosts/h1", with_fields(HOST, zone="zone-z"), "zone"),
         ("hosts/h1", with_fields(HOST, region=None), "field"),
         ("hosts/h1", with_fields(HOST, front_address=7), "field"),
+        ("hosts/h1", with_fields(HOST, link_mbps=-1), "field"),
+        ("hosts/h1", with_fields(HOST, link_mbps=1e18), "field"),
         ("hosts/h1", with_fields(HOST, front_address="h1:1"), "address"),
         ("hosts/h1", with_fields(HOST, peer_address="10.0.0.1:0"), "address"),
         ("hosts/h1", b"\xff", "unreadable"),
