Refuse a server's entry whose sequence exceeds 64 bits

What callers saw: nothing; found by the table of odd items. An entry with a sequence of 2^63 or 2^64 was taken for a sound one. A number that hosts pass on has 64 bits.

Cause: sequence had a lower bound only.

Change: a sequence is at most 2^63 - 1.

--- a/packages/node/greengagepoint_node/gateway/entry_checks.py
+++ b/packages/node/greengagepoint_node/gateway/entry_checks.py
@@ -1,6 +1,8 @@
 """Validate names, addresses and values of entries in the store."""
 
-from typing import Final
+from typing import Annotated, Final
+
+from msgspec import Meta
 
 from greengagepoint_node.gateway.addresses import is_address
 from greengagepoint_node.gateway.store_types import (
@@ -19,6 +21,12 @@
 # The last Unix millisecond of the year 9999. An incarnation with a start time that late
 # would take precedence over all that follow it.
 BORN_MAX: Final = 253_402_300_799_999
+SEQUENCE_MAX: Final = 2**63 - 1
+
+Slots = Annotated[int, Meta(ge=1, le=SLOTS_MAX)]
+ColdSeconds = Annotated[float, Meta(ge=0, le=COLD_SECONDS_MAX)]
+Born = Annotated[int, Meta(ge=0, le=BORN_MAX)]
+SequenceNumber = Annotated[int, Meta(ge=0, le=SEQUENCE_MAX)]
 
 
 def name_from_key(key: str, prefix: str) -> str:
--- a/packages/platform_tests/tests/test_platform_entries.py
+++ b/packages/platform_tests/tests/test_platform_entries.py
@@ -99,6 +99,8 @@
             ("coldLeftS", 1e9, "field"),
             ("sequence", -1, "field"),
             ("sequence", 1.5, "field"),
+            ("sequence", 2**63, "field"),
+            ("sequence", 2**64, "field"),
             ("born", 1.5, "field"),
             ("born", float(BORN), "field"),
             ("born", str(BORN), "field"),
@@ -123,6 +125,7 @@
     with_fields(ENTRY, coldLeftS=0),
     with_fields(ENTRY, zone="zone-b"),
     with_fields(ENTRY, slots=1),
+    with_fields(ENTRY, sequence=2**63 - 1),
     with_fields(ENTRY, address="10.0.0.1:65535"),
     with_fields(ENTRY, later={"field": [1]}),
 ]
