--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -247,6 +247,7 @@
                 "service": "one",
                 "address": "10.0.0.1:80",
                 "zone": "z",
+                "version": "4.2",
                 "slots": 9,
                 "state": state,
                 "coldLeftS": 2.5,
--- a/packages/platform_tests/tests/test_platform_entries.py
+++ b/packages/platform_tests/tests/test_platform_entries.py
@@ -28,7 +28,7 @@
 
 def entries_without_a_field():
     """Yield entries that lack one field."""
-    for name in ENTRY.keys() - {"version", "born"}:
+    for name in ENTRY.keys() - {"born"}:
         yield pytest.param(with_fields(ENTRY, **{name: None}), "field", id=f"no {name}")
 
 
@@ -119,7 +119,6 @@
 VALID_ENTRIES = [
     ENTRY,
     with_fields(ENTRY, born=None),
-    with_fields(ENTRY, version=None),
     with_fields(ENTRY, version=7),
     with_fields(ENTRY, born=0),
     with_fields(ENTRY, coldLeftS=0),
--- a/packages/platform_tests/tests/test_platform_restored_store.py
+++ b/packages/platform_tests/tests/test_platform_restored_store.py
@@ -75,6 +75,7 @@
                 "service": "booking",
                 "address": f"10.0.0.{number}:8080",
                 "zone": zone,
+                "version": "1",
                 "slots": 4,
                 "state": state,
                 "coldLeftS": 0,
--- a/packages/standins/greengagepoint_standins/users_platform/daemons.py
+++ b/packages/standins/greengagepoint_standins/users_platform/daemons.py
@@ -254,6 +254,7 @@
             "service": SERVICE,
             "address": backend.address,
             "zone": zone,
+            "version": "1",
             "slots": 8,
             "state": state,
             "coldLeftS": 0,
