Set aside entries that contradict the same run of a server

What callers saw: the same as with an entry that lacks a field. A complete entry of another writer under the id of a server of one service, which names another service, was used until the server's next report.

Cause: each write replaced the one before it, although a server keeps its service, zone and address while it runs.

Change: server_claims.py of core holds the first claim (start time, address, service and zone) of each run. An entry that contradicts it, or that lacks the start time that the server had stated, is set aside: its key names no server, `record_refused` names the field (reason service, zone, address or field), and the server is back with its own next report. The first entry may be the wrong one. So the later one holds once nothing has confirmed the first for 10 s, longer than the three heartbeats after which the store removes the entry of a server that ended; event 3009 tells it. The rule for servers that state no start time is the same as long as the address is the same; a new address is a new run there, as before.

Measured: test_an_entry_that_contradicts_the_servers_own, with three daemons, and four cases in test_platform_entries.py pass; a state machine finds seven mutants (17 passed in 2.88 s). test_platform_{entries,incomplete_entries,refused_items,restored_store}.py: 201 passed in 60.23 s; seven modules of views and events: 137 passed.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -58,6 +58,7 @@
     STORE_REVERTED = 3004
     RECORD_TOO_NEW = 3005
     CONFIGURATION_FROM_PEER = 3006
+    BACKEND_SERVER_CORRECTED = 3009
     # 4000: membership
     HOST_ALIVE = 4001
     HOST_SUSPECTED = 4002
@@ -211,6 +212,10 @@
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
     ),
+    Event.BACKEND_SERVER_CORRECTED: EventType(
+        Level.INFO,
+        "An entry that contradicts a server's former one was accepted.",
+    ),
     Event.CONFIGURATION_CONFLICT: EventType(
         Level.INFO, "Two operators changed the same record."
     ),
