Spoil whole documents under each prefix of the store

Hypothesis leaves out, doubles and replaces fields of the documents under servers/, hosts/, quarantine/ and of the configuration, with numbers out of range, deep nesting, wrong UTF-8 and arbitrary JSON. Each document is used as a whole or refused by name, one that lacks a required field is always refused, and no other key is affected.

--- a/packages/platform_tests/tests/test_platform_refused_items.py
+++ b/packages/platform_tests/tests/test_platform_refused_items.py
@@ -15,6 +15,7 @@
 )
 
 from greengagepoint.events import Event
+from greengagepoint_node.gateway.entry_checks import BORN_MAX
 from greengagepoint_node.gateway.rejected_items import LINES_BURST, TEXT_MAX
 
 
@@ -199,3 +200,72 @@
     fleet = create_view_fixture()
     fleet.put("servers/i-1", msgspec.json.encode(value))
     assert fleet.members() == ["i-2"]
+
+
+QUARANTINE = {"content": "c", "seconds": 1.0, "ends": []}
+DOCUMENTS = {
+    "servers/i-1": (ENTRY, ENTRY.keys() - {"born"}),
+    "servers/i-3": (ENTRY, ENTRY.keys() - {"born"}),
+    "hosts/h1": (HOST, HOST.keys()),
+    "quarantine/c": (QUARANTINE, QUARANTINE.keys()),
+    "op/config": (configuration(2, "booking"), {"version", "listeners", "clusters"}),
+}
+RAW_VALUES = st.sampled_from(
+    [
+        b"9" * 5_000,
+        b"1e999",
+        b"NaN",
+        b"-1",
+        b"9223372036854775808",
+        b"[" * 2_000 + b"]" * 2_000,
+        b'{"a":' * 2_000 + b"1" + b"}" * 2_000,
+        b'"\xff"',
+        b'"' + b"x" * 5_000 + b'"',
+        b"",
+    ]
+) | JSON.map(msgspec.json.encode)
+
+
+@st.composite
+def spoilt_documents(draw):
+    """Draw a key and an encoded document with fields missing, doubled or replaced."""
+    key = draw(st.sampled_from(sorted(DOCUMENTS)))
+    document, required = DOCUMENTS[key]
+    names = st.sampled_from(sorted(document))
+    missing = draw(st.sets(names, max_size=2))
+    kept = [
+        (name, msgspec.json.encode(value))
+        for name, value in document.items()
+        if name not in missing
+    ]
+    replaced = draw(st.dictionaries(names, RAW_VALUES, max_size=2))
+    rows = [(name, replaced.get(name, value)) for name, value in kept]
+    rows += draw(st.lists(st.sampled_from(kept), max_size=2)) if kept else []
+    text = b",".join(b'"%s":%s' % (name.encode(), value) for name, value in rows)
+    return key, b"{" + text + b"}", bool(missing & required), not (missing or replaced)
+
+
+@given(spoilt=spoilt_documents())
+def test_a_spoilt_document_affects_its_own_key_only(spoilt):
+    # It is used as a whole or refused by name, and the key's next sound one is used.
+    key, value, is_incomplete, is_sound = spoilt
+    fleet = create_view_fixture()
+    fleet.put("hosts/h2", with_fields(HOST, name="h2"))
+    fleet.put(key, value)
+    refused = [name for name, _ in fleet.refused()]
+    assert set(refused) <= {key}
+    if is_incomplete:
+        assert refused == [key]
+    if is_sound:
+        assert refused == []
+    assert "h2" in fleet.view.hosts
+    assert "i-2" in fleet.members() or fleet.view.routes.version == 2
+    if refused and key.startswith("servers/"):
+        assert key.removeprefix("servers/") not in fleet.members()
+    if refused and key == "op/config":
+        assert fleet.view.routes.version == 1
+    if refused and key == "hosts/h1":
+        assert "h1" not in fleet.view.hosts
+    if key.startswith("servers/"):
+        fleet.put(key, with_fields(ENTRY, born=BORN_MAX))
+        assert key.removeprefix("servers/") in fleet.members()
