--- a/packages/platform_tests/tests/test_platform_entries.py
+++ b/packages/platform_tests/tests/test_platform_entries.py
@@ -8,8 +8,17 @@
 
 import msgspec
 import pytest
-from told_entries import BORN, ENTRY, create_view_fixture, with_fields
+from told_entries import (
+    BORN,
+    ENTRY,
+    NOW,
+    configuration,
+    create_view_fixture,
+    with_fields,
+)
 
+from greengagepoint.events import Event
+from greengagepoint.placing.server_claims import DISPUTE_SECONDS
 from greengagepoint.placing.tables import Incarnation
 
 
@@ -28,7 +37,7 @@
 
 def entries_without_a_field():
     """Yield entries that lack one field."""
-    for name in ENTRY.keys() - {"version", "born"}:
+    for name in ENTRY.keys() - {"born"}:
         yield pytest.param(with_fields(ENTRY, **{name: None}), "field", id=f"no {name}")
 
 
@@ -99,6 +108,8 @@
             ("coldLeftS", 1e9, "field"),
             ("sequence", -1, "field"),
             ("sequence", 1.5, "field"),
+            ("sequence", 2**63, "field"),
+            ("sequence", 2**64, "field"),
             ("born", 1.5, "field"),
             ("born", float(BORN), "field"),
             ("born", str(BORN), "field"),
@@ -117,12 +128,12 @@
 VALID_ENTRIES = [
     ENTRY,
     with_fields(ENTRY, born=None),
-    with_fields(ENTRY, version=None),
     with_fields(ENTRY, version=7),
     with_fields(ENTRY, born=0),
     with_fields(ENTRY, coldLeftS=0),
     with_fields(ENTRY, zone="zone-b"),
     with_fields(ENTRY, slots=1),
+    with_fields(ENTRY, sequence=2**63 - 1),
     with_fields(ENTRY, address="10.0.0.1:65535"),
     with_fields(ENTRY, later={"field": [1]}),
 ]
@@ -166,3 +177,34 @@
     fleet.put("servers/i-1", with_fields(ENTRY, state="draining"))
     assert fleet.members() == ["i-2"]
     assert fleet.refused() == []
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({"service": "lifts"}, "service"),
+        ({"zone": "zone-b"}, "zone"),
+        ({"address": "10.0.0.9:8080"}, "address"),
+        ({"born": None}, "field"),
+    ],
+    ids=str,
+)
+def test_an_entry_that_contradicts_the_same_run_is_set_aside(fields, reason):
+    # Another writer's entry would send requests of one service to a server of another.
+    # If the first entry was wrong, nothing confirms it, and the other one holds.
+    fleet = create_view_fixture()
+    fleet.put("op/config", configuration(2, "booking", "lifts"))
+    fleet.put("servers/i-1", with_fields(ENTRY, **fields))
+    assert fleet.members() == ["i-2"]
+    assert fleet.refused() == [("servers/i-1", reason)]
+    fleet.put("servers/i-1", ENTRY)
+    assert fleet.members() == ["i-1", "i-2"]
+    fleet.view.tick(NOW + DISPUTE_SECONDS)
+    assert fleet.view.servers.servers["i-1"].service == "booking"
+    fleet.put("servers/i-1", with_fields(ENTRY, **fields))
+    fleet.view.tick(NOW + DISPUTE_SECONDS - 0.1)
+    assert fleet.members() == ["i-2"]
+    fleet.view.tick(NOW + DISPUTE_SECONDS)
+    assert fleet.members() == ["i-1", "i-2"]
+    assert len(fleet.view.events.of(Event.BACKEND_SERVER_CORRECTED)) == 1
+    assert len(fleet.refused()) == 2
