Let the newest configuration win by its revision, not by its arrival

Cause: ConfigurationLoader took the version that was queued last for the newest one, and cleared its queue when that one was decoded. Peers send the newest version, a watch sends each write, so after a pause the older one can come last. Its revision was known, so nothing fetched the newer one again, and record_all_loaded told ConfigFreshness that the newest known revision, even one known from a peer's proof only, was in force.

Change: config/version_order.py of core decides by the store's position what is decoded next, what is superseded and what is in force; across eras the higher version wins. A full queue drops the oldest version. A version that is invalid leaves older ones to be decoded, also those that come after it. ConfigFreshness is told the position of what is in force, which is lower than before if a version of a former era replaces one of a restored store. Dropped versions are logged (event 3007). A tick queues the newest kept configuration again if it is neither decoded nor queued.

--- a/packages/core/greengagepoint/accounts/certainty.py
+++ b/packages/core/greengagepoint/accounts/certainty.py
@@ -54,8 +54,11 @@
         self.note(self.newest, asked_at)
 
     def note_in_force(self, revision: int) -> None:
-        """Record that a revision became active on this host."""
-        self.active_revision = max(self.active_revision, revision)
+        """Record that a revision became active on this host.
+
+        It is lower than that of the former one if that one was from a restored store.
+        """
+        self.active_revision = revision
         self._apply_newest()
 
     def take(self, proof: Proof, asked_at: float) -> None:
--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -58,6 +58,7 @@
     STORE_REVERTED = 3004
     RECORD_TOO_NEW = 3005
     CONFIGURATION_FROM_PEER = 3006
+    CONFIGURATION_DROPPED = 3007
     # 4000: membership
     HOST_ALIVE = 4001
     HOST_SUSPECTED = 4002
@@ -223,6 +224,9 @@
     Event.CONFIGURATION_FROM_PEER: EventType(
         Level.INFO, "Configuration was taken from a peer."
     ),
+    Event.CONFIGURATION_DROPPED: EventType(
+        Level.INFO, "A version of the configuration was dropped before its decoding."
+    ),
     Event.HOST_ALIVE: EventType(Level.INFO, "A host is alive."),
     Event.HOST_SUSPECTED: EventType(Level.INFO, "A host is suspected of being gone."),
     Event.HOST_GONE: EventType(Level.WARNING, "A host is considered gone."),
--- a/packages/node/greengagepoint_node/gateway/configuration_loader.py
+++ b/packages/node/greengagepoint_node/gateway/configuration_loader.py
@@ -1,10 +1,10 @@
 """Decode large configurations in short steps of the event loop, newest first."""
 
 import asyncio
-from collections import deque
 from itertools import islice
 from typing import Final, NamedTuple, Protocol
 
+from greengagepoint.config.version_order import VersionOrder
 from greengagepoint.errors import RecordError
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.store_types import (
@@ -24,11 +24,8 @@
 class LoadedConfigurations(Protocol):
     """Receive decoded configurations."""
 
-    def apply_loaded(self, entry: Configuration, now: float) -> None:
-        """Activate a version that was decoded completely."""
-
-    def record_all_loaded(self) -> None:
-        """Record that no version is waiting to be decoded."""
+    def apply_loaded(self, item: StoredItem, entry: Configuration, now: float) -> None:
+        """Apply a version that was decoded completely."""
 
     def reject_version(self, item: StoredItem, error: RecordError, now: float) -> None:
         """Record that a version can't be decoded."""
@@ -45,30 +42,37 @@
     """Decode one version at a time, a few parts in each step of the event loop.
 
     Decoding 5,000 routes in one step blocked all callers of a host for the entire
-    processor time that it took. A version that arrives meanwhile is decoded first. Once
-    it is decoded completely, older ones are dropped. If it is invalid, decoding of the
-    older one continues, so that the last valid version becomes active.
+    processor time that it took. The newest version is decoded first, in whatever order
+    they arrive. Once it is decoded completely, older ones are dropped. If it is
+    invalid, decoding of the older one continues, so that the last valid version becomes
+    active.
     """
 
     def __init__(self, read: ReadParts, clock: Clock) -> None:
         self.read = read
         self.clock = clock
-        self.waiting: deque[WaitingVersion] = deque(maxlen=WAITING_VERSIONS_MAX)
+        self.versions: VersionOrder[WaitingVersion] = VersionOrder(WAITING_VERSIONS_MAX)
         self.arrived = asyncio.Event()
 
-    def enqueue(self, item: StoredItem) -> bool:
-        """Queue an item if it is to be decoded in steps; return True if it was.
+    @property
+    def waiting(self) -> dict[int, WaitingVersion]:
+        """Return the versions to decode by position, the oldest first."""
+        return self.versions.waiting
+
+    def enqueue(self, item: StoredItem) -> tuple[int, ...] | None:
+        """Queue an item if it is to be decoded in steps, else return None.
 
-        A small configuration is queued as well while others are waiting.
+        A small configuration is queued as well while others are waiting. Return the
+        revisions that are dropped, which may be that of the item.
         """
         if len(item.value) < LARGE_BYTES and not self.waiting:
-            return False
+            return None
         parts = self.read(item)
         if parts is None:
-            return False
-        self.waiting.append(WaitingVersion(item, parts))
+            return None
+        dropped = self.versions.add(item.revision, WaitingVersion(item, parts))
         self.arrived.set()
-        return True
+        return dropped
 
     async def async_run(self, view: LoadedConfigurations) -> None:
         """Decode versions as they arrive until cancelled."""
@@ -77,18 +81,15 @@
             self.arrived.clear()
             while self.waiting:
                 self._step(view)
-                if not self.waiting:
-                    view.record_all_loaded()
                 await asyncio.sleep(0)
 
     def _step(self, view: LoadedConfigurations) -> None:
-        """Decode some parts of the newest version; activate it after the last."""
-        item, parts = self.waiting[-1]
+        """Decode some parts of the newest version; apply it after the last."""
+        item, parts = self.versions.next_waiting()
         try:
             for configuration in islice(parts, PARTS_PER_STEP):
                 if configuration is not None:
-                    self.waiting.clear()
-                    view.apply_loaded(configuration, self.clock.monotonic())
+                    view.apply_loaded(item, configuration, self.clock.monotonic())
+                    return
         except RecordError as error:
-            self.waiting.pop()
             view.reject_version(item, error, self.clock.monotonic())
--- a/packages/node/greengagepoint_node/gateway/store_types.py
+++ b/packages/node/greengagepoint_node/gateway/store_types.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable, Iterator, Sequence
 from enum import StrEnum
-from typing import Annotated, Final, NamedTuple, Protocol
+from typing import Annotated, Any, Final, NamedTuple, Protocol
 
 import msgspec
 from msgspec import Meta
 
+from greengagepoint.config.version_order import VersionOrder
 from greengagepoint.errors import ErrorKind, RecordError
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint.quarantine.messages import SharedEnd
@@ -157,8 +158,13 @@
 class Loader(Protocol):
     """Decode items that are too large for one step of the event loop."""
 
-    def enqueue(self, item: StoredItem) -> bool:
-        """Queue an item if it is to be decoded in steps; return True if it was."""
+    versions: VersionOrder[Any]
+
+    def enqueue(self, item: StoredItem) -> tuple[int, ...] | None:
+        """Queue an item if it is to be decoded in steps, else return None.
+
+        Return the revisions that are dropped, which may be that of the item.
+        """
 
 
 class HistoryLostError(Exception):
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -7,6 +7,7 @@
 from greengagepoint.accounts.certainty import NEVER, ConfigFreshness
 from greengagepoint.config.eras import era_of, revision_of
 from greengagepoint.config.store_memory import WRITTEN_AGAIN_SECONDS, StoreMemory
+from greengagepoint.config.version_order import VersionOrder
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
 from greengagepoint.placing.tables import Incarnation
@@ -86,6 +87,7 @@
         self.lapses_until = float("-inf")
         self.quarantine: QuarantineEntries = NoQuarantine()
         self.certainty = ConfigFreshness()
+        self.versions = VersionOrder(0) if loader is None else loader.versions
         self.configuration_key = ""
         self.memory = StoreMemory()
 
@@ -226,12 +228,11 @@
     def note_complete(self, asked_at: float) -> None:
         """Record that the store, asked at a time, has sent every change.
 
-        A store that was restored from a copy may lack the configuration in force. Its
-        answer proves nothing then: the older one could accept a revoked key.
+        A store that was restored from a copy may hold an older configuration than the
+        one in force. Its answer proves nothing then, as the one in force may lack the
+        latest revocations.
         """
-        writes = self.writes.get(self.configuration_key)
-        if writes is None or writes.active is writes.newest:
-            self.certainty.note_complete(asked_at)
+        self.certainty.note_complete(asked_at)
 
     def record_replacement(self, incarnation: Incarnation) -> None:
         """Record that another server answers at the address of this incarnation.
@@ -266,41 +267,57 @@
         expired += self.memory.expire(now)
         for key in expired:
             self._update_entry(key, now)
-        if expired:
+        if self._queue_again(now) or expired:
             self._rebuild(now)
 
+    def _queue_again(self, now: float) -> bool:
+        """Decode the newest configuration if it is neither decoded nor queued.
+
+        Return True if it became active.
+        """
+        writes = self.writes.get(self.configuration_key)
+        return writes is not None and self._apply_item(writes.newest.item, now)
+
     def _apply_item(self, item: StoredItem, now: float) -> bool:
         """Apply an item; return True if the server membership may have changed."""
         key = item.key
         self.memory.note_write(key, item.revision)
         writes = self.writes.get(key) or KeyWrites(self.removed.get(key, 0))
-        if not writes.is_new(item.revision):
+        is_new = writes.is_new(item.revision)
+        if not is_new and not self._is_undecided(item):
             return False
         write = self._decode_item(item)
-        has_effect = writes.add_write(write)
+        changed = self._record_version(write, now)
+        has_effect = is_new and writes.add_write(write)
         if writes.floor > self.removed.get(key, 0):
             # Peers that hold earlier writes can't detect by themselves that those have
             # been superseded.
             self._record_removal(RemovedKey(key, writes.floor))
         if not has_effect:
-            return False
+            return changed
         self.writes[key] = writes
         if write.error is not None:
             self.rejected.record_rejection(key, write.error, now)
-        changed = self._update_entry(key, now)
-        if isinstance(write.entry, Configuration):
-            self.configuration_key = key
-            self.certainty.note(item.revision, NEVER)
-            self.certainty.note_in_force(item.revision)
-        return changed
+        return self._update_entry(key, now) or changed
+
+    def _is_undecided(self, item: StoredItem) -> bool:
+        """Return True for a configuration that may be the newest valid one.
+
+        Later writes replace it, but if they are all invalid, it becomes active.
+        """
+        is_configuration = item.key == self.configuration_key
+        return is_configuration and self.versions.is_undecided(item.revision)
 
     def _decode_item(self, item: StoredItem) -> Write:
         """Return an item with its decoded entry or the error that rejects it.
 
         The loader decodes a large configuration later.
         """
-        if self.loader is not None and self.loader.enqueue(item):
+        dropped = self.loader.enqueue(item) if self.loader is not None else None
+        if dropped is not None:
+            self.configuration_key = item.key
             self.certainty.note(item.revision, NEVER)
+            self._log_dropped(dropped)
             return Write(item)
         try:
             entry = self.decode(item)
@@ -309,19 +326,65 @@
             return Write(item, error=error)
         return Write(item, entry)
 
-    def apply_loaded(self, entry: Configuration, now: float) -> None:
-        """Activate a configuration that the loader has decoded."""
-        if self._activate(entry, now):
-            self._rebuild(now)
+    def _record_version(self, write: Write, now: float) -> bool:
+        """Apply a write of the configuration; return True if it became active."""
+        if isinstance(write.entry, Configuration):
+            self.configuration_key = write.item.key
+            return self._apply_configuration(write.item, write.entry.table, now)
+        if write.error is not None and write.item.key == self.configuration_key:
+            self._reject_configuration(write.item)
+        return False
 
-    def record_all_loaded(self) -> None:
-        """Record that no version is waiting; the last valid one is active."""
-        self.certainty.note_in_force(self.certainty.newest)
+    def apply_loaded(self, item: StoredItem, entry: Configuration, now: float) -> None:
+        """Apply a configuration that the loader has decoded."""
+        if self._apply_configuration(item, entry.table, now):
+            self._rebuild(now)
 
     def reject_version(self, item: StoredItem, error: RecordError, now: float) -> None:
         """Record that the loader can't decode a version; the last valid one stays."""
+        self._reject_configuration(item)
         self.rejected.record_rejection(item.key, error, now)
 
+    def _apply_configuration(
+        self, item: StoredItem, table: RouteTable, now: float
+    ) -> bool:
+        """Activate a configuration if it is the newest; return True if it was."""
+        decoded = self.versions.record_valid(item.revision, table.version)
+        self.certainty.note(item.revision, NEVER)
+        if decoded.is_activated:
+            self.routes = table
+            self.configured_at = now
+            self.events.record(
+                Event.CONFIGURATION_IN_FORCE,
+                generation=table.version,
+                revision=self.revision,
+            )
+        self.certainty.note_in_force(self.versions.confirmed_position())
+        self._log_dropped(decoded.superseded)
+        return decoded.is_activated
+
+    def _reject_configuration(self, item: StoredItem) -> None:
+        """Record that a version of the configuration is invalid."""
+        self.versions.record_rejected(item.revision)
+        self.certainty.note(item.revision, NEVER)
+        if self.routes is not None:
+            self.certainty.note_in_force(self.versions.confirmed_position())
+
+    def _log_dropped(self, positions: Iterable[int]) -> None:
+        """Log versions of the configuration that will not become active."""
+        active = self.versions.active
+        for position in positions:
+            is_superseded = self.versions.is_superseded(position)
+            self.events.record(
+                Event.CONFIGURATION_DROPPED,
+                era=era_of(position),
+                revision=revision_of(position),
+                reason="superseded" if is_superseded else "too many are waiting",
+                generation_in_force=active.version if self.routes else None,
+                era_in_force=era_of(active.position),
+                revision_in_force=revision_of(active.position),
+            )
+
     def _check_zone(self, key: str, entry: StoreEntry | None) -> None:
         """Raise ItemRefusedError if the zone of an entry is not in the settings."""
         has_zone = isinstance(entry, ServerEntry | HostEntry | Evacuation)
@@ -357,9 +420,7 @@
     def _activate(self, entry: StoreEntry, now: float) -> bool:
         """Activate an entry; return True if the server membership may have changed."""
         if isinstance(entry, Configuration):
-            before = self.routes
-            self._activate_configuration(entry.table, now)
-            return self.routes is not before
+            return False
         if isinstance(entry, HostEntry):
             self.hosts[entry.name] = entry
             return False
@@ -375,18 +436,6 @@
         self.known.apply_entry(entry, self.revision, now)
         return True
 
-    def _activate_configuration(self, table: RouteTable, now: float) -> None:
-        """Activate a configuration unless the active one is at least as new."""
-        if self.routes is not None and self.routes.version >= table.version:
-            return
-        self.routes = table
-        self.configured_at = now
-        self.events.record(
-            Event.CONFIGURATION_IN_FORCE,
-            generation=table.version,
-            revision=self.revision,
-        )
-
     def _apply_removal(
         self, change: RemovedKey, unconfirmed: float, now: float
     ) -> bool:
--- a/packages/node/tests/test_gateway_accounts.py
+++ b/packages/node/tests/test_gateway_accounts.py
@@ -11,7 +11,7 @@
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import RouteTableBuilder
-from greengagepoint_node.gateway.store_types import Configuration
+from greengagepoint_node.gateway.store_types import Configuration, StoredItem
 
 KEY, OTHER_KEY = "k3yofone4567890abcde", "0therk3yofone4567890"
 ACCOUNTS = (
@@ -199,7 +199,8 @@
         builder.add_service(policy)
     for account, keys in ACCOUNTS:
         builder.add_account(account, [row for row in keys if row != key])
-    view.apply_loaded(Configuration(builder.table()), env.clock.monotonic())
+    item = StoredItem(view.configuration_key, b"", view.revision + 1)
+    view.apply_loaded(item, Configuration(builder.table()), env.clock.monotonic())
 
 
 async def test_an_account_over_its_limit_does_not_affect_others():
--- a/packages/node/tests/test_gateway_configuration_loader.py
+++ b/packages/node/tests/test_gateway_configuration_loader.py
@@ -12,6 +12,8 @@
 from deployment import async_until
 from gateway_world import ZONES, EventLog, async_environment
 
+from greengagepoint.accounts.certainty import NEVER, Proof
+from greengagepoint.config.eras import position_of
 from greengagepoint.errors import RecordError
 from greengagepoint.events import Event
 from greengagepoint.routing.tables import CallerLimits, create_route_table
@@ -176,6 +178,132 @@
     assert host.decoder.parts_decoded["2"] == PARTS
 
 
+def apply_from_store(host, item):
+    host.apply(item)
+
+
+def apply_from_peer(host, item):
+    host.view.apply(Changes((item,), item.revision), NOW, {})
+
+
+def apply_partial(host, item):
+    host.view.apply(Changes((item,), host.view.revision), NOW, {})
+
+
+def apply_snapshot(host, item):
+    host.view.replace(Snapshot((item,), item.revision), NOW)
+
+
+def apply_late_snapshot(host, item):
+    # A range is read page by page, so its items may be older than its revision.
+    host.view.replace(Snapshot((item,), host.view.revision + 1), NOW)
+
+
+WAYS = [
+    apply_from_store,
+    apply_from_peer,
+    apply_partial,
+    apply_snapshot,
+    apply_late_snapshot,
+]
+
+
+@pytest.mark.parametrize("steps_done", [0, 3, 100], ids="{} steps done".format)
+@pytest.mark.parametrize("older_way", WAYS, ids=lambda row: row.__name__)
+@pytest.mark.parametrize("newer_way", WAYS[:4], ids=lambda row: row.__name__)
+@pytest.mark.parametrize("older", [large, small], ids=lambda row: row.__name__)
+@pytest.mark.parametrize("newer", [large, small], ids=lambda row: row.__name__)
+async def test_an_older_version_that_arrives_last_does_not_become_active(
+    host, newer, older, newer_way, older_way, steps_done
+):
+    """Guard against a host that keeps a revoked key because it stood still."""
+    host.apply(large("1", 1))
+    await host.async_decode_all()
+    newer_way(host, newer("3", 3))
+    await host.async_run_turns(steps_done)
+    older_way(host, older("2", 2))
+    await host.async_decode_all()
+    assert host.version == 3
+    assert host.decoder.parts_decoded.get("2", 0) in (0, PARTS)
+    assert len(host.view.events.of(Event.CONFIGURATION_IN_FORCE)) == 2
+    assert host.view.certainty.active_revision == 3
+    (kept,) = host.view.writes[KEY].writes
+    assert kept.item.revision == 3
+
+
+async def test_a_dropped_version_is_logged(host):
+    host.apply(large("3", 3))
+    host.apply(large("2", 2))
+    await host.async_decode_all()
+    host.apply(large("1", 1))
+    rows = host.view.events.of(Event.CONFIGURATION_DROPPED)
+    assert [row["revision"] for row in rows] == [2]
+    assert rows[0]["reason"] == "superseded"
+    assert (rows[0]["generation_in_force"], rows[0]["revision_in_force"]) == (3, 3)
+
+
+@pytest.mark.parametrize("steps_done", [0, 3, 100], ids="{} steps done".format)
+@pytest.mark.parametrize("older", [large, small], ids=lambda row: row.__name__)
+@pytest.mark.parametrize("bad", [large, small], ids=lambda row: row.__name__)
+async def test_a_good_version_that_arrives_after_a_newer_bad_one_becomes_active(
+    host, bad, older, steps_done
+):
+    """Guard against a valid version that is taken for superseded by an invalid one."""
+    host.apply(small("1", 1))
+    host.apply(bad("3 bad 0", 3))
+    await host.async_run_turns(steps_done)
+    host.apply(older("2", 2))
+    await host.async_decode_all()
+    assert host.version == 2
+    assert host.view.certainty.active_revision == 3
+
+
+async def test_a_full_queue_drops_the_oldest_version(host):
+    """Guard against a queue that drops the newest version because it arrived first."""
+    host.apply(large("9", 9))
+    host.apply(*(large(str(number), number) for number in range(8, 1, -1)))
+    await host.async_decode_all()
+    assert host.version == 9
+    assert host.decoder.parts_decoded == {"9": PARTS}
+
+
+async def test_a_version_that_only_a_peer_has_is_not_confirmed(host):
+    """Guard against a host that vouches for a version that it has never received."""
+    host.apply(large("1", 1))
+    host.view.certainty.take(Proof(2, 0.0), NOW)
+    await host.async_decode_all()
+    assert host.version == 1
+    assert host.view.certainty.active_revision == 1
+    assert host.view.certainty.verified_at == NEVER
+
+
+@pytest.mark.parametrize("size", [large, small], ids=lambda row: row.__name__)
+async def test_an_older_version_of_a_restored_store_confirms_nothing(host, size):
+    """Guard against a restored store that confirms keys which it doesn't know of."""
+    host.apply(size("9", position_of(0, 9)))
+    await host.async_decode_all()
+    host.view.note_complete(NOW)
+    host.view.replace(Snapshot((size("8", position_of(1, 8)),), position_of(1, 8)), NOW)
+    await host.async_decode_all()
+    host.view.note_complete(NOW + 1.0)
+    assert host.version == 9
+    assert host.view.certainty.verified_at == NOW
+    host.apply(size("9", position_of(1, 10)))
+    await host.async_decode_all()
+    host.view.note_complete(NOW + 2.0)
+    assert host.view.certainty.verified_at == NOW + 2.0
+
+
+async def test_a_version_of_the_former_era_is_decoded_after_a_restore(host):
+    """Guard against a restore that drops a newer version before it is decoded."""
+    host.apply(large("9", position_of(0, 9)))
+    host.view.replace(
+        Snapshot((large("8", position_of(1, 8)),), position_of(1, 8)), NOW
+    )
+    await host.async_decode_all()
+    assert host.version == 9
+
+
 async def test_a_small_version_waits_its_turn_behind_a_large_one(host):
     host.apply(large("1", 1))
     host.apply(small("2", 2))
--- a/packages/node/tests/test_restored_store_machine.py
+++ b/packages/node/tests/test_restored_store_machine.py
@@ -19,6 +19,7 @@
     WRITTEN_AGAIN_SECONDS,
     StoreMemory,
 )
+from greengagepoint.config.version_order import ActiveVersion, VersionOrder
 from greengagepoint.routing.tables import CallerLimits, RouteTableBuilder, ServicePolicy
 from greengagepoint_node.gateway.store_types import (
     Changes,
@@ -352,13 +353,13 @@
             lambda write: 0 if isinstance(write.entry, Configuration) else order(write)
         ),
     )
-    activate = FleetView._activate_configuration
+    record = VersionOrder.record_valid
 
-    def activate_always(view, table, now):
-        view.routes = None
-        activate(view, table, now)
+    def record_as_newest(versions, position, version):
+        versions.active = ActiveVersion()
+        return record(versions, position, version)
 
-    monkeypatch.setattr(FleetView, "_activate_configuration", activate_always)
+    monkeypatch.setattr(VersionOrder, "record_valid", record_as_newest)
 
 
 @pytest.mark.parametrize(
