--- a/packages/platform_tests/tests/test_platform_decoding.py
+++ b/packages/platform_tests/tests/test_platform_decoding.py
@@ -297,6 +297,16 @@
     assert daemon_settings(read_settings_file(path)).link_mbps == link_mbps
 
 
+@pytest.mark.parametrize(
+    ("limits", "memory_mb"),
+    [({"memoryMb": 300, "cpus": 1}, 300.0), ({"memoryMb": None}, 0.0), ({}, 0.0)],
+)
+def test_the_memory_is_optional_in_the_settings(tmp_path, limits, memory_mb):
+    path = tmp_path / "local.json"
+    path.write_bytes(msgspec.json.encode({**SETTINGS, "limits": limits}))
+    assert daemon_settings(read_settings_file(path)).memory_mb == memory_mb
+
+
 @pytest.mark.parametrize(
     ("change", "message"),
     [
