Don't decode a version again that was decoded before

Callers saw nothing. A version that came again, after a newer invalid one had replaced it among the kept writes, was queued and decoded again, and could be counted among those dropped from a full queue although it was in force.

The new test fails without it in both cases.

--- a/packages/core/greengagepoint/config/version_order.py
+++ b/packages/core/greengagepoint/config/version_order.py
@@ -69,7 +69,7 @@
         """
         if self.is_superseded(position):
             return (position,)
-        if position in self.waiting:
+        if not self.is_undecided(position):
             return ()
         self._forget(position)
         self.waiting = dict(sorted({**self.waiting, position: row}.items()))
--- a/packages/node/tests/test_gateway_configuration_loader.py
+++ b/packages/node/tests/test_gateway_configuration_loader.py
@@ -267,6 +267,18 @@
     assert host.decoder.parts_decoded == {"9": PARTS}
 
 
+@pytest.mark.parametrize("value", ["2", "2 bad 0"])
+async def test_a_decoded_version_that_arrives_again_is_not_queued(host, value):
+    """Guard against a version that is decoded again after a newer invalid one."""
+    host.apply(large("1", 1))
+    host.apply(large(value, 2))
+    await host.async_decode_all()
+    host.apply(large("3 bad 0", 3))
+    await host.async_decode_all()
+    host.apply(large(value, 2))
+    assert not host.loader.waiting
+
+
 async def test_a_version_that_only_a_peer_has_is_not_confirmed(host):
     """Guard against a host that vouches for a version that it has never received."""
     host.apply(large("1", 1))
