Decide on bytes beside bodies in one place of core

The bound of framing stood twice, in the connections to servers and to callers, and was computed there. framing.py of core decides; the detail of request_retried now has the count of an AnswerOverheadError. 96 tests of endless answers and peers passed.

--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -24,6 +24,7 @@
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.proxy.answer_bodies import HeldBody
+from greengagepoint_node.proxy.bounded_connections import AnswerOverheadError
 from greengagepoint_node.proxy.relay import is_framed
 from greengagepoint_node.proxy.sessions import (
     BackendRequest,
@@ -277,6 +278,8 @@
         return Exchange(Verdict.TIMED_OUT, "no whole answer in time")
     except (aiohttp.ClientConnectorError, SpoiltConnectionError) as error:
         return Exchange(Verdict.UNREACHABLE, type(error).__name__)
+    except AnswerOverheadError as error:
+        return Exchange(Verdict.BROKEN, f"AnswerOverheadError: {error}")
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return Exchange(Verdict.BROKEN, type(error).__name__)
 
--- a/packages/node/greengagepoint_node/http/bounded_requests.py
+++ b/packages/node/greengagepoint_node/http/bounded_requests.py
@@ -8,12 +8,11 @@
 
 from greengagepoint.errors import ErrorKind
 from greengagepoint.events import Event
+from greengagepoint.overload.framing import excess_overhead
 from greengagepoint_node.context import EventSink
 
 # Empty lines, a head, trailers and the framing of chunks, since the last request.
 OVERHEAD_BYTES_MAX: Final = 1024 * 1024
-# A chunk of one byte has five bytes of framing.
-OVERHEAD_PER_BODY_BYTE: Final = 8
 
 
 class BoundedRequestHandler(web.RequestHandler):
@@ -42,8 +41,8 @@
         if self._reading_paused:
             return
         body_bytes = self.last_payload.total_bytes if self.last_payload else 0
-        overhead = self.received - body_bytes
-        if overhead > OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * body_bytes:
+        overhead = excess_overhead(self.received, body_bytes, OVERHEAD_BYTES_MAX)
+        if overhead is not None:
             self.reject_overhead(overhead)
 
     def reject_overhead(self, overhead: int) -> None:
--- a/packages/node/greengagepoint_node/proxy/bounded_connections.py
+++ b/packages/node/greengagepoint_node/proxy/bounded_connections.py
@@ -7,10 +7,10 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from greengagepoint.overload.framing import excess_overhead
+
 # Heads with all interim answers, empty lines, trailers and the framing of chunks.
 OVERHEAD_BYTES_MAX: Final = 128 * 1024
-# A chunk of one byte has five bytes of framing.
-OVERHEAD_PER_BODY_BYTE: Final = 8
 # A page of the store or a message of a peer has some megabytes at most.
 TRANSFER_BYTES_MAX: Final = 16 * 1024 * 1024
 
@@ -56,8 +56,8 @@
         # A paused connection has received bytes of the body that are not parsed yet.
         if self._reading_paused:
             return
-        overhead = self.received - body_bytes
-        if overhead > OVERHEAD_BYTES_MAX + OVERHEAD_PER_BODY_BYTE * body_bytes:
+        overhead = excess_overhead(self.received, body_bytes, OVERHEAD_BYTES_MAX)
+        if overhead is not None:
             self.fail(AnswerOverheadError(f"{overhead} bytes beside the body"))
 
     def fail(self, error: aiohttp.ClientError) -> None:
