Keep the connection of a rejected request that was read whole

A caller that pipelines safe requests lost the answers to those behind a request without an id (or with one that is not UTF-8): the host answered 400 and closed, though it had passed them on and servers had begun them.

Cause: 400, 408 and 413 closed the connection whether or not bytes of the request were left to read. They close it now only if some are.

--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -241,7 +241,9 @@
         except Refusal as refusal:
             outcome = refusal.kind
             self.outcomes.log_rejected(request_id, call, refusal, arrived_at)
-            response = refusal_response(refusal, self.names, request_id)
+            response = refusal_response(
+                refusal, self.names, request_id, is_read=request.content.is_eof()
+            )
             if relayed:
                 response.headers.update(refusal_headers(refusal))
             return response
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -23,8 +23,8 @@
 RETRY_SPREAD: Final = 0.5
 # Statuses that guarantee that the request has not run and will not run.
 NOT_RUN_STATUSES: Final = frozenset({400, 401, 404, 408, 413, 429, 503})
-# Statuses after which the connection is closed: unread bytes of the request would be
-# parsed as the next request.
+# Statuses after which the connection is closed if the request was not read whole:
+# its unread bytes would be parsed as the next request.
 UNREAD_STATUSES: Final = frozenset({400, 408, 413})
 
 
@@ -171,9 +171,13 @@
 
 
 def refusal_response(
-    refusal: Refusal, names: HeaderNames, request_id: str
+    refusal: Refusal, names: HeaderNames, request_id: str, *, is_read: bool
 ) -> web.Response:
-    """Return the response for a refusal, with a randomized Retry-After header."""
+    """Return the response for a refusal, with a randomized Retry-After header.
+
+    ``is_read`` tells that the request was read whole. Its connection goes on then:
+    other requests on it may have been passed on already.
+    """
     headers = {}
     if request_id:
         headers[names.request_id] = request_id
@@ -184,6 +188,6 @@
     response = web.Response(
         status=refusal.status, headers=headers, text=f"{refusal.reason}\n"
     )
-    if refusal.status in UNREAD_STATUSES:
+    if refusal.status in UNREAD_STATUSES and not is_read:
         response.force_close()
     return response
--- a/packages/node/tests/test_gateway_failed_answers.py
+++ b/packages/node/tests/test_gateway_failed_answers.py
@@ -143,3 +143,40 @@
         assert env.daemon.gateway.in_flight == 0
         assert not env.events.of(Event.ANSWER_NOT_WRITTEN)
         assert len(env.events.of(Event.REQUEST_CANCELLED)) == 2
+
+
+@pytest.mark.parametrize(
+    "change", [(f"{NAMES.request_id}: id-1\r\n", ""), ("id-1\r\n", "id-\xff\r\n")]
+)
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_a_rejected_request_costs_no_other_one_its_answer(method, change):
+    # A 400 closed the connection, with requests behind it that servers had begun.
+    path = {"GET": "/safe/", "POST": "/unsafe/"}[method]
+    old, new = (text.encode("latin-1") for text in change)
+    requests = [request(row, method, path) for row in range(COUNT)]
+    requests[1] = requests[1].replace(old, new)
+    async with (
+        async_environment(seconds=0.1) as env,
+        async_connection(env) as (reader, writer),
+    ):
+        writer.write(b"".join(requests))
+        async with asyncio.timeout(SECONDS):
+            answers = [await async_read_answer(reader) for _ in requests]
+        statuses = [head[":status"] for head, _ in answers]
+        assert statuses == ["200", "400", "200", "200"]
+        assert env.ran() == COUNT - 1
+
+
+async def test_a_rejected_body_that_was_not_read_closes_its_connection():
+    # Its unread bytes would be taken for the next request.
+    async with async_environment() as env, async_connection(env) as (reader, writer):
+        head = request(0, "POST", "/unsafe/", body=b"x" * 9).replace(
+            f"{NAMES.request_id}: id-0\r\n".encode(), b""
+        )
+        writer.write(head[:-9])
+        async with asyncio.timeout(SECONDS):
+            rejected, _ = await async_read_answer(reader)
+            assert rejected[":status"] == "400"
+            assert rejected["connection"] == "close"
+            writer.write(b"x" * 9)
+            assert await reader.read() == b""
