Answer all requests before an endless one, and count uploads behind an upgrade

A caller with three pipelined requests and 1.2 MB of empty lines behind them got one answer of three, though servers had run all (all three before the bound): the connection was marked as closed, and the HTTP library leaves after the answer in hand. It reads nothing more now and closes with its last answer. A 3 MB upload behind a request with Upgrade got 408, as its body was counted beside that of the request before it.

--- a/packages/node/greengagepoint_node/http/bounded_requests.py
+++ b/packages/node/greengagepoint_node/http/bounded_requests.py
@@ -24,15 +24,20 @@
 
     events: EventSink
     received = 0
+    counted_requests = 0
     last_payload: aiohttp.StreamReader | None = None
+    is_ending = False
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes, and end the connection if too few belong to requests."""
-        count = self._request_count
+        if self.is_ending:
+            return
         super().data_received(data)
-        if self._request_count != count:
+        # Requests behind one that asked for an upgrade are parsed elsewhere.
+        if self._request_count != self.counted_requests:
+            self.counted_requests = self._request_count
             self.received = 0
-            _, self.last_payload = self._messages[-1]
+            self.last_payload = self._newest_payload()
             return
         self.received += len(data)
         if self.received <= OVERHEAD_BYTES_MAX or self._close or self._force_close:
@@ -45,6 +50,12 @@
         if overhead is not None:
             self.reject_overhead(overhead)
 
+    def _newest_payload(self) -> aiohttp.StreamReader | None:
+        """Return the body of the newest request, None if it has been answered."""
+        if self._messages:
+            return self._messages[-1][1]
+        return self._current_request.content if self._current_request else None
+
     def reject_overhead(self, overhead: int) -> None:
         """Fail the body that is still read, and close after the last answer."""
         self.events.record(
@@ -52,6 +63,7 @@
             kind=ErrorKind.BAD_REQUEST,
             detail=f"{overhead} bytes beside requests and their bodies",
         )
+        self.is_ending = True
         payload = self.last_payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(web.RequestPayloadError("too many bytes of framing"))
@@ -60,5 +72,14 @@
                 self.transport.pause_reading()
         if self._current_request is None and not self._messages:
             self.force_close()
-        else:
-            self.close()
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write a response; the last one of a connection that ends closes it."""
+        if self.is_ending and not self._messages:
+            resp.force_close()
+        return await super().finish_response(request, resp, start_time)
--- a/packages/node/tests/test_gateway_endless_requests.py
+++ b/packages/node/tests/test_gateway_endless_requests.py
@@ -5,7 +5,7 @@
 
 import pytest
 from gateway_world import HOST, NAMES, async_environment
-from raw_caller import async_connection, async_read_answer
+from raw_caller import async_connection, async_read_answer, request
 
 # The bound is below this; the rest is in the sockets and buffers of both ends.
 SENT_BYTES_MAX = 16 * 1024 * 1024
@@ -77,3 +77,38 @@
             writer.write(b"\r\n" * 1_000_000)
         headers, _ = await async_read_answer(reader)
         assert headers[":status"] == "200"
+
+
+async def test_all_requests_before_an_endless_one_are_answered():
+    # The connection closed after the first answer, though servers ran the others too.
+    async with (
+        async_environment(1, 0.3, timeout_seconds=30.0) as env,
+        async_connection(env) as (reader, writer),
+    ):
+        writer.write(b"".join(request(number) for number in range(3)))
+        with contextlib.suppress(ConnectionError):
+            writer.write(b"\r\n" * 1_000_000)
+        for _ in range(3):
+            headers, _ = await async_read_answer(reader)
+            assert headers[":status"] == "200"
+        with contextlib.suppress(ConnectionResetError):
+            assert await reader.read() == b""
+        assert env.ran() == 3
+
+
+async def test_an_upload_behind_an_upgrade_request_is_read():
+    # Its body was counted as bytes beside the body of the request before it.
+    async with (
+        async_environment(1, 0.3, timeout_seconds=30.0) as env,
+        async_connection(env) as (reader, writer),
+    ):
+        upgrade = request(1).replace(
+            b"\r\n\r\n", b"\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+        )
+        writer.write(upgrade)
+        await asyncio.sleep(0.05)
+        writer.write(request(2, "POST", "/unsafe/", body=b"x" * 3_000_000))
+        for _ in range(2):
+            headers, _ = await async_read_answer(reader)
+            assert headers[":status"] == "200"
+        assert env.ran() == 2
