Hold bodies of requests within a share of the memory of a host

Callers saw all their connections end: each upload was read whole with no bound but the configuration's 64 MB, and a few at once exceeded the memory of a small host, which ended with every request that it had accepted.

The declared length is now reserved before the first byte is read; without one, bytes are reserved as they arrive. What does not fit gets 503 (not run, Retry-After, unread, closed), what can never fit 413. Event 2026 tells why. Uploads and answers have a share each, half of the budget: a common one would let an upload end answers that still arrive. The bound for one answer is the same as before, now its whole share. Bytes are given back when the request ends on this host; a relayed one goes on to a peer that has room.

A server that read nothing left the transport's copy of the body in memory after the timeout; large bodies are written in pieces now. A refusal kept the body in a cycle with its traceback until the next garbage collection.

test_gateway_uploads.py: the three tests of rejection failed before the fix (no answer before the deadline). The test of a server that reads nothing fails without the pieces with 21.4 MB of a body of 24 MiB left, and failed without the broken cycle with 4.4 MB of a body of 4 MiB.

test_limits_follow_from_the_memory_of_the_host expected the whole budget for answers; it expects the exact shares of answers and of uploads instead.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -53,6 +53,7 @@
     ANSWER_NOT_WRITTEN = 2023
     ANSWER_REJECTED = 2024
     ANSWER_DROPPED = 2025
+    UPLOAD_REJECTED = 2026
     ANSWER_WITHOUT_PROOF = 2027
     # 3000: configuration
     RECORD_REFUSED = 3001
@@ -222,6 +223,9 @@
     Event.ANSWER_DROPPED: EventType(
         Level.WARNING, "An answer was given up, as the host can't hold it."
     ),
+    Event.UPLOAD_REJECTED: EventType(
+        Level.WARNING, "A request was rejected, as the host can't hold its body."
+    ),
     Event.RECORD_REFUSED: EventType(Level.INFO, "A steering record was refused."),
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
--- a/packages/core/greengagepoint/overload/held_bytes.py
+++ b/packages/core/greengagepoint/overload/held_bytes.py
@@ -12,8 +12,8 @@
 BUDGET_BYTES_MIN: Final = 4 * MEBIBYTE
 # An answer is joined from its pieces, and copied when it is written.
 COPIES: Final = 3
-# Two answers of the longest kind may be held at once.
-ANSWERS_AT_ONCE: Final = 2
+# Answers and uploads have a share each, so that neither ends the other.
+SHARES: Final = 2
 # Answers up to this size are held whatever the others take.
 FLOOR_BYTES: Final = 64 * 1024
 
@@ -25,11 +25,19 @@
     answer_bytes: int
 
 
-def create_limits(memory_mb: float) -> HeldLimits:
-    """Return the limits of a host with this much memory, 0 if it is unknown."""
+def create_total(memory_mb: float) -> int:
+    """Return the bytes of answers and uploads that a host may hold together."""
     memory_bytes = int((memory_mb or MEMORY_MB_DEFAULT) * MEBIBYTE)
-    budget = max(BUDGET_BYTES_MIN, (memory_bytes - PROCESS_BYTES) // COPIES)
-    return HeldLimits(budget, budget // ANSWERS_AT_ONCE)
+    return max(BUDGET_BYTES_MIN, (memory_bytes - PROCESS_BYTES) // COPIES)
+
+
+def create_limits(memory_mb: float) -> HeldLimits:
+    """Return the limits of a host with this much memory, 0 if it is unknown.
+
+    One answer may take the whole share.
+    """
+    budget = create_total(memory_mb) // SHARES
+    return HeldLimits(budget, budget)
 
 
 class DropReason(StrEnum):
--- a/packages/core/tests/test_overload_held_bytes.py
+++ b/packages/core/tests/test_overload_held_bytes.py
@@ -22,6 +22,7 @@
     Holding,
     create_limits,
 )
+from greengagepoint.overload.held_uploads import create_upload_limits
 
 SIZES = st.one_of(
     st.sampled_from((0, 1, FLOOR_BYTES, FLOOR_BYTES + 1, 2 * FLOOR_BYTES)),
@@ -280,5 +281,5 @@
     ],
 )
 def test_limits_follow_from_the_memory_of_the_host(memory_mb, budget):
-    limits = create_limits(memory_mb)
-    assert limits == (budget, budget // 2)
+    assert create_limits(memory_mb) == (budget // 2, budget // 2)
+    assert create_upload_limits(memory_mb) == (budget // 2, budget // 2 // 2)
--- a/packages/node/greengagepoint_node/gateway/daemon.py
+++ b/packages/node/greengagepoint_node/gateway/daemon.py
@@ -78,6 +78,7 @@
     PlatformStore,
     ReadParts,
 )
+from greengagepoint_node.gateway.uploads import create_upload_bodies
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.http.server import ServerLimits
 from greengagepoint_node.proxy.answer_bodies import create_answer_bodies
@@ -290,6 +291,7 @@
             self.admission,
             self.relay,
             self.late,
+            create_upload_bodies(settings.memory_mb, self.events),
         )
         self.directory = HostDirectory(
             self.view, self.gossip, self.clock, self.gateway.accounts.can_serve_keys
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -24,6 +24,7 @@
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.send_times import SendTimes
 from greengagepoint_node.proxy.answer_bodies import HeldBody
+from greengagepoint_node.proxy.piecewise_body import create_payload
 from greengagepoint_node.proxy.relay import is_framed
 from greengagepoint_node.proxy.sessions import (
     BackendRequest,
@@ -247,7 +248,7 @@
                 outgoing.method,
                 _url(address, outgoing.target),
                 headers=outgoing.headers,
-                data=outgoing.body,
+                data=create_payload(outgoing.body),
                 allow_redirects=False,
                 middlewares=(SendInTime(outgoing, receiver),),
                 trace_request_ctx=outgoing,
--- a/packages/node/greengagepoint_node/gateway/handler.py
+++ b/packages/node/greengagepoint_node/gateway/handler.py
@@ -69,6 +69,7 @@
 from greengagepoint_node.gateway.slow_readers import allow_pause
 from greengagepoint_node.gateway.stale_view_guard import StaleViewGuard
 from greengagepoint_node.gateway.tries import UNSENT, Attempts
+from greengagepoint_node.gateway.uploads import UploadBodies, UploadBody
 from greengagepoint_node.gateway.view import FleetView
 from greengagepoint_node.gateway.wait_room import WaitEnd
 from greengagepoint_node.proxy.headers import is_sendable
@@ -101,6 +102,7 @@
         admission: AdmissionControl,
         relay: Relay,
         late: LateRequests,
+        uploads: UploadBodies,
     ) -> None:
         self.names = names
         self.view = view
@@ -117,6 +119,7 @@
         self.admission = admission
         self.relay = relay
         self.late = late
+        self.uploads = uploads
         self.monitor = relay.monitor
         self.split = WeightedSplit()
         self.in_flight = 0
@@ -223,6 +226,7 @@
         request_id = request.headers.get(self.names.request_id, "")
         now = self.last_request_at = self.clock.monotonic()
         call: Call | None = None
+        upload = self.uploads.open(request_id)
         outcome: ErrorKind | str = ErrorKind.INTERNAL
         try:
             if self.rejecting:
@@ -231,7 +235,7 @@
             if call.ends_at - now < SECONDS_LEFT_MIN:
                 raise no_answer_refusal(None, may_have_run=False)
             self.late.check_arrival(call)
-            body = await self._async_body(request, call)
+            body = await self._async_body(request, call, upload)
             if not relayed:
                 self.placer.count_caller(call, self.clock.monotonic())
                 await self.admission.async_admit(call)
@@ -244,12 +248,15 @@
             response = refusal_response(refusal, self.names, request_id)
             if relayed:
                 response.headers.update(refusal_headers(refusal))
+            # Frames that refer to the refusal would keep the body in a cycle.
+            refusal.__traceback__ = None
             return response
         except asyncio.CancelledError:
             outcome = ErrorKind.CALLER_CANCELLED
             self.outcomes.log_cancelled(request_id, call, arrived_at)
             raise
         finally:
+            upload.release()
             self.placer.finish.end(request_id)
             self.late.end(request_id)
             self.outcomes.count_request(call, outcome, arrived_at)
@@ -283,14 +290,16 @@
         allow_pause(request.transport, call.ends_at - arrived_at)
         return call._replace(relayed=relayed)
 
-    async def _async_body(self, request: web.BaseRequest, call: Call) -> bytes | None:
+    async def _async_body(
+        self, request: web.BaseRequest, call: Call, upload: UploadBody
+    ) -> bytes | None:
         """Return the whole request body, or None if there is none."""
         if not request.can_read_body:
             return None
         assert self.view.routes is not None
         left = call.ends_at - self.clock.monotonic()
         limit_bytes = self.view.routes.limits.body_bytes
-        body = await async_read_body(request, left, limit_bytes)
+        body = await async_read_body(request, left, limit_bytes, upload)
         # The key may have been revoked while a slow body was received.
         self.accounts.identify(request, call.route, self.view.routes)
         return body
@@ -559,6 +568,7 @@
             exchange = await self._async_try(call, server, outgoing, attempts)
         except asyncio.CancelledError:
             if outgoing.is_sent:
+                identity.drop_body()
                 self.server_crashes.watch_abandoned(call, identity, server)
             raise
         if exchange.verdict is Verdict.ANSWERED:
--- a/packages/node/greengagepoint_node/gateway/identity.py
+++ b/packages/node/greengagepoint_node/gateway/identity.py
@@ -5,6 +5,7 @@
 from aiohttp import hdrs, web
 
 from greengagepoint.accounts.tables import Account
+from greengagepoint.overload.held_bytes import FLOOR_BYTES
 from greengagepoint.quarantine.fingerprint import (
     Fingerprint,
     hash_caller,
@@ -34,6 +35,12 @@
         self.body = body
         self.account = account
 
+    def drop_body(self) -> None:
+        """Keep the fingerprint of a large body only, as its bytes are given back."""
+        if self.body is not None and len(self.body) > FLOOR_BYTES:
+            _ = self.fingerprint
+            self.body = None
+
     @cached_property
     def head(self) -> str:
         """Return the hash of the authority, method and target, without the body."""
--- a/packages/node/greengagepoint_node/gateway/passing.py
+++ b/packages/node/greengagepoint_node/gateway/passing.py
@@ -22,6 +22,7 @@
     HeaderNames,
 )
 from greengagepoint_node.gateway.refusals import Refusal
+from greengagepoint_node.gateway.uploads import UploadBody
 from greengagepoint_node.http.const import HOP_BY_HOP_HEADERS
 from greengagepoint_node.proxy.answer_bodies import HeldBody
 from greengagepoint_node.proxy.headers import connection_headers
@@ -97,15 +98,18 @@
 
 
 async def async_read_body(
-    request: web.BaseRequest, seconds: float, limit_bytes: int
+    request: web.BaseRequest, seconds: float, limit_bytes: int, upload: UploadBody
 ) -> bytes:
     """Return the whole body of a request, or raise Refusal.
 
     Errors are a body over ``limit_bytes``, one that takes more than ``seconds``, and a
-    connection that breaks.
+    connection that breaks, and one that the host can't hold. Its bytes are held until
+    ``upload`` is released.
     """
-    if (request.content_length or 0) > limit_bytes:
+    length = request.content_length or 0
+    if length > limit_bytes:
         raise Refusal(ErrorKind.BODY_TOO_LARGE, 413, "the body is too long")
+    upload.reserve(length)
     pieces: list[bytes] = []
     size = 0
     try:
@@ -115,6 +119,7 @@
                 size += len(piece)
                 if size > limit_bytes:
                     raise Refusal(ErrorKind.BODY_TOO_LARGE, 413, "the body is too long")
+                upload.grow(len(piece))
     except TimeoutError as error:
         reason = "the request body was not complete before the deadline"
         raise Refusal(ErrorKind.SLOW_SENDER, 408, reason) from error
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -51,8 +51,9 @@
     request did not run, while 502 and 504 give no guarantee. ``inputs`` are the values
     behind the decision, for the log. ``retry_after`` is in seconds. ``may_wait`` is
     True if a server may become available at any moment, ``can_run_elsewhere`` if the
-    request has not run for a reason that is this host's own. ``attempts_left`` is the
-    number of servers to which a failed request may still be sent.
+    request has not run for a reason that is this host's own, ``is_unread`` if a part
+    of its body is left on the connection. ``attempts_left`` is the number of servers
+    to which a failed request may still be sent.
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         *,
         may_wait: bool = False,
         can_run_elsewhere: bool = False,
+        is_unread: bool = False,
     ) -> None:
         super().__init__(reason)
         self.kind = kind
@@ -74,6 +76,7 @@
         self.inputs = inputs or {}
         self.may_wait = may_wait
         self.can_run_elsewhere = can_run_elsewhere
+        self.is_unread = is_unread
         self.attempts_left = 0
 
     @property
@@ -184,6 +187,6 @@
     response = web.Response(
         status=refusal.status, headers=headers, text=f"{refusal.reason}\n"
     )
-    if refusal.status in UNREAD_STATUSES:
+    if refusal.is_unread or refusal.status in UNREAD_STATUSES:
         response.force_close()
     return response
--- a/packages/node/tests/gateway_world.py
+++ b/packages/node/tests/gateway_world.py
@@ -279,6 +279,7 @@
     rows: list[Route] | None = None,
     load: str = "1,0,4",
     health_path: str = "",
+    memory_mb: float = 0.0,
     **changes: Any,
 ):
     random.seed(1)
@@ -295,6 +296,7 @@
         metrics_address=metrics_address,
         drain_seconds=drain_seconds,
         revoke_seconds=REVOKE_SECONDS,
+        memory_mb=memory_mb,
     )
     await daemon.async_start()
     env = GatewayEnvironment(daemon, backends)
