--- a/packages/core/greengagepoint/overload/held_uploads.py
+++ b/packages/core/greengagepoint/overload/held_uploads.py
@@ -4,10 +4,16 @@
 from enum import StrEnum
 from typing import Final, NamedTuple
 
-from greengagepoint.overload.held_bytes import FLOOR_BYTES, SHARES, create_total
-
-# The copies that are made while one upload is joined or written are short-lived, and
-# the budget allows for those of one upload of this part of it.
+from greengagepoint.overload.held_bytes import (
+    COPIES,
+    FLOOR_BYTES,
+    SHARES,
+    create_total,
+)
+
+# An upload is joined from its pieces.
+UPLOAD_COPIES: Final = 2
+# Two uploads of the longest kind may be held at once.
 UPLOADS_AT_ONCE: Final = 2
 
 
@@ -20,7 +26,7 @@
 
 def create_upload_limits(memory_mb: float) -> UploadLimits:
     """Return the limits of a host with this much memory, 0 if it is unknown."""
-    budget = create_total(memory_mb) // SHARES
+    budget = create_total(memory_mb) * COPIES // SHARES // UPLOAD_COPIES
     return UploadLimits(budget, budget // UPLOADS_AT_ONCE)
 
 
