--- a/packages/node/tests/test_gateway_uploads.py
+++ b/packages/node/tests/test_gateway_uploads.py
@@ -145,11 +145,14 @@
         assert env.ran() == 1
 
 
-@pytest.mark.parametrize("end", ["served", "caller gone", "too slow", "unreachable"])
+@pytest.mark.parametrize(
+    "end", ["served", "caller gone", "gone while it runs", "too slow", "unreachable"]
+)
 async def test_bytes_are_given_back_at_each_end(end):
     # Bytes that stay counted would let the host reject good uploads later.
     async with async_environment(
         0 if end == "unreachable" else 1,
+        seconds=5.0 if end == "gone while it runs" else 0.0,
         memory_mb=MEMORY_MB,
         timeout_seconds=TIMEOUT_SECONDS,
     ) as env:
@@ -160,6 +163,11 @@
             await async_until(lambda: held.total == UPLOAD_BYTES)
             if end == "caller gone":
                 caller.close()
+            elif end == "gone while it runs":
+                await caller.async_send(b"x" * UPLOAD_BYTES)
+                await async_until(lambda: env.ran() == 1)
+                assert held.total == UPLOAD_BYTES
+                caller.close()
             elif end == "too slow":
                 assert (await caller.async_answer())[0] == 408
             else:
