Let a full budget of answers cost others no ordinary answer

(1) Four callers that read 9 MB answers slowly filled the budget for 14 s, and each answer over 64 KiB that arrived meanwhile gave way: a POST had run and got 502, 20 of 20 downloads of 900 kB got 502. Answers up to 1 MiB are held whatever the others take now. (2) An answer that the host dropped for its own shortage, or for its declared length, counted as broken, and its server was suspected (39 of 39 drops): it has a verdict of its own, not_held. One that goes on beyond the bound without a length still counts as broken. (3) A rejection whose body was dropped became 'may have run': the head proves that it has not.

--- a/packages/core/greengagepoint/overload/held_bytes.py
+++ b/packages/core/greengagepoint/overload/held_bytes.py
@@ -14,8 +14,11 @@
 COPIES: Final = 3
 # Answers and uploads have a share each, so that neither ends the other.
 SHARES: Final = 2
-# Answers up to this size are held whatever the others take.
+# Bodies of requests up to this size are held whatever the others take.
 FLOOR_BYTES: Final = 64 * 1024
+# Answers up to this size are, too: callers that read slowly may hold all of the budget
+# for seconds, and the requests of others have run by the time their answers come.
+ANSWER_FLOOR_BYTES: Final = MEBIBYTE
 
 
 class HeldLimits(NamedTuple):
@@ -61,7 +64,7 @@
 class HeldBytes:
     """The bytes that a host holds of all answers, within its budget.
 
-    Answers up to ``FLOOR_BYTES`` are always held. If the budget is exceeded, the
+    Answers up to ``ANSWER_FLOOR_BYTES`` are always held. If the budget is exceeded, the
     largest answer that is still arriving gives way.
     """
 
@@ -87,7 +90,7 @@
         if holding.size > self.limits.answer_bytes:
             self._drop(holding, DropReason.TOO_LONG)
             return holding
-        if holding.size > FLOOR_BYTES:
+        if holding.size > ANSWER_FLOOR_BYTES:
             self.arriving.add(holding)
         if self.total <= self.limits.budget_bytes:
             return None
--- a/packages/node/greengagepoint_node/gateway/exchange.py
+++ b/packages/node/greengagepoint_node/gateway/exchange.py
@@ -19,11 +19,12 @@
     assess_answer,
     compare_ids,
 )
+from greengagepoint.overload.held_bytes import DropReason
 from greengagepoint.placing.tables import Server
 from greengagepoint.protocols import Clock
 from greengagepoint_node.gateway.names import HeaderNames
 from greengagepoint_node.gateway.send_times import SendTimes
-from greengagepoint_node.proxy.answer_bodies import HeldBody
+from greengagepoint_node.proxy.answer_bodies import AnswerDroppedError, HeldBody
 from greengagepoint_node.proxy.bounded_connections import AnswerOverheadError
 from greengagepoint_node.proxy.piecewise_body import create_payload
 from greengagepoint_node.proxy.relay import is_framed
@@ -51,6 +52,7 @@
     UNREACHABLE = "unreachable"
     OTHER_SERVER = "other_server"
     BROKEN = "broken"
+    NOT_HELD = "not_held"
     FOREIGN = "foreign"
     TIMED_OUT = "timed_out"
     LAPSED = "lapsed"
@@ -279,6 +281,11 @@
         return Exchange(Verdict.TIMED_OUT, "no whole answer in time")
     except (aiohttp.ClientConnectorError, SpoiltConnectionError) as error:
         return Exchange(Verdict.UNREACHABLE, type(error).__name__)
+    except AnswerDroppedError as error:
+        # A server that declares a long body, or whose answer gave way, is sound.
+        is_endless = error.reason is DropReason.TOO_LONG
+        verdict = Verdict.BROKEN if is_endless else Verdict.NOT_HELD
+        return Exchange(verdict, f"AnswerDroppedError: {error.reason}")
     except AnswerOverheadError as error:
         return Exchange(Verdict.BROKEN, f"AnswerOverheadError: {error}")
     except (aiohttp.ClientError, OSError, ValueError) as error:
@@ -305,7 +312,11 @@
         )
     if proof is not Proof.ANSWERED:
         verdict = Verdict.SHED if proof is Proof.NOT_RUN else Verdict.OTHER_SERVER
-        await outgoing.async_read_body(answer)
+        try:
+            await outgoing.async_read_body(answer)
+        except AnswerDroppedError:
+            # The head is enough to know that the request has not run.
+            close_connection(answer, outgoing.used)
         return Exchange(verdict, f"status {answer.status}", load=load)
     if (unsendable := reject_head(answer, outgoing)) is not None:
         return unsendable
--- a/packages/node/greengagepoint_node/gateway/refusals.py
+++ b/packages/node/greengagepoint_node/gateway/refusals.py
@@ -34,6 +34,7 @@
     Verdict.UNREACHABLE: ErrorKind.BACKEND_REFUSED,
     Verdict.OTHER_SERVER: ErrorKind.BACKEND_REFUSED,
     Verdict.BROKEN: ErrorKind.BACKEND_RESET,
+    Verdict.NOT_HELD: ErrorKind.BACKEND_RESET,
     Verdict.FOREIGN: ErrorKind.BACKEND_PROTOCOL,
     Verdict.TIMED_OUT: ErrorKind.BACKEND_TIMEOUT,
     Verdict.LAPSED: ErrorKind.DEADLINE_TOO_SHORT,
--- a/packages/node/greengagepoint_node/proxy/answer_bodies.py
+++ b/packages/node/greengagepoint_node/proxy/answer_bodies.py
@@ -7,6 +7,7 @@
 
 from greengagepoint.events import Event
 from greengagepoint.overload.held_bytes import (
+    DropReason,
     HeldBytes,
     HeldLimits,
     Holding,
@@ -21,6 +22,10 @@
 class AnswerDroppedError(aiohttp.ClientError):
     """Tell that an answer was given up as the host can't hold it."""
 
+    def __init__(self, reason: DropReason) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
 
 class HeldBody(Holding):
     """The body of one answer; its bytes are given back at the latest with it."""
