--- a/packages/node/greengagepoint_node/gateway/pipelining.py
+++ b/packages/node/greengagepoint_node/gateway/pipelining.py
@@ -132,7 +132,7 @@
         The request may have run.
         """
         headers = {self.answerer.names.request_id: self.request_id(request)}
-        return self.keep_in_step(
+        return self.close_if_unread(
             request,
             web.Response(status=status, headers=headers, text="may have run\n"),
         )
--- a/packages/node/greengagepoint_node/http/server.py
+++ b/packages/node/greengagepoint_node/http/server.py
@@ -140,11 +140,11 @@
         ``status`` is 500 for an unhandled error of this host.
         """
         error = GreengagepointError("An unexpected error was caught")
-        return self.keep_in_step(
+        return self.close_if_unread(
             request, problem_response(error, self.request_id(request))
         )
 
-    def keep_in_step(
+    def close_if_unread(
         self, request: web.BaseRequest, response: web.Response
     ) -> web.Response:
         """Let a response close the connection if the request was not read whole.
