Take back that an entry is set aside which contradicts the server's earlier one

The store keeps the last write of a key only, so no host can tell what an earlier one said. That an entry has to have a version stays.

--- a/packages/core/greengagepoint/events.py
+++ b/packages/core/greengagepoint/events.py
@@ -63,7 +63,6 @@
     RECORD_TOO_NEW = 3005
     CONFIGURATION_FROM_PEER = 3006
     CONFIGURATION_DROPPED = 3007
-    BACKEND_SERVER_CORRECTED = 3009
     # 4000: membership
     HOST_ALIVE = 4001
     HOST_SUSPECTED = 4002
@@ -230,10 +229,6 @@
     Event.CONFIGURATION_IN_FORCE: EventType(
         Level.INFO, "A configuration generation is in force on this host."
     ),
-    Event.BACKEND_SERVER_CORRECTED: EventType(
-        Level.INFO,
-        "An entry that contradicts a server's former one was accepted.",
-    ),
     Event.CONFIGURATION_CONFLICT: EventType(
         Level.INFO, "Two operators changed the same record."
     ),
--- a/packages/node/greengagepoint_node/gateway/view.py
+++ b/packages/node/greengagepoint_node/gateway/view.py
@@ -13,7 +13,6 @@
 from greengagepoint.placing.tables import Incarnation
 from greengagepoint.routing.tables import RouteTable
 from greengagepoint_node.context import EventSink
-from greengagepoint_node.gateway.entry_claims import EntryClaims
 from greengagepoint_node.gateway.known_servers import KnownServers
 from greengagepoint_node.gateway.quarantine_entries import (
     NoQuarantine,
@@ -81,7 +80,6 @@
         self.rejected = RejectedItems(
             events, Counter() if rejection_counts is None else rejection_counts
         )
-        self.claims = EntryClaims(events, self.rejected)
         self.unknown_services: dict[str, ServerEntry] = {}
         self.unchecked_keys: set[str] = set()
         self.hosts: dict[str, HostEntry] = {}
@@ -266,7 +264,7 @@
         expired = [key for key, until in self.lapsed.items() if until <= now]
         for key in expired:
             del self.lapsed[key]
-        expired += [*self.memory.expire(now), *self.claims.expired(now)]
+        expired += self.memory.expire(now)
         for key in expired:
             self._update_entry(key, now)
         if self._queue_again(now) or expired:
@@ -402,12 +400,10 @@
         incarnation that started earlier can't replace it.
         """
         writes = self.writes.get(key)
-        if writes is None and key in self.lapsed:
-            return False
-        latest = self.claims.settled_entry(key, writes, now)
+        latest = writes.active.entry if writes is not None else None
         known = self.entries.get(key)
         if key in self.lapsed:
-            if _is_older_incarnation(latest, known):
+            if writes is None or _is_older_incarnation(latest, known):
                 return False
             del self.lapsed[key]
         if latest is known or self.memory.is_held(key, _server_of(latest or known)):
