--- a/packages/node/tests/test_proxy_answer_bodies.py
+++ b/packages/node/tests/test_proxy_answer_bodies.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from greengagepoint.overload.held_bytes import MEBIBYTE, DropReason, HeldLimits
+from greengagepoint.overload.held_bytes import (
+    ANSWER_FLOOR_BYTES,
+    MEBIBYTE,
+    DropReason,
+    HeldLimits,
+)
 from greengagepoint_node.proxy.answer_bodies import (
     AnswerBodies,
     AnswerDroppedError,
@@ -12,6 +17,8 @@
 )
 
 LIMITS = HeldLimits(2 * MEBIBYTE, 2 * MEBIBYTE)
+# Longer than what is held whatever the others take.
+ANSWER_BYTES = ANSWER_FLOOR_BYTES + 1
 
 
 class Answer:
@@ -22,7 +29,7 @@
 
     def __init__(self, at_end):
         self.content = self
-        self.pieces = [bytes(MEBIBYTE)]
+        self.pieces = [bytes(ANSWER_BYTES)]
         self.at_end = at_end
         self.error = None
         self.is_closed = False
@@ -69,8 +76,8 @@
     bodies = AnswerBodies(LIMITS)
     answer = Answer(lambda: None)
     body = HeldBody(bodies, answer, "id-1", "a")
-    assert len(await bodies.async_read(answer, "GET", body)) == MEBIBYTE
-    assert bodies.held.total == MEBIBYTE
+    assert len(await bodies.async_read(answer, "GET", body)) == ANSWER_BYTES
+    assert bodies.held.total == ANSWER_BYTES
     del body
     gc.collect()
     assert bodies.held.total == 0
